--- /dev/null
+++ b/src/cranecart/__init__.py
@@ -0,0 +1,1 @@
+"""Serve language models whose replicas span several instances."""
--- /dev/null
+++ b/src/cranecart/cli/_check.py
@@ -0,0 +1,34 @@
+"""Check a folder of declarations; needs no node. Usage: check FOLDER."""
+
+from pathlib import Path
+
+from absl import flags
+
+from cranecart.cli import _common
+from cranecart.config import FindingsError, compile_folder
+from cranecart.exit_codes import ExitCode
+
+
+def declare_flags(flag_values: flags.FlagValues) -> None:
+    """Declare the command's flags."""
+    _common.declare_json_flag(flag_values)
+
+
+def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
+    """Print what is wrong, all at once, or what the folder declares."""
+    _common.require_arguments(rest, ['FOLDER'])
+    try:
+        declared = compile_folder(Path(rest[0]))
+    except FindingsError as error:
+        if not flag_values.json:
+            raise
+        _common.show(flag_values, {'findings': error.findings}, '')
+        return ExitCode.INVALID_DECLARATION
+    _common.show(
+        flag_values,
+        {'findings': (), 'declarations': declared},
+        f'{rest[0]}: {len(declared.models)} models, '
+        f'{len(declared.services)} services, '
+        f'{len(declared.organisations)} organisations: all well',
+    )
+    return ExitCode.OK
--- /dev/null
+++ b/src/cranecart/cli/_common.py
@@ -0,0 +1,59 @@
+"""Flags and output that the operators' commands share."""
+
+import os
+import sys
+from collections.abc import Iterable
+
+import msgspec
+from absl import flags
+
+from cranecart.http import Address
+from cranecart.operators import OperatorClient
+
+KEY_VARIABLE = 'CRANECART_OPERATOR_KEY'
+_INDENT = 2
+
+
+def declare_node_flags(flag_values: flags.FlagValues) -> None:
+    """Declare how a node is found and how answers are printed."""
+    flags.DEFINE_string(
+        'node_address',
+        '127.0.0.1:8081',
+        "host:port of a node's admin interface",
+        flag_values=flag_values,
+    )
+    declare_json_flag(flag_values)
+
+
+def declare_json_flag(flag_values: flags.FlagValues) -> None:
+    """Declare the flag that asks for JSON."""
+    flags.DEFINE_bool(
+        'json',
+        default=False,
+        help='print JSON instead of text',
+        flag_values=flag_values,
+    )
+
+
+def make_client(flag_values: flags.FlagValues) -> OperatorClient:
+    """Make a client from flags and the key in the environment."""
+    return OperatorClient(
+        Address.from_text(flag_values.node_address),
+        os.environ.get(KEY_VARIABLE, ''),
+    )
+
+
+def require_arguments(rest: list[str], names: Iterable[str]) -> None:
+    """Raise ``flags.Error`` unless there is one word for each name."""
+    wanted = list(names)
+    if len(rest) != len(wanted):
+        shown = ' '.join(wanted) or 'nothing'
+        raise flags.IllegalFlagValueError(f'expected arguments: {shown}')
+
+
+def show(flag_values: flags.FlagValues, answer: object, text: str) -> None:
+    """Print an answer as JSON or as text."""
+    if flag_values.json:
+        encoded = msgspec.json.encode(answer)
+        text = msgspec.json.format(encoded, indent=_INDENT).decode()
+    sys.stdout.write(f'{text}\n')
--- /dev/null
+++ b/src/cranecart/cli/_node.py
@@ -0,0 +1,30 @@
+"""Run a node until it is told to stop. Usage: node SETTINGS_FILE."""
+
+from pathlib import Path
+
+import curio
+from absl import flags
+
+from cranecart.cli import _common
+from cranecart.config import NodeSettings
+from cranecart.exit_codes import ExitCode
+from cranecart.logs import set_up_logging
+from cranecart.node import Node
+
+
+def declare_flags(flag_values: flags.FlagValues) -> None:
+    """Declare the command's flags: it has none, only its settings."""
+    flag_values.mark_as_parsed()
+
+
+def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
+    """Serve until SIGTERM or SIGINT."""
+    _common.require_arguments(rest, ['SETTINGS_FILE'])
+    settings = NodeSettings.from_file(Path(rest[0]))
+    set_up_logging(
+        as_json=settings.log_format == 'json',
+        level=settings.log_level,
+        node=settings.node_id,
+    )
+    curio.run(Node(settings).run)
+    return ExitCode.OK
--- /dev/null
+++ b/src/cranecart/cli/_plan.py
@@ -0,0 +1,54 @@
+"""Show what applying a folder would change. Usage: plan FOLDER."""
+
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+import curio
+from absl import flags
+
+from cranecart.cli import _common
+from cranecart.config import compile_folder, differences
+from cranecart.exit_codes import ExitCode
+from cranecart.models import Declarations
+from cranecart.operators import NodeStatus
+
+declare_flags = _common.declare_node_flags
+
+
+def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
+    """Print the differences and the replicas that would move."""
+    _common.require_arguments(rest, ['FOLDER'])
+    wanted = compile_folder(Path(rest[0]))
+    client = _common.make_client(flag_values)
+    declared = curio.run(client.declared)
+    found = differences(declared.declarations, wanted)
+    moves = list(replica_moves(curio.run(client.status), wanted))
+    lines = [
+        f'against version {declared.version}:',
+        *(f'  {one.what} {one.name}: {one.change}' for one in found),
+        *(f'  replicas: {move}' for move in moves),
+    ]
+    if not found:
+        lines.append('  nothing would change')
+    _common.show(
+        flag_values,
+        {
+            'base_version': declared.version,
+            'differences': found,
+            'moves': moves,
+        },
+        '\n'.join(lines),
+    )
+    return ExitCode.OK
+
+
+def replica_moves(status: NodeStatus, wanted: Declarations) -> Iterator[str]:
+    """Say for each model how many replicas would come and go."""
+    serving = Counter(replica['model_key'] for replica in status.replicas)
+    declared = {spec.key: spec.replicas for spec in wanted.models}
+    for key in sorted(serving.keys() | declared.keys()):
+        change = declared.get(key, 0) - serving[key]
+        if change:
+            verb = 'start' if change > 0 else 'retire'
+            yield f'{verb} {abs(change)} of {key} ({serving[key]} serve now)'
--- /dev/null
+++ b/src/cranecart/cli/_registry.py
@@ -0,0 +1,38 @@
+"""Commands by name; a command's module is imported when it is used."""
+
+import importlib
+from collections.abc import Mapping
+from types import MappingProxyType, ModuleType
+
+import attrs
+
+
+@attrs.frozen
+class CommandInfo:
+    """Where a command is found, and what it does in one line."""
+
+    module: str
+    summary: str
+
+
+COMMANDS: Mapping[str, CommandInfo] = MappingProxyType(
+    {
+        'check': CommandInfo('_check', 'check a folder of declarations'),
+        'plan': CommandInfo('_plan', 'show what applying would change'),
+        'apply': CommandInfo('_apply', 'have declarations accepted'),
+        'history': CommandInfo('_history', 'list accepted changes'),
+        'rollback': CommandInfo('_rollback', 'accept an earlier version anew'),
+        'status': CommandInfo('_status', 'show nodes, duties and replicas'),
+        'explain': CommandInfo('_explain', 'tell why a decision was taken'),
+        'node': CommandInfo('_node', 'run a node'),
+        'standin': CommandInfo('_standin', 'run a stand-in or a fault proxy'),
+        'load': CommandInfo(
+            '_load', 'send a seeded load and check the answers'
+        ),
+    }
+)
+
+
+def load_command(name: str) -> ModuleType:
+    """Import the module of a command that is in the registry."""
+    return importlib.import_module(f'cranecart.cli.{COMMANDS[name].module}')
--- /dev/null
+++ b/src/cranecart/cli/_rollback.py
@@ -0,0 +1,40 @@
+"""Accept what an earlier version declared anew. Usage: rollback VERSION.
+
+The version in force only rises: a rollback is a new version that says what
+an earlier one said.
+"""
+
+import curio
+from absl import flags
+
+from cranecart.cli import _common
+from cranecart.cli._apply import apply_change
+from cranecart.exceptions import OperatorError
+from cranecart.exit_codes import ExitCode
+from cranecart.operators import OperatorClient
+from cranecart.rollout import Change
+
+declare_flags = _common.declare_node_flags
+
+
+def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
+    """Apply the earlier declarations and print the new version."""
+    _common.require_arguments(rest, ['VERSION'])
+    if not rest[0].isdecimal():
+        raise OperatorError(f'{rest[0]!r} is no version number')
+    client = _common.make_client(flag_values)
+    change = curio.run(_roll_back, client, int(rest[0]))
+    _common.show(
+        flag_values,
+        change,
+        f'version {rest[0]} is accepted anew as version {change.version}',
+    )
+    return ExitCode.OK
+
+
+async def _roll_back(client: OperatorClient, version: int) -> Change:
+    earlier = await client.declared(version)
+    if earlier.declarations is None:
+        raise OperatorError(f'version {version} declares nothing')
+    note = f'rollback to version {version}'
+    return await apply_change(client, earlier.declarations, None, note)
--- /dev/null
+++ b/src/cranecart/cli/_status.py
@@ -0,0 +1,39 @@
+"""Show what a node sees: nodes, duties and replicas. Usage: status."""
+
+from collections.abc import Iterator
+
+import curio
+from absl import flags
+
+from cranecart.cli import _common
+from cranecart.exit_codes import ExitCode
+from cranecart.operators import NodeStatus
+
+declare_flags = _common.declare_node_flags
+
+
+def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
+    """Print the status."""
+    _common.require_arguments(rest, [])
+    status = curio.run(_common.make_client(flag_values).status)
+    _common.show(flag_values, status, '\n'.join(_lines(status)))
+    return ExitCode.OK
+
+
+def _lines(status: NodeStatus) -> Iterator[str]:
+    yield (
+        f'{status.node} in {status.failure_domain}: ready {status.ready}, '
+        f'version {status.config_version}, {status.in_flight} in flight'
+    )
+    for duty, holder in status.duties.items():
+        yield f'duty {duty}: {holder or "nobody"}'
+    for node in status.nodes:
+        yield 'node {}'.format(
+            ' '.join(f'{name}={text}' for name, text in node.items()),
+        )
+    for replica in status.replicas:
+        members = ' '.join(replica['members'])
+        yield (
+            f'replica {replica["replica"]} generation '
+            f'{replica["generation"]}: {members}'
+        )
--- /dev/null
+++ b/src/cranecart/clients/_attempts.py
@@ -0,0 +1,88 @@
+"""Attempt a call until it ran, or may have run, or its time is up."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import attrs
+import curio
+from curio.errors import TaskTimeout
+
+from cranecart.clients._errors import describe_target_error
+from cranecart.exceptions import (
+    DeadlineError,
+    Execution,
+    NoReplicaError,
+    RequestError,
+    TargetError,
+    TargetTimeoutError,
+)
+from cranecart.logs import decision
+from cranecart.targets import Call
+
+Answer = TypeVar('Answer')
+Attempt = Callable[[], Awaitable[Answer]]
+
+_MAX_ATTEMPTS = 4
+
+
+@attrs.define
+class Attempts:
+    """The attempts at one call; each goes to another target."""
+
+    _call: Call
+    _number: int = attrs.field(default=0, init=False)
+    _last: TargetError | None = attrs.field(default=None, init=False)
+
+    async def run(self, attempt: Attempt[Answer]) -> Answer:
+        """Return the first answer; raise ``RequestError`` for the last error.
+
+        A call that may have run is attempted again only if it is repeatable.
+        """
+        while self._may_go_on():
+            self._number += 1
+            try:
+                return await attempt()
+            except TargetError as error:
+                self._note(error)
+            except NoReplicaError as error:
+                raise self._final_error(error) from error
+        raise self._final_error(
+            DeadlineError('the deadline passed before it was sent'),
+        )
+
+    def _note(self, error: TargetError) -> None:
+        # Once it may have run, a later refusal does not make it 'not run'.
+        if self._last is None or self._last.execution is Execution.NOT_RUN:
+            self._last = error
+        decision(
+            'attempt_failed',
+            request=self._call.request_id,
+            attempt=self._number,
+            execution=error.execution.value,
+            why=str(error),
+        )
+
+    def _may_go_on(self) -> bool:
+        if self._number >= _MAX_ATTEMPTS or self._call.seconds_left <= 0:
+            return False
+        return (
+            self._call.repeatable
+            or self._last is None
+            or self._last.execution is Execution.NOT_RUN
+        )
+
+    def _final_error(self, without_attempt: RequestError) -> RequestError:
+        if self._last is None:
+            return without_attempt
+        return describe_target_error(self._last)
+
+
+async def read_in_time(
+    call: Call,
+    read: Callable[[], Awaitable[bytes]],
+) -> bytes:
+    """Read within the call's time; raise ``TargetTimeoutError``."""
+    try:
+        return await curio.timeout_after(call.seconds_left, read)
+    except TaskTimeout as error:
+        raise TargetTimeoutError('the answer was not whole in time') from error
--- /dev/null
+++ b/src/cranecart/clients/_errors.py
@@ -0,0 +1,62 @@
+"""The one shape in which clients are told of errors."""
+
+import math
+
+import attrs
+
+from cranecart.exceptions import (
+    DeadlineError,
+    Execution,
+    OutcomeUnknownError,
+    RequestError,
+    TargetError,
+    TargetTimeoutError,
+)
+from cranecart.http import Response, json_response
+
+
+@attrs.frozen
+class ErrorBody:
+    """What happened, whether the call ran, and when to come back."""
+
+    code: str
+    message: str
+    execution: str
+    retry_after_seconds: float | None
+    request_id: str
+
+    @classmethod
+    def from_error(cls, error: RequestError, request_id: str) -> 'ErrorBody':
+        """Describe an error to the client."""
+        return cls(
+            error.code,
+            str(error),
+            error.execution.value,
+            error.retry_after,
+            request_id,
+        )
+
+
+def error_response(error: RequestError, request_id: str) -> Response:
+    """Build the response for an error, with Retry-After where known."""
+    headers = {'x-request-id': request_id}
+    if error.retry_after is not None:
+        headers['retry-after'] = str(math.ceil(error.retry_after))
+    body = {'error': ErrorBody.from_error(error, request_id)}
+    return json_response(error.status, body, headers)
+
+
+def describe_target_error(error: TargetError) -> RequestError:
+    """Turn a target's error into what the client is told."""
+    if error.execution is Execution.NOT_RUN:
+        return _NotRunOnTargetError(str(error))
+    if isinstance(error, TargetTimeoutError):
+        return OutcomeUnknownError(f'no answer by the deadline: {error}')
+    return OutcomeUnknownError(str(error))
+
+
+class _NotRunOnTargetError(DeadlineError):
+    """No target took the call."""
+
+    status = 503
+    code = 'not_taken'
--- /dev/null
+++ b/src/cranecart/clients/_gateway.py
@@ -0,0 +1,170 @@
+"""Serve clients: admit, claim, route, send, relay."""
+
+import uuid
+from collections.abc import Callable
+
+import attrs
+
+from cranecart.claims import Claims, Held, Replay
+from cranecart.clients._attempts import Attempts, read_in_time
+from cranecart.clients._errors import error_response
+from cranecart.clients._reading import find_organisation, read_call
+from cranecart.clients._relay import StreamRelay
+from cranecart.exceptions import (
+    ConnectionBrokenError,
+    Execution,
+    NotConfiguredError,
+    RequestError,
+)
+from cranecart.http import Request, Responder, Response
+from cranecart.limits import Admission
+from cranecart.logs import decision
+from cranecart.models import Declarations
+from cranecart.routing import Router
+from cranecart.targets import (
+    Call,
+    CompletionCall,
+    EngineClient,
+    ServiceCall,
+    ServiceClient,
+)
+
+_OK = 200
+_PASSED_ON = frozenset(('content-type', 'x-replayed'))
+
+
+@attrs.define
+class Gateway:
+    """The path of a client's request through one node."""
+
+    _current: Callable[[], Declarations | None]
+    _router: Router
+    _engines: EngineClient
+    _services: ServiceClient
+    _claims: Claims
+    _admission: Admission
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request; every error gets its final answer at once."""
+        request_id = uuid.uuid4().hex
+        try:
+            await self._serve(request, responder, request_id)
+        except RequestError as error:
+            decision(
+                'refused',
+                request=request_id,
+                code=error.code,
+                execution=error.execution.value,
+                why=str(error),
+            )
+            if responder.has_started:
+                raise ConnectionBrokenError('cut short') from error
+            await responder.send(error_response(error, request_id))
+
+    async def _serve(
+        self,
+        request: Request,
+        responder: Responder,
+        request_id: str,
+    ) -> None:
+        declarations = self._current()
+        if declarations is None:
+            raise NotConfiguredError('this node has no configuration yet')
+        organisation = find_organisation(request, declarations)
+        call = attrs.evolve(
+            read_call(request, organisation, declarations),
+            request_id=request_id,
+        )
+        with self._admission.admit(organisation, call.priority):
+            await self._answer(call, responder)
+
+    async def _answer(self, call: Call, responder: Responder) -> None:
+        claim = await self._claim(call)
+        if isinstance(claim, Replay):
+            await _send_whole(call, claim.response, responder)
+            return
+        try:
+            response = await self._send(call, responder)
+        except RequestError as error:
+            if claim is not None and error.execution is Execution.NOT_RUN:
+                await self._claims.release(claim)
+            raise
+        if claim is not None and response is not None:
+            await self._claims.settle(claim, response)
+
+    async def _claim(self, call: Call) -> Held | Replay | None:
+        # Without a key of its client's, no other copy can be told from it.
+        if call.repeatable or not call.idempotency_key:
+            return None
+        return await self._claims.make(call)
+
+    async def _send(
+        self,
+        call: Call,
+        responder: Responder,
+    ) -> Response | None:
+        """Answer the client; return what a repeat of the call should hear."""
+        match call:
+            case CompletionCall(stream=True):
+                return await self._stream(call, responder)
+            case CompletionCall():
+                response = await self._complete(call)
+            case ServiceCall():
+                response = await self._call_service(call)
+            case _:
+                raise TypeError(f'there is no way to send {call!r}')
+        await _send_whole(call, response, responder)
+        return response
+
+    async def _stream(
+        self,
+        call: CompletionCall,
+        responder: Responder,
+    ) -> Response | None:
+        relay = StreamRelay(call, responder, self._router, self._engines)
+        try:
+            await Attempts(call).run(relay.attempt)
+        except RequestError as error:
+            if not responder.has_started:
+                raise
+            await relay.finish_with(error)
+            return None
+        return relay.recorded()
+
+    async def _complete(self, call: CompletionCall) -> Response:
+        tried: list[str] = []
+
+        async def attempt() -> Response:  # noqa: WPS430
+            replica = self._router.choose_replica(call, tried)
+            tried.append(replica.id)
+            with self._router.in_flight(replica.id):
+                async with await self._engines.start(replica, call) as answer:
+                    body = await read_in_time(call, answer.read_body)
+                    return Response(_OK, answer.head.headers, body)
+
+        return await Attempts(call).run(attempt)
+
+    async def _call_service(self, call: ServiceCall) -> Response:
+        tried: list[str] = []
+
+        async def attempt() -> Response:  # noqa: WPS430
+            instance = self._router.choose_instance(call, tried)
+            tried.append(instance.id)
+            with self._router.in_flight(instance.id):
+                return await self._services.call(instance, call)
+
+        return await Attempts(call).run(attempt)
+
+
+async def _send_whole(
+    call: Call,
+    response: Response,
+    responder: Responder,
+) -> None:
+    headers = {
+        name: text
+        for name, text in response.headers.items()
+        if name in _PASSED_ON and text
+    }
+    headers['x-request-id'] = call.request_id
+    await responder.send(attrs.evolve(response, headers=headers))
--- /dev/null
+++ b/src/cranecart/clients/_reading.py
@@ -0,0 +1,232 @@
+"""Turn a client's HTTP request into a checked call."""
+
+import hashlib
+import hmac
+import time
+import uuid
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from cranecart.exceptions import (
+    InvalidRequestError,
+    NotFoundError,
+    UnauthorizedError,
+)
+from cranecart.http import Request
+from cranecart.models import Declarations, OrganisationSpec, Priority
+from cranecart.targets import Call, CompletionCall, ServiceCall
+
+COMPLETIONS = '/v1/chat/completions'
+SERVICES = '/v1/services/'
+MAX_DEADLINE_MS = 600000
+_DEFAULT_DEADLINE_MS = 60000
+_MILLISECONDS = 1000
+_PREFIX_CHARS = 48
+_MAX_KEY_CHARS = 255
+_MAX_TOKENS = 32768
+_DEFAULT_TOKENS = 16
+_YES_NO = MappingProxyType({'yes': True, 'no': False})
+
+
+def find_organisation(
+    request: Request,
+    declarations: Declarations,
+) -> OrganisationSpec:
+    """Return whose key the request carries; raise ``UnauthorizedError``."""
+    scheme, _, key = request.headers.get('authorization', '').partition(' ')
+    if scheme.lower() != 'bearer' or not key:
+        raise UnauthorizedError('send your key as "Authorization: Bearer ..."')
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    found = None
+    # Every hash is compared, each in constant time, so that the time taken
+    # tells nothing about how near a guess came.
+    for organisation in declarations.organisations:
+        for known in organisation.key_sha256:
+            if hmac.compare_digest(known, digest):
+                found = organisation
+    if found is None:
+        raise UnauthorizedError('the key is not known')
+    return found
+
+
+def read_call(
+    request: Request,
+    organisation: OrganisationSpec,
+    declarations: Declarations,
+) -> Call:
+    """Check a request and return the call; raise ``RequestError``."""
+    path = request.path
+    if path == COMPLETIONS:
+        return _read_completion(request, organisation)
+    if path.startswith(SERVICES):
+        return _read_service(request, organisation, declarations)
+    raise NotFoundError(f'there is nothing at {path}')
+
+
+def _common(
+    request: Request,
+    organisation: OrganisationSpec,
+) -> dict[str, Any]:
+    headers = request.headers
+    key = headers.get('idempotency-key', '')
+    if len(key) > _MAX_KEY_CHARS:
+        raise InvalidRequestError('Idempotency-Key is over 255 characters')
+    return {
+        'request_id': uuid.uuid4().hex,
+        'organisation': organisation.name,
+        'body': request.body,
+        'deadline': time.monotonic() + _deadline_seconds(headers),
+        'priority': _priority(headers, organisation),
+        'repeatable': _choice(headers, 'x-repeatable', _YES_NO, default=True),
+        'idempotency_key': key,
+    }
+
+
+def _choice(
+    headers: Mapping[str, str],
+    name: str,
+    choices: Mapping[str, bool],
+    *,
+    default: bool,
+) -> bool:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if text not in choices:
+        known = ' or '.join(choices)
+        raise InvalidRequestError(f'{name} must be {known}, not {text!r}')
+    return choices[text]
+
+
+def _deadline_seconds(headers: Mapping[str, str]) -> float:
+    text = headers.get('x-deadline-ms', str(_DEFAULT_DEADLINE_MS))
+    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise InvalidRequestError(
+            f'x-deadline-ms must be from 1 to {MAX_DEADLINE_MS}',
+        )
+    return int(text) / _MILLISECONDS
+
+
+def _priority(
+    headers: Mapping[str, str],
+    organisation: OrganisationSpec,
+) -> Priority:
+    text = headers.get('x-priority')
+    if text is None:
+        return organisation.priority
+    try:
+        asked = Priority(text)
+    except ValueError:
+        raise InvalidRequestError(
+            'x-priority must be high, normal or low',
+        ) from None
+    # Nobody may ask for more than the organisation was given.
+    return max(asked, organisation.priority, key=lambda one: one.rank)
+
+
+def _read_completion(
+    request: Request,
+    organisation: OrganisationSpec,
+) -> CompletionCall:
+    if request.method != 'POST':
+        raise InvalidRequestError('completions take POST')
+    body = _json_object(request.body)
+    model, _, version = _text(body, 'model').partition('@')
+    if model not in organisation.models:
+        raise NotFoundError(f'{organisation.name} has no model {model!r}')
+    return CompletionCall(
+        **_common(request, organisation),
+        model=model,
+        version=version,
+        adapter=_text(body, 'adapter', default=''),
+        stream=_boolean(body, 'stream'),
+        prefix=_prefix(body),
+        max_tokens=_max_tokens(body),
+    )
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        decoded = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidRequestError(f'the body is not JSON: {error}') from error
+    if not isinstance(decoded, dict):
+        raise InvalidRequestError('the body must be a JSON object')
+    return decoded
+
+
+def _text(
+    body: Mapping[str, object],
+    name: str,
+    default: str | None = None,
+) -> str:
+    found = body.get(name, default)
+    if not isinstance(found, str):
+        raise InvalidRequestError(f'{name} must be given as a string')
+    return found
+
+
+def _boolean(body: Mapping[str, object], name: str) -> bool:
+    found = body.get(name, False)
+    if not isinstance(found, bool):
+        raise InvalidRequestError(f'{name} must be true or false')
+    return found
+
+
+def _max_tokens(body: Mapping[str, object]) -> int:
+    found = body.get('max_tokens', _DEFAULT_TOKENS)
+    if isinstance(found, bool) or not isinstance(found, int):
+        raise InvalidRequestError('max_tokens must be a whole number')
+    if not 0 < found <= _MAX_TOKENS:
+        raise InvalidRequestError(f'max_tokens must be 1 to {_MAX_TOKENS}')
+    return found
+
+
+def _prefix(body: Mapping[str, object]) -> str:
+    messages = body.get('messages')
+    if not isinstance(messages, list) or not messages:
+        raise InvalidRequestError('messages must be a list that is not empty')
+    for message in messages:
+        if not isinstance(message, dict):
+            raise InvalidRequestError('each message must be an object')
+        _text(message, 'role')
+        _text(message, 'content')
+    return str(messages[0]['content'])[:_PREFIX_CHARS]
+
+
+def _read_service(
+    request: Request,
+    organisation: OrganisationSpec,
+    declarations: Declarations,
+) -> ServiceCall:
+    name, _, rest = request.target.removeprefix(SERVICES).partition('/')
+    if name not in organisation.services:
+        raise NotFoundError(f'{organisation.name} has no service {name!r}')
+    common = _common(request, organisation)
+    path = f'/{rest}'
+    if path.partition('?')[0] in _non_repeatable_paths(name, declarations):
+        common['repeatable'] = False
+    return ServiceCall(
+        **common,
+        service=name,
+        path=path,
+        method=request.method,
+        content_type=request.headers.get('content-type', ''),
+    )
+
+
+def _non_repeatable_paths(
+    name: str,
+    declarations: Declarations,
+) -> tuple[str, ...]:
+    return next(
+        (
+            spec.non_repeatable_paths
+            for spec in declarations.services
+            if spec.name == name
+        ),
+        (),
+    )
--- /dev/null
+++ b/src/cranecart/clients/_relay.py
@@ -0,0 +1,105 @@
+"""Pass a stream on; go on at another replica where that is safe."""
+
+from cranecart.clients._attempts import read_in_time
+from cranecart.clients._errors import ErrorBody
+from cranecart.clients._events import EventCounter, error_event
+from cranecart.exceptions import RequestError, TargetBrokenError
+from cranecart.http import Responder, Response
+from cranecart.logs import decision
+from cranecart.routing import Router
+from cranecart.targets import (
+    CompletionCall,
+    EngineAnswer,
+    EngineClient,
+    ServingReplica,
+)
+
+_OK = 200
+_EVENT_STREAM = 'text/event-stream'
+
+
+class StreamRelay:
+    """One client's stream, over all attempts at it."""
+
+    def __init__(
+        self,
+        call: CompletionCall,
+        responder: Responder,
+        router: Router,
+        engines: EngineClient,
+    ) -> None:
+        """Start with no token passed on."""
+        self._counter = EventCounter()
+        self._call = call
+        self._responder = responder
+        self._router = router
+        self._engines = engines
+        self._tried: list[str] = []
+        self._pieces: list[bytes] = []
+
+    @property
+    def is_finished(self) -> bool:
+        """Tell whether the whole answer was passed on."""
+        return self._counter.is_finished
+
+    async def attempt(self) -> None:
+        """Relay from a replica that was not tried; raise ``TargetError``."""
+        replica = self._router.choose_replica(self._call, self._tried)
+        self._tried.append(replica.id)
+        with self._router.in_flight(replica.id):
+            await self._relay(replica)
+
+    async def finish_with(self, error: RequestError) -> None:
+        """End a stream that has started with an event that says why."""
+        body = ErrorBody.from_error(error, self._call.request_id)
+        decision(
+            'stream_cut_short',
+            request=self._call.request_id,
+            tokens=self._counter.tokens,
+            why=str(error),
+        )
+        await self._responder.write(error_event(body))
+        await self._responder.end()
+
+    def recorded(self) -> Response:
+        """Return the whole stream, kept for non-repeatable calls only."""
+        return Response(
+            _OK,
+            {'content-type': _EVENT_STREAM},
+            b''.join(self._pieces),
+        )
+
+    async def _relay(self, replica: ServingReplica) -> None:
+        self._counter.restart()
+        answer = await self._engines.start(
+            replica,
+            self._call,
+            self._counter.tokens,
+        )
+        async with answer:
+            await self._start()
+            await self._pass_all_on(answer)
+            if not self.is_finished:
+                raise TargetBrokenError(f'{replica.id} stopped mid-stream')
+        await self._responder.end()
+
+    async def _start(self) -> None:
+        if self._responder.has_started:
+            return
+        await self._responder.start(
+            _OK,
+            {
+                'content-type': _EVENT_STREAM,
+                'cache-control': 'no-store',
+                'x-request-id': self._call.request_id,
+            },
+        )
+
+    async def _pass_all_on(self, answer: EngineAnswer) -> None:
+        while piece := await read_in_time(self._call, answer.read_piece):
+            whole = self._counter.feed(piece)
+            if not whole:
+                continue
+            if not self._call.repeatable:
+                self._pieces.append(whole)
+            await self._responder.write(whole)
--- /dev/null
+++ b/src/cranecart/config/_settings.py
@@ -0,0 +1,72 @@
+"""Settings of one node: its addresses, its place, its peers."""
+
+from pathlib import Path
+from typing import Self
+
+import attrs
+
+from cranecart.config._source import Finding, FindingsError, read_document
+from cranecart.config._structure import structure
+from cranecart.http import Address
+
+_POSITIVE = attrs.validators.gt(0)
+_STOP_GRACE_MS = 30000
+_READY_OFF_MS = 2000
+
+
+def _is_address(
+    _instance: object,
+    _attribute: object,
+    found: str,
+) -> None:
+    Address.from_text(found)
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings:
+    """What one process must know before it can ask anybody anything."""
+
+    node_id: str = attrs.field(validator=attrs.validators.min_len(1))
+    failure_domain: str
+    client_address: str = attrs.field(validator=_is_address)
+    operator_address: str = attrs.field(validator=_is_address)
+    peer_address: str = attrs.field(validator=_is_address)
+    platform_address: str = attrs.field(validator=_is_address)
+    operator_key_sha256: str
+    peers: tuple[str, ...] = ()
+    stop_grace_ms: int = attrs.field(
+        default=_STOP_GRACE_MS, validator=_POSITIVE
+    )
+    ready_off_ms: int = attrs.field(default=_READY_OFF_MS, validator=_POSITIVE)
+    log_format: str = attrs.field(
+        default='json',
+        validator=attrs.validators.in_(('json', 'text')),
+    )
+    log_level: str = attrs.field(
+        default='info',
+        validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
+    )
+    seed: int = 0
+
+    @classmethod
+    def from_file(cls, file: Path) -> Self:
+        """Read settings; raise ``FindingsError`` with all that is wrong."""
+        document = read_document(file)
+        if not isinstance(document.root, dict):
+            raise FindingsError([Finding(str(file), 1, 'must be an object')])
+        return structure(document, cls)
+
+    @property
+    def clients(self) -> Address:
+        """Return where clients are served."""
+        return Address.from_text(self.client_address)
+
+    @property
+    def operators(self) -> Address:
+        """Return where operators are served."""
+        return Address.from_text(self.operator_address)
+
+    @property
+    def platform(self) -> Address:
+        """Return where the platform is."""
+        return Address.from_text(self.platform_address)
--- /dev/null
+++ b/src/cranecart/config/_source.py
@@ -0,0 +1,163 @@
+"""Read JSON with comments, and remember the line of each value."""
+
+import difflib
+import functools
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+
+import attrs
+import msgspec
+import tree_sitter
+import tree_sitter_json
+
+from cranecart.exceptions import ConfigError
+
+KeyPath = tuple[str | int, ...]
+
+
+@attrs.frozen
+class Finding:
+    """One rule that a file breaks, and where."""
+
+    file: str
+    line: int
+    message: str
+
+    def __str__(self) -> str:
+        """Write the finding as editors expect it."""
+        return f'{self.file}:{self.line}: {self.message}'
+
+
+class FindingsError(ConfigError):
+    """Files break rules; carries every finding at once."""
+
+    def __init__(self, findings: Iterable[Finding]) -> None:
+        """Join the findings into one message."""
+        self.findings = tuple(findings)
+        super().__init__('\n'.join(map(str, self.findings)))
+
+
+@attrs.frozen
+class Document:
+    """A parsed file and the line on which each value starts."""
+
+    file: str
+    root: object
+    lines: Mapping[KeyPath, int]
+
+    def finding(self, path: KeyPath, message: str) -> Finding:
+        """Make a finding at a path, or at its nearest known parent."""
+        known = next(
+            path[:length]
+            for length in range(len(path), -1, -1)
+            if path[:length] in self.lines
+        )
+        return Finding(self.file, self.lines[known], message)
+
+
+@functools.cache
+def _parser() -> tree_sitter.Parser:
+    language = tree_sitter.Language(tree_sitter_json.language())
+    return tree_sitter.Parser(language)
+
+
+def read_document(file: Path) -> Document:
+    """Parse one file; raise ``FindingsError`` where it is not JSON."""
+    try:
+        source = file.read_bytes()
+    except OSError as error:
+        raise FindingsError(
+            [Finding(str(file), 1, f'cannot be read: {error.strerror}')],
+        ) from error
+    tree = _parser().parse(source)
+    if tree.root_node.has_error:
+        raise FindingsError(
+            [
+                Finding(
+                    str(file),
+                    _first_error_line(tree.root_node),
+                    'is not JSON with comments: see this line or the one above',
+                ),
+            ],
+        )
+    return _to_document(str(file), tree.root_node)
+
+
+def _first_error_line(node: tree_sitter.Node) -> int:
+    if node.is_error or node.is_missing:
+        return node.start_point.row + 1
+    return next(
+        (
+            _first_error_line(child)
+            for child in node.children
+            if child.has_error or child.is_missing
+        ),
+        node.start_point.row + 1,
+    )
+
+
+def _to_document(file: str, root: tree_sitter.Node) -> Document:
+    found = _content(root)
+    if len(found) != 1:
+        raise FindingsError([Finding(file, 1, 'must hold exactly one value')])
+    lines: dict[KeyPath, int] = {}
+    findings: list[Finding] = []
+    value = _Reader(file, lines, findings).read(found[0], ())
+    if findings:
+        raise FindingsError(findings)
+    return Document(file, value, lines)
+
+
+def _content(node: tree_sitter.Node) -> list[tree_sitter.Node]:
+    return [child for child in node.named_children if child.type != 'comment']
+
+
+@attrs.frozen
+class _Reader:
+    """Turns syntax nodes into values."""
+
+    file: str
+    lines: dict[KeyPath, int]
+    findings: list[Finding]
+
+    def read(self, node: tree_sitter.Node, path: KeyPath) -> object:
+        self.lines[path] = node.start_point.row + 1
+        match node.type:
+            case 'object':
+                return self._read_object(node, path)
+            case 'array':
+                return [
+                    self.read(child, (*path, index))
+                    for index, child in enumerate(_content(node))
+                ]
+        return _scalar(node)
+
+    def _read_object(
+        self,
+        node: tree_sitter.Node,
+        path: KeyPath,
+    ) -> dict[str, object]:
+        found: dict[str, object] = {}
+        for pair in _content(node):
+            key_node, value_node = _content(pair)
+            key = str(_scalar(key_node))
+            if key in found:
+                self.findings.append(
+                    Finding(
+                        self.file,
+                        key_node.start_point.row + 1,
+                        f'key {key!r} stands twice',
+                    ),
+                )
+            found[key] = self.read(value_node, (*path, key))
+        return found
+
+
+def _scalar(node: tree_sitter.Node) -> object:
+    return msgspec.json.decode(node.text or b'null')
+
+
+def suggest(name: str, known: Iterable[str]) -> str:
+    """Return a hint that names the nearest known name, or nothing."""
+    near = difflib.get_close_matches(name, list(known), n=1)
+    return f'; did you mean {near[0]!r}?' if near else ''
--- /dev/null
+++ b/src/cranecart/config/_structure.py
@@ -0,0 +1,110 @@
+"""Check documents against attrs classes, and name what is wrong where."""
+
+import itertools
+import re
+from typing import TypeVar
+
+import attrs
+import cattrs
+
+from cranecart.config._source import (
+    Document,
+    Finding,
+    FindingsError,
+    KeyPath,
+    suggest,
+)
+
+Data = TypeVar('Data')
+
+_PATH_STEP = re.compile(r"\.(\w+)|\[(\d+)\]|\['?([^'\]]+)'?\]")
+_EXTRA_FIELDS = re.compile(r'extra fields found \((.*)\)')
+
+
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for plain in (int, str, bool):
+        converter.register_structure_hook(plain, _strict)
+    return converter
+
+
+def _strict(found: object, wanted: type) -> object:
+    # ``bool`` is an ``int`` to Python, but not to whoever writes settings.
+    if isinstance(found, bool) != (wanted is bool) or not isinstance(
+        found,
+        wanted,
+    ):
+        raise TypeError(f'expected {wanted.__name__}, found {found!r}')
+    return found
+
+
+_CONVERTER = _converter()
+
+
+def structure(
+    document: Document,
+    wanted: type[Data],
+    base: KeyPath = (),
+    found: object = None,
+) -> Data:
+    """Check a document against an attrs class.
+
+    Raise ``FindingsError`` with every rule that is broken.
+    """
+    source = document.root if found is None else found
+    try:
+        return _CONVERTER.structure(source, wanted)
+    except Exception as error:
+        lines = cattrs.transform_error(error)
+    raise FindingsError(
+        _to_finding(document, base, line, wanted) for line in lines
+    )
+
+
+def _to_finding(
+    document: Document,
+    base: KeyPath,
+    line: str,
+    wanted: type[object],
+) -> Finding:
+    message, _, place = line.rpartition(' @ ')
+    steps = _steps(place)
+    extra = _EXTRA_FIELDS.search(message)
+    if extra is None:
+        named = f'{_name(steps)}{message}'
+        return document.finding((*base, *steps), named)
+    name = extra.group(1).split(', ')[0]
+    hint = suggest(name, all_field_names(wanted))
+    return document.finding(
+        (*base, *steps, name),
+        f'unknown key {name!r}{hint}',
+    )
+
+
+def _steps(place: str) -> KeyPath:
+    return tuple(
+        int(index) if index else (attribute or key)
+        for attribute, index, key in _PATH_STEP.findall(place)
+    )
+
+
+def _name(steps: KeyPath) -> str:
+    if not steps:
+        return ''
+    return '{}: '.format('.'.join(map(str, steps)))
+
+
+def all_field_names(wanted: type[object]) -> list[str]:
+    """Return the field names of an attrs class and of those inside it."""
+    if not attrs.has(wanted):
+        return []
+    fields = attrs.fields(wanted)
+    inner = itertools.chain.from_iterable(
+        (field.type, *getattr(field.type, '__args__', ())) for field in fields
+    )
+    return [
+        *(field.name for field in fields),
+        *itertools.chain.from_iterable(
+            all_field_names(one) for one in inner if isinstance(one, type)
+        ),
+    ]
--- /dev/null
+++ b/src/cranecart/http/__init__.py
@@ -0,0 +1,25 @@
+"""HTTP/1.1 by h11 over curio sockets, for both sides of a connection."""
+
+from cranecart.http._client import HttpConnection, HttpPool, exchange
+from cranecart.http._messages import (
+    Address,
+    Request,
+    Response,
+    ResponseHead,
+    json_response,
+)
+from cranecart.http._server import HttpServer, Responder, ServerLimits
+
+__all__ = (
+    'Address',
+    'HttpConnection',
+    'HttpPool',
+    'HttpServer',
+    'Request',
+    'Responder',
+    'Response',
+    'ResponseHead',
+    'ServerLimits',
+    'exchange',
+    'json_response',
+)
--- /dev/null
+++ b/src/cranecart/http/_client.py
@@ -0,0 +1,226 @@
+"""The asking side of HTTP: one connection, and a pool of idle ones."""
+
+import select
+from collections import defaultdict
+from typing import Self
+
+import attrs
+import curio
+import h11
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import (
+    BadMessageError,
+    ConnectFailedError,
+    ConnectionBrokenError,
+    PeerTimeoutError,
+)
+from cranecart.http._messages import (
+    Address,
+    Request,
+    Response,
+    ResponseHead,
+    decode_headers,
+    encode_headers,
+)
+
+_READ_BYTES = 65536
+_MAX_HEAD_BYTES = 32768
+_MAX_IDLE = 32
+_CONNECT_SECONDS = 1.0
+_MAX_BODY_BYTES = 67108864
+
+
+class HttpConnection:
+    """A connection to one address; it carries one request at a time."""
+
+    def __init__(self, address: Address, sock: curio.io.Socket) -> None:
+        """Wrap an open socket."""
+        self.address = address
+        self._sock = sock
+        self._h11 = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=_MAX_HEAD_BYTES,
+        )
+
+    @classmethod
+    async def open(
+        cls,
+        address: Address,
+        connect_seconds: float = _CONNECT_SECONDS,
+    ) -> Self:
+        """Connect; raise ``ConnectFailedError`` when that does not succeed."""
+        try:
+            sock = await curio.timeout_after(
+                connect_seconds,
+                curio.open_connection,
+                address.host,
+                address.port,
+            )
+        except (OSError, TaskTimeout) as error:
+            raise ConnectFailedError(
+                f'{address} cannot be reached: {error!r}',
+            ) from error
+        return cls(address, sock)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell whether both sides finished cleanly and may go on."""
+        return (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+        )
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing came, not even the end, while it was idle."""
+        ready, _, _ = select.select([self._sock.fileno()], [], [], 0)
+        return not ready
+
+    def reset(self) -> None:
+        """Get ready for the next request on this connection."""
+        self._h11.start_next_cycle()
+
+    async def send(self, request: Request) -> None:
+        """Send a whole request."""
+        headers = {
+            'host': str(self.address),
+            'content-length': str(len(request.body)),
+            **request.headers,
+        }
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=encode_headers(headers),
+        )
+        pieces = (
+            self._h11.send(event)
+            for event in (
+                head,
+                h11.Data(data=request.body),
+                h11.EndOfMessage(),
+            )
+        )
+        try:
+            await self._sock.sendall(b''.join(filter(None, pieces)))
+        except OSError as error:
+            raise ConnectionBrokenError(
+                f'{self.address} closed during the request',
+            ) from error
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for the response's status and headers."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if isinstance(event, h11.Response):
+            return ResponseHead(
+                event.status_code,
+                decode_headers(event.headers),
+            )
+        raise ConnectionBrokenError(f'{self.address} sent no response')
+
+    async def read_piece(self) -> bytes:
+        """Return what one read brought of the body; empty at its end."""
+        event = await self._next_event()
+        match event:
+            case h11.Data():
+                return bytes(event.data)
+            case h11.EndOfMessage():
+                return b''
+        raise ConnectionBrokenError(f'{self.address} closed mid-response')
+
+    async def read_body(self) -> bytes:
+        """Collect the rest of the body."""
+        pieces = []
+        size = 0
+        while piece := await self.read_piece():
+            pieces.append(piece)
+            size += len(piece)
+            if size > _MAX_BODY_BYTES:
+                raise BadMessageError(f'{self.address} sent too large a body')
+        return b''.join(pieces)
+
+    async def close(self) -> None:
+        """Close the socket; safe to call twice."""
+        await self._sock.close()
+
+    async def _next_event(self) -> object:
+        event = self._parse()
+        while event is h11.NEED_DATA:
+            try:
+                received = await self._sock.recv(_READ_BYTES)
+            except OSError as error:
+                raise ConnectionBrokenError(
+                    f'{self.address} broke the connection',
+                ) from error
+            self._h11.receive_data(received)
+            event = self._parse()
+        return event
+
+    def _parse(self) -> object:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionBrokenError(
+                f'{self.address} did not finish its response: {error}',
+            ) from error
+
+
+@attrs.define
+class HttpPool:
+    """Idle connections by address; a connection is lent to one request."""
+
+    _idle: dict[Address, list[HttpConnection]] = attrs.field(
+        factory=lambda: defaultdict(list),
+        init=False,
+    )
+
+    async def take(self, address: Address) -> HttpConnection:
+        """Return an idle connection or open one."""
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.close()
+        return await HttpConnection.open(address)
+
+    async def give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection that finished cleanly; close any other."""
+        idle = self._idle[connection.address]
+        if connection.is_reusable and len(idle) < _MAX_IDLE:
+            connection.reset()
+            idle.append(connection)
+        else:
+            await connection.close()
+
+
+async def exchange(
+    address: Address,
+    request: Request,
+    seconds: float,
+    connect_seconds: float = _CONNECT_SECONDS,
+) -> Response:
+    """Send one request on a connection of its own; return the response.
+
+    Raise ``ConnectFailedError`` where nothing was sent, and
+    ``PeerTimeoutError`` or ``ConnectionBrokenError`` where something was.
+    """
+    connection = await HttpConnection.open(
+        address,
+        min(seconds, connect_seconds),
+    )
+    try:
+        return await curio.timeout_after(seconds, _ask, connection, request)
+    except TaskTimeout as error:
+        raise PeerTimeoutError(
+            f'{address} did not answer within {seconds} s',
+        ) from error
+    finally:
+        await connection.close()
+
+
+async def _ask(connection: HttpConnection, request: Request) -> Response:
+    await connection.send(request)
+    head = await connection.read_head()
+    return Response(head.status, head.headers, await connection.read_body())
--- /dev/null
+++ b/src/cranecart/http/_server.py
@@ -0,0 +1,317 @@
+"""The answering side of HTTP: a listener with one task a connection."""
+
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import curio
+import h11
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import BadMessageError, ConnectionBrokenError
+from cranecart.http._messages import (
+    Address,
+    Headers,
+    Request,
+    Response,
+    decode_headers,
+    encode_headers,
+    json_response,
+)
+
+_LOG = logging.getLogger(__name__)
+_READ_BYTES = 65536
+_BACKLOG = 512
+_STATUS_BAD_REQUEST = 400
+_STATUS_TIMEOUT = 408
+_STATUS_TOO_LARGE = 413
+
+
+@attrs.frozen
+class ServerLimits:
+    """Bounds on what one client can make the server hold or wait for."""
+
+    head_bytes: int = 16384
+    body_bytes: int = 1048576
+    receive_seconds: float = 10.0
+    idle_seconds: float = 60.0
+    write_seconds: float = 30.0
+    connections: int = 4096
+
+
+Handler = Callable[[Request, 'Responder'], Awaitable[None]]
+
+
+class Responder:
+    """Writes the response to one request, whole or piece by piece."""
+
+    def __init__(
+        self,
+        sock: curio.io.Socket,
+        connection: h11.Connection,
+        write_seconds: float,
+    ) -> None:
+        """Wrap the connection that the request came on."""
+        self._sock = sock
+        self._h11 = connection
+        self._write_seconds = write_seconds
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the response's head was sent."""
+        return self._h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}
+
+    async def send(self, response: Response) -> None:
+        """Send a whole response."""
+        headers = {
+            **response.headers,
+            'content-length': str(len(response.body)),
+        }
+        await self._write(
+            h11.Response(
+                status_code=response.status,
+                headers=encode_headers(headers),
+            ),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body comes in pieces."""
+        await self._write(
+            h11.Response(
+                status_code=status,
+                headers=encode_headers(headers),
+            ),
+        )
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+        await self._write(h11.Data(data=piece))
+
+    async def end(self) -> None:
+        """Send the end of the body."""
+        await self._write(h11.EndOfMessage())
+
+    async def client_left(self) -> None:
+        """Return once the client closed its side or sent more bytes."""
+        await self._sock.recv(1)
+
+    async def _write(self, *events: h11.Event) -> None:
+        pieces = [self._h11.send(event) for event in events]
+        try:
+            await curio.timeout_after(
+                self._write_seconds,
+                self._sock.sendall,
+                b''.join(filter(None, pieces)),
+            )
+        except (OSError, TaskTimeout) as error:
+            raise ConnectionBrokenError('the client went away') from error
+
+
+class HttpServer:
+    """A listener on one address that hands each request to a handler."""
+
+    def __init__(
+        self,
+        address: Address,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+    ) -> None:
+        """Keep the settings; nothing listens until ``open`` is called."""
+        self._requested = address
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._listener: Any = None
+        self._connections = 0
+        self._closing = False
+
+    @property
+    def address(self) -> Address:
+        """Return the bound address, with the port the kernel gave."""
+        if self._listener is None:
+            return self._requested
+        return Address(*self._listener.getsockname()[:2])
+
+    def open(self) -> None:
+        """Bind and listen; raise ``OSError`` if the address is taken."""
+        sock = curio.io.Socket(socket.socket())
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((self._requested.host, self._requested.port))
+        sock.listen(_BACKLOG)
+        self._listener = sock
+
+    async def run(self) -> None:
+        """Accept connections until cancelled."""
+        if self._listener is None:
+            self.open()
+        listener = self._listener
+        while True:
+            sock, _peer = await listener.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # A task group would keep every ended task until it ends itself.
+            await curio.spawn(self._serve, sock, daemon=True)
+
+    def refuse_new(self) -> None:
+        """Ask clients to close their connections after the next answer."""
+        self._closing = True
+
+    async def _serve(self, sock: curio.io.Socket) -> None:
+        self._connections += 1
+        try:
+            await self._serve_requests(sock)
+        except (ConnectionBrokenError, OSError, h11.LocalProtocolError):
+            _LOG.debug('a client closed its connection early')
+        except curio.CancelledError:
+            raise
+        except Exception:
+            _LOG.exception('a connection ended with an unexpected error')
+        finally:
+            self._connections -= 1
+            await sock.close()
+
+    async def _serve_requests(self, sock: curio.io.Socket) -> None:
+        connection = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.head_bytes,
+        )
+        responder = Responder(sock, connection, self._limits.write_seconds)
+        while True:
+            try:
+                request = await self._receive(sock, connection)
+            except BadMessageError as error:
+                await _refuse(responder, error)
+                return
+            if request is None:
+                return
+            await self._handler(request, responder)
+            if self._closing or not _can_continue(connection):
+                return
+            connection.start_next_cycle()
+
+    async def _receive(
+        self,
+        sock: curio.io.Socket,
+        connection: h11.Connection,
+    ) -> Request | None:
+        try:
+            first = await curio.timeout_after(
+                self._limits.idle_seconds,
+                sock.recv,
+                _READ_BYTES,
+            )
+        except TaskTimeout:
+            return None
+        if not first:
+            return None
+        try:
+            return await curio.timeout_after(
+                self._limits.receive_seconds,
+                self._receive_whole,
+                sock,
+                connection,
+                first,
+            )
+        except TaskTimeout as error:
+            raise BadMessageError(
+                'the request did not arrive whole in time',
+                _STATUS_TIMEOUT,
+            ) from error
+        except h11.RemoteProtocolError as error:
+            raise BadMessageError(
+                str(error),
+                error.error_status_hint,
+            ) from error
+
+    async def _receive_whole(
+        self,
+        sock: curio.io.Socket,
+        connection: h11.Connection,
+        first: bytes,
+    ) -> Request:
+        connection.receive_data(first)
+        head = await self._next_event(sock, connection)
+        if not isinstance(head, h11.Request):
+            raise ConnectionBrokenError('closed before a request')
+        self._check_announced(head)
+        await _answer_expectation(sock, connection)
+        body = bytearray()
+        event = await self._next_event(sock, connection)
+        while isinstance(event, h11.Data):
+            body += event.data
+            self._check_size(len(body))
+            event = await self._next_event(sock, connection)
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionBrokenError('closed mid-request')
+        _check_not_pipelined(connection)
+        return _to_request(head, bytes(body))
+
+    async def _next_event(
+        self,
+        sock: curio.io.Socket,
+        connection: h11.Connection,
+    ) -> object:
+        event = connection.next_event()
+        while event is h11.NEED_DATA:
+            connection.receive_data(await sock.recv(_READ_BYTES))
+            event = connection.next_event()
+        return event
+
+    def _check_announced(self, head: h11.Request) -> None:
+        announced = dict(head.headers).get(b'content-length', b'0')
+        self._check_size(int(announced))
+
+    def _check_size(self, size: int) -> None:
+        if size > self._limits.body_bytes:
+            raise BadMessageError(
+                f'the body is over {self._limits.body_bytes} bytes',
+                _STATUS_TOO_LARGE,
+            )
+
+
+async def _answer_expectation(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+) -> None:
+    if connection.they_are_waiting_for_100_continue:
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        await sock.sendall(connection.send(go_on))
+
+
+def _check_not_pipelined(connection: h11.Connection) -> None:
+    trailing, _closed = connection.trailing_data
+    if trailing:
+        raise BadMessageError('pipelined requests are not supported')
+
+
+def _to_request(head: h11.Request, body: bytes) -> Request:
+    return Request(
+        head.method.decode('ascii'),
+        head.target.decode('ascii'),
+        decode_headers(head.headers),
+        body,
+    )
+
+
+def _can_continue(connection: h11.Connection) -> bool:
+    return (
+        connection.our_state is h11.DONE and connection.their_state is h11.DONE
+    )
+
+
+async def _refuse(responder: Responder, error: BadMessageError) -> None:
+    answer = json_response(
+        error.status,
+        {
+            'error': {
+                'code': 'bad_request',
+                'message': str(error),
+                'execution': 'not run',
+                'retry_after_seconds': None,
+            },
+        },
+        {'connection': 'close'},
+    )
+    await responder.send(answer)
--- /dev/null
+++ b/src/cranecart/load/__init__.py
@@ -0,0 +1,21 @@
+"""A load tool that knows what the stand-in engines must answer."""
+
+from cranecart.load._balancer import Balancer, Entry
+from cranecart.load._calls import LoadCall, Outcome, OutcomeKind
+from cranecart.load._report import Summary, quantile
+from cranecart.load._runner import Profile, make_calls, run_load
+from cranecart.load._sending import send_call
+
+__all__ = (
+    'Balancer',
+    'Entry',
+    'LoadCall',
+    'Outcome',
+    'OutcomeKind',
+    'Profile',
+    'Summary',
+    'make_calls',
+    'quantile',
+    'run_load',
+    'send_call',
+)
--- /dev/null
+++ b/src/cranecart/load/_calls.py
@@ -0,0 +1,57 @@
+"""What the load tool sends, and what became of it."""
+
+import enum
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class LoadCall:
+    """One call; a service call names a path instead of a model."""
+
+    key: str
+    api_key: str
+    prompt: str
+    model: str = ''
+    service: str = ''
+    path: str = ''
+    tokens: int = 16
+    stream: bool = False
+    repeatable: bool = True
+    priority: str = ''
+    deadline_ms: int = 30000
+
+
+class OutcomeKind(enum.Enum):
+    """What the client knows of its call in the end."""
+
+    ANSWERED = 'answered'
+    WRONG = 'wrong answer'
+    NOT_RUN = 'refused as not run'
+    UNKNOWN = 'outcome unknown'
+    CUT = 'cut off without a word'
+    REJECTED = 'rejected'
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """The end of one call; times are of the monotonic clock."""
+
+    call: LoadCall
+    kind: OutcomeKind
+    started: float
+    ended: float
+    status: int = 0
+    code: str = ''
+    request_id: str = ''
+    node: str = ''
+    first_token_seconds: float | None = None
+    token_gaps: tuple[float, ...] = ()
+    retry_after: float | None = None
+    cache: str = ''
+    detail: str = ''
+
+    @property
+    def is_refusal(self) -> bool:
+        """Tell whether the client was told that its call did not run."""
+        return self.kind is OutcomeKind.NOT_RUN
--- /dev/null
+++ b/src/cranecart/load/_sending.py
@@ -0,0 +1,215 @@
+"""Send one call and check the answer against what it must be."""
+
+import operator
+import time
+from typing import Any
+
+import attrs
+import curio
+import msgspec
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import ConnectFailedError, HttpError
+from cranecart.http import (
+    Address,
+    HttpConnection,
+    Request,
+    ResponseHead,
+)
+from cranecart.load._calls import LoadCall, Outcome, OutcomeKind
+from cranecart.standins import expected_text
+
+_GRACE_SECONDS = 5.0
+_MILLISECONDS = 1000
+_DATA = b'data: '
+_DONE = b'data: [DONE]'
+_ERROR_EVENT = b'event: error'
+
+
+@attrs.define
+class _Progress:
+    """What came so far."""
+
+    head: ResponseHead | None = None
+    body: bytearray = attrs.field(factory=bytearray)
+    arrivals: list[float] = attrs.field(factory=list)
+
+
+async def send_call(address: Address, call: LoadCall) -> Outcome:
+    """Send one call on a connection of its own and judge its answer."""
+    started = time.monotonic()
+    progress = _Progress()
+    detail = ''
+    seconds = call.deadline_ms / _MILLISECONDS + _GRACE_SECONDS
+    try:
+        await curio.timeout_after(seconds, _send, address, call, progress)
+    except ConnectFailedError as error:
+        return Outcome(
+            call=call,
+            kind=OutcomeKind.NOT_RUN,
+            started=started,
+            ended=time.monotonic(),
+            code='no_connection',
+            node=str(address),
+            detail=str(error),
+        )
+    except (HttpError, TaskTimeout) as error:
+        detail = repr(error)
+    return _judge(address, call, progress, started, detail)
+
+
+async def _send(
+    address: Address,
+    call: LoadCall,
+    progress: _Progress,
+) -> None:
+    connection = await HttpConnection.open(address)
+    try:
+        await connection.send(_request(call))
+        progress.head = await connection.read_head()
+        while piece := await connection.read_piece():
+            progress.body += piece
+            progress.arrivals.append(time.monotonic())
+    finally:
+        await connection.close()
+
+
+def _request(call: LoadCall) -> Request:
+    headers = {
+        'authorization': f'Bearer {call.api_key}',
+        'content-type': 'application/json',
+        'x-deadline-ms': str(call.deadline_ms),
+        'idempotency-key': call.key,
+        'x-repeatable': 'yes' if call.repeatable else 'no',
+    }
+    if call.priority:
+        headers['x-priority'] = call.priority
+    if call.service:
+        target = f'/v1/services/{call.service}{call.path}'
+        body: dict[str, Any] = {'note': call.prompt}
+    else:
+        target = '/v1/chat/completions'
+        body = {
+            'model': call.model,
+            'messages': [{'role': 'user', 'content': call.prompt}],
+            'max_tokens': call.tokens,
+            'stream': call.stream,
+        }
+    return Request('POST', target, headers, msgspec.json.encode(body))
+
+
+def _judge(
+    address: Address,
+    call: LoadCall,
+    progress: _Progress,
+    started: float,
+    detail: str,
+) -> Outcome:
+    head = progress.head or ResponseHead(0)
+    verdict = _verdict(call, progress, detail)
+    arrivals = progress.arrivals
+    return Outcome(
+        call=call,
+        kind=verdict.kind,
+        started=started,
+        ended=time.monotonic(),
+        status=head.status,
+        code=verdict.code,
+        request_id=head.headers.get('x-request-id', ''),
+        node=str(address),
+        first_token_seconds=arrivals[0] - started if arrivals else None,
+        token_gaps=tuple(map(operator.sub, arrivals[1:], arrivals)),
+        retry_after=verdict.retry_after,
+        cache=head.headers.get('x-cache', ''),
+        detail=verdict.why,
+    )
+
+
+@attrs.frozen
+class _Verdict:
+    kind: OutcomeKind
+    code: str = ''
+    retry_after: float | None = None
+    why: str = ''
+
+
+def _verdict(call: LoadCall, progress: _Progress, detail: str) -> _Verdict:
+    if progress.head is None or detail:
+        return _Verdict(OutcomeKind.CUT, why=detail or 'no answer')
+    body = bytes(progress.body)
+    if not progress.head.is_success:
+        return _from_error(_error_of(body))
+    if call.service:
+        return _from_echo(call, body)
+    if call.stream:
+        return _from_stream(call, body)
+    return _from_text(call, _message_text(body), body)
+
+
+def _error_of(body: bytes) -> dict[str, Any]:
+    try:
+        error = msgspec.json.decode(body)['error']
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return {}
+    return error if isinstance(error, dict) else {}
+
+
+def _from_error(error: dict[str, Any]) -> _Verdict:
+    kinds = {
+        'not run': OutcomeKind.NOT_RUN,
+        'outcome unknown': OutcomeKind.UNKNOWN,
+    }
+    return _Verdict(
+        kinds.get(error.get('execution', ''), OutcomeKind.REJECTED),
+        error.get('code', ''),
+        error.get('retry_after_seconds'),
+        error.get('message', ''),
+    )
+
+
+def _from_echo(call: LoadCall, body: bytes) -> _Verdict:
+    wanted = msgspec.json.encode({'note': call.prompt}).decode()
+    try:
+        echo = msgspec.json.decode(body).get('echo')
+    except (msgspec.DecodeError, AttributeError):
+        echo = None
+    if echo == wanted:
+        return _Verdict(OutcomeKind.ANSWERED)
+    return _Verdict(OutcomeKind.WRONG, why=repr(body))
+
+
+def _from_stream(call: LoadCall, body: bytes) -> _Verdict:
+    lines = body.split(b'\n')
+    if _ERROR_EVENT in lines:
+        failed = lines[lines.index(_ERROR_EVENT) + 1]
+        return _from_error(_error_of(failed.removeprefix(_DATA)))
+    if _DONE not in lines:
+        return _Verdict(OutcomeKind.WRONG, why='the stream has no end')
+    text = ''.join(
+        _chunk_text(line.removeprefix(_DATA))
+        for line in lines
+        if line.startswith(_DATA) and line != _DONE
+    )
+    return _from_text(call, text, body)
+
+
+def _chunk_text(encoded: bytes) -> str:
+    return str(
+        msgspec.json.decode(encoded)['choices'][0]['delta']['content'],
+    )
+
+
+def _message_text(body: bytes) -> str:
+    try:
+        return str(
+            msgspec.json.decode(body)['choices'][0]['message']['content'],
+        )
+    except (msgspec.DecodeError, LookupError, TypeError):
+        return ''
+
+
+def _from_text(call: LoadCall, text: str, body: bytes) -> _Verdict:
+    model = call.model.partition('@')[0]
+    if text == expected_text(model, call.prompt, call.tokens):
+        return _Verdict(OutcomeKind.ANSWERED)
+    return _Verdict(OutcomeKind.WRONG, why=repr(body))
--- /dev/null
+++ b/src/cranecart/logs/_setup.py
@@ -0,0 +1,53 @@
+"""Set up ``logging`` and write decision lines."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+_TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s %(fields)s'
+_JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+_DECISIONS = logging.getLogger('cranecart.decisions')
+
+
+class _TextFormatter(logging.Formatter):
+    """Put the fields of a decision behind its message."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Format one record for people."""
+        if not hasattr(record, 'fields'):
+            record.fields = ''
+        return super().format(record)
+
+
+class _JsonLines(JsonFormatter):
+    """Write the fields of a decision beside the other keys."""
+
+    def process_log_record(
+        self,
+        log_data: dict[str, object],
+    ) -> dict[str, object]:
+        """Lift the decision's fields to the top of the object."""
+        fields = log_data.pop('fields', None)
+        if isinstance(fields, dict):
+            return {**log_data, **fields}
+        return log_data
+
+
+def set_up_logging(*, as_json: bool, level: str, node: str = '') -> None:
+    """Write logs to standard error; raise ``ValueError`` for a bad level."""
+    handler = logging.StreamHandler(sys.stderr)
+    if as_json:
+        handler.setFormatter(
+            _JsonLines(_JSON_FORMAT, static_fields={'node': node}),
+        )
+    else:
+        handler.setFormatter(_TextFormatter(_TEXT_FORMAT))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+
+
+def decision(event: str, **fields: object) -> None:
+    """Log one routing or placement decision with its reason."""
+    _DECISIONS.info(event, extra={'fields': {'event': event, **fields}})
--- /dev/null
+++ b/src/cranecart/models/_declarations.py
@@ -0,0 +1,115 @@
+"""Compiled declarations: what every node holds and acts on."""
+
+import enum
+
+import attrs
+import msgspec
+
+
+class Preference(enum.Enum):
+    """Which of its two measures a model's users weigh more."""
+
+    DOWNTIME = 'downtime'
+    STRANDED = 'stranded'
+
+
+class FencingSupport(enum.Enum):
+    """Whether a model's engines refuse an order with an old fencing number."""
+
+    CHECKED = 'checked'
+    IGNORED = 'ignored'
+
+
+class Priority(enum.Enum):
+    """How early a request is served, and how late it is shed."""
+
+    HIGH = 'high'
+    NORMAL = 'normal'
+    LOW = 'low'
+
+    @property
+    def rank(self) -> int:
+        """Return 0 for the priority that goes first."""
+        return list(Priority).index(self)
+
+
+@attrs.frozen
+class ModelSpec:
+    """One version of one model, and how many replicas of it should serve."""
+
+    name: str
+    version: str
+    replicas: int
+    instances_per_replica: int
+    failure_domains: tuple[str, ...]
+    prefer: Preference = Preference.DOWNTIME
+    fencing: FencingSupport = FencingSupport.CHECKED
+    adapters: tuple[str, ...] = ()
+    spare_instances: int = 0
+
+    @property
+    def key(self) -> str:
+        """Return the name that tells this version from others."""
+        return f'{self.name}@{self.version}'
+
+    def replicas_in(self, failure_domain: str) -> int:
+        """Return this failure domain's share of the replicas."""
+        if failure_domain not in self.failure_domains:
+            return 0
+        share, rest = divmod(self.replicas, len(self.failure_domains))
+        position = self.failure_domains.index(failure_domain)
+        return share + (position < rest)
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A plain service that organisations may call through the nodes."""
+
+    name: str
+    non_repeatable_paths: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class LimitsSpec:
+    """What one organisation may use over all nodes together."""
+
+    concurrent_requests: int
+    tokens_per_second: int
+
+
+@attrs.frozen
+class OrganisationSpec:
+    """An organisation, the hashes of its keys, and what it may use."""
+
+    name: str
+    key_sha256: tuple[str, ...]
+    limits: LimitsSpec
+    priority: Priority = Priority.NORMAL
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Declarations:
+    """Everything that one accepted configuration says."""
+
+    deployment: str
+    region: str
+    failure_domains: tuple[str, ...]
+    models: tuple[ModelSpec, ...] = ()
+    services: tuple[ServiceSpec, ...] = ()
+    organisations: tuple[OrganisationSpec, ...] = ()
+
+    def model_specs(self, name: str) -> tuple[ModelSpec, ...]:
+        """Return the declared versions of a model."""
+        return tuple(spec for spec in self.models if spec.name == name)
+
+
+def compiled_to_json(declarations: Declarations) -> bytes:
+    """Encode declarations; equal declarations give equal bytes."""
+    return msgspec.json.encode(declarations, order='sorted')
+
+
+def compiled_from_json(encoded: bytes) -> Declarations:
+    """Decode what ``compiled_to_json`` wrote; raise ``ValueError`` else."""
+    return msgspec.json.decode(encoded, type=Declarations)
--- /dev/null
+++ b/src/cranecart/models/_instances.py
@@ -0,0 +1,83 @@
+"""Instances, what they report of themselves, and replicas' table rows."""
+
+import enum
+
+import attrs
+
+from cranecart.http import Address
+
+
+class InstanceKind(enum.Enum):
+    """What runs on an instance."""
+
+    ENGINE = 'engine'
+    SERVICE = 'service'
+    NODE = 'node'
+
+
+class MemberState(enum.Enum):
+    """How far an engine has come with the order that it took last."""
+
+    IDLE = 'idle'
+    LOADING = 'loading'
+    READY = 'ready'
+    BROKEN = 'broken'
+
+
+@attrs.frozen
+class Instance:
+    """One entry of the platform's list of live and leaving instances."""
+
+    id: str
+    kind: InstanceKind
+    host: str
+    port: int
+    failure_domain: str
+    fabric_domain: str
+    service: str = ''
+    leaving: bool = False
+
+    @property
+    def address(self) -> Address:
+        """Return where the instance listens."""
+        return Address(self.host, self.port)
+
+
+@attrs.frozen
+class MemberReport:
+    """What an engine says of itself; the members are in order of rank."""
+
+    instance: str
+    state: MemberState = MemberState.IDLE
+    replica: str = ''
+    generation: int = 0
+    fencing: int = 0
+    members: tuple[str, ...] = ()
+    model: str = ''
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    running: int = 0
+    queued: int = 0
+    slots: int = 1
+    draining: bool = False
+    retiring: bool = False
+
+
+@attrs.frozen
+class ReplicaRow:
+    """A replica as the placer recorded it in the table."""
+
+    id: str
+    model: str
+    version: str
+    generation: int
+    members: tuple[str, ...]
+    failure_domain: str
+    fabric_domain: str
+    adapters: tuple[str, ...] = ()
+    retiring: bool = False
+
+    @property
+    def model_key(self) -> str:
+        """Return the name that tells this version of the model."""
+        return f'{self.model}@{self.version}'
--- /dev/null
+++ b/src/cranecart/operators/_admin.py
@@ -0,0 +1,155 @@
+"""The admin interface: health, readiness, metrics, status, changes."""
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+
+from cranecart.exceptions import (
+    PlatformError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from cranecart.http import Request, Responder, Response, json_response
+from cranecart.models import compiled_from_json, compiled_to_json
+from cranecart.rollout import CurrentConfig, Follower, History
+
+_OK = 200
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_CONFLICT = 409
+_UNAVAILABLE = 503
+_UNKNOWN = 504
+_CHANGES = '/v1/changes'
+
+
+@attrs.frozen
+class NodeStatus:
+    """What one node says of itself and of what it sees."""
+
+    node: str
+    failure_domain: str
+    ready: bool
+    config_version: int
+    duties: dict[str, str]
+    replicas: tuple[dict[str, Any], ...]
+    nodes: tuple[dict[str, Any], ...]
+    in_flight: int
+
+
+@attrs.frozen
+class ApplyMessage:
+    """A change that an operator wants accepted."""
+
+    base_version: int
+    change_id: str
+    author: str
+    declarations: Any
+    note: str = ''
+
+
+@attrs.define
+class AdminInterface:
+    """Answers operators and the machines that watch a node."""
+
+    _key_sha256: str
+    _history: History
+    _current: CurrentConfig
+    _follower: Follower
+    _is_ready: Callable[[], bool]
+    _status: Callable[[], NodeStatus]
+    _metrics: Callable[[], bytes]
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        match request.path:
+            case '/healthz':
+                response = json_response(_OK, {'healthy': True})
+            case '/readyz':
+                ready = self._is_ready()
+                status = _OK if ready else _UNAVAILABLE
+                response = json_response(status, {'ready': ready})
+            case '/metrics':
+                kind = {'content-type': 'text/plain; version=0.0.4'}
+                response = Response(_OK, kind, self._metrics())
+            case _:
+                response = await self._guarded(request)
+        await responder.send(response)
+
+    async def _guarded(self, request: Request) -> Response:
+        _, _, key = request.headers.get('authorization', '').partition(' ')
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        if not hmac.compare_digest(digest, self._key_sha256):
+            return _problem(_UNAUTHORIZED, 'the operator key is wrong')
+        try:
+            return await self._route(request)
+        except WriteConflictError as error:
+            return _problem(_CONFLICT, str(error))
+        except WriteUnknownError as error:
+            return _problem(_UNKNOWN, str(error))
+        except PlatformError as error:
+            return _problem(_UNAVAILABLE, str(error))
+        except (ValueError, msgspec.MsgspecError) as error:
+            return _problem(_BAD_REQUEST, str(error))
+
+    async def _route(self, request: Request) -> Response:
+        method, path = request.method, request.path
+        match method, path:
+            case 'GET', '/v1/status':
+                return json_response(_OK, self._status())
+            case 'GET', '/v1/changes':
+                return json_response(_OK, await self._history.changes())
+            case 'POST', '/v1/changes':
+                return await self._apply(request)
+            case 'GET', '/v1/declarations':
+                return await self._declarations(request)
+        if method == 'GET' and path.startswith(f'{_CHANGES}/'):
+            change_id = path.removeprefix(f'{_CHANGES}/')
+            found = await self._history.find(change_id)
+            if found is not None:
+                return json_response(_OK, found)
+            return _problem(_NOT_FOUND, f'no change {change_id} was accepted')
+        return _problem(_NOT_FOUND, f'there is nothing at {path}')
+
+    async def _apply(self, request: Request) -> Response:
+        message = msgspec.json.decode(request.body, type=ApplyMessage)
+        encoded = compiled_to_json(
+            compiled_from_json(msgspec.json.encode(message.declarations)),
+        )
+        change = await self._history.append(
+            message.base_version,
+            message.change_id,
+            message.author,
+            encoded,
+            message.note,
+        )
+        self._current.put_in_force(change.release, encoded)
+        return json_response(_OK, change)
+
+    async def _declarations(self, request: Request) -> Response:
+        version = request.query.get('version')
+        if version is None:
+            await self._follower.poll()
+            release = self._current.release
+            encoded = self._current.encoded or b'null'
+        else:
+            change = await self._history.change(int(version))
+            if change is None:
+                return _problem(_NOT_FOUND, f'there is no version {version}')
+            release = change.release
+            encoded = await self._follower.read(release)
+        return json_response(
+            _OK,
+            {
+                'version': release.version,
+                'declarations': msgspec.Raw(encoded),
+            },
+        )
+
+
+def _problem(status: int, message: str) -> Response:
+    return json_response(status, {'error': message})
--- /dev/null
+++ b/src/cranecart/operators/_client.py
@@ -0,0 +1,132 @@
+"""What the operators' commands use to talk to a node."""
+
+import uuid
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+
+from cranecart.exceptions import (
+    HttpError,
+    OperatorError,
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from cranecart.http import Address, Request, Response, exchange
+from cranecart.models import Declarations, compiled_to_json
+from cranecart.operators._admin import ApplyMessage, NodeStatus
+from cranecart.rollout import Change
+
+Message = TypeVar('Message')
+
+_CALL_SECONDS = 15.0
+_READ_BACK_ATTEMPTS = 3
+
+
+@attrs.frozen
+class Declared:
+    """A version and what it declares, if there is one."""
+
+    version: int
+    declarations: Declarations | None
+
+
+@attrs.define
+class OperatorClient:
+    """Asks one node's admin interface with an operator's key."""
+
+    address: Address
+    _key: str
+
+    async def status(self) -> NodeStatus:
+        """Return what the node says of itself."""
+        return await self._get('/v1/status', NodeStatus)
+
+    async def changes(self) -> list[Change]:
+        """Return the history, oldest first."""
+        return await self._get('/v1/changes', list[Change])
+
+    async def declared(self, version: int | None = None) -> Declared:
+        """Return what a version declares, the newest if none is named."""
+        query = '' if version is None else f'?version={version}'
+        return await self._get(f'/v1/declarations{query}', Declared)
+
+    async def apply(
+        self,
+        declarations: Declarations,
+        base_version: int,
+        author: str,
+        note: str = '',
+    ) -> Change:
+        """Have a change accepted; find out what became of it if unsure.
+
+        Raise ``WriteConflictError`` if another operator was faster and
+        ``WriteUnknownError``, with the change's id, if nobody can tell now.
+        """
+        change_id = uuid.uuid4().hex
+        message = ApplyMessage(
+            base_version,
+            change_id,
+            author,
+            msgspec.Raw(compiled_to_json(declarations)),
+            note,
+        )
+        request = Request(
+            'POST',
+            '/v1/changes',
+            self._headers(),
+            msgspec.json.encode(message),
+        )
+        try:
+            return _decode(await self._exchange(request), Change)
+        except (WriteUnknownError, HttpError):
+            return await self._find_out(change_id)
+
+    async def _find_out(self, change_id: str) -> Change:
+        for _attempt in range(_READ_BACK_ATTEMPTS):
+            try:
+                return await self._get(f'/v1/changes/{change_id}', Change)
+            except (HttpError, PlatformUnavailableError):
+                continue
+            except OperatorError as error:
+                raise WriteConflictError(
+                    f'change {change_id} was not accepted: {error}',
+                ) from error
+        raise WriteUnknownError(
+            f'what became of change {change_id} cannot be found out now; '
+            'look for it in "cranecart history" before applying again',
+        )
+
+    async def _get(self, target: str, wanted: type[Message]) -> Message:
+        request = Request('GET', target, self._headers())
+        return _decode(await self._exchange(request), wanted)
+
+    def _headers(self) -> dict[str, str]:
+        return {'authorization': f'Bearer {self._key}'}
+
+    async def _exchange(self, request: Request) -> Response:
+        return await exchange(self.address, request, _CALL_SECONDS)
+
+
+def _decode(response: Response, wanted: type[Message]) -> Message:
+    if response.is_success:
+        return msgspec.json.decode(response.body, type=wanted)
+    message = _message(response)
+    match response.status:
+        case HTTPStatus.CONFLICT:
+            raise WriteConflictError(message)
+        case HTTPStatus.SERVICE_UNAVAILABLE:
+            raise PlatformUnavailableError(message)
+        case HTTPStatus.GATEWAY_TIMEOUT:
+            raise WriteUnknownError(message)
+    raise OperatorError(message)
+
+
+def _message(response: Response) -> str:
+    try:
+        body: Any = msgspec.json.decode(response.body)
+        return str(body['error'])
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return f'the node answered {response.status}'
--- /dev/null
+++ b/src/cranecart/placement/_free.py
@@ -0,0 +1,50 @@
+"""Instances that no replica owns, by fabric domain."""
+
+from collections import defaultdict
+from typing import Self
+
+import attrs
+
+from cranecart.models import Preference
+from cranecart.placement._state import DomainState
+
+
+@attrs.define
+class FreeInstances:
+    """Hands out free instances; one is handed out once."""
+
+    _by_fabric: dict[str, list[str]]
+
+    @classmethod
+    def from_state(cls, state: DomainState) -> Self:
+        """Collect what is free, in the order of ids."""
+        by_fabric: dict[str, list[str]] = defaultdict(list)
+        for name in sorted(state.instances):
+            if state.is_free(name):
+                fabric = state.instances[name].fabric_domain
+                by_fabric[fabric].append(name)
+        return cls(by_fabric)
+
+    def take(self, fabric: str, count: int) -> tuple[str, ...]:
+        """Take instances of one fabric domain, or none if too few."""
+        found = self._by_fabric.get(fabric, [])
+        if len(found) < count:
+            return ()
+        self._by_fabric[fabric] = found[count:]
+        return tuple(found[:count])
+
+    def choose_fabric(self, size: int, prefer: Preference) -> str | None:
+        """Return the fabric domain for a new replica.
+
+        To strand few accelerators, fill the tightest fit; to keep downtime
+        short, leave spares everywhere by taking the emptiest.
+        """
+        fits = [
+            (len(found), fabric)
+            for fabric, found in self._by_fabric.items()
+            if len(found) >= size
+        ]
+        if not fits:
+            return None
+        choose = min if prefer is Preference.STRANDED else max
+        return choose(fits)[1]
--- /dev/null
+++ b/src/cranecart/placement/_placer.py
@@ -0,0 +1,173 @@
+"""Carry out plans: transactions first, then orders to the engines."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+import curio
+
+from cranecart.duties import Lease
+from cranecart.exceptions import (
+    LeaseLostError,
+    PlatformError,
+    TargetError,
+)
+from cranecart.logs import decision
+from cranecart.models import (
+    Declarations,
+    FencingSupport,
+    Instance,
+    InstanceKind,
+)
+from cranecart.placement._actions import Action, Order
+from cranecart.placement._plan import plan, plan_orders
+from cranecart.placement._rows import PlacementRows, prefix_of
+from cranecart.placement._state import DomainState
+from cranecart.platform import PlatformClient
+from cranecart.targets import EngineClient, ReportBook
+
+_TICK_SECONDS = 0.5
+_RENEW_SECONDS = 2.0
+_SETTLE_SECONDS = 4.0
+_MAX_ORDERS_AT_ONCE = 64
+
+CurrentDeclarations = Callable[[], Declarations | None]
+
+
+@attrs.define
+class Placer:
+    """Holds the placement duty of one failure domain when it can."""
+
+    failure_domain: str
+    lease: Lease
+    _platform: PlatformClient
+    _book: ReportBook
+    _engines: EngineClient
+    _renewed_at: float = attrs.field(default=float('-inf'), init=False)
+    _closed_since: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    async def run(self, current: CurrentDeclarations) -> None:
+        """Keep the lease and place, until cancelled."""
+        while True:
+            try:
+                await self._tick(current())
+            except (PlatformError, LeaseLostError) as error:
+                # The next tick reads what holds now and decides afresh.
+                decision('placement_waits', why=str(error))
+            await curio.sleep(_TICK_SECONDS)
+
+    async def _tick(self, declarations: Declarations | None) -> None:
+        await self._keep_lease()
+        if not self.lease.is_held or declarations is None:
+            return
+        rows = await self._read_rows()
+        for action in plan(self._state(declarations, rows)):
+            await self._carry_out(action, rows)
+        after = self._state(declarations, await self._read_rows())
+        if not self._must_wait(declarations):
+            await self._send_orders(plan_orders(after))
+
+    async def _keep_lease(self) -> None:
+        now = time.monotonic()
+        if now - self._renewed_at > _RENEW_SECONDS:
+            await self.lease.keep()
+            self._renewed_at = now
+
+    async def _read_rows(self) -> PlacementRows:
+        prefix = prefix_of(self.failure_domain)
+        return PlacementRows.from_rows(
+            self.failure_domain,
+            await self._platform.read_prefix(prefix),
+        )
+
+    def _state(
+        self,
+        declarations: Declarations,
+        rows: PlacementRows,
+    ) -> DomainState:
+        state = DomainState(
+            self.failure_domain,
+            declarations.models,
+            rows.decoded(),
+            {name: row.value for name, row in rows.owners.items()},
+            self._engines_here(),
+            self._book.fresh_reports(),
+            self._book.lost(),
+        )
+        return attrs.evolve(state, settled=self._settled(state))
+
+    def _engines_here(self) -> dict[str, Instance]:
+        return {
+            name: instance
+            for name, instance in self._book.instances.items()
+            if instance.kind is InstanceKind.ENGINE
+            and instance.failure_domain == self.failure_domain
+        }
+
+    def _settled(self, state: DomainState) -> frozenset[str]:
+        now = time.monotonic()
+        self._closed_since = {
+            name: self._closed_since.get(name, now)
+            for name in state.instances
+            if state.is_closed(name)
+        }
+        return frozenset(
+            name
+            for name, since in self._closed_since.items()
+            if now - since > _SETTLE_SECONDS
+        )
+
+    async def _carry_out(self, action: Action, rows: PlacementRows) -> None:
+        transaction = rows.transaction(action, self.lease.check())
+        await self._platform.commit(transaction)
+        decision(
+            'placed',
+            action=type(action).__name__,
+            replica=action.row.id,
+            generation=action.row.generation,
+            members=action.row.members,
+            why=action.reason,
+            fencing=self.lease.fencing,
+        )
+
+    def _must_wait(self, declarations: Declarations) -> bool:
+        """Tell whether an earlier holder's orders may still be under way.
+
+        Engines that ignore fencing numbers would take them; a holder bounds
+        its orders by its trusted time, which others have waited out, plus
+        the bound of one order.
+        """
+        ignored = any(
+            spec.fencing is FencingSupport.IGNORED
+            for spec in declarations.models
+        )
+        return ignored and self.lease.held_seconds < _SETTLE_SECONDS
+
+    async def _send_orders(self, orders: list[Order]) -> None:
+        async with curio.TaskGroup(wait=all) as sending:
+            for order in orders[:_MAX_ORDERS_AT_ONCE]:
+                await sending.spawn(self._send_order, order)
+
+    async def _send_order(self, order: Order) -> None:
+        members = order.row.members if order.row else ()
+        known = self._book.instances
+        if not self.lease.is_held or not known.keys() >= set(members):
+            return
+        try:
+            report = await self._engines.order(
+                order.instance,
+                order.row,
+                tuple(str(known[member].address) for member in members),
+                self.lease.fencing,
+            )
+        except TargetError as error:
+            decision('order_failed', instance=order.instance.id, why=str(error))
+            return
+        self._book.note(report)
+        decision(
+            'ordered',
+            instance=order.instance.id,
+            replica=report.replica,
+            generation=report.generation,
+            fencing=self.lease.fencing,
+        )
--- /dev/null
+++ b/src/cranecart/placement/_repair.py
@@ -0,0 +1,65 @@
+"""Decide what to do about a replica that is not whole any more."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from cranecart.models import MemberState, ReplicaRow
+from cranecart.placement._actions import (
+    Action,
+    ReplaceMembers,
+    RetireReplica,
+)
+from cranecart.placement._free import FreeInstances
+from cranecart.placement._state import DomainState
+
+
+def repair(
+    state: DomainState,
+    row: ReplicaRow,
+    free: FreeInstances,
+) -> Action | None:
+    """Return what makes a replica whole, or dissolves it, or nothing."""
+    gone = [member for member in row.members if state.is_gone(member)]
+    leaving = [
+        member
+        for member in row.members
+        if not state.is_gone(member) and state.is_leaving(member)
+    ]
+    drained = all(state.is_drained(row, member) for member in leaving)
+    if gone or (leaving and drained):
+        return _replace(row, [*gone, *leaving], free)
+    if _is_broken(state, row):
+        return ReplaceMembers(
+            row,
+            attrs.evolve(row, generation=row.generation + 1),
+            'restart as one: its members lost each other',
+        )
+    return None
+
+
+def _replace(
+    row: ReplicaRow,
+    away: Sequence[str],
+    free: FreeInstances,
+) -> Action:
+    names = ', '.join(away)
+    spares = free.take(row.fabric_domain, len(away))
+    if not spares:
+        return RetireReplica(row, f'no spare for {names}')
+    substitutes = dict(zip(away, spares, strict=True))
+    members = tuple(substitutes.get(member, member) for member in row.members)
+    return ReplaceMembers(
+        row,
+        attrs.evolve(row, generation=row.generation + 1, members=members),
+        f'{names} replaced',
+    )
+
+
+def _is_broken(state: DomainState, row: ReplicaRow) -> bool:
+    report = state.leader_report(row)
+    return (
+        report is not None
+        and report.state is MemberState.BROKEN
+        and report.generation == row.generation
+    )
--- /dev/null
+++ b/src/cranecart/rollout/_history.py
@@ -0,0 +1,150 @@
+"""The history of accepted changes, kept in the table."""
+
+import contextlib
+import time
+
+import attrs
+import msgspec
+
+from cranecart.exceptions import (
+    PlatformError,
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from cranecart.platform import Check, PlatformClient, Put, Row, Transaction
+from cranecart.rollout._current import Release
+
+HEAD_KEY = 'config/head'
+_CHANGES = 'config/change/'
+_IDS = 'config/id/'
+
+
+@attrs.frozen
+class Change:
+    """One accepted change; ``accepted_at`` is in seconds since the epoch."""
+
+    version: int
+    sha256: str
+    change_id: str
+    author: str
+    accepted_at: float
+    note: str = ''
+
+    @property
+    def release(self) -> Release:
+        """Return the release that the change made."""
+        return Release(self.version, self.sha256)
+
+
+@attrs.define
+class History:
+    """Appends to and reads the one history of a deployment."""
+
+    _platform: PlatformClient
+
+    async def head(self) -> Change | None:
+        """Return the newest change; raise ``PlatformError``."""
+        row = await self._head_row()
+        return _decode(row) if row else None
+
+    async def changes(self) -> list[Change]:
+        """Return all changes, oldest first."""
+        rows = await self._platform.read_prefix(_CHANGES)
+        return [_decode(rows[key]) for key in sorted(rows)]
+
+    async def change(self, version: int) -> Change | None:
+        """Return the change that made a version."""
+        key = _change_key(version)
+        row = (await self._platform.read_keys([key])).get(key)
+        return _decode(row) if row else None
+
+    async def find(self, change_id: str) -> Change | None:
+        """Return what became of a change id: its change, or nothing."""
+        key = f'{_IDS}{change_id}'
+        row = (await self._platform.read_keys([key])).get(key)
+        return _decode(row) if row else None
+
+    async def append(
+        self,
+        base_version: int,
+        change_id: str,
+        author: str,
+        encoded: bytes,
+        note: str = '',
+    ) -> Change:
+        """Accept a change on top of the version that its author saw.
+
+        Raise ``WriteConflictError`` if another change was faster, and
+        ``WriteUnknownError`` if what became of it cannot be found out now.
+        """
+        sha256 = await self._platform.put_object(encoded)
+        head = await self._head_row()
+        seen = _decode(head).version if head else 0
+        if seen != base_version:
+            raise WriteConflictError(
+                f'version {seen} is in force, the change was made on '
+                f'{base_version}',
+            )
+        change = Change(
+            seen + 1,
+            sha256,
+            change_id,
+            author,
+            time.time(),
+            note,
+        )
+        transaction = _transaction(head, change)
+        try:
+            await self._platform.commit(transaction)
+        except WriteUnknownError:
+            return await self._find_out(transaction, change)
+        return change
+
+    async def _head_row(self) -> Row | None:
+        rows = await self._platform.read_keys([HEAD_KEY])
+        return rows.get(HEAD_KEY)
+
+    async def _find_out(
+        self,
+        transaction: Transaction,
+        change: Change,
+    ) -> Change:
+        """Write once more and read back; the id can be accepted only once."""
+        with contextlib.suppress(PlatformError):
+            await self._platform.commit(transaction)
+        try:
+            found = await self.find(change.change_id)
+            head = await self.head()
+        except PlatformUnavailableError as error:
+            raise WriteUnknownError(str(error)) from error
+        if found is not None:
+            return found
+        if head is not None and head.version >= change.version:
+            raise WriteConflictError('another change was faster')
+        # The write may still be on its way and take effect later.
+        raise WriteUnknownError('the change is not in the history yet')
+
+
+def _transaction(head: Row | None, change: Change) -> Transaction:
+    encoded = msgspec.json.encode(change).decode()
+    id_key = f'{_IDS}{change.change_id}'
+    return Transaction(
+        (
+            Check(HEAD_KEY, head.version if head else 0),
+            Check(id_key),
+        ),
+        (
+            Put(HEAD_KEY, encoded),
+            Put(_change_key(change.version), encoded),
+            Put(id_key, encoded),
+        ),
+    )
+
+
+def _change_key(version: int) -> str:
+    return f'{_CHANGES}{version:010}'
+
+
+def _decode(row: Row) -> Change:
+    return msgspec.json.decode(row.value, type=Change)
--- /dev/null
+++ b/src/cranecart/routing/_router.py
@@ -0,0 +1,150 @@
+"""Choose by prefix affinity while it is not overloaded, then by load."""
+
+import contextlib
+import hashlib
+import random
+from collections import Counter
+from collections.abc import Collection, Generator, Iterable
+
+import attrs
+
+from cranecart.exceptions import NoReplicaError
+from cranecart.logs import decision
+from cranecart.models import Instance
+from cranecart.targets import (
+    CompletionCall,
+    ReportBook,
+    ServiceCall,
+    ServingReplica,
+)
+
+_BOUND = 1.25
+_DIGEST_BYTES = 8
+
+
+@attrs.define
+class Router:
+    """Routes calls of one node, with its own counts of work in flight."""
+
+    failure_domain: str
+    _book: ReportBook
+    _random: random.Random
+    _in_flight: Counter[str] = attrs.field(factory=Counter, init=False)
+
+    def choose_replica(
+        self,
+        call: CompletionCall,
+        tried: Collection[str] = (),
+    ) -> ServingReplica:
+        """Return a whole replica; raise ``NoReplicaError`` if none is left.
+
+        Replicas of the own failure domain go first. All nodes rank them
+        alike for a prompt's prefix, so that caches stay warm without a
+        message; one that is over its share of the load is passed over.
+        """
+        matching = [
+            replica
+            for replica in self._book.serving()
+            if _serves(replica, call) and replica.id not in tried
+        ]
+        if not matching:
+            raise NoReplicaError(f'no whole replica of {call.model} serves')
+        ranked = sorted(
+            self._nearest(matching),
+            key=lambda replica: _score(call.prefix, replica.id),
+            reverse=True,
+        )
+        mean = sum(map(self.load, ranked)) / len(ranked)
+        chosen = next(
+            replica
+            for replica in (*ranked, min(ranked, key=self.load))
+            if self.load(replica) <= _BOUND * mean + 1
+        )
+        decision(
+            'routed',
+            request=call.request_id,
+            organisation=call.organisation,
+            model=call.model,
+            replica=chosen.id,
+            generation=chosen.generation,
+            load=self.load(chosen),
+            why='prefix' if chosen is ranked[0] else 'prefix over its load',
+            passed_over=[
+                replica.id for replica in ranked[: ranked.index(chosen)]
+            ],
+            tried=list(tried),
+        )
+        return chosen
+
+    def choose_instance(
+        self,
+        call: ServiceCall,
+        tried: Collection[str] = (),
+    ) -> Instance:
+        """Return an instance of a plain service, the less loaded of two."""
+        matching = [
+            instance
+            for instance in self._book.services(call.service)
+            if instance.id not in tried
+        ]
+        if not matching:
+            raise NoReplicaError(f'no instance of {call.service} serves')
+        near = [
+            instance
+            for instance in matching
+            if instance.failure_domain == self.failure_domain
+        ]
+        pool = near or matching
+        pair = self._random.sample(pool, min(2, len(pool)))
+        chosen = min(pair, key=lambda instance: self._in_flight[instance.id])
+        decision(
+            'routed',
+            request=call.request_id,
+            organisation=call.organisation,
+            service=call.service,
+            instance=chosen.id,
+            why='less loaded of two',
+            tried=list(tried),
+        )
+        return chosen
+
+    @contextlib.contextmanager
+    def in_flight(self, name: str) -> Generator[None, None, None]:
+        """Count one call more at a target while the context lasts."""
+        self._in_flight[name] += 1
+        try:
+            yield
+        finally:
+            self._in_flight[name] -= 1
+
+    def load(self, replica: ServingReplica) -> float:
+        """Return work in flight a slot: the larger of reported and own."""
+        reported = replica.running + replica.queued
+        return max(reported, self._in_flight[replica.id]) / replica.slots
+
+    def _nearest(
+        self,
+        replicas: Iterable[ServingReplica],
+    ) -> list[ServingReplica]:
+        every = list(replicas)
+        near = [
+            replica
+            for replica in every
+            if replica.failure_domain == self.failure_domain
+        ]
+        return near or every
+
+
+def _serves(replica: ServingReplica, call: CompletionCall) -> bool:
+    return (
+        replica.model == call.model
+        and call.version in {'', replica.version}
+        and (not call.adapter or call.adapter in replica.adapters)
+    )
+
+
+def _score(prefix: str, replica_id: str) -> bytes:
+    return hashlib.blake2b(
+        f'{prefix}|{replica_id}'.encode(),
+        digest_size=_DIGEST_BYTES,
+    ).digest()
--- /dev/null
+++ b/src/cranecart/standins/__init__.py
@@ -0,0 +1,23 @@
+"""Small stand-ins for the systems that cranecart meets, with faults."""
+
+from cranecart.standins._engine import EngineStandin
+from cranecart.standins._engine_options import EngineOptions
+from cranecart.standins._platform import PlatformOptions, PlatformStandin
+from cranecart.standins._proxy import FaultProxy
+from cranecart.standins._record import Record, read_record
+from cranecart.standins._service import ServiceOptions, ServiceStandin
+from cranecart.standins._tokens import expected_text, token_text
+
+__all__ = (
+    'EngineOptions',
+    'EngineStandin',
+    'FaultProxy',
+    'PlatformOptions',
+    'PlatformStandin',
+    'Record',
+    'ServiceOptions',
+    'ServiceStandin',
+    'expected_text',
+    'read_record',
+    'token_text',
+)
--- /dev/null
+++ b/src/cranecart/targets/_calls.py
@@ -0,0 +1,63 @@
+"""Calls of clients, read and checked, on their way to a target."""
+
+import time
+
+import attrs
+
+from cranecart.models import Priority
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """What every call has, whatever target it is for.
+
+    ``deadline`` is a time of the monotonic clock, in seconds.
+    """
+
+    request_id: str
+    organisation: str
+    body: bytes
+    deadline: float
+    priority: Priority = Priority.NORMAL
+    repeatable: bool = True
+    idempotency_key: str = ''
+
+    @property
+    def seconds_left(self) -> float:
+        """Return the time until the deadline, never below zero."""
+        return max(0, self.deadline - time.monotonic())
+
+    @property
+    def trace_headers(self) -> dict[str, str]:
+        """Return the headers that let a target tell calls apart."""
+        headers = {
+            'x-request-id': self.request_id,
+            'x-organisation': self.organisation,
+            'x-deadline-ms': str(int(self.seconds_left * 1000)),
+            'x-priority-rank': str(self.priority.rank),
+        }
+        if self.idempotency_key:
+            headers['idempotency-key'] = self.idempotency_key
+        return headers
+
+
+@attrs.frozen(kw_only=True)
+class CompletionCall(Call):
+    """A call of a model; an empty version means any that serves."""
+
+    model: str
+    version: str = ''
+    adapter: str = ''
+    stream: bool = False
+    prefix: str = ''
+    max_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ServiceCall(Call):
+    """A call of a plain service."""
+
+    service: str
+    path: str
+    method: str
+    content_type: str = ''
--- /dev/null
+++ b/src/cranecart/targets/_engine.py
@@ -0,0 +1,263 @@
+"""Calls of model engines: orders, reports and completions."""
+
+from types import TracebackType
+from typing import Self
+
+import attrs
+import curio
+import msgspec
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import (
+    ConnectFailedError,
+    HttpError,
+    TargetBrokenError,
+    TargetNotReachedError,
+    TargetRefusedError,
+    TargetTimeoutError,
+)
+from cranecart.http import (
+    HttpConnection,
+    HttpPool,
+    Request,
+    Response,
+    ResponseHead,
+    exchange,
+)
+from cranecart.models import Instance, MemberReport, ReplicaRow
+from cranecart.targets._book import ServingReplica
+from cranecart.targets._calls import CompletionCall
+
+# A new holder of the placement duty waits this long after the lease has
+# run out, so that no order of the earlier holder is still on its way.
+ORDER_SECONDS = 1.0
+_COMPLETIONS = '/v1/chat/completions'
+_NOT_RUN = 'not run'
+
+
+@attrs.frozen
+class _OrderMessage:
+    fencing: int
+    replica: str = ''
+    generation: int = 0
+    members: tuple[str, ...] = ()
+    addresses: tuple[str, ...] = ()
+    model: str = ''
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    retiring: bool = False
+
+    @classmethod
+    def from_row(
+        cls,
+        row: ReplicaRow | None,
+        addresses: tuple[str, ...],
+        fencing: int,
+    ) -> Self:
+        if row is None:
+            return cls(fencing)
+        return cls(
+            fencing,
+            row.id,
+            row.generation,
+            row.members,
+            addresses,
+            row.model,
+            row.version,
+            row.adapters,
+            row.retiring,
+        )
+
+
+class EngineAnswer:
+    """The answer of an engine whose head was read and checked.
+
+    Use it as an asynchronous context manager; leaving it keeps the
+    connection for reuse if it finished cleanly and cancels the work on the
+    engine, by closing, if not.
+    """
+
+    def __init__(
+        self,
+        pool: HttpPool,
+        connection: HttpConnection,
+        head: ResponseHead,
+    ) -> None:
+        """Wrap the connection that the answer comes on."""
+        self.head = head
+        self._pool = pool
+        self._connection = connection
+
+    async def __aenter__(self) -> Self:
+        """Return the answer itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Give the connection back or close it."""
+        await self._pool.give_back(self._connection)
+
+    async def read_piece(self) -> bytes:
+        """Return what one read brought, empty at the answer's end."""
+        try:
+            return await self._connection.read_piece()
+        except HttpError as error:
+            raise TargetBrokenError(str(error)) from error
+
+    async def read_body(self) -> bytes:
+        """Return the rest of the answer."""
+        try:
+            return await self._connection.read_body()
+        except HttpError as error:
+            raise TargetBrokenError(str(error)) from error
+
+
+@attrs.define
+class EngineClient:
+    """Talks to engines; turns what goes wrong into ``TargetError``."""
+
+    pool: HttpPool = attrs.field(factory=HttpPool)
+
+    async def order(
+        self,
+        instance: Instance,
+        row: ReplicaRow | None,
+        addresses: tuple[str, ...],
+        fencing: int,
+    ) -> MemberReport:
+        """Tell an engine what to become; return what it says of itself."""
+        message = _OrderMessage.from_row(row, addresses, fencing)
+        request = Request(
+            'POST',
+            '/orders',
+            body=msgspec.json.encode(message),
+        )
+        response = await ask(instance, request, ORDER_SECONDS)
+        if not response.is_success:
+            raise TargetRefusedError(
+                f'{instance.id} refused order {fencing}: {response.status}',
+            )
+        return read_report(instance, response)
+
+    async def start(
+        self,
+        replica: ServingReplica,
+        call: CompletionCall,
+        resume_token: int = 0,
+    ) -> EngineAnswer:
+        """Send a completion and read the head of its answer.
+
+        The request names the replica and generation it is meant for and the
+        answer must name the same, and the request, or it is not taken.
+        """
+        try:
+            connection = await self._connect(replica, call)
+        except ConnectFailedError as error:
+            raise TargetNotReachedError(str(error)) from error
+        try:
+            head = await curio.timeout_after(
+                call.seconds_left,
+                _ask_head,
+                connection,
+                _completion(replica, call, resume_token),
+            )
+            _check_head(replica, call, head)
+        except TaskTimeout as error:
+            await connection.close()
+            raise TargetTimeoutError(
+                f'{replica.id} did not start to answer in time',
+            ) from error
+        except HttpError as error:
+            await connection.close()
+            raise TargetBrokenError(str(error)) from error
+        except BaseException:
+            await connection.close()
+            raise
+        return EngineAnswer(self.pool, connection, head)
+
+    async def _connect(
+        self,
+        replica: ServingReplica,
+        call: CompletionCall,
+    ) -> HttpConnection:
+        # An idle connection may be closed by the other side just as a call
+        # is sent, and then nobody can tell whether the call ran.
+        if call.repeatable:
+            return await self.pool.take(replica.leader)
+        return await HttpConnection.open(replica.leader)
+
+
+async def _ask_head(
+    connection: HttpConnection,
+    request: Request,
+) -> ResponseHead:
+    await connection.send(request)
+    return await connection.read_head()
+
+
+def _completion(
+    replica: ServingReplica,
+    call: CompletionCall,
+    resume_token: int,
+) -> Request:
+    return Request(
+        'POST',
+        _COMPLETIONS,
+        {
+            'content-type': 'application/json',
+            'x-replica': replica.id,
+            'x-generation': str(replica.generation),
+            'x-resume-token': str(resume_token),
+            **call.trace_headers,
+        },
+        call.body,
+    )
+
+
+def _check_head(
+    replica: ServingReplica,
+    call: CompletionCall,
+    head: ResponseHead,
+) -> None:
+    if head.headers.get('x-execution') == _NOT_RUN:
+        raise TargetRefusedError(f'{replica.id} refused: {head.status}')
+    if not head.is_success:
+        raise TargetBrokenError(f'{replica.id} answered {head.status}')
+    told = (
+        head.headers.get('x-request-id'),
+        head.headers.get('x-replica'),
+        head.headers.get('x-generation'),
+    )
+    if told != (call.request_id, replica.id, str(replica.generation)):
+        raise TargetBrokenError(f'{replica.id} answered another request')
+
+
+async def ask(
+    instance: Instance,
+    request: Request,
+    seconds: float,
+) -> Response:
+    """Exchange one message with an instance; raise ``TargetError``."""
+    try:
+        return await exchange(instance.address, request, seconds)
+    except ConnectFailedError as error:
+        raise TargetNotReachedError(str(error)) from error
+    except HttpError as error:
+        raise TargetBrokenError(str(error)) from error
+
+
+def read_report(instance: Instance, response: Response) -> MemberReport:
+    """Decode what an engine says of itself; it must be the right one."""
+    try:
+        report = msgspec.json.decode(response.body, type=MemberReport)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise TargetBrokenError(f'{instance.id}: {error}') from error
+    if report.instance != instance.id:
+        raise TargetBrokenError(
+            f'{instance.address} is {report.instance}, not {instance.id}',
+        )
+    return report
--- /dev/null
+++ b/src/cranecart/targets/_instances.py
@@ -0,0 +1,43 @@
+"""Follow the platform's lagging list of instances."""
+
+import logging
+from collections.abc import Callable, Sequence
+
+import attrs
+import curio
+
+from cranecart.exceptions import PlatformError
+from cranecart.models import Instance
+from cranecart.platform import PlatformClient
+
+_LOG = logging.getLogger(__name__)
+_POLL_SECONDS = 1.0
+_UNKNOWN_VERSION = -1
+
+
+@attrs.define
+class InstanceFollower:
+    """Polls the list; an unchanged list costs one small answer."""
+
+    _platform: PlatformClient
+    _failure_domain: str | None
+    _changed: Callable[[Sequence[Instance]], None]
+    _version: int = attrs.field(default=_UNKNOWN_VERSION, init=False)
+
+    async def run(self) -> None:
+        """Poll until cancelled; keep the last list while it is away."""
+        while True:
+            try:
+                await self._poll()
+            except PlatformError as error:
+                _LOG.debug('the instance list is away: %s', error)
+            await curio.sleep(_POLL_SECONDS)
+
+    async def _poll(self) -> None:
+        listed = await self._platform.instances(
+            self._failure_domain,
+            self._version,
+        )
+        self._version = listed.version
+        if listed.instances is not None:
+            self._changed(listed.instances)
--- /dev/null
+++ b/src/cranecart/targets/_service.py
@@ -0,0 +1,57 @@
+"""Calls of plain services."""
+
+import attrs
+
+from cranecart.exceptions import (
+    ConnectFailedError,
+    HttpError,
+    PeerTimeoutError,
+    TargetBrokenError,
+    TargetNotReachedError,
+    TargetRefusedError,
+    TargetTimeoutError,
+)
+from cranecart.http import Request, Response, exchange
+from cranecart.models import Instance
+from cranecart.targets._calls import ServiceCall
+
+_NOT_RUN = 'not run'
+
+
+@attrs.frozen
+class ServiceClient:
+    """Talks to plain services, one connection a call.
+
+    A connection of its own makes sure that what arrives on it can only be
+    the answer to this call, and that a failure to connect means not run.
+    """
+
+    async def call(self, instance: Instance, call: ServiceCall) -> Response:
+        """Send one call; raise ``TargetError`` that says whether it ran."""
+        request = Request(
+            call.method,
+            call.path,
+            {
+                'content-type': call.content_type or 'application/json',
+                **call.trace_headers,
+            },
+            call.body,
+        )
+        try:
+            response = await exchange(
+                instance.address,
+                request,
+                call.seconds_left,
+            )
+        except ConnectFailedError as error:
+            raise TargetNotReachedError(str(error)) from error
+        except PeerTimeoutError as error:
+            raise TargetTimeoutError(str(error)) from error
+        except HttpError as error:
+            raise TargetBrokenError(str(error)) from error
+        if response.headers.get('x-execution') == _NOT_RUN:
+            raise TargetRefusedError(f'{instance.id} refused the call')
+        told = response.headers.get('x-request-id', call.request_id)
+        if told != call.request_id:
+            raise TargetBrokenError(f'{instance.id} answered another call')
+        return response
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes on loopback addresses."""
--- /dev/null
+++ b/tests/functional/test_whole_path.py
@@ -0,0 +1,155 @@
+"""A request is served end to end through separate processes."""
+
+import socket
+import unittest
+
+import curio
+import msgspec
+
+from cranecart.cli._apply import apply_change
+from cranecart.config import compile_folder
+from cranecart.http import Address, Request, Response, exchange
+from cranecart.load import (
+    LoadCall,
+    OutcomeKind,
+    Profile,
+    Summary,
+    make_calls,
+    run_load,
+    send_call,
+)
+from cranecart.standins import read_record
+from tests.lib.clusters import EXAMPLES, start_cluster
+from tools.local_cluster import LocalCluster
+
+_KEY = 'demo-budapest'
+
+
+class WholePathTest(unittest.TestCase):
+    """One cluster, many requests."""
+
+    cluster: LocalCluster
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start a cluster whose replicas serve."""
+        cls.cluster = start_cluster(cls)
+
+    def test_load_is_answered(self) -> None:
+        """Streams, whole answers and service calls, each to its caller."""
+        profile = Profile(
+            api_keys=['demo-budapest', 'demo-gyor'],
+            models=['nyelvi-szerver'],
+            services=[('brigad-app', '/next'), ('brigad-app', '/confirm')],
+        )
+        calls = make_calls(profile, ['one', 'two'], 60, seed=3)
+        balancer = self.cluster.control.balancer()
+        outcomes = curio.run(run_load, balancer, calls, 30)
+        summary = Summary.from_outcomes(
+            outcomes,
+            read_record(self.cluster.record),
+        )
+        self.assertEqual(summary.answered, 60)
+        self.assertEqual(summary.violations, 0)
+
+    def test_hostile_requests_get_a_clear_error(self) -> None:
+        """Nothing of them is forwarded."""
+        before = self._starts()
+        for sent, status in (
+            (b'nonsense\r\n\r\n', b'400'),
+            (b'GET / HTTP/1.1\r\nhost: x\r\n\r\n' * 2, b'400'),
+            (
+                b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9999999\r\n\r\n',
+                b'413',
+            ),
+            (b'GET / HTTP/1.1\r\nhost: x\r\nx: %b' % (b'y' * 40000), b'431'),
+        ):
+            with self.subTest(sent=sent[:20]):
+                self.assertIn(status, self._raw(sent).split(b'\r\n')[0])
+        self.assertEqual(self._starts(), before)
+
+    def test_wrong_key_and_model(self) -> None:
+        """An unknown key is 401, a model of somebody else's 404."""
+        body = {'model': 'x', 'messages': [{'role': 'user', 'content': 'x'}]}
+        self.assertEqual(self._post(body, 'wrong').status, 401)
+        response = self._post(body, _KEY)
+        self.assertEqual(response.status, 404)
+        error = msgspec.json.decode(response.body)['error']
+        self.assertEqual(error['execution'], 'not run')
+        self.assertEqual(response.headers['x-request-id'], error['request_id'])
+
+    def test_malformed_bodies(self) -> None:
+        """Each is told what is wrong with it."""
+        message = {'role': 'user', 'content': 'x'}
+        good = {'model': 'nyelvi-szerver', 'messages': [message]}
+        changes: tuple[dict[str, object], ...] = (
+            {'messages': []},
+            {'messages': 'x'},
+            {'stream': 'yes'},
+            {'max_tokens': 0},
+            {'model': 5},
+        )
+        for change in changes:
+            with self.subTest(change=change):
+                response = self._post({**good, **change}, _KEY)
+                self.assertEqual(response.status, 400)
+
+    def test_same_key_runs_once(self) -> None:
+        """Two copies of a non-repeatable call at two nodes at one moment."""
+        call = LoadCall(
+            key='same-key',
+            api_key=_KEY,
+            prompt='confirm patch 7',
+            service='brigad-app',
+            path='/confirm',
+            repeatable=False,
+        )
+        outcomes = curio.run(self._both_nodes, call)
+        kinds = {outcome.kind for outcome in outcomes}
+        self.assertIn(OutcomeKind.ANSWERED, kinds)
+        self.assertLessEqual(
+            kinds,
+            {OutcomeKind.ANSWERED, OutcomeKind.UNKNOWN},
+        )
+        events = read_record(self.cluster.record)
+        runs = [one for one in events if one.get('key') == 'same-key']
+        self.assertEqual(sum(one['event'] == 'start' for one in runs), 1)
+
+    def test_operators_race(self) -> None:
+        """The slower of two operators is told, and nothing is lost."""
+        client = self.cluster.control.operator()
+        declared = compile_folder(EXAMPLES / 'katyuszerviz')
+        base = curio.run(client.declared).version
+        change = curio.run(apply_change, client, declared, base, 'first')
+        self.assertEqual(change.version, base + 1)
+        with self.assertRaisesRegex(Exception, 'in force'):
+            curio.run(apply_change, client, declared, base, 'second')
+
+    async def _both_nodes(self, call: LoadCall) -> list[object]:
+        async with curio.TaskGroup(wait=all) as sending:
+            for entry in self.cluster.entries.values():
+                await sending.spawn(send_call, entry.clients, call)
+        return sending.results
+
+    def _post(self, body: object, key: str) -> Response:
+        request = Request(
+            'POST',
+            '/v1/chat/completions',
+            {'authorization': f'Bearer {key}'},
+            msgspec.json.encode(body),
+        )
+        return curio.run(exchange, self._address(), request, 5)
+
+    def _raw(self, sent: bytes) -> bytes:
+        address = self._address()
+        with socket.create_connection((address.host, address.port), 5) as sock:
+            sock.sendall(sent)
+            sock.settimeout(15)
+            return sock.recv(65536)
+
+    def _address(self) -> Address:
+        return self.cluster.entries['node0'].clients
+
+    def _starts(self) -> int:
+        events = read_record(self.cluster.record)
+        return sum(event['event'] == 'start' for event in events)
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""What several tests share."""
--- /dev/null
+++ b/tests/lib/clusters.py
@@ -0,0 +1,67 @@
+"""Clusters for functional tests."""
+
+import os
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from cranecart.cli._apply import apply_change
+from cranecart.config import compile_folder
+from tools.cluster_control import wait_until
+from tools.local_cluster import ClusterOptions, LocalCluster
+
+EXAMPLES = Path(__file__).parent.parent.parent / 'examples'
+KEEP_VARIABLE = 'CRANECART_KEEP_LOGS'
+DOMAINS = ('buda-terem', 'pest-terem')
+
+
+def start_cluster(
+    test: type[unittest.TestCase] | unittest.TestCase,
+    **options: Any,
+) -> LocalCluster:
+    """Start a cluster of the first example for a test or a test class."""
+    if isinstance(test, unittest.TestCase):
+        add_cleanup = test.addCleanup
+    else:
+        add_cleanup = test.addClassCleanup
+    chosen = {'domains': DOMAINS, 'service': 'brigad-app', **options}
+    cluster = LocalCluster(_folder(add_cleanup), ClusterOptions(**chosen))
+    add_cleanup(cluster.stop)
+    cluster.__enter__()
+    bring_up(cluster)
+    return cluster
+
+
+def bring_up(cluster: LocalCluster) -> None:
+    """Apply the example and wait until its replicas serve everywhere."""
+    control = cluster.control
+    wait_until(lambda: control.status() is not None, 'a node answers')
+    declared = compile_folder(EXAMPLES / 'katyuszerviz')
+    curio.run(apply_change, control.operator(), declared, 0, 'test')
+    wait_until(
+        lambda: all(
+            len(control.serving(name)) == 2 for name in cluster.entries
+        ),
+        'both replicas serve, as every node sees it',
+    )
+    wait_until(
+        lambda: all(
+            status is not None and status.ready
+            for status in map(control.status, cluster.entries)
+        ),
+        'every node is ready',
+    )
+
+
+def _folder(add_cleanup: Any) -> Path:
+    if os.environ.get(KEEP_VARIABLE):
+        kept = tempfile.mkdtemp(prefix='cranecart-')
+        sys.stderr.write(f'logs stay in {kept}\n')
+        return Path(kept)
+    folder = tempfile.TemporaryDirectory(prefix='cranecart-')
+    add_cleanup(folder.cleanup)
+    return Path(folder.name)
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that start no process and open no socket."""
--- /dev/null
+++ b/tests/unit/test_assemble.py
@@ -0,0 +1,112 @@
+"""Which replicas are whole."""
+
+import unittest
+from collections import Counter
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.models import MemberReport, MemberState, ReplicaRow
+from cranecart.targets import ReportBook
+from cranecart.targets._book import assemble
+from tests.lib.worlds import DOMAIN, make_instances, ready_reports
+
+_INSTANCES = make_instances(6)
+_NAMES = sorted(_INSTANCES)
+
+
+def _reports() -> st.SearchStrategy[dict[str, MemberReport]]:
+    members = st.lists(
+        st.sampled_from(_NAMES),
+        min_size=2,
+        max_size=3,
+        unique=True,
+    )
+    fields = st.builds(
+        MemberReport,
+        instance=st.just(''),
+        state=st.sampled_from(list(MemberState)),
+        replica=st.sampled_from(['r1', 'r2']),
+        generation=st.integers(1, 2),
+        members=members.map(tuple),
+        draining=st.booleans(),
+    )
+    return st.dictionaries(st.sampled_from(_NAMES), fields).map(
+        lambda found: {
+            name: attrs.evolve(report, instance=name)
+            for name, report in found.items()
+        },
+    )
+
+
+class AssembleTest(unittest.TestCase):
+    """The gate through which replicas serve."""
+
+    @given(_reports())
+    def test_only_whole_replicas_serve(
+        self,
+        reports: dict[str, MemberReport],
+    ) -> None:
+        """Every member says ready, for this replica and generation."""
+        for replica in assemble(_INSTANCES, reports):
+            for member in replica.members:
+                report = reports[member]
+                self.assertEqual(report.state, MemberState.READY)
+                self.assertEqual(report.replica, replica.id)
+                self.assertEqual(report.generation, replica.generation)
+                self.assertFalse(report.draining)
+
+    @given(_reports())
+    def test_no_instance_is_in_two(
+        self,
+        reports: dict[str, MemberReport],
+    ) -> None:
+        """Whatever instances say, none serves in two replicas."""
+        members = Counter(
+            member
+            for replica in assemble(_INSTANCES, reports)
+            for member in replica.members
+        )
+        self.assertTrue(all(count == 1 for count in members.values()))
+
+
+class ReportBookTest(unittest.TestCase):
+    """How long a report counts."""
+
+    def setUp(self) -> None:
+        """Make a book with a whole replica and a clock to turn."""
+        self.now = 100.0
+        self.book = ReportBook(lambda: self.now)
+        self.book.replace_instances(_INSTANCES.values())
+        self.row = ReplicaRow('r', 'm', 'v1', 1, ('e00', 'e01'), DOMAIN, 'f0')
+        for report in ready_reports(self.row).values():
+            self.book.note(report)
+
+    def test_fresh_reports_make_a_replica(self) -> None:
+        """All members have just said that they are ready."""
+        self.assertEqual([one.id for one in self.book.serving()], ['r'])
+
+    def test_one_silent_member_ends_it(self) -> None:
+        """A single unreachable member makes the whole replica absent."""
+        self.book.note_unreachable('e01')
+        self.assertEqual(self.book.serving(), [])
+
+    def test_old_reports_do_not_count(self) -> None:
+        """After a pause of this process nothing serves until asked anew."""
+        self.now += 10
+        self.assertEqual(self.book.serving(), [])
+
+    def test_own_pause_loses_nobody(self) -> None:
+        """Time that this process slept through is no instance's silence."""
+        self.book.tick()
+        self.now += 60
+        self.assertTrue(self.book.tick())
+        self.assertEqual(self.book.lost(), frozenset())
+
+    def test_silence_loses_an_instance(self) -> None:
+        """Silence while this process was awake counts."""
+        for _ in range(50):
+            self.book.tick()
+            self.now += 0.25
+        self.assertEqual(self.book.lost(), frozenset(_NAMES))
--- /dev/null
+++ b/tests/unit/test_claims.py
@@ -0,0 +1,98 @@
+"""Claims of non-repeatable calls."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.claims import Claims, Held, Replay
+from cranecart.exceptions import (
+    ClaimUnreadableError,
+    KeyReusedError,
+    OutcomeUnknownError,
+    RequestError,
+)
+from cranecart.http import Response
+from cranecart.targets import ServiceCall
+from tests.lib.fake_platform import FAULTS, FakePlatform
+from tests.lib.run import run_now
+
+
+def _call(body: bytes = b'{}') -> ServiceCall:
+    return ServiceCall(
+        request_id='r',
+        organisation='o',
+        body=body,
+        deadline=0,
+        repeatable=False,
+        idempotency_key='k',
+        service='s',
+        path='/confirm',
+        method='POST',
+    )
+
+
+class ClaimsTest(unittest.TestCase):
+    """At most one copy of a call may ever be sent."""
+
+    def setUp(self) -> None:
+        """Make two nodes on one table."""
+        self.platform = FakePlatform()
+        self.one = Claims('one', self.platform)  # type: ignore[arg-type]
+        self.two = Claims('two', self.platform)  # type: ignore[arg-type]
+
+    @given(
+        st.lists(st.booleans(), min_size=1, max_size=12),
+        st.lists(st.sampled_from(FAULTS), max_size=40),
+    )
+    def test_at_most_one_copy_is_held(
+        self,
+        copies: list[bool],
+        faults: list[str],
+    ) -> None:
+        """Copies at two nodes, with refused and lost writes, in any order."""
+        platform = FakePlatform(faults=iter(faults))
+        nodes = [Claims('one', platform), Claims('two', platform)]  # type: ignore[arg-type]
+        held = 0
+        for copy in copies:
+            try:
+                outcome = run_now(nodes[copy].make(_call()))
+            except RequestError:
+                continue
+            held += isinstance(outcome, Held)
+        self.assertLessEqual(held, 1)
+
+    def test_a_repeat_hears_the_recorded_answer(self) -> None:
+        """After it was settled, any node replays it."""
+        held = run_now(self.one.make(_call()))
+        assert isinstance(held, Held)
+        run_now(self.one.settle(held, Response(201, {}, b'done')))
+        again = run_now(self.two.make(_call()))
+        assert isinstance(again, Replay)
+        self.assertEqual(again.response.status, 201)
+        self.assertEqual(again.response.body, b'done')
+
+    def test_while_it_runs_the_outcome_is_unknown(self) -> None:
+        """A claim of a node that may have died is never taken over."""
+        run_now(self.one.make(_call()))
+        with self.assertRaises(OutcomeUnknownError):
+            run_now(self.two.make(_call()))
+
+    def test_a_call_that_did_not_run_may_be_repeated(self) -> None:
+        """Its claim is released, and one copy may be sent again."""
+        held = run_now(self.one.make(_call()))
+        assert isinstance(held, Held)
+        run_now(self.one.release(held))
+        self.assertIsInstance(run_now(self.two.make(_call())), Held)
+
+    def test_a_key_belongs_to_one_call(self) -> None:
+        """The same key with another body is refused."""
+        run_now(self.one.make(_call()))
+        with self.assertRaises(KeyReusedError):
+            run_now(self.two.make(_call(b'{"other": 1}')))
+
+    def test_without_the_table_nothing_is_promised(self) -> None:
+        """Whether an earlier copy ran cannot be told."""
+        self.platform.down = True
+        with self.assertRaises(ClaimUnreadableError):
+            run_now(self.one.make(_call()))
--- /dev/null
+++ b/tests/unit/test_lease.py
@@ -0,0 +1,102 @@
+"""Leases under pauses, lost answers and races."""
+
+import unittest
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.duties import Lease
+from cranecart.exceptions import LeaseLostError, PlatformError
+from tests.lib.fake_platform import FAULTS, FakePlatform
+from tests.lib.run import run_now
+
+_NODES = ('a', 'b', 'c')
+
+
+@attrs.define
+class _Clock:
+    now: float = 1000
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def _leases(platform: FakePlatform, clock: _Clock) -> dict[str, Lease]:
+    return {
+        name: Lease('placer/x', name, platform, clock=clock)  # type: ignore[arg-type]
+        for name in _NODES
+    }
+
+
+def _keep(lease: Lease) -> bool:
+    try:
+        return run_now(lease.keep())
+    except PlatformError:
+        return lease.is_held
+
+
+class LeaseTest(unittest.TestCase):
+    """At most one node may act for a duty."""
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(_NODES), st.floats(0, 5)),
+            max_size=60,
+        ),
+        st.lists(st.sampled_from(FAULTS), max_size=60),
+    )
+    def test_never_two_holders(
+        self,
+        steps: list[tuple[str, float]],
+        faults: list[str],
+    ) -> None:
+        """Whoever wakes late or lost an answer, only one trusts its lease."""
+        platform = FakePlatform(faults=iter(faults))
+        clock = _Clock()
+        leases = _leases(platform, clock)
+        fencings: list[tuple[int, str]] = []
+        for name, wait in steps:
+            clock.now += wait
+            if _keep(leases[name]):
+                fencings.append((leases[name].fencing, name))
+            held = [one for one in leases.values() if one.is_held]
+            self.assertLessEqual(len(held), 1)
+        self.assertEqual(fencings, sorted(fencings, key=lambda pair: pair[0]))
+        self.assertEqual(
+            len({fencing for fencing, _ in fencings}),
+            len(set(fencings)),
+        )
+
+    def test_a_paused_holder_knows_that_it_lost(self) -> None:
+        """The check that ties transactions to the lease raises."""
+        clock = _Clock()
+        lease = _leases(FakePlatform(), clock)['a']
+        self.assertTrue(_keep(lease))
+        lease.check()
+        clock.now += 7
+        with self.assertRaises(LeaseLostError):
+            lease.check()
+
+    def test_a_woken_holder_cannot_write(self) -> None:
+        """Even with its clock unread, its check no longer holds."""
+        clock = _Clock()
+        platform = FakePlatform()
+        leases = _leases(platform, clock)
+        _keep(leases['a'])
+        old_check = leases['a'].check()
+        _keep(leases['b'])
+        clock.now += 9
+        self.assertTrue(_keep(leases['b']))
+        self.assertNotEqual(
+            platform.rows[old_check.key].version,
+            old_check.version,
+        )
+        self.assertGreater(leases['b'].fencing, leases['a'].fencing)
+
+    def test_handing_over_needs_no_wait(self) -> None:
+        """The next node takes a lease that was given up at once."""
+        leases = _leases(FakePlatform(), _Clock())
+        _keep(leases['a'])
+        run_now(leases['a'].hand_over())
+        self.assertTrue(_keep(leases['b']))
--- /dev/null
+++ b/tests/unit/test_plan.py
@@ -0,0 +1,183 @@
+"""Placement decisions."""
+
+import unittest
+from collections import Counter
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.models import MemberState, ReplicaRow
+from cranecart.placement import (
+    CreateReplica,
+    DomainState,
+    DrainReplica,
+    ReplaceMembers,
+    RetireReplica,
+    plan,
+    plan_orders,
+)
+from tests.lib.worlds import (
+    DOMAIN,
+    idle_reports,
+    make_instances,
+    make_spec,
+    ready_reports,
+)
+
+
+def _apply(state: DomainState) -> DomainState:
+    """Carry a plan out as the table would."""
+    rows = dict(state.rows)
+    for action in plan(state):
+        match action:
+            case RetireReplica():
+                rows.pop(action.row.id)
+            case _:
+                rows[action.row.id] = action.row
+    owners = {member: row.id for row in rows.values() for member in row.members}
+    return attrs.evolve(state, rows=rows, owners=owners)
+
+
+def _obey(state: DomainState) -> DomainState:
+    """Let every instance that answers follow its orders at once."""
+    reports = dict(state.reports)
+    for order in plan_orders(state):
+        if order.row is None:
+            reports.update(idle_reports([order.instance.id]))
+        else:
+            said = ready_reports(order.row)[order.instance.id]
+            reports[order.instance.id] = said
+    return attrs.evolve(state, reports=reports)
+
+
+def _fresh(count: int, replicas: int, fabrics: int = 1) -> DomainState:
+    instances = make_instances(count, fabrics)
+    return DomainState(
+        DOMAIN,
+        (make_spec(replicas),),
+        {},
+        {},
+        instances,
+        idle_reports(instances),
+    )
+
+
+def _lose(state: DomainState, names: set[str]) -> DomainState:
+    reports = {
+        name: report
+        for name, report in state.reports.items()
+        if name not in names
+    }
+    return attrs.evolve(state, reports=reports, lost=frozenset(names))
+
+
+class PlanTest(unittest.TestCase):
+    """What the placer does about a failure domain."""
+
+    @given(
+        st.integers(0, 24),
+        st.integers(0, 6),
+        st.integers(1, 3),
+        st.lists(st.sets(st.integers(0, 23)), max_size=4),
+    )
+    def test_ownership_always_holds(
+        self,
+        count: int,
+        replicas: int,
+        fabrics: int,
+        losses: list[set[int]],
+    ) -> None:
+        """No instance in two replicas, one fabric, no more than declared."""
+        state = _fresh(count, replicas, fabrics)
+        for lost in (set[int](), *losses):
+            state = _lose(state, {f'e{number:02}' for number in lost})
+            state = _obey(_apply(state))
+            self._check(state, replicas)
+
+    def test_spare_replaces_a_lost_member(self) -> None:
+        """The replica goes on in a new generation."""
+        state = _obey(_apply(_fresh(5, 1)))
+        actions = plan(_lose(state, {'e01'}))
+        self.assertEqual(len(actions), 1)
+        action = actions[0]
+        assert isinstance(action, ReplaceMembers)
+        self.assertEqual(action.row.members, ('e00', 'e04', 'e02', 'e03'))
+        self.assertEqual(action.row.generation, 2)
+
+    def test_without_spare_the_replica_is_dissolved(self) -> None:
+        """Its instances are free for others rather than stranded."""
+        state = _obey(_apply(_fresh(4, 1)))
+        actions = plan(_lose(state, {'e01'}))
+        self.assertEqual([type(one) for one in actions], [RetireReplica])
+
+    def test_leaving_member_waits_for_work_to_end(self) -> None:
+        """Work in flight is never cut for a planned leave."""
+        state = _obey(_apply(_fresh(5, 1)))
+        reports = dict(state.reports)
+        reports['e02'] = attrs.evolve(reports['e02'], draining=True)
+        reports['e00'] = attrs.evolve(reports['e00'], running=3)
+        state = attrs.evolve(
+            state, reports=reports, settled=frozenset(('e02',))
+        )
+        self.assertEqual(plan(state), [])
+        reports['e00'] = attrs.evolve(reports['e00'], running=0)
+        actions = plan(attrs.evolve(state, reports=reports))
+        self.assertEqual([type(one) for one in actions], [ReplaceMembers])
+
+    def test_a_broken_replica_restarts_as_one(self) -> None:
+        """Its members are kept in a new generation."""
+        state = _obey(_apply(_fresh(4, 1)))
+        reports = dict(state.reports)
+        reports['e00'] = attrs.evolve(
+            reports['e00'],
+            state=MemberState.BROKEN,
+        )
+        actions = plan(attrs.evolve(state, reports=reports))
+        self.assertEqual([one.row.generation for one in actions], [2])
+
+    def test_a_busy_instance_is_not_free(self) -> None:
+        """An instance must let go of its work before it joins another."""
+        state = _fresh(4, 1)
+        stray = ReplicaRow('x', 'm', 'v', 1, ('e00', 'e01'), DOMAIN, 'f0')
+        reports = {**state.reports, **ready_reports(stray)}
+        state = attrs.evolve(state, reports=reports)
+        self.assertEqual(plan(state), [])
+        self.assertEqual(
+            [order.instance.id for order in plan_orders(state)],
+            ['e00', 'e01'],
+        )
+
+    def _check(self, state: DomainState, replicas: int) -> None:
+        members = Counter(
+            member for row in state.rows.values() for member in row.members
+        )
+        self.assertTrue(all(number == 1 for number in members.values()))
+        self.assertLessEqual(len(state.rows), replicas)
+        for row in state.rows.values():
+            fabrics = {
+                state.instances[member].fabric_domain for member in row.members
+            }
+            self.assertEqual(len(fabrics), 1)
+
+
+class RollingTest(unittest.TestCase):
+    """A new version replaces the old one."""
+
+    def test_with_room_the_old_stays_until_the_new_serves(self) -> None:
+        """There is always a replica that serves."""
+        state = _obey(_apply(_fresh(8, 1)))
+        new = attrs.evolve(state, models=(make_spec(1, version='v2'),))
+        self.assertEqual([type(one) for one in plan(new)], [CreateReplica])
+        new = _apply(new)
+        self.assertEqual(plan(new), [])
+        new = _obey(new)
+        self.assertEqual([type(one) for one in plan(new)], [DrainReplica])
+
+    def test_without_room_one_makes_room_at_a_time(self) -> None:
+        """Of two old replicas one serves on."""
+        state = _obey(_apply(_fresh(8, 2)))
+        new = attrs.evolve(state, models=(make_spec(2, version='v2'),))
+        self.assertEqual([type(one) for one in plan(new)], [DrainReplica])
+        draining = _obey(_apply(new))
+        self.assertEqual(plan(draining), [])
--- /dev/null
+++ b/tools/cluster_control.py
@@ -0,0 +1,91 @@
+"""Ask the parts of a local cluster, and change what is wrong with them."""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+import curio
+import msgspec
+
+from cranecart.exceptions import CranecartError
+from cranecart.http import Address, Request, Response, exchange
+from cranecart.load import Balancer, Entry
+from cranecart.operators import NodeStatus, OperatorClient
+
+OPERATOR_KEY = 'operator-key-for-local-runs'
+_POLL_SECONDS = 0.05
+_CALL_SECONDS = 5.0
+
+
+@attrs.frozen
+class ClusterControl:
+    """Talks to the processes of one local cluster."""
+
+    addresses: Mapping[str, Address]
+    controls: Mapping[str, Address]
+    entries: Mapping[str, Entry]
+
+    def reach(self, name: str) -> Address:
+        """Return the address others use, that of its proxy if it has one."""
+        return self.addresses.get(f'proxy-{name}') or self.addresses[name]
+
+    def balancer(self) -> Balancer:
+        """Return a balancer over all nodes."""
+        return Balancer(list(self.entries.values()))
+
+    def operator(self, node: str = 'node0') -> OperatorClient:
+        """Return an operators' client for a node."""
+        return OperatorClient(self.entries[node].operators, OPERATOR_KEY)
+
+    def status(self, node: str = 'node0') -> NodeStatus | None:
+        """Return a node's status, or nothing while it does not answer."""
+        try:
+            return curio.run(self.operator(node).status)
+        except CranecartError:
+            return None
+
+    def call(
+        self,
+        address: Address,
+        target: str,
+        body: object = None,
+    ) -> Response:
+        """Post a control message and return the answer."""
+        request = Request('POST', target, body=msgspec.json.encode(body))
+        return curio.run(exchange, address, request, _CALL_SECONDS)
+
+    def set_platform_faults(self, **faults: object) -> None:
+        """Change what is wrong with the platform; none if nothing given."""
+        self.call(self.addresses['platform'], '/standin/faults', faults)
+
+    def set_link_faults(self, name: str, **faults: object) -> None:
+        """Change what is wrong with the link to a proxied process."""
+        self.call(self.controls[name], '/faults', faults)
+
+    def serving(self, node: str = 'node0') -> list[dict[str, Any]]:
+        """Return the replicas that a node would send to."""
+        status = self.status(node)
+        return list(status.replicas) if status else []
+
+    def platform_answers(self) -> bool:
+        """Tell whether the platform can be asked."""
+        try:
+            self.set_platform_faults()
+        except CranecartError:
+            return False
+        return True
+
+
+def wait_until(
+    condition: Callable[[], bool],
+    what: str,
+    seconds: float = 30,
+) -> float:
+    """Wait for a condition; return how long it took, in seconds."""
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() - started > seconds:
+            raise TimeoutError(f'not within {seconds} s: {what}')
+        time.sleep(_POLL_SECONDS)
+    return time.monotonic() - started
--- /dev/null
+++ b/tools/local_cluster.py
@@ -0,0 +1,207 @@
+"""Start the whole system as separate processes on loopback addresses."""
+
+import contextlib
+import hashlib
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import attrs
+import msgspec
+
+from cranecart.http import Address
+from cranecart.load import Entry
+from cranecart.standins import Record
+from tools.cluster_control import OPERATOR_KEY, ClusterControl, wait_until
+from tools.processes import Process, free_address, loopback_host
+
+_OPERATOR_SHA256 = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+
+
+@attrs.frozen(kw_only=True)
+class ClusterOptions:
+    """What a local cluster is made of."""
+
+    domains: Sequence[str]
+    nodes: int = 3
+    engines_per_domain: int = 5
+    service: str = ''
+    services_per_domain: int = 1
+    engine_flags: Sequence[str] = ()
+    platform_flags: Sequence[str] = ()
+    service_flags: Sequence[str] = ()
+    proxied: frozenset[str] = frozenset()
+    settings: Mapping[str, Any] = attrs.field(factory=dict)
+
+
+class LocalCluster:
+    """A platform, targets and nodes; leaves no process behind."""
+
+    def __init__(self, folder: Path, options: ClusterOptions) -> None:
+        """Keep the options; use as a context manager to start it."""
+        self.folder = folder
+        self.options = options
+        self.record = folder / 'record.jsonl'
+        self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, Address] = {}
+        self.controls: dict[str, Address] = {}
+        self.entries: dict[str, Entry] = {}
+        self.control = ClusterControl(
+            self.addresses,
+            self.controls,
+            self.entries,
+        )
+        self._host = loopback_host()
+        self._settings: dict[str, dict[str, Any]] = {}
+
+    def __enter__(self) -> Self:
+        """Start everything and wait until the platform answers."""
+        try:
+            self._start_all()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        self.stop()
+
+    def stop(self) -> None:
+        """End every process that still runs, paused ones too."""
+        for process in self.processes.values():
+            with contextlib.suppress(OSError):
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+
+    def kill(self, name: str) -> None:
+        """Kill a process and record that it is gone."""
+        self.processes[name].kill()
+        Record.from_path(name, str(self.record)).write('lost')
+
+    def start_engine(self, name: str, domain: str) -> None:
+        """Start an engine instance and list it."""
+        self._start_standin(
+            name,
+            'engine',
+            [
+                f'--instance={name}',
+                f'--failure_domain={domain}',
+                f'--fabric_domain={domain}-f0',
+                f'--platform={self.control.reach("platform")}',
+                *self.options.engine_flags,
+            ],
+        )
+
+    def start_service(self, name: str, domain: str) -> None:
+        """Start an instance of the plain service and list it."""
+        self._start_standin(
+            name,
+            'service',
+            [
+                f'--instance={name}',
+                f'--failure_domain={domain}',
+                f'--service={self.options.service}',
+                f'--platform={self.control.reach("platform")}',
+                *self.options.service_flags,
+            ],
+        )
+
+    def start_node(self, name: str) -> None:
+        """Start a node with the settings planned for it."""
+        file = self.folder / f'{name}.json'
+        file.write_bytes(msgspec.json.encode(self._settings[name]))
+        self.processes[name] = Process.start(
+            name,
+            ['node', str(file)],
+            self.folder / f'{name}.log',
+        )
+
+    def _start_all(self) -> None:
+        options = self.options
+        self._start_standin('platform', 'platform', options.platform_flags)
+        wait_until(self.control.platform_answers, 'the platform answers')
+        for domain in options.domains:
+            for number in range(options.engines_per_domain):
+                self.start_engine(f'{domain}-e{number}', domain)
+            if options.service:
+                for number in range(options.services_per_domain):
+                    self.start_service(f'{domain}-s{number}', domain)
+        self._plan_nodes()
+        for name in self._settings:
+            self.start_node(name)
+
+    def _start_standin(
+        self,
+        name: str,
+        kind: str,
+        arguments: Sequence[str],
+    ) -> None:
+        address = self.addresses.setdefault(name, free_address(self._host))
+        listed = address
+        if name in self.options.proxied:
+            listed = self._start_proxy(name)
+        self.processes[name] = Process.start(
+            name,
+            [
+                'standin',
+                kind,
+                str(address),
+                f'--record={self.record}',
+                f'--listed_address={listed}',
+                *arguments,
+            ],
+            self.folder / f'{name}.log',
+        )
+
+    def _start_proxy(self, name: str) -> Address:
+        proxy = f'proxy-{name}'
+        if proxy in self.processes:
+            return self.control.reach(name)
+        self.addresses[proxy] = free_address(self._host)
+        self.controls[name] = free_address(self._host)
+        self.processes[proxy] = Process.start(
+            proxy,
+            [
+                'standin',
+                'proxy',
+                str(self.addresses[proxy]),
+                f'--upstream={self.addresses[name]}',
+                f'--control={self.controls[name]}',
+            ],
+            self.folder / f'{proxy}.log',
+        )
+        return self.addresses[proxy]
+
+    def _plan_nodes(self) -> None:
+        options = self.options
+        names = [f'node{number}' for number in range(options.nodes)]
+        peers = {name: free_address(self._host) for name in names}
+        for number, name in enumerate(names):
+            entry = Entry(free_address(self._host), free_address(self._host))
+            self.entries[name] = entry
+            self._settings[name] = {
+                'node_id': name,
+                'failure_domain': options.domains[
+                    number % len(options.domains)
+                ],
+                'client_address': str(entry.clients),
+                'operator_address': str(entry.operators),
+                'peer_address': str(peers[name]),
+                'platform_address': str(self.control.reach('platform')),
+                'operator_key_sha256': _OPERATOR_SHA256,
+                'peers': [
+                    str(address)
+                    for other, address in peers.items()
+                    if other != name
+                ],
+                'ready_off_ms': 1000,
+                **options.settings,
+            }
