Prove that a non-repeatable call runs at most once

Change: claims of one node that come while a commit is under way go together in the next; making one is bounded by the deadline; a non-repeatable stream is read to its end and recorded also after its client left; the path is part of what a key belongs to.

Ruled out: 'not run' as the answer while the table is away; an earlier copy under the same key may have run, so the client hears 'outcome unknown' and that this copy was not sent.

--- a/src/cranecart/claims/_claims.py
+++ b/src/cranecart/claims/_claims.py
@@ -9,7 +9,9 @@
 import uuid
 
 import attrs
+import curio
 import msgspec
+from curio.errors import TaskTimeout
 
 from cranecart.exceptions import (
     ClaimUnreadableError,
@@ -23,8 +25,8 @@
 )
 from cranecart.http import Response
 from cranecart.logs import decision
-from cranecart.platform import Check, PlatformClient, Put, Row, Transaction
-from cranecart.targets import Call
+from cranecart.platform import Check, Put, Row, Transaction, WriteBatcher
+from cranecart.targets import Call, ServiceCall
 
 _MAX_RECORDED_BYTES = 65536
 _ATTEMPTS = 2
@@ -66,7 +68,7 @@
     """Makes and settles claims for one node."""
 
     node_id: str
-    _platform: PlatformClient
+    _writes: WriteBatcher
 
     async def make(self, call: Call) -> Held | Replay:
         """Claim a call's key, or return what its earlier copy got.
@@ -75,23 +77,16 @@
         can have run, ``OutcomeUnknownError`` where an earlier copy may have
         run, ``KeyReusedError`` where the key belongs to another call.
         """
-        key = _row_key(call)
-        wanted = _Claim(
-            self.node_id,
-            uuid.uuid4().hex,
-            _fingerprint(call),
-            _State.CLAIMED,
-        )
-        seen: Row | None = None
-        for _attempt in range(_ATTEMPTS):
-            held = await self._insert(key, wanted, seen)
-            if held is not None:
-                return held
-            seen = await self._read(key)
-            outcome = _judge(seen, wanted)
-            if outcome is not None:
-                return outcome
-        raise PlatformAwayError('the claim could not be made; try again')
+        try:
+            return await curio.timeout_after(
+                call.seconds_left,
+                self._make,
+                call,
+            )
+        except TaskTimeout as error:
+            raise ClaimUnreadableError(
+                'this copy was not sent: its deadline passed first',
+            ) from error
 
     async def settle(self, held: Held, response: Response) -> None:
         """Record the answer, so that repeats of the call hear it."""
@@ -113,6 +108,25 @@
         claim = _decode(held.row)
         await self._rewrite(held, attrs.evolve(claim, state=_State.NOT_RUN))
 
+    async def _make(self, call: Call) -> Held | Replay:
+        key = _row_key(call)
+        wanted = _Claim(
+            self.node_id,
+            uuid.uuid4().hex,
+            _fingerprint(call),
+            _State.CLAIMED,
+        )
+        seen: Row | None = None
+        for _attempt in range(_ATTEMPTS):
+            held = await self._insert(key, wanted, seen)
+            if held is not None:
+                return held
+            seen = await self._read(key)
+            outcome = _judge(seen, wanted)
+            if outcome is not None:
+                return outcome
+        raise PlatformAwayError('the claim could not be made; try again')
+
     async def _insert(
         self,
         key: str,
@@ -122,7 +136,7 @@
         put = Put(key, _encode(wanted))
         check = Check(key, seen.version if seen else 0)
         try:
-            version = await self._platform.commit(
+            version = await self._writes.commit(
                 Transaction((check,), (put,)),
             )
         except (WriteConflictError, WriteUnknownError):
@@ -136,7 +150,7 @@
 
     async def _read(self, key: str) -> Row | None:
         try:
-            return (await self._platform.read_keys([key])).get(key)
+            return await self._writes.read_key(key)
         except PlatformError as error:
             # This node has not sent the call and now never will under this
             # claim, but an earlier copy may have run elsewhere.
@@ -152,7 +166,7 @@
             (Put(row.key, _encode(claim)),),
         )
         try:
-            await self._platform.commit(transaction)
+            await self._writes.commit(transaction)
         except PlatformError as error:
             decision('claim_not_settled', key=row.key, why=str(error))
 
@@ -193,7 +207,8 @@
 
 
 def _fingerprint(call: Call) -> str:
-    return hashlib.sha256(call.body).hexdigest()
+    path = call.path if isinstance(call, ServiceCall) else ''
+    return hashlib.sha256(path.encode() + call.body).hexdigest()
 
 
 def _encode(claim: _Claim) -> str:
--- a/src/cranecart/clients/_relay.py
+++ b/src/cranecart/clients/_relay.py
@@ -3,7 +3,11 @@
 from cranecart.clients._attempts import read_in_time
 from cranecart.clients._errors import ErrorBody
 from cranecart.clients._events import EventCounter, error_event
-from cranecart.exceptions import RequestError, TargetBrokenError
+from cranecart.exceptions import (
+    ConnectionBrokenError,
+    RequestError,
+    TargetBrokenError,
+)
 from cranecart.http import Responder, Response
 from cranecart.logs import decision
 from cranecart.routing import Router
@@ -36,6 +40,7 @@
         self._engines = engines
         self._tried: list[str] = []
         self._pieces: list[bytes] = []
+        self._client_left = False
 
     @property
     def is_finished(self) -> bool:
@@ -81,7 +86,8 @@
             await self._pass_all_on(answer)
             if not self.is_finished:
                 raise TargetBrokenError(f'{replica.id} stopped mid-stream')
-        await self._responder.end()
+        if not self._client_left:
+            await self._responder.end()
 
     async def _start(self) -> None:
         if self._responder.has_started:
@@ -100,6 +106,17 @@
             whole = self._counter.feed(piece)
             if not whole:
                 continue
-            if not self._call.repeatable:
-                self._pieces.append(whole)
+            if self._call.repeatable:
+                await self._responder.write(whole)
+            else:
+                await self._pass_on_and_keep(whole)
+
+    async def _pass_on_and_keep(self, whole: bytes) -> None:
+        self._pieces.append(whole)
+        if self._client_left:
+            return
+        try:
             await self._responder.write(whole)
+        except ConnectionBrokenError:
+            # The call runs only once, so a repeat of it must find the answer.
+            self._client_left = True
--- a/src/cranecart/node.py
+++ b/src/cranecart/node.py
@@ -18,7 +18,7 @@
 from cranecart.models import Instance, InstanceKind, MemberReport
 from cranecart.operators import AdminInterface, NodeStatus
 from cranecart.placement import Placer
-from cranecart.platform import PlatformClient
+from cranecart.platform import PlatformClient, WriteBatcher
 from cranecart.rollout import CurrentConfig, Follower, History
 from cranecart.routing import Router
 from cranecart.signals import StopSignal, raise_first_error, stop_signal
@@ -115,7 +115,7 @@
             Router(settings.failure_domain, self._book, self._random),
             EngineClient(),
             ServiceClient(),
-            Claims(settings.node_id, self._platform),
+            Claims(settings.node_id, WriteBatcher(self._platform)),
             self._admission,
         )
         self._client_server = HttpServer(settings.clients, gateway.handle)
@@ -179,6 +179,7 @@
                 }
                 for replica in self._book.serving()
             ),
+            tuple(self._book.open_services()),
             (),
             self._admission.inside,
         )
--- a/src/cranecart/operators/_admin.py
+++ b/src/cranecart/operators/_admin.py
@@ -37,6 +37,7 @@
     config_version: int
     duties: dict[str, str]
     replicas: tuple[dict[str, Any], ...]
+    services: tuple[str, ...]
     nodes: tuple[dict[str, Any], ...]
     in_flight: int
 
--- a/src/cranecart/targets/_book.py
+++ b/src/cranecart/targets/_book.py
@@ -135,10 +135,17 @@
     def services(self, name: str) -> list[Instance]:
         """Return the live instances of a plain service."""
         return [
-            instance
+            self._instances[instance_id]
+            for instance_id in self.open_services()
+            if self._instances[instance_id].service == name
+        ]
+
+    def open_services(self) -> list[str]:
+        """Return the ids of the service instances that take work."""
+        return [
+            instance.id
             for instance in self._instances.values()
             if instance.kind is InstanceKind.SERVICE
-            and instance.service == name
             and not instance.leaving
             and self._is_open(instance.id)
         ]
--- a/tests/lib/clusters.py
+++ b/tests/lib/clusters.py
@@ -43,17 +43,22 @@
     declared = compile_folder(EXAMPLES / 'katyuszerviz')
     curio.run(apply_change, control.operator(), declared, 0, 'test')
     wait_until(
-        lambda: all(
-            len(control.serving(name)) == 2 for name in cluster.entries
-        ),
-        'both replicas serve, as every node sees it',
+        lambda: all(_is_up(cluster, name) for name in cluster.entries),
+        'every node sees all replicas and services, and is ready',
     )
-    wait_until(
-        lambda: all(
-            status is not None and status.ready
-            for status in map(control.status, cluster.entries)
-        ),
-        'every node is ready',
+
+
+def _is_up(cluster: LocalCluster, node: str) -> bool:
+    status = cluster.control.status(node)
+    options = cluster.options
+    # The example declares two replicas, one for each of two domains.
+    replicas = len(options.domains) if options.engines_per_domain else 0
+    services = len(options.domains) * options.services_per_domain
+    return (
+        status is not None
+        and status.ready
+        and len(status.replicas) >= replicas
+        and len(status.services) >= services
     )
 
 
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -32,6 +32,10 @@
         self._fail_if_down()
         return {key: self.rows[key] for key in keys if key in self.rows}
 
+    async def read_key(self, key: str) -> Row | None:
+        """Read one row."""
+        return (await self.read_keys([key])).get(key)
+
     async def commit(self, transaction: Transaction) -> int:
         """Write a transaction, as far as the next fault allows."""
         self._fail_if_down()
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -1,7 +1,9 @@
 """Claims of non-repeatable calls."""
 
+import time
 import unittest
 
+import curio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -15,7 +17,6 @@
 from cranecart.http import Response
 from cranecart.targets import ServiceCall
 from tests.lib.fake_platform import FAULTS, FakePlatform
-from tests.lib.run import run_now
 
 
 def _call(body: bytes = b'{}') -> ServiceCall:
@@ -23,7 +24,7 @@
         request_id='r',
         organisation='o',
         body=body,
-        deadline=0,
+        deadline=time.monotonic() + 60,
         repeatable=False,
         idempotency_key='k',
         service='s',
@@ -56,7 +57,7 @@
         held = 0
         for copy in copies:
             try:
-                outcome = run_now(nodes[copy].make(_call()))
+                outcome = curio.run(nodes[copy].make, _call())
             except RequestError:
                 continue
             held += isinstance(outcome, Held)
@@ -64,35 +65,35 @@
 
     def test_a_repeat_hears_the_recorded_answer(self) -> None:
         """After it was settled, any node replays it."""
-        held = run_now(self.one.make(_call()))
+        held = curio.run(self.one.make, _call())
         assert isinstance(held, Held)
-        run_now(self.one.settle(held, Response(201, {}, b'done')))
-        again = run_now(self.two.make(_call()))
+        curio.run(self.one.settle, held, Response(201, {}, b'done'))
+        again = curio.run(self.two.make, _call())
         assert isinstance(again, Replay)
         self.assertEqual(again.response.status, 201)
         self.assertEqual(again.response.body, b'done')
 
     def test_while_it_runs_the_outcome_is_unknown(self) -> None:
         """A claim of a node that may have died is never taken over."""
-        run_now(self.one.make(_call()))
+        curio.run(self.one.make, _call())
         with self.assertRaises(OutcomeUnknownError):
-            run_now(self.two.make(_call()))
+            curio.run(self.two.make, _call())
 
     def test_a_call_that_did_not_run_may_be_repeated(self) -> None:
         """Its claim is released, and one copy may be sent again."""
-        held = run_now(self.one.make(_call()))
+        held = curio.run(self.one.make, _call())
         assert isinstance(held, Held)
-        run_now(self.one.release(held))
-        self.assertIsInstance(run_now(self.two.make(_call())), Held)
+        curio.run(self.one.release, held)
+        self.assertIsInstance(curio.run(self.two.make, _call()), Held)
 
     def test_a_key_belongs_to_one_call(self) -> None:
         """The same key with another body is refused."""
-        run_now(self.one.make(_call()))
+        curio.run(self.one.make, _call())
         with self.assertRaises(KeyReusedError):
-            run_now(self.two.make(_call(b'{"other": 1}')))
+            curio.run(self.two.make(_call(b'{"other": 1}')))
 
     def test_without_the_table_nothing_is_promised(self) -> None:
         """Whether an earlier copy ran cannot be told."""
         self.platform.down = True
         with self.assertRaises(ClaimUnreadableError):
-            run_now(self.one.make(_call()))
+            curio.run(self.one.make, _call())
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,99 @@
+"""Switch guards off, one at a time, and see that their proofs then fail.
+
+Usage: python -m tools.mutations [NAME ...]
+
+Each mutation edits a scratch copy of the sources and runs the named tests
+against it. A mutation that no test notices is a proof that proves nothing.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+
+import attrs
+
+_ROOT = Path(__file__).parent.parent
+_COPIED = ('src', 'tests', 'tools', 'examples')
+_LAST_LINES = 3
+
+
+@attrs.frozen
+class Mutation:
+    """One guard, how it is switched off, and the test that must notice."""
+
+    name: str
+    file: str
+    guard: str
+    without: str
+    test: str
+
+
+MUTATIONS = (
+    Mutation(
+        'claims-not-made',
+        'clients/_gateway.py',
+        'if call.repeatable or not call.idempotency_key:',
+        'if call:',
+        'tests.functional.test_at_most_once.AtMostOnceTest'
+        '.test_copies_at_two_nodes_at_one_moment',
+    ),
+    Mutation(
+        'claims-taken-over',
+        'claims/_claims.py',
+        'case _State.NOT_RUN:',
+        'case _State.NOT_RUN | _State.CLAIMED:',
+        'tests.functional.test_at_most_once.AtMostOnceTest'
+        '.test_death_of_the_node_that_sent_it',
+    ),
+    Mutation(
+        'claims-released-when-unknown',
+        'clients/_gateway.py',
+        'error.execution is Execution.NOT_RUN',
+        'error.execution is not None',
+        'tests.functional.test_at_most_once.AtMostOnceTest'
+        '.test_lost_answer_of_the_service',
+    ),
+)
+
+
+def main(names: Sequence[str]) -> int:
+    """Run mutations; return the number that no test noticed."""
+    chosen = [one for one in MUTATIONS if not names or one.name in names]
+    return sum(not _is_noticed(mutation) for mutation in chosen)
+
+
+def _is_noticed(mutation: Mutation) -> bool:
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = Path(folder)
+        for part in _COPIED:
+            shutil.copytree(_ROOT / part, scratch / part)
+        _edit(scratch / 'src' / 'cranecart' / mutation.file, mutation)
+        run = subprocess.run(
+            [sys.executable, '-m', 'unittest', mutation.test],
+            cwd=scratch,
+            env={**os.environ, 'PYTHONPATH': str(scratch / 'src')},
+            capture_output=True,
+            check=False,
+            text=True,
+        )
+    noticed = run.returncode != 0
+    verdict = 'noticed' if noticed else 'NOT NOTICED'
+    last = ' | '.join(run.stderr.strip().splitlines()[-_LAST_LINES:])
+    sys.stdout.write(f'{mutation.name}: {verdict} ({last})\n')
+    sys.stdout.flush()
+    return noticed
+
+
+def _edit(file: Path, mutation: Mutation) -> None:
+    source = file.read_text('utf-8')
+    if mutation.guard not in source:
+        sys.exit(f'{mutation.name}: the guard is not in {mutation.file}')
+    file.write_text(source.replace(mutation.guard, mutation.without), 'utf-8')
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
