--- a/src/cranecart/cli/_plan.py
+++ b/src/cranecart/cli/_plan.py
@@ -45,7 +45,9 @@
 
 def replica_moves(status: NodeStatus, wanted: Declarations) -> Iterator[str]:
     """Say for each model how many replicas would come and go."""
-    serving = Counter(replica['model_key'] for replica in status.replicas)
+    serving = Counter(
+        f'{replica.model}@{replica.version}' for replica in status.replicas
+    )
     declared = {spec.key: spec.replicas for spec in wanted.models}
     for key in sorted(serving.keys() | declared.keys()):
         change = declared.get(key, 0) - serving[key]
--- a/src/cranecart/cli/_status.py
+++ b/src/cranecart/cli/_status.py
@@ -27,13 +27,9 @@
     )
     for duty, holder in status.duties.items():
         yield f'duty {duty}: {holder or "nobody"}'
-    for node in status.nodes:
-        yield 'node {}'.format(
-            ' '.join(f'{name}={text}' for name, text in node.items()),
-        )
+    for name, node in status.nodes.items():
+        stopping = ', stopping' if node.stopping else ''
+        yield f'node {name}: version {node.config_version}{stopping}'
     for replica in status.replicas:
-        members = ' '.join(replica['members'])
-        yield (
-            f'replica {replica["replica"]} generation '
-            f'{replica["generation"]}: {members}'
-        )
+        members = ' '.join(replica.members)
+        yield f'replica {replica.id} generation {replica.generation}: {members}'
--- a/src/cranecart/load/__init__.py
+++ b/src/cranecart/load/__init__.py
@@ -2,6 +2,14 @@
 
 from cranecart.load._balancer import Balancer, Entry
 from cranecart.load._calls import LoadCall, Outcome, OutcomeKind
+from cranecart.load._judge import (
+    LateStart,
+    PartialStart,
+    cut_off,
+    late_starts,
+    partial_starts,
+    shared_instances,
+)
 from cranecart.load._report import Summary, quantile
 from cranecart.load._runner import Profile, make_calls, run_load
 from cranecart.load._sending import send_call
@@ -9,13 +17,19 @@
 __all__ = (
     'Balancer',
     'Entry',
+    'LateStart',
     'LoadCall',
     'Outcome',
     'OutcomeKind',
+    'PartialStart',
     'Profile',
     'Summary',
+    'cut_off',
+    'late_starts',
     'make_calls',
+    'partial_starts',
     'quantile',
     'run_load',
     'send_call',
+    'shared_instances',
 )
--- /dev/null
+++ b/src/cranecart/node/_control.py
@@ -0,0 +1,84 @@
+"""The parts of a node that deal with configuration and placement."""
+
+import random
+from collections.abc import Callable
+from typing import Self
+
+import attrs
+import curio
+
+from cranecart.config import NodeSettings
+from cranecart.duties import Lease
+from cranecart.operators import AdminInterface, NodeStatus
+from cranecart.placement import Placer
+from cranecart.platform import PlatformClient
+from cranecart.rollout import CurrentConfig, Follower, History
+from cranecart.signals import raise_first_error
+from cranecart.targets import EngineClient, ReportBook
+
+
+@attrs.frozen
+class Control:
+    """Follows the configuration and holds the duties that fall to it."""
+
+    _settings: NodeSettings
+    _config: CurrentConfig
+    _history: History
+    _follower: Follower
+    _placer: Placer
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        platform: PlatformClient,
+        book: ReportBook,
+        config: CurrentConfig,
+        source: random.Random,
+    ) -> Self:
+        """Build the parts; nothing runs until ``run``."""
+        history = History(platform)
+        duty = f'placer/{settings.failure_domain}'
+        placer = Placer(
+            settings.failure_domain,
+            Lease(duty, settings.node_id, platform),
+            platform,
+            book,
+            EngineClient(),
+        )
+        follower = Follower(config, history, platform, source)
+        return cls(settings, config, history, follower, placer)
+
+    async def run(self) -> None:
+        """Follow and place until cancelled."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self._follower.run)
+            await tasks.spawn(self._placer.run, self._config.declarations)
+        raise_first_error(tasks)
+
+    async def hand_over(self) -> None:
+        """Give the duties up, so that other nodes take them at once."""
+        self._placer.stop()
+        await self._placer.lease.hand_over()
+
+    def duties(self) -> dict[str, str]:
+        """Return who holds each duty, as this node saw last."""
+        lease = self._placer.lease
+        return {lease.duty: lease.holder}
+
+    def admin(
+        self,
+        is_ready: Callable[[], bool],
+        status: Callable[[], NodeStatus],
+        metrics: Callable[[], bytes],
+    ) -> AdminInterface:
+        """Build the interface for operators."""
+        return AdminInterface(
+            self._settings.operator_key_sha256,
+            self._history,
+            self._config,
+            self._follower,
+            is_ready,
+            status,
+            metrics,
+        )
--- a/src/cranecart/node.py
+++ b/src/cranecart/node/_node.py
@@ -1,36 +1,38 @@
-"""One node: all its tasks, wired together from its settings."""
+"""The parts of one node, and its start and stop."""
 
-import logging
 import random
 import time
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 
 import curio
+import msgspec
 
 from cranecart.claims import Claims
 from cranecart.clients import Gateway
 from cranecart.config import NodeSettings
-from cranecart.duties import Lease
 from cranecart.http import HttpServer
 from cranecart.limits import Admission, Capacity
 from cranecart.logs import decision
 from cranecart.metrics import Metrics
-from cranecart.models import Instance, InstanceKind, MemberReport
-from cranecart.operators import AdminInterface, NodeStatus
-from cranecart.placement import Placer
+from cranecart.models import Instance, InstanceKind
+from cranecart.node._control import Control
+from cranecart.node._peering import Peering
+from cranecart.nodes import Topic
+from cranecart.operators import NodeStatus
 from cranecart.platform import PlatformClient, WriteBatcher
-from cranecart.rollout import CurrentConfig, Follower, History
+from cranecart.rollout import CurrentConfig
 from cranecart.routing import Router
 from cranecart.signals import StopSignal, raise_first_error, stop_signal
 from cranecart.targets import (
+    Directory,
     EngineClient,
     InstanceFollower,
+    Probe,
     Prober,
     ReportBook,
     ServiceClient,
 )
 
-_LOG = logging.getLogger(__name__)
 _LATENESS_SECONDS = 0.1
 _DRAIN_POLL_SECONDS = 0.05
 _MILLISECONDS = 1000
@@ -42,14 +44,51 @@
     def __init__(self, settings: NodeSettings) -> None:
         """Build the parts; nothing runs until ``run``."""
         self._settings = settings
-        self._random = random.Random(f'{settings.seed}{settings.node_id}')
+        self._stopping = False
         self._metrics = Metrics()
-        self._platform = PlatformClient(settings.platform)
-        self._book = ReportBook()
         self._config = CurrentConfig()
-        self._build_control()
-        self._build_serving()
-        self._stopping = False
+        self._book = ReportBook(settings.node_id)
+        source = random.Random(f'{settings.seed}{settings.node_id}')
+        platform = PlatformClient(settings.platform)
+        self._directory = Directory(settings.failure_domain, self._book)
+        self._peering = Peering.from_settings(
+            settings,
+            self._directory,
+            self._config,
+            source,
+        )
+        self._control = Control.from_settings(
+            settings,
+            platform,
+            self._book,
+            self._config,
+            source,
+        )
+        self._instances = InstanceFollower(platform, None, self._take_list)
+        self._prober = Prober(
+            self._book,
+            self._peering.state.probed,
+            source,
+            self._publish_probe,
+        )
+        self._admission = Admission(Capacity(), self._share)
+        gateway = Gateway(
+            self._config.declarations,
+            Router(self._directory, source),
+            EngineClient(),
+            ServiceClient(),
+            Claims(settings.node_id, WriteBatcher(platform)),
+            self._admission,
+        )
+        self._client_server = HttpServer(settings.clients, gateway.handle)
+        self._admin_server = HttpServer(
+            settings.operators,
+            self._control.admin(
+                self._is_ready,
+                self._status,
+                self._metrics.text,
+            ).handle,
+        )
 
     async def run(self) -> None:
         """Serve until told to stop, then stop without cutting anything."""
@@ -57,74 +96,24 @@
             for part in (
                 self._client_server,
                 self._admin_server,
-                self._follower,
+                self._peering,
+                self._control,
                 self._instances,
                 self._prober,
             ):
                 await tasks.spawn(part.run)
-            await tasks.spawn(self._placer.run, self._config.declarations)
             await tasks.spawn(self._watch_loop)
             await tasks.spawn(self._wait_for_stop, stop)
+        self._peering.close()
         raise_first_error(tasks)
         decision('node_stopped', node=self._settings.node_id)
 
-    def _build_control(self) -> None:
-        settings = self._settings
-        history = History(self._platform)
-        self._follower = Follower(
-            self._config,
-            history,
-            self._platform,
-            self._random,
-        )
-        self._instances = InstanceFollower(
-            self._platform,
-            None,
-            self._take_list,
-        )
-        self._prober = Prober(
-            self._book,
-            self._probed,
-            self._random,
-            self._note_probe,
-        )
-        duty = f'placer/{settings.failure_domain}'
-        self._placer = Placer(
-            settings.failure_domain,
-            Lease(duty, settings.node_id, self._platform),
-            self._platform,
-            self._book,
-            EngineClient(),
-        )
-        admin = AdminInterface(
-            settings.operator_key_sha256,
-            history,
-            self._config,
-            self._follower,
-            self._is_ready,
-            self._status,
-            self._metrics.text,
-        )
-        self._admin_server = HttpServer(settings.operators, admin.handle)
-
-    def _build_serving(self) -> None:
-        settings = self._settings
-        self._admission = Admission(Capacity(), self._share)
-        gateway = Gateway(
-            self._config.declarations,
-            Router(settings.failure_domain, self._book, self._random),
-            EngineClient(),
-            ServiceClient(),
-            Claims(settings.node_id, WriteBatcher(self._platform)),
-            self._admission,
-        )
-        self._client_server = HttpServer(settings.clients, gateway.handle)
-
     async def _wait_for_stop(self, stop: StopSignal) -> None:
         await stop.wait()
         self._stopping = True
         decision('node_stopping', in_flight=self._admission.inside)
-        await self._placer.lease.hand_over()
+        self._peering.state.stop()
+        await self._control.hand_over()
         # The balancer needs a while to see that the node is not ready.
         await curio.sleep(self._settings.ready_off_ms / _MILLISECONDS)
         self._client_server.refuse_new()
@@ -142,19 +131,22 @@
             self._metrics.loop_lateness_ms.record(lateness * _MILLISECONDS)
 
     def _take_list(self, instances: Sequence[Instance]) -> None:
-        self._book.replace_instances(
+        self._peering.state.replace_instances(
             instance
             for instance in instances
             if instance.kind is not InstanceKind.NODE
         )
+        self._peering.peers.find_by_list(
+            [
+                str(instance.address)
+                for instance in instances
+                if instance.kind is InstanceKind.NODE
+            ],
+        )
 
-    def _probed(self) -> Collection[str]:
-        return list(self._book.instances)
-
-    def _note_probe(
-        self, instance_id: str, report: MemberReport | None
-    ) -> None:
-        _LOG.debug('%s reported %s', instance_id, report)
+    def _publish_probe(self, instance_id: str, probe: Probe) -> None:
+        body = msgspec.to_builtins(probe)
+        self._peering.peers.publish(Topic.REPORT, instance_id, body)
 
     def _share(self, organisation: str) -> float:
         return 1.0
@@ -168,18 +160,9 @@
             self._settings.failure_domain,
             self._is_ready(),
             self._config.release.version,
-            {self._placer.lease.duty: self._placer.lease.holder},
-            tuple(
-                {
-                    'replica': replica.id,
-                    'generation': replica.generation,
-                    'model_key': f'{replica.model}@{replica.version}',
-                    'members': replica.members,
-                    'running': replica.running,
-                }
-                for replica in self._book.serving()
-            ),
-            tuple(self._book.open_services()),
-            (),
+            self._control.duties(),
+            tuple(self._directory.replicas()),
+            tuple(self._directory.service_ids()),
+            dict(self._peering.members.everybody()),
             self._admission.inside,
         )
--- /dev/null
+++ b/src/cranecart/node/_peering.py
@@ -0,0 +1,79 @@
+"""The parts of a node that deal with other nodes."""
+
+import random
+import time
+from typing import Self
+
+import attrs
+import curio
+
+from cranecart.config import NodeSettings
+from cranecart.http import Address
+from cranecart.node._shared_state import SharedState
+from cranecart.nodes import (
+    ConfigExchange,
+    EntryStore,
+    MemberInfo,
+    Members,
+    NodeLink,
+    PeerEvents,
+    Peers,
+    PeerSettings,
+    Speaker,
+)
+from cranecart.rollout import CurrentConfig
+from cranecart.signals import raise_first_error
+from cranecart.targets import Directory
+
+_MILLISECONDS = 1000
+
+
+@attrs.frozen
+class Peering:
+    """Link, members, peers and the state shared with them."""
+
+    members: Members
+    peers: Peers
+    state: SharedState
+    _link: NodeLink
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        directory: Directory,
+        config: CurrentConfig,
+        source: random.Random,
+    ) -> Self:
+        """Bind the peer address and build the parts."""
+        store = EntryStore()
+        link = NodeLink(Address.from_text(settings.peer_address))
+        members = Members(
+            settings.node_id,
+            MemberInfo(settings.peer_address, settings.failure_domain),
+            store,
+            # A later life of the same node outranks the earlier one.
+            int(time.time() * _MILLISECONDS),
+        )
+        speaker = Speaker(members, store, link)
+        state = SharedState(members, store, directory.book, directory, config)
+        peers = Peers(
+            speaker,
+            link,
+            PeerSettings(settings.peers),
+            ConfigExchange(speaker, state.read_config, state.take_config),
+            PeerEvents(state.take_entry, directory.book.forget_shared),
+            source,
+        )
+        return cls(members, peers, state, link)
+
+    async def run(self) -> None:
+        """Talk to other nodes until cancelled."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self.peers.run)
+            await tasks.spawn(self.state.run, self.peers)
+        raise_first_error(tasks)
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self._link.close()
--- /dev/null
+++ b/src/cranecart/node/_shared_state.py
@@ -0,0 +1,137 @@
+"""What this node tells others and takes from them, between its parts."""
+
+from collections.abc import Collection, Iterable
+
+import attrs
+import curio
+import msgspec
+
+from cranecart.models import Instance
+from cranecart.nodes import (
+    Entry,
+    EntryStore,
+    HeldConfig,
+    Members,
+    Peers,
+    Topic,
+    choose_nodes,
+)
+from cranecart.rollout import CurrentConfig, Release
+from cranecart.targets import Directory, Probe, Reach, ReportBook, Summary
+
+_TICK_SECONDS = 0.1
+_SUMMARY_TICKS = 10
+_PROBERS_PER_INSTANCE = 2
+
+
+@attrs.define
+class SharedState:
+    """Keeps book, directory and configuration in step with other nodes."""
+
+    _members: Members
+    _store: EntryStore
+    _book: ReportBook
+    _directory: Directory
+    _config: CurrentConfig
+    _live: frozenset[str] = attrs.field(factory=frozenset, init=False)
+
+    async def run(self, peers: Peers) -> None:
+        """Follow who lives, and tell what changed here."""
+        ticks = 0
+        while True:
+            self._follow_live_nodes(peers)
+            self._announce_config()
+            ticks += 1
+            if ticks % _SUMMARY_TICKS == 0 and self._is_relay():
+                summary = msgspec.to_builtins(self._directory.summary())
+                domain = self._members.info.failure_domain
+                peers.publish(Topic.SUMMARY, domain, summary)
+            await curio.sleep(_TICK_SECONDS)
+
+    def replace_instances(self, instances: Iterable[Instance]) -> None:
+        """Take over a new list, and what was said of those new on it."""
+        self._book.replace_instances(instances)
+        self._retake_reports(self._live)
+
+    def stop(self) -> None:
+        """Tell others that this node is about to stop."""
+        self._members.announce(attrs.evolve(self._members.info, stopping=True))
+
+    def take_entry(self, entry: Entry) -> None:
+        """Take over an entry that was just accepted."""
+        match entry.key.topic:
+            case Topic.REPORT:
+                self._take_report(entry)
+            case Topic.SUMMARY:
+                self._directory.note(msgspec.convert(entry.body, Summary))
+
+    def read_config(self) -> HeldConfig:
+        """Return the configuration in force."""
+        release = self._config.release
+        return HeldConfig(
+            release.version,
+            release.sha256,
+            self._config.encoded,
+        )
+
+    def take_config(self, held: HeldConfig) -> None:
+        """Put a configuration in force that a peer gave."""
+        release = Release(held.version, held.sha256)
+        self._config.put_in_force(release, held.encoded)
+
+    def probed(self) -> Collection[str]:
+        """Return the instances that this node answers for."""
+        domain = self._members.info.failure_domain
+        return [
+            name
+            for name, instance in self._book.instances.items()
+            if instance.failure_domain == domain
+            and self._members.node_id
+            in choose_nodes(name, self._live, _PROBERS_PER_INSTANCE)
+        ]
+
+    def _follow_live_nodes(self, peers: Peers) -> None:
+        live = frozenset(self._members.alive())
+        if peers.is_isolated:
+            live = frozenset((self._members.node_id,))
+        if live == self._live:
+            return
+        returned = live - self._live
+        self._live = live
+        self._book.replace_live_nodes(live)
+        # What they found while they were doubted has to be taken in again.
+        self._retake_reports(returned)
+
+    def _retake_reports(self, origins: Collection[str]) -> None:
+        for entry in list(self._store.of_topic(Topic.REPORT)):
+            if entry.key.origin in origins:
+                self._take_report(entry)
+
+    def _announce_config(self) -> None:
+        release = self._config.release
+        self._members.announce(
+            attrs.evolve(
+                self._members.info,
+                config_version=release.version,
+                config_sha256=release.sha256,
+            ),
+        )
+
+    def _is_relay(self) -> bool:
+        domain = self._members.info.failure_domain
+        chosen = choose_nodes(f'relay/{domain}', self._live, 1)
+        return chosen == [self._members.node_id]
+
+    def _take_report(self, entry: Entry) -> None:
+        name = entry.key.subject
+        origin = entry.key.origin
+        if origin not in self._live or origin == self._members.node_id:
+            return
+        probe = msgspec.convert(entry.body, Probe)
+        match probe.reach:
+            case Reach.ANSWERED if probe.report:
+                self._book.note(probe.report, origin)
+            case Reach.SILENT:
+                self._book.note_unreachable(name, origin)
+            case _:
+                self._book.withdraw(name, origin)
--- /dev/null
+++ b/src/cranecart/nodes/__init__.py
@@ -0,0 +1,34 @@
+"""Other nodes as peers: membership and the state that nodes share."""
+
+from cranecart.nodes._config_exchange import ConfigExchange, HeldConfig
+from cranecart.nodes._entries import (
+    Entry,
+    EntryKey,
+    MemberInfo,
+    MemberStatus,
+    Topic,
+)
+from cranecart.nodes._link import NodeLink
+from cranecart.nodes._members import Members
+from cranecart.nodes._peers import PeerEvents, Peers, PeerSettings
+from cranecart.nodes._sharing import choose_nodes
+from cranecart.nodes._speaker import Speaker
+from cranecart.nodes._store import EntryStore
+
+__all__ = (
+    'ConfigExchange',
+    'Entry',
+    'EntryKey',
+    'EntryStore',
+    'HeldConfig',
+    'MemberInfo',
+    'MemberStatus',
+    'Members',
+    'NodeLink',
+    'PeerEvents',
+    'PeerSettings',
+    'Peers',
+    'Speaker',
+    'Topic',
+    'choose_nodes',
+)
--- /dev/null
+++ b/src/cranecart/nodes/_config_exchange.py
@@ -0,0 +1,65 @@
+"""Bring newer configuration from peer to peer, also without the platform."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+from cranecart.exceptions import DamagedObjectError
+from cranecart.logs import decision
+from cranecart.nodes._entries import Entry, Message, MessageKind
+from cranecart.nodes._speaker import Speaker
+
+_ASK_SECONDS = 0.3
+
+
+@attrs.frozen
+class HeldConfig:
+    """The configuration in force on a node, as it was stored."""
+
+    version: int
+    sha256: str
+    encoded: bytes
+
+
+@attrs.define
+class ConfigExchange:
+    """Asks whoever announces a newer version, and gives to whoever asks."""
+
+    _speaker: Speaker
+    _read: Callable[[], HeldConfig]
+    _take: Callable[[HeldConfig], object]
+    _asked_at: float = attrs.field(default=float('-inf'), init=False)
+
+    def look_at(self, entry: Entry) -> None:
+        """Ask for a newer version that a member entry announces."""
+        now = time.monotonic()
+        is_newer = entry.body['config_version'] > self._read().version
+        if is_newer and now - self._asked_at > _ASK_SECONDS:
+            self._asked_at = now
+            self._speaker.send(entry.body['address'], MessageKind.CONFIG_ASK)
+
+    def give(self, message: Message) -> None:
+        """Answer a node that asked."""
+        held = self._read()
+        if held.version:
+            self._speaker.send(
+                message.address,
+                MessageKind.CONFIG_GIVE,
+                number=held.version,
+                about=held.sha256,
+                payload=held.encoded,
+            )
+
+    def receive(self, message: Message) -> None:
+        """Take what a node gave, unless it is damaged or not newer."""
+        held = HeldConfig(message.number, message.about, message.payload)
+        try:
+            self._take(held)
+        except DamagedObjectError as error:
+            decision(
+                'config_refused',
+                sender=message.sender,
+                version=held.version,
+                why=str(error),
+            )
--- /dev/null
+++ b/src/cranecart/nodes/_link.py
@@ -0,0 +1,97 @@
+"""Messages between nodes over pyzmq, driven by curio."""
+
+import logging
+
+import msgspec
+import zmq
+from curio.traps import _read_wait  # noqa: PLC2701
+
+from cranecart.http import Address
+from cranecart.nodes._entries import (
+    Message,
+    decode_message,
+    encode_message,
+)
+
+_LOG = logging.getLogger(__name__)
+_HIGH_WATER = 64
+_RECONNECT_MS = 100
+_RECONNECT_MAX_MS = 1000
+_MAX_BYTES = 16777216
+
+
+class NodeLink:
+    """One socket to hear all peers, and one to speak to each.
+
+    Sending never waits: a message that cannot be queued is dropped and
+    counted, since everything sent here is repeated or asked for again.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Bind; raise ``zmq.ZMQError`` if the address is taken."""
+        self.address = address
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.received_messages = 0
+        self.received_bytes = 0
+        self.dropped = 0
+        self._context = zmq.Context(io_threads=1)
+        self._inbox = self._context.socket(zmq.PULL)
+        self._inbox.setsockopt(zmq.MAXMSGSIZE, _MAX_BYTES)
+        self._inbox.setsockopt(zmq.LINGER, 0)
+        self._inbox.bind(f'tcp://{address}')
+        self._outboxes: dict[str, zmq.Socket[bytes]] = {}
+
+    def send(self, address: str, message: Message) -> None:
+        """Queue a message for the node at an address, or drop it."""
+        encoded = encode_message(message)
+        try:
+            self._outbox(address).send(encoded, zmq.NOBLOCK)
+        except zmq.Again:
+            self.dropped += 1
+            return
+        self.sent_messages += 1
+        self.sent_bytes += len(encoded)
+
+    async def receive(self) -> Message:
+        """Return the next message that can be read."""
+        while True:
+            encoded = await self._receive_bytes()
+            self.received_messages += 1
+            self.received_bytes += len(encoded)
+            try:
+                return decode_message(encoded)
+            except msgspec.MsgspecError as error:
+                _LOG.warning('a message could not be read: %s', error)
+
+    def forget(self, address: str) -> None:
+        """Close the socket to an address."""
+        outbox = self._outboxes.pop(address, None)
+        if outbox is not None:
+            outbox.close(0)
+
+    def close(self) -> None:
+        """Close all sockets and drop what is queued."""
+        for address in list(self._outboxes):
+            self.forget(address)
+        self._inbox.close(0)
+        self._context.term()
+
+    def _outbox(self, address: str) -> zmq.Socket[bytes]:
+        outbox = self._outboxes.get(address)
+        if outbox is None:
+            outbox = self._context.socket(zmq.PUSH)
+            outbox.setsockopt(zmq.LINGER, 0)
+            outbox.setsockopt(zmq.SNDHWM, _HIGH_WATER)
+            outbox.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+            outbox.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+            outbox.connect(f'tcp://{address}')
+            self._outboxes[address] = outbox
+        return outbox
+
+    async def _receive_bytes(self) -> bytes:
+        # The descriptor tells of changes only, so what is already there has
+        # to be taken before each wait.
+        while not int(self._inbox.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
+            await _read_wait(self._inbox.FD)
+        return bytes(self._inbox.recv(zmq.NOBLOCK))
--- /dev/null
+++ b/src/cranecart/nodes/_members.py
@@ -0,0 +1,162 @@
+"""Who is a member: alive, suspected, dead, by incarnations."""
+
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+import msgspec
+
+from cranecart.logs import decision
+from cranecart.nodes._entries import (
+    Entry,
+    EntryKey,
+    MemberInfo,
+    MemberStatus,
+    Topic,
+)
+from cranecart.nodes._store import EntryStore
+
+SUSPECT_SECONDS = 2.5
+_FORGET_SECONDS = 60.0
+
+
+def member_key(node_id: str) -> EntryKey:
+    """Return the key of a node's member entry."""
+    return EntryKey(Topic.MEMBER, node_id, node_id)
+
+
+@attrs.define
+class Members:
+    """The member entries in a store, with suspicion's timing.
+
+    A node that hears itself called suspect or dead raises its incarnation,
+    which outranks whatever was said of the earlier one.
+    """
+
+    node_id: str
+    info: MemberInfo
+    _store: EntryStore
+    _incarnation: int
+    _clock: Callable[[], float] = time.monotonic
+    _sequence: int = attrs.field(default=0, init=False)
+    _changed_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _known_status: dict[str, MemberStatus] = attrs.field(
+        factory=dict,
+        init=False,
+    )
+
+    @property
+    def incarnation(self) -> int:
+        """Return which life of this node it is."""
+        return self._incarnation
+
+    def announce(self, info: MemberInfo | None = None) -> None:
+        """Publish what this node says of itself, if it changed."""
+        if info is not None:
+            if info == self.info:
+                return
+            self.info = info
+        self._sequence += 1
+        version = (self._incarnation, MemberStatus.ALIVE, self._sequence)
+        self._store.accept(
+            Entry(
+                member_key(self.node_id),
+                version,
+                msgspec.to_builtins(self.info),
+            ),
+        )
+
+    def rise(self, above: int = 0) -> None:
+        """Start a new incarnation, so that what was said before is void."""
+        self._incarnation = max(self._incarnation, above) + 1
+        self.announce()
+
+    def note(self, entry: Entry) -> None:
+        """Look at a member entry that the store has just accepted."""
+        name = entry.key.subject
+        if name == self.node_id:
+            is_slander = entry.status is not MemberStatus.ALIVE
+            if is_slander or entry.version[0] > self._incarnation:
+                self.rise(entry.version[0])
+            return
+        self._changed_at[name] = self._clock()
+        if self._known_status.get(name) is not entry.status:
+            self._known_status[name] = entry.status
+            decision(
+                'member_changed',
+                member=name,
+                status=entry.status.name.lower(),
+                incarnation=entry.version[0],
+            )
+
+    def suspect(self, node_id: str) -> None:
+        """Doubt a node that did not answer, nor through others."""
+        self._raise_status(node_id, MemberStatus.SUSPECT)
+
+    def expire(self) -> None:
+        """Give up those suspected for long enough; forget the long dead."""
+        now = self._clock()
+        for entry in list(self._store.of_topic(Topic.MEMBER)):
+            name = entry.key.subject
+            self._expire(entry, now - self._changed_at.get(name, now))
+
+    def restart_clocks(self) -> None:
+        """Give all suspects their time anew, after a pause of this node."""
+        self._changed_at = dict.fromkeys(self._changed_at, self._clock())
+
+    def addresses(self) -> set[str]:
+        """Return the addresses of the others."""
+        return {info.address for info in self.others().values()}
+
+    def others(self) -> dict[str, MemberInfo]:
+        """Return the other nodes of this failure domain, dead ones not."""
+        return {
+            name: info
+            for name, info in self.everybody()
+            if name != self.node_id
+        }
+
+    def alive(self) -> list[str]:
+        """Return the ids of this domain's nodes that nobody doubts."""
+        sure = (
+            name
+            for name in self.others()
+            if self.status(name) is MemberStatus.ALIVE
+        )
+        return sorted([self.node_id, *sure])
+
+    def everybody(self) -> Iterator[tuple[str, MemberInfo]]:
+        """Yield all nodes that are not dead, with what they said."""
+        for entry in self._store.of_topic(Topic.MEMBER):
+            if entry.status is not MemberStatus.DEAD:
+                yield (
+                    entry.key.subject,
+                    msgspec.convert(entry.body, MemberInfo),
+                )
+
+    def status(self, node_id: str) -> MemberStatus | None:
+        """Return what is held of a node, if anything is."""
+        entry = self._store.get(member_key(node_id))
+        return entry.status if entry else None
+
+    def _expire(self, entry: Entry, age: float) -> None:
+        name = entry.key.subject
+        match entry.status:
+            case MemberStatus.SUSPECT if age > SUSPECT_SECONDS:
+                self._raise_status(name, MemberStatus.DEAD)
+            case MemberStatus.DEAD if age > _FORGET_SECONDS:
+                self._store.forget([entry.key])
+                self._changed_at.pop(name, None)
+
+    def _raise_status(self, node_id: str, status: MemberStatus) -> None:
+        known = self._store.get(member_key(node_id))
+        if known is None or known.status >= status:
+            return
+        incarnation, _, sequence = known.version
+        entry = Entry(
+            known.key,
+            (incarnation, status, sequence),
+            known.body,
+        )
+        if self._store.accept(entry):
+            self.note(entry)
--- /dev/null
+++ b/src/cranecart/nodes/_sharing.py
@@ -0,0 +1,21 @@
+"""Share work among live nodes so that all agree without a message."""
+
+import hashlib
+from collections.abc import Iterable
+
+_DIGEST_BYTES = 8
+
+
+def choose_nodes(subject: str, nodes: Iterable[str], count: int) -> list[str]:
+    """Return the nodes that answer for a subject, by rendezvous hashing.
+
+    When a node comes or goes, only the subjects that it answers for move.
+    """
+    return sorted(nodes, key=lambda node: _score(subject, node))[:count]
+
+
+def _score(subject: str, node: str) -> bytes:
+    return hashlib.blake2b(
+        f'{subject}|{node}'.encode(),
+        digest_size=_DIGEST_BYTES,
+    ).digest()
--- a/src/cranecart/operators/_admin.py
+++ b/src/cranecart/operators/_admin.py
@@ -15,7 +15,9 @@
 )
 from cranecart.http import Request, Responder, Response, json_response
 from cranecart.models import compiled_from_json, compiled_to_json
+from cranecart.nodes import MemberInfo
 from cranecart.rollout import CurrentConfig, Follower, History
+from cranecart.targets import ServingReplica
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -36,9 +38,9 @@
     ready: bool
     config_version: int
     duties: dict[str, str]
-    replicas: tuple[dict[str, Any], ...]
+    replicas: tuple[ServingReplica, ...]
     services: tuple[str, ...]
-    nodes: tuple[dict[str, Any], ...]
+    nodes: dict[str, MemberInfo]
     in_flight: int
 
 
--- a/src/cranecart/placement/_placer.py
+++ b/src/cranecart/placement/_placer.py
@@ -43,18 +43,25 @@
     _platform: PlatformClient
     _book: ReportBook
     _engines: EngineClient
+    _stopped: bool = attrs.field(default=False, init=False)
     _renewed_at: float = attrs.field(default=float('-inf'), init=False)
     _closed_since: dict[str, float] = attrs.field(factory=dict, init=False)
 
     async def run(self, current: CurrentDeclarations) -> None:
         """Keep the lease and place, until cancelled."""
-        while True:
+        while not self._stopped:
             try:
                 await self._tick(current())
             except (PlatformError, LeaseLostError) as error:
                 # The next tick reads what holds now and decides afresh.
                 decision('placement_waits', why=str(error))
             await curio.sleep(_TICK_SECONDS)
+        # The node ends when it is ready to, not when its placer is.
+        await curio.Event().wait()
+
+    def stop(self) -> None:
+        """Take no more duty; what was begun is finished."""
+        self._stopped = True
 
     async def _tick(self, declarations: Declarations | None) -> None:
         await self._keep_lease()
@@ -163,7 +170,6 @@
         except TargetError as error:
             decision('order_failed', instance=order.instance.id, why=str(error))
             return
-        self._book.note(report)
         decision(
             'ordered',
             instance=order.instance.id,
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -13,7 +13,7 @@
 from cranecart.models import Instance
 from cranecart.targets import (
     CompletionCall,
-    ReportBook,
+    Directory,
     ServiceCall,
     ServingReplica,
 )
@@ -26,8 +26,7 @@
 class Router:
     """Routes calls of one node, with its own counts of work in flight."""
 
-    failure_domain: str
-    _book: ReportBook
+    _directory: Directory
     _random: random.Random
     _in_flight: Counter[str] = attrs.field(factory=Counter, init=False)
 
@@ -44,7 +43,7 @@
         """
         matching = [
             replica
-            for replica in self._book.serving()
+            for replica in self._directory.replicas()
             if _serves(replica, call) and replica.id not in tried
         ]
         if not matching:
@@ -84,7 +83,7 @@
         """Return an instance of a plain service, the less loaded of two."""
         matching = [
             instance
-            for instance in self._book.services(call.service)
+            for instance in self._directory.services(call.service)
             if instance.id not in tried
         ]
         if not matching:
@@ -92,7 +91,7 @@
         near = [
             instance
             for instance in matching
-            if instance.failure_domain == self.failure_domain
+            if instance.failure_domain == self._directory.failure_domain
         ]
         pool = near or matching
         pair = self._random.sample(pool, min(2, len(pool)))
@@ -130,7 +129,7 @@
         near = [
             replica
             for replica in every
-            if replica.failure_domain == self.failure_domain
+            if replica.failure_domain == self._directory.failure_domain
         ]
         return near or every
 
--- /dev/null
+++ b/src/cranecart/targets/_assemble.py
@@ -0,0 +1,80 @@
+"""Find the whole replicas among what instances say of themselves."""
+
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+from cranecart.http import Address
+from cranecart.models import Instance, MemberReport, MemberState
+
+
+@attrs.frozen
+class ServingReplica:
+    """A replica all of whose members say that they are ready for it."""
+
+    id: str
+    generation: int
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    members: tuple[str, ...]
+    leader: Address
+    failure_domain: str
+    running: int
+    queued: int
+    slots: int
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what tells this generation from all others."""
+        return (self.id, self.generation)
+
+
+_Group = tuple[str, int, tuple[str, ...]]
+
+
+def assemble(
+    instances: Mapping[str, Instance],
+    reports: Mapping[str, MemberReport],
+) -> Iterator[ServingReplica]:
+    """Yield the whole replicas among fresh reports.
+
+    A replica is whole when each of its members is listed and stays, and says
+    itself that it is ready for this replica, generation and order of members.
+    As an instance reports one replica only, no instance can be in two.
+    """
+    claimed: dict[_Group, set[str]] = defaultdict(set)
+    for name, report in reports.items():
+        if _can_serve(instances.get(name), report):
+            group = (report.replica, report.generation, report.members)
+            claimed[group].add(name)
+    for (_replica, _generation, members), present in claimed.items():
+        if members and present == set(members):
+            yield _serving(instances[members[0]], reports[members[0]])
+
+
+def _can_serve(instance: Instance | None, report: MemberReport) -> bool:
+    if instance is None or instance.leaving:
+        return False
+    return (
+        report.state is MemberState.READY
+        and not report.draining
+        and not report.retiring
+    )
+
+
+def _serving(leader: Instance, report: MemberReport) -> ServingReplica:
+    return ServingReplica(
+        report.replica,
+        report.generation,
+        report.model,
+        report.version,
+        report.adapters,
+        report.members,
+        leader.address,
+        leader.failure_domain,
+        report.running,
+        report.queued,
+        report.slots,
+    )
--- a/src/cranecart/targets/_book.py
+++ b/src/cranecart/targets/_book.py
@@ -1,60 +1,27 @@
 """What is known of instances, and which replicas are whole because of it."""
 
 import time
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
-from cranecart.http import Address
-from cranecart.models import Instance, InstanceKind, MemberReport, MemberState
+from cranecart.models import Instance, InstanceKind, MemberReport
+from cranecart.targets._assemble import ServingReplica, assemble
+from cranecart.targets._views import InstanceViews, View
 
-FRESH_SECONDS = 3.0
+# How long nobody must reach an instance until it is given up.
 LOST_SECONDS = 3.0
 PAUSE_SECONDS = 1.5
 
 
-@attrs.frozen
-class ServingReplica:
-    """A replica all of whose members say that they are ready for it."""
-
-    id: str
-    generation: int
-    model: str
-    version: str
-    adapters: tuple[str, ...]
-    members: tuple[str, ...]
-    leader: Address
-    failure_domain: str
-    running: int
-    queued: int
-    slots: int
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Return what tells this generation from all others."""
-        return (self.id, self.generation)
-
-
-@attrs.frozen
-class _Entry:
-    """A report and the local monotonic time at which it was true."""
-
-    report: MemberReport
-    at: float
-
-
 @attrs.define
 class ReportBook:
-    """The latest report of each instance, and when it was true.
-
-    A report counts while it is fresh. After a pause of this process nothing
-    counts until it has been asked again.
-    """
+    """What this node and the live others found of each instance."""
 
+    node_id: str
     _clock: Callable[[], float] = time.monotonic
     _instances: dict[str, Instance] = attrs.field(factory=dict, init=False)
-    _entries: dict[str, _Entry] = attrs.field(factory=dict, init=False)
+    _views: dict[str, InstanceViews] = attrs.field(factory=dict, init=False)
     _missing_since: dict[str, float] = attrs.field(factory=dict, init=False)
     _ticked_at: float | None = attrs.field(default=None, init=False)
 
@@ -67,15 +34,24 @@
         """Take over a new list; forget whoever is no longer on it."""
         now = self._clock()
         self._instances = {instance.id: instance for instance in instances}
-        self._entries = {
-            name: entry
-            for name, entry in self._entries.items()
-            if name in self._instances
+        self._views = {
+            name: self._views.get(name) or InstanceViews(self.node_id)
+            for name in self._instances
         }
         self._missing_since = {
             name: self._missing_since.get(name, now) for name in self._instances
         }
 
+    def replace_live_nodes(self, nodes: Collection[str]) -> None:
+        """Take over whose reports count; forget what others said."""
+        live_nodes = frozenset(nodes)
+        for views in self._views.values():
+            views.keep_only(live_nodes)
+
+    def forget_shared(self) -> None:
+        """Forget what other nodes found, as after a pause."""
+        self.replace_live_nodes(())
+
     def tick(self) -> bool:
         """Notice a pause of this process; call several times a second.
 
@@ -88,44 +64,45 @@
             and now - self._ticked_at > PAUSE_SECONDS
         )
         if was_paused:
+            self.forget_shared()
             self._missing_since = dict.fromkeys(self._missing_since, now)
         self._ticked_at = now
+        self._missing_since.update(
+            dict.fromkeys(filter(self._is_reached, self._instances), now),
+        )
         return was_paused
 
-    def note(self, report: MemberReport, age: float = 0) -> None:
-        """Take over a report that was true ``age`` seconds ago."""
-        at = self._clock() - age
-        known = self._entries.get(report.instance)
-        if report.instance not in self._instances:
-            return
-        if known is not None and known.at > at:
-            return
-        self._entries[report.instance] = _Entry(report, at)
-        self._missing_since[report.instance] = at
-
-    def note_unreachable(self, instance_id: str) -> None:
-        """Forget the report of an instance that did not answer."""
-        self._entries.pop(instance_id, None)
+    def note(self, report: MemberReport, node_id: str = '') -> None:
+        """Take over what a node, this one if none is named, was told."""
+        self._note(report.instance, report, node_id)
+
+    def note_unreachable(self, instance_id: str, node_id: str = '') -> None:
+        """Take over that an instance did not answer a node."""
+        self._note(instance_id, None, node_id)
+
+    def withdraw(self, instance_id: str, node_id: str = '') -> None:
+        """Forget what a node found, as it asks the instance no more."""
+        views = self._views.get(instance_id)
+        if views is not None:
+            views.withdraw(node_id or self.node_id)
 
     def report(self, instance_id: str) -> MemberReport | None:
-        """Return the fresh report of an instance, if there is one."""
-        entry = self._entries.get(instance_id)
-        if entry is None or self._clock() - entry.at > FRESH_SECONDS:
-            return None
-        return entry.report
+        """Return what is held of an instance, if nothing speaks against it."""
+        views = self._views.get(instance_id)
+        return views.agreed(self._clock()) if views else None
 
     def fresh_reports(self) -> dict[str, MemberReport]:
-        """Return all fresh reports by instance."""
+        """Return all reports that count, by instance."""
         found = ((name, self.report(name)) for name in self._instances)
         return {name: report for name, report in found if report is not None}
 
     def lost(self) -> frozenset[str]:
-        """Return the instances that were silent for long enough."""
+        """Return the instances that nobody has reached for long enough."""
         now = self._clock()
         return frozenset(
             name
             for name, since in self._missing_since.items()
-            if self.report(name) is None and now - since > LOST_SECONDS
+            if now - since > LOST_SECONDS and not self._is_reached(name)
         )
 
     def serving(self) -> list[ServingReplica]:
@@ -150,55 +127,20 @@
             and self._is_open(instance.id)
         ]
 
+    def _note(
+        self,
+        instance_id: str,
+        report: MemberReport | None,
+        node_id: str,
+    ) -> None:
+        source = node_id or self.node_id
+        if instance_id in self._instances:
+            view = View(report, self._clock())
+            self._views[instance_id].note(source, view)
+
     def _is_open(self, instance_id: str) -> bool:
         report = self.report(instance_id)
         return report is not None and not report.draining
 
-
-_Group = tuple[str, int, tuple[str, ...]]
-
-
-def assemble(
-    instances: Mapping[str, Instance],
-    reports: Mapping[str, MemberReport],
-) -> Iterator[ServingReplica]:
-    """Yield the whole replicas among fresh reports.
-
-    A replica is whole when each of its members is listed and stays, and says
-    itself that it is ready for this replica, generation and order of members.
-    As an instance reports one replica only, no instance can be in two.
-    """
-    claimed: dict[_Group, set[str]] = defaultdict(set)
-    for name, report in reports.items():
-        if _can_serve(instances.get(name), report):
-            group = (report.replica, report.generation, report.members)
-            claimed[group].add(name)
-    for (_replica, _generation, members), present in claimed.items():
-        if members and present == set(members):
-            yield _serving(instances[members[0]], reports[members[0]])
-
-
-def _can_serve(instance: Instance | None, report: MemberReport) -> bool:
-    if instance is None or instance.leaving:
-        return False
-    return (
-        report.state is MemberState.READY
-        and not report.draining
-        and not report.retiring
-    )
-
-
-def _serving(leader: Instance, report: MemberReport) -> ServingReplica:
-    return ServingReplica(
-        report.replica,
-        report.generation,
-        report.model,
-        report.version,
-        report.adapters,
-        report.members,
-        leader.address,
-        leader.failure_domain,
-        report.running,
-        report.queued,
-        report.slots,
-    )
+    def _is_reached(self, instance_id: str) -> bool:
+        return bool(self._views[instance_id].reached(self._clock()))
--- a/src/cranecart/targets/_engine.py
+++ b/src/cranecart/targets/_engine.py
@@ -25,7 +25,7 @@
     exchange,
 )
 from cranecart.models import Instance, MemberReport, ReplicaRow
-from cranecart.targets._book import ServingReplica
+from cranecart.targets._assemble import ServingReplica
 from cranecart.targets._calls import CompletionCall
 
 # A new holder of the placement duty waits this long after the lease has
--- /dev/null
+++ b/tests/lib/loads.py
@@ -0,0 +1,48 @@
+"""Load beside which a test injects its faults."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from cranecart.load import Outcome, Profile, make_calls, run_load
+from tools.local_cluster import LocalCluster
+
+Chaos = Callable[[], Awaitable[None]]
+
+_BALANCER_SECONDS = 1.0
+
+
+def run_under_load(
+    cluster: LocalCluster,
+    chaos: Chaos,
+    profile: Profile,
+    seconds: float,
+    per_second: float = 20,
+    repeats: int = 0,
+) -> list[Outcome]:
+    """Send a seeded load and inject faults while it runs."""
+
+    async def run() -> list[Outcome]:  # noqa: WPS430
+        balancer = cluster.control.balancer()
+        watching = await curio.spawn(balancer.run, daemon=True)
+        await curio.sleep(_BALANCER_SECONDS)
+        faults = await curio.spawn(chaos)
+        count = round(seconds * per_second)
+        calls = make_calls(profile, ['one', 'two', 'three'], count, seed=5)
+        outcomes = await run_load(balancer, calls, per_second, repeats)
+        await faults.join()
+        await watching.cancel()
+        return outcomes
+
+    return curio.run(run)
+
+
+def language_profile(**changes: object) -> Profile:
+    """Return calls of the example's model only."""
+    settings: dict[str, object] = {
+        'api_keys': ['demo-budapest', 'demo-gyor'],
+        'models': ['nyelvi-szerver'],
+        'tokens': 24,
+        **changes,
+    }
+    return Profile(**settings)  # type: ignore[arg-type]
--- a/tests/unit/test_assemble.py
+++ b/tests/unit/test_assemble.py
@@ -8,8 +8,7 @@
 from hypothesis import strategies as st
 
 from cranecart.models import MemberReport, MemberState, ReplicaRow
-from cranecart.targets import ReportBook
-from cranecart.targets._book import assemble
+from cranecart.targets import ReportBook, assemble
 from tests.lib.worlds import DOMAIN, make_instances, ready_reports
 
 _INSTANCES = make_instances(6)
@@ -77,7 +76,7 @@
     def setUp(self) -> None:
         """Make a book with a whole replica and a clock to turn."""
         self.now = 100.0
-        self.book = ReportBook(lambda: self.now)
+        self.book = ReportBook('own', lambda: self.now)
         self.book.replace_instances(_INSTANCES.values())
         self.row = ReplicaRow('r', 'm', 'v1', 1, ('e00', 'e01'), DOMAIN, 'f0')
         for report in ready_reports(self.row).values():
@@ -110,3 +109,18 @@
             self.book.tick()
             self.now += 0.25
         self.assertEqual(self.book.lost(), frozenset(_NAMES))
+
+    def test_a_node_that_asks_no_more_speaks_no_more(self) -> None:
+        """What it found before must not stand against what others find."""
+        self.book.replace_live_nodes(['other'])
+        self.book.note(MemberReport('e01'), 'other')
+        self.assertEqual(self.book.serving(), [])
+        self.book.withdraw('e01', 'other')
+        self.assertEqual([one.id for one in self.book.serving()], ['r'])
+
+    def test_a_doubt_counts_for_a_while(self) -> None:
+        """Another node's failure closes the gate until the rest confirm."""
+        self.book.note_unreachable('e01', 'other')
+        self.assertEqual(self.book.serving(), [])
+        self.now += 2.6
+        self.assertEqual([one.id for one in self.book.serving()], ['r'])
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -3,12 +3,17 @@
 Usage: python -m tools.checks [style] [unit] [functional]
 """
 
+import itertools
+import re
 import subprocess
 import sys
 import unittest
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import attrs
+
 _ROOT = Path(__file__).parent.parent
 _PARTS = ('src', 'tests', 'tools')
 _STYLE = (
@@ -20,6 +25,17 @@
 _SUITES = ('unit', 'functional')
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
 _MAX_KNOWN_RED = 3
+_WORKERS = 4
+_RAN = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
+_RED = re.compile(r'^(FAIL|ERROR): \w+ \(([\w.]+)\)', re.MULTILINE)
+
+
+@attrs.frozen
+class UnitOutcome:
+    """How many tests of a unit ran, and which of them are red."""
+
+    tests: int
+    red: frozenset[str]
 
 
 def main(words: Sequence[str]) -> int:
@@ -47,25 +63,68 @@
 
 
 def run_suites(names: Sequence[str]) -> int:
-    """Run test suites; return the number of unexpected failures."""
-    loader = unittest.defaultTestLoader
-    suite = unittest.TestSuite(
-        loader.discover(str(_ROOT / 'tests' / name), top_level_dir=str(_ROOT))
-        for name in names
+    """Run test suites in a few processes; return unexpected failures."""
+    units = sorted(itertools.chain.from_iterable(map(test_units, names)))
+    with ThreadPoolExecutor(_WORKERS) as pool:
+        outcomes = list(pool.map(run_unit, units))
+    return _judge(outcomes)
+
+
+def test_units(suite: str) -> set[str]:
+    """Return what can run by itself: classes that share a fixture whole."""
+    found = unittest.defaultTestLoader.discover(
+        str(_ROOT / 'tests' / suite),
+        top_level_dir=str(_ROOT),
     )
-    outcome = unittest.TextTestRunner(verbosity=2).run(suite)
-    return _judge(outcome)
+    return {_unit_of(test) for test in _flatten(found)}
 
 
-def _judge(outcome: unittest.TestResult) -> int:
-    red = {test.id() for test, _ in (*outcome.failures, *outcome.errors)}
+def run_unit(unit: str) -> UnitOutcome:
+    """Run one unit in a process of its own and print what it printed."""
+    run = subprocess.run(
+        [sys.executable, '-m', 'unittest', '--verbose', unit],
+        cwd=_ROOT,
+        capture_output=True,
+        check=False,
+        text=True,
+    )
+    _say(f'{unit}:\n{run.stderr}')
+    counted = _RAN.search(run.stderr)
+    tests = int(counted.group(1)) if counted else 0
+    red = {name for _word, name in _RED.findall(run.stderr)}
+    if run.returncode and not red:
+        red = {unit}
+    return UnitOutcome(max(tests, len(red)), frozenset(red))
+
+
+def _flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from _flatten(test)
+        else:
+            yield test
+
+
+def _unit_of(test: unittest.TestCase) -> str:
+    kind = type(test)
+    if 'tests.unit' in kind.__module__:
+        return kind.__module__
+    if 'setUpClass' in kind.__dict__:
+        return f'{kind.__module__}.{kind.__qualname__}'
+    return test.id()
+
+
+def _judge(outcomes: Sequence[UnitOutcome]) -> int:
+    red = frozenset(
+        itertools.chain.from_iterable(outcome.red for outcome in outcomes),
+    )
     excused = known_red().keys() & red
-    for name in sorted(excused):
-        _say(f'known red: {known_red()[name]}')
+    for name in sorted(red):
+        _say(f'red: {known_red().get(name, name)}')
     failed = len(red) - len(excused)
-    skipped = len(outcome.skipped) + len(excused)
-    passed = outcome.testsRun - failed - skipped
-    _say(f'{passed} passed, {failed} failed, {skipped} skipped')
+    ran = sum(outcome.tests for outcome in outcomes)
+    passed = ran - len(red)
+    _say(f'{passed} passed, {failed} failed, {len(excused)} skipped')
     return failed
 
 
--- a/tools/cluster_control.py
+++ b/tools/cluster_control.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
-from typing import Any
+from functools import partial
 
 import attrs
 import curio
@@ -12,6 +12,7 @@
 from cranecart.http import Address, Request, Response, exchange
 from cranecart.load import Balancer, Entry
 from cranecart.operators import NodeStatus, OperatorClient
+from cranecart.targets import ServingReplica
 
 OPERATOR_KEY = 'operator-key-for-local-runs'
 _POLL_SECONDS = 0.05
@@ -45,7 +46,12 @@
         except CranecartError:
             return None
 
-    def call(
+    def serving(self, node: str = 'node0') -> list[ServingReplica]:
+        """Return the replicas that a node would send to."""
+        status = self.status(node)
+        return list(status.replicas) if status else []
+
+    async def post(
         self,
         address: Address,
         target: str,
@@ -53,20 +59,28 @@
     ) -> Response:
         """Post a control message and return the answer."""
         request = Request('POST', target, body=msgspec.json.encode(body))
-        return curio.run(exchange, address, request, _CALL_SECONDS)
+        return await exchange(address, request, _CALL_SECONDS)
 
-    def set_platform_faults(self, **faults: object) -> None:
+    async def platform_faults(self, **faults: object) -> None:
         """Change what is wrong with the platform; none if nothing given."""
-        self.call(self.addresses['platform'], '/standin/faults', faults)
+        address = self.addresses['platform']
+        await self.post(address, '/standin/faults', faults)
 
-    def set_link_faults(self, name: str, **faults: object) -> None:
+    async def link_faults(self, name: str, **faults: object) -> None:
         """Change what is wrong with the link to a proxied process."""
-        self.call(self.controls[name], '/faults', faults)
+        await self.post(self.controls[name], '/faults', faults)
 
-    def serving(self, node: str = 'node0') -> list[dict[str, Any]]:
-        """Return the replicas that a node would send to."""
-        status = self.status(node)
-        return list(status.replicas) if status else []
+    async def leave(self, name: str) -> None:
+        """Let a target say that it leaves."""
+        await self.post(self.addresses[name], '/standin/leave')
+
+    def set_platform_faults(self, **faults: object) -> None:
+        """Change what is wrong with the platform, outside coroutines."""
+        curio.run(partial(self.platform_faults, **faults))
+
+    def set_link_faults(self, name: str, **faults: object) -> None:
+        """Change what is wrong with a link, outside coroutines."""
+        curio.run(partial(self.link_faults, name, **faults))
 
     def platform_answers(self) -> bool:
         """Tell whether the platform can be asked."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -101,7 +101,8 @@
 ) -> list[Outcome]:
     _apply(cluster, deployment)
     _wait_for_replicas(cluster)
-    outcomes = curio.run(_send_and_kill, cluster, deployment, seed)
+    victim = _member_of_first(cluster, deployment)
+    outcomes = curio.run(_send_and_kill, cluster, deployment, victim, seed)
     _wait_for_replicas(cluster)
     return outcomes
 
@@ -131,6 +132,7 @@
 async def _send_and_kill(
     cluster: LocalCluster,
     deployment: DemoDeployment,
+    victim: str,
     seed: int,
 ) -> list[Outcome]:
     profile = Profile(
@@ -144,7 +146,7 @@
     balancer = cluster.control.balancer()
     watching = await curio.spawn(balancer.run, daemon=True)
     await curio.sleep(_BALANCER_SECONDS)
-    killing = await curio.spawn(_kill_one, cluster, deployment)
+    killing = await curio.spawn(_kill_later, cluster, victim)
     calls = make_calls(profile, _prompts(), _CALLS, seed)
     outcomes = await run_load(balancer, calls, _PER_SECOND, _REPEATS)
     await killing.join()
@@ -152,12 +154,22 @@
     return outcomes
 
 
-async def _kill_one(
+def _member_of_first(
     cluster: LocalCluster,
     deployment: DemoDeployment,
-) -> None:
+) -> str:
+    """Return a member of the replica in the first failure domain."""
+    status = cluster.control.status()
+    replicas = status.replicas if status else ()
+    return next(
+        replica.members[1]
+        for replica in replicas
+        if replica.failure_domain == deployment.domains[0]
+    )
+
+
+async def _kill_later(cluster: LocalCluster, victim: str) -> None:
     await curio.sleep(_KILL_AFTER_SECONDS)
-    victim = f'{deployment.domains[0]}-e1'
     sys.stdout.write(f'killing instance {victim}\n')
     cluster.kill(victim)
 
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -14,7 +14,7 @@
 from cranecart.load import Entry
 from cranecart.standins import Record
 from tools.cluster_control import OPERATOR_KEY, ClusterControl, wait_until
-from tools.processes import Process, free_address, loopback_host
+from tools.processes import Addresses, Process
 
 _OPERATOR_SHA256 = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
 
@@ -52,7 +52,7 @@
             self.controls,
             self.entries,
         )
-        self._host = loopback_host()
+        self._free = Addresses()
         self._settings: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> Self:
@@ -80,12 +80,23 @@
                 process.popen.kill()
         for process in self.processes.values():
             process.popen.wait()
+        self._free.release()
 
     def kill(self, name: str) -> None:
         """Kill a process and record that it is gone."""
         self.processes[name].kill()
         Record.from_path(name, str(self.record)).write('lost')
 
+    def pause(self, name: str) -> None:
+        """Stop a process where it is, and record it."""
+        self.processes[name].pause()
+        Record.from_path(name, str(self.record)).write('paused')
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on, and record it."""
+        Record.from_path(name, str(self.record)).write('resumed')
+        self.processes[name].resume()
+
     def start_engine(self, name: str, domain: str) -> None:
         """Start an engine instance and list it."""
         self._start_standin(
@@ -144,7 +155,7 @@
         kind: str,
         arguments: Sequence[str],
     ) -> None:
-        address = self.addresses.setdefault(name, free_address(self._host))
+        address = self.addresses.setdefault(name, self._free.take())
         listed = address
         if name in self.options.proxied:
             listed = self._start_proxy(name)
@@ -165,8 +176,8 @@
         proxy = f'proxy-{name}'
         if proxy in self.processes:
             return self.control.reach(name)
-        self.addresses[proxy] = free_address(self._host)
-        self.controls[name] = free_address(self._host)
+        self.addresses[proxy] = self._free.take()
+        self.controls[name] = self._free.take()
         self.processes[proxy] = Process.start(
             proxy,
             [
@@ -183,9 +194,9 @@
     def _plan_nodes(self) -> None:
         options = self.options
         names = [f'node{number}' for number in range(options.nodes)]
-        peers = {name: free_address(self._host) for name in names}
+        peers = {name: self._free.take() for name in names}
         for number, name in enumerate(names):
-            entry = Entry(free_address(self._host), free_address(self._host))
+            entry = Entry(self._free.take(), self._free.take())
             self.entries[name] = entry
             self._settings[name] = {
                 'node_id': name,
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -19,6 +19,8 @@
 _ROOT = Path(__file__).parent.parent
 _COPIED = ('src', 'tests', 'tools', 'examples')
 _LAST_LINES = 3
+# An error is no proof: the test itself must say that a promise was broken.
+_FAILED = '\nFAIL: '
 
 
 @attrs.frozen
@@ -57,6 +59,28 @@
         'tests.functional.test_at_most_once.AtMostOnceTest'
         '.test_lost_answer_of_the_service',
     ),
+    Mutation(
+        'part-of-the-members-is-enough',
+        'targets/_assemble.py',
+        'present == set(members)',
+        'members[0] in present',
+        'tests.functional.test_replicas.ReplicasTest'
+        '.test_platform_away_while_a_member_dies',
+    ),
+    Mutation(
+        'lease-taken-without-waiting',
+        'duties/_lease.py',
+        'return self._clock() - self._seen_at > self._times.takeover',
+        'return True',
+        'tests.unit.test_lease',
+    ),
+    Mutation(
+        'ex-probers-still-speak',
+        'targets/_views.py',
+        'self._views.pop(node_id, None)',
+        'self._views.get(node_id)',
+        'tests.unit.test_assemble',
+    ),
 )
 
 
@@ -80,7 +104,7 @@
             check=False,
             text=True,
         )
-    noticed = run.returncode != 0
+    noticed = _FAILED in f'\n{run.stderr}'
     verdict = 'noticed' if noticed else 'NOT NOTICED'
     last = ' | '.join(run.stderr.strip().splitlines()[-_LAST_LINES:])
     sys.stdout.write(f'{mutation.name}: {verdict} ({last})\n')
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -27,13 +27,32 @@
     return f'127.{1 + high % _HOSTS}.{1 + low}.1'
 
 
-def free_address(host: str) -> Address:
-    """Ask the kernel for a free port."""
-    with socket.socket() as sock:
+class Addresses:
+    """Addresses with ports that the kernel gave, each given out once.
+
+    A port is held, bound but not listened on, until the run ends: a port
+    that is merely asked for may be given to somebody else before its process
+    binds it. Both sides allow reuse, so the holder is not in the way.
+    """
+
+    def __init__(self) -> None:
+        """Start with no address given out."""
+        self._host = loopback_host()
+        self._held: list[socket.socket] = []
+
+    def take(self) -> Address:
+        """Return an address that nobody else has."""
+        sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, 0))
+        sock.bind((self._host, 0))
+        self._held.append(sock)
         return Address(*sock.getsockname())
 
+    def release(self) -> None:
+        """Give all addresses back."""
+        for sock in self._held:
+            sock.close()
+
 
 @attrs.define
 class Process:
