Prove configuration, leaving and rolling restarts; share limits over nodes

Cause, one for each: operators' races and lost answers, slow or absent platform, planned leaves and stops were built but not shown; limits held a node each, not over all; retries were counted a call, so that half of the targets failing doubled what was sent.

--- a/src/cranecart/cli/_apply.py
+++ b/src/cranecart/cli/_apply.py
@@ -1,6 +1,7 @@
 """Have the declarations of a folder accepted. Usage: apply FOLDER."""
 
 import getpass
+import time
 from pathlib import Path
 
 import curio
@@ -13,6 +14,8 @@
 from cranecart.operators import OperatorClient
 from cranecart.rollout import Change
 
+_POLL_SECONDS = 0.2
+
 
 def declare_flags(flag_values: flags.FlagValues) -> None:
     """Declare the command's flags."""
@@ -23,6 +26,12 @@
         'the version the change was made on; the newest if not given',
         flag_values=flag_values,
     )
+    flags.DEFINE_float(
+        'wait_seconds',
+        0,
+        'how long to wait until it is in force on every node',
+        flag_values=flag_values,
+    )
     flags.DEFINE_string('note', '', 'why it changes', flag_values=flag_values)
 
 
@@ -30,9 +39,10 @@
     """Check, apply, and print which version the change became."""
     _common.require_arguments(rest, ['FOLDER'])
     wanted = compile_folder(Path(rest[0]))
+    client = _common.make_client(flag_values)
     change = curio.run(
         apply_change,
-        _common.make_client(flag_values),
+        client,
         wanted,
         flag_values.base_version,
         flag_values.note,
@@ -42,9 +52,51 @@
         change,
         f'accepted as version {change.version} (change {change.change_id})',
     )
+    if flag_values.wait_seconds:
+        behind = curio.run(
+            wait_until_in_force,
+            client,
+            change.version,
+            flag_values.wait_seconds,
+        )
+        return _show_in_force(flag_values, change, behind)
     return ExitCode.OK
 
 
+def _show_in_force(
+    flag_values: flags.FlagValues,
+    change: Change,
+    behind: list[str],
+) -> ExitCode:
+    _common.show(
+        flag_values,
+        {'version': change.version, 'behind': behind},
+        f'not in force yet: {", ".join(behind)}'
+        if behind
+        else f'version {change.version} is in force on every node',
+    )
+    return ExitCode.FAILED if behind else ExitCode.OK
+
+
+async def wait_until_in_force(
+    client: OperatorClient,
+    version: int,
+    seconds: float,
+) -> list[str]:
+    """Wait for a version everywhere; return who is behind in the end."""
+    deadline = time.monotonic() + seconds
+    while True:
+        domains = (await client.status()).domains
+        behind = [
+            f'{domain}: {" ".join(versions.behind) or "all"}'
+            for domain, versions in domains.items()
+            if versions.oldest < version
+        ]
+        if not behind or time.monotonic() > deadline:
+            return behind
+        await curio.sleep(_POLL_SECONDS)
+
+
 async def apply_change(
     client: OperatorClient,
     wanted: Declarations,
--- a/src/cranecart/cli/_status.py
+++ b/src/cranecart/cli/_status.py
@@ -7,6 +7,7 @@
 
 from cranecart.cli import _common
 from cranecart.exit_codes import ExitCode
+from cranecart.models import DomainVersions
 from cranecart.operators import NodeStatus
 
 declare_flags = _common.declare_node_flags
@@ -27,9 +28,19 @@
     )
     for duty, holder in status.duties.items():
         yield f'duty {duty}: {holder or "nobody"}'
+    for domain, versions in status.domains.items():
+        yield f'domain {domain}: {_domain_text(versions)}'
     for name, node in status.nodes.items():
         stopping = ', stopping' if node.stopping else ''
         yield f'node {name}: version {node.config_version}{stopping}'
     for replica in status.replicas:
         members = ' '.join(replica.members)
         yield f'replica {replica.id} generation {replica.generation}: {members}'
+
+
+def _domain_text(versions: DomainVersions) -> str:
+    behind = ', '.join(versions.behind) or 'nobody'
+    return (
+        f'{versions.nodes} nodes on version {versions.oldest} or later, '
+        f'behind: {behind}'
+    )
--- a/src/cranecart/clients/_attempts.py
+++ b/src/cranecart/clients/_attempts.py
@@ -16,6 +16,7 @@
     TargetError,
     TargetTimeoutError,
 )
+from cranecart.limits import RetryBudget
 from cranecart.logs import decision
 from cranecart.targets import Call
 
@@ -30,6 +31,7 @@
     """The attempts at one call; each goes to another target."""
 
     _call: Call
+    _budget: RetryBudget
     _number: int = attrs.field(default=0, init=False)
     _last: TargetError | None = attrs.field(default=None, init=False)
 
@@ -65,11 +67,13 @@
     def _may_go_on(self) -> bool:
         if self._number >= _MAX_ATTEMPTS or self._call.seconds_left <= 0:
             return False
-        return (
-            self._call.repeatable
-            or self._last is None
-            or self._last.execution is Execution.NOT_RUN
+        if self._last is None:
+            self._budget.pay_in()
+            return True
+        is_safe = (
+            self._call.repeatable or self._last.execution is Execution.NOT_RUN
         )
+        return is_safe and self._budget.take()
 
     def _final_error(self, without_attempt: RequestError) -> RequestError:
         if self._last is None:
--- a/src/cranecart/clients/_gateway.py
+++ b/src/cranecart/clients/_gateway.py
@@ -17,7 +17,7 @@
     RequestError,
 )
 from cranecart.http import Request, Responder, Response
-from cranecart.limits import Admission
+from cranecart.limits import Admission, RetryBudget
 from cranecart.logs import decision
 from cranecart.models import Declarations
 from cranecart.routing import Router
@@ -43,6 +43,7 @@
     _services: ServiceClient
     _claims: Claims
     _admission: Admission
+    _budget: RetryBudget = attrs.field(factory=RetryBudget, init=False)
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; every error gets its final answer at once."""
@@ -75,7 +76,8 @@
             read_call(request, organisation, declarations),
             request_id=request_id,
         )
-        with self._admission.admit(organisation, call.priority):
+        tokens = call.max_tokens if isinstance(call, CompletionCall) else 0
+        with self._admission.admit(organisation, call.priority, tokens):
             await self._answer(call, responder)
 
     async def _answer(self, call: Call, responder: Responder) -> None:
@@ -123,7 +125,7 @@
     ) -> Response | None:
         relay = StreamRelay(call, responder, self._router, self._engines)
         try:
-            await Attempts(call).run(relay.attempt)
+            await Attempts(call, self._budget).run(relay.attempt)
         except RequestError as error:
             if not responder.has_started:
                 raise
@@ -142,7 +144,7 @@
                     body = await read_in_time(call, answer.read_body)
                     return Response(_OK, answer.head.headers, body)
 
-        return await Attempts(call).run(attempt)
+        return await Attempts(call, self._budget).run(attempt)
 
     async def _call_service(self, call: ServiceCall) -> Response:
         tried: list[str] = []
@@ -153,7 +155,7 @@
             with self._router.in_flight(instance.id):
                 return await self._services.call(instance, call)
 
-        return await Attempts(call).run(attempt)
+        return await Attempts(call, self._budget).run(attempt)
 
 
 async def _send_whole(
--- a/src/cranecart/limits/__init__.py
+++ b/src/cranecart/limits/__init__.py
@@ -1,5 +1,8 @@
-"""Admission: organisations' shares, and shedding when a node is full."""
+"""Admission: organisations' shares, budgets, and shedding when full."""
 
 from cranecart.limits._admission import Admission, Capacity
+from cranecart.limits._budget import RetryBudget
+from cranecart.limits._rates import TokenRates
+from cranecart.limits._shares import Shares
 
-__all__ = ('Admission', 'Capacity')
+__all__ = ('Admission', 'Capacity', 'RetryBudget', 'Shares', 'TokenRates')
--- a/src/cranecart/limits/_admission.py
+++ b/src/cranecart/limits/_admission.py
@@ -3,11 +3,13 @@
 import contextlib
 import math
 from collections import Counter
-from collections.abc import Callable, Generator, Mapping
+from collections.abc import Generator, Mapping
 
 import attrs
 
 from cranecart.exceptions import LimitedError, OverloadedError
+from cranecart.limits._rates import TokenRates
+from cranecart.limits._shares import Shares
 from cranecart.models import OrganisationSpec, Priority
 
 _ALL = 1.0
@@ -29,14 +31,15 @@
 
 @attrs.define
 class Admission:
-    """Counts the calls inside one node.
+    """Counts the calls inside one node and keeps limits and capacity.
 
-    ``share`` gives the part of an organisation's limit that this node may
-    admit; over all nodes the parts add up to one.
+    Over all nodes an organisation has at most its limit of calls in
+    progress, and at most one more a node, as shares are rounded up.
     """
 
     _capacity: Capacity
-    _share: Callable[[str], float]
+    _shares: Shares
+    _rates: TokenRates
     _inside: Counter[str] = attrs.field(factory=Counter, init=False)
 
     @property
@@ -44,20 +47,40 @@
         """Return how many calls are in progress."""
         return self._inside.total()
 
-    def inside_of(self, organisation: str) -> int:
-        """Return how many calls of an organisation are in progress."""
-        return self._inside[organisation]
-
     @contextlib.contextmanager
     def admit(
         self,
         organisation: OrganisationSpec,
         priority: Priority,
+        tokens: int = 0,
     ) -> Generator[None, None, None]:
         """Hold a place while a call is in progress.
 
         Raise ``LimitedError`` or ``OverloadedError`` at once, never wait.
         """
+        name = organisation.name
+        self._shares.want(name)
+        try:
+            self._check(organisation, priority)
+            self._rates.take(organisation, tokens)
+            self._inside[name] += 1
+            try:
+                yield
+            finally:
+                self._inside[name] -= 1
+        finally:
+            self._shares.done(name)
+
+    def allowance(self, organisation: OrganisationSpec) -> int:
+        """Return how many calls of an organisation this node admits."""
+        share = self._shares.share(organisation.name)
+        return math.ceil(organisation.limits.concurrent_requests * share)
+
+    def _check(
+        self,
+        organisation: OrganisationSpec,
+        priority: Priority,
+    ) -> None:
         name = organisation.name
         if self._inside[name] >= self.allowance(organisation):
             raise LimitedError(f'{name} has its share of calls in progress')
@@ -66,13 +89,3 @@
             raise OverloadedError(
                 f'the node is too full for priority {priority.value}',
             )
-        self._inside[name] += 1
-        try:
-            yield
-        finally:
-            self._inside[name] -= 1
-
-    def allowance(self, organisation: OrganisationSpec) -> int:
-        """Return how many calls of an organisation this node admits."""
-        share = self._share(organisation.name)
-        return math.ceil(organisation.limits.concurrent_requests * share)
--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -2,6 +2,7 @@
 
 from cranecart.models._declarations import (
     Declarations,
+    DomainVersions,
     FencingSupport,
     LimitsSpec,
     ModelSpec,
@@ -22,6 +23,7 @@
 
 __all__ = (
     'Declarations',
+    'DomainVersions',
     'FencingSupport',
     'Instance',
     'InstanceKind',
--- a/src/cranecart/models/_declarations.py
+++ b/src/cranecart/models/_declarations.py
@@ -89,6 +89,19 @@
     services: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class DomainVersions:
+    """How far a failure domain's nodes have come with the configuration.
+
+    ``behind`` names at most eight nodes on an older version than others.
+    """
+
+    nodes: int
+    oldest: int
+    newest: int
+    behind: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class Declarations:
     """Everything that one accepted configuration says."""
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -11,7 +11,7 @@
 from cranecart.clients import Gateway
 from cranecart.config import NodeSettings
 from cranecart.http import HttpServer
-from cranecart.limits import Admission, Capacity
+from cranecart.limits import Admission, Capacity, Shares, TokenRates
 from cranecart.logs import decision
 from cranecart.metrics import Metrics
 from cranecart.models import Instance, InstanceKind
@@ -36,6 +36,8 @@
 _LATENESS_SECONDS = 0.1
 _DRAIN_POLL_SECONDS = 0.05
 _MILLISECONDS = 1000
+# A node that cannot hear of every instance gets ready all the same.
+_INFORMED_SECONDS = 8.0
 
 
 class Node:
@@ -45,16 +47,20 @@
         """Build the parts; nothing runs until ``run``."""
         self._settings = settings
         self._stopping = False
+        self._informed = False
+        self._started_at = time.monotonic()
         self._metrics = Metrics()
         self._config = CurrentConfig()
         self._book = ReportBook(settings.node_id)
         source = random.Random(f'{settings.seed}{settings.node_id}')
         platform = PlatformClient(settings.platform)
         self._directory = Directory(settings.failure_domain, self._book)
+        shares = Shares()
         self._peering = Peering.from_settings(
             settings,
             self._directory,
             self._config,
+            shares,
             source,
         )
         self._control = Control.from_settings(
@@ -71,7 +77,11 @@
             source,
             self._publish_probe,
         )
-        self._admission = Admission(Capacity(), self._share)
+        self._admission = Admission(
+            Capacity(),
+            shares,
+            TokenRates(shares.share),
+        )
         gateway = Gateway(
             self._config.declarations,
             Router(self._directory, source),
@@ -148,11 +158,16 @@
         body = msgspec.to_builtins(probe)
         self._peering.peers.publish(Topic.REPORT, instance_id, body)
 
-    def _share(self, organisation: str) -> float:
-        return 1.0
-
     def _is_ready(self) -> bool:
-        return not self._stopping and self._config.declarations() is not None
+        if self._stopping or self._config.declarations() is None:
+            return False
+        # Once it was informed, a node stays ready and serves what it can.
+        domain = self._settings.failure_domain
+        late = time.monotonic() - self._started_at > _INFORMED_SECONDS
+        self._informed = (
+            self._informed or late or self._book.is_informed(domain)
+        )
+        return self._informed
 
     def _status(self) -> NodeStatus:
         return NodeStatus(
@@ -164,5 +179,9 @@
             tuple(self._directory.replicas()),
             tuple(self._directory.service_ids()),
             dict(self._peering.members.everybody()),
+            {
+                **self._directory.versions(),
+                self._settings.failure_domain: self._peering.state.versions(),
+            },
             self._admission.inside,
         )
--- a/src/cranecart/node/_peering.py
+++ b/src/cranecart/node/_peering.py
@@ -9,10 +9,13 @@
 
 from cranecart.config import NodeSettings
 from cranecart.http import Address
+from cranecart.limits import Shares
 from cranecart.node._shared_state import SharedState
 from cranecart.nodes import (
     ConfigExchange,
     EntryStore,
+    Exchanges,
+    ListExchange,
     MemberInfo,
     Members,
     NodeLink,
@@ -43,6 +46,7 @@
         settings: NodeSettings,
         directory: Directory,
         config: CurrentConfig,
+        shares: Shares,
         source: random.Random,
     ) -> Self:
         """Bind the peer address and build the parts."""
@@ -56,12 +60,26 @@
             int(time.time() * _MILLISECONDS),
         )
         speaker = Speaker(members, store, link)
-        state = SharedState(members, store, directory.book, directory, config)
+        state = SharedState(
+            members,
+            store,
+            directory.book,
+            directory,
+            config,
+            shares,
+        )
         peers = Peers(
             speaker,
             link,
             PeerSettings(settings.peers),
-            ConfigExchange(speaker, state.read_config, state.take_config),
+            Exchanges(
+                ConfigExchange(speaker, state.read_config, state.take_config),
+                ListExchange(
+                    speaker,
+                    directory.book.listed,
+                    state.replace_instances,
+                ),
+            ),
             PeerEvents(state.take_entry, directory.book.forget_shared),
             source,
         )
--- a/src/cranecart/node/_shared_state.py
+++ b/src/cranecart/node/_shared_state.py
@@ -6,7 +6,8 @@
 import curio
 import msgspec
 
-from cranecart.models import Instance
+from cranecart.limits import Shares
+from cranecart.models import DomainVersions, Instance
 from cranecart.nodes import (
     Entry,
     EntryStore,
@@ -21,6 +22,8 @@
 
 _TICK_SECONDS = 0.1
 _SUMMARY_TICKS = 10
+_MAX_NAMED = 8
+_DEMAND_TICKS = 200
 _PROBERS_PER_INSTANCE = 2
 
 
@@ -33,6 +36,8 @@
     _book: ReportBook
     _directory: Directory
     _config: CurrentConfig
+    _shares: Shares
+    _demand: dict[str, int] = attrs.field(factory=dict, init=False)
     _live: frozenset[str] = attrs.field(factory=frozenset, init=False)
 
     async def run(self, peers: Peers) -> None:
@@ -41,9 +46,15 @@
         while True:
             self._follow_live_nodes(peers)
             self._announce_config()
+            self._publish_demand(peers, ticks)
             ticks += 1
             if ticks % _SUMMARY_TICKS == 0 and self._is_relay():
-                summary = msgspec.to_builtins(self._directory.summary())
+                summary = msgspec.to_builtins(
+                    self._directory.summary(
+                        self.versions(),
+                        self._domain_demand(),
+                    ),
+                )
                 domain = self._members.info.failure_domain
                 peers.publish(Topic.SUMMARY, domain, summary)
             await curio.sleep(_TICK_SECONDS)
@@ -63,7 +74,11 @@
             case Topic.REPORT:
                 self._take_report(entry)
             case Topic.SUMMARY:
-                self._directory.note(msgspec.convert(entry.body, Summary))
+                self._take_summary(msgspec.convert(entry.body, Summary))
+            case Topic.DEMAND if entry.key.origin != self._members.node_id:
+                self._shares.hear(entry.key.origin, entry.body)
+            case Topic.MEMBER if entry.body['stopping']:
+                self._shares.forget(entry.key.subject)
 
     def read_config(self) -> HeldConfig:
         """Return the configuration in force."""
@@ -79,6 +94,21 @@
         release = Release(held.version, held.sha256)
         self._config.put_in_force(release, held.encoded)
 
+    def versions(self) -> DomainVersions:
+        """Return how far the nodes of this failure domain have come."""
+        held = {
+            name: info.config_version
+            for name, info in self._members.everybody()
+        }
+        newest = max(held.values(), default=0)
+        behind = sorted(name for name, one in held.items() if one < newest)
+        return DomainVersions(
+            len(held),
+            min(held.values(), default=0),
+            newest,
+            tuple(behind[:_MAX_NAMED]),
+        )
+
     def probed(self) -> Collection[str]:
         """Return the instances that this node answers for."""
         domain = self._members.info.failure_domain
@@ -98,6 +128,7 @@
             return
         returned = live - self._live
         self._live = live
+        self._shares.expect(live - {self._members.node_id})
         self._book.replace_live_nodes(live)
         # What they found while they were doubted has to be taken in again.
         self._retake_reports(returned)
@@ -107,6 +138,30 @@
             if entry.key.origin in origins:
                 self._take_report(entry)
 
+    def _publish_demand(self, peers: Peers, ticks: int) -> None:
+        """Publish what changed, and all of it at times, as it expires."""
+        demand = self._shares.demand()
+        is_due = ticks % _DEMAND_TICKS == 0
+        is_news = demand != self._demand and ticks % _SUMMARY_TICKS == 0
+        if is_due or is_news:
+            self._demand = demand
+            peers.publish(Topic.DEMAND, self._members.node_id, demand)
+
+    def _domain_demand(self) -> dict[str, int]:
+        near = self._shares.heard(self._members.others())
+        near.update(self._shares.demand())
+        return dict(near)
+
+    def _take_summary(self, summary: Summary) -> None:
+        domain = summary.failure_domain
+        self._directory.note(summary)
+        if domain != self._members.info.failure_domain and summary.versions:
+            self._shares.hear(
+                f'domain/{domain}',
+                summary.demand,
+                summary.versions.nodes,
+            )
+
     def _announce_config(self) -> None:
         release = self._config.release
         self._members.announce(
--- a/src/cranecart/nodes/__init__.py
+++ b/src/cranecart/nodes/__init__.py
@@ -9,8 +9,9 @@
     Topic,
 )
 from cranecart.nodes._link import NodeLink
+from cranecart.nodes._list_exchange import ListExchange
 from cranecart.nodes._members import Members
-from cranecart.nodes._peers import PeerEvents, Peers, PeerSettings
+from cranecart.nodes._peers import Exchanges, PeerEvents, Peers, PeerSettings
 from cranecart.nodes._sharing import choose_nodes
 from cranecart.nodes._speaker import Speaker
 from cranecart.nodes._store import EntryStore
@@ -20,7 +21,9 @@
     'Entry',
     'EntryKey',
     'EntryStore',
+    'Exchanges',
     'HeldConfig',
+    'ListExchange',
     'MemberInfo',
     'MemberStatus',
     'Members',
--- a/src/cranecart/nodes/_entries.py
+++ b/src/cranecart/nodes/_entries.py
@@ -71,6 +71,8 @@
     SYNC = 'sync'
     CONFIG_ASK = 'config ask'
     CONFIG_GIVE = 'config give'
+    LIST_ASK = 'list ask'
+    LIST_GIVE = 'list give'
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cranecart/nodes/_peers.py
+++ b/src/cranecart/nodes/_peers.py
@@ -25,6 +25,7 @@
     Topic,
 )
 from cranecart.nodes._link import NodeLink
+from cranecart.nodes._list_exchange import ListExchange
 from cranecart.nodes._speaker import Speaker
 from cranecart.nodes._turns import TurnProbing
 
@@ -44,6 +45,14 @@
     answer_seconds: float = 0.3
 
 
+@attrs.frozen
+class Exchanges:
+    """What nodes get from each other besides entries."""
+
+    config: ConfigExchange
+    instances: ListExchange
+
+
 @attrs.frozen
 class PeerEvents:
     """Whom to tell: of each new entry, and of a pause of this node."""
@@ -60,7 +69,7 @@
         speaker: Speaker,
         link: NodeLink,
         settings: PeerSettings,
-        config: ConfigExchange,
+        exchanges: Exchanges,
         events: PeerEvents,
         source: random.Random,
     ) -> None:
@@ -70,7 +79,8 @@
         self._members = speaker.members
         self._link = link
         self._settings = settings
-        self._config = config
+        self._config = exchanges.config
+        self._instances = exchanges.instances
         self._events = events
         self._random = source
         self._turns = TurnProbing(speaker, source, settings.answer_seconds)
@@ -135,12 +145,12 @@
             self._speaker.send(chosen, MessageKind.SYNC)
 
     def _drop_entries_of_dead(self) -> None:
+        # Entries may arrive before their origin's own; those are kept.
         self._store.forget(
             entry.key
             for entry in self._store.every()
             if entry.key.topic in {Topic.REPORT, Topic.DEMAND}
-            and self._members.status(entry.key.origin)
-            in {None, MemberStatus.DEAD}
+            and self._members.status(entry.key.origin) is MemberStatus.DEAD
         )
 
     def _greet(self, number: int) -> None:
@@ -191,6 +201,7 @@
                 self._compare(message)
             case MessageKind.ACK:
                 self._compare(message)
+                self._instances.ask(message.address)
                 await self._turns.note_ack(message.number)
             case MessageKind.PING_FOR_ME:
                 self._turns.help(message)
@@ -200,6 +211,10 @@
                 self._config.give(message)
             case MessageKind.CONFIG_GIVE:
                 self._config.receive(message)
+            case MessageKind.LIST_ASK:
+                self._instances.give(message)
+            case MessageKind.LIST_GIVE:
+                self._instances.receive(message)
 
     def _compare(self, message: Message) -> None:
         """Ask for everything where two nodes of a domain keep differing."""
--- a/src/cranecart/operators/_admin.py
+++ b/src/cranecart/operators/_admin.py
@@ -14,7 +14,11 @@
     WriteUnknownError,
 )
 from cranecart.http import Request, Responder, Response, json_response
-from cranecart.models import compiled_from_json, compiled_to_json
+from cranecart.models import (
+    DomainVersions,
+    compiled_from_json,
+    compiled_to_json,
+)
 from cranecart.nodes import MemberInfo
 from cranecart.rollout import CurrentConfig, Follower, History
 from cranecart.targets import ServingReplica
@@ -41,6 +45,7 @@
     replicas: tuple[ServingReplica, ...]
     services: tuple[str, ...]
     nodes: dict[str, MemberInfo]
+    domains: dict[str, DomainVersions]
     in_flight: int
 
 
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -8,9 +8,14 @@
 
 import attrs
 
-from cranecart.exceptions import NoReplicaError
+from cranecart.exceptions import (
+    NoReplicaError,
+    TargetBrokenError,
+    TargetNotReachedError,
+)
 from cranecart.logs import decision
 from cranecart.models import Instance
+from cranecart.routing._ejection import Ejection
 from cranecart.targets import (
     CompletionCall,
     Directory,
@@ -28,6 +33,7 @@
 
     _directory: Directory
     _random: random.Random
+    _ejection: Ejection = attrs.field(factory=Ejection, init=False)
     _in_flight: Counter[str] = attrs.field(factory=Counter, init=False)
 
     def choose_replica(
@@ -49,7 +55,7 @@
         if not matching:
             raise NoReplicaError(f'no whole replica of {call.model} serves')
         ranked = sorted(
-            self._nearest(matching),
+            self._nearest(self._ejection.without_ejected(matching)),
             key=lambda replica: _score(call.prefix, replica.id),
             reverse=True,
         )
@@ -88,6 +94,7 @@
         ]
         if not matching:
             raise NoReplicaError(f'no instance of {call.service} serves')
+        matching = self._ejection.without_ejected(matching)
         near = [
             instance
             for instance in matching
@@ -113,8 +120,12 @@
         self._in_flight[name] += 1
         try:
             yield
+        except (TargetNotReachedError, TargetBrokenError):
+            self._ejection.failed(name)
+            raise
         finally:
             self._in_flight[name] -= 1
+        self._ejection.succeeded(name)
 
     def load(self, replica: ServingReplica) -> float:
         """Return work in flight a slot: the larger of reported and own."""
--- a/src/cranecart/standins/_engine.py
+++ b/src/cranecart/standins/_engine.py
@@ -60,6 +60,7 @@
         self._record = record
         self._membership = Membership(options, record)
         self._draining = False
+        self._drops = False
         self._slots = Slots(options.slots)
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._reported_load = (0, 0)
@@ -83,10 +84,17 @@
                 await self._membership.answer_collective(request, responder)
             case '/orders':
                 await self._membership.take_order(request, responder)
+            case '/standin/drop':
+                self._drops = msgspec.json.decode(request.body)
+                await responder.send(json_response(_OK, {}))
             case '/standin/leave':
                 self._draining = True
                 self._record.write('leaving')
                 await responder.send(json_response(_OK, {}))
+            case _ if self._drops:
+                # Received, but broken off without a word.
+                key = request.headers.get('idempotency-key', '')
+                self._record.write('dropped', kind='engine', key=key)
             case _:
                 await self._complete(request, responder)
 
--- a/src/cranecart/targets/_book.py
+++ b/src/cranecart/targets/_book.py
@@ -30,6 +30,18 @@
         """Return the listed instances by id."""
         return self._instances
 
+    def listed(self) -> list[Instance]:
+        """Return the list of instances, empty until there is one."""
+        return list(self._instances.values())
+
+    def is_informed(self, failure_domain: str) -> bool:
+        """Tell whether something is known of every instance of a domain."""
+        return bool(self._instances) and all(
+            self._views[name].is_known
+            for name, instance in self._instances.items()
+            if instance.failure_domain == failure_domain
+        )
+
     def replace_instances(self, instances: Iterable[Instance]) -> None:
         """Take over a new list; forget whoever is no longer on it."""
         now = self._clock()
--- a/src/cranecart/targets/_directory.py
+++ b/src/cranecart/targets/_directory.py
@@ -2,13 +2,13 @@
 
 import itertools
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from operator import attrgetter
 from typing import TypeVar
 
 import attrs
 
-from cranecart.models import Instance
+from cranecart.models import DomainVersions, Instance
 from cranecart.targets._assemble import ServingReplica
 from cranecart.targets._book import ReportBook
 
@@ -25,6 +25,8 @@
     failure_domain: str
     replicas: tuple[ServingReplica, ...] = ()
     services: tuple[Instance, ...] = ()
+    versions: DomainVersions | None = None
+    demand: Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -67,7 +69,11 @@
         )
         return [*self.book.open_services(), *(one.id for one in far)]
 
-    def summary(self) -> Summary:
+    def summary(
+        self,
+        versions: DomainVersions | None = None,
+        demand: Mapping[str, int] | None = None,
+    ) -> Summary:
         """Return what other failure domains should know of this one."""
         open_services = [
             self.book.instances[name] for name in self.book.open_services()
@@ -85,8 +91,18 @@
             self.failure_domain,
             tuple(_first_of_each(least_loaded, attrgetter('model'))),
             tuple(_first_of_each(near, attrgetter('service'))),
+            versions,
+            demand or {},
         )
 
+    def versions(self) -> dict[str, DomainVersions]:
+        """Return how far the other failure domains have come."""
+        return {
+            summary.failure_domain: summary.versions
+            for summary in self._fresh()
+            if summary.versions is not None
+        }
+
     def _fresh(self) -> list[Summary]:
         now = self._clock()
         return [
--- a/src/cranecart/targets/_views.py
+++ b/src/cranecart/targets/_views.py
@@ -31,6 +31,11 @@
     _own: str
     _views: dict[str, View] = attrs.field(factory=dict, init=False)
 
+    @property
+    def is_known(self) -> bool:
+        """Tell whether any node found something, good or bad."""
+        return bool(self._views)
+
     def note(self, node_id: str, view: View) -> None:
         """Take over a node's newest view."""
         self._views[node_id] = view
--- /dev/null
+++ b/tests/functional/test_leaving.py
@@ -0,0 +1,165 @@
+"""Planned leaving and stopping cut nothing off."""
+
+import time
+import unittest
+from collections import Counter
+from collections.abc import Sequence
+
+import curio
+import msgspec
+
+from cranecart.http import Address
+from cranecart.load import (
+    Outcome,
+    OutcomeKind,
+    Summary,
+    cut_off,
+    late_starts,
+)
+from cranecart.standins import read_record
+from tests.lib.clusters import start_cluster
+from tests.lib.loads import Chaos, language_profile, run_under_load
+from tools.cluster_control import wait_until
+from tools.local_cluster import LocalCluster
+
+_LATE_SECONDS = 4.0
+_DOMAIN = 'buda-terem'
+_NODES = ('node0', 'node1', 'node2', 'node3')
+
+
+class LeavingTest(unittest.TestCase):
+    """Long streams run while something leaves as planned."""
+
+    cluster: LocalCluster
+
+    def setUp(self) -> None:
+        """Start a cluster whose answers take about a second."""
+        self.cluster = start_cluster(
+            self,
+            nodes=4,
+            engines_per_domain=5,
+            services_per_domain=2,
+            engine_flags=('--token_ms=25',),
+            settings={'stop_grace_ms': 20000},
+        )
+
+    def test_engine_says_that_it_leaves(self) -> None:
+        """Its replica takes no new work, ends its work, and is repaired."""
+        victim = self._member()
+
+        async def chaos() -> None:  # noqa: WPS430
+            await curio.sleep(2)
+            await self.cluster.control.leave(victim)
+
+        self._assert_sound(self._run(chaos, 14))
+        wait_until(lambda: self._is_replaced(victim), f'{victim} is replaced')
+
+    def test_list_says_that_an_engine_leaves(self) -> None:
+        """The platform's word counts as much as the engine's own."""
+        victim = self._member()
+
+        async def chaos() -> None:  # noqa: WPS430
+            await curio.sleep(2)
+            await self._list_as_leaving(victim)
+
+        self._assert_sound(self._run(chaos, 14))
+        wait_until(lambda: self._is_replaced(victim), f'{victim} is replaced')
+
+    def test_service_leaves(self) -> None:
+        """Calls go to the other instance."""
+
+        async def chaos() -> None:  # noqa: WPS430
+            await curio.sleep(2)
+            await self.cluster.control.leave(f'{_DOMAIN}-s0')
+
+        outcomes = self._run(
+            chaos,
+            10,
+            services=[('brigad-app', '/next')],
+            service_share=1.0,
+        )
+        self._assert_sound(outcomes)
+
+    def test_rolling_restart_of_all_nodes(self) -> None:
+        """No request is cut off, none is lost."""
+
+        async def chaos() -> None:  # noqa: WPS430
+            for name in _NODES:
+                await curio.run_in_thread(self._restart, name)
+
+        self._assert_sound(self._run(chaos, 40, per_second=8))
+        for name in _NODES:
+            log = (self.cluster.folder / f'{name}.log').read_text('utf-8')
+            self.assertIn('node_stopped', log)
+
+    def _restart(self, name: str) -> None:
+        process = self.cluster.processes[name]
+        process.terminate()
+        code = process.wait(30)
+        self.cluster.start_node(name)
+        if code:
+            raise AssertionError(f'{name} ended with {code}')
+        time.sleep(3)
+
+    async def _list_as_leaving(self, name: str) -> None:
+        address = self.cluster.addresses[name]
+        entry = {
+            'id': name,
+            'kind': 'engine',
+            'host': address.host,
+            'port': address.port,
+            'failure_domain': _DOMAIN,
+            'fabric_domain': f'{_DOMAIN}-f0',
+            'leaving': True,
+        }
+        platform: Address = self.cluster.addresses['platform']
+        await self.cluster.control.post(
+            platform,
+            '/standin/instances',
+            entry,
+        )
+        line = {'at': time.monotonic(), 'source': name, 'event': 'leaving'}
+        with self.cluster.record.open('ab') as record:
+            record.write(b'%b\n' % msgspec.json.encode(line))
+
+    def _run(
+        self,
+        chaos: Chaos,
+        seconds: float,
+        per_second: float = 10,
+        **profile: object,
+    ) -> list[Outcome]:
+        return run_under_load(
+            self.cluster,
+            chaos,
+            language_profile(**profile),
+            seconds,
+            per_second,
+        )
+
+    def _assert_sound(self, outcomes: Sequence[Outcome]) -> None:
+        events = read_record(self.cluster.record)
+        kinds = Counter(outcome.kind for outcome in outcomes)
+        self.assertEqual(set(kinds), {OutcomeKind.ANSWERED}, kinds)
+        summary = Summary.from_outcomes(outcomes, events)
+        self.assertEqual(summary.violations, 0)
+        self.assertEqual(cut_off(events), [])
+        late = [one.seconds_late for one in late_starts(events)]
+        self.assertLess(max(late, default=0), _LATE_SECONDS)
+
+    def _member(self) -> str:
+        return self._replica()[1]
+
+    def _is_replaced(self, victim: str) -> bool:
+        members = self._replica()
+        return bool(members) and victim not in members
+
+    def _replica(self) -> tuple[str, ...]:
+        return next(
+            (
+                replica.members
+                for replica in self.cluster.control.serving()
+                if replica.failure_domain == _DOMAIN
+            ),
+            (),
+        )
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -81,6 +81,36 @@
         'self._views.get(node_id)',
         'tests.unit.test_assemble',
     ),
+    Mutation(
+        'older-versions-are-taken',
+        'rollout/_current.py',
+        'release.version <= self._release.version',
+        'release == self._release',
+        'tests.unit.test_rollout',
+    ),
+    Mutation(
+        'checksums-are-not-compared',
+        'rollout/_current.py',
+        'hashlib.sha256(encoded).hexdigest() != release.sha256',
+        'not encoded',
+        'tests.unit.test_rollout',
+    ),
+    Mutation(
+        'leaving-is-not-heeded',
+        'targets/_assemble.py',
+        'and not report.draining',
+        '',
+        'tests.functional.test_leaving.LeavingTest'
+        '.test_engine_says_that_it_leaves',
+    ),
+    Mutation(
+        'a-node-stops-at-once',
+        'node/_node.py',
+        'while self._admission.inside and',
+        'while False and',
+        'tests.functional.test_leaving.LeavingTest'
+        '.test_rolling_restart_of_all_nodes',
+    ),
 )
 
 
