Keep probe connections, spread only news, pump streams with one timer

Change: digests over lasting entries only, as numbers; summaries on change; kept probe connections with entity tags, a closed one noticed at once, period 2 s; one timer a stream; members and shared-out instances cached; sockets without look-up. Routing policies can be chosen for measuring them.

Found by tests: with equal digests nothing was repeated any more, and a newcomer whose one question for the configuration was lost never got it (it now looks around each period); a node cut off kept nothing of what others had found while it began to ask itself (their findings count 1.5 s longer).

Ruled out: answering from a node that hears nobody while its own replica is down; what it knows of other domains is too old to be sure that a replica is whole, so the test asks for an honest refusal there.

--- a/src/cranecart/cli/_standin.py
+++ b/src/cranecart/cli/_standin.py
@@ -47,6 +47,7 @@
         ('first_token_ms', 20, 'time to the first token'),
         ('token_ms', 5, 'time between tokens'),
         ('prefill_ms', 30, 'added where the prefix is not cached'),
+        ('report_lag_ms', 200, 'lag of the load that an engine reports'),
         ('delay_ms', 5, 'time a service call takes'),
         ('load_ms', 500, 'time one load of weights takes'),
         ('parallel_loads', 16, 'loads that the weight store serves at once'),
@@ -110,6 +111,7 @@
         flag_values.prefill_ms,
         checks_fencing=flag_values.checks_fencing,
         checks_members=flag_values.checks_members,
+        report_lag_ms=flag_values.report_lag_ms,
     )
     record = Record.from_path(flag_values.instance, flag_values.record)
     engine = EngineStandin(address, options, record)
--- a/src/cranecart/clients/_attempts.py
+++ b/src/cranecart/clients/_attempts.py
@@ -81,12 +81,17 @@
         return describe_target_error(self._last)
 
 
-async def read_in_time(
+async def within_deadline(
     call: Call,
-    read: Callable[[], Awaitable[bytes]],
-) -> bytes:
-    """Read within the call's time; raise ``TargetTimeoutError``."""
+    function: Callable[..., Awaitable[Answer]],
+    *arguments: object,
+) -> Answer:
+    """Await within the call's time; raise ``TargetTimeoutError``."""
     try:
-        return await curio.timeout_after(call.seconds_left, read)
+        return await curio.timeout_after(
+            call.seconds_left,
+            function,
+            *arguments,
+        )
     except TaskTimeout as error:
         raise TargetTimeoutError('the answer was not whole in time') from error
--- a/src/cranecart/clients/_gateway.py
+++ b/src/cranecart/clients/_gateway.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cranecart.claims import Claims, Held, Replay
-from cranecart.clients._attempts import Attempts, read_in_time
+from cranecart.clients._attempts import Attempts, within_deadline
 from cranecart.clients._errors import error_response
 from cranecart.clients._reading import find_organisation, read_call
 from cranecart.clients._relay import StreamRelay
@@ -30,7 +30,7 @@
 )
 
 _OK = 200
-_PASSED_ON = frozenset(('content-type', 'x-replayed'))
+_PASSED_ON = frozenset(('content-type', 'x-replayed', 'x-cache'))
 
 
 @attrs.define
@@ -141,7 +141,7 @@
             tried.append(replica.id)
             with self._router.in_flight(replica.id):
                 async with await self._engines.start(replica, call) as answer:
-                    body = await read_in_time(call, answer.read_body)
+                    body = await within_deadline(call, answer.read_body)
                     return Response(_OK, answer.head.headers, body)
 
         return await Attempts(call, self._budget).run(attempt)
--- a/src/cranecart/clients/_relay.py
+++ b/src/cranecart/clients/_relay.py
@@ -1,6 +1,6 @@
 """Pass a stream on; go on at another replica where that is safe."""
 
-from cranecart.clients._attempts import read_in_time
+from cranecart.clients._attempts import within_deadline
 from cranecart.clients._errors import ErrorBody
 from cranecart.clients._events import EventCounter, error_event
 from cranecart.exceptions import (
@@ -83,7 +83,8 @@
         )
         async with answer:
             await self._start()
-            await self._pass_all_on(answer)
+            # One timer for the whole stream; one an event costs too much.
+            await within_deadline(self._call, self._pass_all_on, answer)
             if not self.is_finished:
                 raise TargetBrokenError(f'{replica.id} stopped mid-stream')
         if not self._client_left:
@@ -102,7 +103,7 @@
         )
 
     async def _pass_all_on(self, answer: EngineAnswer) -> None:
-        while piece := await read_in_time(self._call, answer.read_piece):
+        while piece := await answer.read_piece():
             whole = self._counter.feed(piece)
             if not whole:
                 continue
--- a/src/cranecart/config/_settings.py
+++ b/src/cranecart/config/_settings.py
@@ -31,6 +31,7 @@
     client_address: str = attrs.field(validator=_is_address)
     operator_address: str = attrs.field(validator=_is_address)
     peer_address: str = attrs.field(validator=_is_address)
+    advertised_peer_address: str = ''
     platform_address: str = attrs.field(validator=_is_address)
     operator_key_sha256: str
     peers: tuple[str, ...] = ()
@@ -46,6 +47,7 @@
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
+    routing_policy: str = 'prefix'
     seed: int = 0
 
     @classmethod
@@ -66,6 +68,11 @@
         """Return where operators are served."""
         return Address.from_text(self.operator_address)
 
+    @property
+    def reached_at(self) -> str:
+        """Return where other nodes reach this one."""
+        return self.advertised_peer_address or self.peer_address
+
     @property
     def platform(self) -> Address:
         """Return where the platform is."""
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -1,6 +1,7 @@
 """The asking side of HTTP: one connection, and a pool of idle ones."""
 
 import select
+import socket
 from collections import defaultdict
 from typing import Self
 
@@ -50,17 +51,23 @@
         connect_seconds: float = _CONNECT_SECONDS,
     ) -> Self:
         """Connect; raise ``ConnectFailedError`` when that does not succeed."""
+        # curio's own helper looks names up in a thread; here are IP numbers.
+        sock = curio.io.Socket(socket.socket())
         try:
-            sock = await curio.timeout_after(
+            await curio.timeout_after(
                 connect_seconds,
-                curio.open_connection,
-                address.host,
-                address.port,
+                sock.connect,
+                (address.host, address.port),
             )
         except (OSError, TaskTimeout) as error:
+            await sock.close()
             raise ConnectFailedError(
                 f'{address} cannot be reached: {error!r}',
             ) from error
+        except BaseException:
+            await sock.close()
+            raise
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return cls(address, sock)
 
     @property
@@ -76,6 +83,13 @@
         ready, _, _ = select.select([self._sock.fileno()], [], [], 0)
         return not ready
 
+    async def wait_closed(self) -> None:
+        """Return once the idle peer closed, or spoke unasked."""
+        try:
+            await self._sock.recv(1)
+        except OSError:
+            return
+
     def reset(self) -> None:
         """Get ready for the next request on this connection."""
         self._h11.start_next_cycle()
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -88,8 +88,12 @@
         )
 
     async def write(self, piece: bytes) -> None:
-        """Send a piece of the body."""
-        await self._write(h11.Data(data=piece))
+        """Send a piece of the body; its caller bounds the time."""
+        encoded = self._h11.send(h11.Data(data=piece))
+        try:
+            await self._sock.sendall(encoded)
+        except OSError as error:
+            raise ConnectionBrokenError('the client went away') from error
 
     async def end(self) -> None:
         """Send the end of the body."""
--- a/src/cranecart/load/__init__.py
+++ b/src/cranecart/load/__init__.py
@@ -10,11 +10,14 @@
     partial_starts,
     shared_instances,
 )
-from cranecart.load._report import Summary, quantile
+from cranecart.load._report import P50, P95, P99, Summary, quantile
 from cranecart.load._runner import Profile, make_calls, run_load
 from cranecart.load._sending import send_call
 
 __all__ = (
+    'P50',
+    'P95',
+    'P99',
     'Balancer',
     'Entry',
     'LateStart',
--- a/src/cranecart/load/_report.py
+++ b/src/cranecart/load/_report.py
@@ -11,8 +11,9 @@
 from cranecart.load._calls import Outcome, OutcomeKind
 
 _MILLISECONDS = 1000
-_P50 = 0.5
-_P95 = 0.95
+P50 = 0.5
+P95 = 0.95
+P99 = 0.99
 
 
 def quantile(numbers: Iterable[float], share: float) -> float:
@@ -73,10 +74,10 @@
             rejected=kinds[OutcomeKind.REJECTED],
             doubled=count_doubled(outcomes, started),
             ran_though_refused=count_false_refusals(outcomes, started),
-            first_token_ms_p50=quantile(firsts, _P50),
-            first_token_ms_p95=quantile(firsts, _P95),
-            between_tokens_ms_p50=quantile(gaps, _P50),
-            between_tokens_ms_p95=quantile(gaps, _P95),
+            first_token_ms_p50=quantile(firsts, P50),
+            first_token_ms_p95=quantile(firsts, P95),
+            between_tokens_ms_p50=quantile(gaps, P50),
+            between_tokens_ms_p95=quantile(gaps, P95),
         )
 
     @property
--- a/src/cranecart/metrics.py
+++ b/src/cranecart/metrics.py
@@ -43,6 +43,11 @@
             'cranecart_serving_replicas',
             description='whole replicas that this node may send to',
         )
+        self.control = meter.create_gauge(
+            'cranecart_control',
+            description='messages and bytes to and from peers, and calls of '
+            'the platform, since the start',
+        )
         self.config_version = meter.create_gauge(
             'cranecart_config_version',
             description='version of the configuration in force',
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -21,7 +21,7 @@
 from cranecart.operators import NodeStatus
 from cranecart.platform import PlatformClient, WriteBatcher
 from cranecart.rollout import CurrentConfig
-from cranecart.routing import Router
+from cranecart.routing import Router, policy_from_name
 from cranecart.signals import StopSignal, raise_first_error, stop_signal
 from cranecart.targets import (
     Directory,
@@ -53,7 +53,8 @@
         self._config = CurrentConfig()
         self._book = ReportBook(settings.node_id)
         source = random.Random(f'{settings.seed}{settings.node_id}')
-        platform = PlatformClient(settings.platform)
+        self._platform = PlatformClient(settings.platform)
+        platform = self._platform
         self._directory = Directory(settings.failure_domain, self._book)
         shares = Shares()
         self._peering = Peering.from_settings(
@@ -84,7 +85,11 @@
         )
         gateway = Gateway(
             self._config.declarations,
-            Router(self._directory, source),
+            Router(
+                self._directory,
+                source,
+                policy_from_name(settings.routing_policy),
+            ),
             EngineClient(),
             ServiceClient(),
             Claims(settings.node_id, WriteBatcher(platform)),
@@ -96,7 +101,7 @@
             self._control.admin(
                 self._is_ready,
                 self._status,
-                self._metrics.text,
+                self._metrics_text,
             ).handle,
         )
 
@@ -158,6 +163,18 @@
         body = msgspec.to_builtins(probe)
         self._peering.peers.publish(Topic.REPORT, instance_id, body)
 
+    def _metrics_text(self) -> bytes:
+        counts = {
+            **self._peering.counts(),
+            'platform_reads': self._platform.reads,
+            'platform_writes': self._platform.writes,
+        }
+        for name, number in counts.items():
+            self._metrics.control.set(number, {'what': name})
+        self._metrics.serving_replicas.set(len(self._book.serving()))
+        self._metrics.config_version.set(self._config.release.version)
+        return self._metrics.text()
+
     def _is_ready(self) -> bool:
         if self._stopping or self._config.declarations() is None:
             return False
--- a/src/cranecart/node/_peering.py
+++ b/src/cranecart/node/_peering.py
@@ -54,7 +54,7 @@
         link = NodeLink(Address.from_text(settings.peer_address))
         members = Members(
             settings.node_id,
-            MemberInfo(settings.peer_address, settings.failure_domain),
+            MemberInfo(settings.reached_at, settings.failure_domain),
             store,
             # A later life of the same node outranks the earlier one.
             int(time.time() * _MILLISECONDS),
@@ -92,6 +92,10 @@
             await tasks.spawn(self.state.run, self.peers)
         raise_first_error(tasks)
 
+    def counts(self) -> dict[str, int]:
+        """Return the messages and bytes of the link so far."""
+        return self._link.counts()
+
     def close(self) -> None:
         """Close the sockets."""
         self._link.close()
--- a/src/cranecart/node/_shared_state.py
+++ b/src/cranecart/node/_shared_state.py
@@ -1,5 +1,6 @@
 """What this node tells others and takes from them, between its parts."""
 
+import time
 from collections.abc import Collection, Iterable
 
 import attrs
@@ -22,8 +23,12 @@
 
 _TICK_SECONDS = 0.1
 _SUMMARY_TICKS = 10
+_REFRESH_TICKS = 30
 _MAX_NAMED = 8
 _DEMAND_TICKS = 200
+# How long the findings of a node that is doubted still count; by then those
+# who ask in its place have found something.
+_GRACE_SECONDS = 1.5
 _PROBERS_PER_INSTANCE = 2
 
 
@@ -37,8 +42,12 @@
     _directory: Directory
     _config: CurrentConfig
     _shares: Shares
+    _summary: Summary | None = attrs.field(default=None, init=False)
     _demand: dict[str, int] = attrs.field(factory=dict, init=False)
     _live: frozenset[str] = attrs.field(factory=frozenset, init=False)
+    _counting: frozenset[str] = attrs.field(factory=frozenset, init=False)
+    _seen_live: dict[str, float] = attrs.field(factory=dict, init=False)
+    _probed: list[str] = attrs.field(factory=list, init=False)
 
     async def run(self, peers: Peers) -> None:
         """Follow who lives, and tell what changed here."""
@@ -49,20 +58,14 @@
             self._publish_demand(peers, ticks)
             ticks += 1
             if ticks % _SUMMARY_TICKS == 0 and self._is_relay():
-                summary = msgspec.to_builtins(
-                    self._directory.summary(
-                        self.versions(),
-                        self._domain_demand(),
-                    ),
-                )
-                domain = self._members.info.failure_domain
-                peers.publish(Topic.SUMMARY, domain, summary)
+                self._publish_summary(peers, ticks)
             await curio.sleep(_TICK_SECONDS)
 
     def replace_instances(self, instances: Iterable[Instance]) -> None:
         """Take over a new list, and what was said of those new on it."""
         self._book.replace_instances(instances)
-        self._retake_reports(self._live)
+        self._choose_probed()
+        self._retake_reports(self._counting)
 
     def stop(self) -> None:
         """Tell others that this node is about to stop."""
@@ -111,8 +114,12 @@
 
     def probed(self) -> Collection[str]:
         """Return the instances that this node answers for."""
+        return self._probed
+
+    def _choose_probed(self) -> None:
+        # Worth doing on change only: it is a hash for each instance and node.
         domain = self._members.info.failure_domain
-        return [
+        self._probed = [
             name
             for name, instance in self._book.instances.items()
             if instance.failure_domain == domain
@@ -124,14 +131,23 @@
         live = frozenset(self._members.alive())
         if peers.is_isolated:
             live = frozenset((self._members.node_id,))
-        if live == self._live:
-            return
-        returned = live - self._live
-        self._live = live
-        self._shares.expect(live - {self._members.node_id})
-        self._book.replace_live_nodes(live)
-        # What they found while they were doubted has to be taken in again.
-        self._retake_reports(returned)
+        now = time.monotonic()
+        self._seen_live.update(dict.fromkeys(live, now))
+        counting = frozenset(
+            name
+            for name, seen in self._seen_live.items()
+            if now - seen < _GRACE_SECONDS
+        )
+        if live != self._live:
+            self._live = live
+            self._shares.expect(live - {self._members.node_id})
+            self._choose_probed()
+        if counting != self._counting:
+            returned = counting - self._counting
+            self._counting = counting
+            self._book.replace_live_nodes(counting)
+            # What was found in doubtful times has to be taken in again.
+            self._retake_reports(returned)
 
     def _retake_reports(self, origins: Collection[str]) -> None:
         for entry in list(self._store.of_topic(Topic.REPORT)):
@@ -147,6 +163,19 @@
             self._demand = demand
             peers.publish(Topic.DEMAND, self._members.node_id, demand)
 
+    def _publish_summary(self, peers: Peers, ticks: int) -> None:
+        summary = self._directory.summary(
+            self.versions(),
+            self._domain_demand(),
+        )
+        if summary != self._summary or ticks % _REFRESH_TICKS == 0:
+            self._summary = summary
+            peers.publish(
+                Topic.SUMMARY,
+                summary.failure_domain,
+                msgspec.to_builtins(summary),
+            )
+
     def _domain_demand(self) -> dict[str, int]:
         near = self._shares.heard(self._members.others())
         near.update(self._shares.demand())
@@ -180,7 +209,7 @@
     def _take_report(self, entry: Entry) -> None:
         name = entry.key.subject
         origin = entry.key.origin
-        if origin not in self._live or origin == self._members.node_id:
+        if origin not in self._counting or origin == self._members.node_id:
             return
         probe = msgspec.convert(entry.body, Probe)
         match probe.reach:
--- a/src/cranecart/nodes/_config_exchange.py
+++ b/src/cranecart/nodes/_config_exchange.py
@@ -4,10 +4,16 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 from cranecart.exceptions import DamagedObjectError
 from cranecart.logs import decision
-from cranecart.nodes._entries import Entry, Message, MessageKind
+from cranecart.nodes._entries import (
+    Entry,
+    MemberInfo,
+    Message,
+    MessageKind,
+)
 from cranecart.nodes._speaker import Speaker
 
 _ASK_SECONDS = 0.3
@@ -33,11 +39,19 @@
 
     def look_at(self, entry: Entry) -> None:
         """Ask for a newer version that a member entry announces."""
-        now = time.monotonic()
-        is_newer = entry.body['config_version'] > self._read().version
-        if is_newer and now - self._asked_at > _ASK_SECONDS:
-            self._asked_at = now
-            self._speaker.send(entry.body['address'], MessageKind.CONFIG_ASK)
+        info = msgspec.convert(entry.body, MemberInfo)
+        self._ask_if_newer(info)
+
+    def look_around(self) -> None:
+        """Ask again if another node is still ahead, as asking may be lost."""
+        others = self._speaker.members.others().values()
+        newest = max(
+            others,
+            key=lambda info: info.config_version,
+            default=None,
+        )
+        if newest is not None:
+            self._ask_if_newer(newest)
 
     def give(self, message: Message) -> None:
         """Answer a node that asked."""
@@ -63,3 +77,10 @@
                 version=held.version,
                 why=str(error),
             )
+
+    def _ask_if_newer(self, info: MemberInfo) -> None:
+        now = time.monotonic()
+        is_newer = info.config_version > self._read().version
+        if is_newer and now - self._asked_at > _ASK_SECONDS:
+            self._asked_at = now
+            self._speaker.send(info.address, MessageKind.CONFIG_ASK)
--- a/src/cranecart/nodes/_link.py
+++ b/src/cranecart/nodes/_link.py
@@ -53,6 +53,16 @@
         self.sent_messages += 1
         self.sent_bytes += len(encoded)
 
+    def counts(self) -> dict[str, int]:
+        """Return the messages and bytes so far, by name."""
+        return {
+            'peer_messages_sent': self.sent_messages,
+            'peer_bytes_sent': self.sent_bytes,
+            'peer_messages_received': self.received_messages,
+            'peer_bytes_received': self.received_bytes,
+            'peer_messages_dropped': self.dropped,
+        }
+
     async def receive(self) -> Message:
         """Return the next message that can be read."""
         while True:
--- a/src/cranecart/nodes/_members.py
+++ b/src/cranecart/nodes/_members.py
@@ -1,7 +1,7 @@
 """Who is a member: alive, suspected, dead, by incarnations."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import msgspec
@@ -38,6 +38,9 @@
     _store: EntryStore
     _incarnation: int
     _clock: Callable[[], float] = time.monotonic
+    _seen: int = attrs.field(default=-1, init=False)
+    _others: dict[str, MemberInfo] = attrs.field(factory=dict, init=False)
+    _alive: list[str] = attrs.field(factory=list, init=False)
     _sequence: int = attrs.field(default=0, init=False)
     _changed_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _known_status: dict[str, MemberStatus] = attrs.field(
@@ -108,37 +111,48 @@
         """Return the addresses of the others."""
         return {info.address for info in self.others().values()}
 
-    def others(self) -> dict[str, MemberInfo]:
+    def others(self) -> Mapping[str, MemberInfo]:
         """Return the other nodes of this failure domain, dead ones not."""
-        return {
-            name: info
-            for name, info in self.everybody()
-            if name != self.node_id
-        }
+        self._refresh()
+        return self._others
 
     def alive(self) -> list[str]:
         """Return the ids of this domain's nodes that nobody doubts."""
-        sure = (
-            name
-            for name in self.others()
-            if self.status(name) is MemberStatus.ALIVE
-        )
-        return sorted([self.node_id, *sure])
+        self._refresh()
+        return self._alive
 
     def everybody(self) -> Iterator[tuple[str, MemberInfo]]:
         """Yield all nodes that are not dead, with what they said."""
-        for entry in self._store.of_topic(Topic.MEMBER):
-            if entry.status is not MemberStatus.DEAD:
-                yield (
-                    entry.key.subject,
-                    msgspec.convert(entry.body, MemberInfo),
-                )
+        yield self.node_id, self.info
+        yield from self.others().items()
 
     def status(self, node_id: str) -> MemberStatus | None:
         """Return what is held of a node, if anything is."""
         entry = self._store.get(member_key(node_id))
         return entry.status if entry else None
 
+    def _refresh(self) -> None:
+        """Read the entries anew, if a member entry has changed."""
+        if self._seen == self._store.member_changes:
+            return
+        self._seen = self._store.member_changes
+        entries = [
+            entry
+            for entry in self._store.of_topic(Topic.MEMBER)
+            if entry.key.subject != self.node_id
+            and entry.status is not MemberStatus.DEAD
+        ]
+        self._others = {
+            entry.key.subject: msgspec.convert(entry.body, MemberInfo)
+            for entry in entries
+        }
+        sure = [
+            entry.key.subject
+            for entry in entries
+            if entry.status is MemberStatus.ALIVE
+        ]
+        self._alive = sorted([self.node_id, *sure])
+
     def _expire(self, entry: Entry, age: float) -> None:
         name = entry.key.subject
         match entry.status:
--- a/src/cranecart/nodes/_peers.py
+++ b/src/cranecart/nodes/_peers.py
@@ -33,7 +33,7 @@
 _SYNC_SECONDS = 3.0
 _PAUSE_SECONDS = 1.5
 _FAR_PERIODS = 4
-_ISOLATED_SECONDS = 3.0
+_ISOLATED_SECONDS = 2.5
 
 
 @attrs.frozen
@@ -86,6 +86,7 @@
         self._turns = TurnProbing(speaker, source, settings.answer_seconds)
         self._listed: tuple[str, ...] = ()
         self._sequence = 0
+        self._dropped_at_change = -1
         self._mismatches = 0
         self._synced_at = float('-inf')
         self._heard_at = time.monotonic()
@@ -126,6 +127,7 @@
             self._members.expire()
             self._drop_entries_of_dead()
             self._greet(number)
+            self._config.look_around()
             await self._turns.probe_next()
 
     def _wake_up(self) -> None:
@@ -145,6 +147,9 @@
             self._speaker.send(chosen, MessageKind.SYNC)
 
     def _drop_entries_of_dead(self) -> None:
+        if self._dropped_at_change == self._store.member_changes:
+            return
+        self._dropped_at_change = self._store.member_changes
         # Entries may arrive before their origin's own; those are kept.
         self._store.forget(
             entry.key
--- a/src/cranecart/nodes/_store.py
+++ b/src/cranecart/nodes/_store.py
@@ -10,20 +10,22 @@
 
 from cranecart.nodes._entries import Entry, EntryKey, Topic
 
-_SPREAD_FACTOR = 3
-_MAX_PER_MESSAGE = 24
+_SPREAD_FACTOR = 2
+_MAX_PER_MESSAGE = 48
+_PERIODIC = frozenset((Topic.SUMMARY, Topic.DEMAND))
 
 
 @attrs.define
 class EntryStore:
     """Last-writer-wins entries with a queue of news for the next messages.
 
-    ``digest`` is equal on two nodes that hold the same entries.
+    ``digest`` is equal on two nodes that hold the same lasting entries.
     """
 
     _entries: dict[EntryKey, Entry] = attrs.field(factory=dict, init=False)
     _news: dict[EntryKey, int] = attrs.field(factory=dict, init=False)
     digest: int = attrs.field(default=0, init=False)
+    member_changes: int = attrs.field(default=0, init=False)
 
     def get(self, key: EntryKey) -> Entry | None:
         """Return the entry of a key."""
@@ -46,9 +48,9 @@
         known = self._entries.get(entry.key)
         if known is not None and known.version >= entry.version:
             return False
-        if known is not None:
-            self.digest ^= _mark(known)
-        self.digest ^= _mark(entry)
+        self._count(known)
+        self._count(entry)
+        self.member_changes += entry.key.topic is Topic.MEMBER
         self._entries[entry.key] = entry
         self._news[entry.key] = 0
         return True
@@ -58,8 +60,8 @@
         for key in list(keys):
             known = self._entries.pop(key, None)
             self._news.pop(key, None)
-            if known is not None:
-                self.digest ^= _mark(known)
+            self.member_changes += key.topic is Topic.MEMBER
+            self._count(known)
 
     def next_news(self, nodes: int) -> tuple[Entry, ...]:
         """Return the news for one message, the least often sent first.
@@ -80,6 +82,15 @@
                 self._news.pop(key)
         return tuple(self._entries[key] for key in chosen)
 
+    def _count(self, entry: Entry | None) -> None:
+        """Take an entry into the digest, or out of it again.
+
+        What is published again and again anyway is left out: it differs
+        between any two nodes at most times, and need not be asked for.
+        """
+        if entry is not None and entry.key.topic not in _PERIODIC:
+            self.digest ^= _mark(entry)
+
 
 def _mark(entry: Entry) -> int:
     key = entry.key
@@ -87,6 +98,6 @@
         key.topic.value,
         key.subject,
         key.origin,
-        *entry.version,
+        *map(int, entry.version),
     )
     return zlib.crc32(repr(name).encode())
--- a/src/cranecart/routing/__init__.py
+++ b/src/cranecart/routing/__init__.py
@@ -1,5 +1,6 @@
 """Choose the replica or service instance for a call."""
 
+from cranecart.routing._policies import POLICIES, policy_from_name
 from cranecart.routing._router import Router
 
-__all__ = ('Router',)
+__all__ = ('POLICIES', 'Router', 'policy_from_name')
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -1,7 +1,6 @@
-"""Choose by prefix affinity while it is not overloaded, then by load."""
+"""Choose targets among those that serve, near ones first."""
 
 import contextlib
-import hashlib
 import random
 from collections import Counter
 from collections.abc import Collection, Generator, Iterable
@@ -16,6 +15,7 @@
 from cranecart.logs import decision
 from cranecart.models import Instance
 from cranecart.routing._ejection import Ejection
+from cranecart.routing._policies import Policy, PrefixAffinity, choose
 from cranecart.targets import (
     CompletionCall,
     Directory,
@@ -23,9 +23,6 @@
     ServingReplica,
 )
 
-_BOUND = 1.25
-_DIGEST_BYTES = 8
-
 
 @attrs.define
 class Router:
@@ -33,6 +30,7 @@
 
     _directory: Directory
     _random: random.Random
+    _policy: Policy = attrs.field(factory=PrefixAffinity)
     _ejection: Ejection = attrs.field(factory=Ejection, init=False)
     _in_flight: Counter[str] = attrs.field(factory=Counter, init=False)
 
@@ -43,9 +41,8 @@
     ) -> ServingReplica:
         """Return a whole replica; raise ``NoReplicaError`` if none is left.
 
-        Replicas of the own failure domain go first. All nodes rank them
-        alike for a prompt's prefix, so that caches stay warm without a
-        message; one that is over its share of the load is passed over.
+        Replicas of the own failure domain go first; among them the policy
+        chooses.
         """
         matching = [
             replica
@@ -54,17 +51,14 @@
         ]
         if not matching:
             raise NoReplicaError(f'no whole replica of {call.model} serves')
-        ranked = sorted(
+        choice = choose(
+            self._policy,
             self._nearest(self._ejection.without_ejected(matching)),
-            key=lambda replica: _score(call.prefix, replica.id),
-            reverse=True,
-        )
-        mean = sum(map(self.load, ranked)) / len(ranked)
-        chosen = next(
-            replica
-            for replica in (*ranked, min(ranked, key=self.load))
-            if self.load(replica) <= _BOUND * mean + 1
+            call.prefix,
+            self.load,
+            self._random,
         )
+        chosen = choice.replica
         decision(
             'routed',
             request=call.request_id,
@@ -73,10 +67,8 @@
             replica=chosen.id,
             generation=chosen.generation,
             load=self.load(chosen),
-            why='prefix' if chosen is ranked[0] else 'prefix over its load',
-            passed_over=[
-                replica.id for replica in ranked[: ranked.index(chosen)]
-            ],
+            why=choice.reason,
+            passed_over=choice.passed_over,
             tried=list(tried),
         )
         return chosen
@@ -151,10 +143,3 @@
         and call.version in {'', replica.version}
         and (not call.adapter or call.adapter in replica.adapters)
     )
-
-
-def _score(prefix: str, replica_id: str) -> bytes:
-    return hashlib.blake2b(
-        f'{prefix}|{replica_id}'.encode(),
-        digest_size=_DIGEST_BYTES,
-    ).digest()
--- a/src/cranecart/standins/_engine.py
+++ b/src/cranecart/standins/_engine.py
@@ -1,5 +1,6 @@
 """Stand-in of a model engine: one process is one instance of a replica."""
 
+import zlib
 from collections import OrderedDict
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -14,6 +15,7 @@
     HttpServer,
     Request,
     Responder,
+    Response,
     json_response,
 )
 from cranecart.models import MemberReport, MemberState
@@ -24,6 +26,7 @@
 from cranecart.standins._tokens import token_text
 
 _OK = 200
+_NOT_MODIFIED = 304
 _BAD_REQUEST = 400
 _CONFLICT = 409
 _MILLISECONDS = 1000
@@ -79,7 +82,7 @@
     async def _handle(self, request: Request, responder: Responder) -> None:
         match request.path:
             case '/status':
-                await responder.send(json_response(_OK, self._report()))
+                await responder.send(self._status(request))
             case '/collective':
                 await self._membership.answer_collective(request, responder)
             case '/orders':
@@ -98,6 +101,16 @@
             case _:
                 await self._complete(request, responder)
 
+    def _status(self, request: Request) -> Response:
+        response = json_response(_OK, self._report())
+        tag = f'"{zlib.crc32(response.body):08x}"'
+        if request.headers.get('if-none-match') == tag:
+            return Response(_NOT_MODIFIED, {'etag': tag})
+        return attrs.evolve(
+            response,
+            headers={**response.headers, 'etag': tag},
+        )
+
     def _report(self) -> MemberReport:
         running, queued = self._reported_load
         return attrs.evolve(
--- a/src/cranecart/targets/__init__.py
+++ b/src/cranecart/targets/__init__.py
@@ -6,11 +6,12 @@
 from cranecart.targets._directory import Directory, Summary
 from cranecart.targets._engine import EngineAnswer, EngineClient
 from cranecart.targets._instances import InstanceFollower
-from cranecart.targets._prober import Prober
+from cranecart.targets._prober import PROBE_SECONDS, Prober
 from cranecart.targets._reports import Probe, Reach, is_material
 from cranecart.targets._service import ServiceClient
 
 __all__ = (
+    'PROBE_SECONDS',
     'Call',
     'CompletionCall',
     'Directory',
--- a/src/cranecart/targets/_book.py
+++ b/src/cranecart/targets/_book.py
@@ -12,6 +12,7 @@
 # How long nobody must reach an instance until it is given up.
 LOST_SECONDS = 3.0
 PAUSE_SECONDS = 1.5
+_LOOK_SECONDS = 0.5
 
 
 @attrs.define
@@ -23,6 +24,7 @@
     _instances: dict[str, Instance] = attrs.field(factory=dict, init=False)
     _views: dict[str, InstanceViews] = attrs.field(factory=dict, init=False)
     _missing_since: dict[str, float] = attrs.field(factory=dict, init=False)
+    _looked_at: float = attrs.field(default=float('-inf'), init=False)
     _ticked_at: float | None = attrs.field(default=None, init=False)
 
     @property
@@ -79,6 +81,9 @@
             self.forget_shared()
             self._missing_since = dict.fromkeys(self._missing_since, now)
         self._ticked_at = now
+        if now - self._looked_at < _LOOK_SECONDS:
+            return was_paused
+        self._looked_at = now
         self._missing_since.update(
             dict.fromkeys(filter(self._is_reached, self._instances), now),
         )
--- /dev/null
+++ b/src/cranecart/targets/_probe_link.py
@@ -0,0 +1,120 @@
+"""One connection for asking one instance how it is, again and again."""
+
+import attrs
+import curio
+import msgspec
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import (
+    ConnectFailedError,
+    HttpError,
+    TargetBrokenError,
+    TargetError,
+    TargetNotReachedError,
+    TargetTimeoutError,
+)
+from cranecart.http import HttpConnection, Request, Response
+from cranecart.models import (
+    Instance,
+    InstanceKind,
+    MemberReport,
+    MemberState,
+)
+from cranecart.targets._engine import read_report
+
+_ANSWER_SECONDS = 0.8
+_NOT_MODIFIED = 304
+_PATH = '/status'
+
+
+@attrs.frozen
+class _ServiceStatus:
+    draining: bool = False
+
+
+@attrs.define
+class ProbeLink:
+    """Asks for a report, or whether it is still the same.
+
+    The connection stays open between probes: that saves most of a probe's
+    bytes, and tells at once when the process at its other end dies.
+    """
+
+    _connection: HttpConnection | None = attrs.field(default=None, init=False)
+    _tag: str = attrs.field(default='', init=False)
+    _report: MemberReport | None = attrs.field(default=None, init=False)
+
+    async def fetch(self, instance: Instance) -> MemberReport:
+        """Return the instance's report; raise ``TargetError``."""
+        try:
+            return await curio.timeout_after(
+                _ANSWER_SECONDS,
+                self._fetch,
+                instance,
+            )
+        except TaskTimeout as error:
+            await self.close()
+            raise TargetTimeoutError(f'{instance.id} is silent') from error
+        except TargetError:
+            await self.close()
+            raise
+
+    async def idle(self, seconds: float) -> None:
+        """Wait, but not on once the other end has closed."""
+        if self._connection is None:
+            await curio.sleep(seconds)
+            return
+        async with curio.ignore_after(seconds):
+            await self._connection.wait_closed()
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connection and forget what it told."""
+        connection = self._connection
+        self._connection = None
+        self._tag = ''
+        if connection is not None:
+            await connection.close()
+
+    async def _fetch(self, instance: Instance) -> MemberReport:
+        try:
+            response = await self._ask(instance)
+        except ConnectFailedError as error:
+            raise TargetNotReachedError(str(error)) from error
+        except HttpError as error:
+            raise TargetBrokenError(str(error)) from error
+        if response.status == _NOT_MODIFIED and self._report is not None:
+            return self._report
+        self._report = _decode(instance, response)
+        self._tag = response.headers.get('etag', '')
+        return self._report
+
+    async def _ask(self, instance: Instance) -> Response:
+        if self._connection is None:
+            self._connection = await HttpConnection.open(instance.address)
+        connection = self._connection
+        headers = {'if-none-match': self._tag} if self._tag else {}
+        await connection.send(Request('GET', _PATH, headers))
+        head = await connection.read_head()
+        body = await connection.read_body()
+        if connection.is_reusable:
+            connection.reset()
+        else:
+            await self.close()
+        return Response(head.status, head.headers, body)
+
+
+def _decode(instance: Instance, response: Response) -> MemberReport:
+    if not response.is_success:
+        raise TargetBrokenError(f'{instance.id} answered {response.status}')
+    if instance.kind is InstanceKind.ENGINE:
+        return read_report(instance, response)
+    try:
+        status = msgspec.json.decode(response.body, type=_ServiceStatus)
+    except msgspec.MsgspecError as error:
+        raise TargetBrokenError(f'{instance.id}: {error}') from error
+    return MemberReport(
+        instance.id,
+        MemberState.READY,
+        draining=status.draining,
+    )
--- a/src/cranecart/targets/_prober.py
+++ b/src/cranecart/targets/_prober.py
@@ -7,34 +7,24 @@
 
 import attrs
 import curio
-import msgspec
 
 from cranecart.exceptions import TargetError
-from cranecart.http import Request
-from cranecart.models import (
-    Instance,
-    InstanceKind,
-    MemberReport,
-    MemberState,
-)
+from cranecart.models import MemberReport
 from cranecart.targets._book import ReportBook
-from cranecart.targets._engine import ask, read_report
+from cranecart.targets._probe_link import ProbeLink
 from cranecart.targets._reports import Probe, Reach, is_material
 
 _LOG = logging.getLogger(__name__)
-_PROBE_SECONDS = 0.5
-_ANSWER_SECONDS = 0.8
+# A process that dies is noticed at once, by its closed connection; the
+# period counts for those that hang or whose machine is gone.
+PROBE_SECONDS = 2.0
 _TICK_SECONDS = 0.25
+_FIRST_SECONDS = 0.3
 _JITTER = 0.2
 _HANDOVER_SECONDS = 3.0
 _MAX_PER_SECOND = 300
 
 
-@attrs.frozen
-class _ServiceStatus:
-    draining: bool = False
-
-
 @attrs.define
 class Prober:
     """Probes the instances that this node answers for."""
@@ -86,29 +76,34 @@
         ]
 
     async def _probe(self, name: str) -> None:
-        await curio.sleep(self._random.random() * _PROBE_SECONDS)
-        while True:
-            instance = self._book.instances.get(name)
-            if instance is not None:
-                await self._probe_once(instance)
-            jitter = 1 + _JITTER * (self._random.random() - 1 / 2)
-            await curio.sleep(self._interval() * jitter)
+        await curio.sleep(self._random.random() * _FIRST_SECONDS)
+        link = ProbeLink()
+        try:
+            while True:
+                await self._probe_once(name, link)
+                jitter = 1 + _JITTER * (self._random.random() - 1 / 2)
+                await link.idle(self._interval() * jitter)
+        finally:
+            await link.close()
 
     def _interval(self) -> float:
         # A node cut off from all others asks every instance itself, and
         # then more slowly, though still within the time a report counts.
-        return max(_PROBE_SECONDS, len(self._tasks) / _MAX_PER_SECOND)
+        return max(PROBE_SECONDS, len(self._tasks) / _MAX_PER_SECOND)
 
-    async def _probe_once(self, instance: Instance) -> None:
+    async def _probe_once(self, name: str, link: ProbeLink) -> None:
+        instance = self._book.instances.get(name)
+        if instance is None:
+            return
         try:
-            report = await fetch_report(instance)
+            report = await link.fetch(instance)
         except TargetError as error:
-            _LOG.debug('%s did not answer: %s', instance.id, error)
-            self._book.note_unreachable(instance.id)
-            self._tell(instance.id, None)
+            _LOG.debug('%s did not answer: %s', name, error)
+            self._book.note_unreachable(name)
+            self._tell(name, None)
         else:
             self._book.note(report)
-            self._tell(instance.id, report)
+            self._tell(name, report)
 
     def _tell(self, name: str, report: MemberReport | None) -> None:
         """Let other nodes hear of the first report and of changes."""
@@ -116,16 +111,3 @@
             self._told[name] = report
             reach = Reach.SILENT if report is None else Reach.ANSWERED
             self._noted(name, Probe(reach, report))
-
-
-async def fetch_report(instance: Instance) -> MemberReport:
-    """Ask one instance for its report; raise ``TargetError``."""
-    response = await ask(instance, Request('GET', '/status'), _ANSWER_SECONDS)
-    if instance.kind is InstanceKind.ENGINE:
-        return read_report(instance, response)
-    status = msgspec.json.decode(response.body, type=_ServiceStatus)
-    return MemberReport(
-        instance.id,
-        MemberState.READY,
-        draining=status.draining,
-    )
--- a/src/cranecart/targets/_views.py
+++ b/src/cranecart/targets/_views.py
@@ -6,10 +6,10 @@
 from cranecart.targets._reports import essence
 
 # How long a report that this node fetched itself counts.
-FRESH_SECONDS = 3.0
+FRESH_SECONDS = 5.0
 # How long one node's failure to reach an instance outweighs another's
 # success; the other has asked again by then and told if it failed too.
-DOUBT_SECONDS = 2.5
+DOUBT_SECONDS = 4.0
 
 
 @attrs.frozen
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -27,6 +27,7 @@
 _MAX_KNOWN_RED = 3
 _WORKERS = 4
 _RAN = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
+_SKIPPED = re.compile(r'skipped=(\d+)')
 _RED = re.compile(r'^(FAIL|ERROR): \w+ \(([\w.]+)\)', re.MULTILINE)
 
 
@@ -36,6 +37,7 @@
 
     tests: int
     red: frozenset[str]
+    skipped: int = 0
 
 
 def main(words: Sequence[str]) -> int:
@@ -94,7 +96,8 @@
     red = {name for _word, name in _RED.findall(run.stderr)}
     if run.returncode and not red:
         red = {unit}
-    return UnitOutcome(max(tests, len(red)), frozenset(red))
+    skipped = sum(map(int, _SKIPPED.findall(run.stderr)))
+    return UnitOutcome(max(tests, len(red)), frozenset(red), skipped)
 
 
 def _flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
@@ -123,8 +126,11 @@
         _say(f'red: {known_red().get(name, name)}')
     failed = len(red) - len(excused)
     ran = sum(outcome.tests for outcome in outcomes)
-    passed = ran - len(red)
-    _say(f'{passed} passed, {failed} failed, {len(excused)} skipped')
+    skipped = sum(outcome.skipped for outcome in outcomes)
+    passed = ran - len(red) - skipped
+    _say(
+        f'{passed} passed, {failed} failed, {skipped + len(excused)} skipped',
+    )
     return failed
 
 
--- a/tools/cluster_control.py
+++ b/tools/cluster_control.py
@@ -46,6 +46,13 @@
         except CranecartError:
             return None
 
+    async def replicas_now(self, node: str) -> list[ServingReplica]:
+        """Return what a node would send to, or nothing if it is away."""
+        try:
+            return list((await self.operator(node).status()).replicas)
+        except CranecartError:
+            return []
+
     def serving(self, node: str = 'node0') -> list[ServingReplica]:
         """Return the replicas that a node would send to."""
         status = self.status(node)
@@ -74,6 +81,15 @@
         """Let a target say that it leaves."""
         await self.post(self.addresses[name], '/standin/leave')
 
+    def platform_counts(self) -> dict[str, int]:
+        """Return the reads and writes that the platform has taken."""
+        response = curio.run(
+            self.post,
+            self.addresses['platform'],
+            '/standin/counts',
+        )
+        return msgspec.json.decode(response.body, type=dict[str, int])
+
     def set_platform_faults(self, **faults: object) -> None:
         """Change what is wrong with the platform, outside coroutines."""
         curio.run(partial(self.platform_faults, **faults))
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -82,6 +82,10 @@
             process.popen.wait()
         self._free.release()
 
+    def reserve(self) -> Address:
+        """Return an address that nobody else has."""
+        return self._free.take()
+
     def kill(self, name: str) -> None:
         """Kill a process and record that it is gone."""
         self.processes[name].kill()
@@ -97,7 +101,12 @@
         Record.from_path(name, str(self.record)).write('resumed')
         self.processes[name].resume()
 
-    def start_engine(self, name: str, domain: str) -> None:
+    def start_engine(
+        self,
+        name: str,
+        domain: str,
+        extra: Sequence[str] = (),
+    ) -> None:
         """Start an engine instance and list it."""
         self._start_standin(
             name,
@@ -108,6 +117,7 @@
                 f'--fabric_domain={domain}-f0',
                 f'--platform={self.control.reach("platform")}',
                 *self.options.engine_flags,
+                *extra,
             ],
         )
 
@@ -192,27 +202,41 @@
         return self.addresses[proxy]
 
     def _plan_nodes(self) -> None:
-        options = self.options
-        names = [f'node{number}' for number in range(options.nodes)]
-        peers = {name: self._free.take() for name in names}
+        names = [f'node{number}' for number in range(self.options.nodes)]
+        for name in names:
+            self.addresses[f'{name}-peer'] = self._free.take()
+        reached = {name: self._reached(f'{name}-peer') for name in names}
         for number, name in enumerate(names):
+            domain = self.options.domains[number % len(self.options.domains)]
             entry = Entry(self._free.take(), self._free.take())
             self.entries[name] = entry
             self._settings[name] = {
                 'node_id': name,
-                'failure_domain': options.domains[
-                    number % len(options.domains)
-                ],
+                'failure_domain': domain,
                 'client_address': str(entry.clients),
                 'operator_address': str(entry.operators),
-                'peer_address': str(peers[name]),
-                'platform_address': str(self.control.reach('platform')),
+                'peer_address': str(self.addresses[f'{name}-peer']),
+                'advertised_peer_address': str(reached[name]),
+                'platform_address': str(self._platform_of(domain)),
                 'operator_key_sha256': _OPERATOR_SHA256,
                 'peers': [
                     str(address)
-                    for other, address in peers.items()
+                    for other, address in reached.items()
                     if other != name
                 ],
                 'ready_off_ms': 1000,
-                **options.settings,
+                **self.options.settings,
             }
+
+    def _platform_of(self, domain: str) -> Address:
+        """Return the platform, by a link of the domain's own if proxied."""
+        link = f'platform-{domain}'
+        if link in self.options.proxied:
+            self.addresses[link] = self.addresses['platform']
+            return self._reached(link)
+        return self.control.reach('platform')
+
+    def _reached(self, name: str) -> Address:
+        if name in self.options.proxied:
+            return self._start_proxy(name)
+        return self.addresses[name]
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,120 @@
+"""Many faults, drawn by seed, under load; ends with what was violated.
+
+Usage: python -m tools.soak [--seed=N]
+"""
+
+import random
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import curio
+from absl import app, flags
+
+from cranecart.cli._apply import apply_change
+from cranecart.config import compile_folder
+from cranecart.config._source import read_document
+from cranecart.config._structure import structure
+from cranecart.load import (
+    Outcome,
+    Profile,
+    Summary,
+    late_starts,
+    make_calls,
+    partial_starts,
+    run_load,
+    shared_instances,
+)
+from cranecart.standins import read_record
+from tools.chaos import DOMAINS, Chaos, Schedule
+from tools.cluster_control import wait_until
+from tools.local_cluster import ClusterOptions, LocalCluster
+
+_SEED = flags.DEFINE_integer('seed', 1, 'seed of faults and load')
+_SCHEDULE = Path(__file__).parent / 'soak_schedule.json'
+_EXAMPLE = Path(__file__).parent.parent / 'examples' / 'katyuszerviz'
+_KNOWN_SECONDS = 5.0
+_LATE_SECONDS = 4.0
+_NON_REPEATABLE = 0.4
+
+
+def main(_arguments: Sequence[str]) -> int:
+    """Run one soak; return 1 if anything was violated."""
+    schedule = structure(read_document(_SCHEDULE), Schedule)
+    options = ClusterOptions(
+        domains=DOMAINS,
+        nodes=4,
+        engines_per_domain=6,
+        service='brigad-app',
+        engine_flags=('--nochecks_members',),
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        with LocalCluster(Path(folder), options) as cluster:
+            _bring_up(cluster)
+            outcomes = curio.run(_run, cluster, schedule)
+        events = read_record(cluster.record)
+    return _report(outcomes, events)
+
+
+def _report(outcomes: Sequence[Outcome], events: list[dict[str, Any]]) -> int:
+    summary = Summary.from_outcomes(outcomes, events)
+    broken = {
+        'instances in two replicas': len(shared_instances(events)),
+        'starts on a replica known to lack a member': sum(
+            one.seconds_missing > _KNOWN_SECONDS
+            for one in partial_starts(events)
+        ),
+        'starts on a leaving target': sum(
+            one.seconds_late > _LATE_SECONDS for one in late_starts(events)
+        ),
+    }
+    for name, number in {**attrs.asdict(summary), **broken}.items():
+        sys.stdout.write(f'{name.replace("_", " ")}: {number:.6g}\n')
+    violations = summary.violations + sum(broken.values())
+    sys.stdout.write(f'violations: {violations}\n')
+    return int(bool(violations))
+
+
+def _bring_up(cluster: LocalCluster) -> None:
+    control = cluster.control
+    wait_until(lambda: control.status() is not None, 'a node answers')
+    declared = compile_folder(_EXAMPLE)
+    curio.run(apply_change, control.operator(), declared, 0, 'soak')
+    wait_until(
+        lambda: all(
+            len(control.serving(name)) == 2 for name in cluster.entries
+        ),
+        'all replicas serve',
+    )
+
+
+async def _run(cluster: LocalCluster, schedule: Schedule) -> list[Outcome]:
+    source = random.Random(_SEED.value)
+    chaos = await curio.spawn(Chaos(cluster, schedule, source).run)
+    balancer = cluster.control.balancer()
+    watching = await curio.spawn(balancer.run, daemon=True)
+    profile = Profile(
+        api_keys=('demo-budapest', 'demo-gyor'),
+        models=('nyelvi-szerver',),
+        services=(('brigad-app', '/next'), ('brigad-app', '/confirm')),
+        non_repeatable_share=_NON_REPEATABLE,
+    )
+    seconds = schedule.count * (schedule.lasts_seconds + schedule.rest_seconds)
+    count = seconds * schedule.calls_per_second
+    calls = make_calls(profile, ['one', 'two'], count, _SEED.value)
+    outcomes = await run_load(
+        balancer,
+        calls,
+        schedule.calls_per_second,
+        repeats=2,
+    )
+    await chaos.join()
+    await watching.cancel()
+    return outcomes
+
+
+if __name__ == '__main__':
+    app.run(main)
