--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 READY := $(VENV)/.ready
 SEED ?= 1
 
-.PHONY: demo test checks unit functional binary bench soak format clean
+.PHONY: demo test unit functional binary bench soak mutations format clean
 
 demo: $(READY)
 	$(BIN)/python -m tools.demo --seed=$(SEED)
@@ -21,10 +21,14 @@
 
 bench: $(READY)
 	$(BIN)/python -m tools.bench
+	$(BIN)/python -m tools.capacity
 
 soak: $(READY)
 	$(BIN)/python -m tools.soak --seed=$(SEED)
 
+mutations: $(READY)
+	$(BIN)/python -m tools.mutations
+
 binary: $(READY)
 	$(BIN)/python -m tools.binary
 
--- a/src/cranecart/claims/_claims.py
+++ b/src/cranecart/claims/_claims.py
@@ -4,15 +4,22 @@
 every other copy of it hears what became of it, or that nobody can tell.
 """
 
-import enum
-import hashlib
+import time
 import uuid
 
 import attrs
 import curio
-import msgspec
 from curio.errors import TaskTimeout
 
+from cranecart.claims._rows import (
+    Claim,
+    ClaimState,
+    decode_claim,
+    encode_claim,
+    fingerprint,
+    index_key,
+    row_key,
+)
 from cranecart.exceptions import (
     ClaimUnreadableError,
     KeyReusedError,
@@ -26,29 +33,12 @@
 from cranecart.http import Response
 from cranecart.logs import decision
 from cranecart.platform import Check, Put, Row, Transaction, WriteBatcher
-from cranecart.targets import Call, ServiceCall
+from cranecart.targets import Call
 
 _MAX_RECORDED_BYTES = 65536
 _ATTEMPTS = 2
 
 
-class _State(enum.Enum):
-    CLAIMED = 'claimed'
-    DONE = 'done'
-    NOT_RUN = 'not run'
-
-
-@attrs.frozen
-class _Claim:
-    node: str
-    nonce: str
-    fingerprint: str
-    state: _State
-    status: int = 0
-    content_type: str = ''
-    body: str = ''
-
-
 @attrs.frozen
 class Held:
     """The right to send one call, once."""
@@ -90,13 +80,13 @@
 
     async def settle(self, held: Held, response: Response) -> None:
         """Record the answer, so that repeats of the call hear it."""
-        claim = _decode(held.row)
+        claim = decode_claim(held.row)
         body = response.body
         if len(body) > _MAX_RECORDED_BYTES:
             body = b''
         done = attrs.evolve(
             claim,
-            state=_State.DONE,
+            state=ClaimState.DONE,
             status=response.status,
             content_type=response.headers.get('content-type', ''),
             body=body.decode('utf-8', 'replace'),
@@ -105,16 +95,17 @@
 
     async def release(self, held: Held) -> None:
         """Record that the call did not run, so that a repeat may."""
-        claim = _decode(held.row)
-        await self._rewrite(held, attrs.evolve(claim, state=_State.NOT_RUN))
+        claim = decode_claim(held.row)
+        await self._rewrite(held, attrs.evolve(claim, state=ClaimState.NOT_RUN))
 
     async def _make(self, call: Call) -> Held | Replay:
-        key = _row_key(call)
-        wanted = _Claim(
+        key = row_key(call)
+        wanted = Claim(
             self.node_id,
             uuid.uuid4().hex,
-            _fingerprint(call),
-            _State.CLAIMED,
+            fingerprint(call),
+            ClaimState.CLAIMED,
+            time.time(),
         )
         seen: Row | None = None
         for _attempt in range(_ATTEMPTS):
@@ -130,14 +121,15 @@
     async def _insert(
         self,
         key: str,
-        wanted: _Claim,
+        wanted: Claim,
         seen: Row | None,
     ) -> Held | None:
-        put = Put(key, _encode(wanted))
+        put = Put(key, encode_claim(wanted))
         check = Check(key, seen.version if seen else 0)
+        index = Put(index_key(key, wanted.made_at), key)
         try:
             version = await self._writes.commit(
-                Transaction((check,), (put,)),
+                Transaction((check,), (put, index)),
             )
         except (WriteConflictError, WriteUnknownError):
             return None
@@ -159,11 +151,11 @@
                 'cannot be read; repeat it with the same key',
             ) from error
 
-    async def _rewrite(self, held: Held, claim: _Claim) -> None:
+    async def _rewrite(self, held: Held, claim: Claim) -> None:
         row = held.row
         transaction = Transaction(
             (Check(row.key, row.version),),
-            (Put(row.key, _encode(claim)),),
+            (Put(row.key, encode_claim(claim)),),
         )
         try:
             await self._writes.commit(transaction)
@@ -171,19 +163,19 @@
             decision('claim_not_settled', key=row.key, why=str(error))
 
 
-def _judge(seen: Row | None, wanted: _Claim) -> Held | Replay | None:
+def _judge(seen: Row | None, wanted: Claim) -> Held | Replay | None:
     """Return what a row found after a failed insert means for the call."""
     if seen is None:
         return None
-    found = _decode(seen)
+    found = decode_claim(seen)
     if found.nonce == wanted.nonce:
         return Held(seen)
     if found.fingerprint != wanted.fingerprint:
         raise KeyReusedError('the idempotency key belongs to another call')
     match found.state:
-        case _State.NOT_RUN:
+        case ClaimState.NOT_RUN:
             return None
-        case _State.DONE:
+        case ClaimState.DONE:
             return Replay(
                 Response(
                     found.status,
@@ -194,26 +186,8 @@
                     found.body.encode(),
                 ),
             )
-        case _State.CLAIMED:
+        case ClaimState.CLAIMED:
             raise OutcomeUnknownError(
                 f'{found.node} took an earlier copy of this call',
                 retry_after=1,
             )
-
-
-def _row_key(call: Call) -> str:
-    digest = hashlib.sha256(call.idempotency_key.encode()).hexdigest()
-    return f'claim/{call.organisation}/{digest}'
-
-
-def _fingerprint(call: Call) -> str:
-    path = call.path if isinstance(call, ServiceCall) else ''
-    return hashlib.sha256(path.encode() + call.body).hexdigest()
-
-
-def _encode(claim: _Claim) -> str:
-    return msgspec.json.encode(claim).decode()
-
-
-def _decode(row: Row) -> _Claim:
-    return msgspec.json.decode(row.value, type=_Claim)
--- a/src/cranecart/cli/_common.py
+++ b/src/cranecart/cli/_common.py
@@ -7,6 +7,7 @@
 import msgspec
 from absl import flags
 
+from cranecart.exceptions import OperatorError
 from cranecart.http import Address
 from cranecart.operators import OperatorClient
 
@@ -37,10 +38,10 @@
 
 def make_client(flag_values: flags.FlagValues) -> OperatorClient:
     """Make a client from flags and the key in the environment."""
-    return OperatorClient(
-        Address.from_text(flag_values.node_address),
-        os.environ.get(KEY_VARIABLE, ''),
-    )
+    key = os.environ.get(KEY_VARIABLE, '').strip()
+    if not key:
+        raise OperatorError(f"put the operators' key into {KEY_VARIABLE}")
+    return OperatorClient(Address.from_text(flag_values.node_address), key)
 
 
 def require_arguments(rest: list[str], names: Iterable[str]) -> None:
--- a/src/cranecart/clients/_gateway.py
+++ b/src/cranecart/clients/_gateway.py
@@ -1,5 +1,6 @@
 """Serve clients: admit, claim, route, send, relay."""
 
+import time
 import uuid
 from collections.abc import Callable
 
@@ -29,6 +30,9 @@
     ServiceClient,
 )
 
+# Told of each request's outcome and of the seconds to its first byte.
+Observer = Callable[[str, float | None], None]
+
 _OK = 200
 _PASSED_ON = frozenset(('content-type', 'x-replayed', 'x-cache'))
 
@@ -43,14 +47,18 @@
     _services: ServiceClient
     _claims: Claims
     _admission: Admission
+    _observe: Observer
     _budget: RetryBudget = attrs.field(factory=RetryBudget, init=False)
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; every error gets its final answer at once."""
         request_id = uuid.uuid4().hex
+        started = time.monotonic()
+        outcome = 'answered'
         try:
             await self._serve(request, responder, request_id)
         except RequestError as error:
+            outcome = error.code
             decision(
                 'refused',
                 request=request_id,
@@ -61,6 +69,8 @@
             if responder.has_started:
                 raise ConnectionBrokenError('cut short') from error
             await responder.send(error_response(error, request_id))
+        finally:
+            self._observe(outcome, responder.seconds_to_first_byte(started))
 
     async def _serve(
         self,
--- a/src/cranecart/config/_compile.py
+++ b/src/cranecart/config/_compile.py
@@ -259,5 +259,4 @@
             Preference(model.prefer),
             FencingSupport(model.fencing),
             model.adapters,
-            model.spare_instances,
         )
--- a/src/cranecart/config/_files.py
+++ b/src/cranecart/config/_files.py
@@ -87,10 +87,6 @@
         validator=attrs.validators.in_(('checked', 'ignored')),
     )
     adapters: tuple[str, ...] = ()
-    spare_instances: int = attrs.field(
-        default=0,
-        validator=attrs.validators.ge(0),
-    )
 
 
 @attrs.frozen
--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -9,7 +9,6 @@
 
     NOT_RUN = 'not run'
     OUTCOME_UNKNOWN = 'outcome unknown'
-    RAN = 'ran'
 
 
 class CranecartError(Exception):
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -18,6 +18,7 @@
 )
 from cranecart.http._messages import (
     Address,
+    Headers,
     Request,
     Response,
     ResponseHead,
@@ -43,6 +44,8 @@
             h11.CLIENT,
             max_incomplete_event_size=_MAX_HEAD_BYTES,
         )
+        # What came behind the piece that was returned last.
+        self._peeked: object = None
 
     @classmethod
     async def open(
@@ -101,21 +104,12 @@
             'content-length': str(len(request.body)),
             **request.headers,
         }
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=encode_headers(headers),
-        )
-        pieces = (
-            self._h11.send(event)
-            for event in (
-                head,
-                h11.Data(data=request.body),
-                h11.EndOfMessage(),
-            )
-        )
         try:
-            await self._sock.sendall(b''.join(filter(None, pieces)))
+            encoded = self._encode(request, headers)
+        except h11.LocalProtocolError as error:
+            raise BadMessageError(f'not valid HTTP: {error}') from error
+        try:
+            await self._sock.sendall(encoded)
         except OSError as error:
             raise ConnectionBrokenError(
                 f'{self.address} closed during the request',
@@ -136,11 +130,15 @@
     async def read_piece(self) -> bytes:
         """Return what one read brought of the body; empty at its end."""
         event = await self._next_event()
-        match event:
-            case h11.Data():
-                return bytes(event.data)
-            case h11.EndOfMessage():
-                return b''
+        pieces = []
+        while isinstance(event, h11.Data):
+            pieces.append(bytes(event.data))
+            event = self._parse()
+        if pieces:
+            self._peeked = event
+            return b''.join(pieces)
+        if isinstance(event, h11.EndOfMessage):
+            return b''
         raise ConnectionBrokenError(f'{self.address} closed mid-response')
 
     async def read_body(self) -> bytes:
@@ -158,8 +156,20 @@
         """Close the socket; safe to call twice."""
         await self._sock.close()
 
+    def _encode(self, request: Request, headers: Headers) -> bytes:
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=encode_headers(headers),
+        )
+        events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+        return b''.join(filter(None, map(self._h11.send, events)))
+
     async def _next_event(self) -> object:
-        event = self._parse()
+        event = self._peeked
+        self._peeked = None
+        if event is None:
+            event = self._parse()
         while event is h11.NEED_DATA:
             try:
                 received = await self._sock.recv(_READ_BYTES)
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -57,12 +58,19 @@
         self._sock = sock
         self._h11 = connection
         self._write_seconds = write_seconds
+        self._first_byte_at: float | None = None
 
     @property
     def has_started(self) -> bool:
         """Tell whether the response's head was sent."""
         return self._h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}
 
+    def seconds_to_first_byte(self, since: float) -> float | None:
+        """Return how long it took until the response began, if it has."""
+        if self._first_byte_at is None:
+            return None
+        return self._first_byte_at - since
+
     async def send(self, response: Response) -> None:
         """Send a whole response."""
         headers = {
@@ -104,6 +112,8 @@
         await self._sock.recv(1)
 
     async def _write(self, *events: h11.Event) -> None:
+        if self._first_byte_at is None:
+            self._first_byte_at = time.monotonic()
         pieces = [self._h11.send(event) for event in events]
         try:
             await curio.timeout_after(
@@ -154,6 +164,9 @@
         listener = self._listener
         while True:
             sock, _peer = await listener.accept()
+            if self._connections >= self._limits.connections:
+                await sock.close()
+                continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # A task group would keep every ended task until it ends itself.
             await curio.spawn(self._serve, sock, daemon=True)
@@ -194,6 +207,7 @@
             if self._closing or not _can_continue(connection):
                 return
             connection.start_next_cycle()
+            responder = Responder(sock, connection, self._limits.write_seconds)
 
     async def _receive(
         self,
--- a/src/cranecart/metrics.py
+++ b/src/cranecart/metrics.py
@@ -14,6 +14,7 @@
     NumberDataPoint,
 )
 
+_MILLISECONDS = 1000
 _Point = NumberDataPoint | HistogramDataPoint
 
 
@@ -53,6 +54,12 @@
             description='version of the configuration in force',
         )
 
+    def observe_request(self, outcome: str, seconds: float | None) -> None:
+        """Count a request, with the seconds until its first byte."""
+        self.requests.add(1, {'outcome': outcome})
+        if seconds is not None:
+            self.first_token_ms.record(seconds * _MILLISECONDS)
+
     def text(self) -> bytes:
         """Collect and write all metrics in the text exposition format."""
         collected = self._reader.get_metrics_data()
--- a/src/cranecart/models/_declarations.py
+++ b/src/cranecart/models/_declarations.py
@@ -45,7 +45,6 @@
     prefer: Preference = Preference.DOWNTIME
     fencing: FencingSupport = FencingSupport.CHECKED
     adapters: tuple[str, ...] = ()
-    spare_instances: int = 0
 
     @property
     def key(self) -> str:
@@ -113,10 +112,6 @@
     services: tuple[ServiceSpec, ...] = ()
     organisations: tuple[OrganisationSpec, ...] = ()
 
-    def model_specs(self, name: str) -> tuple[ModelSpec, ...]:
-        """Return the declared versions of a model."""
-        return tuple(spec for spec in self.models if spec.name == name)
-
 
 def compiled_to_json(declarations: Declarations) -> bytes:
     """Encode declarations; equal declarations give equal bytes."""
--- a/src/cranecart/node/_control.py
+++ b/src/cranecart/node/_control.py
@@ -7,6 +7,7 @@
 import attrs
 import curio
 
+from cranecart.claims import Sweeper
 from cranecart.config import NodeSettings
 from cranecart.duties import Lease
 from cranecart.operators import AdminInterface, NodeStatus
@@ -26,6 +27,7 @@
     _history: History
     _follower: Follower
     _placer: Placer
+    _sweeper: Sweeper
 
     @classmethod
     def from_settings(
@@ -47,24 +49,31 @@
             EngineClient(),
         )
         follower = Follower(config, history, platform, source)
-        return cls(settings, config, history, follower, placer)
+        sweeper = Sweeper(
+            Lease('sweeper', settings.node_id, platform),
+            platform,
+        )
+        return cls(settings, config, history, follower, placer, sweeper)
 
     async def run(self) -> None:
         """Follow and place until cancelled."""
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._follower.run)
             await tasks.spawn(self._placer.run, self._config.declarations)
+            await tasks.spawn(self._sweeper.run)
         raise_first_error(tasks)
 
     async def hand_over(self) -> None:
         """Give the duties up, so that other nodes take them at once."""
         self._placer.stop()
+        self._sweeper.stop()
         await self._placer.lease.hand_over()
+        await self._sweeper.lease.hand_over()
 
     def duties(self) -> dict[str, str]:
         """Return who holds each duty, as this node saw last."""
-        lease = self._placer.lease
-        return {lease.duty: lease.holder}
+        leases = (self._placer.lease, self._sweeper.lease)
+        return {lease.duty: lease.holder for lease in leases}
 
     def admin(
         self,
--- /dev/null
+++ b/src/cranecart/node/_demand_sharing.py
@@ -0,0 +1,56 @@
+"""Tell other nodes the demand for limits, and take theirs."""
+
+import attrs
+
+from cranecart.limits import Shares
+from cranecart.nodes import Entry, Members, Peers, Topic
+from cranecart.targets import Summary
+
+_TELL_TICKS = 10
+_REFRESH_TICKS = 200
+
+
+@attrs.define
+class DemandSharing:
+    """Keeps the shares of limits in step with other nodes' demand."""
+
+    _members: Members
+    _shares: Shares
+    _told: dict[str, int] = attrs.field(factory=dict, init=False)
+
+    def publish(self, peers: Peers, ticks: int) -> None:
+        """Publish what changed, and all of it at times, as it expires."""
+        demand = self._shares.demand()
+        is_due = ticks % _REFRESH_TICKS == 0
+        is_news = demand != self._told and ticks % _TELL_TICKS == 0
+        if is_due or is_news:
+            self._told = demand
+            peers.publish(Topic.DEMAND, self._members.node_id, demand)
+
+    def expect(self, nodes: frozenset[str]) -> None:
+        """Count nodes that live but have told nothing yet."""
+        self._shares.expect(nodes - {self._members.node_id})
+
+    def take_entry(self, entry: Entry) -> None:
+        """Take over a node's demand, or that it stops."""
+        match entry.key.topic:
+            case Topic.DEMAND if entry.key.origin != self._members.node_id:
+                self._shares.hear(entry.key.origin, entry.body)
+            case Topic.MEMBER if entry.body['stopping']:
+                self._shares.forget(entry.key.subject)
+
+    def take_summary(self, summary: Summary) -> None:
+        """Take over the demand of another failure domain."""
+        domain = summary.failure_domain
+        if domain != self._members.info.failure_domain and summary.versions:
+            self._shares.hear(
+                f'domain/{domain}',
+                summary.demand,
+                summary.versions.nodes,
+            )
+
+    def of_domain(self) -> dict[str, int]:
+        """Return the demand of this failure domain's nodes together."""
+        near = self._shares.heard(self._members.others())
+        near.update(self._shares.demand())
+        return dict(near)
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -94,6 +94,7 @@
             ServiceClient(),
             Claims(settings.node_id, WriteBatcher(platform)),
             self._admission,
+            self._metrics.observe_request,
         )
         self._client_server = HttpServer(settings.clients, gateway.handle)
         self._admin_server = HttpServer(
--- a/src/cranecart/node/_peering.py
+++ b/src/cranecart/node/_peering.py
@@ -10,6 +10,7 @@
 from cranecart.config import NodeSettings
 from cranecart.http import Address
 from cranecart.limits import Shares
+from cranecart.node._demand_sharing import DemandSharing
 from cranecart.node._shared_state import SharedState
 from cranecart.nodes import (
     ConfigExchange,
@@ -66,7 +67,7 @@
             directory.book,
             directory,
             config,
-            shares,
+            DemandSharing(members, shares),
         )
         peers = Peers(
             speaker,
@@ -76,7 +77,7 @@
                 ConfigExchange(speaker, state.read_config, state.take_config),
                 ListExchange(
                     speaker,
-                    directory.book.listed,
+                    state.listed,
                     state.replace_instances,
                 ),
             ),
--- a/src/cranecart/node/_shared_state.py
+++ b/src/cranecart/node/_shared_state.py
@@ -7,8 +7,8 @@
 import curio
 import msgspec
 
-from cranecart.limits import Shares
 from cranecart.models import DomainVersions, Instance
+from cranecart.node._demand_sharing import DemandSharing
 from cranecart.nodes import (
     Entry,
     EntryStore,
@@ -25,7 +25,6 @@
 _SUMMARY_TICKS = 10
 _REFRESH_TICKS = 30
 _MAX_NAMED = 8
-_DEMAND_TICKS = 200
 # How long the findings of a node that is doubted still count; by then those
 # who ask in its place have found something.
 _GRACE_SECONDS = 1.5
@@ -41,9 +40,8 @@
     _book: ReportBook
     _directory: Directory
     _config: CurrentConfig
-    _shares: Shares
+    _demand_sharing: DemandSharing
     _summary: Summary | None = attrs.field(default=None, init=False)
-    _demand: dict[str, int] = attrs.field(factory=dict, init=False)
     _live: frozenset[str] = attrs.field(factory=frozenset, init=False)
     _counting: frozenset[str] = attrs.field(factory=frozenset, init=False)
     _seen_live: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -55,7 +53,7 @@
         while True:
             self._follow_live_nodes(peers)
             self._announce_config()
-            self._publish_demand(peers, ticks)
+            self._demand_sharing.publish(peers, ticks)
             ticks += 1
             if ticks % _SUMMARY_TICKS == 0 and self._is_relay():
                 self._publish_summary(peers, ticks)
@@ -67,6 +65,10 @@
         self._choose_probed()
         self._retake_reports(self._counting)
 
+    def listed(self) -> list[Instance]:
+        """Return the list of instances, empty until there is one."""
+        return list(self._book.instances.values())
+
     def stop(self) -> None:
         """Tell others that this node is about to stop."""
         self._members.announce(attrs.evolve(self._members.info, stopping=True))
@@ -77,11 +79,11 @@
             case Topic.REPORT:
                 self._take_report(entry)
             case Topic.SUMMARY:
-                self._take_summary(msgspec.convert(entry.body, Summary))
-            case Topic.DEMAND if entry.key.origin != self._members.node_id:
-                self._shares.hear(entry.key.origin, entry.body)
-            case Topic.MEMBER if entry.body['stopping']:
-                self._shares.forget(entry.key.subject)
+                summary = msgspec.convert(entry.body, Summary)
+                self._directory.note(summary)
+                self._demand_sharing.take_summary(summary)
+            case _:
+                self._demand_sharing.take_entry(entry)
 
     def read_config(self) -> HeldConfig:
         """Return the configuration in force."""
@@ -140,7 +142,7 @@
         )
         if live != self._live:
             self._live = live
-            self._shares.expect(live - {self._members.node_id})
+            self._demand_sharing.expect(live)
             self._choose_probed()
         if counting != self._counting:
             returned = counting - self._counting
@@ -154,19 +156,10 @@
             if entry.key.origin in origins:
                 self._take_report(entry)
 
-    def _publish_demand(self, peers: Peers, ticks: int) -> None:
-        """Publish what changed, and all of it at times, as it expires."""
-        demand = self._shares.demand()
-        is_due = ticks % _DEMAND_TICKS == 0
-        is_news = demand != self._demand and ticks % _SUMMARY_TICKS == 0
-        if is_due or is_news:
-            self._demand = demand
-            peers.publish(Topic.DEMAND, self._members.node_id, demand)
-
     def _publish_summary(self, peers: Peers, ticks: int) -> None:
         summary = self._directory.summary(
             self.versions(),
-            self._domain_demand(),
+            self._demand_sharing.of_domain(),
         )
         if summary != self._summary or ticks % _REFRESH_TICKS == 0:
             self._summary = summary
@@ -176,21 +169,6 @@
                 msgspec.to_builtins(summary),
             )
 
-    def _domain_demand(self) -> dict[str, int]:
-        near = self._shares.heard(self._members.others())
-        near.update(self._shares.demand())
-        return dict(near)
-
-    def _take_summary(self, summary: Summary) -> None:
-        domain = summary.failure_domain
-        self._directory.note(summary)
-        if domain != self._members.info.failure_domain and summary.versions:
-            self._shares.hear(
-                f'domain/{domain}',
-                summary.demand,
-                summary.versions.nodes,
-            )
-
     def _announce_config(self) -> None:
         release = self._config.release
         self._members.announce(
--- a/src/cranecart/placement/_state.py
+++ b/src/cranecart/placement/_state.py
@@ -83,11 +83,6 @@
             for report in found
         )
 
-    def is_idle(self, row: ReplicaRow) -> bool:
-        """Tell whether a replica's leader has no work, or is away."""
-        report = self.leader_report(row)
-        return report is None or report.running + report.queued == 0
-
     def is_drained(self, row: ReplicaRow, closed: str) -> bool:
         """Tell whether work ended after an instance closed for all nodes."""
         report = self.leader_report(row)
--- a/src/cranecart/standins/_engine.py
+++ b/src/cranecart/standins/_engine.py
@@ -64,6 +64,7 @@
         self._membership = Membership(options, record)
         self._draining = False
         self._drops = False
+        self._crosses = False
         self._slots = Slots(options.slots)
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._reported_load = (0, 0)
@@ -90,6 +91,9 @@
             case '/standin/drop':
                 self._drops = msgspec.json.decode(request.body)
                 await responder.send(json_response(_OK, {}))
+            case '/standin/cross':
+                self._crosses = msgspec.json.decode(request.body)
+                await responder.send(json_response(_OK, {}))
             case '/standin/leave':
                 self._draining = True
                 self._record.write('leaving')
@@ -180,7 +184,7 @@
     ) -> None:
         order = self._membership.order
         headers = {
-            'x-request-id': generation.request,
+            'x-request-id': 'crossed' if self._crosses else generation.request,
             'x-replica': order.replica,
             'x-generation': str(order.generation),
             'x-cache': await self._prefill(generation),
--- a/src/cranecart/targets/_book.py
+++ b/src/cranecart/targets/_book.py
@@ -6,13 +6,12 @@
 import attrs
 
 from cranecart.models import Instance, InstanceKind, MemberReport
-from cranecart.targets._assemble import ServingReplica, assemble
+from cranecart.targets._assemble import ServingReplica
+from cranecart.targets._assembly import Assembly
+from cranecart.targets._silence import Silence
 from cranecart.targets._views import InstanceViews, View
 
-# How long nobody must reach an instance until it is given up.
-LOST_SECONDS = 3.0
 PAUSE_SECONDS = 1.5
-_LOOK_SECONDS = 0.5
 
 
 @attrs.define
@@ -23,8 +22,9 @@
     _clock: Callable[[], float] = time.monotonic
     _instances: dict[str, Instance] = attrs.field(factory=dict, init=False)
     _views: dict[str, InstanceViews] = attrs.field(factory=dict, init=False)
-    _missing_since: dict[str, float] = attrs.field(factory=dict, init=False)
-    _looked_at: float = attrs.field(default=float('-inf'), init=False)
+    _assembly: Assembly = attrs.field(factory=Assembly, init=False)
+    _valid_until: dict[str, float] = attrs.field(factory=dict, init=False)
+    _silence: Silence = attrs.field(factory=Silence, init=False)
     _ticked_at: float | None = attrs.field(default=None, init=False)
 
     @property
@@ -32,10 +32,6 @@
         """Return the listed instances by id."""
         return self._instances
 
-    def listed(self) -> list[Instance]:
-        """Return the list of instances, empty until there is one."""
-        return list(self._instances.values())
-
     def is_informed(self, failure_domain: str) -> bool:
         """Tell whether something is known of every instance of a domain."""
         return bool(self._instances) and all(
@@ -46,21 +42,23 @@
 
     def replace_instances(self, instances: Iterable[Instance]) -> None:
         """Take over a new list; forget whoever is no longer on it."""
-        now = self._clock()
+        gone = self._instances.keys()
         self._instances = {instance.id: instance for instance in instances}
+        for name in gone - self._instances.keys():
+            self._assembly.update(name, None, self._instances)
         self._views = {
             name: self._views.get(name) or InstanceViews(self.node_id)
             for name in self._instances
         }
-        self._missing_since = {
-            name: self._missing_since.get(name, now) for name in self._instances
-        }
+        self._silence.keep_only(self._instances, self._clock())
+        self._refresh_all()
 
     def replace_live_nodes(self, nodes: Collection[str]) -> None:
         """Take over whose reports count; forget what others said."""
         live_nodes = frozenset(nodes)
         for views in self._views.values():
             views.keep_only(live_nodes)
+        self._refresh_all()
 
     def forget_shared(self) -> None:
         """Forget what other nodes found, as after a pause."""
@@ -73,20 +71,15 @@
         says nothing about the instances, so they get their time anew.
         """
         now = self._clock()
-        was_paused = (
-            self._ticked_at is not None
-            and now - self._ticked_at > PAUSE_SECONDS
-        )
+        was_paused = self._was_paused(now)
         if was_paused:
             self.forget_shared()
-            self._missing_since = dict.fromkeys(self._missing_since, now)
+            self._silence.start_anew(now)
         self._ticked_at = now
-        if now - self._looked_at < _LOOK_SECONDS:
-            return was_paused
-        self._looked_at = now
-        self._missing_since.update(
-            dict.fromkeys(filter(self._is_reached, self._instances), now),
-        )
+        for name, until in self._valid_until.items():
+            if until <= now:
+                self._refresh(name)
+        self._silence.look(self._is_reached, now)
         return was_paused
 
     def note(self, report: MemberReport, node_id: str = '') -> None:
@@ -102,29 +95,23 @@
         views = self._views.get(instance_id)
         if views is not None:
             views.withdraw(node_id or self.node_id)
+            self._refresh(instance_id)
 
     def report(self, instance_id: str) -> MemberReport | None:
         """Return what is held of an instance, if nothing speaks against it."""
-        views = self._views.get(instance_id)
-        return views.agreed(self._clock()) if views else None
+        return self.fresh_reports().get(instance_id)
 
-    def fresh_reports(self) -> dict[str, MemberReport]:
+    def fresh_reports(self) -> Mapping[str, MemberReport]:
         """Return all reports that count, by instance."""
-        found = ((name, self.report(name)) for name in self._instances)
-        return {name: report for name, report in found if report is not None}
+        return {} if self._is_behind() else self._assembly.reports
 
     def lost(self) -> frozenset[str]:
         """Return the instances that nobody has reached for long enough."""
-        now = self._clock()
-        return frozenset(
-            name
-            for name, since in self._missing_since.items()
-            if now - since > LOST_SECONDS and not self._is_reached(name)
-        )
+        return self._silence.lost(self._is_reached, self._clock())
 
     def serving(self) -> list[ServingReplica]:
         """Return the replicas that may take new work now."""
-        return list(assemble(self._instances, self.fresh_reports()))
+        return [] if self._is_behind() else self._assembly.whole()
 
     def services(self, name: str) -> list[Instance]:
         """Return the live instances of a plain service."""
@@ -136,28 +123,45 @@
 
     def open_services(self) -> list[str]:
         """Return the ids of the service instances that take work."""
+        reports = self.fresh_reports()
         return [
-            instance.id
-            for instance in self._instances.values()
+            name
+            for name, instance in self._instances.items()
             if instance.kind is InstanceKind.SERVICE
             and not instance.leaving
-            and self._is_open(instance.id)
+            and name in reports
+            and not reports[name].draining
         ]
 
+    def _was_paused(self, now: float) -> bool:
+        ticked_at = self._ticked_at
+        return ticked_at is not None and now - ticked_at > PAUSE_SECONDS
+
+    def _is_behind(self) -> bool:
+        """Tell whether this process slept and has not looked around since."""
+        return self._was_paused(self._clock())
+
     def _note(
         self,
         instance_id: str,
         report: MemberReport | None,
         node_id: str,
     ) -> None:
-        source = node_id or self.node_id
         if instance_id in self._instances:
             view = View(report, self._clock())
-            self._views[instance_id].note(source, view)
-
-    def _is_open(self, instance_id: str) -> bool:
-        report = self.report(instance_id)
-        return report is not None and not report.draining
+            self._views[instance_id].note(node_id or self.node_id, view)
+            self._refresh(instance_id)
+
+    def _refresh_all(self) -> None:
+        self._valid_until = dict.fromkeys(self._instances, 0)
+        for name in self._instances:
+            self._refresh(name)
+
+    def _refresh(self, name: str) -> None:
+        views = self._views[name]
+        report = views.agreed(self._clock())
+        self._valid_until[name] = views.valid_until
+        self._assembly.update(name, report, self._instances)
 
     def _is_reached(self, instance_id: str) -> bool:
         return bool(self._views[instance_id].reached(self._clock()))
--- a/src/cranecart/targets/_prober.py
+++ b/src/cranecart/targets/_prober.py
@@ -48,6 +48,7 @@
         while True:
             self._book.tick()
             wanted = set(self._mine())
+            self._drop_crashed()
             for name in wanted - self._tasks.keys():
                 self._tasks[name] = await curio.spawn(
                     self._probe,
@@ -61,6 +62,15 @@
                 self._noted(name, Probe(Reach.NOT_ASKED))
             await curio.sleep(_TICK_SECONDS)
 
+    def _drop_crashed(self) -> None:
+        """Forget probes that ended by themselves; they are begun anew."""
+        crashed = [
+            name for name, task in self._tasks.items() if task.terminated
+        ]
+        for name in crashed:
+            task = self._tasks.pop(name)
+            _LOG.error('the probe of %s crashed', name, exc_info=task.exception)
+
     def _no_longer_wanted(self, wanted: Collection[str]) -> list[str]:
         """Return whose probing may end, as others have taken over by now."""
         now = time.monotonic()
--- a/src/cranecart/targets/_views.py
+++ b/src/cranecart/targets/_views.py
@@ -49,6 +49,19 @@
         for gone in self._views.keys() - nodes - {self._own}:
             self._views.pop(gone)
 
+    @property
+    def valid_until(self) -> float:
+        """Return until when ``agreed`` stays what it was, if nothing comes."""
+        own = self._views.get(self._own)
+        ends = [
+            view.at + DOUBT_SECONDS
+            for view in self._views.values()
+            if view.report is None
+        ]
+        if own is not None:
+            ends.append(own.at + FRESH_SECONDS)
+        return min(ends, default=float('inf'))
+
     def agreed(self, now: float) -> MemberReport | None:
         """Return the report, if nothing speaks against it.
 
--- /dev/null
+++ b/tests/functional/test_cold_start.py
@@ -0,0 +1,56 @@
+"""Everything starts at once after an outage, and no herd comes of it."""
+
+import time
+import unittest
+
+from tests.lib.clusters import start_cluster
+from tools.cluster_control import wait_until
+from tools.local_cluster import LocalCluster
+
+_NODES = 6
+_READS_PER_NODE = 6.0
+_WRITES_PER_SECOND = 10.0
+_SECONDS = 30.0
+
+
+class ColdStartTest(unittest.TestCase):
+    """Six nodes and ten engines, with the platform back last."""
+
+    cluster: LocalCluster
+
+    def setUp(self) -> None:
+        """Start a cluster."""
+        self.cluster = start_cluster(self, nodes=_NODES)
+
+    def test_all_at_once(self) -> None:
+        """All replicas serve again; the platform is asked no more than idle."""
+        control = self.cluster.control
+        control.set_platform_faults(down=True)
+        engines = [
+            f'{domain}-e{number}'
+            for domain in self.cluster.options.domains
+            for number in range(self.cluster.options.engines_per_domain)
+        ]
+        for name in (*engines, *self.cluster.entries):
+            self.cluster.kill(name)
+        for name in engines:
+            self.cluster.start_engine(name, name.rpartition('-')[0])
+        for name in self.cluster.entries:
+            self.cluster.start_node(name)
+        time.sleep(3)
+        control.set_platform_faults()
+        before = control.platform_counts()
+        started = time.monotonic()
+        wait_until(self._all_serve, 'all replicas serve again', _SECONDS)
+        seconds = time.monotonic() - started
+        after = control.platform_counts()
+        reads = (after['reads'] - before['reads']) / seconds
+        writes = (after['writes'] - before['writes']) / seconds
+        self.assertLess(reads, _READS_PER_NODE * _NODES)
+        self.assertLess(writes, _WRITES_PER_SECOND)
+
+    def _all_serve(self) -> bool:
+        return all(
+            len(self.cluster.control.serving(name)) == 2
+            for name in self.cluster.entries
+        )
--- /dev/null
+++ b/tests/functional/test_crossed.py
@@ -0,0 +1,57 @@
+"""Answers that belong to other requests reach nobody."""
+
+import unittest
+
+import curio
+import msgspec
+
+from cranecart.http import Request, exchange
+from cranecart.load import OutcomeKind, Summary
+from cranecart.standins import read_record
+from tests.lib.clusters import start_cluster
+from tests.lib.loads import language_profile, run_under_load
+from tools.local_cluster import LocalCluster
+
+
+class CrossedTest(unittest.TestCase):
+    """One engine answers with the ids of other requests for a while."""
+
+    cluster: LocalCluster
+
+    def setUp(self) -> None:
+        """Start a cluster with two replicas."""
+        self.cluster = start_cluster(self, nodes=2, engines_per_domain=4)
+
+    def test_crossed_answers(self) -> None:
+        """Clients get their own answers from the other replica."""
+        leader = next(
+            replica.leader
+            for replica in self.cluster.control.serving()
+            if replica.failure_domain == 'buda-terem'
+        )
+
+        async def chaos() -> None:  # noqa: WPS430
+            for crosses in (True, False):
+                await curio.sleep(2)
+                body = msgspec.json.encode(crosses)
+                request = Request('POST', '/standin/cross', body=body)
+                await exchange(leader, request, 5)
+
+        outcomes = run_under_load(
+            self.cluster,
+            chaos,
+            language_profile(tokens=4, non_repeatable_share=0),
+            seconds=7,
+            per_second=10,
+        )
+        summary = Summary.from_outcomes(
+            outcomes,
+            read_record(self.cluster.record),
+        )
+        self.assertEqual(summary.wrong, 0)
+        crossed = {
+            one.kind for one in outcomes if one.kind is not OutcomeKind.ANSWERED
+        }
+        # The retry budget may run out; then the outcome is told as unknown.
+        self.assertLessEqual(crossed, {OutcomeKind.UNKNOWN})
+        self.assertGreater(summary.answered, 0.9 * len(outcomes))
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,12 +1,17 @@
 """A request is served end to end through separate processes."""
 
+import contextlib
+import io
+import os
 import socket
 import unittest
 
 import curio
 import msgspec
 
+from cranecart.cli import main as cranecart
 from cranecart.cli._apply import apply_change
+from cranecart.cli._common import KEY_VARIABLE
 from cranecart.config import compile_folder
 from cranecart.http import Address, Request, Response, exchange
 from cranecart.load import (
@@ -20,6 +25,7 @@
 )
 from cranecart.standins import read_record
 from tests.lib.clusters import EXAMPLES, start_cluster
+from tools.cluster_control import OPERATOR_KEY
 from tools.local_cluster import LocalCluster
 
 _KEY = 'demo-budapest'
@@ -125,6 +131,35 @@
         with self.assertRaisesRegex(Exception, 'in force'):
             curio.run(apply_change, client, declared, base, 'second')
 
+    def test_operators_commands(self) -> None:
+        """Each command against a running node."""
+        address = f'--node_address={self.cluster.entries["node0"].operators}'
+        folder = str(EXAMPLES / 'katyuszerviz')
+        expected = (
+            (('status',), 'duty placer/buda-terem'),
+            (('plan', folder), 'against version'),
+            (('apply', '--wait_seconds=15', folder), 'on every node'),
+            (('history',), 'test'),
+            (('rollback', '1'), 'is accepted anew'),
+        )
+        os.environ[KEY_VARIABLE] = OPERATOR_KEY
+        for words, shown in expected:
+            code, out = _run_command(*words, address)
+            self.assertEqual(code, 0, out)
+            self.assertIn(shown, out)
+        os.environ.pop(KEY_VARIABLE)
+        self.assertEqual(_run_command('status', address)[0], 1)
+
+    def test_metrics(self) -> None:
+        """They tell of requests and of control."""
+        self._post({}, 'wrong')
+        operators = self.cluster.entries['node0'].operators
+        request = Request('GET', '/metrics')
+        text = curio.run(exchange, operators, request, 5).body.decode()
+        self.assertIn('cranecart_requests{outcome="unauthorized"}', text)
+        self.assertIn('cranecart_first_token_ms_count', text)
+        self.assertIn('cranecart_control{what="peer_bytes_sent"}', text)
+
     async def _both_nodes(self, call: LoadCall) -> list[object]:
         async with curio.TaskGroup(wait=all) as sending:
             for entry in self.cluster.entries.values():
@@ -153,3 +188,10 @@
     def _starts(self) -> int:
         events = read_record(self.cluster.record)
         return sum(event['event'] == 'start' for event in events)
+
+
+def _run_command(*words: str) -> tuple[int, str]:
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        code = cranecart(words)
+    return code, out.getvalue()
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -36,6 +36,13 @@
         """Read one row."""
         return (await self.read_keys([key])).get(key)
 
+    async def read_prefix(self, prefix: str) -> dict[str, Row]:
+        """Read rows behind a prefix."""
+        self._fail_if_down()
+        return {
+            key: row for key, row in self.rows.items() if key.startswith(prefix)
+        }
+
     async def commit(self, transaction: Transaction) -> int:
         """Write a transaction, as far as the next fault allows."""
         self._fail_if_down()
--- a/tests/unit/test_assemble.py
+++ b/tests/unit/test_assemble.py
@@ -9,6 +9,7 @@
 
 from cranecart.models import MemberReport, MemberState, ReplicaRow
 from cranecart.targets import ReportBook, assemble
+from cranecart.targets._assembly import Assembly
 from tests.lib.worlds import DOMAIN, make_instances, ready_reports
 
 _INSTANCES = make_instances(6)
@@ -70,6 +71,27 @@
         self.assertTrue(all(count == 1 for count in members.values()))
 
 
+class AssemblyTest(unittest.TestCase):
+    """Keeping up with changes one by one."""
+
+    @given(st.lists(_reports(), max_size=4))
+    def test_the_same_as_assembling_anew(
+        self,
+        steps: list[dict[str, MemberReport]],
+    ) -> None:
+        """After any changes in any order."""
+        assembly = Assembly()
+        for reports in steps:
+            for name in _NAMES:
+                assembly.update(name, reports.get(name), _INSTANCES)
+            expected = {one.key for one in assemble(_INSTANCES, reports)}
+            self.assertEqual(
+                {one.key for one in assembly.whole()},
+                expected,
+            )
+            self.assertEqual(dict(assembly.reports), reports)
+
+
 class ReportBookTest(unittest.TestCase):
     """How long a report counts."""
 
@@ -93,8 +115,11 @@
 
     def test_old_reports_do_not_count(self) -> None:
         """After a pause of this process nothing serves until asked anew."""
+        self.book.tick()
         self.now += 10
         self.assertEqual(self.book.serving(), [])
+        self.book.tick()
+        self.assertEqual(self.book.serving(), [])
 
     def test_own_pause_loses_nobody(self) -> None:
         """Time that this process slept through is no instance's silence."""
@@ -123,4 +148,5 @@
         self.book.note_unreachable('e01', 'other')
         self.assertEqual(self.book.serving(), [])
         self.now += 4.1
+        self.book.tick()
         self.assertEqual([one.id for one in self.book.serving()], ['r'])
--- /dev/null
+++ b/tests/unit/test_cli.py
@@ -0,0 +1,143 @@
+"""The command line."""
+
+import contextlib
+import io
+import os
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from cranecart.cli import main
+from cranecart.cli._common import KEY_VARIABLE
+from cranecart.cli._registry import COMMANDS, load_command
+from cranecart.exit_codes import ExitCode
+
+_EXAMPLES = Path(__file__).parent.parent.parent / 'examples'
+
+
+def _run(*words: str) -> tuple[int, str, str]:
+    """Run a command; return its exit code and what it printed."""
+    out = io.StringIO()
+    err = io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = main(words)
+    return code, out.getvalue(), err.getvalue()
+
+
+class CommandLineTest(unittest.TestCase):
+    """What every command has."""
+
+    def test_every_command_has_help(self) -> None:
+        """The help names the command."""
+        for name in COMMANDS:
+            with self.subTest(command=name):
+                code, out, _ = _run(name, '--help')
+                self.assertEqual(code, ExitCode.OK)
+                self.assertIn(f'cranecart {name}:', out)
+
+    def test_modules_have_what_the_registry_needs(self) -> None:
+        """Each declares its flags and runs."""
+        for name in COMMANDS:
+            module = load_command(name)
+            self.assertTrue(callable(module.declare_flags))
+            self.assertTrue(callable(module.run))
+
+    def test_unknown_command_and_flag(self) -> None:
+        """Both are told on standard error."""
+        code, _, err = _run('chekc')
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn("no command 'chekc'", err)
+        code, _, err = _run('check', '--jsno', 'x')
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn('jsno', err)
+
+    def test_a_node_that_is_away(self) -> None:
+        """The exit code says that something is unavailable."""
+        os.environ[KEY_VARIABLE] = 'key'
+        self.addCleanup(os.environ.pop, KEY_VARIABLE)
+        code, _, err = _run('status', '--node_address=127.0.0.1:1')
+        self.assertEqual(code, ExitCode.UNAVAILABLE)
+        self.assertIn('cannot be reached', err)
+
+
+class KeyTest(unittest.TestCase):
+    """The operators' key comes from the environment."""
+
+    def test_without_a_key(self) -> None:
+        """The error says where to put it."""
+        code, _, err = _run('status')
+        self.assertEqual(code, ExitCode.FAILED)
+        self.assertIn(KEY_VARIABLE, err)
+
+    def test_with_an_impossible_key(self) -> None:
+        """A key that no header can hold is told, not raised."""
+        os.environ[KEY_VARIABLE] = 'two\nlines'
+        self.addCleanup(os.environ.pop, KEY_VARIABLE)
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            port = listener.getsockname()[1]
+            code, _, err = _run('status', f'--node_address=127.0.0.1:{port}')
+        self.assertNotEqual(code, ExitCode.OK)
+        self.assertIn('not valid HTTP', err)
+
+
+class CheckTest(unittest.TestCase):
+    """``check`` needs no node."""
+
+    def test_a_good_folder(self) -> None:
+        """It says what the folder declares."""
+        code, out, _ = _run('check', str(_EXAMPLES / 'atril'))
+        self.assertEqual(code, ExitCode.OK)
+        self.assertIn('1 models', out)
+
+    def test_a_bad_folder(self) -> None:
+        """Findings have files and lines, as text and as JSON."""
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / 'x.json'
+            file.write_text('{\n"kind": "templaet"}', 'utf-8')
+            code, _, err = _run('check', folder)
+            self.assertEqual(code, ExitCode.INVALID_DECLARATION)
+            self.assertIn("x.json:2: unknown kind 'templaet'", err)
+            self.assertIn("did you mean 'template'?", err)
+            code, out, _ = _run('check', '--json', folder)
+        self.assertEqual(code, ExitCode.INVALID_DECLARATION)
+        self.assertEqual(msgspec.json.decode(out)['findings'][0]['line'], 2)
+
+    def test_a_missing_folder(self) -> None:
+        """It is told like any other finding."""
+        code, _, err = _run('check', '/nowhere')
+        self.assertEqual(code, ExitCode.INVALID_DECLARATION)
+        self.assertIn('needs exactly one deployment file', err)
+
+
+class ExplainTest(unittest.TestCase):
+    """``explain`` reads a decision log."""
+
+    def test_decisions_about_an_id(self) -> None:
+        """Also where the id stands in a list, and among other lines."""
+        lines = (
+            {'name': 'cranecart.decisions', 'event': 'routed', 'request': 'a'},
+            {
+                'name': 'cranecart.decisions',
+                'event': 'placed',
+                'members': ['a'],
+            },
+            {'name': 'cranecart.decisions', 'event': 'routed', 'request': 'b'},
+            {'name': 'other', 'request': 'a'},
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / 'log'
+            encoded = [msgspec.json.encode(line) for line in lines]
+            log.write_bytes(b'\n'.join((b'plain text', *encoded)))
+            code, out, _ = _run('explain', 'a', str(log))
+        self.assertEqual(code, ExitCode.OK)
+        self.assertEqual(len(out.splitlines()), 2)
+
+    def test_nothing_decided(self) -> None:
+        """It says so and fails."""
+        code, out, _ = _run('explain', 'zzz', sys.executable)
+        self.assertEqual(code, ExitCode.FAILED)
+        self.assertIn('nothing was decided about zzz', out)
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -20,7 +20,6 @@
 ALL_NODES = 360
 INSTANCES = 750
 DOMAINS = 8
-REPLICAS = 95
 ASKED = 2 * INSTANCES / NODES
 EVENTS_PER_SECOND = 3900
 GOAL_CPU_MS = 35.0
@@ -202,8 +201,10 @@
     by_nodes = control['nodes'][name]
     by_instances = control['instances'][name]
     base: float = by_nodes['base'] + by_nodes['slope'] * nodes
-    # A node of the measured four asks half of the instances.
-    return base + float(by_instances['slope']) * 2 * asked
+    # Memory holds every instance of the domain; all else goes with those
+    # that a node asks, which are half of them with the measured four.
+    instances = asked * nodes / 2 if name == 'memory_mb' else 2 * asked
+    return base + float(by_instances['slope']) * instances
 
 
 def _table(rows: Iterable[Row]) -> str:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -103,6 +103,13 @@
         'tests.functional.test_leaving.LeavingTest'
         '.test_engine_says_that_it_leaves',
     ),
+    Mutation(
+        'crossed-answers-are-taken',
+        'targets/_engine.py',
+        'if told != (call.request_id, replica.id, str(replica.generation)):',
+        'if not told:',
+        'tests.functional.test_crossed',
+    ),
     Mutation(
         'a-node-stops-at-once',
         'node/_node.py',
