Test slow and half-sent requests; close listeners

Cause: nothing showed what becomes of a request that drips in or is half sent, and a cancelled server left its listener open (a resource warning of the new tests).

Tests' own repetitions are shared (one kill test, one non-repeatable call).

--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -161,20 +161,23 @@
         """Accept connections until cancelled."""
         if self._listener is None:
             self.open()
-        listener = self._listener
-        while True:
-            sock, _peer = await listener.accept()
-            if self._connections >= self._limits.connections:
-                await sock.close()
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            # A task group would keep every ended task until it ends itself.
-            await curio.spawn(self._serve, sock, daemon=True)
+        async with self._listener:
+            while True:
+                sock, _peer = await self._listener.accept()
+                await self._begin(sock)
 
     def refuse_new(self) -> None:
         """Ask clients to close their connections after the next answer."""
         self._closing = True
 
+    async def _begin(self, sock: curio.io.Socket) -> None:
+        if self._connections >= self._limits.connections:
+            await sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A task group would keep every ended task until it ends itself.
+        await curio.spawn(self._serve, sock, daemon=True)
+
     async def _serve(self, sock: curio.io.Socket) -> None:
         self._connections += 1
         try:
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -50,29 +50,11 @@
 
     def test_member_killed(self) -> None:
         """The replica leaves, is repaired and serves again."""
-        victim = self._member(1)
-
-        async def chaos() -> None:  # noqa: WPS430
-            await curio.sleep(2)
-            self.cluster.kill(victim)
-
-        outcomes = self._run(chaos, 10)
-        self._assert_sound(outcomes)
-        self._assert_answered(outcomes)
-        self._wait_for_repair(victim)
+        self._kill_under_load(rank=1)
 
     def test_leader_killed(self) -> None:
         """Streams go on at another replica with the right token."""
-        victim = self._member(0)
-
-        async def chaos() -> None:  # noqa: WPS430
-            await curio.sleep(2)
-            self.cluster.kill(victim)
-
-        outcomes = self._run(chaos, 10)
-        self._assert_sound(outcomes)
-        self._assert_answered(outcomes)
-        self._wait_for_repair(victim)
+        self._kill_under_load(rank=0)
 
     def test_member_paused_and_back(self) -> None:
         """Whoever comes back after it was given up does not serve."""
@@ -147,6 +129,18 @@
             'the domain is back',
         )
 
+    def _kill_under_load(self, rank: int) -> None:
+        victim = self._member(rank)
+
+        async def chaos() -> None:  # noqa: WPS430
+            await curio.sleep(2)
+            self.cluster.kill(victim)
+
+        outcomes = self._run(chaos, 10)
+        self._assert_sound(outcomes)
+        self._assert_answered(outcomes)
+        self._wait_for_repair(victim)
+
     def _run(
         self,
         chaos: object,
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -1,6 +1,5 @@
 """Claims of non-repeatable calls."""
 
-import time
 import unittest
 
 import curio
@@ -15,24 +14,10 @@
     RequestError,
 )
 from cranecart.http import Response
-from cranecart.targets import ServiceCall
+from tests.lib.calls import non_repeatable_call
 from tests.lib.fake_platform import FAULTS, FakePlatform
 
 
-def _call(body: bytes = b'{}') -> ServiceCall:
-    return ServiceCall(
-        request_id='r',
-        organisation='o',
-        body=body,
-        deadline=time.monotonic() + 60,
-        repeatable=False,
-        idempotency_key='k',
-        service='s',
-        path='/confirm',
-        method='POST',
-    )
-
-
 class ClaimsTest(unittest.TestCase):
     """At most one copy of a call may ever be sent."""
 
@@ -57,7 +42,7 @@
         held = 0
         for copy in copies:
             try:
-                outcome = curio.run(nodes[copy].make, _call())
+                outcome = curio.run(nodes[copy].make, non_repeatable_call())
             except RequestError:
                 continue
             held += isinstance(outcome, Held)
@@ -65,35 +50,37 @@
 
     def test_a_repeat_hears_the_recorded_answer(self) -> None:
         """After it was settled, any node replays it."""
-        held = curio.run(self.one.make, _call())
+        held = curio.run(self.one.make, non_repeatable_call())
         assert isinstance(held, Held)
         curio.run(self.one.settle, held, Response(201, {}, b'done'))
-        again = curio.run(self.two.make, _call())
+        again = curio.run(self.two.make, non_repeatable_call())
         assert isinstance(again, Replay)
         self.assertEqual(again.response.status, 201)
         self.assertEqual(again.response.body, b'done')
 
     def test_while_it_runs_the_outcome_is_unknown(self) -> None:
         """A claim of a node that may have died is never taken over."""
-        curio.run(self.one.make, _call())
+        curio.run(self.one.make, non_repeatable_call())
         with self.assertRaises(OutcomeUnknownError):
-            curio.run(self.two.make, _call())
+            curio.run(self.two.make, non_repeatable_call())
 
     def test_a_call_that_did_not_run_may_be_repeated(self) -> None:
         """Its claim is released, and one copy may be sent again."""
-        held = curio.run(self.one.make, _call())
+        held = curio.run(self.one.make, non_repeatable_call())
         assert isinstance(held, Held)
         curio.run(self.one.release, held)
-        self.assertIsInstance(curio.run(self.two.make, _call()), Held)
+        self.assertIsInstance(
+            curio.run(self.two.make, non_repeatable_call()), Held
+        )
 
-    def test_a_key_belongs_to_one_call(self) -> None:
+    def test_a_key_belongs_to_onenon_repeatable_call(self) -> None:
         """The same key with another body is refused."""
-        curio.run(self.one.make, _call())
+        curio.run(self.one.make, non_repeatable_call())
         with self.assertRaises(KeyReusedError):
-            curio.run(self.two.make(_call(b'{"other": 1}')))
+            curio.run(self.two.make(non_repeatable_call(b'{"other": 1}')))
 
     def test_without_the_table_nothing_is_promised(self) -> None:
         """Whether an earlier copy ran cannot be told."""
         self.platform.down = True
         with self.assertRaises(ClaimUnreadableError):
-            curio.run(self.one.make, _call())
+            curio.run(self.one.make, non_repeatable_call())
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -1,4 +1,4 @@
-"""The asking side of HTTP against a server on a socket."""
+"""Both sides of HTTP over real sockets."""
 
 import socket
 import unittest
@@ -7,7 +7,15 @@
 import curio
 
 from cranecart.exceptions import ConnectionBrokenError
-from cranecart.http import Address, HttpConnection, Request
+from cranecart.http import (
+    Address,
+    HttpConnection,
+    HttpServer,
+    Request,
+    Responder,
+    Response,
+    ServerLimits,
+)
 
 _HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 _END = b'0\r\n\r\n'
@@ -55,3 +63,58 @@
         """A connection that breaks off is told from one that ended."""
         with self.assertRaises(ConnectionBrokenError):
             curio.run(_pieces, [_HEAD, b'1\r\na\r\n'])
+
+
+class HostileClientTest(unittest.TestCase):
+    """What a server with short bounds does with bad clients."""
+
+    def setUp(self) -> None:
+        """Forget what was handled."""
+        self.handled: list[Request] = []
+
+    def test_slow_dripped(self) -> None:
+        """A request that does not arrive whole in time is a 408."""
+        drips = [bytes((one,)) for one in b'GET / HTTP/1.1\r\nhost: x\r\n']
+        answer = curio.run(self._talk, drips)
+        self.assertIn(b' 408 ', answer.partition(b'\r\n')[0])
+        self.assertEqual(self.handled, [])
+
+    def test_half_sent(self) -> None:
+        """A body that ends too early reaches no handler."""
+        sent = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nab'
+        curio.run(self._talk, [sent])
+        self.assertEqual(self.handled, [])
+
+    def test_body_over_the_bound(self) -> None:
+        """Also where its length was not announced."""
+        head = b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n'
+        chunk = b'8\r\nabcdefgh\r\n'
+        answer = curio.run(self._talk, [b'%b\r\n%b' % (head, chunk * 9)])
+        self.assertIn(b' 413 ', answer.partition(b'\r\n')[0])
+        self.assertEqual(self.handled, [])
+
+    def test_whole(self) -> None:
+        """A good request is handled, whatever the cuts."""
+        sent = [b'GET /x HTTP/1.1\r\nho', b'st: x\r\n', b'\r\n']
+        answer = curio.run(self._talk, sent)
+        self.assertIn(b' 200 ', answer.partition(b'\r\n')[0])
+        self.assertEqual([one.path for one in self.handled], ['/x'])
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        self.handled.append(request)
+        await responder.send(Response(200))
+
+    async def _talk(self, writes: Sequence[bytes]) -> bytes:
+        limits = ServerLimits(body_bytes=64, receive_seconds=0.5)
+        server = HttpServer(Address('127.0.0.1', 0), self._handle, limits)
+        server.open()
+        serving = await curio.spawn(server.run)
+        sock = await curio.open_connection('127.0.0.1', server.address.port)
+        async with sock:
+            for write in writes:
+                await sock.sendall(write)
+                await curio.sleep(0.02)
+            await sock.shutdown(socket.SHUT_WR)
+            answer: bytes = await sock.recv(65536)
+        await serving.cancel()
+        return answer
--- a/tests/unit/test_sweeper.py
+++ b/tests/unit/test_sweeper.py
@@ -9,22 +9,12 @@
 from cranecart.claims import Claims, Held, Replay, Sweeper
 from cranecart.duties import Lease
 from cranecart.http import Response
-from cranecart.targets import ServiceCall
+from tests.lib.calls import non_repeatable_call
 from tests.lib.fake_platform import FakePlatform
 from tests.lib.run import run_now
 
 _DAY = 86400
-_CALL = ServiceCall(
-    request_id='r',
-    organisation='o',
-    body=b'',
-    deadline=time.monotonic() + 600,
-    repeatable=False,
-    idempotency_key='k',
-    service='s',
-    path='/confirm',
-    method='POST',
-)
+_CALL = non_repeatable_call()
 
 
 class SweeperTest(unittest.TestCase):
--- a/tools/bench/_times.py
+++ b/tools/bench/_times.py
@@ -34,10 +34,7 @@
     with tempfile.TemporaryDirectory() as folder:
         with LocalCluster(Path(folder), options) as cluster:
             declared = compile_folder(_EXAMPLE)
-            wait_until(
-                lambda: cluster.control.status() is not None,
-                'a node answers',
-            )
+            wait_until(lambda: _all_answer(cluster), 'all nodes answer')
             in_force = [
                 _time_of_change(cluster, declared, number)
                 for number in range(_CHANGES)
@@ -89,6 +86,12 @@
     return absent, time.monotonic() - started
 
 
+def _all_answer(cluster: LocalCluster) -> bool:
+    return all(
+        cluster.control.status(name) is not None for name in cluster.entries
+    )
+
+
 def _all_serve(cluster: LocalCluster) -> bool:
     return all(
         len(_keys(cluster, name)) == len(_DOMAINS) for name in cluster.entries
