--- a/src/cranecart/config/_settings.py
+++ b/src/cranecart/config/_settings.py
@@ -47,7 +47,12 @@
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
-    routing_policy: str = 'prefix'
+    routing_policy: str = attrs.field(
+        default='two_choices',
+        validator=attrs.validators.in_(
+            ('two_choices', 'prefix', 'least_loaded'),
+        ),
+    )
     seed: int = 0
 
     @classmethod
