Count nodes at once for limits; make crossed answers truly crossed

The stand-in crossed only the ids, and the mutation that takes crossed answers was not noticed; it now answers with another prompt's text, and the mutation is noticed. The mutation a-node-stops-at-once was not noticed with answers of under a second; the streams there now take two seconds.

--- a/src/cranecart/node/_demand_sharing.py
+++ b/src/cranecart/node/_demand_sharing.py
@@ -38,6 +38,9 @@
                 self._shares.hear(entry.key.origin, entry.body)
             case Topic.MEMBER if entry.body['stopping']:
                 self._shares.forget(entry.key.subject)
+            case Topic.MEMBER if entry.key.subject != self._members.node_id:
+                # Counted from the moment it is known, before it tells more.
+                self._shares.expect([entry.key.subject])
 
     def take_summary(self, summary: Summary) -> None:
         """Take over the demand of another failure domain."""
--- a/src/cranecart/standins/_engine.py
+++ b/src/cranecart/standins/_engine.py
@@ -149,6 +149,12 @@
             body = {'error': repr(error)}
             await responder.send(json_response(_BAD_REQUEST, body, _NOT_RUN))
             return
+        if self._crosses:
+            generation = attrs.evolve(
+                generation,
+                request='crossed',
+                prompt='what another client asked',
+            )
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._generate, generation, responder)
             await tasks.spawn(responder.client_left)
@@ -184,7 +190,7 @@
     ) -> None:
         order = self._membership.order
         headers = {
-            'x-request-id': 'crossed' if self._crosses else generation.request,
+            'x-request-id': generation.request,
             'x-replica': order.replica,
             'x-generation': str(order.generation),
             'x-cache': await self._prefill(generation),
--- a/tests/functional/test_leaving.py
+++ b/tests/functional/test_leaving.py
@@ -87,7 +87,7 @@
             for name in _NODES:
                 await curio.run_in_thread(self._restart, name)
 
-        self._assert_sound(self._run(chaos, 40, per_second=8))
+        self._assert_sound(self._run(chaos, 40, per_second=8, tokens=80))
         for name in _NODES:
             log = (self.cluster.folder / f'{name}.log').read_text('utf-8')
             self.assertIn('node_stopped', log)
