--- a/src/cranecart/claims/_claims.py
+++ b/src/cranecart/claims/_claims.py
@@ -32,7 +32,8 @@
 )
 from cranecart.http import Response
 from cranecart.logs import decision
-from cranecart.platform import Check, Put, Row, Transaction, WriteBatcher
+from cranecart.native import WriteBatcher
+from cranecart.ports import Check, Put, Row, Transaction
 from cranecart.targets import Call
 
 _MAX_RECORDED_BYTES = 65536
--- a/src/cranecart/claims/_rows.py
+++ b/src/cranecart/claims/_rows.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-from cranecart.platform import Row
+from cranecart.ports import Row
 from cranecart.targets import Call, ServiceCall
 
 # How long a repeat of a call hears what became of it.
--- a/src/cranecart/claims/_sweeper.py
+++ b/src/cranecart/claims/_sweeper.py
@@ -17,7 +17,8 @@
 from cranecart.duties import Lease
 from cranecart.exceptions import LeaseLostError, PlatformError
 from cranecart.logs import decision
-from cranecart.platform import Check, PlatformClient, Put, Row, Transaction
+from cranecart.native import PlatformClient
+from cranecart.ports import Check, Put, Row, Transaction
 
 _LOG = logging.getLogger(__name__)
 _TICK_SECONDS = 5.0
--- a/src/cranecart/duties/_lease.py
+++ b/src/cranecart/duties/_lease.py
@@ -21,7 +21,7 @@
     WriteUnknownError,
 )
 from cranecart.logs import decision
-from cranecart.platform import Check, PlatformClient, Put, Row, Transaction
+from cranecart.ports import Check, Put, Row, Table, Transaction
 
 _NO_ROW_VERSION = 0
 
@@ -47,7 +47,7 @@
 
     duty: str
     node_id: str
-    _platform: PlatformClient
+    _table: Table
     _times: LeaseTimes = attrs.field(factory=LeaseTimes)
     _clock: Callable[[], float] = time.monotonic
     _seen: Row | None = attrs.field(default=None, init=False)
@@ -120,7 +120,7 @@
         self._trusted_until = float('-inf')
         released = _Value('', self._fencing, uuid.uuid4().hex)
         try:
-            await self._platform.commit(
+            await self._table.commit(
                 Transaction(
                     (Check(self.key, seen.version),),
                     (Put(self.key, _encode(released)),),
@@ -132,7 +132,7 @@
             decision('duty_handed_over', duty=self.duty)
 
     async def _look(self) -> None:
-        rows = await self._platform.read_keys([self.key])
+        rows = await self._table.read_keys([self.key])
         row = rows.get(self.key)
         if row != self._seen or self._seen_at == 0:
             self._seen = row
@@ -149,7 +149,7 @@
         version = seen.version if seen else _NO_ROW_VERSION
         put = Put(self.key, _encode(wanted))
         try:
-            written = await self._platform.commit(
+            written = await self._table.commit(
                 Transaction((Check(self.key, version),), (put,)),
             )
         except WriteConflictError:
@@ -162,7 +162,7 @@
         self._accept(Row(self.key, written, put.value), fencing, started)
 
     async def _find_out(self, wanted: _Value, started: float) -> None:
-        row = (await self._platform.read_keys([self.key])).get(self.key)
+        row = (await self._table.read_keys([self.key])).get(self.key)
         if row is not None and _decode(row) == wanted:
             self._accept(row, wanted.fencing, started)
 
--- a/src/cranecart/platform/_batch.py
+++ b/src/cranecart/native/_batch.py
@@ -4,8 +4,8 @@
 import curio
 
 from cranecart.exceptions import PlatformError, WriteConflictError
-from cranecart.platform._client import PlatformClient
-from cranecart.platform._table import Row, Transaction
+from cranecart.native._client import PlatformClient
+from cranecart.ports import Row, Transaction
 
 _MAX_TOGETHER = 64
 
--- a/src/cranecart/platform/_client.py
+++ b/src/cranecart/native/_client.py
@@ -18,7 +18,7 @@
 )
 from cranecart.http import Address, Request, Response, exchange
 from cranecart.models import Instance
-from cranecart.platform._table import Row, Transaction
+from cranecart.ports import Row, Transaction
 
 Message = TypeVar('Message')
 
--- a/src/cranecart/node/_control.py
+++ b/src/cranecart/node/_control.py
@@ -10,9 +10,9 @@
 from cranecart.claims import Sweeper
 from cranecart.config import NodeSettings
 from cranecart.duties import Lease
+from cranecart.native import PlatformClient
 from cranecart.operators import AdminInterface, NodeStatus
 from cranecart.placement import Placer
-from cranecart.platform import PlatformClient
 from cranecart.rollout import CurrentConfig, Follower, History
 from cranecart.signals import raise_first_error
 from cranecart.targets import EngineClient, ReportBook
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -15,11 +15,11 @@
 from cranecart.logs import decision
 from cranecart.metrics import Metrics
 from cranecart.models import Instance, InstanceKind
+from cranecart.native import PlatformClient, WriteBatcher
 from cranecart.node._control import Control
 from cranecart.node._peering import Peering
 from cranecart.nodes import Topic
 from cranecart.operators import NodeStatus
-from cranecart.platform import PlatformClient, WriteBatcher
 from cranecart.rollout import CurrentConfig
 from cranecart.routing import Router, policy_from_name
 from cranecart.signals import StopSignal, raise_first_error, stop_signal
--- a/src/cranecart/placement/_placer.py
+++ b/src/cranecart/placement/_placer.py
@@ -19,11 +19,11 @@
     Instance,
     InstanceKind,
 )
+from cranecart.native import PlatformClient
 from cranecart.placement._actions import Action, Order
 from cranecart.placement._plan import plan, plan_orders
 from cranecart.placement._rows import PlacementRows, prefix_of
 from cranecart.placement._state import DomainState
-from cranecart.platform import PlatformClient
 from cranecart.targets import EngineClient, ReportBook
 
 _TICK_SECONDS = 0.5
--- a/src/cranecart/placement/_rows.py
+++ b/src/cranecart/placement/_rows.py
@@ -14,7 +14,7 @@
     ReplaceMembers,
     RetireReplica,
 )
-from cranecart.platform import Check, Put, Row, Transaction
+from cranecart.ports import Check, Put, Row, Transaction
 
 
 @attrs.frozen
--- a/src/cranecart/rollout/_follower.py
+++ b/src/cranecart/rollout/_follower.py
@@ -7,7 +7,7 @@
 import curio
 
 from cranecart.exceptions import PlatformError
-from cranecart.platform import PlatformClient
+from cranecart.native import PlatformClient
 from cranecart.rollout._current import CurrentConfig, Release
 from cranecart.rollout._history import History
 
--- a/src/cranecart/rollout/_history.py
+++ b/src/cranecart/rollout/_history.py
@@ -12,7 +12,8 @@
     WriteConflictError,
     WriteUnknownError,
 )
-from cranecart.platform import Check, PlatformClient, Put, Row, Transaction
+from cranecart.native import PlatformClient
+from cranecart.ports import Check, Put, Row, Transaction
 from cranecart.rollout._current import Release
 
 HEAD_KEY = 'config/head'
--- a/src/cranecart/standins/_platform.py
+++ b/src/cranecart/standins/_platform.py
@@ -17,7 +17,7 @@
     Response,
     json_response,
 )
-from cranecart.platform import Row, Transaction
+from cranecart.ports import Row, Transaction
 from cranecart.standins._record import Record
 
 _OK = 200
--- a/src/cranecart/targets/_instances.py
+++ b/src/cranecart/targets/_instances.py
@@ -8,7 +8,7 @@
 
 from cranecart.exceptions import PlatformError
 from cranecart.models import Instance
-from cranecart.platform import PlatformClient
+from cranecart.native import PlatformClient
 
 _LOG = logging.getLogger(__name__)
 _POLL_SECONDS = 1.0
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -9,7 +9,7 @@
     WriteConflictError,
     WriteUnknownError,
 )
-from cranecart.platform import Put, Row, Transaction
+from cranecart.ports import Put, Row, Transaction
 
 FINE = 'fine'
 REFUSED = 'refused'
