--- a/src/cranecart/cli/_registry.py
+++ b/src/cranecart/cli/_registry.py
@@ -25,6 +25,7 @@
         'status': CommandInfo('_status', 'show nodes, duties and replicas'),
         'explain': CommandInfo('_explain', 'tell why a decision was taken'),
         'node': CommandInfo('_node', 'run a node'),
+        'serve': CommandInfo('_serve', "run a node on a users' platform"),
         'standin': CommandInfo('_standin', 'run a stand-in or a fault proxy'),
         'load': CommandInfo(
             '_load', 'send a seeded load and check the answers'
--- /dev/null
+++ b/src/cranecart/cli/_serve.py
@@ -0,0 +1,42 @@
+"""Run a node on a deployment's platform. Usage: serve [SETTINGS_FILE].
+
+Without a file the path stands in the variable CRANECART_NODE_FILE.
+"""
+
+import os
+from pathlib import Path
+
+import curio
+from absl import flags
+
+from cranecart.config import ServingSettings
+from cranecart.exceptions import ConfigError
+from cranecart.exit_codes import ExitCode
+from cranecart.logs import set_up_logging
+from cranecart.serving import ServingNode
+
+FILE_VARIABLE = 'CRANECART_NODE_FILE'
+
+
+def declare_flags(flag_values: flags.FlagValues) -> None:
+    """Declare the command's flags: it has none, only its settings."""
+    flag_values.mark_as_parsed()
+
+
+def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
+    """Serve until SIGTERM or SIGINT."""
+    settings = ServingSettings.from_file(_settings_file(rest))
+    set_up_logging(
+        as_json=True,
+        level=settings.log_level,
+        node=settings.node_id,
+    )
+    curio.run(ServingNode(settings).run)
+    return ExitCode.OK
+
+
+def _settings_file(rest: list[str]) -> Path:
+    named = rest[0] if rest else os.environ.get(FILE_VARIABLE, '')
+    if not named:
+        raise ConfigError(f'name a settings file, or set {FILE_VARIABLE}')
+    return Path(named)
--- a/src/cranecart/clients/_errors.py
+++ b/src/cranecart/clients/_errors.py
@@ -5,8 +5,8 @@
 import attrs
 
 from cranecart.exceptions import (
-    DeadlineError,
     Execution,
+    NotTakenError,
     OutcomeUnknownError,
     RequestError,
     TargetError,
@@ -49,14 +49,7 @@
 def describe_target_error(error: TargetError) -> RequestError:
     """Turn a target's error into what the client is told."""
     if error.execution is Execution.NOT_RUN:
-        return _NotRunOnTargetError(str(error))
+        return NotTakenError(str(error))
     if isinstance(error, TargetTimeoutError):
         return OutcomeUnknownError(f'no answer by the deadline: {error}')
     return OutcomeUnknownError(str(error))
-
-
-class _NotRunOnTargetError(DeadlineError):
-    """No target took the call."""
-
-    status = 503
-    code = 'not_taken'
--- a/src/cranecart/config/_structure.py
+++ b/src/cranecart/config/_structure.py
@@ -21,8 +21,8 @@
 _EXTRA_FIELDS = re.compile(r'extra fields found \((.*)\)')
 
 
-def _converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True)
+def _converter(*, forbid_extra_keys: bool) -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
     for plain in (int, str, bool):
         converter.register_structure_hook(plain, _strict)
     return converter
@@ -38,7 +38,9 @@
     return found
 
 
-_CONVERTER = _converter()
+_CONVERTER = _converter(forbid_extra_keys=True)
+# For files that a platform writes, which may say more than is known here.
+_LENIENT_CONVERTER = _converter(forbid_extra_keys=False)
 
 
 def structure(
@@ -46,6 +48,8 @@
     wanted: type[Data],
     base: KeyPath = (),
     found: object = None,
+    *,
+    ignores_unknown: bool = False,
 ) -> Data:
     """Check a document against an attrs class.
 
@@ -53,7 +57,8 @@
     """
     source = document.root if found is None else found
     try:
-        return _CONVERTER.structure(source, wanted)
+        converter = _LENIENT_CONVERTER if ignores_unknown else _CONVERTER
+        return converter.structure(source, wanted)
     except Exception as error:
         lines = cattrs.transform_error(error)
     raise FindingsError(
--- a/src/cranecart/duties/_lease.py
+++ b/src/cranecart/duties/_lease.py
@@ -76,6 +76,11 @@
         """Return the number that goes with every order of this holder."""
         return self._fencing
 
+    @property
+    def version(self) -> int:
+        """Return the version of the lease's row as it was seen last."""
+        return self._seen.version if self._seen else _NO_ROW_VERSION
+
     @property
     def holder(self) -> str:
         """Return who held the lease when the row was seen last."""
--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -60,6 +60,10 @@
     """A condition of a transaction did not hold; nothing was written."""
 
 
+class HistoryLostError(PlatformError):
+    """Changes since a version cannot be had; read everything anew."""
+
+
 class DamagedObjectError(PlatformError):
     """An object's bytes do not match its checksum."""
 
@@ -94,6 +98,30 @@
     """The target did not answer within the time the request had left."""
 
 
+class OrderError(CranecartError):
+    """Base of the errors of an order to an engine instance."""
+
+
+@final
+class OrderRefusedError(OrderError):
+    """The instance refused the order, which does not fit its state."""
+
+
+@final
+class OrderFencedError(OrderError):
+    """The instance has seen a later holder of the duty; stop ordering."""
+
+
+@final
+class OrderUnknownError(OrderError):
+    """No answer came; the order may have been taken, or may be later."""
+
+
+@final
+class TargetGoneError(OrderError):
+    """That life of the instance is over; nothing of it serves any more."""
+
+
 class LeaseLostError(CranecartError):
     """The lease of a duty is no longer held; the duty's work must stop."""
 
@@ -202,6 +230,14 @@
     retry_after = 1.0
 
 
+class NotTakenError(RequestError):
+    """Every target that was asked refused the request."""
+
+    status = 503
+    code = 'not_taken'
+    retry_after = 1.0
+
+
 class OutcomeUnknownError(RequestError):
     """The request was sent and what became of it is not known."""
 
@@ -210,6 +246,13 @@
     execution = Execution.OUTCOME_UNKNOWN
 
 
+class TimeoutPassedError(OutcomeUnknownError):
+    """The time of the request or of its route passed while it ran."""
+
+    status = 504
+    code = 'timeout_passed'
+
+
 class ClaimUnreadableError(OutcomeUnknownError):
     """The table is away, so an earlier copy's claim cannot be read."""
 
--- /dev/null
+++ b/src/cranecart/fleet/_records.py
@@ -0,0 +1,74 @@
+"""Replicas as their placer recorded them before ordering anything."""
+
+import enum
+
+import attrs
+import msgspec
+
+from cranecart.ports import Row
+
+_TABLE = 'placement'
+_NODES = 'nodes'
+_REPLICA = 'replica/'
+
+
+class RecordState(enum.Enum):
+    """What the placer wants of a replica."""
+
+    SERVING = 'serving'
+    # It finishes what it has, as one of its members leaves.
+    CLOSING = 'closing'
+    # Its members are freed; none may join another replica before that.
+    ENDING = 'ending'
+
+
+@attrs.frozen
+class ReplicaRecord:
+    """One forming of a replica; the first member is its head.
+
+    ``epoch`` rises with every forming in a failure domain and orders late
+    orders of earlier formings out. ``version`` is that of the record's row.
+    """
+
+    name: str
+    epoch: int
+    service: str
+    model: str
+    failure_domain: str
+    fabric_domain: str
+    members: tuple[str, ...]
+    state: RecordState = RecordState.SERVING
+    reason: str = ''
+    version: int = 0
+
+    @property
+    def head(self) -> str:
+        """Return the id of the instance that takes the requests."""
+        return self.members[0]
+
+    @property
+    def key(self) -> str:
+        """Return the key of the record's row."""
+        return record_key(self.failure_domain, self.name)
+
+    def encoded(self) -> str:
+        """Return the value of the record's row."""
+        return msgspec.json.encode(self).decode()
+
+
+def record_key(failure_domain: str, name: str) -> str:
+    """Return the key of a replica's row."""
+    return f'{_TABLE}/{failure_domain}/{_REPLICA}{name}'
+
+
+def node_key(node_id: str) -> str:
+    """Return the key of a node's row."""
+    return f'{_TABLE}/{_NODES}/{node_id}'
+
+
+def record_from_row(row: Row) -> ReplicaRecord | None:
+    """Decode a replica's row; return ``None`` for another kind of row."""
+    if not row.key.split('/', 2)[2].startswith(_REPLICA):
+        return None
+    record = msgspec.json.decode(row.value, type=ReplicaRecord)
+    return attrs.evolve(record, version=row.version)
--- /dev/null
+++ b/src/cranecart/forwarding/__init__.py
@@ -0,0 +1,7 @@
+"""Pass clients' requests on to targets by the routes in force."""
+
+from cranecart.forwarding._connections import TargetConnections
+from cranecart.forwarding._gateway import RoutedGateway
+from cranecart.forwarding._sender import Evidence, Sender
+
+__all__ = ('Evidence', 'RoutedGateway', 'Sender', 'TargetConnections')
--- /dev/null
+++ b/src/cranecart/forwarding/_admit.py
@@ -0,0 +1,73 @@
+"""Find a request's route, organisation and service, or refuse it."""
+
+import random
+import time
+from urllib.parse import urlsplit
+
+from cranecart.exceptions import (
+    NotConfiguredError,
+    NotFoundError,
+    UnauthorizedError,
+)
+from cranecart.forwarding._call import RoutedCall, end_of
+from cranecart.http import Request
+from cranecart.models import KeyHolder, Route, RouteConfig
+from cranecart.ports import CallFacts
+
+_STARTING_SECONDS = 0.5
+
+
+def admit(
+    request: Request,
+    facts: CallFacts,
+    config: RouteConfig | None,
+    source: random.Random,
+) -> RoutedCall:
+    """Check a request against the configuration in force.
+
+    Raise ``NotConfiguredError``, ``NotFoundError`` or ``UnauthorizedError``.
+    """
+    if config is None:
+        raise NotConfiguredError(
+            'this node has no configuration yet',
+            retry_after=_STARTING_SECONDS,
+        )
+    route = config.route(facts.host, urlsplit(request.target).path)
+    if route is None:
+        raise NotFoundError(f'no route begins {request.target!r}')
+    holder = _find_holder(config, route, facts)
+    now = time.monotonic()
+    rank = route.rank
+    if holder is not None and holder.rank is not None:
+        rank = holder.rank
+    return RoutedCall(
+        request,
+        facts,
+        config,
+        route,
+        _draw_service(route, source),
+        '' if holder is None else holder.name,
+        rank,
+        now,
+        end_of(route, facts, now),
+    )
+
+
+def _find_holder(
+    config: RouteConfig,
+    route: Route,
+    facts: CallFacts,
+) -> KeyHolder | None:
+    if config.holders is None:
+        return None
+    holder = config.holder(facts.key) if facts.key else None
+    if holder is None and not route.public:
+        raise UnauthorizedError('the key is not known')
+    return holder
+
+
+def _draw_service(route: Route, source: random.Random) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return source.choices(route.shares, weights)[0].service
--- /dev/null
+++ b/src/cranecart/forwarding/_attempts.py
@@ -0,0 +1,126 @@
+"""Decide whether a request goes to another target."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from cranecart.exceptions import (
+    Execution,
+    NoReplicaError,
+    NotTakenError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RequestError,
+    TargetError,
+    TargetNotReachedError,
+    TargetTimeoutError,
+    TimeoutPassedError,
+)
+from cranecart.forwarding._call import RoutedCall
+from cranecart.limits import SharedRetryBudget
+from cranecart.logs import decision
+from cranecart.routing import HeadRouter, Target
+
+# When to come back after a target has refused, in seconds.
+_REFUSED_SECONDS = 0.2
+# Targets that could not be reached at all count in no limit of the route,
+# but are not tried for ever.
+_MOST_NOT_REACHED = 3
+
+
+@attrs.define
+class RoutedAttempts:
+    """The targets that one request was sent to, and what came of it."""
+
+    call: RoutedCall
+    _router: HeadRouter
+    _budget: SharedRetryBudget
+    tried: list[str] = attrs.field(factory=list, init=False)
+    _sent: int = attrs.field(default=0, init=False)
+    _not_reached: int = attrs.field(default=0, init=False)
+    _last: TargetError | None = attrs.field(default=None, init=False)
+
+    async def run(self, attempt: Callable[[Target], Awaitable[None]]) -> None:
+        """Attempt until one succeeds; raise ``RequestError`` for the last."""
+        self._budget.pay_in(self.call.service)
+        while True:
+            target = self._choose()
+            try:
+                with self._router.in_flight(target.instance.id):
+                    await attempt(target)
+            except TargetError as error:
+                self._note(target, error)
+            else:
+                self._router.succeeded(target.instance.id)
+                return
+            if not self._may_go_on():
+                raise self._final_error()
+
+    def may_try_another(self) -> bool:
+        """Tell whether one more target would be allowed, without taking it."""
+        return self.call.may_repeat and self._sent < self.call.route.attempts
+
+    def _choose(self) -> Target:
+        call = self.call
+        try:
+            target = self._router.choose(
+                call.config,
+                call.service,
+                call.facts.model,
+                self.tried,
+            )
+        except (NoReplicaError, OverloadedError) as error:
+            if self._last is None:
+                raise
+            raise self._final_error() from error
+        decision(
+            'routed',
+            request=call.request_id,
+            service=call.service,
+            instance=target.instance.id,
+            replica=target.forming,
+            load=target.load,
+            why=target.reason,
+            tried=list(self.tried),
+        )
+        self.tried.append(target.instance.id)
+        return target
+
+    def _note(self, target: Target, error: TargetError) -> None:
+        if isinstance(error, TargetNotReachedError):
+            self._not_reached += 1
+        else:
+            self._sent += 1
+        self._router.failed(target.instance.id)
+        # Once it may have run, a later refusal does not make it 'not run'.
+        if self._last is None or self._last.execution is Execution.NOT_RUN:
+            self._last = error
+        decision(
+            'attempt_failed',
+            request=self.call.request_id,
+            instance=target.instance.id,
+            execution=error.execution.value,
+            why=str(error),
+            left=round(self.call.seconds_left, 3),
+        )
+
+    def _may_go_on(self) -> bool:
+        call = self.call
+        if call.seconds_left <= 0 or self._not_reached > _MOST_NOT_REACHED:
+            return False
+        if self._sent >= call.route.attempts:
+            return False
+        is_not_run = (
+            self._last is not None and self._last.execution is Execution.NOT_RUN
+        )
+        if not call.may_repeat and not is_not_run:
+            return False
+        return self._budget.take(call.service)
+
+    def _final_error(self) -> RequestError:
+        last = self._last
+        if last is not None and last.execution is Execution.NOT_RUN:
+            return NotTakenError(str(last), retry_after=_REFUSED_SECONDS)
+        if isinstance(last, TargetTimeoutError):
+            return TimeoutPassedError(str(last))
+        return OutcomeUnknownError(str(last))
--- /dev/null
+++ b/src/cranecart/forwarding/_call.py
@@ -0,0 +1,49 @@
+"""One client's request on its way, with all that decides about it."""
+
+import time
+
+import attrs
+
+from cranecart.http import Request
+from cranecart.models import Route, RouteConfig
+from cranecart.ports import CallFacts
+
+# A client that names no deadline waits as long as its route allows.
+_NO_DEADLINE = float('inf')
+
+
+@attrs.frozen
+class RoutedCall:
+    """A checked request; ``ends_at`` is on the monotonic clock."""
+
+    request: Request
+    facts: CallFacts
+    config: RouteConfig
+    route: Route
+    service: str
+    organisation: str
+    rank: int
+    started_at: float
+    ends_at: float
+
+    @property
+    def request_id(self) -> str:
+        """Return the client's id of the request."""
+        return self.facts.request_id
+
+    @property
+    def seconds_left(self) -> float:
+        """Return how long the client and the route still allow."""
+        return self.ends_at - time.monotonic()
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.route.is_idempotent
+
+
+def end_of(route: Route, facts: CallFacts, now: float) -> float:
+    """Return when a request is given up, on the monotonic clock."""
+    deadline = facts.deadline_seconds
+    waits = _NO_DEADLINE if deadline is None else deadline
+    return now + min(waits, route.timeout_seconds)
--- /dev/null
+++ b/src/cranecart/forwarding/_connections.py
@@ -0,0 +1,104 @@
+"""Kept connections to targets, as long as they are surely alive."""
+
+import re
+import time
+from collections import defaultdict
+
+import attrs
+
+from cranecart.exceptions import ConnectFailedError, TargetNotReachedError
+from cranecart.http import HttpConnection, ResponseHead
+from cranecart.ports import ListedInstance
+
+# A live target answers a new connection within a few milliseconds on the
+# deployments' links; a lost first packet is sent again after a second, which
+# is longer than the answer is wanted.
+_CONNECT_SECONDS = 0.25
+# Connections are closed this long before the target would close them.
+_EARLIER_SECONDS = 1.0
+# How long a connection is kept where the target tells no time.
+_UNTOLD_SECONDS = 4.0
+# A request that must not run twice goes only on a connection that was used
+# this lately, as the target may forget an idle one without notice.
+_SURE_SECONDS = 1.0
+_MOST_IDLE = 16
+_TIMEOUT = re.compile(r'timeout=(\d+)')
+
+
+@attrs.frozen
+class _Idle:
+    connection: HttpConnection
+    since: float
+    until: float
+
+
+@attrs.define
+class TargetConnections:
+    """Idle connections by life of an instance."""
+
+    opened: int = attrs.field(default=0, init=False)
+    _idle: dict[str, list[_Idle]] = attrs.field(
+        factory=lambda: defaultdict(list),
+        init=False,
+    )
+    _keep: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    async def take(
+        self,
+        instance: ListedInstance,
+        *,
+        is_sure: bool,
+    ) -> HttpConnection:
+        """Return a connection; raise ``TargetNotReachedError``."""
+        kept = self._idle.get(instance.id)
+        while kept:
+            idle = kept.pop()
+            now = time.monotonic()
+            is_young = not is_sure or now - idle.since < _SURE_SECONDS
+            if is_young and now < idle.until and idle.connection.is_quiet():
+                return idle.connection
+            await idle.connection.close()
+        try:
+            connection = await HttpConnection.open(
+                instance.address,
+                _CONNECT_SECONDS,
+            )
+        except ConnectFailedError as error:
+            raise TargetNotReachedError(str(error)) from error
+        self.opened += 1
+        return connection
+
+    def note_head(self, instance: ListedInstance, head: ResponseHead) -> None:
+        """Remember for how long a target keeps idle connections."""
+        told = _TIMEOUT.search(head.headers.get('keep-alive', ''))
+        if told:
+            seconds = float(told.group(1)) - _EARLIER_SECONDS
+            self._keep[instance.id] = max(0, seconds)
+
+    async def give_back(
+        self,
+        instance: ListedInstance,
+        connection: HttpConnection,
+    ) -> None:
+        """Keep a connection whose answer was read whole; close any other."""
+        kept = self._idle[instance.id]
+        if not connection.is_reusable or len(kept) >= _MOST_IDLE:
+            await connection.close()
+            return
+        connection.reset()
+        now = time.monotonic()
+        seconds = self._keep.get(instance.id, _UNTOLD_SECONDS)
+        kept.append(_Idle(connection, now, now + seconds))
+
+    async def close_old(self, listed: frozenset[str]) -> None:
+        """Close connections that are past their time or to gone instances."""
+        now = time.monotonic()
+        for name, kept in list(self._idle.items()):
+            good = [one for one in kept if now < one.until and name in listed]
+            for idle in kept:
+                if idle not in good:
+                    await idle.connection.close()
+            self._idle[name] = good
+            if not good:
+                self._idle.pop(name)
+                self._keep.pop(name, None)
--- /dev/null
+++ b/src/cranecart/forwarding/_events.py
@@ -0,0 +1,41 @@
+"""Cut a stream into whole events and remember the id of the last one."""
+
+import re
+
+import attrs
+
+_EVENT_END = b'\n\n'
+_ID_LINE = re.compile(rb'^id: ?(.*)$', re.MULTILINE)
+
+
+@attrs.define
+class EventCutter:
+    """Holds back what has come of an event that is not whole yet."""
+
+    last_id: str = ''
+    events: int = 0
+    _rest: bytes = b''
+
+    @property
+    def is_between_events(self) -> bool:
+        """Tell whether nothing of an event is held back."""
+        return not self._rest
+
+    def feed(self, piece: bytes) -> bytes:
+        """Take what one read brought; return the whole events in it."""
+        held = self._rest + piece if self._rest else piece
+        end = held.rfind(_EVENT_END) + len(_EVENT_END)
+        if end < len(_EVENT_END):
+            self._rest = held
+            return b''
+        self._rest = held[end:]
+        whole = held[:end]
+        self.events += whole.count(_EVENT_END)
+        ids = _ID_LINE.findall(whole)
+        if ids:
+            self.last_id = ids[-1].decode('latin-1').strip()
+        return whole
+
+    def restart(self) -> None:
+        """Drop what is held back, as its stream has broken off."""
+        self._rest = b''
--- /dev/null
+++ b/src/cranecart/forwarding/_sender.py
@@ -0,0 +1,226 @@
+"""Send one attempt to one target, and make sure whose answer comes back."""
+
+import contextlib
+import time
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from typing import TypeVar
+
+import attrs
+import curio
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import (
+    HttpError,
+    TargetBrokenError,
+    TargetNotReachedError,
+    TargetRefusedError,
+    TargetTimeoutError,
+)
+from cranecart.forwarding._call import RoutedCall
+from cranecart.forwarding._connections import TargetConnections
+from cranecart.http import HttpConnection, ResponseHead
+from cranecart.ports import AnswerFacts, CallForm, Dispatch
+from cranecart.routing import HeadRouter, Target
+
+Answer = TypeVar('Answer')
+
+# Told that a replica may stand still, and what shows it.
+Evidence = Callable[[tuple[str, int], str], None]
+
+# An answer too many may come before the right one, rarely more.
+_MOST_FOREIGN_ANSWERS = 2
+# Statuses that promise that a request has not run; without the target's own
+# word such an answer is taken for an unknown outcome.
+_PROMISES = frozenset((408, 421, 429, 503))
+# How often a wait looks whether its replica was found to have stopped.
+_LOOK_SECONDS = 0.04
+
+
+@attrs.frozen
+class TargetAnswer:
+    """The head of an answer that belongs to the request, and its rest."""
+
+    head: ResponseHead
+    facts: AnswerFacts
+    connection: HttpConnection
+
+
+@attrs.frozen
+class Patience:
+    """How long a target may be silent, in seconds.
+
+    After ``suspect`` the silence is told as evidence; after ``most`` the
+    target is given up.
+    """
+
+    suspect: float
+    most: float
+
+
+@attrs.define
+class Sender:
+    """Sends attempts and checks the answers' heads."""
+
+    form: CallForm
+    router: HeadRouter
+    connections: TargetConnections
+    _is_stopped: Callable[[tuple[str, int]], bool]
+    _evidence: Evidence
+
+    @contextlib.asynccontextmanager
+    async def answer(
+        self,
+        call: RoutedCall,
+        target: Target,
+        patience: Patience,
+        resume_after: str = '',
+    ) -> AsyncGenerator[TargetAnswer, None]:
+        """Send an attempt; give the head of its own answer.
+
+        Raise ``TargetError``. The connection is kept only if the answer was
+        read whole within the context.
+        """
+        connection = await self._connect(call, target)
+        try:
+            await self._send(call, target, connection, resume_after)
+            head = await self.wait(
+                call,
+                target,
+                patience,
+                connection.read_head,
+            )
+            yield await self._own_answer(call, target, connection, head)
+        finally:
+            await self.connections.give_back(target.instance, connection)
+
+    async def wait(
+        self,
+        call: RoutedCall,
+        target: Target,
+        patience: Patience,
+        read: Callable[[], Awaitable[Answer]],
+    ) -> Answer:
+        """Read from a target, which may fall silent or break off.
+
+        Raise ``TargetTimeoutError`` at the call's end and
+        ``TargetBrokenError`` where the target stands still or broke off.
+        """
+        started = time.monotonic()
+        is_told = False
+        while True:
+            left = max(0, min(_LOOK_SECONDS, call.seconds_left))
+            try:
+                return await curio.timeout_after(left, read)
+            except TaskTimeout:
+                silence = time.monotonic() - started
+                self._check_silence(call, target, patience, silence)
+            except HttpError as error:
+                raise TargetBrokenError(str(error)) from error
+            if silence > patience.suspect and not is_told:
+                is_told = True
+                self.tell(target, f'silent for {silence:.3f} s')
+
+    def tell(self, target: Target, evidence: str) -> None:
+        """Tell that a target may stand still."""
+        if target.forming is not None:
+            self._evidence(target.forming, evidence)
+
+    def _check_silence(
+        self,
+        call: RoutedCall,
+        target: Target,
+        patience: Patience,
+        silence: float,
+    ) -> None:
+        if call.seconds_left <= 0:
+            raise TargetTimeoutError('the answer was not whole in time')
+        if target.forming is not None and self._is_stopped(target.forming):
+            raise TargetBrokenError(f'{target.instance.id} has stopped')
+        if silence > patience.most:
+            raise TargetBrokenError(
+                f'{target.instance.id} was silent for {silence:.3f} s',
+            )
+
+    async def _connect(
+        self,
+        call: RoutedCall,
+        target: Target,
+    ) -> HttpConnection:
+        try:
+            return await self.connections.take(
+                target.instance,
+                is_sure=not call.may_repeat,
+            )
+        except TargetNotReachedError as error:
+            self.tell(target, str(error))
+            raise
+
+    async def _send(
+        self,
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        resume_after: str,
+    ) -> None:
+        dispatch = Dispatch(
+            target.instance.id,
+            call.seconds_left,
+            call.organisation,
+            call.rank,
+            resume_after,
+        )
+        try:
+            await connection.begin(
+                self.form.request_for(call.request, dispatch)
+            )
+        except HttpError as error:
+            raise TargetBrokenError(str(error)) from error
+
+    async def _own_answer(
+        self,
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        head: ResponseHead,
+    ) -> TargetAnswer:
+        try:
+            head = await _skip_foreign(self.form, call, connection, head)
+        except (HttpError, TaskTimeout) as error:
+            raise TargetBrokenError(str(error)) from error
+        facts = self.form.read_answer(head)
+        self.connections.note_head(target.instance, head)
+        if facts.at_fault:
+            self.tell(target, f'cannot work without {facts.at_fault}')
+        _check_answer(target, head, facts)
+        return TargetAnswer(head, facts, connection)
+
+
+async def _skip_foreign(
+    form: CallForm,
+    call: RoutedCall,
+    connection: HttpConnection,
+    head: ResponseHead,
+) -> ResponseHead:
+    for _number in range(_MOST_FOREIGN_ANSWERS):
+        named = form.read_answer(head).request_id
+        if not named or named == call.request_id:
+            return head
+        head = await curio.timeout_after(
+            max(0, call.seconds_left),
+            connection.skip_response,
+        )
+    return head
+
+
+def _check_answer(
+    target: Target,
+    head: ResponseHead,
+    facts: AnswerFacts,
+) -> None:
+    name = target.instance.id
+    if facts.not_run:
+        raise TargetRefusedError(f'{name} refused with {head.status}')
+    if head.status in _PROMISES:
+        raise TargetBrokenError(f'{name} answered {head.status} unexplained')
+    if head.is_success and not facts.is_genuine:
+        raise TargetBrokenError(f'{name} sent an answer that is not its own')
--- /dev/null
+++ b/src/cranecart/grouping/_book.py
@@ -0,0 +1,103 @@
+"""The records of one failure domain: read, written under its lease."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from cranecart.duties import Lease
+from cranecart.exceptions import WriteUnknownError
+from cranecart.fleet import Fleet, ReplicaRecord, record_from_row
+from cranecart.grouping._plan import NewReplica
+from cranecart.logs import decision
+from cranecart.ports import Put, Table, Transaction
+
+
+@attrs.define
+class RecordBook:
+    """What the placer of a failure domain has decided, as rows."""
+
+    failure_domain: str
+    lease: Lease
+    _table: Table
+    _fleet: Fleet
+    _epoch: int = attrs.field(default=0, init=False)
+
+    def records(self) -> list[ReplicaRecord]:
+        """Return the records of the failure domain."""
+        return [
+            record
+            for record in self._fleet.records.values()
+            if record.failure_domain == self.failure_domain
+        ]
+
+    async def read(self) -> None:
+        """Read all rows anew; raise ``PlatformError``."""
+        prefix = f'placement/{self.failure_domain}/'
+        rows = await self._table.read_prefix(prefix)
+        read = {key: record_from_row(row) for key, row in rows.items()}
+        gone = {record.key for record in self.records()} - rows.keys()
+        for key in gone:
+            self._fleet.drop_record(key)
+        self._fleet.take_records(
+            {key: one for key, one in read.items() if one is not None},
+            False,
+        )
+
+    async def write(self, records: Sequence[ReplicaRecord]) -> None:
+        """Write records; raise ``PlatformError`` or ``LeaseLostError``."""
+        puts = tuple(Put(one.key, one.encoded()) for one in records)
+        try:
+            version = await self._table.commit(
+                Transaction((self.lease.check(),), puts),
+            )
+        except WriteUnknownError:
+            # Once the lease's row has changed, what has not been written
+            # never will be, so that what is read then is what counts.
+            await self.lease.keep()
+            await self.read()
+            raise
+        self._fleet.take_records(
+            {one.key: attrs.evolve(one, version=version) for one in records},
+            False,
+        )
+        self._epoch = max(self._epoch, version)
+        for record in records:
+            self._log(record, version)
+
+    async def drop(self, record: ReplicaRecord) -> None:
+        """Drop a record; raise ``PlatformError`` or ``LeaseLostError``."""
+        await self._table.commit(
+            Transaction((self.lease.check(),), (), (record.key,)),
+        )
+        self._fleet.drop_record(record.key)
+
+    def new_record(self, new: NewReplica) -> ReplicaRecord:
+        """Return the record of a replica to form, under a new epoch.
+
+        The epoch is above every one that this placer or an earlier one has
+        used, as the lease's row was written after all of those.
+        """
+        self._epoch = max(self._epoch, self.lease.version) + 1
+        return ReplicaRecord(
+            f'{new.fabric_domain}-{self._epoch}',
+            self._epoch,
+            new.service,
+            new.model,
+            self.failure_domain,
+            new.fabric_domain,
+            tuple(member.id for member in new.members),
+            reason=f'{new.cold_members} members must load',
+        )
+
+    def _log(self, record: ReplicaRecord, version: int) -> None:
+        decision(
+            'placed',
+            replica=record.name,
+            epoch=record.epoch,
+            model=record.model,
+            members=record.members,
+            state=record.state.value,
+            why=record.reason,
+            fencing=self.lease.fencing,
+            version=version,
+        )
--- /dev/null
+++ b/src/cranecart/grouping/_duty.py
@@ -0,0 +1,27 @@
+"""What the tasks of one placer share."""
+
+from collections.abc import Callable
+
+import attrs
+
+from cranecart.duties import Lease
+from cranecart.fleet import ReplicaRecord
+from cranecart.ports import Orders
+
+Telling = Callable[[ReplicaRecord, str], None]
+
+
+@attrs.frozen
+class PlacerDuty:
+    """The lease, the orders, and whom to tell of what an order showed.
+
+    ``doubt`` is told of a replica whose members should be checked, ``lost``
+    of an instance whose life has ended, ``outdated`` of a replica whose
+    epoch an instance refuses.
+    """
+
+    lease: Lease
+    orders: Orders
+    doubt: Telling
+    lost: Callable[[str, str], None]
+    outdated: Telling
--- /dev/null
+++ b/src/cranecart/grouping/_forming.py
@@ -0,0 +1,186 @@
+"""Bring one recorded replica to serve, straight down, as its own task."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+import curio
+
+from cranecart.exceptions import (
+    OrderFencedError,
+    OrderRefusedError,
+    OrderUnknownError,
+    TargetGoneError,
+)
+from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._duty import PlacerDuty
+from cranecart.logs import decision
+from cranecart.ports import ListedInstance, MemberPhase
+
+# How often the list is looked at while a step is awaited; the list itself
+# tells of a change within some ten milliseconds.
+_LOOK_SECONDS = 0.03
+# An order whose effect the list does not show is sent again after this.
+_AGAIN_SECONDS = 0.6
+
+_JOINED = frozenset((MemberPhase.JOINING, MemberPhase.READY, MemberPhase.OPEN))
+_READY = frozenset((MemberPhase.READY, MemberPhase.OPEN))
+
+
+@attrs.define
+class Forming:
+    """One forming of a replica, until it serves or is given up."""
+
+    record: ReplicaRecord
+    _fleet: Fleet
+    _duty: PlacerDuty
+    _clock: Callable[[], float] = time.monotonic
+    _ordered_at: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    async def run(self) -> None:
+        """Join all members, wait until all are ready, open the head."""
+        started = self._clock()
+        while self._goes_on() and not self._all_in(_READY):
+            await self._join_missing()
+            await curio.sleep(_LOOK_SECONDS)
+        while self._goes_on() and not self._is_open():
+            if self._is_due(self.record.head):
+                await self._open()
+            await curio.sleep(_LOOK_SECONDS)
+        if self._goes_on():
+            decision(
+                'replica_open',
+                replica=self.record.name,
+                epoch=self.record.epoch,
+                model=self.record.model,
+                took=round(self._clock() - started, 3),
+            )
+
+    async def _join_missing(self) -> None:
+        async with curio.TaskGroup(wait=all) as joining:
+            for name in filter(self._wants_join, self.record.members):
+                await joining.spawn(self._join, name)
+
+    def _goes_on(self) -> bool:
+        current = self._fleet.records.get(self.record.key)
+        return (
+            self._duty.lease.is_held
+            and current is not None
+            and current.state is RecordState.SERVING
+        )
+
+    def _phase(self, name: str) -> MemberPhase | None:
+        instance = self._fleet.known(name)
+        if instance is None:
+            return None
+        return instance.phase_in(self.record.name, self.record.epoch)
+
+    def _all_in(self, phases: frozenset[MemberPhase]) -> bool:
+        return all(self._phase(name) in phases for name in self.record.members)
+
+    def _is_open(self) -> bool:
+        return self._phase(self.record.head) is MemberPhase.OPEN
+
+    def _wants_join(self, name: str) -> bool:
+        is_joined = self._phase(name) in _JOINED
+        return (
+            not is_joined
+            and self._is_due(name)
+            and not self._is_bound_elsewhere(name)
+        )
+
+    def _is_bound_elsewhere(self, name: str) -> bool:
+        """Tell whether an earlier replica may still serve with a member.
+
+        Its record goes only once its head is known to have ended.
+        """
+        return any(
+            name in record.members and record.key != self.record.key
+            for record in self._fleet.records.values()
+        )
+
+    def _is_due(self, name: str) -> bool:
+        now = self._clock()
+        if now - self._ordered_at.get(name, 0) < _AGAIN_SECONDS:
+            return False
+        self._ordered_at[name] = now
+        return True
+
+    async def _join(self, name: str) -> None:
+        instance = self._fleet.instances.get(name)
+        if instance is None:
+            return
+        orders = self._duty.orders
+        try:
+            await orders.join(
+                instance,
+                self.record.name,
+                self.record.epoch,
+                self.record.model,
+                self.record.members,
+                self._duty.lease.fencing,
+            )
+        except _FAILURES as error:
+            self._note(instance, 'join', error)
+            return
+        decision(
+            'ordered',
+            order='join',
+            instance=name,
+            replica=self.record.name,
+            epoch=self.record.epoch,
+        )
+
+    async def _open(self) -> None:
+        head = self._fleet.instances.get(self.record.head)
+        if head is None:
+            return
+        try:
+            await self._duty.orders.open(
+                head,
+                self.record.name,
+                self.record.epoch,
+                self._duty.lease.fencing,
+            )
+        except _FAILURES as error:
+            self._note(head, 'open', error)
+            return
+        decision(
+            'ordered',
+            order='open',
+            instance=head.id,
+            replica=self.record.name,
+            epoch=self.record.epoch,
+        )
+
+    def _note(
+        self,
+        instance: ListedInstance,
+        order: str,
+        error: Exception,
+    ) -> None:
+        decision(
+            'order_failed',
+            order=order,
+            instance=instance.id,
+            replica=self.record.name,
+            epoch=self.record.epoch,
+            why=str(error),
+        )
+        match error:
+            case OrderUnknownError():
+                # The same order again does no harm, and may be answered.
+                self._ordered_at[instance.id] = 0
+                self._duty.doubt(self.record, str(error))
+            case TargetGoneError():
+                self._duty.lost(instance.id, str(error))
+            case OrderFencedError():
+                self._duty.outdated(self.record, str(error))
+
+
+_FAILURES = (
+    OrderFencedError,
+    OrderRefusedError,
+    OrderUnknownError,
+    TargetGoneError,
+)
--- /dev/null
+++ b/src/cranecart/grouping/_liveness.py
@@ -0,0 +1,86 @@
+"""Find out which members of a replica are dead, by new connections only.
+
+A new connection is far cheaper than a request for an instance's state, and
+its answer comes from the kernel, whatever the engine is doing.
+"""
+
+import time
+from collections.abc import Callable, Sequence
+
+import attrs
+import curio
+
+from cranecart.exceptions import ConnectFailedError
+from cranecart.http import HttpConnection
+from cranecart.logs import decision
+from cranecart.ports import ListedInstance
+
+# A live instance answers within a few milliseconds; two tries make a lost
+# packet on a bad link unlikely to look like a death.
+_TRY_SECONDS = 0.12
+_TRIES = 2
+# A process that was not scheduled for this long trusts no clock of its own.
+_LATE_SECONDS = 0.06
+
+
+@attrs.frozen
+class Findings:
+    """Which instances did not answer; ``closed`` ones have no process."""
+
+    silent: frozenset[str]
+    closed: frozenset[str]
+    is_sure: bool = True
+
+    @property
+    def lost(self) -> frozenset[str]:
+        """Return all instances that are taken to be dead."""
+        return self.silent | self.closed
+
+
+@attrs.define
+class LivenessCheck:
+    """Connects to instances and remembers which were found dead."""
+
+    _clock: Callable[[], float] = time.monotonic
+    checks: int = attrs.field(default=0, init=False)
+
+    async def check(self, instances: Sequence[ListedInstance]) -> Findings:
+        """Try all instances at once."""
+        self.checks += 1
+        started = self._clock()
+        async with curio.TaskGroup(wait=all) as tasks:
+            for instance in instances:
+                await tasks.spawn(_try_instance, instance)
+        outcomes = dict(zip(instances, tasks.results, strict=True))
+        took = self._clock() - started
+        findings = Findings(
+            frozenset(one.id for one, how in outcomes.items() if how is None),
+            frozenset(one.id for one, how in outcomes.items() if how is False),
+            took < _TRIES * _TRY_SECONDS + _LATE_SECONDS,
+        )
+        decision(
+            'members_checked',
+            instances=[one.id for one in instances],
+            silent=sorted(findings.silent),
+            closed=sorted(findings.closed),
+            sure=findings.is_sure,
+            took=round(took, 3),
+        )
+        return findings
+
+
+async def _try_instance(instance: ListedInstance) -> bool | None:
+    """Return whether it listens; ``None`` where nothing answers."""
+    for _number in range(_TRIES):
+        try:
+            connection = await HttpConnection.open(
+                instance.address,
+                _TRY_SECONDS,
+            )
+        except ConnectFailedError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return False
+            continue
+        await connection.close()
+        return True
+    return None
--- /dev/null
+++ b/src/cranecart/grouping/_loads.py
@@ -0,0 +1,35 @@
+"""Bound the loads from the weight store that one placer begins."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+# A placer's part of the store's rate that it uses; the rest is for a placer
+# that took over and does not know what was begun before.
+_PART = 0.8
+# Loads that may begin together after a quiet while, for a replica of three.
+_BURST = 3.0
+
+
+@attrs.define
+class LoadBudget:
+    """Tokens for loads, by the store's rate and the number of placers."""
+
+    _clock: Callable[[], float] = time.monotonic
+    _tokens: float = attrs.field(default=_BURST, init=False)
+    _at: float | None = attrs.field(default=None, init=False)
+
+    def take(self, count: int, loads_per_second: float, placers: int) -> bool:
+        """Take some loads; return whether they may begin now."""
+        now = self._clock()
+        if self._at is not None:
+            rate = _PART * loads_per_second / max(placers, 1)
+            self._tokens += rate * (now - self._at)
+        self._at = now
+        # More than a burst is saved only towards one larger replica.
+        self._tokens = min(max(_BURST, count), self._tokens)
+        if count > self._tokens:
+            return False
+        self._tokens -= count
+        return True
--- /dev/null
+++ b/src/cranecart/grouping/_plan.py
@@ -0,0 +1,193 @@
+"""Decide which replicas to form and what to stage; no I/O, no clock."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+import attrs
+
+from cranecart.models import EngineModel, ServiceProfile
+from cranecart.ports import ListedInstance
+
+# A model that needs replicas this much more than another gets the next one
+# even where its members must load from the weight store first.
+_COLD_PENALTY = 2.5
+
+
+@attrs.frozen
+class NewReplica:
+    """Members, head first, that should form a replica of a model."""
+
+    service: str
+    model: str
+    fabric_domain: str
+    members: tuple[ListedInstance, ...]
+    cold_members: int
+
+
+@attrs.frozen
+class Staging:
+    """A model that an unused instance should bring to its host."""
+
+    instance: ListedInstance
+    model: str
+
+
+@attrs.frozen
+class Plan:
+    """What a failure domain's placer should begin now."""
+
+    replicas: tuple[NewReplica, ...] = ()
+    stagings: tuple[Staging, ...] = ()
+
+
+@attrs.frozen
+class Supply:
+    """What a plan is made from, for one service.
+
+    ``free`` are the unused instances of one failure domain, ``present``
+    counts the replicas of each model over the whole deployment, ``in_fabric``
+    those of each fabric domain, ``demand`` weighs the models' requests.
+    """
+
+    profile: ServiceProfile
+    free: tuple[ListedInstance, ...]
+    present: Mapping[str, int]
+    in_fabric: Mapping[tuple[str, str], int]
+    demand: Mapping[str, float]
+
+
+def plan(supply: Supply) -> Plan:
+    """Form what can be formed by need, then stage what is left over."""
+    if supply.profile.engine is None:
+        return Plan()
+    by_fabric: dict[str, list[ListedInstance]] = defaultdict(list)
+    for instance in supply.free:
+        by_fabric[instance.fabric_domain].append(instance)
+    present = Counter(supply.present)
+    in_fabric = Counter(supply.in_fabric)
+    replicas: list[NewReplica] = []
+    for fabric in sorted(by_fabric):
+        while new := _next_replica(
+            supply,
+            fabric,
+            by_fabric[fabric],
+            present,
+        ):
+            replicas.append(new)
+            present[new.model] += 1
+            in_fabric[fabric, new.model] += 1
+            for member in new.members:
+                by_fabric[fabric].remove(member)
+    stagings = [
+        staging
+        for fabric, free in sorted(by_fabric.items())
+        for staging in _stagings(supply, fabric, free, in_fabric)
+    ]
+    return Plan(tuple(replicas), tuple(stagings))
+
+
+def _next_replica(
+    supply: Supply,
+    fabric: str,
+    free: Sequence[ListedInstance],
+    present: Mapping[str, int],
+) -> NewReplica | None:
+    choices = [
+        _choose_members(supply, fabric, free, model)
+        for model in _models(supply)
+        if model.size <= len(free)
+    ]
+    return max(
+        choices,
+        key=lambda new: _need(supply, new, present),
+        default=None,
+    )
+
+
+def _need(
+    supply: Supply,
+    new: NewReplica,
+    present: Mapping[str, int],
+) -> tuple[float, int]:
+    demand = supply.demand.get(new.model, 1.0)
+    need = demand / (present.get(new.model, 0) + 0.5)
+    if new.cold_members:
+        need /= _COLD_PENALTY
+    return need, len(new.members)
+
+
+def _choose_members(
+    supply: Supply,
+    fabric: str,
+    free: Sequence[ListedInstance],
+    model: EngineModel,
+) -> NewReplica:
+    ranked = sorted(free, key=lambda one: (_coldness(one, model.name), one.id))
+    members = tuple(ranked[: model.size])
+    cold = sum(model.name not in one.staged for one in members)
+    return NewReplica(supply.profile.name, model.name, fabric, members, cold)
+
+
+def _coldness(instance: ListedInstance, model: str) -> int:
+    if model in instance.loaded:
+        return 0
+    if model in instance.staged:
+        return 1
+    return 2 + len(instance.staged)
+
+
+def _stagings(
+    supply: Supply,
+    fabric: str,
+    free: Sequence[ListedInstance],
+    in_fabric: Mapping[tuple[str, str], int],
+) -> Iterable[Staging]:
+    """Spread the spares over the models that serve in the fabric domain."""
+    wanted = _wanted_spares(supply, fabric, len(free), in_fabric)
+    idle = []
+    for instance in sorted(free, key=lambda one: one.id):
+        kept = next((name for name in instance.staged if wanted[name]), None)
+        if kept is None:
+            idle.append(instance)
+        else:
+            wanted[kept] -= 1
+    missing = list(wanted.elements())
+    return [
+        Staging(instance, model)
+        for instance, model in zip(idle, missing, strict=False)
+    ]
+
+
+def _wanted_spares(
+    supply: Supply,
+    fabric: str,
+    spares: int,
+    in_fabric: Mapping[tuple[str, str], int],
+) -> Counter[str]:
+    wanted: Counter[str] = Counter()
+    for _number in range(spares):
+        weights = {
+            model.name: _loss(supply, fabric, model, in_fabric)
+            / (1 + wanted[model.name])
+            for model in _models(supply)
+        }
+        wanted[max(weights, key=weights.__getitem__)] += 1
+    return wanted
+
+
+def _loss(
+    supply: Supply,
+    fabric: str,
+    model: EngineModel,
+    in_fabric: Mapping[tuple[str, str], int],
+) -> float:
+    """Weigh how likely a member is lost by what a replica then is worth."""
+    replicas = in_fabric.get((fabric, model.name), 0)
+    present = supply.present.get(model.name, 0) + 0.5
+    demand = supply.demand.get(model.name, 1.0)
+    return model.size * (replicas + 0.1) * demand / present
+
+
+def _models(supply: Supply) -> tuple[EngineModel, ...]:
+    engine = supply.profile.engine
+    return () if engine is None else engine.models
--- /dev/null
+++ b/src/cranecart/grouping/_tasks.py
@@ -0,0 +1,54 @@
+"""One task for each record that something must be done for."""
+
+from collections.abc import Callable
+
+import attrs
+import curio
+
+from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._ending import Ending
+from cranecart.grouping._forming import Forming
+from cranecart.ports import MemberPhase
+
+
+@attrs.define
+class _Running:
+    state: RecordState
+    task: curio.Task
+
+
+@attrs.define
+class RecordTasks:
+    """Starts tasks for records, and another where a record's state changes."""
+
+    _fleet: Fleet
+    _make: Callable[[ReplicaRecord], Forming | Ending]
+    _running: dict[str, _Running] = attrs.field(factory=dict, init=False)
+
+    async def follow(self, records: list[ReplicaRecord]) -> None:
+        """Have a task at work for each record that needs one."""
+        for record in records:
+            if await self._is_attended(record) or not self._needs(record):
+                continue
+            task = await curio.spawn(self._make(record).run, daemon=True)
+            self._running[record.name] = _Running(record.state, task)
+        for name in self._running.keys() - {one.name for one in records}:
+            self._running.pop(name)
+
+    async def _is_attended(self, record: ReplicaRecord) -> bool:
+        running = self._running.get(record.name)
+        if running is None or running.task.terminated:
+            return False
+        if running.state is record.state:
+            return True
+        await running.task.cancel()
+        return False
+
+    def _needs(self, record: ReplicaRecord) -> bool:
+        if record.state is not RecordState.SERVING:
+            return True
+        head = self._fleet.known(record.head)
+        if head is None:
+            return True
+        phase = head.phase_in(record.name, record.epoch)
+        return phase is not MemberPhase.OPEN
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -3,6 +3,7 @@
 from cranecart.http._client import HttpConnection, HttpPool, exchange
 from cranecart.http._messages import (
     Address,
+    HeaderLines,
     Request,
     Response,
     ResponseHead,
@@ -12,6 +13,7 @@
 
 __all__ = (
     'Address',
+    'HeaderLines',
     'HttpConnection',
     'HttpPool',
     'HttpServer',
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -18,11 +18,11 @@
 )
 from cranecart.http._messages import (
     Address,
-    Headers,
+    HeaderLines,
     Request,
     Response,
     ResponseHead,
-    decode_headers,
+    decode_lines,
     encode_headers,
 )
 
@@ -31,6 +31,9 @@
 _MAX_IDLE = 32
 _CONNECT_SECONDS = 1.0
 _MAX_BODY_BYTES = 67108864
+# Below it a request goes out in one write, which is not worth a task; most
+# kernels buffer at least as much as this for a connection.
+_SMALL_BODY_BYTES = 16384
 
 
 class HttpConnection:
@@ -40,10 +43,10 @@
         """Wrap an open socket."""
         self.address = address
         self._sock = sock
-        self._h11 = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=_MAX_HEAD_BYTES,
-        )
+        self._h11 = _new_parser()
+        self._sent: Request | None = None
+        self._sent_whole = False
+        self._sending: curio.Task | None = None
         # What came behind the piece that was returned last.
         self._peeked: object = None
 
@@ -77,7 +80,8 @@
     def is_reusable(self) -> bool:
         """Tell whether both sides finished cleanly and may go on."""
         return (
-            self._h11.our_state is h11.DONE
+            self._sent_whole
+            and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
         )
 
@@ -95,25 +99,57 @@
 
     def reset(self) -> None:
         """Get ready for the next request on this connection."""
+        self._sending = None
+        self._sent = None
+        self._sent_whole = False
         self._h11.start_next_cycle()
 
     async def send(self, request: Request) -> None:
         """Send a whole request."""
-        headers = {
-            'host': str(self.address),
-            'content-length': str(len(request.body)),
-            **request.headers,
-        }
-        try:
-            encoded = self._encode(request, headers)
-        except h11.LocalProtocolError as error:
-            raise BadMessageError(f'not valid HTTP: {error}') from error
+        encoded = self._encode(request)
         try:
             await self._sock.sendall(encoded)
         except OSError as error:
             raise ConnectionBrokenError(
                 f'{self.address} closed during the request',
             ) from error
+        self._sent = request
+        self._sent_whole = True
+
+    async def begin(self, request: Request) -> None:
+        """Send a request, a large one while the response is awaited.
+
+        The peer may answer before it has read all of a large body; the
+        connection cannot be used again then.
+        """
+        if len(request.body) <= _SMALL_BODY_BYTES:
+            await self.send(request)
+        else:
+            self._sending = await curio.spawn(
+                self._send_quietly,
+                request,
+                daemon=True,
+            )
+
+    async def ask(self, request: Request) -> ResponseHead:
+        """Send a request and wait for the response's status and headers."""
+        await self.begin(request)
+        return await self.read_head()
+
+    async def skip_response(self) -> ResponseHead:
+        """Drop the response at hand, which is none to the request sent.
+
+        Return the head of the one that comes behind it.
+        """
+        await self.read_body()
+        if self._sent is None or not self.is_reusable:
+            raise ConnectionBrokenError(f'{self.address} sent a wrong answer')
+        rest, _closed = self._h11.trailing_data
+        self._h11 = _new_parser()
+        self._encode(self._sent)
+        if rest:
+            self._h11.receive_data(rest)
+        return await self.read_head()
 
     async def read_head(self) -> ResponseHead:
         """Wait for the response's status and headers."""
@@ -121,10 +157,8 @@
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event()
         if isinstance(event, h11.Response):
-            return ResponseHead(
-                event.status_code,
-                decode_headers(event.headers),
-            )
+            lines = decode_lines(event.headers)
+            return ResponseHead(event.status_code, dict(lines), lines)
         raise ConnectionBrokenError(f'{self.address} sent no response')
 
     async def read_piece(self) -> bytes:
@@ -154,16 +188,38 @@
 
     async def close(self) -> None:
         """Close the socket; safe to call twice."""
+        if self._sending is not None:
+            await self._sending.cancel()
+            self._sending = None
         await self._sock.close()
 
-    def _encode(self, request: Request, headers: Headers) -> bytes:
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=encode_headers(headers),
-        )
-        events = (head, h11.Data(data=request.body), h11.EndOfMessage())
-        return b''.join(filter(None, map(self._h11.send, events)))
+    def _encode(self, request: Request) -> bytes:
+        lines = request.lines or self._default_lines(request)
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=encode_headers(lines),
+            )
+            events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+            return b''.join(filter(None, map(self._h11.send, events)))
+        except h11.LocalProtocolError as error:
+            raise BadMessageError(f'not valid HTTP: {error}') from error
+
+    def _default_lines(self, request: Request) -> HeaderLines:
+        headers = {
+            'host': str(self.address),
+            'content-length': str(len(request.body)),
+            **request.headers,
+        }
+        return tuple(headers.items())
+
+    async def _send_quietly(self, request: Request) -> None:
+        try:
+            await self.send(request)
+        except ConnectionBrokenError:
+            # The reading side finds the same, or an answer that came first.
+            return
 
     async def _next_event(self) -> object:
         event = self._peeked
@@ -190,6 +246,13 @@
             ) from error
 
 
+def _new_parser() -> h11.Connection:
+    return h11.Connection(
+        h11.CLIENT,
+        max_incomplete_event_size=_MAX_HEAD_BYTES,
+    )
+
+
 @attrs.define
 class HttpPool:
     """Idle connections by address; a connection is lent to one request."""
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -11,6 +11,9 @@
 
 Headers = Mapping[str, str]
 
+# Header lines in order, also repeated ones; names are in lower case.
+HeaderLines = tuple[tuple[str, str], ...]
+
 
 @attrs.frozen
 class Address:
@@ -34,12 +37,17 @@
 
 @attrs.frozen
 class Request:
-    """A whole request; header names are in lower case."""
+    """A whole request; header names are in lower case.
+
+    ``lines`` holds the headers for passing them on; if there are any, they
+    are sent in place of ``headers``.
+    """
 
     method: str
     target: str
     headers: Headers = attrs.field(factory=dict)
     body: bytes = b''
+    lines: HeaderLines = ()
 
     @property
     def path(self) -> str:
@@ -58,6 +66,7 @@
 
     status: int
     headers: Headers = attrs.field(factory=dict)
+    lines: HeaderLines = ()
 
     @property
     def is_success(self) -> bool:
@@ -67,11 +76,12 @@
 
 @attrs.frozen
 class Response:
-    """A whole response."""
+    """A whole response; ``lines``, if any, are sent instead of ``headers``."""
 
     status: int
     headers: Headers = attrs.field(factory=dict)
     body: bytes = b''
+    lines: HeaderLines = ()
 
     @property
     def is_success(self) -> bool:
@@ -92,17 +102,19 @@
     )
 
 
-def decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+def decode_lines(raw: Iterable[tuple[bytes, bytes]]) -> HeaderLines:
     """Turn h11's header pairs into text."""
-    return {
-        name.decode('ascii').lower(): text.decode('latin-1')
+    return tuple(
+        (name.decode('ascii').lower(), text.decode('latin-1'))
         for name, text in raw
-    }
+    )
 
 
-def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+def encode_headers(
+    headers: Headers | HeaderLines,
+) -> list[tuple[bytes, bytes]]:
     """Turn text headers into h11's pairs."""
+    lines = headers.items() if isinstance(headers, Mapping) else headers
     return [
-        (name.encode('ascii'), text.encode('latin-1'))
-        for name, text in headers.items()
+        (name.encode('ascii'), text.encode('latin-1')) for name, text in lines
     ]
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -14,10 +14,11 @@
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
 from cranecart.http._messages import (
     Address,
+    HeaderLines,
     Headers,
     Request,
     Response,
-    decode_headers,
+    decode_lines,
     encode_headers,
     json_response,
 )
@@ -53,11 +54,13 @@
         sock: curio.io.Socket,
         connection: h11.Connection,
         write_seconds: float,
+        is_closing: Callable[[], bool],
     ) -> None:
         """Wrap the connection that the request came on."""
         self._sock = sock
         self._h11 = connection
         self._write_seconds = write_seconds
+        self._is_closing = is_closing
         self._first_byte_at: float | None = None
 
     @property
@@ -73,27 +76,19 @@
 
     async def send(self, response: Response) -> None:
         """Send a whole response."""
-        headers = {
-            **response.headers,
-            'content-length': str(len(response.body)),
-        }
         await self._write(
-            h11.Response(
-                status_code=response.status,
-                headers=encode_headers(headers),
+            self._head(
+                response.status,
+                response.lines or response.headers,
+                ('content-length', str(len(response.body))),
             ),
             h11.Data(data=response.body),
             h11.EndOfMessage(),
         )
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(self, status: int, headers: Headers | HeaderLines) -> None:
         """Send the head of a response whose body comes in pieces."""
-        await self._write(
-            h11.Response(
-                status_code=status,
-                headers=encode_headers(headers),
-            ),
-        )
+        await self._write(self._head(status, headers))
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body; its caller bounds the time."""
@@ -108,8 +103,30 @@
         await self._write(h11.EndOfMessage())
 
     async def client_left(self) -> None:
-        """Return once the client closed its side or sent more bytes."""
-        await self._sock.recv(1)
+        """Return once the client closed its side.
+
+        Whatever it sends instead is kept for the next request.
+        """
+        try:
+            while received := await self._sock.recv(_READ_BYTES):
+                self._h11.receive_data(received)
+        except OSError:
+            return
+
+    def _head(
+        self,
+        status: int,
+        headers: Headers | HeaderLines,
+        *more: tuple[str, str],
+    ) -> h11.Response:
+        closing = [('connection', 'close')] if self._is_closing() else []
+        return h11.Response(
+            status_code=status,
+            headers=[
+                *encode_headers(headers),
+                *encode_headers((*more, *closing)),
+            ],
+        )
 
     async def _write(self, *events: h11.Event) -> None:
         if self._first_byte_at is None:
@@ -137,10 +154,11 @@
         """Keep the settings; nothing listens until ``open`` is called."""
         self._requested = address
         self._handler = handler
-        self._limits = limits or ServerLimits()
+        self.limits = limits or ServerLimits()
         self._listener: Any = None
         self._connections = 0
         self._closing = False
+        self._idle: set[curio.io.Socket] = set()
 
     @property
     def address(self) -> Address:
@@ -170,8 +188,13 @@
         """Ask clients to close their connections after the next answer."""
         self._closing = True
 
+    async def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
+        for sock in list(self._idle):
+            await sock.shutdown(socket.SHUT_RDWR)
+
     async def _begin(self, sock: curio.io.Socket) -> None:
-        if self._connections >= self._limits.connections:
+        if self._connections >= self.limits.connections:
             await sock.close()
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -195,9 +218,9 @@
     async def _serve_requests(self, sock: curio.io.Socket) -> None:
         connection = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self._limits.head_bytes,
+            max_incomplete_event_size=self.limits.head_bytes,
         )
-        responder = Responder(sock, connection, self._limits.write_seconds)
+        responder = self._responder(sock, connection)
         while True:
             try:
                 request = await self._receive(sock, connection)
@@ -210,30 +233,36 @@
             if self._closing or not _can_continue(connection):
                 return
             connection.start_next_cycle()
-            responder = Responder(sock, connection, self._limits.write_seconds)
+            responder = self._responder(sock, connection)
+
+    def _responder(
+        self,
+        sock: curio.io.Socket,
+        connection: h11.Connection,
+    ) -> Responder:
+        return Responder(
+            sock,
+            connection,
+            self.limits.write_seconds,
+            lambda: self._closing,
+        )
 
     async def _receive(
         self,
         sock: curio.io.Socket,
         connection: h11.Connection,
     ) -> Request | None:
-        try:
-            first = await curio.timeout_after(
-                self._limits.idle_seconds,
-                sock.recv,
-                _READ_BYTES,
-            )
-        except TaskTimeout:
-            return None
-        if not first:
-            return None
+        if not connection.trailing_data[0]:
+            first = await self._wait_for_request(sock)
+            if not first:
+                return None
+            connection.receive_data(first)
         try:
             return await curio.timeout_after(
-                self._limits.receive_seconds,
+                self.limits.receive_seconds,
                 self._receive_whole,
                 sock,
                 connection,
-                first,
             )
         except TaskTimeout as error:
             raise BadMessageError(
@@ -246,13 +275,24 @@
                 error.error_status_hint,
             ) from error
 
+    async def _wait_for_request(self, sock: curio.io.Socket) -> bytes:
+        self._idle.add(sock)
+        try:
+            return await curio.timeout_after(
+                self.limits.idle_seconds,
+                sock.recv,
+                _READ_BYTES,
+            )
+        except TaskTimeout:
+            return b''
+        finally:
+            self._idle.discard(sock)
+
     async def _receive_whole(
         self,
         sock: curio.io.Socket,
         connection: h11.Connection,
-        first: bytes,
     ) -> Request:
-        connection.receive_data(first)
         head = await self._next_event(sock, connection)
         if not isinstance(head, h11.Request):
             raise ConnectionBrokenError('closed before a request')
@@ -285,9 +325,9 @@
         self._check_size(int(announced))
 
     def _check_size(self, size: int) -> None:
-        if size > self._limits.body_bytes:
+        if size > self.limits.body_bytes:
             raise BadMessageError(
-                f'the body is over {self._limits.body_bytes} bytes',
+                f'the body is over {self.limits.body_bytes} bytes',
                 _STATUS_TOO_LARGE,
             )
 
@@ -308,11 +348,13 @@
 
 
 def _to_request(head: h11.Request, body: bytes) -> Request:
+    lines = decode_lines(head.headers)
     return Request(
         head.method.decode('ascii'),
         head.target.decode('ascii'),
-        decode_headers(head.headers),
+        dict(lines),
         body,
+        lines,
     )
 
 
--- /dev/null
+++ b/src/cranecart/mesh/_messages.py
@@ -0,0 +1,71 @@
+"""What the nodes of a deployment tell each other directly."""
+
+import msgspec
+
+from cranecart.models import RouteConfig
+
+
+class Beat(msgspec.Struct, tag='beat'):
+    """What each node tells all others a few times a second.
+
+    ``in_flight`` counts its requests by the instance that has them;
+    ``places`` names the failure domain whose placer it is, if it is one.
+    """
+
+    sender: str
+    address: str
+    failure_domain: str
+    config_version: int
+    requests: int
+    in_flight: dict[str, int]
+    places: str = ''
+    stopping: bool = False
+
+
+class Stopped(msgspec.Struct, tag='stopped'):
+    """A replica that stands still, so that nobody sends to it any more."""
+
+    sender: str
+    replica: str
+    epoch: int
+    reason: str
+
+
+class Suspect(msgspec.Struct, tag='suspect'):
+    """Evidence that a replica may stand still, for its placer to look at."""
+
+    sender: str
+    replica: str
+    epoch: int
+    evidence: str
+
+
+class ConfigAsk(msgspec.Struct, tag='config_ask'):
+    """A node without the newest configuration asks one that has it."""
+
+    sender: str
+    address: str
+    version: int
+
+
+class ConfigGive(msgspec.Struct, tag='config_give'):
+    """The configuration in force at the sender."""
+
+    sender: str
+    config: RouteConfig
+
+
+MeshMessage = Beat | Stopped | Suspect | ConfigAsk | ConfigGive
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(MeshMessage)
+
+
+def encode_mesh_message(message: MeshMessage) -> bytes:
+    """Encode a message for the wire."""
+    return _ENCODER.encode(message)
+
+
+def decode_mesh_message(encoded: bytes) -> MeshMessage:
+    """Decode a message; raise ``msgspec.MsgspecError`` for anything else."""
+    return _DECODER.decode(encoded)
--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -20,8 +20,20 @@
     MemberState,
     ReplicaRow,
 )
+from cranecart.models._routes import (
+    ClientLimits,
+    EngineModel,
+    EngineProfile,
+    KeyHolder,
+    Route,
+    RouteConfig,
+    ServiceProfile,
+    Share,
+    hash_key,
+)
 
 __all__ = (
+    'ClientLimits',
     'Declarations',
     'DomainVersions',
     'FencingSupport',
@@ -38,4 +50,12 @@
     'ServiceSpec',
     'compiled_from_json',
     'compiled_to_json',
+    'EngineModel',
+    'EngineProfile',
+    'KeyHolder',
+    'Route',
+    'RouteConfig',
+    'ServiceProfile',
+    'Share',
+    'hash_key',
 )
--- /dev/null
+++ b/src/cranecart/models/_routes.py
@@ -0,0 +1,153 @@
+"""Which requests go where: routes, services and keys of one version."""
+
+import functools
+import hashlib
+from collections.abc import Mapping
+
+import attrs
+
+
+@attrs.frozen
+class Share:
+    """A service's part of a route's requests; weights need not sum to 100."""
+
+    service: str
+    weight: int
+
+
+@attrs.frozen
+class Route:
+    """How requests of one host and path prefix are served.
+
+    ``objective_seconds`` is the time to the answer, or to the first event of
+    a stream, that users are content with; ``rank`` is 0 for the route that
+    goes first; ``attempts`` bounds the targets that one request is sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeatable: bool
+    streaming: bool
+    resumable: bool
+    timeout_seconds: float
+    objective_seconds: float
+    pause_seconds: float
+    rank: int
+    attempts: int
+    public: bool
+    shares: tuple[Share, ...]
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.resumable if self.streaming else self.repeatable
+
+
+@attrs.frozen
+class EngineModel:
+    """A model whose replicas span ``size`` instances of a fabric domain.
+
+    ``pace`` multiplies all its times; ``share`` is its part of the work.
+    """
+
+    name: str
+    size: int
+    pace: float
+    share: float
+    load_seconds: float
+    staged_seconds: float
+
+
+@attrs.frozen
+class EngineProfile:
+    """What is known of a service's engines; times in seconds.
+
+    ``slots`` is how many requests a replica runs at once,
+    ``staged_models`` how many models an instance keeps on its host.
+    """
+
+    models: tuple[EngineModel, ...]
+    slots: int
+    open_seconds: float
+    loads_per_second: float
+    staged_models: int
+
+    def model(self, name: str) -> EngineModel | None:
+        """Return a model by name."""
+        return next((one for one in self.models if one.name == name), None)
+
+
+@attrs.frozen
+class ServiceProfile:
+    """A service that routes name; ``engine`` where replicas serve it."""
+
+    name: str
+    engine: EngineProfile | None = None
+
+
+@attrs.frozen
+class ClientLimits:
+    """What a client may send, and how long it may take and rest."""
+
+    head_bytes: int = 16384
+    body_bytes: int = 4194304
+    receive_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
+@attrs.frozen
+class KeyHolder:
+    """An organisation as its keys give it away; no rank means the route's."""
+
+    name: str
+    key_sha256: tuple[str, ...]
+    rank: int | None = None
+
+
+def hash_key(key: str) -> str:
+    """Return the form in which keys are kept."""
+    return hashlib.sha256(key.encode('latin-1', 'replace')).hexdigest()
+
+
+@attrs.frozen
+class RouteConfig:
+    """One version of everything that decides where requests go.
+
+    Where ``holders`` is ``None`` no request needs a key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceProfile]
+    holders: tuple[KeyHolder, ...] | None = None
+    limits: ClientLimits = attrs.field(factory=ClientLimits)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        name = host.partition(':')[0].lower()
+        end = path.rfind('/')
+        while end >= 0:
+            found = self._by_place.get((name, path[: end + 1]))
+            if found is not None:
+                return found
+            end = path.rfind('/', 0, end)
+        return None
+
+    def holder(self, key: str) -> KeyHolder | None:
+        """Return the organisation that a key belongs to."""
+        return self._by_key.get(hash_key(key))
+
+    @functools.cached_property
+    def _by_place(self) -> Mapping[tuple[str, str], Route]:
+        return {
+            (route.host.lower(), route.prefix): route for route in self.routes
+        }
+
+    @functools.cached_property
+    def _by_key(self) -> Mapping[str, KeyHolder]:
+        return {
+            digest: holder
+            for holder in self.holders or ()
+            for digest in holder.key_sha256
+        }
--- a/src/cranecart/node/_peering.py
+++ b/src/cranecart/node/_peering.py
@@ -19,11 +19,14 @@
     ListExchange,
     MemberInfo,
     Members,
+    Message,
     NodeLink,
     PeerEvents,
     Peers,
     PeerSettings,
     Speaker,
+    decode_message,
+    encode_message,
 )
 from cranecart.rollout import CurrentConfig
 from cranecart.signals import raise_first_error
@@ -39,7 +42,7 @@
     members: Members
     peers: Peers
     state: SharedState
-    _link: NodeLink
+    _link: NodeLink[Message]
 
     @classmethod
     def from_settings(
@@ -52,7 +55,11 @@
     ) -> Self:
         """Bind the peer address and build the parts."""
         store = EntryStore()
-        link = NodeLink(Address.from_text(settings.peer_address))
+        link = NodeLink(
+            Address.from_text(settings.peer_address),
+            encode_message,
+            decode_message,
+        )
         members = Members(
             settings.node_id,
             MemberInfo(settings.reached_at, settings.failure_domain),
--- a/src/cranecart/nodes/__init__.py
+++ b/src/cranecart/nodes/__init__.py
@@ -6,7 +6,10 @@
     EntryKey,
     MemberInfo,
     MemberStatus,
+    Message,
     Topic,
+    decode_message,
+    encode_message,
 )
 from cranecart.nodes._link import NodeLink
 from cranecart.nodes._list_exchange import ListExchange
@@ -26,6 +29,7 @@
     'ListExchange',
     'MemberInfo',
     'MemberStatus',
+    'Message',
     'Members',
     'NodeLink',
     'PeerEvents',
@@ -34,4 +38,6 @@
     'Speaker',
     'Topic',
     'choose_nodes',
+    'decode_message',
+    'encode_message',
 )
--- a/src/cranecart/nodes/_link.py
+++ b/src/cranecart/nodes/_link.py
@@ -1,17 +1,16 @@
 """Messages between nodes over pyzmq, driven by curio."""
 
 import logging
+from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import msgspec
 import zmq
 from curio.traps import _read_wait  # noqa: PLC2701
 
 from cranecart.http import Address
-from cranecart.nodes._entries import (
-    Message,
-    decode_message,
-    encode_message,
-)
+
+Sent = TypeVar('Sent')
 
 _LOG = logging.getLogger(__name__)
 _HIGH_WATER = 64
@@ -20,15 +19,22 @@
 _MAX_BYTES = 16777216
 
 
-class NodeLink:
+class NodeLink(Generic[Sent]):
     """One socket to hear all peers, and one to speak to each.
 
     Sending never waits: a message that cannot be queued is dropped and
     counted, since everything sent here is repeated or asked for again.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self,
+        address: Address,
+        encode: Callable[[Sent], bytes],
+        decode: Callable[[bytes], Sent],
+    ) -> None:
         """Bind; raise ``zmq.ZMQError`` if the address is taken."""
+        self._encode = encode
+        self._decode = decode
         self.address = address
         self.sent_messages = 0
         self.sent_bytes = 0
@@ -42,9 +48,9 @@
         self._inbox.bind(f'tcp://{address}')
         self._outboxes: dict[str, zmq.Socket[bytes]] = {}
 
-    def send(self, address: str, message: Message) -> None:
+    def send(self, address: str, message: Sent) -> None:
         """Queue a message for the node at an address, or drop it."""
-        encoded = encode_message(message)
+        encoded = self._encode(message)
         try:
             self._outbox(address).send(encoded, zmq.NOBLOCK)
         except zmq.Again:
@@ -63,14 +69,14 @@
             'peer_messages_dropped': self.dropped,
         }
 
-    async def receive(self) -> Message:
+    async def receive(self) -> Sent:
         """Return the next message that can be read."""
         while True:
             encoded = await self._receive_bytes()
             self.received_messages += 1
             self.received_bytes += len(encoded)
             try:
-                return decode_message(encoded)
+                return self._decode(encoded)
             except msgspec.MsgspecError as error:
                 _LOG.warning('a message could not be read: %s', error)
 
--- a/src/cranecart/nodes/_peers.py
+++ b/src/cranecart/nodes/_peers.py
@@ -67,7 +67,7 @@
     def __init__(
         self,
         speaker: Speaker,
-        link: NodeLink,
+        link: NodeLink[Message],
         settings: PeerSettings,
         exchanges: Exchanges,
         events: PeerEvents,
--- a/src/cranecart/nodes/_speaker.py
+++ b/src/cranecart/nodes/_speaker.py
@@ -16,7 +16,7 @@
 
     members: Members
     store: EntryStore
-    _link: NodeLink
+    _link: NodeLink[Message]
 
     def send(self, address: str, kind: MessageKind, **fields: Any) -> None:
         """Send a message with the news that its receiver should hear."""
--- /dev/null
+++ b/src/cranecart/platform/__init__.py
@@ -0,0 +1,18 @@
+"""The adapter of the users' platform: it translates and decides nothing."""
+
+from cranecart.platform._calls import PlatformCallForm
+from cranecart.platform._declared import PlatformDeclarations
+from cranecart.platform._orders import PlatformOrders
+from cranecart.platform._store import StoreClient
+from cranecart.platform._tables import PlatformRowSource, PlatformTable
+from cranecart.platform._targets import PlatformTargetList
+
+__all__ = (
+    'PlatformCallForm',
+    'PlatformDeclarations',
+    'PlatformOrders',
+    'PlatformRowSource',
+    'PlatformTable',
+    'PlatformTargetList',
+    'StoreClient',
+)
--- /dev/null
+++ b/src/cranecart/platform/_declared.py
@@ -0,0 +1,142 @@
+"""The operator's configuration, decoded into the product's types."""
+
+import attrs
+
+from cranecart.models import (
+    ClientLimits,
+    EngineModel,
+    EngineProfile,
+    KeyHolder,
+    Route,
+    RouteConfig,
+    ServiceProfile,
+    Share,
+    hash_key,
+)
+from cranecart.platform._store import StoreClient, WireRow, decode_row
+from cranecart.platform._wire_config import (
+    WireConfig,
+    WireLimits,
+    WireModel,
+    WireRoute,
+    WireService,
+    WireTenant,
+)
+from cranecart.ports import Changes, Snapshot
+
+_TABLE = 'op'
+_KEY = 'config'
+_MILLISECONDS = 1000
+_STREAMING = 'streaming'
+_SAFE = 'safe'
+_WHOLE_WEIGHT = 1
+
+
+@attrs.frozen
+class PlatformDeclarations:
+    """The operator's configuration as a source that can be followed."""
+
+    _store: StoreClient
+
+    async def snapshot(self) -> Snapshot[RouteConfig]:
+        """Read the configuration, if there is one yet."""
+        rows = await self._store.read_part(_TABLE, '', _KEY)
+        return Snapshot(
+            rows.schema_version,
+            {
+                row.key_file: config_from_row(row)
+                for row in rows.rows
+                if row.key_file == _KEY
+            },
+        )
+
+    async def changes(
+        self,
+        since: int,
+        wait_seconds: float,
+    ) -> Changes[RouteConfig]:
+        """Wait for the next version."""
+        changed = await self._store.feed(_TABLE, since, wait_seconds)
+        return Changes(
+            changed.schema_version,
+            {
+                row.key_file: config_from_row(row)
+                for row in changed.rows
+                if row.key_file == _KEY and not row.deleted
+            },
+        )
+
+
+def config_from_row(row: WireRow) -> RouteConfig:
+    """Decode the operator's row; raise ``PlatformUnavailableError``."""
+    wire: WireConfig = decode_row(row, WireConfig)
+    return RouteConfig(
+        wire.version,
+        tuple(map(_route, wire.routes)),
+        {service.name: _service(service) for service in wire.services},
+        None if wire.tenants is None else tuple(map(_holder, wire.tenants)),
+        _limits(wire.limits),
+    )
+
+
+def _route(wire: WireRoute) -> Route:
+    shares = tuple(Share(one.service, one.weight) for one in wire.split)
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        repeatable=wire.type == _SAFE,
+        streaming=wire.type == _STREAMING,
+        resumable=wire.resumable,
+        timeout_seconds=wire.timeout_ms / _MILLISECONDS,
+        objective_seconds=wire.slo_ms / _MILLISECONDS,
+        pause_seconds=wire.gap_target_ms / _MILLISECONDS,
+        rank=wire.priority,
+        attempts=wire.attempts,
+        public=wire.public,
+        shares=shares or (Share(wire.service, _WHOLE_WEIGHT),),
+    )
+
+
+def _service(wire: WireService) -> ServiceProfile:
+    runtime = wire.runtime
+    if runtime is None or not runtime.models:
+        return ServiceProfile(wire.name)
+    return ServiceProfile(
+        wire.name,
+        EngineProfile(
+            tuple(map(_model, runtime.models)),
+            runtime.slots,
+            runtime.form_ms / _MILLISECONDS,
+            runtime.loads_per_s,
+            runtime.cached_prefixes,
+        ),
+    )
+
+
+def _model(wire: WireModel) -> EngineModel:
+    return EngineModel(
+        wire.name,
+        wire.size,
+        wire.pace,
+        wire.share,
+        wire.load_s,
+        wire.warmup_s,
+    )
+
+
+def _holder(wire: WireTenant) -> KeyHolder:
+    return KeyHolder(
+        wire.name,
+        tuple(map(hash_key, wire.api_keys)),
+        wire.priority,
+    )
+
+
+def _limits(wire: WireLimits) -> ClientLimits:
+    return ClientLimits(
+        wire.max_header_bytes,
+        wire.max_body_bytes,
+        wire.header_timeout_ms / _MILLISECONDS,
+        wire.idle_timeout_ms / _MILLISECONDS,
+    )
--- /dev/null
+++ b/src/cranecart/platform/_orders.py
@@ -0,0 +1,173 @@
+"""Orders to engine instances, and what their answers mean."""
+
+from collections.abc import Sequence
+
+import attrs
+import curio
+import msgspec
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import (
+    ConnectFailedError,
+    HttpError,
+    OrderFencedError,
+    OrderRefusedError,
+    OrderUnknownError,
+    TargetGoneError,
+)
+from cranecart.http import HttpPool, Request
+from cranecart.ports import ListedInstance
+
+# Orders are answered in 3 to 8 ms on a calm link, so that a longer silence
+# means a dark instance or an order that is carried out late.
+_ORDER_SECONDS = 0.4
+_TAKEN = frozenset((200, 202))
+_WRONG_INSTANCE = 421
+_FENCED = 412
+
+
+@attrs.define
+class PlatformOrders:
+    """Sends orders on kept connections, one at a time to an instance."""
+
+    sent: int = attrs.field(default=0, init=False)
+    _pool: HttpPool = attrs.field(factory=HttpPool, init=False)
+
+    async def join(
+        self,
+        instance: ListedInstance,
+        replica: str,
+        epoch: int,
+        model: str,
+        members: Sequence[str],
+        fencing: int,
+    ) -> None:
+        """Make an instance a member; the first member is the head."""
+        body = {'model': model, 'members': list(members)}
+        await self._order(
+            instance,
+            fencing,
+            {'operation': 'join', 'group': replica, 'epoch': epoch, **body},
+        )
+
+    async def open(
+        self,
+        head: ListedInstance,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        """Let a ready replica serve."""
+        await self._change(head, 'open', replica, epoch, fencing)
+
+    async def close(
+        self,
+        head: ListedInstance,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        """Let a replica finish what it has and take nothing new."""
+        await self._order(
+            head,
+            fencing,
+            {
+                'operation': 'close',
+                'method': 'queue',
+                'group': replica,
+                'epoch': epoch,
+            },
+        )
+
+    async def leave(
+        self,
+        instance: ListedInstance,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        """End a membership at once."""
+        await self._change(instance, 'leave', replica, epoch, fencing)
+
+    async def stage(
+        self,
+        instance: ListedInstance,
+        model: str,
+        fencing: int,
+    ) -> None:
+        """Bring a model to an instance's host beside its other work."""
+        await self._order(
+            instance,
+            fencing,
+            {'operation': 'phase', 'model': model},
+        )
+
+    async def _change(
+        self,
+        instance: ListedInstance,
+        operation: str,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        body = {'operation': operation, 'group': replica, 'epoch': epoch}
+        await self._order(instance, fencing, body)
+
+    async def _order(
+        self,
+        instance: ListedInstance,
+        fencing: int,
+        body: dict[str, object],
+    ) -> None:
+        self.sent += 1
+        request = Request(
+            'POST',
+            '/order',
+            {
+                'content-type': 'application/json',
+                'expect-replica': instance.id,
+            },
+            msgspec.json.encode({**body, 'fencingToken': fencing}),
+        )
+        try:
+            status = await curio.timeout_after(
+                _ORDER_SECONDS,
+                self._ask,
+                instance,
+                request,
+            )
+        except ConnectFailedError as error:
+            raise _not_reached(instance, error) from error
+        except (HttpError, TaskTimeout) as error:
+            raise OrderUnknownError(f'{instance.id}: {error!r}') from error
+        _check(instance, status)
+
+    async def _ask(self, instance: ListedInstance, request: Request) -> int:
+        connection = await self._pool.take(instance.address)
+        try:
+            head = await connection.ask(request)
+            await connection.read_body()
+        except BaseException:
+            await connection.close()
+            raise
+        await self._pool.give_back(connection)
+        return head.status
+
+
+def _not_reached(
+    instance: ListedInstance,
+    error: ConnectFailedError,
+) -> OrderUnknownError | TargetGoneError:
+    # A port that resets has no process behind it, so that life has ended.
+    if isinstance(error.__cause__, ConnectionRefusedError):
+        return TargetGoneError(f'{instance.id}: its port is closed')
+    return OrderUnknownError(f'{instance.id}: {error}')
+
+
+def _check(instance: ListedInstance, status: int) -> None:
+    if status == _WRONG_INSTANCE:
+        raise TargetGoneError(f'{instance.id}: another instance answers')
+    if status == _FENCED:
+        raise OrderFencedError(f'{instance.id}: a later order was seen')
+    if status not in _TAKEN:
+        raise OrderRefusedError(f'{instance.id}: answered with {status}')
--- /dev/null
+++ b/src/cranecart/platform/_store.py
@@ -0,0 +1,185 @@
+"""The one client of the platform's store: rows, transactions, changes."""
+
+import base64
+from collections.abc import Mapping
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import attrs
+import curio
+import msgspec
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import (
+    ConnectFailedError,
+    HistoryLostError,
+    HttpError,
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from cranecart.http import Address, HttpPool, Request, Response
+
+Message = TypeVar('Message')
+
+# Ordinary answers take 4 ms and slow ones some 200 ms on the deployments'
+# sheets; beyond this the store counts as away.
+CALL_SECONDS = 1.5
+# What a waiting call may take longer than it was asked to wait.
+_WAIT_SLACK_SECONDS = 1.5
+_PAGE_ROWS = 500
+_OK = 200
+_CONFLICT = 412
+_HISTORY_GONE = 410
+_NOT_DONE = frozenset((429, 503))
+_MILLISECONDS = 1000
+
+
+class WireRow(msgspec.Struct, rename='camel'):
+    """A row; ``keyFile`` is its key and ``schemaVersion`` its version."""
+
+    key_file: str
+    table_name: str = ''
+    part: str = ''
+    value: str = ''
+    schema_version: int = 0
+    deleted: bool = False
+
+    def decoded(self) -> bytes:
+        """Return the row's value as its writer gave it."""
+        return base64.b64decode(self.value)
+
+
+class WireRows(msgspec.Struct, rename='camel'):
+    """Rows read at one moment; ``schemaVersion`` is the table's newest."""
+
+    schema_version: int
+    rows: list[WireRow] = []
+    truncated: bool = False
+
+
+class _WireCommitted(msgspec.Struct, rename='camel'):
+    schema_version: int
+
+
+def encode_value(value: bytes) -> str:
+    """Return a row's value as it is sent."""
+    return base64.b64encode(value).decode()
+
+
+@attrs.define
+class StoreClient:
+    """Calls of one store on kept connections, each with a bound."""
+
+    _address: Address
+    reads: int = attrs.field(default=0, init=False)
+    writes: int = attrs.field(default=0, init=False)
+    _pool: HttpPool = attrs.field(factory=HttpPool, init=False)
+
+    async def read_part(
+        self,
+        table: str,
+        part: str,
+        first: str = '',
+    ) -> WireRows:
+        """Read a part from a key on, all pages of it."""
+        page = await self._read_page(table, part, first)
+        rows = list(page.rows)
+        while page.truncated and page.rows:
+            # The next page starts right behind the last key.
+            page = await self._read_page(table, part, f'{rows[-1].key_file}\0')
+            rows.extend(page.rows)
+        return WireRows(page.schema_version, rows)
+
+    async def feed(
+        self,
+        table: str,
+        since: int,
+        wait_seconds: float,
+    ) -> WireRows:
+        """Wait for a table's changes; raise ``HistoryLostError``."""
+        query = {
+            'tableName': table,
+            'sinceRevision': since,
+            'waitMs': round(wait_seconds * _MILLISECONDS),
+        }
+        seconds = wait_seconds + _WAIT_SLACK_SECONDS
+        return await self._get('/rows-feed', query, seconds)
+
+    async def commit(self, body: Mapping[str, object]) -> int:
+        """Send a transaction; return the version that its rows got."""
+        self.writes += 1
+        request = Request(
+            'POST',
+            '/rows-tx',
+            {'content-type': 'application/json'},
+            msgspec.json.encode(body),
+        )
+        try:
+            response = await self._exchange(request, CALL_SECONDS)
+        except ConnectFailedError as error:
+            raise PlatformUnavailableError(str(error)) from error
+        except (HttpError, TaskTimeout) as error:
+            raise WriteUnknownError(f'no answer to a write: {error}') from error
+        if response.status == _CONFLICT:
+            raise WriteConflictError('a row has changed since it was read')
+        if response.status in _NOT_DONE:
+            raise PlatformUnavailableError(f'refused with {response.status}')
+        if response.status != _OK:
+            raise WriteUnknownError(f'answered with {response.status}')
+        return _decode(response, _WireCommitted).schema_version
+
+    async def _read_page(self, table: str, part: str, first: str) -> WireRows:
+        query = {'tableName': table, 'part': part, 'limit': _PAGE_ROWS}
+        if first:
+            query['fromVersion'] = first
+        return await self._get('/rows-get', query, CALL_SECONDS)
+
+    async def _get(
+        self,
+        path: str,
+        query: Mapping[str, object],
+        seconds: float,
+    ) -> WireRows:
+        self.reads += 1
+        request = Request('GET', f'{path}?{urlencode(query)}')
+        try:
+            response = await self._exchange(request, seconds)
+        except (HttpError, TaskTimeout) as error:
+            raise PlatformUnavailableError(f'{path}: {error!r}') from error
+        if response.status == _HISTORY_GONE:
+            raise HistoryLostError(f'{path}: the history is gone')
+        if response.status != _OK:
+            raise PlatformUnavailableError(f'{path}: {response.status}')
+        return _decode(response, WireRows)
+
+    async def _exchange(self, request: Request, seconds: float) -> Response:
+        return await curio.timeout_after(seconds, self._ask, request)
+
+    async def _ask(self, request: Request) -> Response:
+        connection = await self._pool.take(self._address)
+        try:
+            head = await connection.ask(request)
+            body = await connection.read_body()
+        except BaseException:
+            await connection.close()
+            raise
+        await self._pool.give_back(connection)
+        return Response(head.status, head.headers, body)
+
+
+def _decode(response: Response, wanted: type[Message]) -> Message:
+    try:
+        return msgspec.json.decode(response.body, type=wanted)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise PlatformUnavailableError(f'unreadable answer: {error}') from error
+
+
+def decode_row(row: WireRow, wanted: Any) -> Any:
+    """Decode a row's value; raise ``PlatformUnavailableError``."""
+    try:
+        return msgspec.json.decode(row.decoded(), type=wanted)
+    except (ValueError, msgspec.MsgspecError) as error:
+        raise PlatformUnavailableError(
+            f'row {row.key_file!r} cannot be read: {error}',
+        ) from error
--- a/src/cranecart/ports/__init__.py
+++ b/src/cranecart/ports/__init__.py
@@ -1,15 +1,36 @@
 """What the product asks of its surroundings, in its own words.
 
 Each port is a typed protocol; the native protocol and the adapter of a
-deployment's platform both implement them.
+deployment's platform implement them.
 """
 
+from cranecart.ports._calls import AnswerFacts, CallFacts, CallForm, Dispatch
+from cranecart.ports._listed import (
+    Changes,
+    ListedInstance,
+    MemberPhase,
+    Membership,
+    Orders,
+    Snapshot,
+    Source,
+)
 from cranecart.ports._table import Check, Put, Row, Table, Transaction
 
 __all__ = (
+    'AnswerFacts',
+    'CallFacts',
+    'CallForm',
+    'Changes',
     'Check',
+    'Dispatch',
+    'ListedInstance',
+    'MemberPhase',
+    'Membership',
+    'Orders',
     'Put',
     'Row',
+    'Snapshot',
+    'Source',
     'Table',
     'Transaction',
 )
--- /dev/null
+++ b/src/cranecart/ports/_calls.py
@@ -0,0 +1,76 @@
+"""The form of calls: what the product reads from and writes into them."""
+
+from typing import Protocol
+
+import attrs
+
+from cranecart.http import HeaderLines, Request, Response, ResponseHead
+
+
+@attrs.frozen
+class CallFacts:
+    """What a client's request says about itself.
+
+    ``deadline_seconds`` is how long the client waits, ``resume_after`` the
+    id of the last event that it has of an earlier answer.
+    """
+
+    request_id: str
+    host: str
+    key: str
+    deadline_seconds: float | None
+    model: str = ''
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    resume_after: str = ''
+
+
+@attrs.frozen
+class Dispatch:
+    """What the product adds when it sends a request to a target."""
+
+    instance_id: str
+    seconds_left: float
+    organisation: str = ''
+    rank: int | None = None
+    resume_after: str = ''
+
+
+@attrs.frozen
+class AnswerFacts:
+    """What a target's answer says about itself.
+
+    ``not_run`` holds only where the target itself promises it;
+    ``at_fault`` names the instance that it could not work without.
+    """
+
+    request_id: str
+    is_genuine: bool
+    not_run: bool
+    at_fault: str = ''
+
+
+class CallForm(Protocol):
+    """Translates calls between clients, the product and targets."""
+
+    def read_request(self, request: Request) -> CallFacts:
+        """Read a client's request; raise ``InvalidRequestError``."""
+
+    def request_for(self, request: Request, dispatch: Dispatch) -> Request:
+        """Return the request as a target gets it."""
+
+    def read_answer(self, head: ResponseHead) -> AnswerFacts:
+        """Read the head of a target's answer."""
+
+    def answer_lines(self, head: ResponseHead) -> HeaderLines:
+        """Return the headers of a target's answer that a client gets."""
+
+    def refusal(
+        self,
+        request_id: str,
+        status: int,
+        code: str,
+        message: str,
+        retry_after: float | None,
+    ) -> Response:
+        """Build an answer of the product's own."""
--- a/src/cranecart/routing/_ejection.py
+++ b/src/cranecart/routing/_ejection.py
@@ -2,14 +2,20 @@
 
 import time
 from collections.abc import Callable, Iterable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import attrs
 
-from cranecart.models import Instance
-from cranecart.targets import ServingReplica
 
-Target = TypeVar('Target', ServingReplica, Instance)
+class Named(Protocol):
+    """Anything that is told apart by an id."""
+
+    @property
+    def id(self) -> str:
+        """Return the id."""
+
+
+Target = TypeVar('Target', bound=Named)
 
 _FAILURES = 3
 _FIRST_SECONDS = 1.0
--- /dev/null
+++ b/src/cranecart/serving/_node.py
@@ -0,0 +1,320 @@
+"""One node on a platform: start, serve, stop."""
+
+import random
+import time
+
+import curio
+
+from cranecart.config import ServingSettings
+from cranecart.duties import Lease, LeaseTimes
+from cranecart.fleet import Fleet, ReplicaRecord
+from cranecart.forwarding import RoutedGateway, Sender, TargetConnections
+from cranecart.grouping import (
+    DemandMeter,
+    GroupPlacer,
+    PlacerPlace,
+    PlacerView,
+)
+from cranecart.http import (
+    Address,
+    HttpServer,
+    Request,
+    Responder,
+    Response,
+    ServerLimits,
+)
+from cranecart.limits import RetryRules, SharedRetryBudget
+from cranecart.logs import decision
+from cranecart.mesh import (
+    Mesh,
+    MeshEvents,
+    MeshMessage,
+    OwnState,
+    Stopped,
+    Suspect,
+    decode_mesh_message,
+    encode_mesh_message,
+)
+from cranecart.metrics import Metrics
+from cranecart.models import RouteConfig
+from cranecart.nodes import NodeLink
+from cranecart.routing import HeadRouter
+from cranecart.serving._configuration import ForceConfig
+from cranecart.serving._knowledge import Knowledge
+from cranecart.serving._registry import NodeRegistry
+from cranecart.serving._surroundings import Surroundings
+from cranecart.signals import StopSignal, raise_first_error, stop_signal
+
+_MILLISECONDS = 1000
+# The holder renews every 0.7 s; others look only once its beats are silent.
+# A holder that stalls loses the duty's rows by their versions, so that a
+# takeover needs no longer wait than that (docs/design/platform.md).
+_TRUSTED_SECONDS = 2.0
+_TAKEOVER_SECONDS = 0.8
+# The balancer takes a node out after two missed questions a second apart.
+_LISTEN_ON_SECONDS = 3.0
+# What is left of the grace for breaking off what cannot end in time.
+_LAST_SECONDS = 0.6
+_DRAIN_LOOK_SECONDS = 0.05
+_HOUSEKEEPING_SECONDS = 0.5
+_OK = 200
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+# Work of a request in rough seconds of an engine's time, from the users'
+# sheets: 7 tokens an event, some 50 ms; 50 prompt tokens a millisecond.
+_SECONDS_A_TOKEN = 0.008
+_SECONDS_A_PROMPT_TOKEN = 0.00002
+
+
+class ServingNode:
+    """Everything that one process does on a platform."""
+
+    def __init__(self, settings: ServingSettings) -> None:
+        """Build the parts; nothing runs until ``run``."""
+        self._settings = settings
+        self._stopping = False
+        self._metrics = Metrics()
+        self._random = random.Random()
+        self._config = ForceConfig()
+        self._fleet = Fleet()
+        self._demand = DemandMeter()
+        self._surroundings = Surroundings.from_settings(settings)
+        self._registry = NodeRegistry(settings, self._surroundings.table)
+        self._router = HeadRouter(
+            self._fleet,
+            self._random,
+            lambda name: self._mesh.in_flight_elsewhere(name),
+        )
+        self._mesh = self._make_mesh()
+        self._knowledge = Knowledge.from_surroundings(
+            self._surroundings,
+            self._config,
+            self._fleet,
+            self._mesh,
+            self._random,
+        )
+        self._placer = self._make_placer()
+        self._connections = TargetConnections()
+        self._gateway = self._make_gateway()
+        self._clients = HttpServer(
+            Address.from_text(settings.client_address),
+            self._serve,
+        )
+        self._ready = HttpServer(
+            Address.from_text(settings.ready_address),
+            self._answer_ready,
+        )
+        self._figures = HttpServer(
+            Address.from_text(settings.metrics_address),
+            self._answer_metrics,
+        )
+        self._config.on_change(self._take_limits)
+
+    async def run(self) -> None:
+        """Serve until told to stop, then stop without cutting anything."""
+        decision(
+            'node_started',
+            failure_domain=self._settings.failure_domain,
+            first_start=self._settings.first_start,
+        )
+        async with stop_signal() as stop, curio.TaskGroup(wait=any) as tasks:
+            for part in (
+                self._clients.run,
+                self._ready.run,
+                self._figures.run,
+                self._mesh.run,
+                self._knowledge.run,
+                self._placer.run,
+                self._keep_house,
+            ):
+                await tasks.spawn(part)
+            await curio.spawn(self._registry.register, daemon=True)
+            await tasks.spawn(self._wait_for_stop, stop)
+        self._mesh.close()
+        raise_first_error(tasks)
+        decision('node_stopped')
+
+    def _make_mesh(self) -> Mesh:
+        settings = self._settings
+        link: NodeLink[MeshMessage] = NodeLink(
+            Address.from_text(settings.peer_address),
+            encode_mesh_message,
+            decode_mesh_message,
+        )
+        own = OwnState(
+            settings.node_id,
+            settings.peer_address,
+            settings.failure_domain,
+        )
+        events = MeshEvents(
+            self._hear_stopped,
+            self._hear_suspect,
+            self._router.counts,
+            self._config.current,
+            self._config.take_from_peer,
+        )
+        return Mesh(own, link, events)
+
+    def _make_placer(self) -> GroupPlacer:
+        settings = self._settings
+        domain = settings.failure_domain
+        view = PlacerView(
+            self._config.current,
+            lambda: self._mesh.hears_placer(domain),
+            lambda: self._knowledge.is_informed,
+            self._mesh.has_traffic,
+            self._demand.by_model,
+            self._tell_stopped,
+        )
+        return GroupPlacer(
+            PlacerPlace(
+                domain,
+                len(settings.failure_domains),
+                settings.stall_ms / _MILLISECONDS,
+            ),
+            Lease(
+                f'{domain}/placer',
+                settings.node_id,
+                self._surroundings.table,
+                LeaseTimes(_TRUSTED_SECONDS, _TAKEOVER_SECONDS),
+            ),
+            self._surroundings.table,
+            self._surroundings.orders,
+            self._fleet,
+            view,
+        )
+
+    def _make_gateway(self) -> RoutedGateway:
+        settings = self._settings
+        sender = Sender(
+            self._surroundings.form,
+            self._router,
+            self._connections,
+            self._fleet.is_stopped,
+            self._tell_suspect,
+        )
+        budget = SharedRetryBudget(
+            RetryRules(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_ms / _MILLISECONDS,
+            ),
+            self._mesh.nodes,
+        )
+        return RoutedGateway(
+            self._config.current,
+            sender,
+            budget,
+            self._random,
+            self._metrics.observe_request,
+        )
+
+    async def _serve(self, request: Request, responder: Responder) -> None:
+        self._mesh.own.requests += 1
+        self._note_demand(request)
+        await self._gateway.handle(request, responder)
+
+    def _note_demand(self, request: Request) -> None:
+        facts = self._surroundings.form.read_request(request)
+        if not facts.model:
+            return
+        work = (
+            facts.max_tokens * _SECONDS_A_TOKEN
+            + facts.prompt_tokens * _SECONDS_A_PROMPT_TOKEN
+        )
+        self._demand.note(facts.model, work)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await curio.sleep(_HOUSEKEEPING_SECONDS)
+            self._mesh.own.places = self._placer.places
+            self._knowledge.set_placing(bool(self._placer.places))
+            listed = frozenset(self._fleet.instances)
+            await self._connections.close_old(listed)
+
+    async def _wait_for_stop(self, stop: StopSignal) -> None:
+        await stop.wait()
+        started = time.monotonic()
+        self._stopping = True
+        self._mesh.own.stopping = True
+        decision('node_stopping', in_flight=self._gateway.inside)
+        self._clients.refuse_new()
+        await self._placer.hand_over()
+        self._mesh.own.places = ''
+        self._mesh.beat_now()
+        await self._registry.withdraw()
+        await self._drain(started)
+
+    async def _drain(self, started: float) -> None:
+        grace = self._settings.stop_grace_ms / _MILLISECONDS - _LAST_SECONDS
+        while time.monotonic() - started < grace:
+            await curio.sleep(_DRAIN_LOOK_SECONDS)
+            if time.monotonic() - started < _LISTEN_ON_SECONDS:
+                continue
+            await self._clients.close_idle()
+            if not self._gateway.inside:
+                return
+        decision('stopped_with_requests', in_flight=self._gateway.inside)
+
+    async def _answer_ready(
+        self,
+        request: Request,
+        responder: Responder,
+    ) -> None:
+        is_ready = not self._stopping and self._is_informed()
+        await responder.send(Response(_OK if is_ready else _UNAVAILABLE))
+
+    async def _answer_metrics(
+        self,
+        request: Request,
+        responder: Responder,
+    ) -> None:
+        if request.path != '/metrics':
+            await responder.send(Response(_NOT_FOUND))
+            return
+        counts = {
+            **self._mesh.counts(),
+            'target_connections': self._connections.opened,
+            'liveness_checks': self._placer.losses.liveness.checks,
+        }
+        for name, number in counts.items():
+            self._metrics.control.set(number, {'what': name})
+        self._metrics.serving_replicas.set(len(list(self._fleet.all_heads())))
+        config = self._config.current()
+        self._metrics.config_version.set(config.version if config else 0)
+        await responder.send(Response(_OK, body=self._metrics.text()))
+
+    def _is_informed(self) -> bool:
+        return (
+            self._config.current() is not None and self._knowledge.is_informed
+        )
+
+    def _take_limits(self, config: RouteConfig) -> None:
+        limits = config.limits
+        self._clients.limits = ServerLimits(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            receive_seconds=limits.receive_seconds,
+            idle_seconds=limits.idle_seconds,
+        )
+        self._mesh.beat_now()
+
+    def _tell_stopped(self, record: ReplicaRecord, reason: str) -> None:
+        if self._fleet.stop((record.name, record.epoch), reason):
+            node_id = self._settings.node_id
+            self._mesh.broadcast(
+                Stopped(node_id, record.name, record.epoch, reason),
+            )
+
+    def _tell_suspect(self, forming: tuple[str, int], evidence: str) -> None:
+        self._placer.suspect(forming, evidence)
+        self._mesh.broadcast(
+            Suspect(self._settings.node_id, *forming, evidence),
+        )
+
+    def _hear_stopped(self, message: Stopped) -> None:
+        self._fleet.stop((message.replica, message.epoch), message.reason)
+
+    def _hear_suspect(self, message: Suspect) -> None:
+        forming = (message.replica, message.epoch)
+        self._placer.suspect(forming, message.evidence)
--- /dev/null
+++ b/src/cranecart/serving/_surroundings.py
@@ -0,0 +1,51 @@
+"""The platform's side of a node, as the ports that the product asks for."""
+
+from typing import Self
+
+import attrs
+
+from cranecart.config import ServingSettings
+from cranecart.http import Address
+from cranecart.models import RouteConfig
+from cranecart.platform import (
+    PlatformCallForm,
+    PlatformDeclarations,
+    PlatformOrders,
+    PlatformRowSource,
+    PlatformTable,
+    PlatformTargetList,
+    StoreClient,
+)
+from cranecart.ports import CallForm, ListedInstance, Orders, Row, Source, Table
+
+_RECORDS_TABLE = 'placement'
+_NODES_PART = 'nodes'
+
+
+@attrs.frozen
+class Surroundings:
+    """Everything that a node meets outside, behind its ports."""
+
+    table: Table
+    declarations: Source[RouteConfig]
+    instances: Source[ListedInstance]
+    records: Source[Row]
+    orders: Orders
+    form: CallForm
+
+    @classmethod
+    def from_settings(cls, settings: ServingSettings) -> Self:
+        """Meet the platform that the settings name."""
+        store = StoreClient(Address.from_text(settings.platform_address))
+        return cls(
+            PlatformTable(store),
+            PlatformDeclarations(store),
+            PlatformTargetList(store),
+            PlatformRowSource(
+                store,
+                _RECORDS_TABLE,
+                (*settings.failure_domains, _NODES_PART),
+            ),
+            PlatformOrders(),
+            PlatformCallForm(),
+        )
--- a/tests/unit/test_sweeper.py
+++ b/tests/unit/test_sweeper.py
@@ -24,12 +24,12 @@
         """Make the claim, and a sweeper whose clock can be turned."""
         self.platform = FakePlatform()
         self.now = time.time()
-        self.claims = Claims('n', self.platform)
+        self.claims = Claims('n', self.platform)  # type: ignore[arg-type]
         lease = Lease('sweeper', 'n', self.platform)
         run_now(lease.keep())
         self.sweeper = Sweeper(
             lease,
-            self.platform,
+            self.platform,  # type: ignore[arg-type]
             lambda: self.now,
         )
         held = curio.run(self.claims.make, _CALL)
