--- a/src/cranecart/grouping/_forming.py
+++ b/src/cranecart/grouping/_forming.py
@@ -35,7 +35,7 @@
     _fleet: Fleet
     _duty: PlacerDuty
     _clock: Callable[[], float] = time.monotonic
-    _ordered_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _ordered_at: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
 
     async def run(self) -> None:
         """Join all members, wait until all are ready, open the head."""
@@ -44,7 +44,7 @@
             await self._join_missing()
             await curio.sleep(_LOOK_SECONDS)
         while self._goes_on() and not self._is_open():
-            if self._is_due(self.record.head):
+            if self._is_due('open', self.record.head):
                 await self._open()
             await curio.sleep(_LOOK_SECONDS)
         if self._goes_on():
@@ -82,11 +82,11 @@
         return self._phase(self.record.head) is MemberPhase.OPEN
 
     def _wants_join(self, name: str) -> bool:
-        is_joined = self._phase(name) in _JOINED
+        # Asked last, as it notes the time of the order that follows.
         return (
-            not is_joined
-            and self._is_due(name)
+            self._phase(name) not in _JOINED
             and not self._is_bound_elsewhere(name)
+            and self._is_due('join', name)
         )
 
     def _is_bound_elsewhere(self, name: str) -> bool:
@@ -99,11 +99,12 @@
             for record in self._fleet.records.values()
         )
 
-    def _is_due(self, name: str) -> bool:
+    def _is_due(self, order: str, name: str) -> bool:
         now = self._clock()
-        if now - self._ordered_at.get(name, 0) < _AGAIN_SECONDS:
+        last = self._ordered_at.get((order, name), float('-inf'))
+        if now - last < _AGAIN_SECONDS:
             return False
-        self._ordered_at[name] = now
+        self._ordered_at[order, name] = now
         return True
 
     async def _join(self, name: str) -> None:
@@ -170,7 +171,7 @@
         match error:
             case OrderUnknownError():
                 # The same order again does no harm, and may be answered.
-                self._ordered_at[instance.id] = 0
+                self._ordered_at.pop((order, instance.id), None)
                 self._duty.doubt(self.record, str(error))
             case TargetGoneError():
                 self._duty.lost(instance.id, str(error))
--- /dev/null
+++ b/tests/lib/fake_engines.py
@@ -0,0 +1,205 @@
+"""Engine instances in memory that keep the rules of orders, and notice."""
+
+import time
+from collections.abc import Sequence
+
+import attrs
+
+from cranecart.exceptions import (
+    OrderFencedError,
+    OrderRefusedError,
+    OrderUnknownError,
+    TargetGoneError,
+)
+from cranecart.fleet import Fleet
+from cranecart.http import Address
+from cranecart.models import EngineModel, EngineProfile, ServiceProfile
+from cranecart.ports import ListedInstance, MemberPhase, Membership
+
+SERVICE = 'drafts'
+BIG = EngineModel('big', 4, 1, 0.5, 16, 1.6)
+SMALL = EngineModel('small', 3, 0.6, 0.5, 12, 1.1)
+PROFILE = ServiceProfile(
+    SERVICE,
+    EngineProfile((BIG, SMALL), 13, 0.3, 4.5, 1),
+)
+DOMAIN = 'east'
+
+_HOLDING = frozenset((MemberPhase.OPEN, MemberPhase.CLOSING))
+
+
+def listed(
+    name: str,
+    address: Address,
+    fabric: str = 'east-0',
+) -> ListedInstance:
+    """Return an unused instance of the engines' service."""
+    return ListedInstance(
+        name,
+        SERVICE,
+        address,
+        DOMAIN,
+        13,
+        fabric_domain=fabric,
+    )
+
+
+@attrs.define
+class FakeEngines:
+    """Takes orders and shows their effect in a fleet's list at once.
+
+    A head without a member is broken after ``stall_seconds``. ``dark``
+    instances answer nothing, ``gone`` ones have ended; the
+    violations of what must always hold are collected.
+    """
+
+    fleet: Fleet
+    stall_seconds: float
+    dark: set[str] = attrs.field(factory=set)
+    gone: set[str] = attrs.field(factory=set)
+    unanswered: set[str] = attrs.field(factory=set)
+    violations: list[str] = attrs.field(factory=list)
+    orders: list[tuple[str, str]] = attrs.field(factory=list)
+    _members: dict[tuple[str, int], tuple[str, ...]] = attrs.field(
+        factory=dict,
+    )
+    _left_at: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    _epochs: dict[str, int] = attrs.field(factory=dict)
+
+    async def join(
+        self,
+        instance: ListedInstance,
+        replica: str,
+        epoch: int,
+        model: str,
+        members: Sequence[str],
+        fencing: int,
+    ) -> None:
+        """Make an instance a member, ready at once."""
+        self._reach(instance, 'join')
+        if epoch < self._epochs.get(instance.id, 0):
+            raise OrderFencedError('an earlier epoch')
+        self._check_not_bound(instance.id, replica)
+        self._epochs[instance.id] = epoch
+        self._members[replica, epoch] = tuple(members)
+        rank = list(members).index(instance.id)
+        self._show(
+            attrs.evolve(
+                self.fleet.instances.get(instance.id, instance),
+                membership=Membership(
+                    replica,
+                    epoch,
+                    rank,
+                    MemberPhase.READY,
+                ),
+                loaded=(model,),
+                staged=(model,),
+            ),
+        )
+        self._answer(instance, 'join')
+
+    async def open(
+        self,
+        head: ListedInstance,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        """Let a replica serve; note it if not all members are ready."""
+        self._reach(head, 'open')
+        for name in self._members[replica, epoch]:
+            member = self.fleet.known(name)
+            if member is None or member.phase_in(replica, epoch) is None:
+                self.violations.append(f'{replica} opened without {name}')
+        self._set_phase(head.id, replica, epoch, MemberPhase.OPEN)
+        self._answer(head, 'open')
+
+    async def close(
+        self,
+        head: ListedInstance,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        """End a replica's service; its work ends at once."""
+        self._reach(head, 'close')
+        self._set_phase(head.id, replica, epoch, MemberPhase.READY)
+        self._answer(head, 'close')
+
+    async def leave(
+        self,
+        instance: ListedInstance,
+        replica: str,
+        epoch: int,
+        fencing: int,
+    ) -> None:
+        """End a membership."""
+        self._reach(instance, 'leave')
+        current = self.fleet.known(instance.id) or instance
+        if current.phase_in(replica, epoch) is None:
+            raise OrderRefusedError('it is no member')
+        self._left_at.setdefault((replica, epoch), time.monotonic())
+        self._show(attrs.evolve(current, membership=None))
+        self._answer(instance, 'leave')
+
+    async def stage(
+        self,
+        instance: ListedInstance,
+        model: str,
+        fencing: int,
+    ) -> None:
+        """Bring a model to a host."""
+        self._reach(instance, 'stage')
+        current = self.fleet.instances.get(instance.id, instance)
+        self._show(attrs.evolve(current, staged=(model,)))
+
+    def _reach(self, instance: ListedInstance, order: str) -> None:
+        self.orders.append((order, instance.id))
+        if instance.id in self.gone:
+            raise TargetGoneError(instance.id)
+        if instance.id in self.dark:
+            raise OrderUnknownError(instance.id)
+
+    def _answer(self, instance: ListedInstance, order: str) -> None:
+        if instance.id in self.unanswered:
+            self.unanswered.remove(instance.id)
+            raise OrderUnknownError(f'{order} of {instance.id}')
+
+    def _check_not_bound(self, name: str, replica: str) -> None:
+        bound = [
+            forming
+            for forming, members in self._members.items()
+            if name in members and forming[0] != replica
+        ]
+        self.violations.extend(
+            f'{name} joined {replica}, had {forming[0]}'
+            for forming in bound
+            if self._may_serve(forming)
+        )
+
+    def _may_serve(self, forming: tuple[str, int]) -> bool:
+        head = self._members[forming][0]
+        known = self.fleet.known(head)
+        if known is None or head in self.gone:
+            return False
+        left_at = self._left_at.get(forming, float('inf'))
+        if time.monotonic() - left_at > self.stall_seconds:
+            return False
+        return known.phase_in(*forming) in _HOLDING
+
+    def _set_phase(
+        self,
+        name: str,
+        replica: str,
+        epoch: int,
+        phase: MemberPhase,
+    ) -> None:
+        current = self.fleet.instances[name]
+        if current.phase_in(replica, epoch) is None:
+            raise OrderRefusedError('it is no member')
+        assert current.membership is not None
+        membership = attrs.evolve(current.membership, phase=phase)
+        self._show(attrs.evolve(current, membership=membership))
+
+    def _show(self, instance: ListedInstance) -> None:
+        self.fleet.take_instances({instance.id: instance}, False)
--- /dev/null
+++ b/tests/unit/test_grouping.py
@@ -0,0 +1,208 @@
+"""A placer with engines in memory: form, repair, end."""
+
+import socket
+import time
+import unittest
+from collections.abc import Callable
+
+import attrs
+import curio
+
+from cranecart.duties import Lease
+from cranecart.fleet import Fleet, RecordState, ServingHead
+from cranecart.grouping import GroupPlacer, PlacerPlace, PlacerView
+from cranecart.http import Address
+from cranecart.models import RouteConfig
+from tests.lib.fake_engines import (
+    BIG,
+    DOMAIN,
+    PROFILE,
+    SERVICE,
+    SMALL,
+    FakeEngines,
+    listed,
+)
+from tests.lib.fake_platform import FakePlatform
+
+_CONFIG = RouteConfig(1, (), {SERVICE: PROFILE})
+_STALL_SECONDS = 0.4
+
+
+class World:
+    """One placer, its table, and nine engine instances."""
+
+    def __init__(self) -> None:
+        """Build it all; nothing runs."""
+        self.fleet = Fleet()
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.address = Address(*self.listener.getsockname()[:2])
+        self.engines = FakeEngines(self.fleet, _STALL_SECONDS)
+        self.table = FakePlatform()
+        self.stopped: list[str] = []
+        self.is_informed = True
+        self.placer = self.make_placer('one')
+        names = [f'i{number}' for number in range(9)]
+        self.fleet.take_instances(
+            {one: listed(one, self.address) for one in names},
+            True,
+        )
+
+    def make_placer(self, node_id: str) -> GroupPlacer:
+        """Return a placer of this world's failure domain."""
+        return GroupPlacer(
+            PlacerPlace(DOMAIN, 1, _STALL_SECONDS),
+            Lease(f'lease/{DOMAIN}', node_id, self.table),
+            self.table,
+            self.engines,
+            self.fleet,
+            PlacerView(
+                lambda: _CONFIG,
+                bool,
+                lambda: self.is_informed,
+                bool,
+                dict,
+                lambda record, _why: self.stopped.append(record.name),
+            ),
+        )
+
+    def heads(self) -> list[ServingHead]:
+        """Return the replicas that serve."""
+        return [
+            *self.fleet.heads(SERVICE, BIG.name),
+            *self.fleet.heads(SERVICE, SMALL.name),
+        ]
+
+    def lose(self, name: str) -> None:
+        """Let an instance fall silent and be found lost."""
+        self.engines.dark.add(name)
+        self.placer.losses.note_lost(name, 'a test says so')
+
+
+async def until(holds: Callable[[], object], seconds: float = 3) -> None:
+    """Wait for something; fail if it does not come."""
+    ends = time.monotonic() + seconds
+    while not holds():
+        if time.monotonic() > ends:
+            raise AssertionError('it did not come in time')
+        await curio.sleep(0.01)
+
+
+class GroupingTest(unittest.TestCase):
+    """What becomes of nine instances of one fabric domain."""
+
+    def setUp(self) -> None:
+        """Build a world."""
+        self.world = World()
+        self.addCleanup(self.world.listener.close)
+
+    def test_forms_both_models_and_stages_spares(self) -> None:
+        """Four and three serve; each spare is staged for another model."""
+        curio.run(self._formed)
+        sizes = sorted(len(head.members) for head in self.world.heads())
+        self.assertEqual(sizes, [3, 4])
+        used = {name for one in self.world.heads() for name in one.members}
+        spares = [
+            one
+            for one in self.world.fleet.instances.values()
+            if one.id not in used
+        ]
+        staged = sorted(name for one in spares for name in one.staged)
+        self.assertEqual(staged, [BIG.name, SMALL.name])
+        self.assertEqual(self.world.engines.violations, [])
+
+    def test_survivors_join_anew_at_once(self) -> None:
+        """A freed member waits for no order that was never sent."""
+        seconds = curio.run(self._repaired)
+        self.assertLess(seconds, 0.45)
+        self.assertEqual(self.world.engines.violations, [])
+
+    def test_members_of_a_dark_head_wait_for_its_end(self) -> None:
+        """Nobody joins elsewhere while the head may still serve."""
+        seconds = curio.run(self._head_lost)
+        self.assertGreater(seconds, _STALL_SECONDS)
+        self.assertEqual(self.world.engines.violations, [])
+
+    def test_an_unanswered_order_is_sent_again(self) -> None:
+        """An order whose answer is lost holds back nothing for long."""
+        self.world.engines.unanswered.update(('i0', 'i1', 'i2'))
+        curio.run(self._formed)
+        self.assertEqual(self.world.engines.violations, [])
+
+    def test_a_leaving_member_ends_the_replica_softly(self) -> None:
+        """The head is closed before its members are freed."""
+        curio.run(self._member_leaves)
+        self.assertIn('close', {name for name, _ in self.world.engines.orders})
+        self.assertEqual(self.world.engines.violations, [])
+
+    def test_a_successor_goes_on(self) -> None:
+        """Another placer takes over rows and opens nothing a second time."""
+        curio.run(self._succeeded)
+        joins = [one for one in self.world.engines.orders if one[0] == 'join']
+        self.assertEqual(len(joins), 7)
+
+    async def _formed(self) -> None:
+        world = self.world
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        staged = ('stage',)
+        await until(
+            lambda: sum(one[0] in staged for one in world.engines.orders) == 2,
+        )
+        await running.cancel()
+
+    async def _repaired(self) -> float:
+        world = self.world
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        big = world.fleet.heads(SERVICE, BIG.name)[0]
+        await curio.sleep(0.2)
+        world.lose(big.members[2])
+        started = await curio.clock()
+        await until(lambda: self._is_replaced(big))
+        took = await curio.clock() - started
+        await running.cancel()
+        return float(took)
+
+    async def _head_lost(self) -> float:
+        world = self.world
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        big = world.fleet.heads(SERVICE, BIG.name)[0]
+        world.lose(big.id)
+        started = await curio.clock()
+        await until(lambda: self._is_replaced(big))
+        took = await curio.clock() - started
+        await running.cancel()
+        return float(took)
+
+    async def _member_leaves(self) -> None:
+        world = self.world
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        big = world.fleet.heads(SERVICE, BIG.name)[0]
+        leaver = world.fleet.instances[big.members[1]]
+        leaving = attrs.evolve(leaver, leaving=True)
+        world.fleet.take_instances({leaver.id: leaving}, False)
+        await until(lambda: self._is_replaced(big))
+        await running.cancel()
+
+    async def _succeeded(self) -> None:
+        world = self.world
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        await running.cancel()
+        await world.placer.hand_over()
+        successor = world.make_placer('two')
+        running = await curio.spawn(successor.run)
+        await until(lambda: successor.places)
+        await curio.sleep(0.3)
+        await running.cancel()
+
+    def _is_replaced(self, old: ServingHead) -> bool:
+        heads = self.world.fleet.heads(SERVICE, BIG.name)
+        states = {record.state for record in self.world.fleet.records.values()}
+        return (
+            bool(heads)
+            and heads[0].forming != old.forming
+            and states == {RecordState.SERVING}
+        )
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -24,8 +24,7 @@
 
 def _leases(platform: FakePlatform, clock: _Clock) -> dict[str, Lease]:
     return {
-        name: Lease('placer/x', name, platform, clock=clock)
-        for name in _NODES
+        name: Lease('placer/x', name, platform, clock=clock) for name in _NODES
     }
 
 
