Log to standard output from a bounded queue, requests whole or not at all

Lines are queued and written a few times a second where there is room; what does not fit is dropped and counted. A request's decisions are kept until its outcome is known: refusals, failures, moves and leaving clients are always written, ordinary successes by a share of their ids.

--- a/src/cranecart/cli/_serve.py
+++ b/src/cranecart/cli/_serve.py
@@ -12,7 +12,7 @@
 from cranecart.config import ServingSettings
 from cranecart.exceptions import ConfigError
 from cranecart.exit_codes import ExitCode
-from cranecart.logs import set_up_logging
+from cranecart.logs import set_up_lines
 from cranecart.serving import ServingNode
 
 FILE_VARIABLE = 'CRANECART_NODE_FILE'
@@ -26,12 +26,11 @@
 def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
     """Serve until SIGTERM or SIGINT."""
     settings = ServingSettings.from_file(_settings_file(rest))
-    set_up_logging(
-        as_json=True,
-        level=settings.log_level,
-        node=settings.node_id,
-    )
-    curio.run(ServingNode(settings).run)
+    lines = set_up_lines(settings.log_level, settings.node_id)
+    try:
+        curio.run(ServingNode(settings, lines).run)
+    finally:
+        lines.write_now()
     return ExitCode.OK
 
 
--- a/src/cranecart/config/_serving.py
+++ b/src/cranecart/config/_serving.py
@@ -13,6 +13,8 @@
 _WINDOW_MS = 10000
 _STALL_MS = 4000
 _GRACE_MS = 8000
+# Enough ordinary requests to compare a failed one with.
+_LOGGED_SHARE = 0.05
 _POSITIVE = attrs.validators.gt(0)
 
 
@@ -41,6 +43,7 @@
     ``retry_slack`` and ``retry_ratio`` of the requests in each window.
     ``stall_ms`` is how long a replica without a member stands still before
     it is broken, ``stop_grace_ms`` how long a stopping process is left.
+    ``log_successes`` is the share of ordinary requests that are logged.
     """
 
     node_id: str = attrs.field(validator=attrs.validators.min_len(1))
@@ -61,6 +64,10 @@
     retry_window_ms: int = attrs.field(default=_WINDOW_MS, validator=_POSITIVE)
     stall_ms: int = attrs.field(default=_STALL_MS, validator=_POSITIVE)
     stop_grace_ms: int = attrs.field(default=_GRACE_MS, validator=_POSITIVE)
+    log_successes: float = attrs.field(
+        default=_LOGGED_SHARE,
+        validator=[attrs.validators.ge(0), attrs.validators.le(1)],
+    )
     log_level: str = attrs.field(
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -11,6 +11,7 @@
 )
 from cranecart.forwarding._call import RoutedCall, end_of
 from cranecart.http import Request
+from cranecart.logs import RequestTrace
 from cranecart.models import KeyHolder, Route, RouteConfig
 from cranecart.ports import CallFacts
 
@@ -22,6 +23,7 @@
     facts: CallFacts,
     config: RouteConfig | None,
     source: random.Random,
+    trace: RequestTrace,
 ) -> RoutedCall:
     """Check a request against the configuration in force.
 
@@ -50,6 +52,7 @@
         rank,
         now,
         end_of(route, facts, now),
+        trace,
     )
 
 
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -18,7 +18,6 @@
 )
 from cranecart.forwarding._call import RoutedCall
 from cranecart.limits import SharedRetryBudget
-from cranecart.logs import decision
 from cranecart.routing import HeadRouter, Target
 
 # When to come back after a target has refused, in seconds.
@@ -73,9 +72,11 @@
             if self._last is None:
                 raise
             raise self._final_error() from error
-        decision(
+        call.trace.add(
             'routed',
-            request=call.request_id,
+            route=call.route.name,
+            config=call.config.version,
+            organisation=call.organisation,
             service=call.service,
             instance=target.instance.id,
             replica=target.forming,
@@ -95,9 +96,9 @@
         # Once it may have run, a later refusal does not make it 'not run'.
         if self._last is None or self._last.execution is Execution.NOT_RUN:
             self._last = error
-        decision(
+        self.call.trace.is_notable = True
+        self.call.trace.add(
             'attempt_failed',
-            request=self.call.request_id,
             instance=target.instance.id,
             execution=error.execution.value,
             why=str(error),
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cranecart.http import Request
+from cranecart.logs import RequestTrace
 from cranecart.models import Route, RouteConfig
 from cranecart.ports import CallFacts
 
@@ -25,6 +26,7 @@
     rank: int
     started_at: float
     ends_at: float
+    trace: RequestTrace
 
     @property
     def request_id(self) -> str:
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+import zlib
 from collections.abc import Callable
 
 import attrs
@@ -19,12 +20,15 @@
 from cranecart.forwarding._whole import WholeExchange
 from cranecart.http import Request, Responder
 from cranecart.limits import SharedRetryBudget
-from cranecart.logs import decision
+from cranecart.logs import RequestTrace
 from cranecart.models import RouteConfig
 
 # Told of each request's outcome and of the seconds to its first byte.
 Observer = Callable[[str, float | None], None]
 
+_CRC_RANGE = 1 << 32  # noqa: WPS432
+_MILLISECONDS = 1000
+
 
 @attrs.define
 class RoutedGateway:
@@ -35,6 +39,7 @@
     _budget: SharedRetryBudget
     _random: random.Random
     _observe: Observer
+    _success_share: float
     inside: int = attrs.field(default=0, init=False)
     taken: int = attrs.field(default=0, init=False)
 
@@ -65,26 +70,31 @@
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         started = time.monotonic()
+        trace = RequestTrace(request.headers.get('request-id', ''))
         outcome = 'answered'
-        request_id = ''
         try:
             facts = self._sender.form.read_request(request)
-            request_id = facts.request_id
-            call = admit(request, facts, self._current(), self._random)
+            trace.request_id = facts.request_id
+            config = self._current()
+            call = admit(request, facts, config, self._random, trace)
             await self._forward(call, responder)
         except RequestError as error:
             outcome = error.code
-            await self._refuse(request_id, error, responder, started)
-        except curio.CancelledError:
+            await self._refuse(trace, error, responder, started)
+        except (curio.CancelledError, ConnectionBrokenError):
             outcome = 'client_left'
-            decision(
-                'client_left',
-                request=request_id,
-                after=round(time.monotonic() - started, 3),
-            )
+            trace.add('client_left', after=_since(started))
             raise
         finally:
             self._observe(outcome, responder.seconds_to_first_byte(started))
+            self._write(trace, outcome)
+
+    def _write(self, trace: RequestTrace, outcome: str) -> None:
+        """Log a request, but only a share of the ordinary ones."""
+        share = zlib.crc32(trace.request_id.encode()) / _CRC_RANGE
+        is_drawn = share < self._success_share
+        if is_drawn or trace.is_notable or outcome != 'answered':
+            trace.write()
 
     async def _forward(self, call: RoutedCall, responder: Responder) -> None:
         attempts = RoutedAttempts(call, self._sender.router, self._budget)
@@ -92,35 +102,41 @@
             stream = StreamExchange(self._sender, attempts, responder)
             await attempts.run(stream.attempt)
             response = stream.response
+            _tell_stream(call, attempts, stream)
         else:
             whole = WholeExchange(self._sender, attempts)
             await _run_whole(attempts, whole)
             response = whole.response
         if response is not None:
             await responder.send(response)
+            call.trace.add(
+                'answered',
+                status=response.status,
+                after=_since(call.started_at),
+                tried=attempts.tried,
+            )
 
     async def _refuse(
         self,
-        request_id: str,
+        trace: RequestTrace,
         error: RequestError,
         responder: Responder,
         started: float,
     ) -> None:
-        decision(
+        trace.add(
             'refused',
-            request=request_id,
             code=error.code,
             status=error.status,
             execution=error.execution.value,
             why=str(error),
-            after=round(time.monotonic() - started, 3),
+            after=_since(started),
             begun=responder.has_started,
         )
         if responder.has_started:
             raise ConnectionBrokenError('cut short') from error
         await responder.send(
             self._sender.form.refusal(
-                request_id,
+                trace.request_id,
                 error.status,
                 error.code,
                 str(error),
@@ -139,3 +155,26 @@
     except RequestError:
         if whole.response is None:
             raise
+
+
+def _tell_stream(
+    call: RoutedCall,
+    attempts: RoutedAttempts,
+    stream: StreamExchange,
+) -> None:
+    if stream.response is not None:
+        return
+    timing = stream.timing
+    call.trace.add(
+        'streamed',
+        model=call.facts.model,
+        prompt=call.facts.prompt_tokens,
+        events=stream.cutter.events,
+        first_ms=round(timing.first * _MILLISECONDS),
+        gap_ms=round(timing.longest_gap * _MILLISECONDS),
+        tried=attempts.tried,
+    )
+
+
+def _since(started: float) -> float:
+    return round(time.monotonic() - started, 3)
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -1,5 +1,7 @@
 """Pass a stream on event by event; go on elsewhere when it stops."""
 
+import time
+
 import attrs
 
 from cranecart.exceptions import (
@@ -9,7 +11,6 @@
 from cranecart.forwarding._events import EventCutter
 from cranecart.forwarding._sender import Patience, Sender, TargetAnswer
 from cranecart.http import Responder, Response
-from cranecart.logs import decision
 from cranecart.routing import Target
 
 # Gaps between events stay under 140 ms in 999 of 1,000 on a loaded engine
@@ -24,6 +25,25 @@
 _FIRST_MOST_PART = 2.5
 
 
+@attrs.define
+class StreamTiming:
+    """When events were passed on, in seconds from the start."""
+
+    _started_at: float = attrs.field(factory=time.monotonic, init=False)
+    _last_at: float | None = attrs.field(default=None, init=False)
+    first: float = attrs.field(default=0, init=False)
+    longest_gap: float = attrs.field(default=0, init=False)
+
+    def note_event(self) -> None:
+        """Take over that an event, or some at once, was passed on now."""
+        now = time.monotonic()
+        if self._last_at is None:
+            self.first = now - self._started_at
+        else:
+            self.longest_gap = max(self.longest_gap, now - self._last_at)
+        self._last_at = now
+
+
 @attrs.define
 class StreamExchange:
     """One client's stream over all attempts at it."""
@@ -33,6 +53,7 @@
     _responder: Responder
     response: Response | None = attrs.field(default=None, init=False)
     cutter: EventCutter = attrs.field(factory=EventCutter, init=False)
+    timing: StreamTiming = attrs.field(factory=StreamTiming, init=False)
 
     async def attempt(self, target: Target) -> None:
         """Relay from one target; raise ``TargetError`` where it stops."""
@@ -49,9 +70,8 @@
                 await self._take_failure(target, answer)
                 return
             if self.cutter.last_id:
-                decision(
+                call.trace.add(
                     'stream_moved',
-                    request=call.request_id,
                     instance=target.instance.id,
                     after=self.cutter.last_id,
                 )
@@ -75,6 +95,7 @@
             whole = self.cutter.feed(piece)
             if whole:
                 await self._responder.write(whole)
+                self.timing.note_event()
         if not self.cutter.is_between_events:
             raise TargetBrokenError(f'{target.instance.id} cut an event off')
 
--- a/src/cranecart/grouping/_forming.py
+++ b/src/cranecart/grouping/_forming.py
@@ -35,7 +35,9 @@
     _fleet: Fleet
     _duty: PlacerDuty
     _clock: Callable[[], float] = time.monotonic
-    _ordered_at: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
+    _ordered_at: dict[tuple[str, str], float] = attrs.field(
+        factory=dict, init=False
+    )
 
     async def run(self) -> None:
         """Join all members, wait until all are ready, open the head."""
--- a/src/cranecart/grouping/_liveness.py
+++ b/src/cranecart/grouping/_liveness.py
@@ -17,10 +17,10 @@
 
 # A live instance answers within a few milliseconds; two tries make a lost
 # packet on a bad link unlikely to look like a death.
-_TRY_SECONDS = 0.12
+_TRY_SECONDS = 0.06
 _TRIES = 2
 # A process that was not scheduled for this long trusts no clock of its own.
-_LATE_SECONDS = 0.06
+_LATE_SECONDS = 0.04
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/cranecart/logs/_lines.py
@@ -0,0 +1,157 @@
+"""Write log lines to standard output without ever waiting for it."""
+
+import logging
+import os
+import select
+import sys
+import time
+from collections import deque
+from typing import Self
+
+import attrs
+import curio
+import msgspec
+
+_FLUSH_SECONDS = 0.1
+# About two seconds of lines at the most that a node writes in a storm.
+_MOST_LINES = 4000
+_MOST_BYTES_AT_ONCE = 32768
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
+
+
+class LineQueue(logging.Handler):
+    """Keeps lines until there is room for them; drops and counts the rest."""
+
+    def __init__(self, node: str, file_descriptor: int) -> None:
+        """Start with nothing to write."""
+        super().__init__()
+        self.dropped = 0
+        self.written_bytes = 0
+        self._node = node
+        self._descriptor = file_descriptor
+        self._lines: deque[bytes] = deque()
+        self._told_dropped = 0
+
+    @classmethod
+    def to_standard_output(cls, node: str) -> Self:
+        """Write to standard output."""
+        return cls(node, sys.stdout.fileno())
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one record as a JSON object."""
+        if len(self._lines) >= _MOST_LINES:
+            self.dropped += 1
+            return
+        fields = getattr(record, 'fields', None)
+        if fields is None:
+            fields = {
+                'event': 'log',
+                'level': record.levelname,
+                'logger': record.name,
+                'text': record.getMessage(),
+            }
+            if record.exc_info and record.exc_info[1] is not None:
+                fields['error'] = self._format_error(record)
+        line = {'time': round(record.created, 4), 'node': self._node, **fields}
+        self._lines.append(_encode(line))
+
+    async def run(self) -> None:
+        """Write what is queued, a few times a second, until cancelled."""
+        try:
+            while True:
+                await curio.sleep(_FLUSH_SECONDS)
+                self.write_now()
+        finally:
+            self.write_now()
+
+    def write_now(self) -> None:
+        """Write as much as standard output takes at once."""
+        self._tell_of_drops()
+        while self._lines and self._is_writable():
+            block = bytearray()
+            while self._lines and len(block) < _MOST_BYTES_AT_ONCE:
+                block += self._lines.popleft()
+            self.written_bytes += len(block)
+            _write_all(self._descriptor, bytes(block))
+
+    def _tell_of_drops(self) -> None:
+        news = self.dropped - self._told_dropped
+        if news and len(self._lines) < _MOST_LINES:
+            self._told_dropped = self.dropped
+            line = {
+                'time': round(time.time(), 4),
+                'node': self._node,
+                'event': 'log_lines_dropped',
+                'lines': news,
+            }
+            self._lines.append(_encode(line))
+
+    def _is_writable(self) -> bool:
+        _, writable, _ = select.select([], [self._descriptor], [], 0)
+        return bool(writable)
+
+    def _format_error(self, record: logging.LogRecord) -> str:
+        formatter = logging.Formatter()
+        return formatter.formatException(record.exc_info or ())  # type: ignore[arg-type]
+
+
+def _encode(line: dict[str, object]) -> bytes:
+    return b'%b\n' % _ENCODER.encode(line)
+
+
+def _write_all(descriptor: int, block: bytes) -> None:
+    view = memoryview(block)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def set_up_lines(level: str, node: str) -> LineQueue:
+    """Send all logs to a queue for standard output; return the queue."""
+    lines = LineQueue.to_standard_output(node)
+    root = logging.getLogger()
+    root.handlers = [lines]
+    root.setLevel(level.upper())
+    # It warns where a call ends just as its time runs out, which is handled.
+    logging.getLogger('curio').setLevel(logging.ERROR)
+    return lines
+
+
+_DECISIONS = logging.getLogger('cranecart.decisions')
+
+
+_TracedLine = tuple[float, str, dict[str, object]]
+
+
+@attrs.define
+class RequestTrace:
+    """The decisions about one request, written together or not at all.
+
+    A notable request is always written, whatever becomes of it.
+    """
+
+    request_id: str
+    is_notable: bool = attrs.field(default=False, init=False)
+    _lines: list[_TracedLine] = attrs.field(
+        factory=list,
+        init=False,
+    )
+
+    def add(self, event: str, **fields: object) -> None:
+        """Keep one decision until it is known whether it is written."""
+        self._lines.append((time.time(), event, fields))
+
+    def write(self) -> None:
+        """Write all decisions of the request, each with its own time."""
+        for at, event, fields in self._lines:
+            _DECISIONS.info(
+                event,
+                extra={
+                    'fields': {
+                        'event': event,
+                        'request': self.request_id,
+                        'at': round(at, 4),
+                        **fields,
+                    },
+                },
+            )
+        self._lines.clear()
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -24,7 +24,7 @@
     ServerLimits,
 )
 from cranecart.limits import RetryRules, SharedRetryBudget
-from cranecart.logs import decision
+from cranecart.logs import LineQueue, decision
 from cranecart.mesh import (
     Mesh,
     MeshEvents,
@@ -69,8 +69,9 @@
 class ServingNode:
     """Everything that one process does on a platform."""
 
-    def __init__(self, settings: ServingSettings) -> None:
+    def __init__(self, settings: ServingSettings, lines: LineQueue) -> None:
         """Build the parts; nothing runs until ``run``."""
+        self._lines = lines
         self._settings = settings
         self._stopping = False
         self._metrics = Metrics()
@@ -119,6 +120,7 @@
         )
         async with stop_signal() as stop, curio.TaskGroup(wait=any) as tasks:
             for part in (
+                self._lines.run,
                 self._clients.run,
                 self._ready.run,
                 self._figures.run,
@@ -133,6 +135,7 @@
         self._mesh.close()
         raise_first_error(tasks)
         decision('node_stopped')
+        self._lines.write_now()
 
     def _make_mesh(self) -> Mesh:
         settings = self._settings
@@ -207,6 +210,7 @@
             budget,
             self._random,
             self._metrics.observe_request,
+            settings.log_successes,
         )
 
     async def _serve(self, request: Request, responder: Responder) -> None:
@@ -275,6 +279,8 @@
         counts = {
             **self._mesh.counts(),
             'target_connections': self._connections.opened,
+            'log_bytes': self._lines.written_bytes,
+            'log_lines_dropped': self._lines.dropped,
             'liveness_checks': self._placer.losses.liveness.checks,
         }
         for name, number in counts.items():
