--- a/src/cranecart/grouping/_duty.py
+++ b/src/cranecart/grouping/_duty.py
@@ -17,7 +17,7 @@
 
     ``doubt`` is told of a replica whose members should be checked, ``lost``
     of an instance whose life has ended, ``outdated`` of a replica whose
-    epoch an instance refuses.
+    epoch an instance refuses; ``is_lost`` tells what was found lost.
     """
 
     lease: Lease
@@ -25,3 +25,4 @@
     doubt: Telling
     lost: Callable[[str, str], None]
     outdated: Telling
+    is_lost: Callable[[str], bool]
--- a/src/cranecart/grouping/_ending.py
+++ b/src/cranecart/grouping/_ending.py
@@ -27,8 +27,9 @@
 from cranecart.ports import ListedInstance, MemberPhase
 
 _AGAIN_SECONDS = 0.1
-# Beyond the time that engines need to find a member lost.
-_STALL_SLACK_SECONDS = 0.5
+# Beyond the time that engines need to find a member lost; covers the order's
+# way there and the grain in which engines look.
+_STALL_SLACK_SECONDS = 0.3
 # What a replica may take to finish when it is closed, below the ten seconds
 # that an engine waits for its head's work.
 _CLOSE_SECONDS = 6.0
@@ -74,6 +75,9 @@
     async def _try_free(self) -> str:
         """Return why the members are free, or nothing if they are not."""
         head = self._fleet.known(self.record.head)
+        if self._member_left_at is None and self._is_head_away():
+            # The head answers nobody, so its end is counted from here.
+            await self._let_a_member_leave()
         if head is not None:
             if self._head_phase() is MemberPhase.BROKEN:
                 return 'the head is broken'
@@ -83,6 +87,10 @@
             await self._let_a_member_leave()
         return self._stalled_for_long()
 
+    def _is_head_away(self) -> bool:
+        name = self.record.head
+        return self._duty.is_lost(name) or self._fleet.known(name) is None
+
     def _stalled_for_long(self) -> str:
         if self._member_left_at is None:
             return ''
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -16,11 +16,12 @@
 from cranecart.grouping._forming import Forming
 from cranecart.grouping._judge import Verdict, judge
 from cranecart.grouping._losses import Losses
-from cranecart.grouping._plan import Plan, Supply, plan
+from cranecart.grouping._plan import NewReplica, Plan, Supply, plan
+from cranecart.grouping._settling import Settling
 from cranecart.grouping._stager import Stager
 from cranecart.grouping._tasks import RecordTasks
 from cranecart.logs import decision
-from cranecart.models import RouteConfig, ServiceProfile
+from cranecart.models import EngineProfile, RouteConfig, ServiceProfile
 from cranecart.ports import ListedInstance, Orders, Table
 
 _TICK_SECONDS = 0.04
@@ -28,9 +29,6 @@
 _RENEW_SECONDS = 0.7
 # How long other nodes wait before they look at the lease again.
 _LOOK_SECONDS = 0.4
-# New replicas wait this long after the list last grew, so that the first
-# plan sees all instances of a starting deployment.
-_SETTLE_SECONDS = 0.35
 
 
 @attrs.frozen
@@ -94,12 +92,12 @@
             self.losses.doubt,
             self.losses.note_lost,
             self._note_outdated,
+            lambda name: name in self.losses.current(),
         )
         self._tasks = RecordTasks(fleet, self._make_task)
         self._outdated: dict[str, str] = {}
         self._renewed_at = float('-inf')
-        self._listed = 0
-        self._listed_at = float('-inf')
+        self._settling = Settling()
         self._stopped = False
 
     @property
@@ -160,13 +158,15 @@
             await self._book.read()
 
     def _is_settled(self) -> bool:
-        now = time.monotonic()
-        count = len(self._fleet.instances)
-        if count != self._listed:
-            self._listed = count
-            self._listed_at = now
-        is_quiet = now - self._listed_at > _SETTLE_SECONDS
-        return is_quiet or self._view.has_traffic()
+        self._settling.note(self._fleet.instances.values())
+        return self._view.has_traffic() or self._settling.is_whole()
+
+    def _may_form(self, engine: EngineProfile, new: NewReplica) -> bool:
+        if not new.cold_members or not self._view.has_traffic():
+            return True
+        return self._settling.may_load(
+            new.fabric_domain,
+        ) and self._stager.may_load(engine, new.cold_members)
 
     def _note_outdated(self, record: ReplicaRecord, why: str) -> None:
         self._outdated[record.name] = why
@@ -199,7 +199,7 @@
         records = [
             self._book.new_record(new)
             for new in wanted.replicas
-            if self._stager.may_load(engine, new.cold_members)
+            if self._may_form(engine, new)
         ]
         if records:
             await self._book.write(records)
--- /dev/null
+++ b/src/cranecart/grouping/_settling.py
@@ -0,0 +1,51 @@
+"""Tell since when nothing has come to or gone from a fabric domain."""
+
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from cranecart.ports import ListedInstance
+
+# Instances that return together are listed one by one, within a heartbeat of
+# 1.2 s on both users' sheets.
+_HEARTBEAT_SECONDS = 1.3
+# At the first start the list grows every few milliseconds until it is whole.
+_START_SECONDS = 0.35
+
+
+@attrs.define
+class Settling:
+    """The instances of each fabric domain, and when they last changed."""
+
+    _clock: Callable[[], float] = time.monotonic
+    _names: dict[str, frozenset[str]] = attrs.field(factory=dict, init=False)
+    _since: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def note(self, instances: Iterable[ListedInstance]) -> None:
+        """Take over which instances are listed now."""
+        current: dict[str, set[str]] = defaultdict(set)
+        for instance in instances:
+            current[instance.fabric_domain].add(instance.id)
+        now = self._clock()
+        for fabric in current.keys() | self._names.keys():
+            names = frozenset(current.get(fabric, ()))
+            if names != self._names.get(fabric):
+                self._names[fabric] = names
+                self._since[fabric] = now
+
+    def may_load(self, fabric_domain: str) -> bool:
+        """Tell whether no better member is about to be listed.
+
+        A replica whose members must load first takes so long that it pays
+        to wait for instances that have the model already.
+        """
+        return self._rest(fabric_domain) > _HEARTBEAT_SECONDS
+
+    def is_whole(self) -> bool:
+        """Tell whether the list of a starting deployment seems complete."""
+        return all(self._rest(name) > _START_SECONDS for name in self._names)
+
+    def _rest(self, fabric_domain: str) -> float:
+        return self._clock() - self._since.get(fabric_domain, float('inf'))
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -40,6 +40,7 @@
         self.table = FakePlatform()
         self.stopped: list[str] = []
         self.is_informed = True
+        self.has_traffic = False
         self.placer = self.make_placer('one')
         names = [f'i{number}' for number in range(9)]
         self.fleet.take_instances(
@@ -59,7 +60,7 @@
                 lambda: _CONFIG,
                 bool,
                 lambda: self.is_informed,
-                bool,
+                lambda: self.has_traffic,
                 dict,
                 lambda record, _why: self.stopped.append(record.name),
             ),
@@ -140,6 +141,28 @@
         joins = [one for one in self.world.engines.orders if one[0] == 'join']
         self.assertEqual(len(joins), 7)
 
+    def test_instances_that_come_one_by_one(self) -> None:
+        """No replica loads a model while better members are on their way."""
+        curio.run(self._come_back)
+        reasons = {
+            record.reason for record in self.world.fleet.records.values()
+        }
+        self.assertEqual(reasons, {'0 members must load'})
+
+    async def _come_back(self) -> None:
+        world = self.world
+        world.has_traffic = True
+        everything = dict(world.fleet.instances)
+        world.fleet.take_instances({}, True)
+        running = await curio.spawn(world.placer.run)
+        for number, instance in enumerate(everything.values()):
+            model = BIG.name if number < 4 else SMALL.name
+            staged = attrs.evolve(instance, staged=(model,))
+            world.fleet.take_instances({instance.id: staged}, False)
+            await curio.sleep(0.1)
+        await until(lambda: len(world.heads()) >= 2)
+        await running.cancel()
+
     async def _formed(self) -> None:
         world = self.world
         running = await curio.spawn(world.placer.run)
