--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -1,6 +1,7 @@
 """The one client of the platform's store: rows, transactions, changes."""
 
 import base64
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -72,8 +73,7 @@
     """Calls of one store on kept connections, each with a bound."""
 
     _address: Address
-    reads: int = attrs.field(default=0, init=False)
-    writes: int = attrs.field(default=0, init=False)
+    counts: Counter[str] = attrs.field(factory=Counter, init=False)
     _pool: HttpPool = attrs.field(factory=HttpPool, init=False)
 
     async def read_part(
@@ -108,7 +108,7 @@
 
     async def commit(self, body: Mapping[str, object]) -> int:
         """Send a transaction; return the version that its rows got."""
-        self.writes += 1
+        self.counts['writes'] += 1
         request = Request(
             'POST',
             '/rows-tx',
@@ -141,7 +141,7 @@
         query: Mapping[str, object],
         seconds: float,
     ) -> WireRows:
-        self.reads += 1
+        self.counts[f'reads of {query["tableName"]}'] += 1
         request = Request('GET', f'{path}?{urlencode(query)}')
         try:
             response = await self._exchange(request, seconds)
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -1,5 +1,6 @@
 """One node on a platform: start, serve, stop."""
 
+import itertools
 import random
 import time
 
@@ -57,6 +58,8 @@
 _LAST_SECONDS = 0.6
 _DRAIN_LOOK_SECONDS = 0.05
 _HOUSEKEEPING_SECONDS = 0.5
+# The counters are logged every ten seconds.
+_FIGURES_TURNS = 20
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -229,8 +232,10 @@
         self._demand.note(facts.model, work)
 
     async def _keep_house(self) -> None:
-        while True:
+        for turn in itertools.count(1):
             await curio.sleep(_HOUSEKEEPING_SECONDS)
+            if turn % _FIGURES_TURNS == 0:
+                decision('figures', **self._counts())
             self._mesh.own.places = self._placer.places
             self._knowledge.set_placing(bool(self._placer.places))
             listed = frozenset(self._fleet.instances)
@@ -276,19 +281,23 @@
         if request.path != '/metrics':
             await responder.send(Response(_NOT_FOUND))
             return
-        counts = {
+        for name, number in self._counts().items():
+            self._metrics.control.set(number, {'what': name})
+        self._metrics.serving_replicas.set(len(list(self._fleet.all_heads())))
+        config = self._config.current()
+        self._metrics.config_version.set(config.version if config else 0)
+        await responder.send(Response(_OK, body=self._metrics.text()))
+
+    def _counts(self) -> dict[str, int]:
+        return {
             **self._mesh.counts(),
+            **self._surroundings.store_calls,
+            'requests': self._gateway.taken,
             'target_connections': self._connections.opened,
             'log_bytes': self._lines.written_bytes,
             'log_lines_dropped': self._lines.dropped,
             'liveness_checks': self._placer.losses.liveness.checks,
         }
-        for name, number in counts.items():
-            self._metrics.control.set(number, {'what': name})
-        self._metrics.serving_replicas.set(len(list(self._fleet.all_heads())))
-        config = self._config.current()
-        self._metrics.config_version.set(config.version if config else 0)
-        await responder.send(Response(_OK, body=self._metrics.text()))
 
     def _is_informed(self) -> bool:
         return (
--- a/src/cranecart/serving/_surroundings.py
+++ b/src/cranecart/serving/_surroundings.py
@@ -1,5 +1,6 @@
 """The platform's side of a node, as the ports that the product asks for."""
 
+from collections import Counter
 from typing import Self
 
 import attrs
@@ -32,6 +33,7 @@
     records: Source[Row]
     orders: Orders
     form: CallForm
+    store_calls: Counter[str]
 
     @classmethod
     def from_settings(cls, settings: ServingSettings) -> Self:
@@ -48,4 +50,5 @@
             ),
             PlatformOrders(),
             PlatformCallForm(),
+            store.counts,
         )
--- a/tests/unit/test_gaps.py
+++ b/tests/unit/test_gaps.py
@@ -1,5 +1,6 @@
 """What gaps between events teach about silence."""
 
+import itertools
 import unittest
 
 from hypothesis import given
@@ -8,26 +9,28 @@
 from cranecart.forwarding._gaps import GapMeter
 
 
+def _note(meter: GapMeter, model: str, gap: float, times: int) -> None:
+    for one in itertools.repeat(gap, times):
+        meter.note(model, one)
+
+
 class GapMeterTest(unittest.TestCase):
     """The silence that is worth a look follows what is ordinary."""
 
     def test_quick_models_are_looked_at_earlier(self) -> None:
         """Each model has its own bound."""
         meter = GapMeter()
-        for _number in range(100):
-            meter.note('quick', 0.03)
-            meter.note('slow', 0.13)
+        _note(meter, 'quick', 0.03, 100)
+        _note(meter, 'slow', 0.13, 100)
         self.assertLess(meter.suspect_seconds('quick'), 0.1)
         self.assertGreater(meter.suspect_seconds('slow'), 0.13)
 
     def test_one_long_gap_changes_little(self) -> None:
         """A single stall does not make a node blind to the next one."""
         meter = GapMeter()
-        for _number in range(300):
-            meter.note('m', 0.04)
-        meter.note('m', 3)
-        for _number in range(50):
-            meter.note('m', 0.04)
+        _note(meter, 'm', 0.04, 300)
+        _note(meter, 'm', 3, 1)
+        _note(meter, 'm', 0.04, 50)
         self.assertLess(meter.suspect_seconds('m'), 0.1)
 
     @given(st.lists(st.floats(0, 30), max_size=120))
