Let one node read list and records for all, and keep store paths honest

Now the node with the first name that reads passes changes on; the others read only where nobody with a proven path does, or where announced news did not come. Connections to the store notice a dark path in about two seconds.

--- a/src/cranecart/fleet/__init__.py
+++ b/src/cranecart/fleet/__init__.py
@@ -1,7 +1,7 @@
 """What a node knows of instances and replicas, and which of them serve."""
 
 from cranecart.fleet._fleet import Fleet, ServingHead
-from cranecart.fleet._follower import SourceFollower
+from cranecart.fleet._follower import Feeding, News, SourceFollower
 from cranecart.fleet._records import (
     RecordState,
     ReplicaRecord,
@@ -11,7 +11,9 @@
 )
 
 __all__ = (
+    'Feeding',
     'Fleet',
+    'News',
     'RecordState',
     'ReplicaRecord',
     'ServingHead',
--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -1,4 +1,8 @@
-"""Follow a source: read it whole once, then by its changes."""
+"""Follow a source: read it whole once, then by its changes.
+
+One node reads the changes from the store and passes them on to the others,
+who read for themselves only while nobody does that for them.
+"""
 
 import random
 import time
@@ -14,18 +18,48 @@
 
 Item = TypeVar('Item')
 
-# A longer wait saves calls; this one bounds how long a dead path goes
-# unnoticed where the kernel does not tell.
+# How long one read waits for changes: where others depend on what this node
+# reads, it has to show often that its path to the store is good.
 _WAIT_SECONDS = 15.0
+_RELAY_WAIT_SECONDS = 0.5
+# Twice the shorter wait shows that the path is good; with beats every 0.25 s
+# all nodes notice a cut relay in well under the 2 s in which a leaving
+# instance may still get requests.
+_PROVEN_SECONDS = 0.9
 _FIRST_PAUSE_SECONDS = 0.1
 _LONGEST_PAUSE_SECONDS = 1.0
 _JITTER = 0.5
+_FED_LOOK_SECONDS = 0.04
+# News that was announced but has not come for this long is read.
+_BEHIND_SECONDS = 0.3
 
 # Takes items by key, ``None`` for one that is gone, and whether the items
 # are everything that there is.
 Taker = Callable[[Mapping[str, Item | None], bool], None]
 
 
+@attrs.frozen
+class News(Generic[Item]):
+    """Changes after one change of a source up to another, by version."""
+
+    since: int
+    version: int
+    items: Mapping[str, Item | None]
+
+
+@attrs.frozen
+class Feeding(Generic[Item]):
+    """How a follower is spared from reading, and spares others.
+
+    ``announced`` returns the version of the last change that a node with a
+    good path to the store tells of, or nothing if this node must read for
+    itself; ``pass_on`` takes what this node has read.
+    """
+
+    announced: Callable[[], int | None]
+    pass_on: Callable[[News[Item]], None]
+
+
 @attrs.define
 class SourceFollower(Generic[Item]):
     """Keeps a taker up to date with one source.
@@ -38,8 +72,13 @@
     _source: Source[Item]
     _take: Taker[Item]
     _random: random.Random
-    gap_seconds: float = 0
+    _gap_seconds: float = 0
+    _feeding: Feeding[Item] | None = None
+    _clock: Callable[[], float] = time.monotonic
     _version: int = attrs.field(default=-1, init=False)
+    _changed_version: int = attrs.field(default=-1, init=False)
+    _is_whole: bool = attrs.field(default=False, init=False)
+    _read_at: float = attrs.field(default=float('-inf'), init=False)
     _pause: float = attrs.field(default=_FIRST_PAUSE_SECONDS, init=False)
     _is_lost: bool = attrs.field(default=False, init=False)
 
@@ -49,41 +88,86 @@
         return self._version >= 0
 
     @property
-    def is_in_touch(self) -> bool:
-        """Tell whether the last read succeeded."""
-        return self.is_informed and not self._is_lost
+    def is_proven(self) -> bool:
+        """Tell whether this node has read so lately that others may rely."""
+        return self._clock() - self._read_at < _PROVEN_SECONDS
+
+    @property
+    def changed_version(self) -> int:
+        """Return the version of the last change that was taken over."""
+        return self._changed_version
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        is_whole = False
         while True:
-            started = time.monotonic()
+            started = self._clock()
             try:
-                is_whole = await self._read(is_whole)
+                await self._read()
             except HistoryLostError as error:
-                is_whole = False
+                self._is_whole = False
                 decision('history_lost', source=self.name, why=str(error))
             except PlatformUnavailableError as error:
                 await self._wait_after(error)
                 continue
             self._note_success()
-            rest = self.gap_seconds - (time.monotonic() - started)
+            rest = self._gap_seconds - (self._clock() - started)
             if rest > 0:
                 await curio.sleep(rest)
-
-    async def _read(self, is_whole: bool) -> bool:
-        if is_whole:
-            changes = await self._source.changes(self._version, _WAIT_SECONDS)
-            self._version = max(self._version, changes.version)
-            if changes.items:
-                self._take(changes.items, False)
-            return True
+            await self._be_fed()
+
+    def take_news(self, news: News[Item]) -> None:
+        """Take over what another node has read, if nothing is between."""
+        if self._is_whole and news.since <= self._version < news.version:
+            self._version = news.version
+            self._changed_version = news.version
+            self._take(news.items, False)
+
+    async def _read(self) -> None:
+        if self._is_whole:
+            await self._read_changes()
+            return
         snapshot = await self._source.snapshot()
         if snapshot.version < self._version:
             raise PlatformUnavailableError('the store answers with the past')
         self._version = snapshot.version
+        self._changed_version = snapshot.version
+        self._is_whole = True
         self._take(snapshot.items, True)
-        return True
+
+    async def _read_changes(self) -> None:
+        since = self._version
+        wait_seconds = _RELAY_WAIT_SECONDS if self._feeding else _WAIT_SECONDS
+        changes = await self._source.changes(since, wait_seconds)
+        # Another node's news may have come meanwhile.
+        if changes.version <= self._version:
+            return
+        earlier = self._changed_version
+        self._version = changes.version
+        if not changes.items:
+            return
+        self._changed_version = changes.version
+        self._take(changes.items, False)
+        if self._feeding is not None:
+            self._feeding.pass_on(
+                News(min(earlier, since), changes.version, changes.items),
+            )
+
+    async def _be_fed(self) -> None:
+        """Wait while another node passes on what it reads."""
+        behind_since: float | None = None
+        announced = self._announced()
+        while announced is not None:
+            if announced <= self._version:
+                behind_since = None
+            elif behind_since is None:
+                behind_since = self._clock()
+            elif self._clock() - behind_since > _BEHIND_SECONDS:
+                return
+            await curio.sleep(_FED_LOOK_SECONDS)
+            announced = self._announced()
+
+    def _announced(self) -> int | None:
+        return None if self._feeding is None else self._feeding.announced()
 
     async def _wait_after(self, error: PlatformUnavailableError) -> None:
         if not self._is_lost:
@@ -97,4 +181,5 @@
         if self._is_lost:
             decision('source_back', source=self.name, version=self._version)
         self._is_lost = False
+        self._read_at = self._clock()
         self._pause = _FIRST_PAUSE_SECONDS
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -25,8 +25,8 @@
 from cranecart.ports import ListedInstance, Orders, Table
 
 _TICK_SECONDS = 0.04
-# The lease is trusted for two seconds, so that two renewals may fail.
-_RENEW_SECONDS = 0.7
+# The lease is trusted for 2.5 seconds, so that one renewal may fail.
+_RENEW_SECONDS = 1.0
 # How long other nodes wait before they look at the lease again.
 _LOOK_SECONDS = 0.4
 
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -29,6 +29,11 @@
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 32768
 _MAX_IDLE = 32
+# A dark path is noticed after about two seconds, as nodes must follow again
+# within three once it is back (the bound of being in touch).
+_KEEPALIVE_SECONDS = 1
+_KEEPALIVE_TRIES = 2
+_UNANSWERED_MS = 2000
 _CONNECT_SECONDS = 1.0
 _MAX_BODY_BYTES = 67108864
 # Below it a request goes out in one write, which is not worth a task; most
@@ -55,8 +60,14 @@
         cls,
         address: Address,
         connect_seconds: float = _CONNECT_SECONDS,
+        *,
+        keeps_alive: bool = False,
     ) -> Self:
-        """Connect; raise ``ConnectFailedError`` when that does not succeed."""
+        """Connect; raise ``ConnectFailedError`` when that does not succeed.
+
+        With ``keeps_alive`` a path that has gone dark breaks the connection
+        within some seconds, also while nothing is sent on it.
+        """
         # curio's own helper looks names up in a thread; here are IP numbers.
         sock = curio.io.Socket(socket.socket())
         try:
@@ -74,6 +85,8 @@
             await sock.close()
             raise
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if keeps_alive:
+            _keep_alive(sock)
         return cls(address, sock)
 
     @property
@@ -246,6 +259,17 @@
             ) from error
 
 
+def _keep_alive(sock: curio.io.Socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, number in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_TRIES),
+        (socket.TCP_USER_TIMEOUT, _UNANSWERED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, number)
+
+
 def _new_parser() -> h11.Connection:
     return h11.Connection(
         h11.CLIENT,
@@ -257,6 +281,7 @@
 class HttpPool:
     """Idle connections by address; a connection is lent to one request."""
 
+    _keeps_alive: bool = False
     _idle: dict[Address, list[HttpConnection]] = attrs.field(
         factory=lambda: defaultdict(list),
         init=False,
@@ -270,7 +295,10 @@
             if connection.is_quiet():
                 return connection
             await connection.close()
-        return await HttpConnection.open(address)
+        return await HttpConnection.open(
+            address,
+            keeps_alive=self._keeps_alive,
+        )
 
     async def give_back(self, connection: HttpConnection) -> None:
         """Keep a connection that finished cleanly; close any other."""
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -11,23 +11,27 @@
 import attrs
 import curio
 
+from cranecart.fleet import News
 from cranecart.logs import decision
 from cranecart.mesh._messages import (
     Beat,
     ConfigAsk,
     ConfigGive,
+    ListNews,
     MeshMessage,
+    RecordNews,
     Stopped,
     Suspect,
 )
 from cranecart.models import RouteConfig
 from cranecart.nodes import NodeLink
+from cranecart.ports import ListedInstance, Row
 
 # Counts of work in flight are as old as this at most; streams last about a
 # second on the deployments' sheets.
 _BEAT_SECONDS = 0.25
-# Three beats may be lost before a node's figures are held to be old.
-_FRESH_SECONDS = 1.0
+# Two beats may be lost before a node's figures are held to be old.
+_FRESH_SECONDS = 0.8
 # How long the store may be ahead of a node before it asks another node.
 _CONFIG_LAG_SECONDS = 0.3
 # Silent nodes are tried at every so many beats only.
@@ -53,6 +57,7 @@
     requests: int = 0
     places: str = ''
     stopping: bool = False
+    announced: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -61,6 +66,8 @@
 
     stopped: Callable[[Stopped], None]
     suspect: Callable[[Suspect], None]
+    list_news: Callable[[News[ListedInstance]], None]
+    record_news: Callable[[News[Row]], None]
     in_flight: Callable[[], Mapping[str, int]]
     read_config: Callable[[], RouteConfig | None]
     take_config: Callable[[RouteConfig], None]
@@ -125,20 +132,27 @@
             beat.in_flight.get(instance_id, 0) for beat in self._fresh_beats()
         )
 
-    def in_flight_by_instance(self) -> dict[str, int]:
-        """Return the requests that other nodes have, by instance."""
-        found: dict[str, int] = {}
-        for beat in self._fresh_beats():
-            for name, count in beat.in_flight.items():
-                found[name] = found.get(name, 0) + count
-        return found
-
     def hears_placer(self, failure_domain: str) -> bool:
         """Tell whether another node says that it places there."""
         return any(
             beat.places == failure_domain for beat in self._fresh_beats()
         )
 
+    def announced(self, source: str) -> int | None:
+        """Return the last change of a source that another node reads.
+
+        Return nothing where nobody reads it for this node: of those that
+        read, the one with the first name goes on.
+        """
+        own = source in self.own.announced
+        versions = [
+            beat.announced[source]
+            for beat in self._fresh_beats()
+            if source in beat.announced
+            and (not own or beat.sender < self.own.node_id)
+        ]
+        return max(versions, default=None)
+
     def has_traffic(self) -> bool:
         """Tell whether any node has had a request."""
         return self.own.requests > 0 or any(
@@ -166,18 +180,24 @@
 
     async def _hear(self) -> None:
         while True:
-            message = await self._link.receive()
-            match message:
-                case Beat():
-                    self._note(message)
-                case Stopped():
-                    self._events.stopped(message)
-                case Suspect():
-                    self._events.suspect(message)
-                case ConfigAsk():
-                    self._give_config(message)
-                case ConfigGive():
-                    self._events.take_config(message.config)
+            self._take(await self._link.receive())
+
+    def _take(self, message: MeshMessage) -> None:
+        match message:
+            case Beat():
+                self._note(message)
+            case Stopped():
+                self._events.stopped(message)
+            case Suspect():
+                self._events.suspect(message)
+            case ListNews():
+                self._events.list_news(message.news)
+            case RecordNews():
+                self._events.record_news(message.news)
+            case ConfigAsk():
+                self._give_config(message)
+            case ConfigGive():
+                self._events.take_config(message.config)
 
     def _note(self, beat: Beat) -> None:
         if beat.sender == self.own.node_id:
@@ -209,6 +229,7 @@
                 if count
             },
             self.own.places,
+            self.own.announced,
             self.own.stopping,
         )
 
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from cranecart.fleet import News
 from cranecart.models import RouteConfig
+from cranecart.ports import ListedInstance, Row
 
 
 class Beat(msgspec.Struct, tag='beat'):
@@ -10,6 +12,8 @@
 
     ``in_flight`` counts its requests by the instance that has them;
     ``places`` names the failure domain whose placer it is, if it is one.
+    ``announced`` holds, for each source that it reads from the store over a
+    path known to be good, the version of the last change.
     """
 
     sender: str
@@ -19,6 +23,7 @@
     requests: int
     in_flight: dict[str, int]
     places: str = ''
+    announced: dict[str, int] = {}
     stopping: bool = False
 
 
@@ -55,7 +60,23 @@
     config: RouteConfig
 
 
-MeshMessage = Beat | Stopped | Suspect | ConfigAsk | ConfigGive
+class ListNews(msgspec.Struct, tag='list_news'):
+    """Changes of the platform's list that the sender has read."""
+
+    sender: str
+    news: News[ListedInstance]
+
+
+class RecordNews(msgspec.Struct, tag='record_news'):
+    """Changes of the rows of replicas and nodes that the sender has read."""
+
+    sender: str
+    news: News[Row]
+
+
+MeshMessage = (
+    Beat | Stopped | Suspect | ConfigAsk | ConfigGive | ListNews | RecordNews
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(MeshMessage)
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -1,6 +1,7 @@
 """The one client of the platform's store: rows, transactions, changes."""
 
 import base64
+import functools
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any, TypeVar
@@ -74,7 +75,10 @@
 
     _address: Address
     counts: Counter[str] = attrs.field(factory=Counter, init=False)
-    _pool: HttpPool = attrs.field(factory=HttpPool, init=False)
+    _pool: HttpPool = attrs.field(
+        factory=functools.partial(HttpPool, keeps_alive=True),
+        init=False,
+    )
 
     async def read_part(
         self,
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -1,19 +1,21 @@
 """The parts of a node that follow the platform."""
 
 import random
-from collections.abc import Mapping
-from typing import Self
+from collections.abc import Callable, Mapping
+from typing import Self, TypeVar
 
 import attrs
 import curio
 
 from cranecart.fleet import (
+    Feeding,
     Fleet,
+    News,
     ReplicaRecord,
     SourceFollower,
     record_from_row,
 )
-from cranecart.mesh import Mesh
+from cranecart.mesh import ListNews, Mesh, MeshMessage, RecordNews
 from cranecart.models import RouteConfig
 from cranecart.ports import ListedInstance, Row
 from cranecart.serving._configuration import ForceConfig
@@ -21,18 +23,22 @@
 from cranecart.serving._surroundings import Surroundings
 from cranecart.signals import raise_first_error
 
-# Changes of the list come in bursts, as members of a replica change
-# together. The placer of a failure domain waits for them, so it looks often;
-# the others need the list only to route, and hear of what stops directly.
-_PLACER_GAP_SECONDS = 0.03
-_OTHER_GAP_SECONDS = 0.4
+Item = TypeVar('Item')
+
+# Changes come in bursts, as members of a replica change together; a repair
+# waits for some four of them in a row, so that this costs it 0.2 s at most.
+_LIST_GAP_SECONDS = 0.05
 _RECORDS_GAP_SECONDS = 0.1
+_LIST = 'list'
+_RECORDS = 'records'
 
 
 @attrs.define
 class Knowledge:
     """Followers of the configuration, the list, and the placers' records."""
 
+    _mesh: Mesh
+    _fleet: Fleet
     _declarations: SourceFollower[RouteConfig]
     _instances: SourceFollower[ListedInstance]
     _records: SourceFollower[Row]
@@ -47,12 +53,9 @@
         source: random.Random,
     ) -> Self:
         """Build the followers; nothing is read until ``run``."""
-
-        def take_rows(items: Mapping[str, Row | None], is_whole: bool) -> None:  # noqa: WPS430
-            mesh.take_peers(peers_from_rows(items), is_whole)
-            fleet.take_records(_records_of(items), is_whole)
-
         return cls(
+            mesh,
+            fleet,
             SourceFollower(
                 'configuration',
                 surroundings.declarations,
@@ -60,18 +63,20 @@
                 source,
             ),
             SourceFollower(
-                'list',
+                _LIST,
                 surroundings.instances,
                 fleet.take_instances,
                 source,
-                _OTHER_GAP_SECONDS,
+                _LIST_GAP_SECONDS,
+                _feeding(mesh, _LIST, ListNews),
             ),
             SourceFollower(
-                'records',
+                _RECORDS,
                 surroundings.records,
-                take_rows,
+                RowTaker(mesh, fleet).take,
                 source,
                 _RECORDS_GAP_SECONDS,
+                _feeding(mesh, _RECORDS, RecordNews),
             ),
         )
 
@@ -80,11 +85,22 @@
         """Tell whether list and records were read at least once."""
         return self._instances.is_informed and self._records.is_informed
 
-    def set_placing(self, is_placing: bool) -> None:
-        """Look at the list more often while this node places."""
-        self._instances.gap_seconds = (
-            _PLACER_GAP_SECONDS if is_placing else _OTHER_GAP_SECONDS
-        )
+    def take_list_news(self, news: News[ListedInstance]) -> None:
+        """Take over what another node has read of the list."""
+        self._instances.take_news(news)
+
+    def take_record_news(self, news: News[Row]) -> None:
+        """Take over what another node has read of the records."""
+        self._records.take_news(news)
+
+    def announced(self) -> dict[str, int]:
+        """Return the last changes of the sources that this node reads."""
+        followers = (self._instances, self._records)
+        return {
+            follower.name: follower.changed_version
+            for follower in followers
+            if follower.is_proven
+        }
 
     async def run(self) -> None:
         """Follow everything until cancelled."""
@@ -95,6 +111,30 @@
         raise_first_error(tasks)
 
 
+@attrs.frozen
+class RowTaker:
+    """Sorts the rows of one table into nodes and replicas."""
+
+    _mesh: Mesh
+    _fleet: Fleet
+
+    def take(self, items: Mapping[str, Row | None], is_whole: bool) -> None:
+        """Take over changed rows, or all of them."""
+        self._mesh.take_peers(peers_from_rows(items), is_whole)
+        self._fleet.take_records(_records_of(items), is_whole)
+
+
+def _feeding(
+    mesh: Mesh,
+    source: str,
+    message: Callable[[str, News[Item]], MeshMessage],
+) -> Feeding[Item]:
+    return Feeding(
+        lambda: mesh.announced(source),
+        lambda news: mesh.broadcast(message(mesh.own.node_id, news)),
+    )
+
+
 def _records_of(
     items: Mapping[str, Row | None],
 ) -> dict[str, ReplicaRecord | None]:
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -47,19 +47,20 @@
 from cranecart.signals import StopSignal, raise_first_error, stop_signal
 
 _MILLISECONDS = 1000
-# The holder renews every 0.7 s; others look only once its beats are silent.
+# The holder renews every second; others look only once its beats are silent.
 # A holder that stalls loses the duty's rows by their versions, so that a
-# takeover needs no longer wait than that (docs/design/platform.md).
-_TRUSTED_SECONDS = 2.0
-_TAKEOVER_SECONDS = 0.8
+# takeover needs no longer wait than a renewal (docs/design/platform.md).
+_TRUSTED_SECONDS = 2.5
+_TAKEOVER_SECONDS = 1.2
 # The balancer takes a node out after two missed questions a second apart.
 _LISTEN_ON_SECONDS = 3.0
 # What is left of the grace for breaking off what cannot end in time.
 _LAST_SECONDS = 0.6
 _DRAIN_LOOK_SECONDS = 0.05
-_HOUSEKEEPING_SECONDS = 0.5
+_HOUSEKEEPING_SECONDS = 0.1
 # The counters are logged every ten seconds.
-_FIGURES_TURNS = 20
+_FIGURES_TURNS = 100
+_CONNECTIONS_TURNS = 5
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -155,6 +156,8 @@
         events = MeshEvents(
             self._hear_stopped,
             self._hear_suspect,
+            lambda news: self._knowledge.take_list_news(news),
+            lambda news: self._knowledge.take_record_news(news),
             self._router.counts,
             self._config.current,
             self._config.take_from_peer,
@@ -237,9 +240,10 @@
             if turn % _FIGURES_TURNS == 0:
                 decision('figures', **self._counts())
             self._mesh.own.places = self._placer.places
-            self._knowledge.set_placing(bool(self._placer.places))
-            listed = frozenset(self._fleet.instances)
-            await self._connections.close_old(listed)
+            self._mesh.own.announced = self._knowledge.announced()
+            if turn % _CONNECTIONS_TURNS == 0:
+                listed = frozenset(self._fleet.instances)
+                await self._connections.close_old(listed)
 
     async def _wait_for_stop(self, stop: StopSignal) -> None:
         await stop.wait()
--- /dev/null
+++ b/tests/unit/test_follower.py
@@ -0,0 +1,209 @@
+"""Followers of one source: by reading, and by what others have read."""
+
+import random
+import unittest
+
+import attrs
+import curio
+
+from cranecart.exceptions import HistoryLostError, PlatformUnavailableError
+from cranecart.fleet import Feeding, News, SourceFollower
+from cranecart.http import Address
+from cranecart.mesh import ListNews, decode_mesh_message, encode_mesh_message
+from cranecart.ports import Changes, Snapshot
+from tests.lib.fake_engines import listed
+from tests.lib.waiting import until
+
+
+@attrs.define
+class FakeSource:
+    """A source in memory that can lose its history or be down."""
+
+    version: int = 1
+    items: dict[str, str] = attrs.field(factory=dict)
+    reads: int = 0
+    down: bool = False
+    history_lost: bool = False
+    _log: list[tuple[int, str, str | None]] = attrs.field(factory=list)
+
+    def put(self, key: str, text: str | None) -> None:
+        """Change one item, or take it away."""
+        self.version += 1
+        self._log.append((self.version, key, text))
+        if text is None:
+            self.items.pop(key)
+        else:
+            self.items[key] = text
+
+    async def snapshot(self) -> Snapshot[str]:
+        """Read everything."""
+        self._count()
+        return Snapshot(self.version, dict(self.items))
+
+    async def changes(self, since: int, wait_seconds: float) -> Changes[str]:
+        """Wait a little for changes."""
+        self._count()
+        if self.history_lost:
+            self.history_lost = False
+            raise HistoryLostError('gone')
+        for _turn in range(20):
+            found = {key: one for at, key, one in self._log if at > since}
+            if found:
+                return Changes(self.version, found)
+            await curio.sleep(0.01)
+        return Changes(self.version, {})
+
+    def _count(self) -> None:
+        self.reads += 1
+        if self.down:
+            raise PlatformUnavailableError('down')
+
+
+class Held(dict[str, str]):
+    """What a follower has told."""
+
+    def take(self, items: dict[str, str | None], is_whole: bool) -> None:
+        """Take items over."""
+        if is_whole:
+            self.clear()
+        for key, text in items.items():
+            if text is None:
+                self.pop(key, None)
+            else:
+                self[key] = text
+
+
+class Pair:
+    """Two followers, the second of which the first may feed."""
+
+    def __init__(self) -> None:
+        """Build both; nothing is read yet."""
+        self.source = FakeSource(items={'a': '1'})
+        self.first = Held()
+        self.second = Held()
+        self.feeds = True
+        self.loses_news = False
+        self.reader = self._follower(
+            self.source,
+            self.first,
+            Feeding(lambda: None, self._pass_on),
+        )
+        self.fed = self._follower(
+            self.source,
+            self.second,
+            Feeding(self._announced, lambda _news: None),
+        )
+
+    def _follower(
+        self,
+        source: FakeSource,
+        held: Held,
+        feeding: Feeding[str],
+    ) -> SourceFollower[str]:
+        return SourceFollower(
+            'a source',
+            source,
+            held.take,  # type: ignore[arg-type]
+            random.Random(1),
+            0,
+            feeding,
+        )
+
+    def _announced(self) -> int | None:
+        return self.reader.changed_version if self.feeds else None
+
+    def _pass_on(self, news: News[str]) -> None:
+        if not self.loses_news:
+            self.fed.take_news(news)
+
+
+class FollowerTest(unittest.TestCase):
+    """What a follower holds is what its source holds, soon."""
+
+    def test_history_lost(self) -> None:
+        """Everything is read anew, and what went meanwhile is gone."""
+        curio.run(self._lose_history)
+
+    def test_down(self) -> None:
+        """An outage forgets nothing, and ends by itself."""
+        curio.run(self._outage)
+
+    def test_fed(self) -> None:
+        """A node that is fed reads nothing itself."""
+        curio.run(self._feed)
+
+    def test_lost_news(self) -> None:
+        """News that did not come is read."""
+        curio.run(self._lose_news)
+
+    def test_feeder_gone(self) -> None:
+        """Once nobody feeds it, a node reads for itself at once."""
+        curio.run(self._lose_feeder)
+
+    def test_news_over_the_wire(self) -> None:
+        """Entries of the list survive their way between nodes."""
+        instance = listed('i', Address('127.0.0.1', 1))
+        message = ListNews('n', News(1, 2, {'i': instance, 'j': None}))
+        decoded = decode_mesh_message(encode_mesh_message(message))
+        self.assertEqual(decoded, message)
+
+    async def _lose_history(self) -> None:
+        pair = Pair()
+        running = await curio.spawn(pair.reader.run)
+        await until(lambda: pair.first == {'a': '1'})
+        pair.source.items = {'b': '2'}
+        pair.source.version += 5
+        pair.source.history_lost = True
+        await until(lambda: pair.first == {'b': '2'})
+        await running.cancel()
+
+    async def _outage(self) -> None:
+        pair = Pair()
+        running = await curio.spawn(pair.reader.run)
+        await until(lambda: bool(pair.first))
+        pair.source.down = True
+        await curio.sleep(0.3)
+        self.assertEqual(pair.first, {'a': '1'})
+        pair.source.put('a', '2')
+        pair.source.down = False
+        await until(lambda: pair.first == {'a': '2'})
+        await running.cancel()
+
+    async def _both(self) -> tuple[Pair, list[curio.Task]]:
+        pair = Pair()
+        tasks = [
+            await curio.spawn(pair.reader.run),
+            await curio.spawn(pair.fed.run),
+        ]
+        await until(lambda: pair.first == pair.second == {'a': '1'})
+        await curio.sleep(0.3)
+        return pair, tasks
+
+    async def _feed(self) -> None:
+        pair, tasks = await self._both()
+        await tasks[0].cancel()
+        before = pair.source.reads
+        self.assertLess(before, 8)
+        pair.source.put('a', '2')
+        news = News(pair.reader.changed_version, 2, {'a': '2'})
+        pair.fed.take_news(news)
+        await curio.sleep(0.2)
+        self.assertEqual(pair.second, {'a': '2'})
+        self.assertEqual(pair.source.reads, before)
+        await tasks[1].cancel()
+
+    async def _lose_news(self) -> None:
+        pair, tasks = await self._both()
+        pair.loses_news = True
+        pair.source.put('a', '2')
+        await until(lambda: pair.second == {'a': '2'})
+        for task in tasks:
+            await task.cancel()
+
+    async def _lose_feeder(self) -> None:
+        pair, tasks = await self._both()
+        pair.feeds = False
+        await tasks[0].cancel()
+        pair.source.put('a', '2')
+        await until(lambda: pair.second == {'a': '2'}, 0.5)
+        await tasks[1].cancel()
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -1,9 +1,7 @@
 """A placer with engines in memory: form, repair, end."""
 
 import socket
-import time
 import unittest
-from collections.abc import Callable
 
 import attrs
 import curio
@@ -23,6 +21,7 @@
     listed,
 )
 from tests.lib.fake_platform import FakePlatform
+from tests.lib.waiting import until
 
 _CONFIG = RouteConfig(1, (), {SERVICE: PROFILE})
 _STALL_SECONDS = 0.4
@@ -79,15 +78,6 @@
         self.placer.losses.note_lost(name, 'a test says so')
 
 
-async def until(holds: Callable[[], object], seconds: float = 3) -> None:
-    """Wait for something; fail if it does not come."""
-    ends = time.monotonic() + seconds
-    while not holds():
-        if time.monotonic() > ends:
-            raise AssertionError('it did not come in time')
-        await curio.sleep(0.01)
-
-
 class GroupingTest(unittest.TestCase):
     """What becomes of nine instances of one fabric domain."""
 
