--- /dev/null
+++ b/tests/platform/_standin.py
@@ -0,0 +1,155 @@
+"""A small stand-in of the users' platform, as its pages describe the wire."""
+
+import base64
+import json
+from collections import deque
+from typing import Any
+
+import attrs
+import curio
+
+from cranecart.http import (
+    Address,
+    HttpServer,
+    Request,
+    Responder,
+    Response,
+    json_response,
+)
+
+_OK = 200
+_GONE = 410
+_CONFLICT = 412
+_FEED_LOOK_SECONDS = 0.01
+
+RowKey = tuple[str, str, str]
+
+
+def encoded(value: object) -> str:
+    """Return a row's value as the platform keeps it."""
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+@attrs.define
+class StandinStore:
+    """Rows, transactions and a feed; faults are queued by a test.
+
+    A fault is a status to answer with, ``'lost'`` for a write that is done
+    and not answered, or ``'silent'`` for a call that is not answered.
+    """
+
+    rows: dict[RowKey, tuple[int, str]] = attrs.field(factory=dict)
+    version: int = 0
+    page_rows: int = 500
+    faults: deque[int | str] = attrs.field(factory=deque)
+    oldest: int = 0
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    order_status: int = 202
+    _log: list[tuple[int, RowKey]] = attrs.field(factory=list)
+
+    def put(self, table: str, part: str, key: str, value: object) -> None:
+        """Write a row past all conditions."""
+        self.version += 1
+        self._set((table, part, key), encoded(value))
+
+    def drop(self, table: str, part: str, key: str) -> None:
+        """Drop a row."""
+        self.version += 1
+        self.rows.pop((table, part, key))
+        self._log.append((self.version, (table, part, key)))
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one call."""
+        fault = self.faults.popleft() if self.faults else ''
+        if fault == 'silent':
+            await curio.sleep(60)
+        if isinstance(fault, int):
+            await responder.send(Response(fault))
+            return
+        response = await self._answer(request)
+        if fault != 'lost':
+            await responder.send(response)
+
+    async def _answer(self, request: Request) -> Response:
+        match request.path:
+            case '/rows-tx':
+                return self._commit(json.loads(request.body))
+            case '/rows-get':
+                return self._read(request.query)
+            case '/rows-feed':
+                return await self._feed(request.query)
+            case '/order':
+                self.orders.append(json.loads(request.body))
+                return Response(self.order_status)
+        return Response(404)
+
+    def _commit(self, body: dict[str, Any]) -> Response:
+        for check in body['expectedRevision']:
+            version, _value = self.rows.get(_key(check), (0, ''))
+            if version != check['schemaVersion']:
+                return json_response(_CONFLICT, {'rows': []})
+        self.version += 1
+        for put in body['putCount']:
+            self._set(_key(put), put['value'])
+        for gone in body['remove']:
+            self.rows.pop(_key(gone), None)
+            self._log.append((self.version, _key(gone)))
+        return self._told({})
+
+    def _read(self, query: dict[str, str]) -> Response:
+        first = query.get('fromVersion', '')
+        wanted = sorted(
+            key
+            for key in self.rows
+            if key[:2] == (query['tableName'], query.get('part', ''))
+            and key[2] >= first
+        )
+        page = wanted[: self.page_rows]
+        return self._told(
+            {
+                'rows': [self._row(key) for key in page],
+                'truncated': len(page) < len(wanted),
+            },
+        )
+
+    async def _feed(self, query: dict[str, str]) -> Response:
+        since = int(query['sinceRevision'])
+        if since < self.oldest:
+            return Response(_GONE)
+        for _turn in range(int(query['waitMs']) // 10 + 1):
+            changed = [
+                key
+                for at, key in self._log
+                if at > since and key[0] == query['tableName']
+            ]
+            if changed:
+                break
+            await curio.sleep(_FEED_LOOK_SECONDS)
+        keys = dict.fromkeys(changed)
+        return self._told({'rows': [self._row(key) for key in keys]})
+
+    def _set(self, key: RowKey, value: str) -> None:
+        self.rows[key] = (self.version, value)
+        self._log.append((self.version, key))
+
+    def _row(self, key: RowKey) -> dict[str, Any]:
+        place = {'tableName': key[0], 'part': key[1], 'keyFile': key[2]}
+        if key not in self.rows:
+            return {**place, 'deleted': True, 'schemaVersion': self.version}
+        version, value = self.rows[key]
+        return {**place, 'value': value, 'schemaVersion': version}
+
+    def _told(self, body: dict[str, Any]) -> Response:
+        told = {'schemaVersion': self.version, 'nowMs': 1}
+        return json_response(_OK, {**body, **told})
+
+
+def _key(entry: dict[str, Any]) -> RowKey:
+    return entry['tableName'], entry['part'], entry['keyFile']
+
+
+async def start(store: StandinStore) -> tuple[curio.Task, Address]:
+    """Run a stand-in; return its task and where it listens."""
+    server = HttpServer(Address('127.0.0.1', 0), store.handle)
+    server.open()
+    return await curio.spawn(server.run), server.address
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,119 @@
+"""Headers of calls in and out."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.exceptions import InvalidRequestError
+from cranecart.http import HeaderLines, Request, ResponseHead
+from cranecart.platform import PlatformCallForm
+from cranecart.ports import Dispatch
+
+_FORM = PlatformCallForm()
+_LINES: HeaderLines = (
+    ('host', 'a.example'),
+    ('request-id', 'r1'),
+    ('model', 'm'),
+    ('token-usage', '1460,80'),
+    ('prefix-hash', '5c1e07a2:800,91bd3f06:410'),
+    ('deadline-ms', '8000'),
+    ('authorization', 'Bearer key'),
+    ('tenant', 'forged'),
+    ('expect-replica', 'forged'),
+    ('request-priority', '0'),
+    ('connection', 'keep-alive, x-hop'),
+    ('x-hop', '1'),
+    ('x-kept', '1'),
+    ('x-kept', '2'),
+    ('last-event-id', '3'),
+)
+_SYSTEM = frozenset(
+    ('tenant', 'expect-replica', 'request-priority', 'deadline-ms'),
+)
+
+
+def _request(lines: HeaderLines = _LINES, body: bytes = b'abc') -> Request:
+    return Request('POST', '/x/', dict(lines), body, lines)
+
+
+class ReadRequestTest(unittest.TestCase):
+    """What a client's headers say."""
+
+    def test_facts(self) -> None:
+        """All that decides is read, in the product's units."""
+        facts = _FORM.read_request(_request())
+        self.assertEqual(facts.request_id, 'r1')
+        self.assertEqual(facts.key, 'key')
+        self.assertEqual(facts.deadline_seconds, 8)
+        self.assertEqual((facts.prompt_tokens, facts.max_tokens), (1460, 80))
+        self.assertEqual(facts.resume_after, '3')
+
+    def test_bad_deadline(self) -> None:
+        """It is the client's error."""
+        with self.assertRaises(InvalidRequestError):
+            _FORM.read_request(_request((('deadline-ms', 'soon'),)))
+
+    @given(st.text(), st.text())
+    def test_odd_headers(self, usage: str, authorization: str) -> None:
+        """Nothing odd in a header is more than an unknown value."""
+        lines = (('token-usage', usage), ('authorization', authorization))
+        _FORM.read_request(_request(lines))
+
+
+class RequestForTest(unittest.TestCase):
+    """What a target gets."""
+
+    def setUp(self) -> None:
+        """Build what is sent on."""
+        dispatch = Dispatch('i-1', 1.5, 'org', 2, '9')
+        self.sent = _FORM.request_for(_request(), dispatch).lines
+
+    def test_the_system_sets_its_own(self) -> None:
+        """Nothing that a client forged remains."""
+        own = {name: text for name, text in self.sent if name in _SYSTEM}
+        self.assertEqual(
+            own,
+            {
+                'tenant': 'org',
+                'expect-replica': 'i-1',
+                'request-priority': '2',
+                'deadline-ms': '1500',
+            },
+        )
+        self.assertEqual(len([1 for name, _ in self.sent if name in own]), 4)
+
+    def test_the_key_stays_here(self) -> None:
+        """No target sees it, nor headers of one connection."""
+        names = {name for name, _text in self.sent}
+        self.assertFalse(names & {'authorization', 'x-hop', 'connection'})
+
+    def test_the_rest_is_unchanged(self) -> None:
+        """Repeated lines stay, in order."""
+        kept = [line for line in self.sent if line[0] == 'x-kept']
+        self.assertEqual(kept, [('x-kept', '1'), ('x-kept', '2')])
+        self.assertIn(('prefix-hash', _LINES[4][1]), self.sent)
+
+    def test_a_move_names_the_last_event(self) -> None:
+        """Ours replaces the client's own."""
+        resumed = [line for line in self.sent if line[0] == 'last-event-id']
+        self.assertEqual(resumed, [('last-event-id', '9')])
+
+
+class ReadAnswerTest(unittest.TestCase):
+    """What a target's headers say."""
+
+    def test_not_run(self) -> None:
+        """Only the target's own word, or another instance's, counts."""
+        refused = ResponseHead(503, {'not-executed': '1', 'at-server': 'i-2'})
+        facts = _FORM.read_answer(refused)
+        self.assertTrue(facts.not_run)
+        self.assertEqual(facts.at_fault, 'i-2')
+        self.assertTrue(_FORM.read_answer(ResponseHead(421)).not_run)
+        self.assertFalse(_FORM.read_answer(ResponseHead(503)).not_run)
+
+    def test_refusal(self) -> None:
+        """The product's own answer says when to come back."""
+        refusal = _FORM.refusal('r1', 503, 'no_replica', 'none', 0.25)
+        self.assertEqual(refusal.headers['retry-after'], '0.25')
+        self.assertEqual(refusal.headers['request-id'], 'r1')
--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,86 @@
+"""Orders on the wire, and what the engines' answers mean."""
+
+import unittest
+
+import attrs
+import curio
+
+from cranecart.exceptions import (
+    OrderError,
+    OrderFencedError,
+    OrderRefusedError,
+    OrderUnknownError,
+    TargetGoneError,
+)
+from cranecart.http import Address
+from cranecart.platform import PlatformOrders
+from tests.lib.fake_engines import listed
+from tests.platform._standin import StandinStore, start
+
+
+class OrdersTest(unittest.TestCase):
+    """Each status becomes one of the product's errors, or none."""
+
+    def setUp(self) -> None:
+        """Start with an engine that takes everything."""
+        self.engine = StandinStore()
+
+    def test_join(self) -> None:
+        """All that a member must know is sent."""
+        self.assertIsNone(self._join())
+        self.assertEqual(
+            self.engine.orders,
+            [
+                {
+                    'operation': 'join',
+                    'group': 'r',
+                    'epoch': 7,
+                    'model': 'm',
+                    'members': ['i', 'j'],
+                    'fencingToken': 3,
+                },
+            ],
+        )
+
+    def test_statuses(self) -> None:
+        """Refused, fenced, and answered by another life."""
+        wanted = {
+            200: type(None),
+            409: OrderRefusedError,
+            400: OrderRefusedError,
+            412: OrderFencedError,
+            421: TargetGoneError,
+        }
+        for status, kind in wanted.items():
+            with self.subTest(status):
+                self.engine.order_status = status
+                self.assertIsInstance(self._join(), kind)
+
+    def test_no_answer(self) -> None:
+        """The order may have been taken."""
+        self.engine.faults.append('silent')
+        self.assertIsInstance(self._join(), OrderUnknownError)
+
+    def test_closed_port(self) -> None:
+        """No process is behind it, so that life has ended."""
+        error = curio.run(self._order, Address('127.0.0.1', 1))
+        self.assertIsInstance(error, TargetGoneError)
+
+    def _join(self) -> OrderError | None:
+        error: OrderError | None = curio.run(self._with_engine)
+        return error
+
+    async def _with_engine(self) -> OrderError | None:
+        task, address = await start(self.engine)
+        try:
+            return await self._order(address)
+        finally:
+            await task.cancel()
+
+    async def _order(self, address: Address) -> OrderError | None:
+        instance = attrs.evolve(listed('i', address))
+        try:
+            await PlatformOrders().join(instance, 'r', 7, 'm', ['i', 'j'], 3)
+        except OrderError as error:
+            return error
+        return None
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -22,7 +22,7 @@
     ('flake8', *_PARTS),
     ('mypy',),
 )
-_SUITES = ('unit', 'functional')
+_SUITES = ('unit', 'platform', 'functional')
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
 _MAX_KNOWN_RED = 3
 _WORKERS = 4
@@ -110,7 +110,7 @@
 
 def _unit_of(test: unittest.TestCase) -> str:
     kind = type(test)
-    if 'tests.unit' in kind.__module__:
+    if not kind.__module__.startswith('tests.functional'):
         return kind.__module__
     if 'setUpClass' in kind.__dict__:
         return f'{kind.__module__}.{kind.__qualname__}'
