Wait for the last attempt allowed instead of cutting it

Cause: while an attempt ran, it was not yet counted among those sent, so that the second of two allowed attempts was still left for a third, which was then refused: the stream was cut although its replica might have gone on.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -56,8 +56,12 @@
                 raise self._final_error()
 
     def may_try_another(self) -> bool:
-        """Tell whether one more target would be allowed, without taking it."""
-        return self.call.may_repeat and self._sent < self.call.route.attempts
+        """Tell whether one more target would be allowed beside the present.
+
+        The present one is counted only once its attempt has ended.
+        """
+        sent = self._sent + 1
+        return self.call.may_repeat and sent < self.call.route.attempts
 
     def _choose(self) -> Target:
         call = self.call
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -50,11 +50,13 @@
     """How long a target may be silent, in seconds.
 
     After ``suspect`` the silence is told as evidence; after ``most`` the
-    target is given up.
+    target is given up, and at once if it is found to have stopped, unless
+    ``is_last``: then nothing is gained by leaving it.
     """
 
     suspect: float
     most: float
+    is_last: bool = False
 
 
 @attrs.define
@@ -134,7 +136,9 @@
     ) -> None:
         if call.seconds_left <= 0:
             raise TargetTimeoutError('the answer was not whole in time')
-        if target.forming is not None and self._is_stopped(target.forming):
+        forming = target.forming
+        is_stopped = forming is not None and self._is_stopped(forming)
+        if is_stopped and not patience.is_last:
             raise TargetBrokenError(f'{target.instance.id} has stopped')
         if silence > patience.most:
             raise TargetBrokenError(
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -131,8 +131,9 @@
         suspect = self._gaps.suspect_seconds(model)
         if self._attempts.may_try_another():
             return Patience(suspect, _SILENT_SECONDS)
-        # What must not run twice waits for its one run.
-        return Patience(suspect, float('inf'))
+        # What must not run again waits for the run it has: a replica that
+        # stands still breaks it off itself within seconds.
+        return Patience(suspect, float('inf'), is_last=True)
 
     def _first_patience(self) -> Patience:
         if self.cutter.last_id:
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -4,6 +4,7 @@
 from cranecart.http._messages import (
     Address,
     HeaderLines,
+    Headers,
     Request,
     Response,
     ResponseHead,
@@ -14,6 +15,7 @@
 __all__ = (
     'Address',
     'HeaderLines',
+    'Headers',
     'HttpConnection',
     'HttpPool',
     'HttpServer',
--- /dev/null
+++ b/tests/lib/fake_targets.py
@@ -0,0 +1,356 @@
+"""Targets that a test scripts, behind a gateway in the same process."""
+
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+import curio
+import h11
+
+from cranecart.exceptions import ConnectionBrokenError
+from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.forwarding import RoutedGateway, Sender, TargetConnections
+from cranecart.http import (
+    Address,
+    Headers,
+    HttpConnection,
+    HttpServer,
+    Request,
+)
+from cranecart.limits import RetryRules, SharedRetryBudget
+from cranecart.models import (
+    EngineModel,
+    EngineProfile,
+    KeyHolder,
+    Route,
+    RouteConfig,
+    ServiceProfile,
+    Share,
+    hash_key,
+)
+from cranecart.platform import PlatformCallForm
+from cranecart.ports import ListedInstance, MemberPhase, Membership
+from cranecart.routing import HeadRouter
+
+ENGINES = 'drafts'
+PLAIN = 'crew'
+MODEL = 'm'
+HOST = 'a.example'
+KEY = 'secret'
+
+_READ_BYTES = 65536
+
+Script = Callable[['Exchange'], Awaitable[None]]
+
+
+@attrs.define
+class Exchange:
+    """One request at a scripted target."""
+
+    sock: curio.io.Socket
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    async def answer(
+        self,
+        body: bytes,
+        status: int = 200,
+        request_id: str | None = None,
+        signature: str = 'sig',
+        extra: str = '',
+    ) -> None:
+        """Send a whole answer."""
+        named = request_id or self.headers['request-id']
+        signed = f'replica-signature: {signature}\r\n' if signature else ''
+        head = (
+            f'HTTP/1.1 {status} X\r\nrequest-id: {named}\r\n{signed}{extra}'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        await self.sock.sendall(head.encode() + body)
+
+    async def start_stream(self) -> None:
+        """Send the head of a stream."""
+        named = self.headers['request-id']
+        await self.sock.sendall(
+            (
+                f'HTTP/1.1 200 OK\r\nrequest-id: {named}\r\n'
+                'replica-signature: sig\r\n'
+                'content-type: text/event-stream\r\n'
+                'transfer-encoding: chunked\r\n\r\n'
+            ).encode(),
+        )
+
+    async def events(self, first: int, last: int) -> None:
+        """Send some events, a chunk each."""
+        for number in range(first, last + 1):
+            await self.chunk(f'id: {number}\ndata: {number}\n\n'.encode())
+
+    async def chunk(self, piece: bytes) -> None:
+        """Send one chunk."""
+        await self.sock.sendall(b'%x\r\n%b\r\n' % (len(piece), piece))
+
+    async def end_stream(self) -> None:
+        """End the chunks."""
+        await self.sock.sendall(b'0\r\n\r\n')
+
+
+@attrs.define
+class FakeTarget:
+    """A listener whose answers a script gives, request by request."""
+
+    name: str
+    script: Script
+    seen: list[Exchange] = attrs.field(factory=list)
+    closed: int = 0
+    _listener: socket.socket = attrs.field(
+        factory=lambda: socket.create_server(('127.0.0.1', 0)),
+    )
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        return Address(*self._listener.getsockname()[:2])
+
+    async def run(self) -> None:
+        """Serve connections until cancelled."""
+        listener = curio.io.Socket(self._listener)
+        async with listener:
+            while True:
+                sock, _ = await listener.accept()
+                await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock: curio.io.Socket) -> None:
+        parser = h11.Connection(h11.SERVER)
+        async with sock:
+            try:
+                while await self._serve_one(sock, parser):
+                    parser = h11.Connection(h11.SERVER)
+            except OSError:
+                self.closed += 1
+
+    async def _serve_one(
+        self,
+        sock: curio.io.Socket,
+        parser: h11.Connection,
+    ) -> bool:
+        events = await _read_events(sock, parser)
+        if not events:
+            self.closed += 1
+            return False
+        head = events[0]
+        assert isinstance(head, h11.Request)
+        pieces = [one.data for one in events if isinstance(one, h11.Data)]
+        exchange = Exchange(
+            sock,
+            head.method.decode(),
+            head.target.decode(),
+            {name.decode(): text.decode() for name, text in head.headers},
+            b''.join(map(bytes, pieces)),
+        )
+        self.seen.append(exchange)
+        await self.script(exchange)
+        return True
+
+
+async def _read_events(
+    sock: curio.io.Socket,
+    parser: h11.Connection,
+) -> list[h11.Event]:
+    """Return the events of one request; none where the client closed."""
+    events: list[h11.Event] = []
+    while not events or not isinstance(events[-1], h11.EndOfMessage):
+        event = parser.next_event()
+        if isinstance(event, h11.Event):
+            events.append(event)
+            continue
+        received = await sock.recv(_READ_BYTES)
+        if not received:
+            return []
+        parser.receive_data(received)
+    return events
+
+
+@attrs.frozen
+class ClientAnswer:
+    """What a client got; ``is_whole`` tells whether it ended properly."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    is_whole: bool
+
+
+def route(name: str, **changes: Any) -> Route:
+    """Return a route whose prefix is its name."""
+    plain = Route(
+        name=name,
+        host=HOST,
+        prefix=f'/{name}/',
+        repeatable=True,
+        streaming=False,
+        resumable=False,
+        timeout_seconds=2,
+        objective_seconds=0.2,
+        pause_seconds=0.2,
+        rank=1,
+        attempts=2,
+        public=False,
+        shares=(Share(PLAIN, 1),),
+    )
+    return attrs.evolve(plain, **changes)
+
+
+_STREAM = MappingProxyType(
+    {
+        'streaming': True,
+        'repeatable': False,
+        'shares': (Share(ENGINES, 1),),
+    },
+)
+CONFIG = RouteConfig(
+    3,
+    (
+        route('safe'),
+        route('unsafe', repeatable=False),
+        route('brief', timeout_seconds=0.3),
+        route('stream', resumable=True, timeout_seconds=6, **_STREAM),
+        route('once', **_STREAM),
+        route('open', public=True),
+    ),
+    {
+        PLAIN: ServiceProfile(PLAIN),
+        ENGINES: ServiceProfile(
+            ENGINES,
+            EngineProfile((EngineModel(MODEL, 1, 1, 1, 1, 1),), 13, 0.3, 1, 1),
+        ),
+    },
+    (KeyHolder('org', (hash_key(KEY),)),),
+)
+
+
+class GatewayWorld:
+    """A gateway before scripted targets, all in one event loop."""
+
+    def __init__(self, *scripts: Script, service: str = ENGINES) -> None:
+        """Build a target a script; nothing runs until ``run``."""
+        self.targets: list[FakeTarget] = [
+            FakeTarget(f'i{number}', script)
+            for number, script in enumerate(scripts)
+        ]
+        self.fleet = Fleet()
+        self.evidence: list[str] = []
+        instances = {
+            target.name: _instance(target, service) for target in self.targets
+        }
+        self.fleet.take_instances(instances, True)
+        records = (
+            ReplicaRecord(
+                name,
+                1,
+                ENGINES,
+                MODEL,
+                'east',
+                'east-0',
+                (name,),
+                RecordState.SERVING,
+            )
+            for name in instances
+        )
+        self.fleet.take_records({one.key: one for one in records}, True)
+        source = random.Random(1)
+        self.router = HeadRouter(self.fleet, source, lambda _name: 0)
+        self.connections = TargetConnections()
+        self.gateway = RoutedGateway(
+            lambda: CONFIG,
+            Sender(
+                PlatformCallForm(),
+                self.router,
+                self.connections,
+                self.fleet.is_stopped,
+                lambda _forming, evidence: self.evidence.append(evidence),
+            ),
+            SharedRetryBudget(RetryRules(0.2, 100, 10), lambda: 1),
+            source,
+            lambda _outcome, _seconds: None,
+            0,
+        )
+        self.server = HttpServer(Address('127.0.0.1', 0), self.gateway.handle)
+
+    async def run(
+        self,
+        play: Callable[['GatewayWorld'], Awaitable[None]],
+    ) -> None:
+        """Run everything while a play lasts."""
+        self.server.open()
+        tasks = [
+            await curio.spawn(part.run) for part in (self.server, *self.targets)
+        ]
+        try:
+            await play(self)
+        finally:
+            for task in tasks:
+                await task.cancel()
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        key: str = KEY,
+        body: bytes = b'abc',
+        deadline_ms: int = 3000,
+    ) -> ClientAnswer:
+        """Ask the gateway as a client does."""
+        connection = await HttpConnection.open(self.server.address)
+        request = client_request(path, key, body, deadline_ms)
+        try:
+            return await _read_answer(connection, request)
+        finally:
+            await connection.close()
+
+
+def client_request(
+    path: str,
+    key: str = KEY,
+    body: bytes = b'abc',
+    deadline_ms: int = 3000,
+) -> Request:
+    """Return a client's request."""
+    headers = {
+        'host': HOST,
+        'request-id': 'r1',
+        'model': MODEL,
+        'deadline-ms': str(deadline_ms),
+        'authorization': f'Bearer {key}',
+    }
+    return Request('POST', path, headers, body)
+
+
+async def _read_answer(
+    connection: HttpConnection,
+    request: Request,
+) -> ClientAnswer:
+    head = await connection.ask(request)
+    pieces = []
+    try:
+        while piece := await connection.read_piece():
+            pieces.append(piece)
+    except ConnectionBrokenError:
+        return ClientAnswer(head.status, head.headers, b''.join(pieces), False)
+    return ClientAnswer(head.status, head.headers, b''.join(pieces), True)
+
+
+def _instance(target: FakeTarget, service: str) -> ListedInstance:
+    membership = Membership(target.name, 1, 0, MemberPhase.OPEN)
+    return ListedInstance(
+        target.name,
+        service,
+        target.address,
+        'east',
+        13,
+        membership=membership,
+    )
