--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -26,6 +26,7 @@
 _LOG = logging.getLogger(__name__)
 _READ_BYTES = 65536
 _BACKLOG = 512
+_ACCEPT_AGAIN_SECONDS = 0.05
 _STATUS_BAD_REQUEST = 400
 _STATUS_TIMEOUT = 408
 _STATUS_TOO_LARGE = 413
@@ -158,6 +159,7 @@
         self._listener: Any = None
         self._connections = 0
         self._closing = False
+        self._accepting: curio.Task | None = None
         self._idle: set[curio.io.Socket] = set()
 
     @property
@@ -179,10 +181,18 @@
         """Accept connections until cancelled."""
         if self._listener is None:
             self.open()
-        async with self._listener:
-            while True:
-                sock, _peer = await self._listener.accept()
-                await self._begin(sock)
+        self._accepting = await curio.spawn(self._accept_all)
+        try:
+            await self._accepting.wait()
+            # The listener was closed on purpose; its connections go on.
+            await curio.Event().wait()
+        finally:
+            await self._accepting.cancel()
+
+    async def stop_listening(self) -> None:
+        """Accept nothing more; the connections that there are go on."""
+        if self._accepting is not None:
+            await self._accepting.cancel()
 
     def refuse_new(self) -> None:
         """Ask clients to close their connections after the next answer."""
@@ -193,6 +203,18 @@
         for sock in list(self._idle):
             await sock.shutdown(socket.SHUT_RDWR)
 
+    async def _accept_all(self) -> None:
+        async with self._listener:
+            while True:
+                try:
+                    sock, _peer = await self._listener.accept()
+                except OSError as error:
+                    # No descriptor is free, or a client left in the queue.
+                    _LOG.warning('a connection was not accepted: %s', error)
+                    await curio.sleep(_ACCEPT_AGAIN_SECONDS)
+                    continue
+                await self._begin(sock)
+
     async def _begin(self, sock: curio.io.Socket) -> None:
         if self._connections >= self.limits.connections:
             await sock.close()
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -240,6 +240,9 @@
             await curio.sleep(_DRAIN_LOOK_SECONDS)
             if time.monotonic() - started < _LISTEN_ON_SECONDS:
                 continue
+            # A balancer that has too few ready nodes goes on sending to all,
+            # and what came later could not be finished.
+            await self._clients.stop_listening()
             await self._clients.close_idle()
             if not self._gateway.inside:
                 return
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from cranecart.exceptions import ConnectionBrokenError
+from cranecart.exceptions import ConnectFailedError, ConnectionBrokenError
 from cranecart.http import (
     Address,
     HttpConnection,
@@ -118,3 +118,38 @@
             answer: bytes = await sock.recv(65536)
         await serving.cancel()
         return answer
+
+
+class StopListeningTest(unittest.TestCase):
+    """What a server does that accepts nothing more."""
+
+    def test_connections_go_on(self) -> None:
+        """A request under way is answered, a new connection is refused."""
+        curio.run(self._stop)
+
+    async def _answer_late(
+        self,
+        request: Request,
+        responder: Responder,
+    ) -> None:
+        await curio.sleep(0.2)
+        await responder.send(Response(200))
+
+    async def _stop(self) -> None:
+        server = HttpServer(Address('127.0.0.1', 0), self._answer_late)
+        server.open()
+        address = server.address
+        serving = await curio.spawn(server.run)
+        connection = await HttpConnection.open(address)
+        await connection.send(Request('GET', '/'))
+        await curio.sleep(0.05)
+        server.refuse_new()
+        await server.stop_listening()
+        with self.assertRaises(ConnectFailedError):
+            await HttpConnection.open(address)
+        head = await connection.read_head()
+        self.assertEqual(head.status, 200)
+        self.assertEqual(head.headers['connection'], 'close')
+        self.assertFalse(serving.terminated)
+        await connection.close()
+        await serving.cancel()
