--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -72,7 +72,7 @@
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         started = time.monotonic()
-        trace = RequestTrace(request.headers.get('request-id', ''))
+        trace = RequestTrace('')
         outcome = 'answered'
         try:
             facts = self._sender.form.read_request(request)
