--- a/src/cranecart/cli/_explain.py
+++ b/src/cranecart/cli/_explain.py
@@ -1,21 +1,23 @@
-"""Tell why something was decided, from logs. Usage: explain ID LOG_FILE.
+"""Tell why something was decided. Usage: explain ID LOG_FILE [LOG_FILE ...].
 
-The id is that of a request, a replica or an instance; every decision line
-that names it is printed in the order of the file.
+The id is that of a request, a replica or an instance. Every decision that
+names it is printed in order of time; for a request also what its node came
+to believe about the replicas and instances that it touched.
 """
 
-from collections.abc import Iterator
+import itertools
 from pathlib import Path
 from typing import Any
 
-import msgspec
 from absl import flags
 
 from cranecart.cli import _common
 from cranecart.exceptions import OperatorError
 from cranecart.exit_codes import ExitCode
+from cranecart.logs import LogLine, lines_about, lines_around, read_lines
 
-_DECISIONS = 'cranecart.decisions'
+# Fields that the first columns show, or that say nothing about a decision.
+_HIDDEN = frozenset(('asctime', 'levelname', 'name', 'message', 'request'))
 
 
 def declare_flags(flag_values: flags.FlagValues) -> None:
@@ -25,41 +27,46 @@
 
 def run(flag_values: flags.FlagValues, rest: list[str]) -> ExitCode:
     """Print the decisions about one id."""
-    _common.require_arguments(rest, ['ID', 'LOG_FILE'])
-    try:
-        lines = Path(rest[1]).read_bytes().splitlines()
-    except OSError as error:
-        raise OperatorError(f'{rest[1]}: {error.strerror}') from error
-    found = [
-        decided for decided in _decisions(lines) if _names(decided, rest[0])
-    ]
-    text = '\n'.join(map(_sentence, found))
+    if len(rest) < 2:  # noqa: WPS432
+        _common.require_arguments(rest, ['ID', 'LOG_FILE'])
+    lines = read_lines(
+        itertools.chain.from_iterable(map(_read, rest[1:])),
+    )
+    about = lines_about(lines, rest[0])
+    is_request = any(line.fields.get('request') == rest[0] for line in about)
+    around = lines_around(lines, about) if is_request else []
+    shown = sorted((*about, *around), key=lambda line: line.at)
+    text = '\n'.join(
+        f'{"" if line in about else "  | "}{_sentence(line)}' for line in shown
+    )
     _common.show(
-        flag_values, found, text or f'nothing was decided about {rest[0]}'
+        flag_values,
+        list(map(_plain, shown)),
+        text or f'nothing was decided about {rest[0]}',
     )
-    return ExitCode.OK if found else ExitCode.FAILED
+    return ExitCode.OK if about else ExitCode.FAILED
 
 
-def _decisions(lines: list[bytes]) -> Iterator[dict[str, Any]]:
-    for line in lines:
-        try:
-            decoded = msgspec.json.decode(line)
-        except msgspec.DecodeError:
-            continue
-        if isinstance(decoded, dict) and decoded.get('name') == _DECISIONS:
-            yield decoded
+def _read(name: str) -> list[bytes]:
+    try:
+        return Path(name).read_bytes().splitlines()
+    except OSError as error:
+        raise OperatorError(f'{name}: {error.strerror}') from error
 
 
-def _names(decided: dict[str, Any], wanted: str) -> bool:
-    return any(
-        wanted == text or (isinstance(text, list) and wanted in text)
-        for text in decided.values()
-    )
+def _plain(line: LogLine) -> dict[str, Any]:
+    return {
+        'at': line.at,
+        'node': line.node,
+        'event': line.event,
+        **line.fields,
+    }
 
 
-def _sentence(decided: dict[str, Any]) -> str:
-    hidden = {'asctime', 'levelname', 'name', 'message', 'event'}
+def _sentence(line: LogLine) -> str:
     details = ' '.join(
-        f'{name}={text}' for name, text in decided.items() if name not in hidden
+        f'{name}={text}'
+        for name, text in line.fields.items()
+        if name not in _HIDDEN
     )
-    return f'{decided.get("asctime", "")} {decided.get("event")}: {details}'
+    return f'{line.at:.3f} {line.node} {line.event}: {details}'
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -78,10 +78,6 @@
             raise self._final_error() from error
         call.trace.add(
             'routed',
-            route=call.route.name,
-            config=call.config.version,
-            organisation=call.organisation,
-            service=call.service,
             instance=target.instance.id,
             replica=target.forming,
             load=target.load,
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -79,6 +79,7 @@
             trace.request_id = facts.request_id
             config = self._current()
             call = admit(request, facts, config, self._random, trace)
+            _tell_admitted(call)
             await self._forward(call, responder)
         except RequestError as error:
             outcome = error.code
@@ -164,6 +165,18 @@
             raise
 
 
+def _tell_admitted(call: RoutedCall) -> None:
+    call.trace.add(
+        'admitted',
+        route=call.route.name,
+        config=call.config.version,
+        organisation=call.organisation,
+        service=call.service,
+        model=call.facts.model,
+        left=round(call.seconds_left, 3),
+    )
+
+
 def _tell_stream(
     call: RoutedCall,
     attempts: RoutedAttempts,
--- a/src/cranecart/logs/__init__.py
+++ b/src/cranecart/logs/__init__.py
@@ -6,12 +6,22 @@
     set_log_level,
     set_up_lines,
 )
+from cranecart.logs._reading import (
+    LogLine,
+    lines_about,
+    lines_around,
+    read_lines,
+)
 from cranecart.logs._setup import decision, set_up_logging
 
 __all__ = (
     'LineQueue',
+    'LogLine',
     'RequestTrace',
     'decision',
+    'lines_about',
+    'lines_around',
+    'read_lines',
     'set_log_level',
     'set_up_lines',
     'set_up_logging',
