Let a replica with a leaving member finish what it has

Cause: a replica that was closing was told to all nodes like one that stands still, so that its streams were broken off; and the close made its head report itself closing, which was judged as not serving and ended it 0.1 s later.

--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -55,10 +55,10 @@
     records: dict[str, ReplicaRecord] = attrs.field(factory=dict, init=False)
     _dropped: dict[str, None] = attrs.field(factory=dict, init=False)
     _stopped: dict[Forming, str] = attrs.field(factory=dict, init=False)
+    _closing: dict[Forming, str] = attrs.field(factory=dict, init=False)
     _heads: dict[tuple[str, str], tuple[ServingHead, ...]] | None = attrs.field(
         default=None, init=False
     )
-    changed: list[Callable[[], None]] = attrs.field(factory=list, init=False)
 
     def take_instances(
         self,
@@ -76,7 +76,7 @@
             if item is not None:
                 self.instances[name] = item
                 self.lapsed.pop(name, None)
-        self._notify()
+        self._heads = None
 
     def take_records(
         self,
@@ -96,26 +96,34 @@
             elif self._is_news(key, record):
                 self.records[key] = record
         self._forget()
-        self._notify()
+        self._heads = None
 
     def drop_record(self, key: str) -> None:
         """Take over that this node dropped a replica's row."""
         self._drop(key)
         self._forget()
-        self._notify()
+        self._heads = None
 
     def stop(self, forming: Forming, reason: str) -> bool:
-        """Route nothing more to a replica; return whether that is news."""
+        """Take over that a replica stands still; return whether it is news.
+
+        Nothing more is sent to it, and what it has goes on elsewhere.
+        """
         if forming in self._stopped:
             return False
         self._stopped[forming] = reason
-        decision(
-            'replica_stopped',
-            replica=forming[0],
-            epoch=forming[1],
-            why=reason,
-        )
-        self._notify()
+        self._tell('replica_stopped', forming, reason)
+        return True
+
+    def close(self, forming: Forming, reason: str) -> bool:
+        """Take over that a replica finishes; return whether it is news.
+
+        Nothing more is sent to it, and what it has ends there.
+        """
+        if forming in self._closing:
+            return False
+        self._closing[forming] = reason
+        self._tell('replica_closing', forming, reason)
         return True
 
     def is_stopped(self, forming: Forming) -> bool:
@@ -179,7 +187,7 @@
         head = self.instances.get(record.head)
         if record.state is not RecordState.SERVING or head is None:
             return False
-        if forming in self._stopped:
+        if forming in self._stopped or forming in self._closing:
             return False
         return head.phase_in(*forming) is MemberPhase.OPEN and all(
             self._is_present(name, forming) for name in record.members
@@ -197,11 +205,9 @@
         formings = {
             (record.name, record.epoch) for record in self.records.values()
         }
-        self._stopped = {
-            forming: reason
-            for forming, reason in self._stopped.items()
-            if forming in formings
-        }
+        for told in (self._stopped, self._closing):
+            for forming in told.keys() - formings:
+                told.pop(forming)
         members = {
             name for record in self.records.values() for name in record.members
         }
@@ -211,7 +217,6 @@
             if name in members
         }
 
-    def _notify(self) -> None:
+    def _tell(self, event: str, forming: Forming, reason: str) -> None:
+        decision(event, replica=forming[0], epoch=forming[1], why=reason)
         self._heads = None
-        for tell in self.changed:
-            tell()
--- a/src/cranecart/grouping/_judge.py
+++ b/src/cranecart/grouping/_judge.py
@@ -23,7 +23,10 @@
     lost: Collection[str],
     config: RouteConfig,
 ) -> Verdict | None:
-    """Return what must become of a serving replica, if anything."""
+    """Return what must become of a replica that has not ended, if anything.
+
+    One that is closing already ends sooner only if it stands still.
+    """
     forming = (record.name, record.epoch)
     dead = [name for name in record.members if name in lost]
     if dead:
@@ -39,6 +42,8 @@
         left = _members_that_left(record, fleet)
         if left:
             return Verdict(RecordState.ENDING, f'{", ".join(left)} left it')
+    if record.state is RecordState.CLOSING:
+        return None
     return _judge_wanted(record, fleet, config, phase)
 
 
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -38,6 +38,8 @@
     ``hears_other`` tells whether another node says that it holds the duty,
     ``is_informed`` whether list and records were read, ``has_traffic``
     whether loads count, and ``demand`` weighs the models' requests.
+    ``tell_stopped`` tells all nodes of a replica that takes nothing more,
+    why, and whether it finishes what it has.
     """
 
     config: Callable[[], RouteConfig | None]
@@ -45,7 +47,7 @@
     is_informed: Callable[[], bool]
     has_traffic: Callable[[], bool]
     demand: Callable[[], Mapping[str, float]]
-    tell_stopped: Callable[[ReplicaRecord, str], None]
+    tell_stopped: Callable[[ReplicaRecord, str, bool], None]
 
 
 @attrs.frozen
@@ -182,7 +184,8 @@
         )
         if verdict is None or verdict.state is record.state:
             return
-        self._view.tell_stopped(record, verdict.reason)
+        finishes = verdict.state is RecordState.CLOSING
+        self._view.tell_stopped(record, verdict.reason, finishes)
         changed = attrs.evolve(
             record,
             state=verdict.state,
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -64,7 +64,7 @@
 class MeshEvents:
     """Whom to tell what other nodes say."""
 
-    stopped: Callable[[Stopped], None]
+    stopped: Callable[[Stopped], object]
     suspect: Callable[[Suspect], None]
     list_news: Callable[[News[ListedInstance]], None]
     record_news: Callable[[News[Row]], None]
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -28,12 +28,16 @@
 
 
 class Stopped(msgspec.Struct, tag='stopped'):
-    """A replica that stands still, so that nobody sends to it any more."""
+    """A replica that nobody should send to any more.
+
+    One that ``finishes`` still ends what it has; any other stands still.
+    """
 
     sender: str
     replica: str
     epoch: int
     reason: str
+    finishes: bool = False
 
 
 class Suspect(msgspec.Struct, tag='suspect'):
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -274,12 +274,21 @@
         )
         self._mesh.beat_now()
 
-    def _tell_stopped(self, record: ReplicaRecord, reason: str) -> None:
-        if self._fleet.stop((record.name, record.epoch), reason):
-            node_id = self._live.current.node_id
-            self._mesh.broadcast(
-                Stopped(node_id, record.name, record.epoch, reason),
-            )
+    def _tell_stopped(
+        self,
+        record: ReplicaRecord,
+        reason: str,
+        finishes: bool,
+    ) -> None:
+        message = Stopped(
+            self._live.current.node_id,
+            record.name,
+            record.epoch,
+            reason,
+            finishes,
+        )
+        if self._hear_stopped(message):
+            self._mesh.broadcast(message)
 
     def _tell_suspect(self, forming: tuple[str, int], evidence: str) -> None:
         self._placer.suspect(forming, evidence)
@@ -287,8 +296,11 @@
             Suspect(self._live.current.node_id, *forming, evidence),
         )
 
-    def _hear_stopped(self, message: Stopped) -> None:
-        self._fleet.stop((message.replica, message.epoch), message.reason)
+    def _hear_stopped(self, message: Stopped) -> bool:
+        forming = (message.replica, message.epoch)
+        if message.finishes:
+            return self._fleet.close(forming, message.reason)
+        return self._fleet.stop(forming, message.reason)
 
     def _hear_suspect(self, message: Suspect) -> None:
         forming = (message.replica, message.epoch)
--- a/tests/lib/fake_engines.py
+++ b/tests/lib/fake_engines.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 import attrs
+import curio
 
 from cranecart.exceptions import (
     OrderFencedError,
@@ -50,7 +51,8 @@
 
     A head without a member is broken after ``stall_seconds``. ``dark``
     instances answer nothing, ``gone`` ones have ended; the
-    violations of what must always hold are collected.
+    violations of what must always hold are collected. A closed replica's
+    work takes ``work_seconds``; ``cut`` counts orders that broke work off.
     """
 
     fleet: Fleet
@@ -59,6 +61,8 @@
     gone: set[str] = attrs.field(factory=set)
     unanswered: set[str] = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
+    work_seconds: float = 0
+    cut: int = 0
     orders: list[tuple[str, str]] = attrs.field(factory=list)
     _members: dict[tuple[str, int], tuple[str, ...]] = attrs.field(
         factory=dict,
@@ -121,9 +125,16 @@
         epoch: int,
         fencing: int,
     ) -> None:
-        """End a replica's service; its work ends at once."""
+        """End a replica's service once its work has ended."""
         self._reach(head, 'close')
-        self._set_phase(head.id, replica, epoch, MemberPhase.READY)
+        self._set_phase(head.id, replica, epoch, MemberPhase.CLOSING)
+        await curio.spawn(
+            self._end_work,
+            head.id,
+            replica,
+            epoch,
+            daemon=True,
+        )
         self._answer(head, 'close')
 
     async def leave(
@@ -138,6 +149,7 @@
         current = self.fleet.known(instance.id) or instance
         if current.phase_in(replica, epoch) is None:
             raise OrderRefusedError('it is no member')
+        self.cut += current.phase_in(replica, epoch) in _HOLDING
         self._left_at.setdefault((replica, epoch), time.monotonic())
         self._show(attrs.evolve(current, membership=None))
         self._answer(instance, 'leave')
@@ -153,6 +165,11 @@
         current = self.fleet.instances.get(instance.id, instance)
         self._show(attrs.evolve(current, staged=(model,)))
 
+    async def _end_work(self, name: str, replica: str, epoch: int) -> None:
+        await curio.sleep(self.work_seconds)
+        if self.fleet.instances[name].phase_in(replica, epoch):
+            self._set_phase(name, replica, epoch, MemberPhase.READY)
+
     def _reach(self, instance: ListedInstance, order: str) -> None:
         self.orders.append((order, instance.id))
         if instance.id in self.gone:
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -7,7 +7,7 @@
 import curio
 
 from cranecart.duties import Lease
-from cranecart.fleet import Fleet, RecordState, ServingHead
+from cranecart.fleet import Fleet, RecordState, ReplicaRecord, ServingHead
 from cranecart.grouping import GroupPlacer, PlacerPlace, PlacerView
 from cranecart.http import Address
 from cranecart.models import RouteConfig
@@ -37,7 +37,7 @@
         self.address = Address(*self.listener.getsockname()[:2])
         self.engines = FakeEngines(self.fleet, _STALL_SECONDS)
         self.table = FakePlatform()
-        self.stopped: list[str] = []
+        self.stopped: list[tuple[str, bool]] = []
         self.is_informed = True
         self.has_traffic = False
         self.placer = self.make_placer('one')
@@ -61,7 +61,7 @@
                 lambda: self.is_informed,
                 lambda: self.has_traffic,
                 dict,
-                lambda record, _why: self.stopped.append(record.name),
+                self._note_stopped,
             ),
         )
 
@@ -77,6 +77,14 @@
         self.engines.dark.add(name)
         self.placer.losses.note_lost(name, 'a test says so')
 
+    def _note_stopped(
+        self,
+        record: ReplicaRecord,
+        _why: str,
+        finishes: bool,
+    ) -> None:
+        self.stopped.append((record.name, finishes))
+
 
 class GroupingTest(unittest.TestCase):
     """What becomes of nine instances of one fabric domain."""
@@ -123,6 +131,10 @@
         """The head is closed before its members are freed."""
         curio.run(self._member_leaves)
         self.assertIn('close', {name for name, _ in self.world.engines.orders})
+        self.assertEqual(
+            [finishes for _, finishes in self.world.stopped], [True]
+        )
+        self.assertEqual(self.world.engines.cut, 0)
         self.assertEqual(self.world.engines.violations, [])
 
     def test_a_successor_goes_on(self) -> None:
@@ -195,6 +207,7 @@
         big = world.fleet.heads(SERVICE, BIG.name)[0]
         leaver = world.fleet.instances[big.members[1]]
         leaving = attrs.evolve(leaver, leaving=True)
+        world.engines.work_seconds = 0.4
         world.fleet.take_instances({leaver.id: leaving}, False)
         await until(lambda: self._is_replaced(big))
         await running.cancel()
