--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -14,9 +14,10 @@
 from cranecart.ports import ListedInstance
 from cranecart.routing._ejection import Ejection
 
-# A replica takes this many requests beyond those it runs at once before
-# requests for it are refused; they wait about a tenth of their run there.
-_QUEUE_PART = 0.3
+# A replica takes as many requests beyond those it runs at once before
+# requests for it are refused; they wait a run's time there, about a second,
+# while clients leave after two.
+_QUEUE_PART = 1.0
 # Plain services queue up to four times their slots on the users' sheets.
 _PLAIN_QUEUE_PART = 2.0
 # When to come back after a refusal: about the time in which a repaired
