--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -101,11 +101,16 @@
         self._renewed_at = float('-inf')
         self._settling = Settling()
         self._stopped = False
+        self._is_failing = False
 
     @property
     def places(self) -> str:
-        """Return the failure domain, if this node holds its duty."""
-        return self._place.failure_domain if self.lease.is_held else ''
+        """Return the failure domain, if this node holds its duty.
+
+        One whose last renewal failed does not claim it, so that others look.
+        """
+        is_sure = self.lease.is_held and not self._is_failing
+        return self._place.failure_domain if is_sure else ''
 
     async def run(self) -> None:
         """Keep the duty if nobody else does, and act, until cancelled."""
@@ -114,7 +119,7 @@
                 await self._tick()
             except (PlatformError, LeaseLostError) as error:
                 # The next tick decides afresh on what holds then.
-                decision('placement_waits', why=str(error))
+                self._note_failure(error)
             await curio.sleep(_TICK_SECONDS)
         await curio.Event().wait()
 
@@ -146,18 +151,25 @@
     def _may_act(self) -> bool:
         return self.lease.is_held and self._view.is_informed()
 
+    def _note_failure(self, error: Exception) -> None:
+        if not self._is_failing:
+            decision('placement_waits', why=str(error))
+        self._is_failing = True
+
     async def _keep_lease(self) -> None:
         now = time.monotonic()
         if self.lease.is_held:
             if now - self._renewed_at > _RENEW_SECONDS:
                 self._renewed_at = now
                 await self.lease.keep()
+                self._is_failing = False
             return
         if self._view.hears_other() or now - self._renewed_at < _LOOK_SECONDS:
             return
         self._renewed_at = now
         if await self.lease.keep():
             await self._book.read()
+            self._is_failing = False
 
     def _is_settled(self) -> bool:
         self._settling.note(self._fleet.instances.values())
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -232,3 +232,24 @@
             and heads[0].forming != old.forming
             and states == {RecordState.SERVING}
         )
+
+
+class FailingPlacerTest(unittest.TestCase):
+    """A placer whose store has gone."""
+
+    def test_others_hear_of_it(self) -> None:
+        """It claims the duty no more, long before its lease ends."""
+        curio.run(self._lose_store)
+
+    async def _lose_store(self) -> None:
+        world = World()
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        self.assertEqual(world.placer.places, DOMAIN)
+        world.table.down = True
+        await until(lambda: not world.placer.places)
+        self.assertTrue(world.placer.lease.is_held)
+        world.table.down = False
+        await until(lambda: world.placer.places)
+        await running.cancel()
+        world.listener.close()
