--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -6,7 +6,7 @@
 import attrs
 import curio
 
-from cranecart.duties import Lease
+from cranecart.duties import Lease, LeaseTimes
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord, ServingHead
 from cranecart.grouping import GroupPlacer, PlacerPlace, PlacerView
 from cranecart.http import Address
@@ -25,6 +25,8 @@
 
 _CONFIG = RouteConfig(1, (), {SERVICE: PROFILE})
 _STALL_SECONDS = 0.4
+# Only one placer runs at a time here, so that a dead one is soon replaced.
+_TIMES = LeaseTimes(trusted=2.5, takeover=0.3)
 
 
 class World:
@@ -51,7 +53,7 @@
         """Return a placer of this world's failure domain."""
         return GroupPlacer(
             PlacerPlace(DOMAIN, 1, _STALL_SECONDS),
-            Lease(f'lease/{DOMAIN}', node_id, self.table),
+            Lease(f'lease/{DOMAIN}', node_id, self.table, _TIMES),
             self.table,
             self.engines,
             self.fleet,
--- /dev/null
+++ b/tests/unit/test_grouping_faults.py
@@ -0,0 +1,115 @@
+"""Drawn faults against a placer: never two replicas, never a part of one."""
+
+import unittest
+
+import attrs
+import curio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranecart.fleet import RecordState
+from tests.lib.fake_engines import listed
+from tests.lib.fake_platform import FINE, LOST_ANSWER, LOST_WRITE, REFUSED
+from tests.lib.waiting import until
+from tests.unit.test_grouping import World
+
+_STEP_SECONDS = 0.06
+_INSTANCES = 9
+_STORE_FAULTS = (REFUSED, FINE, LOST_ANSWER, FINE, LOST_WRITE, REFUSED)
+
+_events = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ('dark', 'gone', 'leaving', 'unanswered', 'store', 'new', 'placer'),
+        ),
+        st.integers(0, _INSTANCES - 1),
+    ),
+    max_size=8,
+)
+
+
+@attrs.define
+class _Play:
+    """One world, and the faults that strike it one after the other."""
+
+    world: World
+    events: list[tuple[str, int]]
+    running: curio.Task | None = None
+
+    async def run(self) -> None:
+        """Form, strike, and wait until nothing changes any more."""
+        world = self.world
+        self.running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        for kind, number in self.events:
+            await self._strike(kind, f'i{number}')
+            await curio.sleep(_STEP_SECONDS)
+        world.table.faults = iter(())
+        await until(self._is_settled, 12)
+        await self.running.cancel()
+
+    async def _strike(self, kind: str, name: str) -> None:
+        world = self.world
+        instance = world.fleet.instances.get(name)
+        match kind:
+            case 'dark':
+                world.lose(name)
+            case 'gone' if instance is not None:
+                world.engines.gone.add(name)
+                world.fleet.take_instances({name: None}, False)
+                world.placer.losses.note_lost(name, 'a test says so')
+            case 'leaving' if instance is not None:
+                leaving = attrs.evolve(instance, leaving=True)
+                world.fleet.take_instances({name: leaving}, False)
+            case 'unanswered':
+                world.engines.unanswered.add(name)
+            case 'store':
+                world.table.faults = iter(_STORE_FAULTS)
+            case 'new':
+                fresh = listed(f'n{len(world.fleet.instances)}', world.address)
+                world.fleet.take_instances({fresh.id: fresh}, False)
+            case 'placer':
+                await self._replace_placer()
+
+    async def _replace_placer(self) -> None:
+        """Kill the placer without a word; another one takes over."""
+        world = self.world
+        assert self.running is not None
+        await self.running.cancel()
+        lost = world.placer.losses.current()
+        world.placer = world.make_placer(f'{len(lost)}-{id(self.running)}')
+        for name in lost:
+            world.placer.losses.note_lost(name, 'a test says so')
+        self.running = await curio.spawn(world.placer.run)
+
+    def _is_settled(self) -> bool:
+        records = self.world.fleet.records.values()
+        serving = {head.replica for head in self.world.heads()}
+        return bool(self.world.placer.places) and all(
+            record.state is RecordState.SERVING and record.name in serving
+            for record in records
+        )
+
+
+class GroupingFaultsTest(unittest.TestCase):
+    """Whatever strikes, in whatever order."""
+
+    @settings(max_examples=10, deadline=None)
+    @given(_events)
+    def test_never_two_and_never_in_part(
+        self,
+        events: list[tuple[str, int]],
+    ) -> None:
+        """And in the end each recorded replica serves."""
+        world = World()
+        try:
+            curio.run(_Play(world, events).run)
+        finally:
+            world.listener.close()
+        self.assertEqual(world.engines.violations, [])
+        members = [
+            name
+            for record in world.fleet.records.values()
+            for name in record.members
+        ]
+        self.assertEqual(len(members), len(set(members)))
