--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -123,6 +123,14 @@
         self.assertGreater(seconds, _STALL_SECONDS)
         self.assertEqual(self.world.engines.violations, [])
 
+    def test_no_head_opens_before_all_are_ready(self) -> None:
+        """A member that takes no order keeps its replica from serving."""
+        self.world.engines.dark.add('i2')
+        curio.run(self._form_for_a_while)
+        members = {name for one in self.world.heads() for name in one.members}
+        self.assertNotIn('i2', members)
+        self.assertEqual(self.world.engines.violations, [])
+
     def test_an_unanswered_order_is_sent_again(self) -> None:
         """An order whose answer is lost holds back nothing for long."""
         self.world.engines.unanswered.update(('i0', 'i1', 'i2'))
@@ -177,6 +185,11 @@
         )
         await running.cancel()
 
+    async def _form_for_a_while(self) -> None:
+        running = await curio.spawn(self.world.placer.run)
+        await curio.sleep(0.8)
+        await running.cancel()
+
     async def _repaired(self) -> float:
         world = self.world
         running = await curio.spawn(world.placer.run)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -34,6 +34,12 @@
     test: str
 
 
+_DRAWN_FAULTS = (
+    'tests.unit.test_grouping_faults.GroupingFaultsTest'
+    '.test_never_two_and_never_in_part'
+)
+_WHOLE_ANSWERS = 'tests.unit.test_forwarding.WholeAnswerTest'
+
 MUTATIONS = (
     Mutation(
         'claims-not-made',
@@ -118,6 +124,56 @@
         'tests.functional.test_leaving.LeavingTest'
         '.test_rolling_restart_of_all_nodes',
     ),
+    Mutation(
+        'members-freed-at-once',
+        'grouping/_ending.py',
+        'head = self._fleet.known(self.record.head)\n        if self._member',
+        "return 'at once'\n        if self._member",
+        _DRAWN_FAULTS,
+    ),
+    Mutation(
+        'members-not-waited-for',
+        'grouping/_forming.py',
+        'and not self._is_bound_elsewhere(name)',
+        'and bool(name)',
+        _DRAWN_FAULTS,
+    ),
+    Mutation(
+        'heads-opened-before-all-are-ready',
+        'grouping/_forming.py',
+        'return all(self._phase(name) in phases',
+        'return any(self._phase(name) in phases',
+        'tests.unit.test_grouping.GroupingTest'
+        '.test_no_head_opens_before_all_are_ready',
+    ),
+    Mutation(
+        'unknown-outcomes-are-sent-again',
+        'forwarding/_attempts.py',
+        'if not call.may_repeat and not is_not_run:',
+        'if call is None:',
+        f'{_WHOLE_ANSWERS}.test_unknown_outcome_is_not_repeated',
+    ),
+    Mutation(
+        'foreign-answers-are-taken',
+        'forwarding/_sender.py',
+        'if not named or named == call.request_id:',
+        'if call:',
+        f'{_WHOLE_ANSWERS}.test_a_foreign_answer_is_dropped',
+    ),
+    Mutation(
+        'unsigned-answers-are-taken',
+        'forwarding/_sender.py',
+        'if head.is_success and not facts.is_genuine:',
+        'if head is None:',
+        f'{_WHOLE_ANSWERS}.test_an_unsigned_answer_is_none',
+    ),
+    Mutation(
+        'half-events-are-passed-on',
+        'forwarding/_events.py',
+        'self._rest = held[end:]\n        whole = held[:end]',
+        "self._rest = b''\n        whole = held",
+        'tests.unit.test_forwarding.StreamTest.test_moves_between_events',
+    ),
 )
 
 
