Let a refused client read why before the connection closes

Cause: a server that refuses a request before all of it has come closed with bytes unread, which resets the connection, so that the client could lose the refusal.

--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -27,6 +27,8 @@
 _READ_BYTES = 65536
 _BACKLOG = 512
 _ACCEPT_AGAIN_SECONDS = 0.05
+# Some round trips; a client that goes on sending for longer is cut off.
+_LINGER_SECONDS = 1.0
 _STATUS_BAD_REQUEST = 400
 _STATUS_TIMEOUT = 408
 _STATUS_TOO_LARGE = 413
@@ -248,6 +250,7 @@
                 request = await self._receive(sock, connection)
             except BadMessageError as error:
                 await _refuse(responder, error)
+                await _let_client_read(sock)
                 return
             if request is None:
                 return
@@ -386,6 +389,25 @@
     )
 
 
+async def _let_client_read(sock: curio.io.Socket) -> None:
+    """Take what a refused client still sends, for a short while.
+
+    Closing with bytes unread resets the connection, and the client might
+    lose the refusal before it has read it.
+    """
+    try:
+        await sock.shutdown(socket.SHUT_WR)
+        await curio.timeout_after(_LINGER_SECONDS, _discard, sock)
+    except TaskTimeout:
+        _LOG.debug('a refused client goes on sending')
+
+
+async def _discard(sock: curio.io.Socket) -> None:
+    received = await sock.recv(_READ_BYTES)
+    while received:
+        received = await sock.recv(_READ_BYTES)
+
+
 async def _refuse(responder: Responder, error: BadMessageError) -> None:
     answer = json_response(
         error.status,
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -1,5 +1,6 @@
 """Both sides of HTTP over real sockets."""
 
+import itertools
 import socket
 import unittest
 from collections.abc import Sequence
@@ -79,6 +80,15 @@
         self.assertIn(b' 408 ', answer.partition(b'\r\n')[0])
         self.assertEqual(self.handled, [])
 
+    def test_goes_on_sending_after_a_refusal(self) -> None:
+        """Who is refused early can still read why."""
+        head = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 900000\r\n\r\n'
+        answer = curio.run(
+            self._talk, [head, *itertools.repeat(b'x' * 9000, 12)]
+        )
+        self.assertIn(b' 413 ', answer.partition(b'\r\n')[0])
+        self.assertEqual(self.handled, [])
+
     def test_half_sent(self) -> None:
         """A body that ends too early reaches no handler."""
         sent = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nab'
