--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -180,13 +180,14 @@
             return True
         if not self._settling.may_load(new.fabric_domain):
             return False
-        return self._stager.may_load(engine, new.cold_members, self._loading())
+        staging = self._stager.staging(self._fleet.instances)
+        loading = self._joining() + staging
+        return self._stager.may_load(engine, new.cold_members, loading)
 
-    def _loading(self) -> int:
-        """Return how many loads from the weight store are under way.
+    def _joining(self) -> int:
+        """Return how many members are loading from the weight store.
 
-        Those of members follow from all placers' records and the list;
-        stagings are known where they were ordered only.
+        That follows from all placers' records and the list.
         """
         members = [
             (record.model, self._fleet.instances.get(name))
@@ -194,11 +195,10 @@
             if record.state is RecordState.SERVING
             for name in record.members
         ]
-        joining = sum(
+        return sum(
             member is not None and model not in member.staged
             for model, member in members
         )
-        return joining + self._stager.staging(self._fleet.instances)
 
     def _note_outdated(self, record: ReplicaRecord, why: str) -> None:
         self._outdated[record.name] = why
@@ -236,8 +236,10 @@
         for new in wanted_first:
             if self._may_form(engine, new):
                 await self._book.write([self._book.new_record(new)])
+        # Those that have ended make room before more begin.
+        self._stager.staging(self._fleet.instances)
         for staging in wanted.stagings:
-            await self._stager.stage(engine, staging, self._loading())
+            await self._stager.stage(engine, staging, self._joining())
 
     def _plan(
         self,
--- a/src/cranecart/grouping/_stager.py
+++ b/src/cranecart/grouping/_stager.py
@@ -17,8 +17,6 @@
 # Longer than a load takes while the weight store is busy, so that the same
 # instance is not asked again meanwhile.
 _STAGE_AGAIN_SECONDS = 25.0
-# Loads that are left to replicas that wait for them, while spares are staged.
-_STAGING_RESERVE = 2
 
 
 @attrs.define
@@ -54,7 +52,6 @@
         engine: EngineProfile,
         count: int,
         loading: int,
-        reserve: int = 0,
     ) -> bool:
         """Take some loads from the budget; they are free before traffic.
 
@@ -63,7 +60,7 @@
         """
         if not count or not self._has_traffic():
             return True
-        if loading and loading + count > engine.loads_at_once - reserve:
+        if loading and loading + count > engine.loads_at_once:
             return False
         return self._loads.take(count, engine.loads_per_second, self._placers)
 
@@ -71,14 +68,20 @@
         self,
         engine: EngineProfile,
         staging: Staging,
-        loading: int,
+        joining: int,
     ) -> None:
-        """Order a staging, unless it was ordered or the budget is spent."""
+        """Order a staging, unless it was ordered or the budget is spent.
+
+        Stagings take what ``joining`` members leave of the store's pace. As
+        placers do not see each other's, each takes its part of that.
+        """
         instance = staging.instance
         last = self._staged_at.get(instance.id, float('-inf'))
         if self._clock() - last < _STAGE_AGAIN_SECONDS:
             return
-        if not self.may_load(engine, 1, loading, _STAGING_RESERVE):
+        left = max(0, engine.loads_at_once - joining) // self._placers
+        is_full = self._has_traffic() and len(self._orders_out) >= left
+        if is_full or not self.may_load(engine, 1, 0):
             return
         self._orders_out[instance.id] = (self._clock(), staging.model)
         self._staged_at[instance.id] = self._clock()
--- a/tests/unit/test_plan_groups.py
+++ b/tests/unit/test_plan_groups.py
@@ -3,14 +3,19 @@
 import unittest
 
 import attrs
+import curio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranecart.grouping._plan import Plan, Supply, plan
+from cranecart.duties import Lease
+from cranecart.fleet import Fleet
+from cranecart.grouping._plan import Plan, Staging, Supply, plan
 from cranecart.grouping._stager import Stager
 from cranecart.http import Address
+from cranecart.models import EngineProfile
 from cranecart.ports import ListedInstance
-from tests.lib.fake_engines import BIG, PROFILE, SMALL, listed
+from tests.lib.fake_engines import BIG, PROFILE, SMALL, FakeEngines, listed
+from tests.lib.fake_platform import FakePlatform
 
 _ADDRESS = Address('127.0.0.1', 1)
 
@@ -94,3 +99,34 @@
         """Nothing is counted then."""
         stager = attrs.evolve(self.stager, has_traffic=bool)
         self.assertTrue(stager.may_load(self.engine, 30, 30))
+
+
+class StagingTest(unittest.TestCase):
+    """How many spares are staged beside members that load."""
+
+    def test_each_placer_takes_its_part(self) -> None:
+        """Three placers together keep to what members leave of the pace."""
+        self.assertEqual(self._staged(joining=0), 2)
+        self.assertEqual(self._staged(joining=2), 1)
+        self.assertEqual(self._staged(joining=5), 0)
+
+    def _staged(self, joining: int) -> int:
+        assert PROFILE.engine is not None
+        engine = attrs.evolve(PROFILE.engine, loads_at_once=6)
+        engines = FakeEngines(Fleet(), 1)
+        placers = 3
+        lease = Lease('d/placer', 'n', FakePlatform())
+        stager = Stager(lease, engines, placers, lambda: True)
+        curio.run(self._stage_all, stager, engine, joining)
+        return len(engines.orders)
+
+    async def _stage_all(
+        self,
+        stager: Stager,
+        engine: EngineProfile,
+        joining: int,
+    ) -> None:
+        for number in range(5):
+            staging = Staging(_host(f'i{number}'), BIG.name)
+            await stager.stage(engine, staging, joining)
+        await curio.sleep(0.01)
