--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -178,27 +178,9 @@
     def _may_form(self, engine: EngineProfile, new: NewReplica) -> bool:
         if not new.cold_members or not self._view.has_traffic():
             return True
-        if not self._settling.may_load(new.fabric_domain):
-            return False
-        staging = self._stager.staging(self._fleet.instances)
-        loading = self._joining() + staging
-        return self._stager.may_load(engine, new.cold_members, loading)
-
-    def _joining(self) -> int:
-        """Return how many members are loading from the weight store.
-
-        That follows from all placers' records and the list.
-        """
-        members = [
-            (record.model, self._fleet.instances.get(name))
-            for record in self._fleet.records.values()
-            if record.state is RecordState.SERVING
-            for name in record.members
-        ]
-        return sum(
-            member is not None and model not in member.staged
-            for model, member in members
-        )
+        return self._settling.may_load(
+            new.fabric_domain,
+        ) and self._stager.may_load(engine, new.cold_members)
 
     def _note_outdated(self, record: ReplicaRecord, why: str) -> None:
         self._outdated[record.name] = why
@@ -229,17 +211,15 @@
         if engine is None or not free:
             return
         wanted = self._plan(profile, free)
-        wanted_first = sorted(
-            wanted.replicas,
-            key=lambda new: new.cold_members,
-        )
-        for new in wanted_first:
-            if self._may_form(engine, new):
-                await self._book.write([self._book.new_record(new)])
-        # Those that have ended make room before more begin.
-        self._stager.staging(self._fleet.instances)
+        records = [
+            self._book.new_record(new)
+            for new in wanted.replicas
+            if self._may_form(engine, new)
+        ]
+        if records:
+            await self._book.write(records)
         for staging in wanted.stagings:
-            await self._stager.stage(engine, staging, self._joining())
+            await self._stager.stage(engine, staging)
 
     def _plan(
         self,
--- a/src/cranecart/grouping/_stager.py
+++ b/src/cranecart/grouping/_stager.py
@@ -1,7 +1,7 @@
 """Bring models to unused instances, and bound all loads."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import attrs
 import curio
@@ -12,7 +12,7 @@
 from cranecart.grouping._plan import Staging
 from cranecart.logs import decision
 from cranecart.models import EngineProfile
-from cranecart.ports import ListedInstance, Orders
+from cranecart.ports import Orders
 
 # Longer than a load takes while the weight store is busy, so that the same
 # instance is not asked again meanwhile.
@@ -30,60 +30,21 @@
     _clock: Callable[[], float] = time.monotonic
     _loads: LoadBudget = attrs.field(factory=LoadBudget, init=False)
     _staged_at: dict[str, float] = attrs.field(factory=dict, init=False)
-    _orders_out: dict[str, tuple[float, str]] = attrs.field(
-        factory=dict,
-        init=False,
-    )
 
-    def staging(self, instances: Mapping[str, ListedInstance]) -> int:
-        """Return how many stagings are still under way."""
-        now = self._clock()
-        self._orders_out = {
-            name: (at, model)
-            for name, (at, model) in self._orders_out.items()
-            if now - at < _STAGE_AGAIN_SECONDS
-            and name in instances
-            and model not in instances[name].staged
-        }
-        return len(self._orders_out)
-
-    def may_load(
-        self,
-        engine: EngineProfile,
-        count: int,
-        loading: int,
-    ) -> bool:
-        """Take some loads from the budget; they are free before traffic.
-
-        ``loading`` is how many are under way; so many run at once that none
-        slows another, but for one replica that needs more than that.
-        """
+    def may_load(self, engine: EngineProfile, count: int) -> bool:
+        """Take some loads from the budget; they are free before traffic."""
         if not count or not self._has_traffic():
             return True
-        if loading and loading + count > engine.loads_at_once:
-            return False
         return self._loads.take(count, engine.loads_per_second, self._placers)
 
-    async def stage(
-        self,
-        engine: EngineProfile,
-        staging: Staging,
-        joining: int,
-    ) -> None:
-        """Order a staging, unless it was ordered or the budget is spent.
-
-        Stagings take what ``joining`` members leave of the store's pace. As
-        placers do not see each other's, each takes its part of that.
-        """
+    async def stage(self, engine: EngineProfile, staging: Staging) -> None:
+        """Order a staging, unless it was ordered or the budget is spent."""
         instance = staging.instance
         last = self._staged_at.get(instance.id, float('-inf'))
         if self._clock() - last < _STAGE_AGAIN_SECONDS:
             return
-        left = max(0, engine.loads_at_once - joining) // self._placers
-        is_full = self._has_traffic() and len(self._orders_out) >= left
-        if is_full or not self.may_load(engine, 1, 0):
+        if not self.may_load(engine, 1):
             return
-        self._orders_out[instance.id] = (self._clock(), staging.model)
         self._staged_at[instance.id] = self._clock()
         decision('staging', instance=instance.id, model=staging.model)
         await curio.spawn(self._order, staging, daemon=True)
