--- a/tests/functional/test_configuration.py
+++ b/tests/functional/test_configuration.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import attrs
@@ -92,6 +92,11 @@
             'version 3 is in force without the platform',
         )
         self.cluster.control.set_platform_faults()
+        # Beside load a started node may need longer than the watch below.
+        wait_until(
+            lambda: self._watch(seen) == {3} and _all_have_held(seen, 3),
+            'version 3 was in force on every node',
+        )
         for _ in range(20):
             self._watch(seen)
             time.sleep(0.1)
@@ -175,3 +180,7 @@
         except CranecartError:
             return []
         return [status.config_version]
+
+
+def _all_have_held(seen: Mapping[str, Sequence[int]], version: int) -> bool:
+    return all(version in versions for versions in seen.values())
