--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -178,9 +178,27 @@
     def _may_form(self, engine: EngineProfile, new: NewReplica) -> bool:
         if not new.cold_members or not self._view.has_traffic():
             return True
-        return self._settling.may_load(
-            new.fabric_domain,
-        ) and self._stager.may_load(engine, new.cold_members)
+        if not self._settling.may_load(new.fabric_domain):
+            return False
+        return self._stager.may_load(engine, new.cold_members, self._loading())
+
+    def _loading(self) -> int:
+        """Return how many loads from the weight store are under way.
+
+        Those of members follow from all placers' records and the list;
+        stagings are known where they were ordered only.
+        """
+        members = [
+            (record.model, self._fleet.instances.get(name))
+            for record in self._fleet.records.values()
+            if record.state is RecordState.SERVING
+            for name in record.members
+        ]
+        joining = sum(
+            member is not None and model not in member.staged
+            for model, member in members
+        )
+        return joining + self._stager.staging(self._fleet.instances)
 
     def _note_outdated(self, record: ReplicaRecord, why: str) -> None:
         self._outdated[record.name] = why
@@ -211,15 +229,15 @@
         if engine is None or not free:
             return
         wanted = self._plan(profile, free)
-        records = [
-            self._book.new_record(new)
-            for new in wanted.replicas
-            if self._may_form(engine, new)
-        ]
-        if records:
-            await self._book.write(records)
+        wanted_first = sorted(
+            wanted.replicas,
+            key=lambda new: new.cold_members,
+        )
+        for new in wanted_first:
+            if self._may_form(engine, new):
+                await self._book.write([self._book.new_record(new)])
         for staging in wanted.stagings:
-            await self._stager.stage(engine, staging)
+            await self._stager.stage(engine, staging, self._loading())
 
     def _plan(
         self,
--- a/src/cranecart/grouping/_plan.py
+++ b/src/cranecart/grouping/_plan.py
@@ -8,10 +8,6 @@
 from cranecart.models import EngineModel, ServiceProfile
 from cranecart.ports import ListedInstance
 
-# A model that needs replicas this much more than another gets the next one
-# even where its members must load from the weight store first.
-_COLD_PENALTY = 2.5
-
 
 @attrs.frozen
 class NewReplica:
@@ -111,9 +107,9 @@
 ) -> tuple[float, int]:
     demand = supply.demand.get(new.model, 1.0)
     need = demand / (present.get(new.model, 0) + 0.5)
-    if new.cold_members:
-        need /= _COLD_PENALTY
-    return need, len(new.members)
+    # The weight store serves a few loads at a time, so that a replica costs
+    # others as much as it has members to load.
+    return need / (1 + new.cold_members), len(new.members)
 
 
 def _choose_members(
--- a/src/cranecart/grouping/_stager.py
+++ b/src/cranecart/grouping/_stager.py
@@ -1,7 +1,7 @@
 """Bring models to unused instances, and bound all loads."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import curio
@@ -12,11 +12,13 @@
 from cranecart.grouping._plan import Staging
 from cranecart.logs import decision
 from cranecart.models import EngineProfile
-from cranecart.ports import Orders
+from cranecart.ports import ListedInstance, Orders
 
 # Longer than a load takes while the weight store is busy, so that the same
 # instance is not asked again meanwhile.
 _STAGE_AGAIN_SECONDS = 25.0
+# Loads that are left to replicas that wait for them, while spares are staged.
+_STAGING_RESERVE = 2
 
 
 @attrs.define
@@ -30,21 +32,55 @@
     _clock: Callable[[], float] = time.monotonic
     _loads: LoadBudget = attrs.field(factory=LoadBudget, init=False)
     _staged_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _orders_out: dict[str, tuple[float, str]] = attrs.field(
+        factory=dict,
+        init=False,
+    )
 
-    def may_load(self, engine: EngineProfile, count: int) -> bool:
-        """Take some loads from the budget; they are free before traffic."""
+    def staging(self, instances: Mapping[str, ListedInstance]) -> int:
+        """Return how many stagings are still under way."""
+        now = self._clock()
+        self._orders_out = {
+            name: (at, model)
+            for name, (at, model) in self._orders_out.items()
+            if now - at < _STAGE_AGAIN_SECONDS
+            and name in instances
+            and model not in instances[name].staged
+        }
+        return len(self._orders_out)
+
+    def may_load(
+        self,
+        engine: EngineProfile,
+        count: int,
+        loading: int,
+        reserve: int = 0,
+    ) -> bool:
+        """Take some loads from the budget; they are free before traffic.
+
+        ``loading`` is how many are under way; so many run at once that none
+        slows another, but for one replica that needs more than that.
+        """
         if not count or not self._has_traffic():
             return True
+        if loading and loading + count > engine.loads_at_once - reserve:
+            return False
         return self._loads.take(count, engine.loads_per_second, self._placers)
 
-    async def stage(self, engine: EngineProfile, staging: Staging) -> None:
+    async def stage(
+        self,
+        engine: EngineProfile,
+        staging: Staging,
+        loading: int,
+    ) -> None:
         """Order a staging, unless it was ordered or the budget is spent."""
         instance = staging.instance
         last = self._staged_at.get(instance.id, float('-inf'))
         if self._clock() - last < _STAGE_AGAIN_SECONDS:
             return
-        if not self.may_load(engine, 1):
+        if not self.may_load(engine, 1, loading, _STAGING_RESERVE):
             return
+        self._orders_out[instance.id] = (self._clock(), staging.model)
         self._staged_at[instance.id] = self._clock()
         decision('staging', instance=instance.id, model=staging.model)
         await curio.spawn(self._order, staging, daemon=True)
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -64,7 +64,8 @@
     """What is known of a service's engines; times in seconds.
 
     ``slots`` is how many requests a replica runs at once,
-    ``staged_models`` how many models an instance keeps on its host.
+    ``staged_models`` how many models an instance keeps on its host. More
+    than ``loads_at_once`` loads from the weight store slow each other down.
     """
 
     models: tuple[EngineModel, ...]
@@ -72,6 +73,7 @@
     open_seconds: float
     loads_per_second: float
     staged_models: int
+    loads_at_once: int = 1
 
     def model(self, name: str) -> EngineModel | None:
         """Return a model by name."""
--- a/src/cranecart/platform/_declared.py
+++ b/src/cranecart/platform/_declared.py
@@ -110,6 +110,7 @@
             runtime.form_ms / _MILLISECONDS,
             runtime.loads_per_s,
             runtime.cached_prefixes,
+            runtime.loads_at_once,
         ),
     )
 
--- a/src/cranecart/platform/_wire_config.py
+++ b/src/cranecart/platform/_wire_config.py
@@ -51,6 +51,8 @@
     form_ms: float = 0
     cached_prefixes: int = 1
     loads_per_s: float = 1
+    # On the wire this one is not in camel case.
+    loads_at_once: int = msgspec.field(default=1, name='loads_at_once')
 
 
 class WireService(msgspec.Struct):
