--- a/tools/play.py
+++ b/tools/play.py
@@ -93,8 +93,8 @@
 
 
 if __name__ == '__main__':
-    flags.DEFINE_string('bench', '', "the users' bench program")
-    flags.DEFINE_string('site', '', 'a site file')
+    flags.DEFINE_string('bench', None, "the users' bench program")
+    flags.DEFINE_string('site', None, 'a site file')
     flags.DEFINE_string('why', 'a list of days', 'a line for the journal')
     flags.DEFINE_integer('seed', 0, 'another seed than the days have')
     flags.mark_flags_as_required(['bench', 'site'])
