--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -1,7 +1,6 @@
 """The instances, the replicas recorded, and which of them serve."""
 
-import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -46,7 +45,6 @@
     or only cut off from the platform, and its replica may still work.
     """
 
-    _clock: Callable[[], float] = time.monotonic
     instances: dict[str, ListedInstance] = attrs.field(
         factory=dict,
         init=False,
--- a/src/cranecart/forwarding/__init__.py
+++ b/src/cranecart/forwarding/__init__.py
@@ -1,7 +1,14 @@
 """Pass clients' requests on to targets by the routes in force."""
 
+from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnections
 from cranecart.forwarding._gateway import RoutedGateway
 from cranecart.forwarding._sender import Evidence, Sender
 
-__all__ = ('Evidence', 'RoutedGateway', 'Sender', 'TargetConnections')
+__all__ = (
+    'Evidence',
+    'RoutedCall',
+    'RoutedGateway',
+    'Sender',
+    'TargetConnections',
+)
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -41,6 +41,7 @@
     _random: random.Random
     _observe: Observer
     _success_share: Callable[[], float]
+    _admitted: Callable[[RoutedCall], None]
     _gaps: GapMeter = attrs.field(factory=GapMeter, init=False)
     inside: int = attrs.field(default=0, init=False)
     taken: int = attrs.field(default=0, init=False)
@@ -79,6 +80,7 @@
             trace.request_id = facts.request_id
             config = self._current()
             call = admit(request, facts, config, self._random, trace)
+            self._admitted(call)
             _tell_admitted(call)
             await self._forward(call, responder)
         except RequestError as error:
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -8,7 +8,12 @@
 
 from cranecart.config import LiveSettings
 from cranecart.fleet import Fleet, ReplicaRecord
-from cranecart.forwarding import RoutedGateway, Sender, TargetConnections
+from cranecart.forwarding import (
+    RoutedCall,
+    RoutedGateway,
+    Sender,
+    TargetConnections,
+)
 from cranecart.grouping import DemandMeter, GroupPlacer, PlacerView
 from cranecart.http import (
     Address,
@@ -182,15 +187,15 @@
             self._random,
             self._metrics.observe_request,
             lambda: self._live.current.log_successes,
+            self._note_demand,
         )
 
     async def _serve(self, request: Request, responder: Responder) -> None:
         self._mesh.own.requests += 1
-        self._note_demand(request)
         await self._gateway.handle(request, responder)
 
-    def _note_demand(self, request: Request) -> None:
-        facts = self._surroundings.form.read_request(request)
+    def _note_demand(self, call: RoutedCall) -> None:
+        facts = call.facts
         if not facts.model:
             return
         work = (
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -278,6 +278,7 @@
             source,
             lambda _outcome, _seconds: None,
             float,
+            lambda _call: None,
         )
         self.server = HttpServer(Address('127.0.0.1', 0), self.gateway.handle)
 
