--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,5 +7,8 @@
         --no-deps --target target/deps -r deploy/requirements.txt
     touch target/deps/.ready
 fi
-rm -rf target/deps/cranecart
-cp -R src/cranecart target/deps/cranecart
+# Left alone where nothing changed, as days that are played may be using it.
+if ! diff -qr -x __pycache__ src/cranecart target/deps/cranecart >/dev/null; then
+    rm -rf target/deps/cranecart
+    cp -R src/cranecart target/deps/cranecart
+fi
--- a/tools/play.py
+++ b/tools/play.py
@@ -1,13 +1,17 @@
 """Play days on the users' bench and print one table of what broke.
 
-Usage: python -m tools.play --bench=PROGRAM --site=FILE [--seed=N] DAY...
-A day is a name of the site, 'mix', or a TOML file as in bench/days/.
+Usage: python -m tools.play --bench=PROGRAM --site=FILE [--seeds=N,...] DAY...
+A day is a name of the site, 'mix', or a TOML file as in bench/days/. Luck
+differs from play to play, so that a change is judged by several seeds.
 """
 
+import itertools
 import re
+import statistics
 import subprocess
 import sys
 from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 from absl import app, flags
@@ -38,17 +42,19 @@
 
 def main(arguments: Sequence[str]) -> int:
     """Play each day and print its row; return whether all kept the rules."""
-    broken = 0
-    _say(f'{"day":28} worth served refused failed exits rules')
-    for day in arguments[1:]:
-        played = read_report(day, _play(day))
-        broken += bool(played.rules)
-        _say(
-            f'{played.day:28} {played.worth:>5} {played.served:>6} '
-            f'{played.refused:>7} {played.failed:>6} {played.exits:>5} '
-            f'{played.rules}',
-        )
-    return int(bool(broken))
+    seeds = _FLAGS.seeds or ['']
+    plays = list(itertools.product(arguments[1:], seeds))
+    # The first call of the bench builds, and builds must not overlap.
+    subprocess.run([_FLAGS.bench, 'build'], capture_output=True, check=True)
+    _say(f'{"day":28} {"seed":>6} worth served refused failed exits rules')
+    played = []
+    with ThreadPoolExecutor(_FLAGS.jobs) as pool:
+        reports = pool.map(_play, *zip(*plays, strict=True))
+        for (day, seed), report in zip(plays, reports, strict=True):
+            played.append(read_report(day, report))
+            _say_row(played[-1], seed)
+    _say_mean(played)
+    return int(any(one.rules for one in played))
 
 
 def read_report(day: str, report: str) -> Played:
@@ -73,10 +79,10 @@
     return (match for match in matches if match is not None)
 
 
-def _play(day: str) -> str:
+def _play(day: str, seed: str) -> str:
     command = [_FLAGS.bench, 'run', _FLAGS.site, day, '--why', _FLAGS.why]
-    if _FLAGS.seed:
-        command.extend(('--seed', str(_FLAGS.seed)))
+    if seed:
+        command.extend(('--seed', seed))
     played = subprocess.run(
         command,
         capture_output=True,
@@ -87,6 +93,20 @@
     return played.stdout
 
 
+def _say_row(played: Played, seed: str) -> None:
+    _say(
+        f'{played.day:28} {seed:>6} {played.worth:>5} {played.served:>6} '
+        f'{played.refused:>7} {played.failed:>6} {played.exits:>5} '
+        f'{played.rules}',
+    )
+
+
+def _say_mean(played: Sequence[Played]) -> None:
+    worth = [float(one.worth) for one in played if one.worth]
+    if worth:
+        _say(f'mean worth of {len(worth)} plays: {statistics.mean(worth):.3f}')
+
+
 def _say(text: str) -> None:
     sys.stdout.write(f'{text}\n')
     sys.stdout.flush()
@@ -96,6 +116,7 @@
     flags.DEFINE_string('bench', None, "the users' bench program")
     flags.DEFINE_string('site', None, 'a site file')
     flags.DEFINE_string('why', 'a list of days', 'a line for the journal')
-    flags.DEFINE_integer('seed', 0, 'another seed than the days have')
+    flags.DEFINE_list('seeds', [], 'other seeds than the days have')
+    flags.DEFINE_integer('jobs', 4, 'how many days to play at once', 1, 8)
     flags.mark_flags_as_required(['bench', 'site'])
     app.run(main)
