Keep a second model on every instance; give models replicas by measured work

An instance joins a replica of its last model in 0.2 s and of the one on its host in 1.1 to 1.6 s, and these may differ. Change: what an instance has on its host is made another model than the loaded one. As this leaves the choice between models to the plan, the plan now weighs measured work (events and prompts, by the engines' pace, of all nodes), counts no replica that must load first, charges for switching, waits for instances that come together, and closes a replica where another model lacks 1.6 times as much.

--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -72,7 +72,7 @@
             decision('instance_lapsed', instance=name)
         for name, item in items.items():
             if item is not None:
-                self.instances[name] = item
+                self.instances[name] = self._with_memory(name, item)
                 self.lapsed.pop(name, None)
         self._heads = None
 
@@ -132,6 +132,12 @@
         """Return an instance, also one whose entry has gone lately."""
         return self.instances.get(name) or self.lapsed.get(name)
 
+    def is_open(self, record: ReplicaRecord) -> bool:
+        """Tell whether the list shows a replica's head open."""
+        head = self.known(record.head)
+        phase = head and head.phase_in(record.name, record.epoch)
+        return phase is MemberPhase.OPEN
+
     def heads(self, service: str, model: str) -> tuple[ServingHead, ...]:
         """Return the whole replicas of a model that take requests."""
         if self._heads is None:
@@ -152,6 +158,21 @@
             self._heads = self._assemble()
         return [head for heads in self._heads.values() for head in heads]
 
+    def _with_memory(
+        self,
+        name: str,
+        item: ListedInstance,
+    ) -> ListedInstance:
+        """Keep the model of an instance's last membership in mind.
+
+        One that has left its replica lists none, but joins another of the
+        same model as quickly as before.
+        """
+        known = self.known(name)
+        if known is None or item.loaded:
+            return item
+        return attrs.evolve(item, loaded=known.loaded)
+
     def _drop(self, key: str) -> None:
         self.records.pop(key, None)
         # A name is never used again, so what comes late of it is old.
--- a/src/cranecart/fleet/_records.py
+++ b/src/cranecart/fleet/_records.py
@@ -27,7 +27,8 @@
     """One forming of a replica; the first member is its head.
 
     ``epoch`` rises with every forming in a failure domain and orders late
-    orders of earlier formings out. ``version`` is that of the record's row.
+    orders of earlier formings out. ``loads`` is how many members must load
+    from the weight store. ``version`` is that of the record's row.
     """
 
     name: str
@@ -39,6 +40,7 @@
     members: tuple[str, ...]
     state: RecordState = RecordState.SERVING
     reason: str = ''
+    loads: int = 0
     version: int = 0
 
     @property
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -42,6 +42,8 @@
     _observe: Observer
     _success_share: Callable[[], float]
     _admitted: Callable[[RoutedCall], None]
+    # Told of each stream that ended well, and how many events it had.
+    _streamed: Callable[[RoutedCall, int], None]
     _gaps: GapMeter = attrs.field(factory=GapMeter, init=False)
     inside: int = attrs.field(default=0, init=False)
     taken: int = attrs.field(default=0, init=False)
@@ -112,7 +114,9 @@
             )
             await attempts.run(stream.attempt)
             response = stream.response
-            _tell_stream(call, attempts, stream)
+            if response is None:
+                self._streamed(call, stream.cutter.events)
+                _tell_stream(call, attempts, stream)
         else:
             whole = WholeExchange(self._sender, attempts)
             await _run_whole(attempts, whole)
@@ -184,8 +188,6 @@
     attempts: RoutedAttempts,
     stream: StreamExchange,
 ) -> None:
-    if stream.response is not None:
-        return
     timing = stream.timing
     call.trace.add(
         'streamed',
--- a/src/cranecart/grouping/__init__.py
+++ b/src/cranecart/grouping/__init__.py
@@ -1,6 +1,7 @@
 """Form whole replicas from instances, repair them, and end them."""
 
 from cranecart.grouping._demand import DemandMeter
-from cranecart.grouping._placer import GroupPlacer, PlacerPlace, PlacerView
+from cranecart.grouping._placer import GroupPlacer
+from cranecart.grouping._view import PlacerPlace, PlacerView
 
 __all__ = ('DemandMeter', 'GroupPlacer', 'PlacerPlace', 'PlacerView')
--- a/src/cranecart/grouping/_book.py
+++ b/src/cranecart/grouping/_book.py
@@ -7,7 +7,7 @@
 from cranecart.duties import Lease
 from cranecart.exceptions import WriteUnknownError
 from cranecart.fleet import Fleet, ReplicaRecord, record_from_row
-from cranecart.grouping._plan import NewReplica
+from cranecart.grouping._supply import NewReplica
 from cranecart.logs import decision
 from cranecart.ports import Put, Table, Transaction
 
@@ -71,7 +71,7 @@
         )
         self._fleet.drop_record(record.key)
 
-    def new_record(self, new: NewReplica) -> ReplicaRecord:
+    def new_record(self, new: NewReplica, loads: int) -> ReplicaRecord:
         """Return the record of a replica to form, under a new epoch.
 
         The epoch is above every one that this placer or an earlier one has
@@ -87,6 +87,7 @@
             new.fabric_domain,
             tuple(member.id for member in new.members),
             reason=f'{new.cold_members} members must load',
+            loads=loads,
         )
 
     def _log(self, record: ReplicaRecord, version: int) -> None:
--- a/src/cranecart/grouping/_demand.py
+++ b/src/cranecart/grouping/_demand.py
@@ -6,34 +6,62 @@
 
 import attrs
 
-# Long against single requests, short against the minutes in which traffic
-# moves from one model to another.
-_FADE_SECONDS = 8.0
+# Some hundred requests of a node on the users' sheets, so that chance moves
+# the figure by a tenth, and short against the minutes in which traffic moves
+# from one model to another.
+_FADE_SECONDS = 20.0
+# Where hardly any request of a model was served, one of this work is assumed.
+_ASSUMED_SECONDS = 1.0
+
+
+@attrs.define
+class _ModelDemand:
+    came: float = 0
+    ended: float = 0
+    work: float = 0
+
+    def fade(self, factor: float) -> None:
+        self.came *= factor
+        self.ended *= factor
+        self.work *= factor
+
+    def total(self) -> float:
+        mean = (self.work + _ASSUMED_SECONDS) / (self.ended + 1)
+        return mean * self.came
 
 
 @attrs.define
 class DemandMeter:
-    """Sums of work by model; what is old counts less and less."""
+    """The requests that came for each model, times what one of them takes.
+
+    Requests that were refused count as well: they are what is not served yet.
+    """
 
     _clock: Callable[[], float] = time.monotonic
-    _sums: dict[str, float] = attrs.field(factory=dict, init=False)
+    _models: dict[str, _ModelDemand] = attrs.field(factory=dict, init=False)
     _at: float | None = attrs.field(default=None, init=False)
 
-    def note(self, model: str, work: float) -> None:
-        """Count a request's work, in any one unit."""
+    def note_request(self, model: str) -> None:
+        """Count a request that came in."""
+        self._fade()
+        self._models.setdefault(model, _ModelDemand()).came += 1
+
+    def note_work(self, model: str, seconds: float) -> None:
+        """Count the work of one that was served, as an engine's seconds."""
         self._fade()
-        self._sums[model] = self._sums.get(model, 0) + work
+        demand = self._models.setdefault(model, _ModelDemand())
+        demand.ended += 1
+        demand.work += seconds
 
     def by_model(self) -> Mapping[str, float]:
-        """Return the present sums."""
+        """Return the work that came lately, in seconds of an engine's slot."""
         self._fade()
-        return dict(self._sums)
+        return {name: one.total() for name, one in self._models.items()}
 
     def _fade(self) -> None:
         now = self._clock()
         if self._at is not None:
             factor = math.exp((self._at - now) / _FADE_SECONDS)
-            self._sums = {
-                model: work * factor for model, work in self._sums.items()
-            }
+            for demand in self._models.values():
+                demand.fade(factor)
         self._at = now
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -1,10 +1,7 @@
 """Hold the placement duty of one failure domain, and act on it."""
 
 import time
-from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
 
-import attrs
 import curio
 
 from cranecart.duties import Lease
@@ -16,14 +13,15 @@
 from cranecart.grouping._forming import Forming
 from cranecart.grouping._judge import Verdict, judge
 from cranecart.grouping._losses import Losses
-from cranecart.grouping._plan import NewReplica, Plan, Supply, plan
-from cranecart.grouping._settling import Settling
+from cranecart.grouping._shaper import Shaper
 from cranecart.grouping._stager import Stager
+from cranecart.grouping._stock import Stock
 from cranecart.grouping._tasks import RecordTasks
+from cranecart.grouping._view import PlacerPlace, PlacerView
 from cranecart.grouping._warmer import Warmer
 from cranecart.logs import decision
-from cranecart.models import EngineProfile, RouteConfig, ServiceProfile
-from cranecart.ports import ListedInstance, Orders, Table
+from cranecart.models import RouteConfig
+from cranecart.ports import Orders, Table
 
 _TICK_SECONDS = 0.04
 # The lease is trusted for 2.5 seconds, so that one renewal may fail.
@@ -32,38 +30,6 @@
 _LOOK_SECONDS = 0.4
 
 
-@attrs.frozen
-class PlacerView:
-    """What a placer needs to know from the rest of its node.
-
-    ``hears_other`` tells whether another node says that it holds the duty,
-    ``is_informed`` whether list and records were read, ``has_traffic``
-    whether loads count, and ``demand`` weighs the models' requests.
-    ``tell_stopped`` tells all nodes of a replica that takes nothing more,
-    why, and whether it finishes what it has.
-    """
-
-    config: Callable[[], RouteConfig | None]
-    hears_other: Callable[[], bool]
-    is_informed: Callable[[], bool]
-    has_traffic: Callable[[], bool]
-    demand: Callable[[], Mapping[str, float]]
-    tell_stopped: Callable[[ReplicaRecord, str, bool], None]
-
-
-@attrs.frozen
-class PlacerPlace:
-    """The failure domain of a placer among how many, and its engines' stall.
-
-    ``stall_seconds`` is how long a head without a member stands still
-    before it is broken.
-    """
-
-    failure_domain: str
-    failure_domains: int
-    stall_seconds: float
-
-
 class GroupPlacer:
     """Forms, repairs and ends the replicas of one failure domain."""
 
@@ -83,13 +49,27 @@
         self._fleet = fleet
         self._view = view
         self._book = RecordBook(place.failure_domain, lease, table, fleet)
-        self._stager = Stager(
+        stager = Stager(
             lease,
             orders,
             place.failure_domains,
             view.has_traffic,
         )
-        self._warmer = Warmer(lease, orders)
+        stock = Stock(
+            place.failure_domain,
+            fleet,
+            self.losses,
+            stager,
+            view.demand,
+        )
+        self._shaper = Shaper(
+            fleet,
+            view,
+            self._book,
+            stock,
+            stager,
+            Warmer(lease, orders),
+        )
         self._duty = PlacerDuty(
             lease,
             orders,
@@ -101,7 +81,6 @@
         self._tasks = RecordTasks(fleet, self._make_task)
         self._outdated: dict[str, str] = {}
         self._renewed_at = float('-inf')
-        self._settling = Settling()
         self._stopped = False
         self._is_failing = False
 
@@ -145,9 +124,9 @@
         await self.losses.check(records)
         for record in records:
             await self._judge(record, config)
-        if self._is_settled():
+        if self._shaper.is_settled():
             for profile in config.services.values():
-                await self._place_service(profile)
+                await self._shaper.place(profile)
         await self._tasks.follow(self._book.records())
 
     def _may_act(self) -> bool:
@@ -173,35 +152,6 @@
             await self._book.read()
             self._is_failing = False
 
-    def _is_settled(self) -> bool:
-        self._settling.note(self._fleet.instances.values())
-        return self._view.has_traffic() or self._settling.is_whole()
-
-    def _may_form(self, engine: EngineProfile, new: NewReplica) -> bool:
-        if not new.cold_members or not self._view.has_traffic():
-            return True
-        if not self._settling.may_load(new.fabric_domain):
-            return False
-        return self._stager.may_load(engine, new.cold_members, self._loading())
-
-    def _loading(self) -> int:
-        """Return how many loads from the weight store are under way.
-
-        Those of members follow from all placers' records and the list;
-        stagings are known where they were ordered only.
-        """
-        members = [
-            (record.model, self._fleet.instances.get(name))
-            for record in self._fleet.records.values()
-            if record.state is RecordState.SERVING
-            for name in record.members
-        ]
-        joining = sum(
-            member is not None and model not in member.staged
-            for model, member in members
-        )
-        return joining + self._stager.staging(self._fleet.instances)
-
     def _note_outdated(self, record: ReplicaRecord, why: str) -> None:
         self._outdated[record.name] = why
 
@@ -216,82 +166,7 @@
         )
         if verdict is None or verdict.state is record.state:
             return
-        finishes = verdict.state is RecordState.CLOSING
-        self._view.tell_stopped(record, verdict.reason, finishes)
-        changed = attrs.evolve(
-            record,
-            state=verdict.state,
-            reason=verdict.reason,
-        )
-        await self._book.write([changed])
-
-    async def _place_service(self, profile: ServiceProfile) -> None:
-        engine = profile.engine
-        free = tuple(self._free(profile.name))
-        if engine is None or not free:
-            return
-        wanted = self._plan(profile, free)
-        wanted_first = sorted(
-            wanted.replicas,
-            key=lambda new: new.cold_members,
-        )
-        for new in wanted_first:
-            if self._may_form(engine, new):
-                await self._book.write([self._book.new_record(new)])
-        for staging in wanted.stagings:
-            await self._stager.stage(engine, staging, self._loading())
-        bound = self._bound()
-        for warming in wanted.warmings:
-            if warming.instance.id not in bound:
-                await self._warmer.warm(warming)
-
-    def _bound(self) -> frozenset[str]:
-        """Return the members of all replicas, also of those that end.
-
-        An instance that is being freed leaves its replica when it joins
-        anything else, and that must not happen before the head has ended.
-        """
-        return frozenset(
-            name
-            for record in self._fleet.records.values()
-            for name in record.members
-        )
-
-    def _plan(
-        self,
-        profile: ServiceProfile,
-        free: tuple[ListedInstance, ...],
-    ) -> Plan:
-        serving = [
-            record
-            for record in self._fleet.records.values()
-            if record.service == profile.name
-            and record.state is RecordState.SERVING
-        ]
-        present = Counter(record.model for record in serving)
-        in_fabric = Counter(
-            (record.fabric_domain, record.model) for record in serving
-        )
-        demand = self._view.demand()
-        return plan(Supply(profile, free, present, in_fabric, demand))
-
-    def _free(self, service: str) -> Iterator[ListedInstance]:
-        """Yield the unused instances, also those that are being freed."""
-        used = {
-            name
-            for record in self._book.records()
-            if record.state is not RecordState.ENDING
-            for name in record.members
-        }
-        used.update(self.losses.current())
-        return (
-            instance
-            for instance in self._fleet.instances.values()
-            if instance.id not in used
-            and instance.service == service
-            and instance.failure_domain == self._place.failure_domain
-            and not instance.leaving
-        )
+        await self._shaper.change(record, verdict)
 
     def _make_task(self, record: ReplicaRecord) -> Forming | Ending:
         if record.state is RecordState.SERVING:
--- a/src/cranecart/grouping/_plan.py
+++ b/src/cranecart/grouping/_plan.py
@@ -1,73 +1,30 @@
 """Decide which replicas to form and what to stage; no I/O, no clock."""
 
-import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping, Sequence
-
-import attrs
-
-from cranecart.models import EngineModel, ServiceProfile
+from collections.abc import Mapping, Sequence
+
+from cranecart.grouping._spares import assign_spares, second_models
+from cranecart.grouping._supply import (
+    NewReplica,
+    Plan,
+    Staging,
+    StagingUse,
+    Supply,
+    Warming,
+    models_of,
+)
+from cranecart.models import EngineModel
 from cranecart.ports import ListedInstance
 
-# The chance that a member dies before a spare that was used is replaced: some
-# 20 of 54 instances died in 34 s of the users' quiet days, a load takes 12 s
-# or more.
-_DEATHS_A_MEMBER = 0.1
-# Added to the replicas of a model, so that their numbers, which change every
-# second while replicas are repaired, do not outweigh a missing spare.
-_DAMPING = 1.5
-
-
-@attrs.frozen
-class NewReplica:
-    """Members, head first, that should form a replica of a model."""
-
-    service: str
-    model: str
-    fabric_domain: str
-    members: tuple[ListedInstance, ...]
-    cold_members: int
-
-
-@attrs.frozen
-class Staging:
-    """A model that an unused instance should bring to its host."""
-
-    instance: ListedInstance
-    model: str
-
-
-@attrs.frozen
-class Warming:
-    """A model on its host that an unused instance should load."""
-
-    instance: ListedInstance
-    model: str
-
-
-@attrs.frozen
-class Plan:
-    """What a failure domain's placer should begin now."""
-
-    replicas: tuple[NewReplica, ...] = ()
-    stagings: tuple[Staging, ...] = ()
-    warmings: tuple[Warming, ...] = ()
-
-
-@attrs.frozen
-class Supply:
-    """What a plan is made from, for one service.
-
-    ``free`` are the unused instances of one failure domain, ``present``
-    counts the replicas of each model over the whole deployment, ``in_fabric``
-    those of each fabric domain, ``demand`` weighs the models' requests.
-    """
-
-    profile: ServiceProfile
-    free: tuple[ListedInstance, ...]
-    present: Mapping[str, int]
-    in_fabric: Mapping[tuple[str, str], int]
-    demand: Mapping[str, float]
+# A replica of another model that serves sooner is preferred where it is needed
+# nearly as much; deaths come every few seconds on the users' sheets.
+_HORIZON_SECONDS = 6.0
+# Each member that joins with its second model is without one until it has been
+# staged anew, so that a replica goes on as it was unless another model is
+# needed half as much again.
+_SWITCH_COST = 0.15
+# What an instance needs that had the model last, on the users' sheets.
+_LOADED_SECONDS = 0.2
 
 
 def plan(supply: Supply) -> Plan:
@@ -78,134 +35,109 @@
     for instance in supply.free:
         by_fabric[instance.fabric_domain].append(instance)
     present = Counter(supply.present)
+    replicas = [
+        replica
+        for fabric in sorted(by_fabric)
+        for replica in _new_replicas(supply, by_fabric[fabric], present)
+    ]
     in_fabric = Counter(supply.in_fabric)
-    replicas: list[NewReplica] = []
-    for fabric in sorted(by_fabric):
-        while new := _next_replica(
-            supply,
-            fabric,
-            by_fabric[fabric],
-            present,
-        ):
-            replicas.append(new)
-            present[new.model] += 1
-            in_fabric[fabric, new.model] += 1
-            for member in new.members:
-                by_fabric[fabric].remove(member)
-    spares = [
-        spare
+    in_fabric.update((one.fabric_domain, one.model) for one in replicas)
+    roles = [
+        role
         for fabric, free in sorted(by_fabric.items())
-        for spare in _assign_spares(
-            _wanted_spares(supply, fabric, len(free), present, in_fabric),
-            free,
-        )
+        for role in assign_spares(supply, fabric, free, present, in_fabric)
     ]
+    unused = [one for free in by_fabric.values() for one in free]
     return Plan(
         tuple(replicas),
-        tuple(one for one in spares if isinstance(one, Staging)),
-        tuple(one for one in spares if isinstance(one, Warming)),
+        _ordered(roles, supply),
+        tuple(one for one in roles if isinstance(one, Warming)),
+        tuple(unused),
     )
 
 
+def _ordered(
+    roles: Sequence[Staging | Warming],
+    supply: Supply,
+) -> tuple[Staging, ...]:
+    """Put spares that have nothing first, and members in use last."""
+    stagings = [one for one in roles if isinstance(one, Staging)]
+    stagings.sort(key=lambda one: one.use is StagingUse.SECOND_MODEL)
+    members = ((one.instance, one.model) for one in supply.members)
+    return (*stagings, *second_models(supply, members))
+
+
+def _new_replicas(
+    supply: Supply,
+    free: list[ListedInstance],
+    present: Counter[str],
+) -> list[NewReplica]:
+    """Take members out of a fabric domain's instances, and count them."""
+    replicas = []
+    while new := _next_replica(supply, free, present):
+        replicas.append(new)
+        present[new.model] += 1
+        for member in new.members:
+            free.remove(member)
+    return replicas
+
+
 def _next_replica(
     supply: Supply,
-    fabric: str,
     free: Sequence[ListedInstance],
     present: Mapping[str, int],
 ) -> NewReplica | None:
-    choices = [
-        _choose_members(supply, fabric, free, model)
-        for model in _models(supply)
+    choices = {
+        _choose_members(supply, free, model): model
+        for model in supply.models
         if model.size <= len(free)
-    ]
+    }
     return max(
         choices,
-        key=lambda new: _need(supply, new, present),
+        key=lambda new: _worth(supply, new, choices[new], present),
         default=None,
     )
 
 
-def _need(
+def _worth(
     supply: Supply,
     new: NewReplica,
+    model: EngineModel,
     present: Mapping[str, int],
 ) -> tuple[float, int]:
-    demand = supply.demand.get(new.model, 1.0)
-    need = demand / (present.get(new.model, 0) + 0.5)
+    """Weigh what a replica would serve by how long it takes to serve."""
+    need = supply.need(model, present.get(model.name, 0))
     # The weight store serves a few loads at a time, so that a replica costs
     # others as much as it has members to load.
-    return need / (1 + new.cold_members), len(new.members)
+    loads = 1 + new.cold_members
+    waits = 1 + new.ready_seconds / _HORIZON_SECONDS
+    switches = sum(new.model not in one.loaded for one in new.members)
+    costs = loads * waits * (1 + _SWITCH_COST * switches)
+    return need / costs, len(new.members)
 
 
 def _choose_members(
     supply: Supply,
-    fabric: str,
     free: Sequence[ListedInstance],
     model: EngineModel,
 ) -> NewReplica:
-    ranked = sorted(free, key=lambda one: (_coldness(one, model.name), one.id))
+    ranked = sorted(free, key=lambda one: (_seconds(one, model), one.id))
     members = tuple(ranked[: model.size])
-    cold = sum(model.name not in one.staged for one in members)
-    return NewReplica(supply.profile.name, model.name, fabric, members, cold)
-
-
-def _coldness(instance: ListedInstance, model: str) -> int:
-    if model in instance.loaded:
-        return 0
-    if model in instance.staged:
-        return 1
-    return 2 + len(instance.staged)
-
-
-def _assign_spares(
-    wanted: Counter[str],
-    free: Sequence[ListedInstance],
-) -> Iterable[Staging | Warming]:
-    """Warm spares for what they have; stage what none of them has."""
-    idle = []
-    for instance in sorted(free, key=lambda one: one.id):
-        kept = next((name for name in instance.staged if wanted[name]), None)
-        if kept is None:
-            idle.append(instance)
-            continue
-        wanted[kept] -= 1
-        if kept not in instance.loaded:
-            yield Warming(instance, kept)
-    yield from map(Staging, idle, wanted.elements())
-
-
-def _wanted_spares(
-    supply: Supply,
-    fabric: str,
-    spares: int,
-    present: Mapping[str, int],
-    in_fabric: Mapping[tuple[str, str], int],
-) -> Counter[str]:
-    """Give each spare to the model for which one more is worth most."""
-    wanted: Counter[str] = Counter()
-    for _number in range(spares):
-        worth = {
-            model.name: _chance_of_deaths(
-                wanted[model.name] + 1,
-                model.size * in_fabric.get((fabric, model.name), 0),
-            )
-            * supply.demand.get(model.name, 1.0)
-            / (present.get(model.name, 0) + _DAMPING)
-            for model in _models(supply)
-        }
-        wanted[max(worth, key=worth.__getitem__)] += 1
-    return wanted
-
-
-def _chance_of_deaths(least: int, members: int) -> float:
-    """Return the chance that so many of the members or more die soon."""
-    expected = _DEATHS_A_MEMBER * members
-    fewer = sum(
-        expected**deaths / math.factorial(deaths) for deaths in range(least)
+    return NewReplica(
+        supply.profile.name,
+        model.name,
+        members[0].fabric_domain,
+        members,
+        sum(model.name not in models_of(one) for one in members),
+        max(_seconds(one, model) for one in members),
     )
-    return 1 - math.exp(-expected) * fewer
 
 
-def _models(supply: Supply) -> tuple[EngineModel, ...]:
-    engine = supply.profile.engine
-    return () if engine is None else engine.models
+def _seconds(instance: ListedInstance, model: EngineModel) -> float:
+    """Return how long an instance takes to join a replica of a model."""
+    if model.name in instance.loaded:
+        return _LOADED_SECONDS
+    if model.name in instance.staged:
+        return model.staged_seconds
+    # Between instances that must load, those that have nothing go first.
+    return model.load_seconds + len(models_of(instance))
--- a/src/cranecart/grouping/_settling.py
+++ b/src/cranecart/grouping/_settling.py
@@ -11,7 +11,9 @@
 # Instances that return together are listed one by one, within a heartbeat of
 # 1.2 s on both users' sheets.
 _HEARTBEAT_SECONDS = 1.3
-# At the first start the list grows every few milliseconds until it is whole.
+# At the first start the list grows every few milliseconds until it is whole;
+# nine instances of a fabric domain that returns come a sixth of a second
+# apart.
 _START_SECONDS = 0.35
 
 
@@ -22,6 +24,7 @@
     _clock: Callable[[], float] = time.monotonic
     _names: dict[str, frozenset[str]] = attrs.field(factory=dict, init=False)
     _since: dict[str, float] = attrs.field(factory=dict, init=False)
+    _listed_at: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def note(self, instances: Iterable[ListedInstance]) -> None:
         """Take over which instances are listed now."""
@@ -34,6 +37,10 @@
             if names != self._names.get(fabric):
                 self._names[fabric] = names
                 self._since[fabric] = now
+        listed = frozenset().union(*self._names.values())
+        self._listed_at = {
+            name: self._listed_at.get(name, now) for name in listed
+        }
 
     def may_load(self, fabric_domain: str) -> bool:
         """Tell whether no better member is about to be listed.
@@ -43,6 +50,18 @@
         """
         return self._rest(fabric_domain) > _HEARTBEAT_SECONDS
 
+    def may_use(self, members: Iterable[ListedInstance]) -> bool:
+        """Tell whether no member came with others that are still coming.
+
+        What the first of them could form is not what all of them should.
+        """
+        now = self._clock()
+        return all(
+            now - self._listed_at.get(one.id, now) > _HEARTBEAT_SECONDS
+            or self._rest(one.fabric_domain) > _START_SECONDS
+            for one in members
+        )
+
     def is_whole(self) -> bool:
         """Tell whether the list of a starting deployment seems complete."""
         return all(self._rest(name) > _START_SECONDS for name in self._names)
--- a/src/cranecart/grouping/_stager.py
+++ b/src/cranecart/grouping/_stager.py
@@ -9,7 +9,7 @@
 from cranecart.duties import Lease
 from cranecart.exceptions import OrderError
 from cranecart.grouping._loads import LoadBudget
-from cranecart.grouping._plan import Staging
+from cranecart.grouping._supply import Staging, StagingUse
 from cranecart.logs import decision
 from cranecart.models import EngineProfile
 from cranecart.ports import ListedInstance, Orders
@@ -17,8 +17,9 @@
 # Longer than a load takes while the weight store is busy, so that the same
 # instance is not asked again meanwhile.
 _STAGE_AGAIN_SECONDS = 25.0
-# Loads that are left to replicas that wait for them, while spares are staged.
-_STAGING_RESERVE = 2
+# Loads that second models leave to what matters more: replicas that wait for
+# them, and spares that could join nothing.
+_RESERVE = 2
 
 
 @attrs.define
@@ -31,14 +32,20 @@
     _has_traffic: Callable[[], bool]
     _clock: Callable[[], float] = time.monotonic
     _loads: LoadBudget = attrs.field(factory=LoadBudget, init=False)
-    _staged_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _staged_at: dict[tuple[str, str], float] = attrs.field(
+        factory=dict,
+        init=False,
+    )
     _orders_out: dict[str, tuple[float, str]] = attrs.field(
         factory=dict,
         init=False,
     )
 
-    def staging(self, instances: Mapping[str, ListedInstance]) -> int:
-        """Return how many stagings are still under way."""
+    def staging(
+        self,
+        instances: Mapping[str, ListedInstance],
+    ) -> Mapping[str, str]:
+        """Return the models that instances are still being brought."""
         now = self._clock()
         self._orders_out = {
             name: (at, model)
@@ -47,7 +54,7 @@
             and name in instances
             and model not in instances[name].staged
         }
-        return len(self._orders_out)
+        return {name: model for name, (_, model) in self._orders_out.items()}
 
     def may_load(
         self,
@@ -75,14 +82,21 @@
     ) -> None:
         """Order a staging, unless it was ordered or the budget is spent."""
         instance = staging.instance
-        last = self._staged_at.get(instance.id, float('-inf'))
+        order = (instance.id, staging.model)
+        last = self._staged_at.get(order, float('-inf'))
         if self._clock() - last < _STAGE_AGAIN_SECONDS:
             return
-        if not self.may_load(engine, 1, loading, _STAGING_RESERVE):
+        reserve = _RESERVE if staging.use is StagingUse.SECOND_MODEL else 0
+        if not self.may_load(engine, 1, loading, reserve):
             return
         self._orders_out[instance.id] = (self._clock(), staging.model)
-        self._staged_at[instance.id] = self._clock()
-        decision('staging', instance=instance.id, model=staging.model)
+        self._staged_at[order] = self._clock()
+        decision(
+            'staging',
+            instance=instance.id,
+            model=staging.model,
+            use=staging.use.value,
+        )
         await curio.spawn(self._order, staging, daemon=True)
 
     async def _order(self, staging: Staging) -> None:
--- /dev/null
+++ b/src/cranecart/grouping/_stock.py
@@ -0,0 +1,114 @@
+"""What a placer has to work with: instances, replicas, loads under way."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import attrs
+
+from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._losses import Losses
+from cranecart.grouping._stager import Stager
+from cranecart.grouping._supply import ServingMember, Supply
+from cranecart.models import ServiceProfile
+from cranecart.ports import ListedInstance
+
+
+@attrs.frozen
+class Stock:
+    """One failure domain's instances, and all replicas of the deployment."""
+
+    _failure_domain: str
+    _fleet: Fleet
+    _losses: Losses
+    _stager: Stager
+    _demand: Callable[[], Mapping[str, float]]
+
+    def supply(self, profile: ServiceProfile) -> Supply:
+        """Return what a plan for a service is made from."""
+        serving = [
+            record
+            for record in self._serving()
+            if record.service == profile.name
+        ]
+        # One that must load first serves too late to be counted on.
+        present = Counter(
+            record.model
+            for record in serving
+            if not record.loads or self._fleet.is_open(record)
+        )
+        in_fabric = Counter(
+            (record.fabric_domain, record.model) for record in serving
+        )
+        return Supply(
+            profile,
+            tuple(self._free(profile.name)),
+            present,
+            in_fabric,
+            self._demand(),
+            tuple(self._members(serving)),
+            self._stager.staging(self._fleet.instances),
+        )
+
+    def loading(self) -> int:
+        """Return how many loads from the weight store are under way.
+
+        Those of members follow from all placers' records; stagings are known
+        where they were ordered only.
+        """
+        joining = sum(
+            record.loads
+            for record in self._serving()
+            if not self._fleet.is_open(record)
+        )
+        return joining + len(self._stager.staging(self._fleet.instances))
+
+    def bound(self) -> frozenset[str]:
+        """Return the members of all replicas, also of those that end.
+
+        An instance that is being freed leaves its replica when it joins
+        anything else, and that must not happen before the head has ended.
+        """
+        return frozenset(
+            name
+            for record in self._fleet.records.values()
+            for name in record.members
+        )
+
+    def _serving(self) -> Iterator[ReplicaRecord]:
+        return (
+            record
+            for record in self._fleet.records.values()
+            if record.state is RecordState.SERVING
+        )
+
+    def _members(
+        self,
+        serving: Iterable[ReplicaRecord],
+    ) -> Iterator[ServingMember]:
+        """Yield the own members of replicas that serve, but leaving ones."""
+        return (
+            ServingMember(instance, record.name, record.model)
+            for record in serving
+            if record.failure_domain == self._failure_domain
+            and self._fleet.is_open(record)
+            for instance in map(self._fleet.instances.get, record.members)
+            if instance is not None and not instance.leaving
+        )
+
+    def _free(self, service: str) -> Iterator[ListedInstance]:
+        """Yield the unused instances, also those that are being freed."""
+        used = {
+            name
+            for record in self._fleet.records.values()
+            if record.state is not RecordState.ENDING
+            for name in record.members
+        }
+        used.update(self._losses.current())
+        return (
+            instance
+            for instance in self._fleet.instances.values()
+            if instance.id not in used
+            and instance.service == service
+            and instance.failure_domain == self._failure_domain
+            and not instance.leaving
+        )
--- a/src/cranecart/grouping/_tasks.py
+++ b/src/cranecart/grouping/_tasks.py
@@ -8,7 +8,6 @@
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
 from cranecart.grouping._ending import Ending
 from cranecart.grouping._forming import Forming
-from cranecart.ports import MemberPhase
 
 
 @attrs.define
@@ -47,8 +46,4 @@
     def _needs(self, record: ReplicaRecord) -> bool:
         if record.state is not RecordState.SERVING:
             return True
-        head = self._fleet.known(record.head)
-        if head is None:
-            return True
-        phase = head.phase_in(record.name, record.epoch)
-        return phase is not MemberPhase.OPEN
+        return not self._fleet.is_open(record)
--- a/src/cranecart/grouping/_warmer.py
+++ b/src/cranecart/grouping/_warmer.py
@@ -14,7 +14,7 @@
 
 from cranecart.duties import Lease
 from cranecart.exceptions import OrderError
-from cranecart.grouping._plan import Warming
+from cranecart.grouping._supply import Warming
 from cranecart.logs import decision
 from cranecart.ports import Orders
 
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -6,6 +6,7 @@
 """
 
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
 import attrs
@@ -58,6 +59,7 @@
     places: str = ''
     stopping: bool = False
     announced: dict[str, int] = attrs.field(factory=dict)
+    demand: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -122,10 +124,6 @@
         for peer in self._peers.values():
             self._link.send(peer.address, message)
 
-    def beat_now(self) -> None:
-        """Send a beat to all nodes before it is due."""
-        self.broadcast(self._beat())
-
     def in_flight_elsewhere(self, instance_id: str) -> int:
         """Return the requests that other nodes have at an instance."""
         return sum(
@@ -159,10 +157,37 @@
             heard.beat.requests for heard in self._heard.values()
         )
 
+    def demand(self) -> Counter[str]:
+        """Return the work that all nodes' clients want of each model."""
+        total = Counter(self.own.demand)
+        for beat in self._fresh_beats():
+            total.update(beat.demand)
+        return total
+
     def nodes(self) -> int:
         """Return how many nodes are alive, this one included."""
         return 1 + sum(1 for _beat in self._fresh_beats())
 
+    def beat(self) -> Beat:
+        """Return what this node tells of itself now."""
+        config = self._events.read_config()
+        return Beat(
+            self.own.node_id,
+            self.own.address,
+            self.own.failure_domain,
+            config.version if config else 0,
+            self.own.requests,
+            {
+                name: count
+                for name, count in self._events.in_flight().items()
+                if count
+            },
+            self.own.places,
+            self.own.announced,
+            self.own.stopping,
+            self.own.demand,
+        )
+
     def counts(self) -> dict[str, int]:
         """Return the messages and bytes so far, by name."""
         return self._link.counts()
@@ -170,7 +195,7 @@
     async def _tell(self) -> None:
         turn = 0
         while True:
-            beat = self._beat()
+            beat = self.beat()
             for name, peer in list(self._peers.items()):
                 if turn % _SILENT_TURNS == 0 or not self._is_silent(name):
                     self._link.send(peer.address, beat)
@@ -215,24 +240,6 @@
         if peer is not None:
             self._link.forget(peer.address)
 
-    def _beat(self) -> Beat:
-        config = self._events.read_config()
-        return Beat(
-            self.own.node_id,
-            self.own.address,
-            self.own.failure_domain,
-            config.version if config else 0,
-            self.own.requests,
-            {
-                name: count
-                for name, count in self._events.in_flight().items()
-                if count
-            },
-            self.own.places,
-            self.own.announced,
-            self.own.stopping,
-        )
-
     def _fresh_beats(self) -> Iterator[Beat]:
         oldest = self._clock() - _FRESH_SECONDS
         return (
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -13,7 +13,8 @@
     ``in_flight`` counts its requests by the instance that has them;
     ``places`` names the failure domain whose placer it is, if it is one.
     ``announced`` holds, for each source that it reads from the store over a
-    path known to be good, the version of the last change.
+    path known to be good, the version of the last change. ``demand`` is the
+    work that its clients want of each model.
     """
 
     sender: str
@@ -25,6 +26,7 @@
     places: str = ''
     announced: dict[str, int] = {}
     stopping: bool = False
+    demand: dict[str, float] = {}
 
 
 class Stopped(msgspec.Struct, tag='stopped'):
--- a/src/cranecart/ports/_listed.py
+++ b/src/cranecart/ports/_listed.py
@@ -39,8 +39,8 @@
 class ListedInstance:
     """What the platform lists of one life of an instance.
 
-    ``loaded`` and ``staged`` name models: in the accelerators, and on the
-    host, from where loading is quick.
+    ``loaded`` and ``staged`` name models: in the accelerators, where that of
+    the last membership stays, and on the host, from where loading is quick.
     """
 
     id: str
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -51,10 +51,12 @@
 # The counters are logged every ten seconds.
 _FIGURES_TURNS = 100
 _CONNECTIONS_TURNS = 5
-# Work of a request in rough seconds of an engine's time, from the users'
-# sheets: 7 tokens an event, some 50 ms; 50 prompt tokens a millisecond.
-_SECONDS_A_TOKEN = 0.008
-_SECONDS_A_PROMPT_TOKEN = 0.00002
+# Work of a request in rough seconds of one of an engine's slots, from the
+# users' sheets: an event of 7 tokens takes 52 ms where all slots are taken; a
+# ms reads 50 tokens of a prompt, while the requests in 13 slots wait.
+_SECONDS_AN_EVENT = 0.052
+_SECONDS_A_PROMPT_TOKEN = 0.00026
+_SECONDS_A_REQUEST = 0.04
 
 
 class ServingNode:
@@ -159,7 +161,7 @@
             lambda: self._mesh.hears_placer(domain),
             lambda: self._knowledge.is_informed,
             self._mesh.has_traffic,
-            self._demand.by_model,
+            self._mesh.demand,
             self._tell_stopped,
         )
         table = self._surroundings.table
@@ -188,6 +190,7 @@
             self._metrics.observe_request,
             lambda: self._live.current.log_successes,
             self._note_demand,
+            self._note_work,
         )
 
     async def _serve(self, request: Request, responder: Responder) -> None:
@@ -195,14 +198,17 @@
         await self._gateway.handle(request, responder)
 
     def _note_demand(self, call: RoutedCall) -> None:
+        if call.facts.model:
+            self._demand.note_request(call.facts.model)
+
+    def _note_work(self, call: RoutedCall, events: int) -> None:
         facts = call.facts
-        if not facts.model:
-            return
         work = (
-            facts.max_tokens * _SECONDS_A_TOKEN
+            _SECONDS_A_REQUEST
+            + events * _SECONDS_AN_EVENT
             + facts.prompt_tokens * _SECONDS_A_PROMPT_TOKEN
         )
-        self._demand.note(facts.model, work)
+        self._demand.note_work(facts.model, work)
 
     async def _keep_house(self) -> None:
         for turn in itertools.count(1):
@@ -213,6 +219,10 @@
                 decision('figures', **self._counts())
             self._mesh.own.places = self._placer.places
             self._mesh.own.announced = self._knowledge.announced()
+            self._mesh.own.demand = {
+                model: round(seconds, 1)
+                for model, seconds in self._demand.by_model().items()
+            }
             if turn % _CONNECTIONS_TURNS == 0:
                 listed = frozenset(self._fleet.instances)
                 await self._connections.close_old(listed)
@@ -235,7 +245,7 @@
         self._clients.refuse_new()
         await self._placer.hand_over()
         self._mesh.own.places = ''
-        self._mesh.beat_now()
+        self._mesh.broadcast(self._mesh.beat())
         await self._registry.withdraw()
         await self._drain(started)
 
@@ -277,7 +287,7 @@
             receive_seconds=limits.receive_seconds,
             idle_seconds=limits.idle_seconds,
         )
-        self._mesh.beat_now()
+        self._mesh.broadcast(self._mesh.beat())
 
     def _tell_stopped(
         self,
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -279,6 +279,7 @@
             lambda _outcome, _seconds: None,
             float,
             lambda _call: None,
+            lambda _call, _events: None,
         )
         self.server = HttpServer(Address('127.0.0.1', 0), self.gateway.handle)
 
