Take a closed port for a head that may still serve

Change: an order to a closed port has an error of its own; as for a silent head, a member leaves and the stall is waited for.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -122,6 +122,15 @@
     """That life of the instance is over; nothing of it serves any more."""
 
 
+@final
+class TargetClosedError(OrderError):
+    """The instance takes no connection: it crashed, or leaves soon.
+
+    One that leaves stops listening before it has finished what it has, so
+    that a replica with this head may go on serving for some seconds.
+    """
+
+
 class LeaseLostError(CranecartError):
     """The lease of a duty is no longer held; the duty's work must stop."""
 
--- a/src/cranecart/grouping/_ending.py
+++ b/src/cranecart/grouping/_ending.py
@@ -1,9 +1,10 @@
 """Free the members of a replica, straight down, as its own task.
 
 A member may join another replica only once the head of this one cannot serve
-any more. That is known when the head has left, when its process has ended,
-when the list calls it broken, or when another member has left and the time
-has passed after which a head without a member is broken.
+any more. That is known when the head has left, when another process answers at
+its address, when the list calls it broken, or when another member has left and
+the time has passed after which a head without a member is broken. That it takes
+no connection says little: an instance that leaves stops listening first.
 """
 
 import time
--- a/src/cranecart/grouping/_forming.py
+++ b/src/cranecart/grouping/_forming.py
@@ -10,6 +10,7 @@
     OrderFencedError,
     OrderRefusedError,
     OrderUnknownError,
+    TargetClosedError,
     TargetGoneError,
 )
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
@@ -175,13 +176,14 @@
                 # The same order again does no harm, and may be answered.
                 self._ordered_at.pop((order, instance.id), None)
                 self._duty.doubt(self.record, str(error))
-            case TargetGoneError():
+            case TargetGoneError() | TargetClosedError():
                 self._duty.lost(instance.id, str(error))
             case OrderFencedError():
                 self._duty.outdated(self.record, str(error))
 
 
 _FAILURES = (
+    TargetClosedError,
     OrderFencedError,
     OrderRefusedError,
     OrderUnknownError,
--- a/src/cranecart/platform/_orders.py
+++ b/src/cranecart/platform/_orders.py
@@ -13,6 +13,7 @@
     OrderFencedError,
     OrderRefusedError,
     OrderUnknownError,
+    TargetClosedError,
     TargetGoneError,
 )
 from cranecart.http import HttpPool, Request
@@ -157,10 +158,9 @@
 def _not_reached(
     instance: ListedInstance,
     error: ConnectFailedError,
-) -> OrderUnknownError | TargetGoneError:
-    # A port that resets has no process behind it, so that life has ended.
+) -> OrderUnknownError | TargetClosedError:
     if isinstance(error.__cause__, ConnectionRefusedError):
-        return TargetGoneError(f'{instance.id}: its port is closed')
+        return TargetClosedError(f'{instance.id}: its port is closed')
     return OrderUnknownError(f'{instance.id}: {error}')
 
 
--- a/src/cranecart/ports/_listed.py
+++ b/src/cranecart/ports/_listed.py
@@ -101,7 +101,8 @@
 
     Each returns once the instance took the order or already follows it.
     Each raises ``OrderRefusedError``, ``OrderUnknownError`` where it may
-    have been taken or may be carried out later, or ``TargetGoneError``.
+    have been taken or may be carried out later, ``TargetClosedError``, or
+    ``TargetGoneError``.
     """
 
     async def join(
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -140,6 +140,12 @@
         self.assertGreater(seconds, _STALL_SECONDS)
         self.assertEqual(self.world.engines.violations, [])
 
+    def test_a_head_that_stopped_listening_may_serve(self) -> None:
+        """One that leaves finishes what it has behind a closed port."""
+        seconds = curio.run(self._head_closed)
+        self.assertGreater(seconds, _STALL_SECONDS)
+        self.assertEqual(self.world.engines.violations, [])
+
     def test_no_head_opens_before_all_are_ready(self) -> None:
         """A member that takes no order keeps its replica from serving."""
         self.world.engines.dark.add('i2')
@@ -292,6 +298,19 @@
         await running.cancel()
         return float(took)
 
+    async def _head_closed(self) -> float:
+        world = self.world
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        big = world.fleet.heads(SERVICE, BIG.name)[0]
+        world.engines.closed.add(big.id)
+        world.placer.losses.note_lost(big.id, 'it accepts no connection')
+        started = await curio.clock()
+        await until(lambda: self._is_replaced(big))
+        took = await curio.clock() - started
+        await running.cancel()
+        return float(took)
+
     async def _member_leaves(self) -> None:
         world = self.world
         running = await curio.spawn(world.placer.run)
