--- a/src/cranecart/limits/_shares.py
+++ b/src/cranecart/limits/_shares.py
@@ -2,7 +2,7 @@
 
 A node's share follows its part of the demand that all nodes publish. It is
 lowered at once, but raised only after every other node has had time to lower
-its own, so that the shares of nodes that hear each other add up to one at
+its own, or by what a node that stops in order leaves, so that the shares of nodes that hear each other add up to one at
 most. The demand of a node that died is kept for a while, so that a node that
 is cut off goes on with about the share that it had.
 """
@@ -85,8 +85,19 @@
                 self.hear(source, {})
 
     def forget(self, source: str) -> None:
-        """Drop a node's demand, as it stopped in order."""
-        self._heard.pop(source, None)
+        """Drop a node's demand, as it stopped in order.
+
+        It admits nothing more and its clients come to the others, so what it
+        leaves is taken at once; nobody has to lower a share for that.
+        """
+        gone = self._heard.get(source)
+        if gone is None:
+            return
+        for name, share in self._shares.items():
+            weight = self._own_weight(name) + self._weight_of_others(name)
+            left = weight - _weight(gone, name)
+            self._shares[name] = min(1, share * weight / left)
+        self._heard.pop(source)
 
     def heard(self, sources: Iterable[str]) -> Counter[str]:
         """Return the demand of some sources together."""
@@ -118,9 +129,15 @@
             for source, heard in self._heard.items()
             if now - heard.at < KEEP_SECONDS
         }
-        own = self.demand().get(organisation, 0) + _IDLE_WEIGHT
-        others = sum(
-            heard.demand.get(organisation, 0) + heard.nodes * _IDLE_WEIGHT
-            for heard in self._heard.values()
-        )
-        return own / (own + others)
+        own = self._own_weight(organisation)
+        return own / (own + self._weight_of_others(organisation))
+
+    def _own_weight(self, organisation: str) -> int:
+        return self.demand().get(organisation, 0) + _IDLE_WEIGHT
+
+    def _weight_of_others(self, organisation: str) -> int:
+        return sum(_weight(one, organisation) for one in self._heard.values())
+
+
+def _weight(heard: _Heard, organisation: str) -> int:
+    return heard.demand.get(organisation, 0) + heard.nodes * _IDLE_WEIGHT
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -90,6 +90,16 @@
             world.step([40, 0, 0, 0])
         self.assertGreater(world.nodes[0].share(_NAME), 0.9)
 
+    def test_a_stopping_node_leaves_its_part_at_once(self) -> None:
+        """Its clients come to the others at once, so the share does too."""
+        shares = Shares(float)
+        for source in ('b', 'c'):
+            shares.hear(source, {'org': 3})
+        before = shares.share('org')
+        shares.forget('b')
+        self.assertAlmostEqual(before, 1 / 9)
+        self.assertAlmostEqual(shares.share('org'), 1 / 5)
+
     def test_cut_off_keeps_its_share(self) -> None:
         """A node that hears nobody does not take the whole limit."""
         world = _World()
