Divide instances between models by one objective

Closed instances also came back one by one, and two of them always fit the small model.

Change: grouping._objective says what users get from so many replicas of each model (measured work in replicas that it would fill, by the engine's declared times); grouping._division divides a fabric domain by it, over members, closings, loads and second models; what closes and what it is for is one transaction that holds the instances. The meter of demand tells a rate, in replicas. Loads before traffic count a tenth.

--- a/src/cranecart/grouping/_demand.py
+++ b/src/cranecart/grouping/_demand.py
@@ -10,8 +10,11 @@
 # the figure by a tenth, and short against the minutes in which traffic moves
 # from one model to another.
 _FADE_SECONDS = 20.0
-# Where hardly any request of a model was served, one of this work is assumed.
-_ASSUMED_SECONDS = 1.0
+# Where hardly any request of a model was served, one of this work is assumed:
+# what a request of a thousand tokens and some twenty events takes.
+_ASSUMED_SECONDS = 0.1
+# Requests of a shorter time tell too little.
+_LEAST_AGE_SECONDS = 1.0
 
 
 @attrs.define
@@ -40,23 +43,37 @@
     _clock: Callable[[], float] = time.monotonic
     _models: dict[str, _ModelDemand] = attrs.field(factory=dict, init=False)
     _at: float | None = attrs.field(default=None, init=False)
+    _since: float | None = attrs.field(default=None, init=False)
 
     def note_request(self, model: str) -> None:
         """Count a request that came in."""
+        if self._since is None:
+            self._since = self._clock()
         self._fade()
         self._models.setdefault(model, _ModelDemand()).came += 1
 
     def note_work(self, model: str, seconds: float) -> None:
-        """Count the work of one that was served, as an engine's seconds."""
+        """Count the work of one that was served, as a replica's seconds."""
         self._fade()
         demand = self._models.setdefault(model, _ModelDemand())
         demand.ended += 1
         demand.work += seconds
 
     def by_model(self) -> Mapping[str, float]:
-        """Return the work that came lately, in seconds of an engine's slot."""
+        """Return the work that comes in a second, in a replica's seconds.
+
+        That is how many replicas it would fill.
+        """
         self._fade()
-        return {name: one.total() for name, one in self._models.items()}
+        if self._at is None or self._since is None:
+            return {}
+        age = self._at - self._since
+        if age < _LEAST_AGE_SECONDS:
+            return {}
+        window = _FADE_SECONDS * (1 - math.exp(-age / _FADE_SECONDS))
+        return {
+            name: one.total() / window for name, one in self._models.items()
+        }
 
     def _fade(self) -> None:
         now = self._clock()
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -62,6 +62,8 @@
             self.losses,
             stager,
             view.demand,
+            view.has_traffic,
+            place.stall_seconds,
         )
         self._shaper = Shaper(
             fleet,
--- a/src/cranecart/grouping/_shaper.py
+++ b/src/cranecart/grouping/_shaper.py
@@ -8,16 +8,15 @@
 from cranecart.grouping._book import RecordBook
 from cranecart.grouping._judge import Verdict
 from cranecart.grouping._plan import plan
-from cranecart.grouping._reshape import MAKES_ROOM, RoomPause, choose_closing
+from cranecart.grouping._reshape import MAKES_ROOM, Closing, RoomPause
 from cranecart.grouping._settling import Settling
 from cranecart.grouping._stager import Stager
 from cranecart.grouping._stock import Stock
-from cranecart.grouping._supply import NewReplica, Supply
+from cranecart.grouping._supply import NewReplica, Plan, Supply
 from cranecart.grouping._view import PlacerView
 from cranecart.grouping._warmer import Warmer
 from cranecart.logs import decision
 from cranecart.models import EngineProfile, ServiceProfile
-from cranecart.ports import ListedInstance
 
 
 @attrs.define
@@ -55,18 +54,20 @@
         if engine is None:
             return
         supply = self._stock.supply(profile)
-        wanted = plan(supply)
-        for new in sorted(wanted.replicas, key=lambda one: one.cold_members):
-            if self._may_form(engine, new):
-                await self._form(new, supply)
+        wanted = plan(supply, self._closing())
+        await self._form(engine, supply, wanted)
         for staging in wanted.stagings:
             await self._stager.stage(engine, staging, self._stock.loading())
         bound = self._stock.bound()
         for warming in wanted.warmings:
             if warming.instance.id not in bound:
                 await self._warmer.warm(warming)
-        if not wanted.replicas:
-            await self._make_room(supply, wanted.unused)
+
+    def _closing(self) -> Closing:
+        """Tell what may be closed; nothing while the list is incomplete."""
+        if not self._view.has_traffic():
+            return Closing.NOTHING
+        return self._room.closing(self._fleet.records.values())
 
     def _may_form(self, engine: EngineProfile, new: NewReplica) -> bool:
         if not self._view.has_traffic():
@@ -80,7 +81,36 @@
         loading = self._stock.loading()
         return self._stager.may_load(engine, new.cold_members, loading)
 
-    async def _form(self, new: NewReplica, supply: Supply) -> None:
+    async def _form(
+        self,
+        engine: EngineProfile,
+        supply: Supply,
+        wanted: Plan,
+    ) -> None:
+        """Record what may form now, quickest first, and what closes for it.
+
+        Both are one transaction, so that whoever places next knows what the
+        instances of a closing replica are for, and holds them for it.
+        """
+        closing = [
+            attrs.evolve(record, state=RecordState.CLOSING, reason=MAKES_ROOM)
+            for record in self._book.records()
+            if record.name in wanted.closings
+        ]
+        released = {name for one in closing for name in one.members}
+        for new in sorted(wanted.replicas, key=lambda one: one.cold_members):
+            members = {member.id for member in new.members}
+            room = closing if members & released else []
+            if self._may_form(engine, new):
+                await self._record(new, supply, room)
+                closing = [] if room else closing
+
+    async def _record(
+        self,
+        new: NewReplica,
+        supply: Supply,
+        closing: Sequence[ReplicaRecord],
+    ) -> None:
         # Loads before the first request take a tenth of the time.
         loads = new.cold_members if self._view.has_traffic() else 0
         record = self._book.new_record(new, loads)
@@ -88,34 +118,15 @@
             'replica_chosen',
             replica=record.name,
             model=new.model,
-            ready_seconds=new.ready_seconds,
-            present=dict(supply.present),
-            demand=_rounded(supply.demand),
-        )
-        await self._book.write([record])
-
-    async def _make_room(
-        self,
-        supply: Supply,
-        unused: Sequence[ListedInstance],
-    ) -> None:
-        """Close replicas for a model that lacks more, one placer at a time."""
-        if not self._room.may_look(self._fleet.records.values()):
-            return
-        closing = choose_closing(supply, unused)
-        if not closing:
-            return
-        decision(
-            'replicas_make_room',
-            replicas=closing,
-            present=dict(supply.present),
-            demand=_rounded(supply.demand),
+            ready_seconds=round(new.ready_seconds, 3),
+            makes_room=[one.name for one in closing],
+            present=_rounded(supply.present),
+            demand=_rounded(supply.objective.demand),
         )
-        verdict = Verdict(RecordState.CLOSING, MAKES_ROOM)
-        for record in self._book.records():
-            if record.name in closing:
-                await self.change(record, verdict)
+        for one in closing:
+            self._view.tell_stopped(one, one.reason, True)
+        await self._book.write([*closing, record])
 
 
 def _rounded(demand: Mapping[str, float]) -> dict[str, float]:
-    return {model: round(seconds, 1) for model, seconds in demand.items()}
+    return {model: round(replicas, 2) for model, replicas in demand.items()}
--- a/src/cranecart/grouping/_spares.py
+++ b/src/cranecart/grouping/_spares.py
@@ -35,7 +35,7 @@
     supply: Supply,
     fabric: str,
     free: Sequence[ListedInstance],
-    present: Mapping[str, int],
+    present: Mapping[str, float],
     in_fabric: Mapping[tuple[str, str], int],
 ) -> Iterable[Staging | Warming]:
     """Warm spares for what they have; stage what none of them has."""
@@ -70,9 +70,8 @@
     """Stage another model than the one that an instance has loaded."""
     scarcest_first = sorted(
         supply.models,
-        key=lambda model: (
-            -supply.need(model, supply.present.get(model.name, 0))
-        ),
+        key=supply.present_need,
+        reverse=True,
     )
     for instance, model in loaded:
         others = [one.name for one in scarcest_first if one.name != model]
@@ -86,7 +85,7 @@
     supply: Supply,
     fabric: str,
     spares: int,
-    present: Mapping[str, int],
+    present: Mapping[str, float],
     in_fabric: Mapping[tuple[str, str], int],
 ) -> Counter[str]:
     """Give each spare to the model for which one more is worth most."""
--- a/src/cranecart/grouping/_stock.py
+++ b/src/cranecart/grouping/_stock.py
@@ -1,17 +1,22 @@
 """What a placer has to work with: instances, replicas, loads under way."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import attrs
 
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
 from cranecart.grouping._losses import Losses
+from cranecart.grouping._membership import counted
+from cranecart.grouping._reshape import CLOSE_SECONDS
 from cranecart.grouping._stager import Stager
 from cranecart.grouping._supply import ServingMember, Supply
 from cranecart.models import ServiceProfile
 from cranecart.ports import ListedInstance
 
+# Loads before the first request take this part of their time.
+_EARLY_LOAD_PART = 0.1
+
 
 @attrs.frozen
 class Stock:
@@ -22,6 +27,8 @@
     _losses: Losses
     _stager: Stager
     _demand: Callable[[], Mapping[str, float]]
+    _has_traffic: Callable[[], bool]
+    _stall_seconds: float
 
     def supply(self, profile: ServiceProfile) -> Supply:
         """Return what a plan for a service is made from."""
@@ -30,23 +37,27 @@
             for record in self._serving()
             if record.service == profile.name
         ]
-        # One that must load first serves too late to be counted on.
-        present = Counter(
-            record.model
-            for record in serving
-            if not record.loads or self._fleet.is_open(record)
-        )
+        present: dict[str, float] = defaultdict(float)
+        for record in serving:
+            present[record.model] += self._counted(profile, record)
         in_fabric = Counter(
             (record.fabric_domain, record.model) for record in serving
         )
+        free = tuple(self._free(profile.name))
         return Supply(
             profile,
-            tuple(self._free(profile.name)),
+            free,
             present,
             in_fabric,
             self._demand(),
             tuple(self._members(serving)),
             self._stager.staging(self._fleet.instances),
+            dict(self._waits()),
+            1 if self._has_traffic() else _EARLY_LOAD_PART,
+            sum(
+                instance.service == profile.name
+                for instance in self._fleet.instances.values()
+            ),
         )
 
     def loading(self) -> int:
@@ -74,6 +85,24 @@
             for name in record.members
         )
 
+    def _counted(self, profile: ServiceProfile, record: ReplicaRecord) -> float:
+        """Return as how much a replica counts; one that loads serves late."""
+        engine = profile.engine
+        model = None if engine is None else engine.model(record.model)
+        if model is None or not record.loads or self._fleet.is_open(record):
+            return 1
+        return counted(model.load_seconds)
+
+    def _waits(self) -> Iterator[tuple[str, float]]:
+        """Yield in how many seconds members of ending replicas are free."""
+        for record in self._fleet.records.values():
+            if record.state is RecordState.SERVING:
+                continue
+            wait = CLOSE_SECONDS
+            if record.head in self._losses.current():
+                wait = self._stall_seconds
+            yield from ((name, wait) for name in record.members)
+
     def _serving(self) -> Iterator[ReplicaRecord]:
         return (
             record
@@ -97,12 +126,7 @@
 
     def _free(self, service: str) -> Iterator[ListedInstance]:
         """Yield the unused instances, also those that are being freed."""
-        used = {
-            name
-            for record in self._fleet.records.values()
-            if record.state is not RecordState.ENDING
-            for name in record.members
-        }
+        used = {name for one in self._serving() for name in one.members}
         used.update(self._losses.current())
         return (
             instance
--- a/src/cranecart/grouping/_supply.py
+++ b/src/cranecart/grouping/_supply.py
@@ -1,16 +1,15 @@
 """What plans are made from and what they consist of."""
 
 import enum
+import functools
 from collections.abc import Mapping
 
 import attrs
 
+from cranecart.grouping._objective import Objective, objective
 from cranecart.models import EngineModel, ServiceProfile
 from cranecart.ports import ListedInstance
 
-# Less work than this of a model, in seconds of an engine's slot, is too little
-# to judge by: a request takes about one.
-_LEAST_DEMAND = 30.0
 # So that a model without replicas has a finite need.
 _HALF_A_REPLICA = 0.5
 
@@ -69,41 +68,39 @@
 class Plan:
     """What a failure domain's placer should begin now.
 
-    ``unused`` are the instances that are left over.
+    ``closings`` name the replicas that make room for some of ``replicas``.
     """
 
     replicas: tuple[NewReplica, ...] = ()
     stagings: tuple[Staging, ...] = ()
     warmings: tuple[Warming, ...] = ()
-    unused: tuple[ListedInstance, ...] = ()
+    closings: tuple[str, ...] = ()
 
 
 @attrs.frozen
 class Supply:
     """What a plan is made from, for one service.
 
-    ``free`` are the unused instances of one failure domain, ``present``
-    counts the replicas of each model over the whole deployment, ``in_fabric``
-    those of each fabric domain, ``demand`` weighs the models' requests.
-    ``members`` are the failure domain's instances in replicas that serve,
-    ``staging`` names the models that instances are being brought.
+    ``free`` are the instances of one failure domain that no replica has that
+    goes on; ``waits`` tells in how many seconds those can join that are still
+    being freed. ``present`` counts the replicas of each model over the whole
+    deployment, ``in_fabric`` those of each fabric domain, ``measured`` is the
+    work that comes, in replicas that it would fill. ``members`` are the
+    failure domain's instances in replicas that serve, ``staging`` names the
+    models that instances are being brought, ``load_part`` multiplies the time
+    of loads now.
     """
 
     profile: ServiceProfile
     free: tuple[ListedInstance, ...]
-    present: Mapping[str, int]
+    present: Mapping[str, float]
     in_fabric: Mapping[tuple[str, str], int]
-    demand: Mapping[str, float]
+    measured: Mapping[str, float]
     members: tuple[ServingMember, ...] = ()
     staging: Mapping[str, str] = attrs.field(factory=dict)
-
-    @property
-    def is_demand_known(self) -> bool:
-        """Tell whether enough of each model came to compare them."""
-        return all(
-            self.demand.get(model.name, 0) >= _LEAST_DEMAND
-            for model in self.models
-        )
+    waits: Mapping[str, float] = attrs.field(factory=dict)
+    load_part: float = 1
+    instances: int = 0
 
     @property
     def models(self) -> tuple[EngineModel, ...]:
@@ -111,18 +108,19 @@
         engine = self.profile.engine
         return () if engine is None else engine.models
 
-    def demand_of(self, model: EngineModel) -> float:
-        """Return the engine time that a model's requests want.
-
-        Until it is known, the declared shares stand for it.
-        """
-        if self.is_demand_known:
-            return self.demand[model.name] * model.pace
-        return model.share
+    @functools.cached_property
+    def objective(self) -> Objective:
+        """Return what divisions are weighed by."""
+        return objective(self.models, self.measured, self.instances)
 
     def need(self, model: EngineModel, replicas: float) -> float:
         """Return the demand on each of so many replicas of a model."""
-        return self.demand_of(model) / (replicas + _HALF_A_REPLICA)
+        demand = self.objective.demand[model.name]
+        return demand / (replicas + _HALF_A_REPLICA)
+
+    def present_need(self, model: EngineModel) -> float:
+        """Return the demand on each replica that a model has now."""
+        return self.need(model, self.present.get(model.name, 0))
 
 
 def models_of(instance: ListedInstance) -> tuple[str, ...]:
--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -31,6 +31,7 @@
     Share,
     hash_key,
 )
+from cranecart.models._timing import EngineTiming
 
 __all__ = (
     'ClientLimits',
@@ -52,6 +53,7 @@
     'compiled_to_json',
     'EngineModel',
     'EngineProfile',
+    'EngineTiming',
     'KeyHolder',
     'Route',
     'RouteConfig',
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cranecart.models._timing import EngineTiming
+
 
 @attrs.frozen
 class Share:
@@ -66,6 +68,7 @@
     ``slots`` is how many requests a replica runs at once,
     ``staged_models`` how many models an instance keeps on its host. More
     than ``loads_at_once`` loads from the weight store slow each other down.
+    ``timing`` tells what requests cost there.
     """
 
     models: tuple[EngineModel, ...]
@@ -74,6 +77,7 @@
     loads_per_second: float
     staged_models: int
     loads_at_once: int = 1
+    timing: EngineTiming = attrs.field(factory=EngineTiming)
 
     def model(self, name: str) -> EngineModel | None:
         """Return a model by name."""
--- a/src/cranecart/platform/_declared.py
+++ b/src/cranecart/platform/_declared.py
@@ -111,6 +111,7 @@
             runtime.loads_per_s,
             runtime.cached_prefixes,
             runtime.loads_at_once,
+            runtime.timing(),
         ),
     )
 
--- a/src/cranecart/platform/_wire_config.py
+++ b/src/cranecart/platform/_wire_config.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
+from cranecart.models import EngineTiming
+
 _WHOLE_WEIGHT = 1
+_MILLISECONDS = 1000
+_THOUSAND_TOKENS = 1000
+_MILLION_PAIRS = 1000000
+# What holds where a target tells nothing of its engine's times.
+_TIMING = EngineTiming()
 
 
 class WireShare(msgspec.Struct):
@@ -43,7 +50,9 @@
 
 class WireRuntime(msgspec.Struct, rename='camel'):
     """How a service's engines work; ``cachedPrefixes`` counts the models
-    that an instance keeps staged.
+    that an instance keeps staged. A step's cost is told for each request that
+    writes (``per_seq_ms``) and for 1,000 tokens of context, that of reading
+    for a million pairs of tokens.
     """
 
     slots: int = 1
@@ -51,8 +60,42 @@
     form_ms: float = 0
     cached_prefixes: int = 1
     loads_per_s: float = 1
-    # On the wire this one is not in camel case.
+    stride: int = 1
+    chunk: int = 2048
+    # On the wire these are not in camel case.
     loads_at_once: int = msgspec.field(default=1, name='loads_at_once')
+    step_ms: float = msgspec.field(
+        default=_TIMING.step_seconds * _MILLISECONDS,
+        name='step_ms',
+    )
+    per_seq_ms: float = msgspec.field(
+        default=_TIMING.request_seconds * _MILLISECONDS,
+        name='per_seq_ms',
+    )
+    context_per_k: float = msgspec.field(
+        default=_TIMING.context_seconds * _MILLISECONDS * _THOUSAND_TOKENS,
+        name='context_per_k',
+    )
+    read_per_s: float = msgspec.field(
+        default=_TIMING.prompt_rate,
+        name='read_per_s',
+    )
+    pairs_per_m: float = msgspec.field(
+        default=_TIMING.pair_seconds * _MILLISECONDS * _MILLION_PAIRS,
+        name='pairs_per_m',
+    )
+
+    def timing(self) -> EngineTiming:
+        """Return what the engine's passes cost."""
+        return EngineTiming(
+            self.step_ms / _MILLISECONDS,
+            self.per_seq_ms / _MILLISECONDS,
+            self.context_per_k / _MILLISECONDS / _THOUSAND_TOKENS,
+            self.read_per_s,
+            self.pairs_per_m / _MILLISECONDS / _MILLION_PAIRS,
+            self.chunk,
+            self.stride,
+        )
 
 
 class WireService(msgspec.Struct):
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -51,12 +51,6 @@
 # The counters are logged every ten seconds.
 _FIGURES_TURNS = 100
 _CONNECTIONS_TURNS = 5
-# Work of a request in rough seconds of one of an engine's slots, from the
-# users' sheets: an event of 7 tokens takes 52 ms where all slots are taken; a
-# ms reads 50 tokens of a prompt, while the requests in 13 slots wait.
-_SECONDS_AN_EVENT = 0.052
-_SECONDS_A_PROMPT_TOKEN = 0.00026
-_SECONDS_A_REQUEST = 0.04
 
 
 class ServingNode:
@@ -203,12 +197,16 @@
 
     def _note_work(self, call: RoutedCall, events: int) -> None:
         facts = call.facts
-        work = (
-            _SECONDS_A_REQUEST
-            + events * _SECONDS_AN_EVENT
-            + facts.prompt_tokens * _SECONDS_A_PROMPT_TOKEN
+        engine = call.config.services[call.service].engine
+        model = None if engine is None else engine.model(facts.model)
+        if engine is None or model is None:
+            return
+        work = engine.timing.work_seconds(
+            events,
+            facts.prompt_tokens,
+            engine.slots,
         )
-        self._demand.note_work(facts.model, work)
+        self._demand.note_work(facts.model, work * model.pace)
 
     async def _keep_house(self) -> None:
         for turn in itertools.count(1):
@@ -220,8 +218,8 @@
             self._mesh.own.places = self._placer.places
             self._mesh.own.announced = self._knowledge.announced()
             self._mesh.own.demand = {
-                model: round(seconds, 1)
-                for model, seconds in self._demand.by_model().items()
+                model: round(replicas, 3)
+                for model, replicas in self._demand.by_model().items()
             }
             if turn % _CONNECTIONS_TURNS == 0:
                 listed = frozenset(self._fleet.instances)
--- a/tests/unit/test_demand.py
+++ b/tests/unit/test_demand.py
@@ -19,6 +19,7 @@
             self._come(model, 200)
             for _request in range(200):
                 self.meter.note_work(model, seconds)
+        self.now = 2
         demand = self.meter.by_model()
         self.assertAlmostEqual(demand['long'] / demand['short'], 2, delta=0.1)
 
@@ -26,6 +27,7 @@
         """A model that serves nothing is wanted all the same."""
         self._come('refused', 150)
         self._come('rare', 25)
+        self.now = 2
         demand = self.meter.by_model()
         self.assertGreater(demand['refused'], 5 * demand['rare'])
 
@@ -37,6 +39,21 @@
         demand = self.meter.by_model()
         self.assertGreater(demand['now'], 5 * demand['before'])
 
+    def test_how_many_replicas_the_work_fills(self) -> None:
+        """However long ago the first request came."""
+        for tenth in range(1, 400):
+            self.now = tenth / 10
+            self._come('steady', 1)
+            self.meter.note_work('steady', 0.3)
+            if tenth > 30:
+                found = self.meter.by_model()['steady']
+                self.assertAlmostEqual(found, 3, delta=0.3)
+
+    def test_nothing_is_told_from_a_moment(self) -> None:
+        """The first requests of a node say nothing about their rate."""
+        self._come('first', 5)
+        self.assertEqual(self.meter.by_model(), {})
+
     def _come(self, model: str, count: int) -> None:
         for _request in range(count):
             self.meter.note_request(model)
--- /dev/null
+++ b/tests/unit/test_division.py
@@ -0,0 +1,234 @@
+"""How a fabric domain's instances are divided between models."""
+
+import itertools
+import random
+import unittest
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import TypeVar
+
+import attrs
+
+from cranecart.grouping._division import Closable, Pool, divide
+from cranecart.grouping._membership import Candidate
+from cranecart.grouping._objective import Objective, objective
+from cranecart.grouping._plan import plan
+from cranecart.grouping._reshape import Closing
+from cranecart.grouping._supply import NewReplica, ServingMember, Supply
+from cranecart.http import Address
+from cranecart.models import EngineModel, EngineProfile, ServiceProfile
+from cranecart.ports import ListedInstance
+from tests.lib.fake_engines import SERVICE, listed
+
+_LARGE = EngineModel('large', 4, 1.0, 0.67, 16, 1.6)
+_SMALL = EngineModel('small', 2, 0.6, 0.33, 12, 1.1)
+_MODELS = (_LARGE, _SMALL)
+_PROFILE = ServiceProfile(SERVICE, EngineProfile(_MODELS, 13, 0.3, 4, 1))
+
+
+def _warm(name: str, model: str, fabric: str = 'f') -> ListedInstance:
+    """Return an instance that has one model loaded and the other staged."""
+    instance = listed(name, Address('127.0.0.1', 1), fabric)
+    return attrs.evolve(
+        instance,
+        loaded=(model,),
+        staged=('small' if model == 'large' else 'large',),
+    )
+
+
+def _objective(large: float = 3, small: float = 3) -> Objective:
+    return objective(_MODELS, {'large': large, 'small': small}, 48)
+
+
+class ObjectiveTest(unittest.TestCase):
+    """What replicas are worth."""
+
+    def test_one_more_is_worth_less_and_less(self) -> None:
+        """Whatever there is of the other model."""
+        weigh = _objective()
+        worth = [
+            weigh.value({'large': count, 'small': 4}) for count in range(9)
+        ]
+        gains = [after - before for before, after in itertools.pairwise(worth)]
+        self.assertEqual(gains, sorted(gains, reverse=True))
+
+    def test_shares_stand_for_work_that_is_not_known(self) -> None:
+        """Two thirds of the instances for four, a third for two."""
+        weigh = objective(_MODELS, {}, 48)
+        self.assertAlmostEqual(
+            weigh.demand['large'] / weigh.demand['small'],
+            1,
+            delta=0.1,
+        )
+
+
+class DivideTest(unittest.TestCase):
+    """One fabric domain."""
+
+    def test_as_good_as_every_other_way(self) -> None:
+        """Small cases, against all choices of members and closings."""
+        source = random.Random(7)
+        for _case in range(150):
+            pool = _drawn_pool(source)
+            present = {'large': source.randint(1, 6), 'small': 4.0}
+            found = divide(pool, _objective(), present)
+            best = max(
+                divide(only, _objective(), present).value
+                for only in _narrowed(pool)
+            )
+            self.assertAlmostEqual(found.value, best)
+
+    def test_survivors_wait_for_a_small_replica_to_close(self) -> None:
+        """Three of four and two of a plenty make four again, and one spare."""
+        survivors = [
+            Candidate(_warm(f'l{number}', 'large')) for number in range(3)
+        ]
+        small = tuple(_warm(f's{number}', 'small') for number in range(2))
+        pool = Pool(
+            tuple(survivors),
+            (Closable('r', 'small', small),),
+            close_seconds=0.5,
+        )
+        found = divide(pool, _objective(), {'large': 4, 'small': 10})
+        self.assertEqual(found.closed, ('r',))
+        self.assertEqual([one.model for one in found.formed], ['large'])
+
+    def test_no_step_is_taken_back(self) -> None:
+        """What was just formed is not closed by the same measure."""
+        for large, small in itertools.product(range(1, 9), repeat=2):
+            members = tuple(_warm(f'l{number}', 'large') for number in range(4))
+            pool = Pool(tuple(Candidate(one) for one in members))
+            present = {'large': large, 'small': small}
+            formed = divide(pool, _objective(), present).formed
+            now = Counter(present)
+            now.update(one.model for one in formed)
+            again = divide(
+                Pool(
+                    (),
+                    tuple(
+                        Closable(f'r{number}', one.model, one.instances)
+                        for number, one in enumerate(formed)
+                    ),
+                    close_seconds=0.5,
+                ),
+                _objective(),
+                now,
+            )
+            self.assertEqual(again.closed, ())
+
+
+class DeathsTest(unittest.TestCase):
+    """Members die every two seconds for good, as on the worst days."""
+
+    def test_the_large_model_keeps_its_replicas(self) -> None:
+        """Taking what fits, and what was closed for it, left it 2 to 4 of 6."""
+        for seed in range(12):
+            deployment = _Deployment(random.Random(seed))
+            for _death in range(16):
+                deployment.kill_one()
+                deployment.place()
+            counts = deployment.counts()
+            self.assertGreaterEqual(counts['large'], 4, f'seed {seed}')
+            self.assertGreaterEqual(counts['small'], 4, f'seed {seed}')
+
+
+_Item = TypeVar('_Item')
+_Replica = tuple[str, list[ListedInstance]]
+
+
+class _Deployment:
+    """Six fabric domains of eight, divided anew after each death."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._numbers = itertools.count()
+        self.replicas: dict[str, _Replica] = {}
+        self.free: list[ListedInstance] = []
+        self.closing: list[list[ListedInstance]] = []
+        for fabric, number in itertools.product(range(6), range(8)):
+            model = 'large' if number < 4 else 'small'
+            self.free.append(_warm(f'{fabric}-{number}', model, f'f{fabric}'))
+        self.place()
+
+    def counts(self) -> Counter[str]:
+        """Return the replicas of each model."""
+        return Counter(model for model, _members in self.replicas.values())
+
+    def kill_one(self) -> None:
+        """Lose a member of some replica; the others are free."""
+        name = self._source.choice(sorted(self.replicas))
+        _model, members = self.replicas.pop(name)
+        members.remove(self._source.choice(members))
+        self.free.extend(members)
+
+    def place(self) -> None:
+        """Act on plans until they ask for nothing more.
+
+        Closed replicas end one after the other, with a plan in between.
+        """
+        for _turn in range(6):
+            if self.closing:
+                self.free.extend(self.closing.pop(0))
+            found = plan(self._supply(), Closing.ANYWHERE)
+            for name in found.closings:
+                self.closing.append(self.replicas.pop(name)[1])
+            for new in found.replicas:
+                self._form(new)
+
+    def _form(self, new: NewReplica) -> None:
+        for group in (self.free, *self.closing):
+            for member in set(group) & set(new.members):
+                group.remove(member)
+        joined = [
+            _warm(one.id, new.model, one.fabric_domain) for one in new.members
+        ]
+        self.replicas[f'r{next(self._numbers)}'] = (new.model, joined)
+
+    def _supply(self) -> Supply:
+        return Supply(
+            _PROFILE,
+            (*self.free, *itertools.chain.from_iterable(self.closing)),
+            self.counts(),
+            {},
+            {'large': 3.0, 'small': 3.6},
+            tuple(self._members()),
+        )
+
+    def _members(self) -> Iterator[ServingMember]:
+        for name, (model, members) in self.replicas.items():
+            for member in members:
+                yield ServingMember(member, name, model)
+
+
+def _drawn_pool(source: random.Random) -> Pool:
+    free = tuple(
+        Candidate(_warm(f'i{number}', source.choice(('large', 'small'))))
+        for number in range(source.randint(0, 6))
+    )
+    closable = tuple(
+        Closable(
+            f'r{number}',
+            'small',
+            tuple(_warm(f'r{number}-{member}', 'small') for member in range(2)),
+        )
+        for number in range(source.randint(0, 2))
+    )
+    return Pool(free, closable, close_seconds=0.5)
+
+
+def _narrowed(pool: Pool) -> Iterable[Pool]:
+    """Yield the pool with every choice of instances and of closables."""
+    for free, closables in itertools.product(
+        _subsets(pool.candidates),
+        _subsets(pool.closables),
+    ):
+        yield attrs.evolve(
+            pool,
+            candidates=free,
+            closables=closables,
+        )
+
+
+def _subsets(items: tuple[_Item, ...]) -> Iterator[tuple[_Item, ...]]:
+    for count in range(len(items) + 1):
+        yield from itertools.combinations(items, count)
