Have nodes' connections to each other show when they went silent for good

Cause: an open connection between nodes may carry nothing any more without being broken; the link asked nothing and sent on for ever, so that a peer heard no more beats of that node. Change: questions of zeromq's own every half second, given up after 1.5 s, and unanswered bytes likewise.

--- a/src/cranecart/nodes/_link.py
+++ b/src/cranecart/nodes/_link.py
@@ -16,6 +16,12 @@
 _HIGH_WATER = 64
 _RECONNECT_MS = 100
 _RECONNECT_MAX_MS = 1000
+# An open connection may go silent for good while a new one would work, and
+# nothing but its own questions shows that. Peers that hear nothing for 0.8 s
+# take a node for gone, so that a second and a half is as late as may be; two
+# questions may be lost on the way.
+_HEARTBEAT_MS = 500
+_HEARTBEAT_TIMEOUT_MS = 1500
 _MAX_BYTES = 16777216
 
 
@@ -101,6 +107,9 @@
             outbox.setsockopt(zmq.SNDHWM, _HIGH_WATER)
             outbox.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
             outbox.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+            outbox.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
+            outbox.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
+            outbox.setsockopt(zmq.TCP_MAXRT, _HEARTBEAT_TIMEOUT_MS)
             outbox.connect(f'tcp://{address}')
             self._outboxes[address] = outbox
         return outbox
--- a/src/cranecart/standins/__init__.py
+++ b/src/cranecart/standins/__init__.py
@@ -3,7 +3,7 @@
 from cranecart.standins._engine import EngineStandin
 from cranecart.standins._engine_options import EngineOptions
 from cranecart.standins._platform import PlatformOptions, PlatformStandin
-from cranecart.standins._proxy import FaultProxy
+from cranecart.standins._proxy import FaultProxy, LinkFaults
 from cranecart.standins._record import Record, read_record
 from cranecart.standins._service import ServiceOptions, ServiceStandin
 from cranecart.standins._tokens import expected_text, token_text
@@ -12,6 +12,7 @@
     'EngineOptions',
     'EngineStandin',
     'FaultProxy',
+    'LinkFaults',
     'PlatformOptions',
     'PlatformStandin',
     'Record',
--- a/src/cranecart/standins/_proxy.py
+++ b/src/cranecart/standins/_proxy.py
@@ -29,6 +29,8 @@
     ``cut`` refuses connections and breaks the open ones; ``freeze_up`` and
     ``freeze_down`` hold back all bytes towards or from the upstream, and
     ``drop_after_up_bytes`` breaks a connection once so many bytes went up.
+    The first ``mute_first`` connections carry nothing any more, and are not
+    broken, while later ones work.
     """
 
     cut: bool = False
@@ -37,6 +39,7 @@
     delay_ms: int = 0
     drop_after_up_bytes: int = 0
     drop_answer: bool = False
+    mute_first: int = 0
 
 
 class FaultProxy:
@@ -52,6 +55,7 @@
         self.faults = LinkFaults()
         self.server = HttpServer(control, self._control)
         self._upstream = upstream
+        self._links = 0
         self._listener = curio.io.Socket(socket.socket())
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind((listen.host, listen.port))
@@ -91,8 +95,10 @@
             return
         with contextlib.suppress(OSError):
             async with curio.TaskGroup(wait=any) as pumps:
-                await pumps.spawn(self._pump, down, up, 'freeze_up')
-                await pumps.spawn(self._pump, up, down, 'freeze_down')
+                number = self._links
+                self._links += 1
+                await pumps.spawn(self._pump, down, up, 'freeze_up', number)
+                await pumps.spawn(self._pump, up, down, 'freeze_down', number)
                 await pumps.spawn(self._until_cut)
         await down.close()
         await up.close()
@@ -106,20 +112,24 @@
         source: curio.io.Socket,
         sink: curio.io.Socket,
         freeze: str,
+        number: int,
     ) -> None:
         goes_up = freeze == 'freeze_up'
         sent = 0
         while received := await source.recv(_READ_BYTES):
-            await self._hold_back(freeze)
+            await self._hold_back(freeze, number)
             if self.faults.drop_answer and not goes_up:
                 return
             await sink.sendall(received)
             sent += len(received)
-            limit = self.faults.drop_after_up_bytes
-            if goes_up and limit and sent >= limit:
+            if goes_up and self._is_over(sent):
                 return
 
-    async def _hold_back(self, freeze: str) -> None:
-        while getattr(self.faults, freeze):
+    def _is_over(self, sent: int) -> bool:
+        limit = self.faults.drop_after_up_bytes
+        return bool(limit) and sent >= limit
+
+    async def _hold_back(self, freeze: str, number: int) -> None:
+        while getattr(self.faults, freeze) or number < self.faults.mute_first:
             await curio.sleep(_POLL_SECONDS)
         await curio.sleep(self.faults.delay_ms / _MILLISECONDS)
