Decide at the door by forecasts; know replicas that give nothing

- All placers divide the empty instances alike before traffic, each for all, and form their own part.
Cause: each planned for itself, 9 and 6 replicas where 8 and 8 were best, which cost second models to mend.
- A replica of which two streams are due and get nothing is passed over (routing._pulse), and streams that have not begun there leave it; a target that cannot be connected to within 0.08 s is passed over at once.
- The door (package door, pure): first events are forecast from the engine's declared times, the counts and learned errors; in time first, late ones behind them, refused only what its client would not live to see, with when a place is expected; those who came back are known by their deadlines.

Repeatable calls of plain services leave half of the objective for another target; idle connections of a target that failed are dropped.

--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -138,6 +138,15 @@
         phase = head and head.phase_in(record.name, record.epoch)
         return phase is MemberPhase.OPEN
 
+    def is_forming(self, service: str, model: str) -> bool:
+        """Tell whether a replica of a model is recorded that is not open."""
+        return any(
+            record.service == service
+            and record.model == model
+            and record.state is RecordState.SERVING
+            for record in self.records.values()
+        )
+
     def heads(self, service: str, model: str) -> tuple[ServingHead, ...]:
         """Return the whole replicas of a model that take requests."""
         if self._heads is None:
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -16,9 +16,9 @@
     TargetTimeoutError,
     TimeoutPassedError,
 )
-from cranecart.forwarding._call import RoutedCall
+from cranecart.forwarding._call import RoutedCall, wanted
 from cranecart.limits import SharedRetryBudget
-from cranecart.routing import HeadRouter, Target
+from cranecart.routing import HeadRouter, Target, Wanted
 
 # When to come back after a target has refused, in seconds.
 _REFUSED_SECONDS = 0.2
@@ -35,6 +35,7 @@
     _router: HeadRouter
     _budget: SharedRetryBudget
     tried: list[str] = attrs.field(factory=list, init=False)
+    has_begun: bool = attrs.field(default=False, init=False)
     _sent: int = attrs.field(default=0, init=False)
     _not_reached: int = attrs.field(default=0, init=False)
     _last: TargetError | None = attrs.field(default=None, init=False)
@@ -45,7 +46,7 @@
         while True:
             target = self._choose()
             try:
-                with self._router.in_flight(target.instance.id):
+                with self._router.in_flight(target):
                     await attempt(target)
             except TargetError as error:
                 self._note(target, error)
@@ -56,22 +57,28 @@
                 raise self._final_error()
 
     def may_try_another(self) -> bool:
-        """Tell whether one more target would be allowed beside the present.
+        """Tell whether one more target is there and allowed.
 
         The present one is counted only once its attempt has ended.
         """
-        sent = self._sent + 1
-        return self.call.may_repeat and sent < self.call.route.attempts
+        call = self.call
+        if not call.may_repeat or self._sent + 1 >= call.route.attempts:
+            return False
+        return self._router.has_untried(self._wanted())
+
+    def begun(self, target: Target) -> None:
+        """Take over that the first event came, or the first after a move."""
+        if not self.has_begun:
+            self._router.begun(target, self.call.facts.model)
+        self.has_begun = True
+
+    def _wanted(self) -> Wanted:
+        return wanted(self.call, self.tried, has_begun=self.has_begun)
 
     def _choose(self) -> Target:
         call = self.call
         try:
-            target = self._router.choose(
-                call.config,
-                call.service,
-                call.facts.model,
-                self.tried,
-            )
+            target = self._router.choose(self._wanted())
         except (NoReplicaError, OverloadedError) as error:
             if self._last is None:
                 raise
@@ -82,17 +89,21 @@
             replica=target.forming,
             load=target.load,
             why=target.reason,
+            forecast=round(target.seconds, 3),
+            learned=round(target.error_seconds, 3),
+            returned=round(call.returned_seconds, 3),
             tried=list(self.tried),
         )
         self.tried.append(target.instance.id)
         return target
 
     def _note(self, target: Target, error: TargetError) -> None:
-        if isinstance(error, TargetNotReachedError):
-            self._not_reached += 1
-        else:
+        is_reached = not isinstance(error, TargetNotReachedError)
+        if is_reached:
             self._sent += 1
-        self._router.failed(target.instance.id)
+        else:
+            self._not_reached += 1
+        self._router.failed(target.instance.id, reached=is_reached)
         # Once it may have run, a later refusal does not make it 'not run'.
         if self._last is None or self._last.execution is Execution.NOT_RUN:
             self._last = error
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -1,6 +1,7 @@
 """One client's request on its way, with all that decides about it."""
 
 import time
+from collections.abc import Collection
 
 import attrs
 
@@ -8,6 +9,7 @@
 from cranecart.logs import RequestTrace
 from cranecart.models import Route, RouteConfig
 from cranecart.ports import CallFacts
+from cranecart.routing import Wanted
 
 # A client that names no deadline waits as long as its route allows.
 _NO_DEADLINE = float('inf')
@@ -15,7 +17,11 @@
 
 @attrs.frozen
 class RoutedCall:
-    """A checked request; ``ends_at`` is on the monotonic clock."""
+    """A checked request; ``ends_at`` is on the monotonic clock.
+
+    ``returned_seconds`` is how long before it came its client first asked,
+    zero if it was not refused before.
+    """
 
     request: Request
     facts: CallFacts
@@ -27,6 +33,7 @@
     started_at: float
     ends_at: float
     trace: RequestTrace
+    returned_seconds: float = 0
 
     @property
     def request_id(self) -> str:
@@ -44,6 +51,28 @@
         return self.route.is_idempotent
 
 
+def wanted(
+    call: RoutedCall,
+    tried: Collection[str],
+    *,
+    has_begun: bool,
+) -> Wanted:
+    """Return what the router needs to know of a call now."""
+    here = time.monotonic() - call.started_at
+    return Wanted(
+        call.config,
+        call.route,
+        call.service,
+        call.facts.model,
+        call.facts.prompt_tokens,
+        call.seconds_left,
+        call.returned_seconds + here,
+        bool(call.returned_seconds),
+        has_begun,
+        tried,
+    )
+
+
 def end_of(route: Route, facts: CallFacts, now: float) -> float:
     """Return when a request is given up, on the monotonic clock."""
     deadline = facts.deadline_seconds
--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -12,8 +12,9 @@
 
 # A live target answers a new connection within a few milliseconds on the
 # deployments' links; a lost first packet is sent again after a second, which
-# is longer than the answer is wanted.
-_CONNECT_SECONDS = 0.25
+# is longer than the answer is wanted. What another target may still answer
+# in time must not wait for long: objectives begin at 0.1 to 0.3 s.
+_CONNECT_SECONDS = 0.08
 # Connections are closed this long before the target would close them.
 _EARLIER_SECONDS = 1.0
 # How long a connection is kept where the target tells no time.
@@ -90,6 +91,15 @@
         seconds = self._keep.get(instance.id, _UNTOLD_SECONDS)
         kept.append(_Idle(connection, now, now + seconds))
 
+    async def drop(self, instance: ListedInstance) -> None:
+        """Close an instance's idle connections, as one has just failed.
+
+        What made one silent may have made all of them so, and each would
+        cost the next request its objective.
+        """
+        for idle in self._idle.pop(instance.id, ()):
+            await idle.connection.close()
+
     async def close_old(self, listed: frozenset[str]) -> None:
         """Close connections that are past their time or to gone instances."""
         now = time.monotonic()
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -8,6 +8,7 @@
 import attrs
 import curio
 
+from cranecart.door import Returns
 from cranecart.exceptions import (
     ConnectionBrokenError,
     RequestError,
@@ -15,7 +16,6 @@
 from cranecart.forwarding._admit import admit
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._call import RoutedCall
-from cranecart.forwarding._gaps import GapMeter
 from cranecart.forwarding._sender import Sender
 from cranecart.forwarding._stream import StreamExchange
 from cranecart.forwarding._whole import WholeExchange
@@ -44,7 +44,7 @@
     _admitted: Callable[[RoutedCall], None]
     # Told of each stream that ended well, and how many events it had.
     _streamed: Callable[[RoutedCall, int], None]
-    _gaps: GapMeter = attrs.field(factory=GapMeter, init=False)
+    _returns: Returns = attrs.field(factory=Returns, init=False)
     inside: int = attrs.field(default=0, init=False)
     taken: int = attrs.field(default=0, init=False)
 
@@ -81,7 +81,9 @@
             facts = self._sender.form.read_request(request)
             trace.request_id = facts.request_id
             config = self._current()
-            call = admit(request, facts, config, self._random, trace)
+            call = self._with_return(
+                admit(request, facts, config, self._random, trace),
+            )
             self._admitted(call)
             _tell_admitted(call)
             await self._forward(call, responder)
@@ -96,6 +98,15 @@
             self._observe(outcome, responder.seconds_to_first_byte(started))
             self._write(trace, outcome)
 
+    def _with_return(self, call: RoutedCall) -> RoutedCall:
+        """Note since when a client that was refused has been asking."""
+        returned = self._returns.elapsed_seconds(
+            call.route.name,
+            call.facts.deadline_seconds,
+            call.started_at,
+        )
+        return attrs.evolve(call, returned_seconds=returned)
+
     def _write(self, trace: RequestTrace, outcome: str) -> None:
         """Log a request, but only a share of the ordinary ones."""
         share = zlib.crc32(trace.request_id.encode()) / _CRC_RANGE
@@ -104,14 +115,17 @@
             trace.write()
 
     async def _forward(self, call: RoutedCall, responder: Responder) -> None:
+        try:
+            await self._attempt(call, responder)
+        except RequestError as error:
+            if error.retry_after is not None:
+                self._returns.note_refused(call.route.name, time.monotonic())
+            raise
+
+    async def _attempt(self, call: RoutedCall, responder: Responder) -> None:
         attempts = RoutedAttempts(call, self._sender.router, self._budget)
         if call.route.streaming:
-            stream = StreamExchange(
-                self._sender,
-                attempts,
-                responder,
-                self._gaps,
-            )
+            stream = StreamExchange(self._sender, attempts, responder)
             await attempts.run(stream.attempt)
             response = stream.response
             if response is None:
@@ -180,6 +194,8 @@
         service=call.service,
         model=call.facts.model,
         left=round(call.seconds_left, 3),
+        objective=call.route.objective_seconds,
+        pause=call.route.pause_seconds,
     )
 
 
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -35,6 +35,9 @@
 # How often a wait looks whether its replica was found to have stopped, and
 # how often once it has been silent for so long that this may be any moment.
 _LOOK_SECONDS = 0.025
+# By how many ranks those step back that cannot be in time any more: behind all
+# of the ranks that operators give on the users' sheets.
+_LATE_RANKS = 5
 _CLOSE_LOOK_SECONDS = 0.006
 
 
@@ -52,12 +55,14 @@
     """How long a target may be silent, in seconds.
 
     After ``suspect`` the silence is told as evidence; after ``most`` the
-    target is given up, and at once if it is found to have stopped, unless
-    ``is_last``: then nothing is gained by leaving it.
+    target is given up, after ``still`` if it gives its other streams nothing
+    either, and at once if it is found to have stopped, unless ``is_last``:
+    then nothing is gained by leaving it.
     """
 
     suspect: float
     most: float
+    still: float = float('inf')
     is_last: bool = False
 
 
@@ -94,6 +99,9 @@
                 connection.read_head,
             )
             yield await self._own_answer(call, target, connection, head)
+        except (TargetBrokenError, TargetTimeoutError):
+            await self.connections.drop(target.instance)
+            raise
         finally:
             await self.connections.give_back(target.instance, connection)
 
@@ -146,6 +154,11 @@
         is_stopped = forming is not None and self._is_stopped(forming)
         if is_stopped and not patience.is_last:
             raise TargetBrokenError(f'{target.instance.id} has stopped')
+        model = call.facts.model
+        if silence > patience.still and self.router.is_still(target, model):
+            raise TargetBrokenError(
+                f'{target.instance.id} gives its streams nothing',
+            )
         if silence > patience.most:
             raise TargetBrokenError(
                 f'{target.instance.id} was silent for {silence:.3f} s',
@@ -172,11 +185,12 @@
         connection: HttpConnection,
         resume_after: str,
     ) -> None:
+        late_ranks = _LATE_RANKS if target.is_late else 0
         dispatch = Dispatch(
             target.instance.id,
             call.seconds_left,
             call.organisation,
-            call.rank,
+            call.rank + late_ranks,
             resume_after,
         )
         try:
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -9,10 +9,9 @@
 )
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._events import EventCutter
-from cranecart.forwarding._gaps import GapMeter
 from cranecart.forwarding._sender import Patience, Sender, TargetAnswer
 from cranecart.http import Responder, Response
-from cranecart.routing import Target
+from cranecart.routing import StreamPulse, Target
 
 # Without its placer's finding a stream is moved after this silence only: in
 # plays with too few replicas, live engines were silent for over half a
@@ -55,7 +54,6 @@
     _sender: Sender
     _attempts: RoutedAttempts
     _responder: Responder
-    _gaps: GapMeter
     response: Response | None = attrs.field(default=None, init=False)
     cutter: EventCutter = attrs.field(factory=EventCutter, init=False)
     timing: StreamTiming = attrs.field(factory=StreamTiming, init=False)
@@ -89,6 +87,17 @@
                 answer.head.status,
                 self._sender.form.answer_lines(answer.head),
             )
+        with self._sender.router.pulse.following(target.instance.id) as pulse:
+            await self._pass_events(target, answer, pulse)
+        if not self.cutter.is_between_events:
+            raise TargetBrokenError(f'{target.instance.id} cut an event off')
+
+    async def _pass_events(
+        self,
+        target: Target,
+        answer: TargetAnswer,
+        pulse: StreamPulse,
+    ) -> None:
         patience = self._first_patience()
         while piece := await self._sender.wait(
             self._attempts.call,
@@ -96,15 +105,18 @@
             patience,
             answer.connection.read_piece,
         ):
+            self._attempts.begun(target)
             patience = self._patience()
+            pulse.beat()
             whole = self.cutter.feed(piece)
             if whole:
                 await self._responder.write(whole)
-                gap = self.timing.note_event()
-                if gap is not None:
-                    self._gaps.note(self._attempts.call.facts.model, gap)
-        if not self.cutter.is_between_events:
-            raise TargetBrokenError(f'{target.instance.id} cut an event off')
+                self._note_gap(self.timing.note_event())
+
+    def _note_gap(self, gap: float | None) -> None:
+        if gap is not None:
+            model = self._attempts.call.facts.model
+            self._sender.router.gaps.note(model, gap)
 
     async def _take_failure(
         self,
@@ -128,9 +140,10 @@
 
     def _patience(self) -> Patience:
         model = self._attempts.call.facts.model
-        suspect = self._gaps.suspect_seconds(model)
+        suspect = self._sender.router.gaps.suspect_seconds(model)
         if self._attempts.may_try_another():
-            return Patience(suspect, _SILENT_SECONDS)
+            pause = self._attempts.call.route.pause_seconds
+            return Patience(suspect, _SILENT_SECONDS, pause)
         # What must not run again waits for the run it has: a replica that
         # stands still breaks it off itself within seconds.
         return Patience(suspect, float('inf'), is_last=True)
@@ -142,5 +155,8 @@
             self._attempts.call.route.objective_seconds * _FIRST_SUSPECT_PART
         )
         if self._attempts.may_try_another():
-            return Patience(suspect, max(suspect, _FIRST_SILENT_SECONDS))
+            # A replica that gives its other streams nothing will not begin
+            # this one: leaving it at once may still meet the objective.
+            most = max(suspect, _FIRST_SILENT_SECONDS)
+            return Patience(suspect, most, still=0)
         return Patience(suspect, float('inf'))
--- a/src/cranecart/forwarding/_whole.py
+++ b/src/cranecart/forwarding/_whole.py
@@ -1,5 +1,7 @@
 """Get a whole answer from a target, then pass it on."""
 
+import time
+
 import attrs
 
 from cranecart.exceptions import TargetBrokenError
@@ -22,7 +24,8 @@
     async def attempt(self, target: Target) -> None:
         """Fetch an answer; raise ``TargetError`` where another may do."""
         call = self._attempts.call
-        patience = Patience(float('inf'), float('inf'))
+        started = time.monotonic()
+        patience = self._patience()
         async with self._sender.answer(call, target, patience) as answer:
             body = await self._sender.wait(
                 call,
@@ -31,11 +34,27 @@
                 answer.connection.read_body,
             )
             self.response = self._response(answer, body)
+            took = time.monotonic() - started
+            self._sender.router.gaps.note(call.service, took)
         if self._is_worth_another(answer):
             raise TargetBrokenError(
                 f'{target.instance.id} failed with {answer.head.status}',
             )
 
+    def _patience(self) -> Patience:
+        """Leave half of the objective for another target.
+
+        Some targets take requests and never answer while they look healthy;
+        without this such a request was held to its end. Where all are slow,
+        that is known from the answers that came, and longer waits are usual.
+        """
+        if not self._attempts.may_try_another():
+            return Patience(float('inf'), float('inf'))
+        call = self._attempts.call
+        usual = self._sender.router.gaps.suspect_seconds(call.service)
+        half = call.route.objective_seconds / 2
+        return Patience(float('inf'), max(half, usual))
+
     def _is_worth_another(self, answer: TargetAnswer) -> bool:
         failed = answer.head.status >= _SERVER_ERROR
         return failed and self._attempts.may_try_another()
--- a/src/cranecart/grouping/_demand.py
+++ b/src/cranecart/grouping/_demand.py
@@ -28,9 +28,11 @@
         self.ended *= factor
         self.work *= factor
 
+    def mean(self) -> float:
+        return (self.work + _ASSUMED_SECONDS) / (self.ended + 1)
+
     def total(self) -> float:
-        mean = (self.work + _ASSUMED_SECONDS) / (self.ended + 1)
-        return mean * self.came
+        return self.mean() * self.came
 
 
 @attrs.define
@@ -59,6 +61,11 @@
         demand.ended += 1
         demand.work += seconds
 
+    def mean_seconds(self, model: str) -> float:
+        """Return a replica's seconds that a request of a model takes."""
+        known = self._models.get(model)
+        return _ASSUMED_SECONDS if known is None else known.mean()
+
     def by_model(self) -> Mapping[str, float]:
         """Return the work that comes in a second, in a replica's seconds.
 
--- a/src/cranecart/grouping/_division.py
+++ b/src/cranecart/grouping/_division.py
@@ -97,7 +97,9 @@
             left[replica.model] -= 1
         for counts in _compositions(weigh.models, len(candidates)):
             formed = assign(candidates, counts, pool.load_part)
-            costs = forming_costs(formed) + _CLOSE_COST * len(closed)
+            costs = forming_costs(formed, pool.load_part) + _CLOSE_COST * len(
+                closed
+            )
             yield Division(
                 formed,
                 tuple(replica.name for replica in closed),
--- a/src/cranecart/grouping/_membership.py
+++ b/src/cranecart/grouping/_membership.py
@@ -110,12 +110,17 @@
     return _HORIZON_SECONDS / (_HORIZON_SECONDS + seconds)
 
 
-def forming_costs(formed: Sequence[Members]) -> float:
+def forming_costs(formed: Sequence[Members], load_part: float) -> float:
     """Return what forming takes from later plans, in instances."""
     cold = sum(one.cold for one in formed)
-    joining = sum(
-        one.model not in instance.loaded
+    switched = sum(
+        _gives_up(instance, one.model)
         for one in formed
         for instance in one.instances
     )
-    return _LOAD_COST * cold + _SWITCH_COST * (joining - cold)
+    return _LOAD_COST * load_part * cold + _SWITCH_COST * switched
+
+
+def _gives_up(instance: ListedInstance, model: str) -> bool:
+    """Tell whether an instance will have one model where it had two."""
+    return bool(instance.loaded) and model not in instance.loaded
--- a/src/cranecart/grouping/_shaper.py
+++ b/src/cranecart/grouping/_shaper.py
@@ -54,7 +54,7 @@
         if engine is None:
             return
         supply = self._stock.supply(profile)
-        wanted = plan(supply, self._closing())
+        wanted = plan(supply, self._closing()).only(self._stock.is_own)
         await self._form(engine, supply, wanted)
         for staging in wanted.stagings:
             await self._stager.stage(engine, staging, self._stock.loading())
--- a/src/cranecart/grouping/_stock.py
+++ b/src/cranecart/grouping/_stock.py
@@ -85,6 +85,14 @@
             for name in record.members
         )
 
+    def is_own(self, instance: ListedInstance) -> bool:
+        """Tell whether this placer gives an instance its orders."""
+        return instance.failure_domain == self._failure_domain
+
+    def _may_plan(self, failure_domain: str) -> bool:
+        is_own = failure_domain == self._failure_domain
+        return is_own or not self._has_traffic()
+
     def _counted(self, profile: ServiceProfile, record: ReplicaRecord) -> float:
         """Return as how much a replica counts; one that loads serves late."""
         engine = profile.engine
@@ -125,7 +133,13 @@
         )
 
     def _free(self, service: str) -> Iterator[ListedInstance]:
-        """Yield the unused instances, also those that are being freed."""
+        """Yield the unused instances, also those that are being freed.
+
+        Before traffic those of all failure domains, as all placers divide
+        what there is at the same moment: each plans for all alike and forms
+        its own part. Planning each for itself, three placers gave the large
+        model 9 replicas and the small one 6, where 8 and 8 were best.
+        """
         used = {name for one in self._serving() for name in one.members}
         used.update(self._losses.current())
         return (
@@ -133,6 +147,6 @@
             for instance in self._fleet.instances.values()
             if instance.id not in used
             and instance.service == service
-            and instance.failure_domain == self._failure_domain
+            and self._may_plan(instance.failure_domain)
             and not instance.leaving
         )
--- a/src/cranecart/grouping/_supply.py
+++ b/src/cranecart/grouping/_supply.py
@@ -2,7 +2,8 @@
 
 import enum
 import functools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import Self
 
 import attrs
 
@@ -76,6 +77,21 @@
     warmings: tuple[Warming, ...] = ()
     closings: tuple[str, ...] = ()
 
+    def only(self, is_wanted: Callable[[ListedInstance], bool]) -> Self:
+        """Return the part of the plan that concerns some instances."""
+        return attrs.evolve(
+            self,
+            replicas=tuple(
+                one for one in self.replicas if all(map(is_wanted, one.members))
+            ),
+            stagings=tuple(
+                one for one in self.stagings if is_wanted(one.instance)
+            ),
+            warmings=tuple(
+                one for one in self.warmings if is_wanted(one.instance)
+            ),
+        )
+
 
 @attrs.frozen
 class Supply:
--- a/src/cranecart/platform/_calls.py
+++ b/src/cranecart/platform/_calls.py
@@ -27,6 +27,7 @@
 _NOT_RUN = 'not-executed'
 _AT_FAULT = 'at-server'
 _WRONG_INSTANCE = 421
+_LAST_RANK = 9
 
 # Headers that concern one connection only.
 _HOP = frozenset(
@@ -127,7 +128,7 @@
     if dispatch.organisation:
         lines.append((_ORGANISATION, dispatch.organisation))
     if dispatch.rank is not None:
-        lines.append((_RANK, str(dispatch.rank)))
+        lines.append((_RANK, str(min(dispatch.rank, _LAST_RANK))))
     if dispatch.resume_after:
         lines.append((_RESUME, dispatch.resume_after))
     return tuple(lines)
--- a/src/cranecart/routing/_ejection.py
+++ b/src/cranecart/routing/_ejection.py
@@ -35,10 +35,15 @@
     _clock: Callable[[], float] = time.monotonic
     _records: dict[str, _Record] = attrs.field(factory=dict, init=False)
 
-    def failed(self, name: str) -> None:
-        """Count a failure that was the target's."""
+    def failed(self, name: str, *, reached: bool = True) -> None:
+        """Count a failure that was the target's.
+
+        One that could not be reached at all is passed over at once.
+        """
         record = self._records.setdefault(name, _Record())
         record.failures += 1
+        if not reached:
+            record.failures = max(record.failures, _FAILURES)
         over = record.failures - _FAILURES
         if over >= 0:
             seconds = min(_LONGEST_SECONDS, _FIRST_SECONDS * 2**over)
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -2,138 +2,217 @@
 
 import contextlib
 import random
+import time
 from collections import Counter
-from collections.abc import Callable, Collection, Generator, Sequence
-from typing import TypeVar
+from collections.abc import Callable, Generator, Sequence
 
 import attrs
 
+from cranecart.door import (
+    Ask,
+    ForecastErrors,
+    Refuse,
+    Standing,
+    decide,
+    return_seconds,
+)
 from cranecart.exceptions import NoReplicaError, OverloadedError
 from cranecart.fleet import Fleet, ServingHead
-from cranecart.models import RouteConfig, ServiceProfile
+from cranecart.models import EngineProfile
 from cranecart.ports import ListedInstance
 from cranecart.routing._ejection import Ejection
+from cranecart.routing._gaps import GapMeter
+from cranecart.routing._places import Places, Target
+from cranecart.routing._pulse import Pulse
+from cranecart.routing._wanted import Wanted
 
-# A replica takes as many requests beyond those it runs at once before
-# requests for it are refused; they wait a run's time there, about a second,
-# while clients leave after two.
-_QUEUE_PART = 1.0
 # Plain services queue up to four times their slots on the users' sheets.
 _PLAIN_QUEUE_PART = 2.0
-# When to come back after a refusal: about the time in which a repaired
-# replica opens, and in which a full one ends a request.
-_NO_REPLICA_SECONDS = 0.5
+# When a replica that forms now is open, and one that must wait for its
+# members first.
+_FORMING_SECONDS = 0.6
+_NOTHING_FORMS_SECONDS = 2.0
+# In which a full plain service ends a request.
 _FULL_SECONDS = 0.2
 
-_Named = TypeVar('_Named', ServingHead, ListedInstance)
-
-
-@attrs.frozen
-class Target:
-    """Where one attempt goes, and why."""
-
-    instance: ListedInstance
-    forming: tuple[str, int] | None
-    load: int
-    reason: str
-
 
 @attrs.define
 class HeadRouter:
-    """Routes by the fewest requests in flight, own and other nodes'."""
+    """Routes by the forecast of the first event, or by counts.
+
+    ``_elsewhere`` tells the requests that other nodes have at an instance,
+    ``_run_seconds`` what part of a full engine's time a model's requests take.
+    """
 
     _fleet: Fleet
     _random: random.Random
     _elsewhere: Callable[[str], int]
+    _run_seconds: Callable[[str], float]
+    _failure_domain: str = ''
+    _clock: Callable[[], float] = time.monotonic
+    gaps: GapMeter = attrs.field(factory=GapMeter, init=False)
+    pulse: Pulse = attrs.field(init=False)
+    errors: ForecastErrors = attrs.field(factory=ForecastErrors, init=False)
     _ejection: Ejection = attrs.field(factory=Ejection, init=False)
-    _in_flight: Counter[str] = attrs.field(factory=Counter, init=False)
-
-    def choose(
-        self,
-        config: RouteConfig,
-        service: str,
-        model: str,
-        tried: Collection[str],
-    ) -> Target:
-        """Return where to send; raise ``NoReplicaError`` if nowhere."""
-        profile = config.services.get(service)
-        if profile is None or profile.engine is None:
-            return self._choose_plain(service, tried)
-        return self._choose_head(profile, model, tried)
+    _places: Places = attrs.field(factory=Places, init=False)
+
+    def choose(self, wanted: Wanted) -> Target:
+        """Return where to send.
+
+        Raise ``NoReplicaError`` if nowhere, and ``OverloadedError`` where all
+        targets are full for longer than the client waits.
+        """
+        engine = wanted.engine
+        if engine is None:
+            return self._choose_plain(wanted)
+        return self._choose_head(wanted, engine)
+
+    def has_untried(self, wanted: Wanted) -> bool:
+        """Tell whether a request could still go to another target."""
+        targets: Sequence[ServingHead | ListedInstance]
+        if wanted.engine is None:
+            targets = self._fleet.plain(wanted.service)
+        else:
+            targets = self._fleet.heads(wanted.service, wanted.model)
+        return any(one.id not in wanted.tried for one in targets)
 
     @contextlib.contextmanager
-    def in_flight(self, name: str) -> Generator[None, None, None]:
-        """Count one request more at an instance while the context lasts."""
-        self._in_flight[name] += 1
+    def in_flight(self, target: Target) -> Generator[None, None, None]:
+        """Count one request more at a target while the context lasts."""
+        self._places.take(target)
         try:
             yield
         finally:
-            self._in_flight[name] -= 1
+            self._places.leave(target)
 
     def counts(self) -> Counter[str]:
         """Return this node's requests in flight by instance."""
-        return self._in_flight
+        return self._places.in_flight
 
-    def failed(self, name: str) -> None:
+    def begun(self, target: Target, model: str) -> None:
+        """Take over that a stream's first event came."""
+        if self._places.begin(target):
+            seconds = self._clock() - target.sent_at
+            late = seconds - target.seconds + target.error_seconds
+            name = target.instance.id
+            self.errors.note(name, model, late, self._clock())
+
+    def failed(self, name: str, *, reached: bool = True) -> None:
         """Count a failure that was the instance's."""
-        self._ejection.failed(name)
+        self._ejection.failed(name, reached=reached)
 
     def succeeded(self, name: str) -> None:
         """Forget an instance's failures."""
         self._ejection.succeeded(name)
 
+    def is_still(self, target: Target, model: str) -> bool:
+        """Tell whether a replica gives none of its streams anything."""
+        return self.pulse.is_still(target.instance.id, model)
+
     def load(self, name: str) -> int:
         """Return the requests in flight at an instance over all nodes."""
-        return self._in_flight[name] + self._elsewhere(name)
-
-    def _choose_head(
-        self,
-        profile: ServiceProfile,
-        model: str,
-        tried: Collection[str],
-    ) -> Target:
-        heads = [
-            head
-            for head in self._fleet.heads(profile.name, model)
-            if head.id not in tried
+        return self._places.in_flight[name] + self._elsewhere(name)
+
+    @pulse.default
+    def _make_pulse(self) -> Pulse:
+        return Pulse(self.gaps.suspect_seconds)
+
+    def _choose_head(self, wanted: Wanted, engine: EngineProfile) -> Target:
+        heads = {
+            head.id: head
+            for head in self._fleet.heads(wanted.service, wanted.model)
+            if head.id not in wanted.tried
+        }
+        model = engine.model(wanted.model)
+        if not heads or model is None:
+            raise self._no_replica(wanted)
+        good = self._ejection.without_ejected(heads.values())
+        moving = [
+            one for one in good if not self.pulse.is_still(one.id, wanted.model)
         ]
-        if not heads:
-            raise NoReplicaError(
-                f'no whole replica of {model!r} serves',
-                retry_after=_NO_REPLICA_SECONDS,
+        ask = Ask(
+            wanted.route,
+            engine,
+            model,
+            wanted.prompt_tokens,
+            wanted.elapsed_seconds,
+            wanted.left_seconds,
+            self._run_seconds(wanted.model),
+            wanted.has_returned,
+            wanted.has_begun,
+        )
+        standings = [self._standing(one, wanted) for one in moving or good]
+        self._random.shuffle(standings)
+        chosen = decide(ask, standings)
+        if isinstance(chosen, Refuse):
+            raise OverloadedError(
+                f'a place is due {chosen.seconds:.2f} s after its client left',
+                retry_after=return_seconds(
+                    chosen.seconds,
+                    wanted.left_seconds,
+                    self._random.random(),
+                ),
             )
-        chosen = self._least_loaded(self._ejection.without_ejected(heads))
-        load = self.load(chosen.id)
-        slots = profile.engine.slots if profile.engine else 1
-        _check_load(load, slots * (1 + _QUEUE_PART))
-        return Target(chosen.head, chosen.forming, load, 'fewest in flight')
+        head = heads[chosen.name]
+        return Target(
+            head.head,
+            head.forming,
+            self.load(head.id),
+            'behind those in time' if chosen.is_late else 'in time',
+            self._clock(),
+            chosen.seconds,
+            self._error(head.id, wanted.model),
+            chosen.is_late,
+        )
+
+    def _standing(self, head: ServingHead, wanted: Wanted) -> Standing:
+        return Standing(
+            head.id,
+            self.load(head.id),
+            self._places.behind[head.id],
+            self._error(head.id, wanted.model),
+            head.head.failure_domain == self._failure_domain,
+        )
+
+    def _error(self, name: str, model: str) -> float:
+        return self.errors.expected(name, model, self._clock())
+
+    def _no_replica(self, wanted: Wanted) -> NoReplicaError:
+        forms = self._fleet.is_forming(wanted.service, wanted.model)
+        expected = _FORMING_SECONDS if forms else _NOTHING_FORMS_SECONDS
+        return NoReplicaError(
+            f'no whole replica of {wanted.model!r} serves',
+            retry_after=return_seconds(
+                expected,
+                wanted.left_seconds,
+                self._random.random(),
+            ),
+        )
 
-    def _choose_plain(self, service: str, tried: Collection[str]) -> Target:
+    def _choose_plain(self, wanted: Wanted) -> Target:
         instances = [
             instance
-            for instance in self._fleet.plain(service)
-            if instance.id not in tried
+            for instance in self._fleet.plain(wanted.service)
+            if instance.id not in wanted.tried
         ]
         if not instances:
             raise NoReplicaError(
-                f'no instance of {service!r} serves',
-                retry_after=_NO_REPLICA_SECONDS,
+                f'no instance of {wanted.service!r} serves',
+                retry_after=_NOTHING_FORMS_SECONDS,
             )
-        chosen = self._least_loaded(self._ejection.without_ejected(instances))
+        good = self._ejection.without_ejected(instances)
+        chosen = min(good, key=self._load_then_chance)
         load = self.load(chosen.id)
-        _check_load(load, chosen.slots * (1 + _PLAIN_QUEUE_PART))
-        return Target(chosen, None, load, 'fewest in flight')
-
-    def _least_loaded(self, targets: Sequence[_Named]) -> _Named:
-        ranked = [
-            (self.load(one.id), self._random.random(), one) for one in targets
-        ]
-        return min(ranked, key=lambda entry: entry[:2])[2]
-
+        if load >= chosen.slots * (1 + _PLAIN_QUEUE_PART):
+            raise OverloadedError(
+                f'the least loaded target has {load} requests',
+                retry_after=return_seconds(
+                    _FULL_SECONDS,
+                    wanted.left_seconds,
+                    self._random.random(),
+                ),
+            )
+        return Target(chosen, None, load, 'fewest in flight', self._clock())
 
-def _check_load(load: int, most: float) -> None:
-    if load >= most:
-        raise OverloadedError(
-            f'the least loaded target has {load} requests',
-            retry_after=_FULL_SECONDS,
-        )
+    def _load_then_chance(self, one: ListedInstance) -> tuple[int, float]:
+        return self.load(one.id), self._random.random()
--- /dev/null
+++ b/src/cranecart/routing/_wanted.py
@@ -0,0 +1,34 @@
+"""What the router needs to know of a request."""
+
+from collections.abc import Collection
+
+import attrs
+
+from cranecart.models import EngineProfile, Route, RouteConfig
+
+
+@attrs.frozen
+class Wanted:
+    """One request that looks for a target; times in seconds.
+
+    ``elapsed_seconds`` is how long ago its client first asked; it
+    ``has_returned`` if it was refused before, and ``has_begun`` if it is a
+    stream that goes on elsewhere. ``tried`` targets are passed over.
+    """
+
+    config: RouteConfig
+    route: Route
+    service: str
+    model: str
+    prompt_tokens: int
+    left_seconds: float
+    elapsed_seconds: float = 0
+    has_returned: bool = False
+    has_begun: bool = False
+    tried: Collection[str] = ()
+
+    @property
+    def engine(self) -> EngineProfile | None:
+        """Return what is declared of the service's engines, if it has any."""
+        profile = self.config.services.get(self.service)
+        return None if profile is None else profile.engine
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -73,6 +73,8 @@
             self._fleet,
             self._random,
             lambda name: self._mesh.in_flight_elsewhere(name),
+            self._demand.mean_seconds,
+            settings.failure_domain,
         )
         self._mesh = self._make_mesh()
         self._knowledge = Knowledge.from_surroundings(
@@ -224,6 +226,7 @@
             if turn % _CONNECTIONS_TURNS == 0:
                 listed = frozenset(self._fleet.instances)
                 await self._connections.close_old(listed)
+                self._router.errors.forget(listed)
 
     def _reload(self) -> None:
         if self._live.reload('asked by a signal'):
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -263,7 +263,13 @@
         )
         self.fleet.take_records({one.key: one for one in records}, True)
         source = random.Random(1)
-        self.router = HeadRouter(self.fleet, source, lambda _name: 0)
+        self.router = HeadRouter(
+            self.fleet,
+            source,
+            lambda _name: 0,
+            lambda _model: 0.1,
+            'east',
+        )
         self.connections = TargetConnections()
         self.gateway = RoutedGateway(
             lambda: CONFIG,
--- a/tests/unit/test_division.py
+++ b/tests/unit/test_division.py
@@ -14,7 +14,12 @@
 from cranecart.grouping._objective import Objective, objective
 from cranecart.grouping._plan import plan
 from cranecart.grouping._reshape import Closing
-from cranecart.grouping._supply import NewReplica, ServingMember, Supply
+from cranecart.grouping._supply import (
+    NewReplica,
+    Plan,
+    ServingMember,
+    Supply,
+)
 from cranecart.http import Address
 from cranecart.models import EngineModel, EngineProfile, ServiceProfile
 from cranecart.ports import ListedInstance
@@ -23,12 +28,13 @@
 _LARGE = EngineModel('large', 4, 1.0, 0.67, 16, 1.6)
 _SMALL = EngineModel('small', 2, 0.6, 0.33, 12, 1.1)
 _MODELS = (_LARGE, _SMALL)
+_ADDRESS = Address('127.0.0.1', 1)
 _PROFILE = ServiceProfile(SERVICE, EngineProfile(_MODELS, 13, 0.3, 4, 1))
 
 
 def _warm(name: str, model: str, fabric: str = 'f') -> ListedInstance:
     """Return an instance that has one model loaded and the other staged."""
-    instance = listed(name, Address('127.0.0.1', 1), fabric)
+    instance = listed(name, _ADDRESS, fabric)
     return attrs.evolve(
         instance,
         loaded=(model,),
@@ -117,6 +123,26 @@
             self.assertEqual(again.closed, ())
 
 
+class StartTest(unittest.TestCase):
+    """Empty instances of three failure domains, and no request yet."""
+
+    def test_placers_agree_on_one_division(self) -> None:
+        """Each plans for all; its part of that plan fits the others'."""
+        free = tuple(
+            listed(f'{fabric}-{number}', _ADDRESS, f'f{fabric}')
+            for fabric, number in itertools.product(range(6), range(8))
+        )
+        supply = Supply(_PROFILE, free, {}, {}, {}, load_part=0.1, instances=48)
+        whole = plan(supply)
+        counts = Counter(one.model for one in whole.replicas)
+        self.assertEqual(counts, {'large': 8, 'small': 8})
+        parts = sum(
+            len(_part(whole, ends).replicas)
+            for ends in ({'f0', 'f1'}, {'f2', 'f3'}, {'f4', 'f5'})
+        )
+        self.assertEqual(parts, len(whole.replicas))
+
+
 class DeathsTest(unittest.TestCase):
     """Members die every two seconds for good, as on the worst days."""
 
@@ -200,6 +226,10 @@
                 yield ServingMember(member, name, model)
 
 
+def _part(whole: Plan, fabrics: set[str]) -> Plan:
+    return whole.only(lambda one: one.fabric_domain in fabrics)
+
+
 def _drawn_pool(source: random.Random) -> Pool:
     free = tuple(
         Candidate(_warm(f'i{number}', source.choice(('large', 'small'))))
--- a/tests/unit/test_gaps.py
+++ b/tests/unit/test_gaps.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranecart.forwarding._gaps import GapMeter
+from cranecart.routing._gaps import GapMeter
 
 
 def _note(meter: GapMeter, model: str, gap: float, times: int) -> None:
--- /dev/null
+++ b/tests/unit/test_losses.py
@@ -0,0 +1,60 @@
+"""Where a played day lost, from nodes' logs."""
+
+import unittest
+
+from tools.losses import fates, replicas_by_second
+from tools.pairs import compare
+from tools.repairs import read_lines
+
+_ADMITTED = (
+    '{"event":"admitted","time":5.0,"at":5.0,"request":"%s","model":"m",'
+    '"organisation":"o","node":"n","objective":0.3,"pause":0.2}'
+)
+_LOG = '\n'.join(
+    (
+        '{"event":"replica_open","time":4.0,"replica":"r","model":"m"}',
+        _ADMITTED % 'a',
+        '{"event":"streamed","time":5.2,"request":"a","first_ms":200,'
+        '"gap_ms":90,"tried":["i"]}',
+        _ADMITTED % 'b',
+        '{"event":"streamed","time":5.9,"request":"b","first_ms":200,'
+        '"gap_ms":400,"tried":["i","j"]}',
+        _ADMITTED % 'c',
+        '{"event":"refused","time":5.1,"request":"c","code":"overloaded",'
+        '"begun":false}',
+        '{"event":"replica_stopped","time":6.5,"replica":"r"}',
+        '{"event":"cut by a ki',
+    ),
+)
+
+
+class LossesTest(unittest.TestCase):
+    """A log of three requests, the last line of which was cut off."""
+
+    def test_causes(self) -> None:
+        """Each request has one."""
+        causes = [one.cause for one in fates(read_lines(_LOG))]
+        self.assertEqual(causes, ['in time', 'pause, moved', 'overloaded'])
+
+    def test_replicas(self) -> None:
+        """Counted by the second."""
+        found = replicas_by_second(read_lines(_LOG), 4)
+        self.assertEqual((found[0]['m'], found[2]['m']), (1, 0))
+
+
+class CompareTest(unittest.TestCase):
+    """Pairs of plays."""
+
+    def test_an_interval_with_zero_is_no_gain(self) -> None:
+        """However large the mean difference is."""
+        found = compare([(0.5, 0.9), (0.6, 0.5), (0.5, 0.7)])
+        assert found is not None
+        self.assertEqual(found.verdict, 'not told apart')
+
+    def test_a_gain(self) -> None:
+        """A steady difference, though it is small."""
+        pairs = [(0.51, 0.54), (0.61, 0.64), (0.72, 0.76)]
+        found = compare(pairs)
+        assert found is not None
+        self.assertEqual(found.verdict, 'a gain')
+        self.assertIsNone(compare(pairs[:1]))
--- a/tools/repairs.py
+++ b/tools/repairs.py
@@ -4,6 +4,7 @@
 A log is what the users' bench prints with --log all, or the nodes' own lines.
 """
 
+import contextlib
 import itertools
 import json
 import re
@@ -49,12 +50,22 @@
 
 
 def read_lines(text: str) -> list[Line]:
-    """Return the decisions in a log, in the order of their times."""
+    """Return the decisions in a log, in the order of their times.
+
+    A line that a killed process did not finish is passed over.
+    """
     matches = (_LINE.search(line) for line in text.splitlines())
-    found = [json.loads(one['event']) for one in matches if one]
+    found = itertools.chain.from_iterable(
+        _decode(one['event']) for one in matches if one
+    )
     return sorted(found, key=lambda line: line['time'])
 
 
+def _decode(event: str) -> Iterator[Line]:
+    with contextlib.suppress(json.JSONDecodeError):
+        yield json.loads(event)
+
+
 def judge_day(lines: Sequence[Line]) -> Repairs:
     """Sum up a day; what was formed before the first loss is its start."""
     replicas = _follow(lines)
