Draw replicas before weighing them; unreached targets cost no retry

Cause: a decision between all of 760 full replicas took 1.7 ms (50: 0.13 ms); and each target out of reach took from the retry budget though nothing had come to a target, so that a cut failure domain spent it. Change: twelve near and twelve far replicas are drawn; the budget is asked only once something has reached a target. Tests: clients that leave unread or unanswered requests, a mute target, unreached targets (red before).

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -127,7 +127,8 @@
         )
         if not call.may_repeat and not is_not_run:
             return False
-        return self._budget.take(call.service)
+        # What has reached no target costs none of them anything yet.
+        return not self._sent or self._budget.take(call.service)
 
     def _final_error(self) -> RequestError:
         last = self._last
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -26,6 +26,10 @@
 from cranecart.routing._pulse import Pulse
 from cranecart.routing._wanted import Wanted
 
+# So many replicas near and as many far are drawn to decide between; more
+# bring nothing where counts are a quarter of a second old. A decision between
+# all of 760 full ones took 1.7 ms, where a request may cost 0.2 ms.
+_MOST_ASKED = 12
 # Plain services queue up to four times their slots on the users' sheets.
 _PLAIN_QUEUE_PART = 2.0
 # When a replica that forms now is open, and one that must wait for its
@@ -118,18 +122,10 @@
         return Pulse(self.gaps.suspect_seconds)
 
     def _choose_head(self, wanted: Wanted, engine: EngineProfile) -> Target:
-        heads = {
-            head.id: head
-            for head in self._fleet.heads(wanted.service, wanted.model)
-            if head.id not in wanted.tried
-        }
         model = engine.model(wanted.model)
+        heads = {head.id: head for head in self._drawn_heads(wanted)}
         if not heads or model is None:
             raise self._no_replica(wanted)
-        good = self._ejection.without_ejected(heads.values())
-        moving = [
-            one for one in good if not self.pulse.is_still(one.id, wanted.model)
-        ]
         ask = Ask(
             wanted.route,
             engine,
@@ -141,8 +137,7 @@
             wanted.has_returned,
             wanted.has_begun,
         )
-        standings = [self._standing(one, wanted) for one in moving or good]
-        self._random.shuffle(standings)
+        standings = [self._standing(one, wanted) for one in heads.values()]
         chosen = decide(ask, standings)
         if isinstance(chosen, Refuse):
             raise OverloadedError(
@@ -165,6 +160,28 @@
             chosen.is_late,
         )
 
+    def _drawn_heads(self, wanted: Wanted) -> Sequence[ServingHead]:
+        """Draw replicas that may be asked; those in doubt if none is left."""
+        near: list[ServingHead] = []
+        far: list[ServingHead] = []
+        for one in self._fleet.heads(wanted.service, wanted.model):
+            if one.id not in wanted.tried:
+                is_near = one.head.failure_domain == self._failure_domain
+                (near if is_near else far).append(one)
+        drawn = [
+            head
+            for heads in (near, far)
+            for head in self._random.sample(
+                heads,
+                min(_MOST_ASKED, len(heads)),
+            )
+        ]
+        good = self._ejection.without_ejected(drawn)
+        moving = [
+            one for one in good if not self.pulse.is_still(one.id, wanted.model)
+        ]
+        return moving or good
+
     def _standing(self, head: ServingHead, wanted: Wanted) -> Standing:
         return Standing(
             head.id,
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -236,7 +236,12 @@
 class GatewayWorld:
     """A gateway before scripted targets, all in one event loop."""
 
-    def __init__(self, *scripts: Script, service: str = ENGINES) -> None:
+    def __init__(
+        self,
+        *scripts: Script,
+        service: str = ENGINES,
+        retries: float = 100,
+    ) -> None:
         """Build a target a script; nothing runs until ``run``."""
         self.targets: list[FakeTarget] = [
             FakeTarget(f'i{number}', script)
@@ -280,7 +285,9 @@
                 self.fleet.is_stopped,
                 self._note_evidence,
             ),
-            SharedRetryBudget(RetryRules(0.2, 100, 10), lambda: 1),
+            SharedRetryBudget(
+                RetryRules(retries / 500, retries, 10), lambda: 1
+            ),
             source,
             lambda _outcome, _seconds: None,
             float,
@@ -319,6 +326,12 @@
         finally:
             await connection.close()
 
+    def put_out_of_reach(self, name: str) -> None:
+        """List a target at an address where nothing listens."""
+        known = self.fleet.instances[name]
+        gone = attrs.evolve(known, address=Address(known.address.host, 1))
+        self.fleet.take_instances({name: gone}, False)
+
     async def _note_evidence(
         self,
         _forming: tuple[str, int],
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -139,6 +139,20 @@
         """The target's connection is closed at once."""
         curio.run(GatewayWorld(_silent_but_reading).run, self._leave)
 
+    def test_client_leaves_before_it_was_read(self) -> None:
+        """It sent its request and closed; the target is not kept at work."""
+        world = GatewayWorld(_silent_but_reading)
+        curio.run(world.run, self._send_and_close)
+        self.assertEqual(world.gateway.inside, 0)
+
+    async def _send_and_close(self, world: GatewayWorld) -> None:
+        connection = await HttpConnection.open(world.server.address)
+        await connection.send(client_request('/stream/x'))
+        await connection.close()
+        await curio.sleep(0.4)
+        seen, closed = world.targets[0].seen, world.targets[0].closed
+        self.assertEqual(bool(seen), bool(closed))
+
     async def _stop_in_the_middle(self, world: GatewayWorld) -> None:
         asking = await curio.spawn(world.ask, '/stream/x')
         await until(lambda: any(one.seen for one in world.targets))
@@ -175,6 +189,25 @@
 class WholeAnswerTest(unittest.TestCase):
     """Plain services."""
 
+    def test_client_leaves(self) -> None:
+        """The work on its unanswered request ends at once."""
+        world = GatewayWorld(_silent_but_reading, service=PLAIN)
+        curio.run(world.run, self._leave)
+
+    def test_out_of_reach_costs_no_retry(self) -> None:
+        """Nothing came to a target, so that the first one is still to come."""
+        for seed in range(6):
+            world = GatewayWorld(_fine, _fine, service=PLAIN, retries=0)
+            world.put_out_of_reach(f'i{seed % 2}')
+            self.assertEqual(_ask_world(world, '/unsafe/x').status, 200)
+
+    def test_a_mute_target_is_left(self) -> None:
+        """Half of the objective is kept for another target."""
+        started = time.monotonic()
+        answer = _ask('/safe/x', _silent, _fine, first=_silent, service=PLAIN)
+        self.assertEqual(answer.body, b'fine')
+        self.assertLess(time.monotonic() - started, 1)
+
     def test_answers(self) -> None:
         """Status, body and signature are the target's."""
         answer = _ask('/safe/x', _fine, service=PLAIN)
@@ -250,6 +283,13 @@
         answer = _ask('/unsafe/x', _fine, service=PLAIN, body=b'x' * 300000)
         self.assertEqual(answer.status, 200)
 
+    async def _leave(self, world: GatewayWorld) -> None:
+        connection = await HttpConnection.open(world.server.address)
+        await connection.send(client_request('/safe/x'))
+        await until(lambda: world.targets[0].seen)
+        await connection.close()
+        await until(lambda: world.targets[0].closed, 0.4)
+
 
 def _used(world: GatewayWorld) -> FakeTarget:
     return next(one for one in world.targets if one.seen)
