--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -159,6 +159,7 @@
             why=str(error),
             after=_since(started),
             begun=responder.has_started,
+            return_after=error.retry_after,
         )
         if responder.has_started:
             raise ConnectionBrokenError('cut short') from error
