--- a/tests/unit/test_door.py
+++ b/tests/unit/test_door.py
@@ -17,7 +17,7 @@
     return_seconds,
 )
 from cranecart.emulation import Burst, Death, Engine
-from tests.lib.engine_loads import (
+from tools.engine_loads import (
     PROFILE,
     SMALL,
     engines,
--- a/tests/lib/engine_loads.py
+++ b/tools/engine_loads.py
@@ -89,20 +89,21 @@
     seeds: int = 6,
 ) -> float:
     """Return what users get in the mean of several seeds."""
-    results = [
-        _play(make, make_engines(), bursts, deaths, seed)
+    played = [
+        play_seed(make, make_engines(), bursts, deaths, seed)
         for seed in range(seeds)
     ]
-    return sum(one.worth for one in results) / seeds
+    return sum(one.worth for one in played) / seeds
 
 
-def _play(
+def play_seed(
     make: PolicyMaker,
     replicas: Sequence[Engine],
     bursts: Sequence[Burst],
     deaths: Sequence[Death],
     seed: int,
 ) -> Result:
+    """Play one seed of the load."""
     source = random.Random(seed)
     policies = [make(source) for _node in range(NODES)]
     return play(replicas, policies, loads(*bursts), SECONDS, source, deaths)
