--- a/src/cranecart/grouping/_division.py
+++ b/src/cranecart/grouping/_division.py
@@ -24,8 +24,9 @@
 from cranecart.models import EngineModel
 from cranecart.ports import ListedInstance
 
-# In instances that work fills. A closed replica serves nothing for a second; a step that brings less is
-# left, as chance in the measured work would bring and take it.
+# In instances that work fills. A closed replica serves nothing for a second; a
+# step that brings less is left, as chance in the measured work would bring and
+# take it.
 _CLOSE_COST = 0.12
 # A larger model may need two replicas of a smaller one, rarely more.
 _MOST_CLOSED = 2
@@ -97,9 +98,8 @@
             left[replica.model] -= 1
         for counts in _compositions(weigh.models, len(candidates)):
             formed = assign(candidates, counts, pool.load_part)
-            costs = forming_costs(formed, pool.load_part) + _CLOSE_COST * len(
-                closed
-            )
+            costs = forming_costs(formed, pool.load_part)
+            costs += _CLOSE_COST * len(closed)
             yield Division(
                 formed,
                 tuple(replica.name for replica in closed),
