--- a/tests/unit/test_tools.py
+++ b/tests/unit/test_tools.py
@@ -1,10 +1,13 @@
 """The developers' tools."""
 
 import unittest
+from pathlib import Path
 
-from tools.play import read_report
+from tools.plays import Given, Play, combine
 from tools.processes import Addresses
 
+_PLAY = Play(Path(), Path('site'), 'quiet')
+
 
 class AddressesTest(unittest.TestCase):
     """Addresses for child processes."""
@@ -17,22 +20,39 @@
         self.assertEqual(len(set(given)), len(given))
 
 
-class ReadReportTest(unittest.TestCase):
-    """Rows of the users' bench."""
-
-    def test_a_row(self) -> None:
-        """Worth, rules and exits are found."""
-        report = (
-            'day   own/srv  score  worth served refused failed\n'
-            'mix       9/57   0.00  0.562  0.845   0.004  0.026  nines 0.50; '
-            '10 exits of its own  BROKEN: LOST 20 (else 0.56)\n'
-        )
-        played = read_report('bench/days/mix.toml', report)
-        self.assertEqual(
-            (played.day, played.worth, played.rules, played.exits),
-            ('mix', '0.562', 'LOST 20', '10'),
+class GivenTest(unittest.TestCase):
+    """What the users' bench reports of a play."""
+
+    def test_a_report(self) -> None:
+        """Worth, rules, exits and faults are found."""
+        given = Given(
+            _PLAY,
+            {
+                'G': 0.562,
+                'served': 0.845,
+                'breaks': {'LOST': 20},
+                'exits_n': 10,
+                'fault': 'it ended by itself',
+                'classes': [{'name': 'notes', 'worth': 0.7}],
+            },
         )
+        self.assertEqual((given.worth, given.part('served')), (0.562, 0.845))
+        self.assertEqual(given.by_class(), {'notes': 0.7})
+        for told in ('LOST 20', 'own exits 10', 'it ended by itself'):
+            self.assertIn(told, given.rules)
+
+    def test_a_sound_day(self) -> None:
+        """Nothing is told of it."""
+        report = {'G': 0.9, 'breaks': {}, 'exits_n': 0, 'fault': None}
+        self.assertEqual(Given(_PLAY, report).rules, '')
 
-    def test_no_row(self) -> None:
+    def test_no_report(self) -> None:
         """A day that was not played is told, not passed."""
-        self.assertIn('not played', read_report('x', 'gave up').rules)
+        self.assertIn('gave up', Given(_PLAY, {}, 'the bench gave up').rules)
+
+    def test_pairs_are_adjacent(self) -> None:
+        """The two sources play one day after the other."""
+        two = [Path('before'), Path('after')]
+        plays = combine(two, [Path('site')], ['quiet', 'trouble'], ['1', '2'])
+        self.assertEqual([one.checkout for one in plays], two * 4)
+        self.assertEqual(plays[0].seed, plays[1].seed)
