--- a/src/cranecart/forwarding/_whole.py
+++ b/src/cranecart/forwarding/_whole.py
@@ -46,7 +46,8 @@
 
         Some targets take requests and never answer while they look healthy;
         without this such a request was held to its end. Where all are slow,
-        that is known from the answers that came, and longer waits are usual.
+        that is known from the answers that came, and up to the longest silence
+        that is ever suspected is usual.
         """
         if not self._attempts.may_try_another():
             return Patience(float('inf'), float('inf'))
--- a/src/cranecart/grouping/_shaper.py
+++ b/src/cranecart/grouping/_shaper.py
@@ -123,9 +123,10 @@
             present=_rounded(supply.present),
             demand=_rounded(supply.objective.demand),
         )
+        await self._book.write([*closing, record])
+        # Told only now: what could not be written would close for nothing.
         for one in closing:
             self._view.tell_stopped(one, one.reason, True)
-        await self._book.write([*closing, record])
 
 
 def _rounded(demand: Mapping[str, float]) -> dict[str, float]:
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -43,6 +43,7 @@
         self.stopped: list[tuple[str, bool]] = []
         self.is_informed = True
         self.has_traffic = False
+        self.demand: dict[str, float] = {}
         self.placer = self.make_placer('one')
         names = [f'i{number}' for number in range(9)]
         self.fleet.take_instances(
@@ -63,7 +64,7 @@
                 bool,
                 lambda: self.is_informed,
                 lambda: self.has_traffic,
-                dict,
+                lambda: self.demand,
                 self._note_stopped,
             ),
         )
@@ -348,10 +349,33 @@
 class FailingPlacerTest(unittest.TestCase):
     """A placer whose store has gone."""
 
+    def test_nothing_closes_for_what_cannot_be_written(self) -> None:
+        """A replica that made room would be lost for nothing."""
+        curio.run(self._want_room)
+
     def test_others_hear_of_it(self) -> None:
         """It claims the duty no more, long before its lease ends."""
         curio.run(self._lose_store)
 
+    async def _want_room(self) -> None:
+        world = World()
+        staged = {
+            name: attrs.evolve(one, staged=(BIG.name, SMALL.name))
+            for name, one in world.fleet.instances.items()
+        }
+        world.fleet.take_instances(staged, True)
+        running = await curio.spawn(world.placer.run)
+        await until(lambda: len(world.heads()) == 2)
+        world.table.down = True
+        world.has_traffic = True
+        world.demand = {BIG.name: 0.1, SMALL.name: 6.0}
+        await curio.sleep(1)
+        self.assertEqual(world.stopped, [])
+        world.table.down = False
+        await until(lambda: world.stopped)
+        await running.cancel()
+        world.listener.close()
+
     async def _lose_store(self) -> None:
         world = World()
         running = await curio.spawn(world.placer.run)
