--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -71,8 +71,8 @@
     Mechanism(
         'checks at the first silence',
         'forwarding/_sender.py',
-        'if silence >= patience.suspect and not is_told:',
-        'if silence >= 9 and not is_told:',
+        "await self.tell(target, f'silent for {silence:.3f} s')",
+        'continue',
     ),
     Mechanism(
         'replicas that give nothing are left',
