Ask without building anything whether a stream could move; one way to say when to return

Found on reading the change: whether another target is left is asked with every event of a stream, and built a whole description of the request for it; it takes four words now. A service's engine was looked up in three places (RouteConfig.engine), and three refusals drew their times each by itself.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -64,7 +64,12 @@
         call = self.call
         if not call.may_repeat or self._sent + 1 >= call.route.attempts:
             return False
-        return self._router.has_untried(self._wanted())
+        return self._router.has_untried(
+            call.config,
+            call.service,
+            call.facts.model,
+            self.tried,
+        )
 
     def begun(self, target: Target) -> None:
         """Take over that the first event came, or the first after a move."""
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -140,6 +140,11 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def engine(self, service: str) -> EngineProfile | None:
+        """Return what is declared of a service's engines, if it has any."""
+        profile = self.services.get(service)
+        return None if profile is None else profile.engine
+
     def holder(self, key: str) -> KeyHolder | None:
         """Return the organisation that a key belongs to."""
         return self._by_key.get(hash_key(key))
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Generator, Sequence
+from collections.abc import Callable, Collection, Generator, Sequence
 
 import attrs
 
@@ -18,7 +18,7 @@
 )
 from cranecart.exceptions import NoReplicaError, OverloadedError
 from cranecart.fleet import Fleet, ServingHead
-from cranecart.models import EngineProfile
+from cranecart.models import EngineProfile, RouteConfig
 from cranecart.ports import ListedInstance
 from cranecart.routing._ejection import Ejection
 from cranecart.routing._gaps import GapMeter
@@ -71,14 +71,23 @@
             return self._choose_plain(wanted)
         return self._choose_head(wanted, engine)
 
-    def has_untried(self, wanted: Wanted) -> bool:
-        """Tell whether a request could still go to another target."""
+    def has_untried(
+        self,
+        config: RouteConfig,
+        service: str,
+        model: str,
+        tried: Collection[str],
+    ) -> bool:
+        """Tell whether a request could still go to another target.
+
+        This is asked with every event of a stream, so that nothing is built.
+        """
         targets: Sequence[ServingHead | ListedInstance]
-        if wanted.engine is None:
-            targets = self._fleet.plain(wanted.service)
+        if config.engine(service) is None:
+            targets = self._fleet.plain(service)
         else:
-            targets = self._fleet.heads(wanted.service, wanted.model)
-        return any(one.id not in wanted.tried for one in targets)
+            targets = self._fleet.heads(service, model)
+        return any(one.id not in tried for one in targets)
 
     @contextlib.contextmanager
     def in_flight(self, target: Target) -> Generator[None, None, None]:
@@ -142,11 +151,7 @@
         if isinstance(chosen, Refuse):
             raise OverloadedError(
                 f'a place is due {chosen.seconds:.2f} s after its client left',
-                retry_after=return_seconds(
-                    chosen.seconds,
-                    wanted.left_seconds,
-                    self._random.random(),
-                ),
+                retry_after=self._return_after(chosen.seconds, wanted),
             )
         head = heads[chosen.name]
         return Target(
@@ -199,13 +204,14 @@
         expected = _FORMING_SECONDS if forms else _NOTHING_FORMS_SECONDS
         return NoReplicaError(
             f'no whole replica of {wanted.model!r} serves',
-            retry_after=return_seconds(
-                expected,
-                wanted.left_seconds,
-                self._random.random(),
-            ),
+            retry_after=self._return_after(expected, wanted),
         )
 
+    def _return_after(self, expected: float, wanted: Wanted) -> float:
+        """Return when a refused client should come back, drawn for it."""
+        drawn = self._random.random()
+        return return_seconds(expected, wanted.left_seconds, drawn)
+
     def _choose_plain(self, wanted: Wanted) -> Target:
         instances = [
             instance
@@ -223,11 +229,7 @@
         if load >= chosen.slots * (1 + _PLAIN_QUEUE_PART):
             raise OverloadedError(
                 f'the least loaded target has {load} requests',
-                retry_after=return_seconds(
-                    _FULL_SECONDS,
-                    wanted.left_seconds,
-                    self._random.random(),
-                ),
+                retry_after=self._return_after(_FULL_SECONDS, wanted),
             )
         return Target(chosen, None, load, 'fewest in flight', self._clock())
 
--- a/src/cranecart/routing/_wanted.py
+++ b/src/cranecart/routing/_wanted.py
@@ -30,5 +30,4 @@
     @property
     def engine(self) -> EngineProfile | None:
         """Return what is declared of the service's engines, if it has any."""
-        profile = self.config.services.get(self.service)
-        return None if profile is None else profile.engine
+        return self.config.engine(self.service)
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -199,7 +199,7 @@
 
     def _note_work(self, call: RoutedCall, events: int) -> None:
         facts = call.facts
-        engine = call.config.services[call.service].engine
+        engine = call.config.engine(call.service)
         model = None if engine is None else engine.model(facts.model)
         if engine is None or model is None:
             return
