Tell every answer that does not name its request; timeline and hypotheses of the incident

Users got answers that were another request's. Nothing told the hypotheses apart: how many such answers come, on which connection, whether they are dropped or taken, and what stays in the parser of a connection that is kept.

--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -8,6 +8,7 @@
 
 from cranecart.exceptions import ConnectFailedError, TargetNotReachedError
 from cranecart.http import HttpConnection, ResponseHead
+from cranecart.logs import decision
 from cranecart.ports import ListedInstance
 
 # A live target answers a new connection within a few milliseconds on the
@@ -86,6 +87,13 @@
         if not connection.is_reusable or len(kept) >= _MOST_IDLE:
             await connection.close()
             return
+        if connection.left_over:
+            decision(
+                'left_over',
+                instance=instance.id,
+                bytes=connection.left_over,
+                carried=connection.carried,
+            )
         connection.reset()
         now = time.monotonic()
         seconds = self._keep.get(instance.id, _UNTOLD_SECONDS)
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -237,15 +237,41 @@
 ) -> ResponseHead:
     for _number in range(_MOST_FOREIGN_ANSWERS):
         named = form.read_answer(head).request_id
-        if not named or named == call.request_id:
+        if named == call.request_id:
+            return head
+        _tell_foreign(call, connection, head, named, is_taken=not named)
+        if not named:
             return head
         head = await curio.timeout_after(
             max(0, call.seconds_left),
             connection.skip_response,
         )
+    named = form.read_answer(head).request_id
+    if named != call.request_id:
+        _tell_foreign(call, connection, head, named, is_taken=True)
     return head
 
 
+def _tell_foreign(
+    call: RoutedCall,
+    connection: HttpConnection,
+    head: ResponseHead,
+    named: str,
+    *,
+    is_taken: bool,
+) -> None:
+    call.trace.is_notable = True
+    call.trace.add(
+        'foreign_answer',
+        target=str(connection.address),
+        status=head.status,
+        named=named,
+        carried=connection.carried,
+        left_over=connection.left_over,
+        taken=is_taken,
+    )
+
+
 def _check_answer(
     target: Target,
     head: ResponseHead,
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -54,6 +54,7 @@
         self._sending: curio.Task | None = None
         # What came behind the piece that was returned last.
         self._peeked: object = None
+        self._carried = 0
 
     @classmethod
     async def open(
@@ -89,6 +90,16 @@
             _keep_alive(sock)
         return cls(address, sock)
 
+    @property
+    def carried(self) -> int:
+        """Return how many requests were sent on it before the present one."""
+        return self._carried
+
+    @property
+    def left_over(self) -> int:
+        """Return how many bytes have come behind the answer at hand."""
+        return len(self._h11.trailing_data[0])
+
     @property
     def is_reusable(self) -> bool:
         """Tell whether both sides finished cleanly and may go on."""
@@ -115,6 +126,7 @@
         self._sending = None
         self._sent = None
         self._sent_whole = False
+        self._carried += 1
         self._h11.start_next_cycle()
 
     async def send(self, request: Request) -> None:
