Take only an answer that names its request, whole, on connections that owe nothing

Cause: a check that lets pass when it runs out, and connections used on though they owe something. An answer was compared by name only if it had one, and only the first two; bytes behind an answer stayed in the parser of a connection that was kept; what had been read of a body was lost when the wait for the rest was interrupted to look up. Change: read on until an answer names the request; connections that brought more than was asked for are closed behind it; targets that did so, or broke off, get calls that must not run twice on connections of their own for ten seconds; a body is kept where it is read.

--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -23,6 +23,10 @@
 # A request that must not run twice goes only on a connection that was used
 # this lately, as the target may forget an idle one without notice.
 _SURE_SECONDS = 1.0
+# A target that sent an answer too many, or broke a connection, may do so again:
+# for this long, which is short against the minutes that such troubles last,
+# what must not run twice goes on connections of its own.
+_DOUBT_SECONDS = 10.0
 _MOST_IDLE = 16
 _TIMEOUT = re.compile(r'timeout=(\d+)')
 
@@ -44,6 +48,7 @@
         init=False,
     )
     _keep: dict[str, float] = attrs.field(factory=dict, init=False)
+    _doubted_until: dict[str, float] = attrs.field(factory=dict, init=False)
 
     async def take(
         self,
@@ -53,7 +58,7 @@
     ) -> HttpConnection:
         """Return a connection; raise ``TargetNotReachedError``."""
         kept = self._idle.get(instance.id)
-        while kept:
+        while kept and not (is_sure and self._is_doubted(instance)):
             idle = kept.pop()
             now = time.monotonic()
             is_young = not is_sure or now - idle.since < _SURE_SECONDS
@@ -83,17 +88,18 @@
         connection: HttpConnection,
     ) -> None:
         """Keep a connection whose answer was read whole; close any other."""
-        kept = self._idle[instance.id]
-        if not connection.is_reusable or len(kept) >= _MOST_IDLE:
-            await connection.close()
-            return
-        if connection.left_over:
+        if connection.has_more:
+            self._doubt(instance)
             decision(
                 'left_over',
                 instance=instance.id,
                 bytes=connection.left_over,
                 carried=connection.carried,
             )
+        kept = self._idle[instance.id]
+        if not connection.is_reusable or len(kept) >= _MOST_IDLE:
+            await connection.close()
+            return
         connection.reset()
         now = time.monotonic()
         seconds = self._keep.get(instance.id, _UNTOLD_SECONDS)
@@ -105,6 +111,7 @@
         What made one silent may have made all of them so, and each would
         cost the next request its objective.
         """
+        self._doubt(instance)
         for idle in self._idle.pop(instance.id, ()):
             await idle.connection.close()
 
@@ -120,3 +127,14 @@
             if not good:
                 self._idle.pop(name)
                 self._keep.pop(name, None)
+        self._doubted_until = {
+            name: until
+            for name, until in self._doubted_until.items()
+            if now < until
+        }
+
+    def _doubt(self, instance: ListedInstance) -> None:
+        self._doubted_until[instance.id] = time.monotonic() + _DOUBT_SECONDS
+
+    def _is_doubted(self, instance: ListedInstance) -> bool:
+        return time.monotonic() < self._doubted_until.get(instance.id, 0)
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -27,8 +27,6 @@
 # Told that a replica may stand still, and what shows it.
 Evidence = Callable[[tuple[str, int], str], Awaitable[None]]
 
-# An answer too many may come before the right one, rarely more.
-_MOST_FOREIGN_ANSWERS = 2
 # Statuses that promise that a request has not run; without the target's own
 # word such an answer is taken for an unknown outcome.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -92,13 +90,8 @@
         connection = await self._connect(call, target)
         try:
             await self._send(call, target, connection, resume_after)
-            head = await self.wait(
-                call,
-                target,
-                patience,
-                connection.read_head,
-            )
-            yield await self._own_answer(call, target, connection, head)
+            head = await self._own_head(call, target, patience, connection)
+            yield await self._checked(target, connection, head)
         except (TargetBrokenError, TargetTimeoutError):
             await self.connections.drop(target.instance)
             raise
@@ -200,17 +193,38 @@
         except HttpError as error:
             raise TargetBrokenError(str(error)) from error
 
-    async def _own_answer(
+    async def _own_head(
         self,
         call: RoutedCall,
         target: Target,
+        patience: Patience,
+        connection: HttpConnection,
+    ) -> ResponseHead:
+        """Read on to the answer that names the request.
+
+        Targets may answer twice, and the second answer may name nothing: all
+        that does not name this request was taken for its answer once.
+        """
+        head = await self.wait(call, target, patience, connection.read_head)
+        named = self.form.read_answer(head).request_id
+        while named != call.request_id:
+            _tell_foreign(call, connection, head, named)
+            await self.wait(call, target, patience, connection.drop_answer)
+            head = await self.wait(
+                call,
+                target,
+                patience,
+                connection.read_head,
+            )
+            named = self.form.read_answer(head).request_id
+        return head
+
+    async def _checked(
+        self,
+        target: Target,
         connection: HttpConnection,
         head: ResponseHead,
     ) -> TargetAnswer:
-        try:
-            head = await _skip_foreign(self.form, call, connection, head)
-        except (HttpError, TaskTimeout) as error:
-            raise TargetBrokenError(str(error)) from error
         facts = self.form.read_answer(head)
         self.connections.note_head(target.instance, head)
         if facts.at_fault:
@@ -229,36 +243,11 @@
     return min(_LOOK_SECONDS, patience.suspect - silence)
 
 
-async def _skip_foreign(
-    form: CallForm,
-    call: RoutedCall,
-    connection: HttpConnection,
-    head: ResponseHead,
-) -> ResponseHead:
-    for _number in range(_MOST_FOREIGN_ANSWERS):
-        named = form.read_answer(head).request_id
-        if named == call.request_id:
-            return head
-        _tell_foreign(call, connection, head, named, is_taken=not named)
-        if not named:
-            return head
-        head = await curio.timeout_after(
-            max(0, call.seconds_left),
-            connection.skip_response,
-        )
-    named = form.read_answer(head).request_id
-    if named != call.request_id:
-        _tell_foreign(call, connection, head, named, is_taken=True)
-    return head
-
-
 def _tell_foreign(
     call: RoutedCall,
     connection: HttpConnection,
     head: ResponseHead,
     named: str,
-    *,
-    is_taken: bool,
 ) -> None:
     call.trace.is_notable = True
     call.trace.add(
@@ -268,7 +257,6 @@
         named=named,
         carried=connection.carried,
         left_over=connection.left_over,
-        taken=is_taken,
     )
 
 
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -49,12 +49,15 @@
         self.address = address
         self._sock = sock
         self._h11 = _new_parser()
-        self._sent: Request | None = None
+        self._request: Request | None = None
         self._sent_whole = False
         self._sending: curio.Task | None = None
         # What came behind the piece that was returned last.
         self._peeked: object = None
+        # Kept here, as whoever waits for the rest may be interrupted.
+        self._body = bytearray()
         self._carried = 0
+        self._has_dropped = False
 
     @classmethod
     async def open(
@@ -100,14 +103,20 @@
         """Return how many bytes have come behind the answer at hand."""
         return len(self._h11.trailing_data[0])
 
+    @property
+    def has_more(self) -> bool:
+        """Tell whether more came than the answers that were asked for."""
+        is_read = self._h11.their_state is h11.DONE
+        return self._has_dropped or (is_read and self.left_over > 0)
+
     @property
     def is_reusable(self) -> bool:
-        """Tell whether both sides finished cleanly and may go on."""
-        return (
-            self._sent_whole
-            and self._h11.our_state is h11.DONE
-            and self._h11.their_state is h11.DONE
-        )
+        """Tell whether both sides finished cleanly and may go on.
+
+        A peer that sent more answers than it was asked for may owe others.
+        """
+        is_finished = self._sent_whole and _is_between_answers(self._h11)
+        return is_finished and not self.has_more
 
     def is_quiet(self) -> bool:
         """Tell whether nothing came, not even the end, while it was idle."""
@@ -124,13 +133,15 @@
     def reset(self) -> None:
         """Get ready for the next request on this connection."""
         self._sending = None
-        self._sent = None
+        self._request = None
         self._sent_whole = False
+        self._body.clear()
         self._carried += 1
         self._h11.start_next_cycle()
 
     async def send(self, request: Request) -> None:
         """Send a whole request."""
+        self._request = request
         encoded = self._encode(request)
         try:
             await self._sock.sendall(encoded)
@@ -138,7 +149,6 @@
             raise ConnectionBrokenError(
                 f'{self.address} closed during the request',
             ) from error
-        self._sent = request
         self._sent_whole = True
 
     async def begin(self, request: Request) -> None:
@@ -161,20 +171,22 @@
         await self.begin(request)
         return await self.read_head()
 
-    async def skip_response(self) -> ResponseHead:
-        """Drop the response at hand, which is none to the request sent.
+    async def drop_answer(self) -> None:
+        """Read the answer at hand to its end: it is none to the request.
 
-        Return the head of the one that comes behind it.
+        An interrupted call may be repeated. The next head that is read is
+        that of the answer behind it.
         """
         await self.read_body()
-        if self._sent is None or not self.is_reusable:
+        if self._request is None or not _is_between_answers(self._h11):
             raise ConnectionBrokenError(f'{self.address} sent a wrong answer')
-        rest, _closed = self._h11.trailing_data
+        behind, _closed = self._h11.trailing_data
         self._h11 = _new_parser()
-        self._encode(self._sent)
-        if rest:
-            self._h11.receive_data(rest)
-        return await self.read_head()
+        self._encode(self._request)
+        if behind:
+            self._h11.receive_data(behind)
+        self._body.clear()
+        self._has_dropped = True
 
     async def read_head(self) -> ResponseHead:
         """Wait for the response's status and headers."""
@@ -201,15 +213,16 @@
         raise ConnectionBrokenError(f'{self.address} closed mid-response')
 
     async def read_body(self) -> bytes:
-        """Collect the rest of the body."""
-        pieces = []
-        size = 0
+        """Collect the body to its end.
+
+        A call that was interrupted may be repeated: nothing is lost of what
+        it had read.
+        """
         while piece := await self.read_piece():
-            pieces.append(piece)
-            size += len(piece)
-            if size > _MAX_BODY_BYTES:
+            self._body += piece
+            if len(self._body) > _MAX_BODY_BYTES:
                 raise BadMessageError(f'{self.address} sent too large a body')
-        return b''.join(pieces)
+        return bytes(self._body)
 
     async def close(self) -> None:
         """Close the socket; safe to call twice."""
@@ -219,7 +232,7 @@
         await self._sock.close()
 
     def _encode(self, request: Request) -> bytes:
-        lines = request.lines or self._default_lines(request)
+        lines = request.lines or _default_lines(self.address, request)
         try:
             head = h11.Request(
                 method=request.method,
@@ -231,14 +244,6 @@
         except h11.LocalProtocolError as error:
             raise BadMessageError(f'not valid HTTP: {error}') from error
 
-    def _default_lines(self, request: Request) -> HeaderLines:
-        headers = {
-            'host': str(self.address),
-            'content-length': str(len(request.body)),
-            **request.headers,
-        }
-        return tuple(headers.items())
-
     async def _send_quietly(self, request: Request) -> None:
         try:
             await self.send(request)
@@ -271,6 +276,19 @@
             ) from error
 
 
+def _default_lines(address: Address, request: Request) -> HeaderLines:
+    headers = {
+        'host': str(address),
+        'content-length': str(len(request.body)),
+        **request.headers,
+    }
+    return tuple(headers.items())
+
+
+def _is_between_answers(parser: h11.Connection) -> bool:
+    return parser.our_state is h11.DONE and parser.their_state is h11.DONE
+
+
 def _keep_alive(sock: curio.io.Socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, number in (
