Test the same cause elsewhere: native calls, streams that go on, orders (fails)

A check that lets pass what it can't compare, and an answer matched by its place on a kept connection: a native service call takes an answer without a name, a moved stream that starts over is passed on twice, and a late answer to an earlier order passes for that to a leave, on whose word members join others.

--- a/src/cranecart/forwarding/__init__.py
+++ b/src/cranecart/forwarding/__init__.py
@@ -2,10 +2,12 @@
 
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnections
+from cranecart.forwarding._events import EventCutter
 from cranecart.forwarding._gateway import RoutedGateway
 from cranecart.forwarding._sender import Evidence, Sender
 
 __all__ = (
+    'EventCutter',
     'Evidence',
     'RoutedCall',
     'RoutedGateway',
--- a/src/cranecart/standins/_stutter.py
+++ b/src/cranecart/standins/_stutter.py
@@ -53,18 +53,20 @@
 
     extras: tuple[ExtraAnswer, ...] = ()
     pause_seconds: float = 0
+    status: int = _OK
 
 
 @attrs.frozen
 class AnswerStyle:
-    """The headers in which a protocol's answers name their request."""
+    """The headers in which a protocol's answers name their request, if so."""
 
     id_header: str = 'x-request-id'
+    names: bool = True
     more: tuple[tuple[str, str], ...] = ()
 
     def head(self, status: int, named: str, size: int) -> bytes:
         """Return the head of an answer with a body of so many bytes."""
-        names = ((self.id_header, named),) if named else ()
+        names = ((self.id_header, named),) if named and self.names else ()
         lines = (*names, *self.more, ('content-length', str(size)))
         text = ''.join(f'{name}: {told}\r\n' for name, told in lines)
         return f'HTTP/1.1 {status} X\r\n{text}\r\n'.encode()
@@ -154,7 +156,7 @@
     ) -> bool:
         """Answer a request; return whether the connection goes on."""
         body = own_body(request_id)
-        whole = self._style.head(_OK, request_id, len(body)) + body
+        whole = self._style.head(turn.status, request_id, len(body)) + body
         if turn.pause_seconds:
             await sock.sendall(whole[: -len(body) // 2])
             await curio.sleep(turn.pause_seconds)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -15,6 +15,14 @@
 )
 from cranecart.http import Address
 from cranecart.platform import PlatformOrders
+from cranecart.standins import (
+    AnswerStyle,
+    ExtraAnswer,
+    Moment,
+    Naming,
+    StutteringService,
+    Turn,
+)
 from tests.lib.fake_engines import listed
 from tests.platform._standin import StandinStore, start
 
@@ -67,6 +75,17 @@
         error = curio.run(self._order, Address('127.0.0.1', 1))
         self.assertIsInstance(error, TargetClosedError)
 
+    def test_the_answer_to_an_earlier_order(self) -> None:
+        """It frees nobody: members join others on the word of a leave."""
+        late = ExtraAnswer(Naming.NOTHING, Moment.NEXT, 202)
+        engine = StutteringService(
+            Address('127.0.0.1', 0),
+            AnswerStyle('expect-replica'),
+            (Turn((late,)), Turn(status=409)),
+        )
+        with self.assertRaises(OrderRefusedError):
+            curio.run(_close_then_leave, engine)
+
     def _join(self) -> OrderError | None:
         error: OrderError | None = curio.run(self._with_engine)
         return error
@@ -85,3 +104,14 @@
         except OrderError as error:
             return error
         return None
+
+
+async def _close_then_leave(engine: StutteringService) -> None:
+    serving = await curio.spawn(engine.run)
+    orders = PlatformOrders()
+    head = listed('i', engine.address)
+    try:
+        await orders.close(head, 'r', 7, 3)
+        await orders.leave(head, 'r', 7, 3)
+    finally:
+        await serving.cancel()
--- a/tests/unit/test_foreign_answers.py
+++ b/tests/unit/test_foreign_answers.py
@@ -13,6 +13,7 @@
 """
 
 import itertools
+import time
 import unittest
 from collections.abc import Iterable, Sequence
 
@@ -21,7 +22,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cranecart.exceptions import TargetBrokenError
+from cranecart.forwarding import EventCutter
 from cranecart.http import Address
+from cranecart.models import Instance, InstanceKind
 from cranecart.standins import (
     AnswerStyle,
     ExtraAnswer,
@@ -31,9 +35,10 @@
     Turn,
     own_body,
 )
+from cranecart.targets import ServiceCall, ServiceClient
 from tests.lib.fake_targets import PLAIN, ClientAnswer, GatewayWorld
 
-_STYLE = AnswerStyle('request-id', (('replica-signature', 'sig'),))
+_STYLE = AnswerStyle('request-id', more=(('replica-signature', 'sig'),))
 _HERE = Address('127.0.0.1', 0)
 _GONE = (502, 504)
 # So many calls in a row may fail at a target after it has stopped stuttering.
@@ -151,3 +156,59 @@
                 self.assertEqual(answer.body, own_body(f'r{number}'))
             else:
                 self.assertIn(answer.status, _GONE)
+
+
+class ServiceCallTest(unittest.TestCase):
+    """The native protocol's calls of plain services."""
+
+    def test_an_answer_that_names_nothing(self) -> None:
+        """It is nobody's there either."""
+        silent = AnswerStyle('x-request-id', names=False)
+        with self.assertRaises(TargetBrokenError):
+            curio.run(_call_natively, StutteringService(_HERE, silent))
+
+
+class ResumedStreamTest(unittest.TestCase):
+    """A stream that goes on at another target."""
+
+    def test_one_that_starts_over(self) -> None:
+        """Events that were passed on already are not passed on again."""
+        cutter = EventCutter()
+        cutter.feed(b'id: 4\ndata: d\n\nid: 5')
+        cutter.restart()
+        with self.assertRaises(TargetBrokenError):
+            cutter.feed(b'id: 1\ndata: a\n\n')
+
+    def test_one_that_goes_on(self) -> None:
+        """The event behind the last whole one is the next."""
+        cutter = EventCutter()
+        cutter.feed(b'id: 4\ndata: d\n\nid: 5')
+        cutter.restart()
+        event = b'id: 5\ndata: e\n\n'
+        self.assertEqual(cutter.feed(event), event)
+
+
+async def _call_natively(service: StutteringService) -> None:
+    serving = await curio.spawn(service.run)
+    call = ServiceCall(
+        request_id='r1',
+        organisation='org',
+        body=b'',
+        deadline=time.monotonic() + 1,
+        service=PLAIN,
+        path='/',
+        method='GET',
+    )
+    address = service.address
+    instance = Instance(
+        'i',
+        InstanceKind.SERVICE,
+        address.host,
+        address.port,
+        'east',
+        '',
+    )
+    try:
+        await ServiceClient().call(instance, call)
+    finally:
+        await serving.cancel()
