Compare native service answers' names, stop streams that start over, leave on a connection of its own

Change: a native service answer must name its call; a stream that moved must go on behind its last event; a leave, on whose answer members join others, goes out on a connection of its own, as answers to orders name nothing. Connections that brought too much are counted (uneven_connections).

--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -40,9 +40,13 @@
 
 @attrs.define
 class TargetConnections:
-    """Idle connections by life of an instance."""
+    """Idle connections by life of an instance.
+
+    ``uneven`` counts those that brought more answers than were asked for.
+    """
 
     opened: int = attrs.field(default=0, init=False)
+    uneven: int = attrs.field(default=0, init=False)
     _idle: dict[str, list[_Idle]] = attrs.field(
         factory=lambda: defaultdict(list),
         init=False,
@@ -89,6 +93,7 @@
     ) -> None:
         """Keep a connection whose answer was read whole; close any other."""
         if connection.has_more:
+            self.uneven += 1
             self._doubt(instance)
             decision(
                 'left_over',
--- a/src/cranecart/forwarding/_events.py
+++ b/src/cranecart/forwarding/_events.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cranecart.exceptions import TargetBrokenError
+
 _EVENT_END = b'\n\n'
 _ID_LINE = re.compile(rb'^id: ?(.*)$', re.MULTILINE)
 
@@ -15,6 +17,8 @@
     last_id: str = ''
     events: int = 0
     _rest: bytes = b''
+    # Whether the next event comes from another target than the last one.
+    _goes_on: bool = False
 
     @property
     def is_between_events(self) -> bool:
@@ -22,7 +26,11 @@
         return not self._rest
 
     def feed(self, piece: bytes) -> bytes:
-        """Take what one read brought; return the whole events in it."""
+        """Take what one read brought; return the whole events in it.
+
+        Raise ``TargetBrokenError`` where a stream that should go on behind
+        the last event starts over: a caller would get events twice.
+        """
         held = self._rest + piece if self._rest else piece
         end = held.rfind(_EVENT_END) + len(_EVENT_END)
         if end < len(_EVENT_END):
@@ -33,9 +41,19 @@
         self.events += whole.count(_EVENT_END)
         ids = _ID_LINE.findall(whole)
         if ids:
+            self._check_order(ids[0])
             self.last_id = ids[-1].decode('latin-1').strip()
         return whole
 
     def restart(self) -> None:
         """Drop what is held back, as its stream has broken off."""
         self._rest = b''
+        self._goes_on = True
+
+    def _check_order(self, first_id: bytes) -> None:
+        if not self._goes_on:
+            return
+        self._goes_on = False
+        first, last = first_id.strip(), self.last_id
+        if first.isdigit() and last.isdecimal() and int(first) <= int(last):
+            raise TargetBrokenError(f'its events start over behind {last}')
--- a/src/cranecart/platform/_orders.py
+++ b/src/cranecart/platform/_orders.py
@@ -1,6 +1,6 @@
 """Orders to engine instances, and what their answers mean."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 import curio
@@ -16,7 +16,7 @@
     TargetClosedError,
     TargetGoneError,
 )
-from cranecart.http import HttpPool, Request
+from cranecart.http import HttpPool, Request, exchange
 from cranecart.ports import ListedInstance
 
 # Orders are answered in 3 to 8 ms on a calm link, so that a longer silence
@@ -25,6 +25,7 @@
 _TAKEN = frozenset((200, 202))
 _WRONG_INSTANCE = 421
 _FENCED = 412
+_Ask = Callable[[ListedInstance, Request], Awaitable[int]]
 
 
 @attrs.define
@@ -59,7 +60,8 @@
         fencing: int,
     ) -> None:
         """Let a ready replica serve."""
-        await self._change(head, 'open', replica, epoch, fencing)
+        body = {'operation': 'open', 'group': replica, 'epoch': epoch}
+        await self._order(head, fencing, body)
 
     async def close(
         self,
@@ -87,8 +89,14 @@
         epoch: int,
         fencing: int,
     ) -> None:
-        """End a membership at once."""
-        await self._change(instance, 'leave', replica, epoch, fencing)
+        """End a membership at once.
+
+        Members join others on the word of this answer, and answers to orders
+        name nothing: one that comes on a connection of its own is none to an
+        earlier order.
+        """
+        body = {'operation': 'leave', 'group': replica, 'epoch': epoch}
+        await self._order(instance, fencing, body, self._ask_alone)
 
     async def stage(
         self,
@@ -103,22 +111,12 @@
             {'operation': 'phase', 'model': model},
         )
 
-    async def _change(
-        self,
-        instance: ListedInstance,
-        operation: str,
-        replica: str,
-        epoch: int,
-        fencing: int,
-    ) -> None:
-        body = {'operation': operation, 'group': replica, 'epoch': epoch}
-        await self._order(instance, fencing, body)
-
     async def _order(
         self,
         instance: ListedInstance,
         fencing: int,
         body: dict[str, object],
+        ask: _Ask | None = None,
     ) -> None:
         self.sent += 1
         request = Request(
@@ -133,7 +131,7 @@
         try:
             status = await curio.timeout_after(
                 _ORDER_SECONDS,
-                self._ask,
+                ask or self._ask,
                 instance,
                 request,
             )
@@ -154,6 +152,14 @@
         await self._pool.give_back(connection)
         return head.status
 
+    async def _ask_alone(
+        self,
+        instance: ListedInstance,
+        request: Request,
+    ) -> int:
+        response = await exchange(instance.address, request, _ORDER_SECONDS)
+        return response.status
+
 
 def _not_reached(
     instance: ListedInstance,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -270,6 +270,7 @@
             **self._surroundings.store_calls,
             'requests': self._gateway.taken,
             'target_connections': self._connections.opened,
+            'uneven_connections': self._connections.uneven,
             'log_bytes': self._lines.written_bytes,
             'log_lines_dropped': self._lines.dropped,
             'liveness_checks': self._placer.losses.liveness.checks,
--- a/src/cranecart/targets/_service.py
+++ b/src/cranecart/targets/_service.py
@@ -51,7 +51,7 @@
             raise TargetBrokenError(str(error)) from error
         if response.headers.get('x-execution') == _NOT_RUN:
             raise TargetRefusedError(f'{instance.id} refused the call')
-        told = response.headers.get('x-request-id', call.request_id)
-        if told != call.request_id:
+        # One that names nothing may be anybody's.
+        if response.headers.get('x-request-id') != call.request_id:
             raise TargetBrokenError(f'{instance.id} answered another call')
         return response
