--- a/src/cranecart/standins/_stutter.py
+++ b/src/cranecart/standins/_stutter.py
@@ -80,7 +80,8 @@
 class StutteringService:
     """A service that answers each request by the next of its turns.
 
-    After the last turn it behaves. ``ran`` counts how often each request ran.
+    After the last turn it behaves. ``ran`` counts how often each request ran,
+    ``connections`` those that were accepted.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
     ) -> None:
         """Listen; nothing is accepted until ``run``."""
         self.ran: Counter[str] = Counter()
+        self.connections = 0
         self._style = style
         self._turns = iter(turns)
         sock = socket.create_server((address.host, address.port))
@@ -106,6 +108,7 @@
         async with self._listener:
             while True:
                 sock, _ = await self._listener.accept()
+                self.connections += 1
                 await curio.spawn(self._serve, sock, daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
--- a/tests/unit/test_foreign_answers.py
+++ b/tests/unit/test_foreign_answers.py
@@ -123,6 +123,12 @@
         lost = [one.status for one in answers if one.status != 200]
         self.assertLessEqual(len(lost), 1)
 
+    def test_an_uneven_connection_is_given_up(self) -> None:
+        """What it still owes can then reach nobody."""
+        turns = itertools.repeat(Turn((ExtraAnswer(),)), 3)
+        _answers, targets = _calls(turns, _paths('/safe/x', 4))
+        self.assertEqual(targets[0].connections, 4)
+
     def test_an_answer_in_parts(self) -> None:
         """Looking up from the wait loses nothing of it."""
         self._all_own(Turn(pause_seconds=0.07))
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -38,6 +38,7 @@
     'tests.unit.test_grouping_faults.GroupingFaultsTest'
     '.test_never_two_and_never_in_part'
 )
+_FOREIGN_ANSWERS = 'tests.unit.test_foreign_answers.StutterTest'
 _WHOLE_ANSWERS = 'tests.unit.test_forwarding.WholeAnswerTest'
 
 MUTATIONS = (
@@ -156,10 +157,38 @@
     Mutation(
         'foreign-answers-are-taken',
         'forwarding/_sender.py',
-        'if not named or named == call.request_id:',
-        'if call:',
+        'while named != call.request_id:',
+        'while False:',
         f'{_WHOLE_ANSWERS}.test_a_foreign_answer_is_dropped',
     ),
+    Mutation(
+        'unnamed-answers-are-taken',
+        'forwarding/_sender.py',
+        'while named != call.request_id:',
+        'while named and named != call.request_id:',
+        f'{_FOREIGN_ANSWERS}.test_answers_too_many_are_nobodys',
+    ),
+    Mutation(
+        'parts-of-bodies-are-forgotten',
+        'http/_client.py',
+        'while piece := await self.read_piece():',
+        'self._body.clear()\n        while piece := await self.read_piece():',
+        f'{_FOREIGN_ANSWERS}.test_an_answer_in_parts',
+    ),
+    Mutation(
+        'uneven-connections-are-kept',
+        'http/_client.py',
+        'return is_finished and not self.has_more',
+        'return is_finished',
+        f'{_FOREIGN_ANSWERS}.test_an_uneven_connection_is_given_up',
+    ),
+    Mutation(
+        'doubted-targets-get-calls-on-kept-connections',
+        'forwarding/_connections.py',
+        'while kept and not (is_sure and self._is_doubted(instance)):',
+        'while kept:',
+        f'{_FOREIGN_ANSWERS}.test_broken_off_behind_answers',
+    ),
     Mutation(
         'unsigned-answers-are-taken',
         'forwarding/_sender.py',
