--- /dev/null
+++ b/tests/platform/test_figures.py
@@ -0,0 +1,227 @@
+"""Figures that the platform names are whole numbers or fractions, or missing.
+
+A deployment's own figures came as fractions where they had always been whole,
+and every process ended with ``retry_slack: invalid value for type, expected
+int``. What the operator declares and what instances tell of themselves was
+read with the same narrowness: one fraction, or one figure given as null, made
+a whole configuration unreadable, and a node without one answers nothing.
+"""
+
+import copy
+import unittest
+from collections.abc import Iterator, Sequence
+from types import MappingProxyType
+from typing import Any
+
+import curio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.http import Address
+from cranecart.models import RouteConfig
+from cranecart.platform import (
+    PlatformDeclarations,
+    PlatformTargetList,
+    StoreClient,
+)
+from cranecart.platform._store import WireRow, WireRows
+from cranecart.ports import ListedInstance
+from tests.platform._standin import encoded
+
+Path = tuple[str | int, ...]
+
+_MISSING = object()
+_ROUTE = MappingProxyType(
+    {
+        'name': 'r1',
+        'host': 'a.example',
+        'pathPrefix': '/x/',
+        'type': 'streaming',
+        'timeoutMs': 8000,
+        'sloMs': 300,
+        'priority': 1,
+        'split': [
+            {'service': 's1', 'weight': 90},
+            {'service': 's2', 'weight': 10},
+        ],
+        'attempts': 2,
+        'public': False,
+        'resumable': True,
+        'gapTargetMs': 300,
+    },
+)
+_RUNTIME = MappingProxyType(
+    {
+        'slots': 15,
+        'kvCapacity': 795000,
+        'kvTokenBytes': 655360,
+        'linkMbps': 400000.0,
+        'stride': 7,
+        'models': [
+            {
+                'name': 'm1',
+                'size': 16,
+                'share': 0.5,
+                'pace': 1.0,
+                'loadS': 16.0,
+                'warmupS': 1.6,
+            },
+        ],
+        'step_ms': 5.95,
+        'per_seq_ms': 0.089,
+        'context_per_k': 0.01626,
+        'read_per_s': 50700.0,
+        'pairs_per_m': 0.368,
+        'chunk': 2048,
+        'report_lag_ms': 200.0,
+        'loadsPerS': 18.0,
+        'loads_at_once': 27,
+        'usual': {'prompt': 850, 'answer': 204},
+        'cachedPrefixes': 1,
+        'far_x': 2.5,
+        'formMs': 300.0,
+    },
+)
+_CONFIG = MappingProxyType(
+    {
+        'version': 7,
+        'routes': [
+            dict(_ROUTE),
+            {**_ROUTE, 'name': 'r2', 'pathPrefix': '/y/'},
+        ],
+        'services': [
+            {'name': 's1', 'maxConnections': 590, 'runtime': dict(_RUNTIME)},
+            {'name': 's2', 'maxConnections': 420},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 4194304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [{'name': 't', 'apiKeys': ['k1'], 'priority': 1}],
+    },
+)
+_ENTRY = MappingProxyType(
+    {
+        'service': 's1',
+        'address': '10.0.0.1:80',
+        'zone': 'east',
+        'version': 'v1',
+        'slots': 13,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'sequence': 4,
+        'phase': 'unified',
+        'models': [{'name': 'm', 'version': 1, 'loras': []}],
+        'domain': 'east-d0',
+        'staged': ['m'],
+    },
+)
+# Without these an entry says nothing: which version, which instance, where.
+_NEEDED = frozenset((('version',), ('address',)))
+
+
+class RowsOf(StoreClient):
+    """A store that holds one row."""
+
+    def __init__(self, key: str, value: object) -> None:
+        """Keep the row; nothing is asked of any address."""
+        super().__init__(Address('127.0.0.1', 1))
+        self._row = WireRow(key, value=encoded(value), schema_version=3)
+
+    async def read_part(
+        self,
+        table: str,
+        part: str,
+        first: str = '',
+    ) -> WireRows:
+        """Return the row."""
+        return WireRows(3, [self._row])
+
+
+def _read_config(value: object) -> RouteConfig:
+    source = PlatformDeclarations(RowsOf('config', value))
+    config: RouteConfig = curio.run(source.snapshot).items['config']
+    return config
+
+
+def _read_entry(value: object) -> ListedInstance | None:
+    source = PlatformTargetList(RowsOf('i1', value))
+    found: ListedInstance | None = curio.run(source.snapshot).items.get('i1')
+    return found
+
+
+def _places(node: Any, path: Path = ()) -> Iterator[Path]:
+    """Yield the paths of all fields of an object and of those inside it."""
+    entries = node.items() if isinstance(node, dict) else enumerate(node)
+    for key, inner in entries:
+        if isinstance(node, dict) and (*path, key) not in _NEEDED:
+            yield (*path, key)
+        if isinstance(inner, dict | list):
+            yield from _places(inner, (*path, key))
+
+
+def _at(node: Any, path: Path) -> Any:
+    for step in path:
+        node = node[step]
+    return node
+
+
+def _changed(base: Any, path: Path, value: object) -> dict[str, Any]:
+    changed: dict[str, Any] = copy.deepcopy(dict(base))
+    parent = _at(changed, path[:-1])
+    if value is _MISSING:
+        parent.pop(path[-1])
+    else:
+        parent[path[-1]] = value
+    return changed
+
+
+def _numbers(base: Any) -> Sequence[Path]:
+    return [
+        path
+        for path in _places(dict(base))
+        if isinstance(_at(base, path), int | float)
+        and not isinstance(_at(base, path), bool)
+    ]
+
+
+_FIGURES = st.one_of(
+    st.integers(0, 1000000),
+    st.floats(0, 1000000, allow_nan=False),
+)
+
+
+class ConfigurationFiguresTest(unittest.TestCase):
+    """The operator's configuration."""
+
+    @given(path=st.sampled_from(_numbers(_CONFIG)), figure=_FIGURES)
+    def test_numbers(self, path: Path, figure: float) -> None:
+        """Whole or not, a figure leaves everything else as it was."""
+        self._check(_read_config(_changed(_CONFIG, path, figure)))
+
+    def _check(self, config: RouteConfig) -> None:
+        self.assertEqual([one.name for one in config.routes], ['r1', 'r2'])
+        self.assertEqual(set(config.services), {'s1', 's2'})
+        engine = config.engine('s1')
+        assert engine is not None
+        model = engine.model('m1')
+        assert model is not None
+        whole = (engine.slots, engine.loads_at_once, model.size)
+        for number in (*whole, config.routes[0].attempts):
+            self.assertIsInstance(number, int)
+            self.assertGreaterEqual(number, 1)
+        self.assertIsNotNone(config.holder('k1'))
+
+
+class ListFiguresTest(unittest.TestCase):
+    """What an instance tells of itself."""
+
+    @given(path=st.sampled_from(_numbers(_ENTRY)), figure=_FIGURES)
+    def test_numbers(self, path: Path, figure: float) -> None:
+        """Whole or not, the instance stays listed."""
+        found = _read_entry(_changed(_ENTRY, path, figure))
+        assert found is not None
+        self.assertIsInstance(found.slots, int)
+        self.assertGreaterEqual(found.slots, 1)
--- /dev/null
+++ b/tests/unit/test_deploy_template.py
@@ -0,0 +1,128 @@
+"""A node starts with whatever figures its platform names.
+
+A deployment came up with no node at all: every process ended at once with
+``retry_slack: invalid value for type, expected int``. The platform names
+whole numbers and fractions alike, and there that figure was a fraction; the
+settings took whole numbers only. The template's other gaps had faults of the
+kind: a figure that a deployment does not name came as null, and seconds were
+made into milliseconds by writing three zeros behind them, so that 2.5 s
+would have been taken for 2.5 ms.
+"""
+
+import tempfile
+import unittest
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType
+
+import attrs
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+import cranecart
+from cranecart.config import ServingSettings
+from tests.lib.template import render
+
+_ROOT = Path(cranecart.__file__).parent.parent.parent
+_TEMPLATE = _ROOT / 'deploy' / 'node.json'
+_MISSING = object()
+
+# What the platform names, by the field that takes it.
+_FIGURES = MappingProxyType(
+    {
+        'retry_ratio': 'retryBudgetRatio',
+        'retry_slack': 'budgetSlack',
+        'retry_window_seconds': 'retryWindowS',
+        'stall_ms': 'stallMs',
+        'stop_grace_seconds': 'graceS',
+    },
+)
+_NUMBERS = st.one_of(
+    st.integers(0, 100000),
+    st.floats(0, 100000, allow_nan=False),
+)
+_DRAWN = st.one_of(_NUMBERS, st.none(), st.just(_MISSING))
+_ZONES = st.dictionaries(
+    st.text('abcdefgh-', min_size=1, max_size=6),
+    st.just('a-region'),
+    max_size=8,
+)
+
+
+def _fields(
+    bounds: Mapping[str, object],
+    **changes: object,
+) -> dict[str, object]:
+    fields = {
+        'nodeName': 'a-node',
+        'ip': '10.1.0.9',
+        'zone': 'here',
+        'zones': {'here': 'a-region', 'there': 'a-region'},
+        'listen': {'frontend': '10.1.0.9:81', 'ready': '10.1.0.9:82'},
+        'internalPortRange': [7020, 7035],
+        'bootstrap': True,
+        'platform': {'address': '10.200.1.7:80'},
+        'bounds': {
+            name: figure
+            for name, figure in bounds.items()
+            if figure is not _MISSING
+        },
+        **changes,
+    }
+    return {
+        name: field for name, field in fields.items() if field is not _MISSING
+    }
+
+
+class TemplateTest(unittest.TestCase):
+    """The settings that the template gives for a platform's fields."""
+
+    def setUp(self) -> None:
+        """Make a place for the file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / 'node.json'
+
+    @given(
+        bounds=st.fixed_dictionaries(
+            {name: _DRAWN for name in _FIGURES.values()},
+        ),
+    )
+    def test_figures(self, bounds: Mapping[str, object]) -> None:
+        """Each figure is taken as it is named, or has its default."""
+        found = attrs.asdict(self._read(_fields(bounds)))
+        usual = {one.name: one.default for one in attrs.fields(ServingSettings)}
+        for field, name in _FIGURES.items():
+            named = bounds[name]
+            if named is None or named is _MISSING:
+                named = usual[field]
+            self.assertEqual(found[field], named, field)
+
+    def _read(self, fields: Mapping[str, object]) -> ServingSettings:
+        self._write(fields)
+        return ServingSettings.from_file(self.file)
+
+    def _write(self, fields: Mapping[str, object]) -> None:
+        self.file.write_text(render(_TEMPLATE.read_text('utf-8'), fields))
+
+
+class RenderTest(unittest.TestCase):
+    """The renderer gives what the platform was seen to give."""
+
+    def test_gaps_and_sections(self) -> None:
+        """A zero is given, null and what is missing are not."""
+        fields = {'b': {'zero': 0, 'no': False, 'part': 2.5}, 'null': None}
+        for template, wanted in (
+            ('[{{b.none|json}}]', '[null]'),
+            ('[{{b.none}}]', '[]'),
+            ('[{{null|json}}]', '[null]'),
+            ('[{{#b.zero}}{{.|json}}{{/b.zero}}]', '[0]'),
+            ('[{{#b.no}}x{{/b.no}}{{^b.no}}y{{/b.no}}]', '[y]'),
+            ('[{{#null}}x{{/null}}]', '[]'),
+            ('{{b.part|json}}000', '2.5000'),
+            ('[{{#b}}"{{@}}"{{,}}{{/b}}]', '["zero","no","part"]'),
+        ):
+            self.assertEqual(render(template, fields), wanted)
+        whole = msgspec.json.decode(render('{{b|json}}', fields))
+        self.assertEqual(whole, fields['b'])
