--- a/src/cranecart/config/_reloading.py
+++ b/src/cranecart/config/_reloading.py
@@ -16,9 +16,9 @@
     (
         'retry_ratio',
         'retry_slack',
-        'retry_window_ms',
+        'retry_window_seconds',
         'stall_ms',
-        'stop_grace_ms',
+        'stop_grace_seconds',
         'log_successes',
         'log_level',
         'first_start',
--- a/src/cranecart/config/_settings.py
+++ b/src/cranecart/config/_settings.py
@@ -35,10 +35,12 @@
     platform_address: str = attrs.field(validator=_is_address)
     operator_key_sha256: str
     peers: tuple[str, ...] = ()
-    stop_grace_ms: int = attrs.field(
+    stop_grace_ms: float = attrs.field(
         default=_STOP_GRACE_MS, validator=_POSITIVE
     )
-    ready_off_ms: int = attrs.field(default=_READY_OFF_MS, validator=_POSITIVE)
+    ready_off_ms: float = attrs.field(
+        default=_READY_OFF_MS, validator=_POSITIVE
+    )
     log_format: str = attrs.field(
         default='json',
         validator=attrs.validators.in_(('json', 'text')),
--- a/src/cranecart/config/_structure.py
+++ b/src/cranecart/config/_structure.py
@@ -26,6 +26,7 @@
     converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
     for plain in (int, str, bool):
         converter.register_structure_hook(plain, _strict)
+    converter.register_structure_hook(float, _number)
     return converter
 
 
@@ -35,7 +36,14 @@
         found,
         wanted,
     ):
-        raise TypeError(f'expected {wanted.__name__}, found {found!r}')
+        raise ValueError(f'expected {wanted.__name__}, found {found!r}')
+    return found
+
+
+def _number(found: object, _wanted: type) -> float:
+    # A whole number stays one, so that it is shown as it was written.
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        raise ValueError(f'expected a number, found {found!r}')
     return found
 
 
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -14,7 +14,7 @@
     """A service's part of a route's requests; weights need not sum to 100."""
 
     service: str
-    weight: int
+    weight: float
 
 
 @attrs.frozen
--- a/src/cranecart/models/_timing.py
+++ b/src/cranecart/models/_timing.py
@@ -22,7 +22,7 @@
     prompt_rate: float = 50000.0
     pair_seconds: float = 0.0000000007
     chunk_tokens: int = 2048
-    steps_a_pass: int = 7
+    steps_a_pass: float = 7
 
     def pass_seconds(self, writers: float, context_tokens: float = 0) -> float:
         """Return how long a pass takes while so many requests write."""
--- a/src/cranecart/platform/_declared.py
+++ b/src/cranecart/platform/_declared.py
@@ -21,6 +21,7 @@
     WireRoute,
     WireService,
     WireTenant,
+    whole,
 )
 from cranecart.ports import Changes, Snapshot
 
@@ -89,10 +90,11 @@
         streaming=wire.type == _STREAMING,
         resumable=wire.resumable,
         timeout_seconds=wire.timeout_ms / _MILLISECONDS,
-        objective_seconds=wire.slo_ms / _MILLISECONDS,
+        # Without an objective there is the whole time, and no hurry.
+        objective_seconds=(wire.slo_ms or wire.timeout_ms) / _MILLISECONDS,
         pause_seconds=wire.gap_target_ms / _MILLISECONDS,
-        rank=wire.priority,
-        attempts=wire.attempts,
+        rank=whole(wire.priority),
+        attempts=whole(wire.attempts, 1),
         public=wire.public,
         shares=shares or (Share(wire.service, _WHOLE_WEIGHT),),
     )
@@ -106,11 +108,11 @@
         wire.name,
         EngineProfile(
             tuple(map(_model, runtime.models)),
-            runtime.slots,
+            whole(runtime.slots, 1),
             runtime.form_ms / _MILLISECONDS,
             runtime.loads_per_s,
-            runtime.cached_prefixes,
-            runtime.loads_at_once,
+            whole(runtime.cached_prefixes),
+            whole(runtime.loads_at_once, 1),
             runtime.timing(),
         ),
     )
@@ -119,7 +121,7 @@
 def _model(wire: WireModel) -> EngineModel:
     return EngineModel(
         wire.name,
-        wire.size,
+        whole(wire.size, 1),
         wire.pace,
         wire.share,
         wire.load_s,
@@ -131,14 +133,14 @@
     return KeyHolder(
         wire.name,
         tuple(map(hash_key, wire.api_keys)),
-        wire.priority,
+        None if wire.priority is None else whole(wire.priority),
     )
 
 
 def _limits(wire: WireLimits) -> ClientLimits:
     return ClientLimits(
-        wire.max_header_bytes,
-        wire.max_body_bytes,
+        whole(wire.max_header_bytes, 1),
+        whole(wire.max_body_bytes),
         wire.header_timeout_ms / _MILLISECONDS,
         wire.idle_timeout_ms / _MILLISECONDS,
     )
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -180,10 +180,35 @@
 
 
 def decode_row(row: WireRow, wanted: Any) -> Any:
-    """Decode a row's value; raise ``PlatformUnavailableError``."""
+    """Decode a row's value; raise ``PlatformUnavailableError``.
+
+    What is null is read like what is not there.
+    """
     try:
-        return msgspec.json.decode(row.decoded(), type=wanted)
+        return _decode_value(row.decoded(), wanted)
     except (ValueError, msgspec.MsgspecError) as error:
         raise PlatformUnavailableError(
             f'row {row.key_file!r} cannot be read: {error}',
         ) from error
+
+
+def _decode_value(value: bytes, wanted: Any) -> Any:
+    try:
+        return msgspec.json.decode(value, type=wanted)
+    except msgspec.ValidationError:
+        # Nulls are rare, and leaving them out takes a second reading.
+        told = _without_nulls(msgspec.json.decode(value))
+        return msgspec.convert(told, wanted)
+
+
+def _without_nulls(node: object) -> object:
+    match node:
+        case dict():
+            return {
+                key: _without_nulls(inner)
+                for key, inner in node.items()
+                if inner is not None
+            }
+        case list():
+            return [_without_nulls(one) for one in node if one is not None]
+    return node
--- a/src/cranecart/platform/_targets.py
+++ b/src/cranecart/platform/_targets.py
@@ -31,16 +31,16 @@
 class WireModel(msgspec.Struct):
     """A model in the accelerators of an instance."""
 
-    name: str
+    name: str = ''
 
 
 class WireInstance(msgspec.Struct):
     """What an instance writes of itself; ``domain`` is its fabric domain."""
 
-    service: str
     address: str
-    zone: str
-    slots: int = 1
+    service: str = ''
+    zone: str = ''
+    slots: float = 1
     state: str = 'ready'
     domain: str = ''
     models: list[WireModel] = []
@@ -94,7 +94,8 @@
         wire.service,
         Address.from_text(wire.address),
         wire.zone,
-        wire.slots,
+        # A place that is there in part takes no request.
+        max(1, int(wire.slots)),
         wire.state == _LEAVING,
         wire.domain,
         tuple(model.name for model in wire.models),
--- a/src/cranecart/serving/_making.py
+++ b/src/cranecart/serving/_making.py
@@ -53,7 +53,7 @@
     """Return where a node's placer acts."""
     return PlacerPlace(
         settings.failure_domain,
-        len(settings.failure_domains),
+        len(settings.all_failure_domains),
         settings.stall_ms / _MILLISECONDS,
     )
 
@@ -63,5 +63,5 @@
     return RetryRules(
         settings.retry_ratio,
         settings.retry_slack,
-        settings.retry_window_ms / _MILLISECONDS,
+        settings.retry_window_seconds,
     )
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -41,7 +41,6 @@
 from cranecart.serving._surroundings import Surroundings
 from cranecart.signals import StopSignal, raise_first_error, stop_signal
 
-_MILLISECONDS = 1000
 # The balancer takes a node out after two missed questions a second apart.
 _LISTEN_ON_SECONDS = 3.0
 # What is left of the grace for breaking off what cannot end in time.
@@ -251,7 +250,7 @@
         await self._drain(started)
 
     async def _drain(self, started: float) -> None:
-        grace = self._live.current.stop_grace_ms / _MILLISECONDS - _LAST_SECONDS
+        grace = self._live.current.stop_grace_seconds - _LAST_SECONDS
         while time.monotonic() - started < grace:
             await curio.sleep(_DRAIN_LOOK_SECONDS)
             if time.monotonic() - started < _LISTEN_ON_SECONDS:
--- a/src/cranecart/serving/_surroundings.py
+++ b/src/cranecart/serving/_surroundings.py
@@ -46,7 +46,7 @@
             PlatformRowSource(
                 store,
                 _RECORDS_TABLE,
-                (*settings.failure_domains, _NODES_PART),
+                (*settings.all_failure_domains, _NODES_PART),
             ),
             PlatformOrders(),
             PlatformCallForm(),
--- a/tests/platform/test_figures.py
+++ b/tests/platform/test_figures.py
@@ -201,6 +201,98 @@
         """Whole or not, a figure leaves everything else as it was."""
         self._check(_read_config(_changed(_CONFIG, path, figure)))
 
+    @given(path=st.sampled_from(list(_places(dict(_CONFIG)))))
+    def test_missing(self, path: Path) -> None:
+        """What is null is read like what is not there."""
+        missing = _read_config(_changed(_CONFIG, path, _MISSING))
+        null = _read_config(_changed(_CONFIG, path, None))
+        self.assertEqual(missing, null)
+
+    @given(path=st.sampled_from(list(_places(dict(_CONFIG)))))
+    def test_unknown(self, path: Path) -> None:
+        """A field that is not known changes nothing, wherever it is."""
+        place = (*path[:-1], 'aLaterField')
+        later = _read_config(_changed(_CONFIG, place, {'x': [1.5, None]}))
+        self.assertEqual(later, _read_config(dict(_CONFIG)))
+
+    def test_parts_of_whole_things(self) -> None:
+        """Where only whole ones can be counted, the part is left out."""
+        config = _read_config(
+            {
+                **_CONFIG,
+                'routes': [
+                    {
+                        **_ROUTE,
+                        'timeoutMs': 2500.5,
+                        'sloMs': 202.5,
+                        'gapTargetMs': 99.5,
+                        'attempts': 2.5,
+                        'priority': 1.5,
+                        'split': [{'service': 's1', 'weight': 2.5}],
+                    },
+                ],
+                'services': [
+                    {
+                        'name': 's1',
+                        'runtime': {
+                            **_RUNTIME,
+                            'slots': 13.5,
+                            'loads_at_once': 2.7,
+                            'loadsPerS': 0.5,
+                            'cachedPrefixes': 0.5,
+                            'stride': 6.5,
+                            'formMs': 300.5,
+                        },
+                    },
+                ],
+                'limits': {'maxBodyBytes': 100.5, 'idleTimeoutMs': 1500.5},
+            },
+        )
+        route = config.routes[0]
+        self.assertEqual(route.timeout_seconds, 2.5005)
+        self.assertEqual(route.objective_seconds, 0.2025)
+        self.assertEqual(route.pause_seconds, 0.0995)
+        self.assertEqual((route.attempts, route.rank), (2, 1))
+        self.assertEqual(route.shares[0].weight, 2.5)
+        engine = config.engine('s1')
+        assert engine is not None
+        self.assertEqual((engine.slots, engine.loads_at_once), (13, 2))
+        self.assertEqual(engine.loads_per_second, 0.5)
+        self.assertEqual(engine.staged_models, 0)
+        self.assertEqual(engine.timing.steps_a_pass, 6.5)
+        self.assertEqual(engine.open_seconds, 0.3005)
+        self.assertEqual(config.limits.body_bytes, 100)
+        self.assertEqual(config.limits.idle_seconds, 1.5005)
+
+    def test_nothing_is_divided_by(self) -> None:
+        """Figures of zero leave what a request costs a number."""
+        for name in ('slots', 'stride', 'read_per_s', 'chunk'):
+            path = ('services', 0, 'runtime', name)
+            engine = _read_config(_changed(_CONFIG, path, 0)).engine('s1')
+            assert engine is not None
+            work = engine.timing.work_seconds(10, 1000, engine.slots)
+            self.assertGreater(work, 0)
+            self.assertLess(work, 1)
+
+    def test_a_route_without_an_objective(self) -> None:
+        """It is content with its whole time; nothing is hurried."""
+        path = ('routes', 0, 'sloMs')
+        route = _read_config(_changed(_CONFIG, path, _MISSING)).routes[0]
+        self.assertEqual(route.objective_seconds, route.timeout_seconds)
+
+    def test_a_route_without_a_time(self) -> None:
+        """It is held to some time still."""
+        path = ('routes', 0, 'timeoutMs')
+        route = _read_config(_changed(_CONFIG, path, _MISSING)).routes[0]
+        self.assertGreater(route.timeout_seconds, 10)
+        self.assertLess(route.timeout_seconds, float('inf'))
+
+    def test_a_route_without_a_type(self) -> None:
+        """Nothing says that it may run twice, so that it does not."""
+        path = ('routes', 0, 'type')
+        route = _read_config(_changed(_CONFIG, path, _MISSING)).routes[0]
+        self.assertFalse(route.is_idempotent)
+
     def _check(self, config: RouteConfig) -> None:
         self.assertEqual([one.name for one in config.routes], ['r1', 'r2'])
         self.assertEqual(set(config.services), {'s1', 's2'})
@@ -225,3 +317,17 @@
         assert found is not None
         self.assertIsInstance(found.slots, int)
         self.assertGreaterEqual(found.slots, 1)
+
+    @given(path=st.sampled_from(list(_places(dict(_ENTRY)))))
+    def test_missing(self, path: Path) -> None:
+        """What is null is read like what is not there; it stays listed."""
+        missing = _read_entry(_changed(_ENTRY, path, _MISSING))
+        null = _read_entry(_changed(_ENTRY, path, None))
+        self.assertIsNotNone(missing)
+        self.assertEqual(missing, null)
+
+    def test_no_group(self) -> None:
+        """Null says that it belongs to none."""
+        found = _read_entry({**_ENTRY, 'group': None})
+        assert found is not None
+        self.assertIsNone(found.membership)
--- a/tests/unit/test_deploy_template.py
+++ b/tests/unit/test_deploy_template.py
@@ -21,7 +21,9 @@
 from hypothesis import strategies as st
 
 import cranecart
-from cranecart.config import ServingSettings
+from cranecart.cli import main
+from cranecart.config import FindingsError, ServingSettings
+from cranecart.exit_codes import ExitCode
 from tests.lib.template import render
 
 _ROOT = Path(cranecart.__file__).parent.parent.parent
@@ -99,6 +101,51 @@
                 named = usual[field]
             self.assertEqual(found[field], named, field)
 
+    @given(zones=st.one_of(_ZONES, st.none(), st.just(_MISSING)))
+    def test_failure_domains(self, zones: object) -> None:
+        """All are known, however many; the node's own in any case."""
+        found = self._read(_fields({}, zones=zones)).all_failure_domains
+        named = set(zones) if isinstance(zones, Mapping) else set()
+        self.assertEqual(set(found), named | {'here'})
+        self.assertEqual(len(set(found)), len(found))
+
+    def test_first_start(self) -> None:
+        """It holds only where it is named."""
+        for named, wanted in ((True, True), (False, False), (None, False)):
+            found = self._read(_fields({}, bootstrap=named))
+            self.assertIs(found.first_start, wanted)
+        found = self._read(_fields({}, bootstrap=_MISSING))
+        self.assertIs(found.first_start, False)
+
+    def test_what_cannot_be_taken_is_named(self) -> None:
+        """The message names the field and what stands there."""
+        for field, name in _FIGURES.items():
+            for wrong in (True, 'many', -1):
+                with self.assertRaises(FindingsError) as caught:
+                    self._read(_fields({name: wrong}))
+                message = str(caught.exception)
+                self.assertIn(field, message)
+                self.assertIn(str(wrong), message)
+
+    def test_no_place(self) -> None:
+        """A node without a name or an address says so."""
+        gaps = (
+            ('nodeName', 'node_id'),
+            ('zone', 'failure_domain'),
+            ('listen', 'client_address'),
+            ('internalPortRange', 'peer_address'),
+            ('platform', 'platform_address'),
+        )
+        for gap, field in gaps:
+            with self.assertRaisesRegex(FindingsError, field):
+                self._read(_fields({}, **{gap: _MISSING}))
+
+    def test_the_command_names_the_field(self) -> None:
+        """A process that cannot start ends with the documented code."""
+        self._write(_fields({'graceS': 'many'}))
+        code = main(['serve', str(self.file)])
+        self.assertEqual(code, ExitCode.INVALID_DECLARATION)
+
     def _read(self, fields: Mapping[str, object]) -> ServingSettings:
         self._write(fields)
         return ServingSettings.from_file(self.file)
