--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -1,7 +1,6 @@
 """The one client of the platform's store: rows, transactions, changes."""
 
 import base64
-import functools
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any, TypeVar
@@ -69,14 +68,22 @@
     return base64.b64encode(value).decode()
 
 
+@attrs.define
+class _StorePool(HttpPool):
+    async def drop(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            await connection.close()
+
+
 @attrs.define
 class StoreClient:
     """Calls of one store on kept connections, each with a bound."""
 
     _address: Address
     counts: Counter[str] = attrs.field(factory=Counter, init=False)
-    _pool: HttpPool = attrs.field(
-        factory=functools.partial(HttpPool, keeps_alive=True),
+    _pool: _StorePool = attrs.field(
+        factory=lambda: _StorePool(keeps_alive=True),
         init=False,
     )
 
@@ -158,7 +165,13 @@
         return _decode(response, WireRows)
 
     async def _exchange(self, request: Request, seconds: float) -> Response:
-        return await curio.timeout_after(seconds, self._ask, request)
+        try:
+            return await curio.timeout_after(seconds, self._ask, request)
+        except TaskTimeout:
+            # What made one silent may have made all of them so, and each
+            # would cost another call its whole bound.
+            await self._pool.drop(self._address)
+            raise
 
     async def _ask(self, request: Request) -> Response:
         connection = await self._pool.take(self._address)
