--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -71,7 +71,7 @@
             f'HTTP/1.1 {status} X\r\nrequest-id: {named}\r\n{signed}{extra}'
             f'content-length: {len(body)}\r\n\r\n'
         )
-        await self.sock.sendall(head.encode() + body)
+        await self.sock.sendall(head.encode('latin-1') + body)
 
     async def start_stream(self) -> None:
         """Send the head of a stream."""
@@ -149,7 +149,10 @@
             sock,
             head.method.decode(),
             head.target.decode(),
-            {name.decode(): text.decode() for name, text in head.headers},
+            {
+                name.decode(): text.decode('latin-1')
+                for name, text in head.headers
+            },
             b''.join(map(bytes, pieces)),
         )
         self.seen.append(exchange)
@@ -247,6 +250,7 @@
             FakeTarget(f'i{number}', script)
             for number, script in enumerate(scripts)
         ]
+        self.config: RouteConfig | None = CONFIG
         self.fleet = Fleet()
         self.evidence: list[str] = []
         instances = {
@@ -277,7 +281,7 @@
         )
         self.connections = TargetConnections()
         self.gateway = RoutedGateway(
-            lambda: CONFIG,
+            lambda: self.config,
             Sender(
                 PlatformCallForm(),
                 self.router,
