--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -247,6 +247,14 @@
     retry_after = 1.0
 
 
+class InternalFaultError(RequestError):
+    """This node failed in a way that nobody thought of, before sending."""
+
+    status = 503
+    code = 'internal_fault'
+    retry_after = 1.0
+
+
 class OutcomeUnknownError(RequestError):
     """The request was sent and what became of it is not known."""
 
--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -34,7 +34,7 @@
             'this node has no configuration yet',
             retry_after=_STARTING_SECONDS,
         )
-    route = config.route(facts.host, urlsplit(request.target).path)
+    route = config.route(facts.host, _path(request.target))
     if route is None:
         raise NotFoundError(f'no route begins {request.target!r}')
     holder = _find_holder(config, route, facts)
@@ -56,6 +56,14 @@
     )
 
 
+def _path(target: str) -> str:
+    try:
+        return urlsplit(target).path
+    except ValueError:
+        # No route begins like that; the client is told so.
+        return ''
+
+
 def _find_holder(
     config: RouteConfig,
     route: Route,
@@ -73,4 +81,6 @@
     if len(route.shares) == 1:
         return route.shares[0].service
     weights = [share.weight for share in route.shares]
+    if not any(weights):
+        weights = [1 for _share in route.shares]
     return source.choices(route.shares, weights)[0].service
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -22,6 +22,10 @@
 
 # When to come back after a target has refused, in seconds.
 _REFUSED_SECONDS = 0.2
+# What has less time left than this part of its objective would be cut before
+# any target could answer it; objectives begin at 0.1 s on the users' sheets.
+_LEAST_PART = 0.1
+_LEAST_SECONDS = 0.02
 # Targets that could not be reached at all count in no limit of the route,
 # but are not tried for ever.
 _MOST_NOT_REACHED = 3
@@ -83,8 +87,9 @@
     def _choose(self) -> Target:
         call = self.call
         try:
+            self._check_time()
             target = self._router.choose(self._wanted())
-        except (NoReplicaError, OverloadedError) as error:
+        except (NoReplicaError, NotTakenError, OverloadedError) as error:
             if self._last is None:
                 raise
             raise self._final_error() from error
@@ -102,6 +107,17 @@
         self.tried.append(target.instance.id)
         return target
 
+    def _check_time(self) -> None:
+        least = min(
+            _LEAST_PART * self.call.route.objective_seconds,
+            _LEAST_SECONDS,
+        )
+        if not self.has_begun and self.call.seconds_left <= least:
+            raise NotTakenError(
+                'no time is left for any target',
+                retry_after=_REFUSED_SECONDS,
+            )
+
     def _note(self, target: Target, error: TargetError) -> None:
         is_reached = not isinstance(error, TargetNotReachedError)
         if is_reached:
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -1,5 +1,6 @@
 """Answer clients' requests: admit, route, send, pass on."""
 
+import logging
 import random
 import time
 import zlib
@@ -11,6 +12,8 @@
 from cranecart.door import Returns
 from cranecart.exceptions import (
     ConnectionBrokenError,
+    InternalFaultError,
+    OutcomeUnknownError,
     RequestError,
 )
 from cranecart.forwarding._admit import admit
@@ -27,6 +30,7 @@
 # Told of each request's outcome and of the seconds to its first byte.
 Observer = Callable[[str, float | None], None]
 
+_LOG = logging.getLogger(__name__)
 _CRC_RANGE = 1 << 32  # noqa: WPS432
 _MILLISECONDS = 1000
 
@@ -94,6 +98,11 @@
             outcome = 'client_left'
             trace.add('client_left', after=_since(started))
             raise
+        except Exception as error:
+            _LOG.exception('a request met a fault of this node')
+            fault = InternalFaultError(repr(error))
+            outcome = fault.code
+            await self._refuse(trace, fault, responder, started)
         finally:
             self._observe(outcome, responder.seconds_to_first_byte(started))
             self._write(trace, outcome)
@@ -115,15 +124,28 @@
             trace.write()
 
     async def _forward(self, call: RoutedCall, responder: Responder) -> None:
+        attempts = RoutedAttempts(call, self._sender.router, self._budget)
         try:
-            await self._attempt(call, responder)
+            await self._attempt(call, attempts, responder)
         except RequestError as error:
             if error.retry_after is not None:
                 self._returns.note_refused(call.route.name, time.monotonic())
             raise
-
-    async def _attempt(self, call: RoutedCall, responder: Responder) -> None:
-        attempts = RoutedAttempts(call, self._sender.router, self._budget)
+        except ConnectionBrokenError:
+            raise
+        except Exception as error:
+            if not attempts.tried:
+                raise
+            # A target may have run it, so that nobody may say it has not.
+            _LOG.exception('a request met a fault of this node')
+            raise OutcomeUnknownError(repr(error)) from error
+
+    async def _attempt(
+        self,
+        call: RoutedCall,
+        attempts: RoutedAttempts,
+        responder: Responder,
+    ) -> None:
         if call.route.streaming:
             stream = StreamExchange(self._sender, attempts, responder)
             await attempts.run(stream.attempt)
--- a/src/cranecart/platform/_calls.py
+++ b/src/cranecart/platform/_calls.py
@@ -28,6 +28,8 @@
 _AT_FAULT = 'at-server'
 _WRONG_INSTANCE = 421
 _LAST_RANK = 9
+# No request has a milliard of tokens; longer numbers cannot be reckoned with.
+_MOST_DIGITS = 9
 
 # Headers that concern one connection only.
 _HOP = frozenset(
@@ -126,7 +128,7 @@
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(('content-length', str(len(request.body))))
     if dispatch.organisation:
-        lines.append((_ORGANISATION, dispatch.organisation))
+        lines.append((_ORGANISATION, _as_header(dispatch.organisation)))
     if dispatch.rank is not None:
         lines.append((_RANK, str(min(dispatch.rank, _LAST_RANK))))
     if dispatch.resume_after:
@@ -134,6 +136,11 @@
     return tuple(lines)
 
 
+def _as_header(text: str) -> str:
+    # Headers hold bytes; what the operator writes in JSON may be any letters.
+    return text.encode().decode('latin-1')
+
+
 def _named_by_connection(headers: Mapping[str, str]) -> set[str]:
     names = headers.get('connection', '').split(',')
     return {name.strip().lower() for name in names}
@@ -157,6 +164,9 @@
 
 def _tokens(text: str) -> tuple[int, int]:
     prompt, _, most = text.partition(',')
-    if prompt.isdecimal() and most.isdecimal():
-        return int(prompt), int(most)
-    return 0, 0
+    return _count(prompt), _count(most)
+
+
+def _count(text: str) -> int:
+    is_count = text.isdecimal() and len(text) <= _MOST_DIGITS
+    return int(text) if is_count else 0
--- a/tests/unit/test_unoffered.py
+++ b/tests/unit/test_unoffered.py
@@ -8,12 +8,18 @@
 
 import time
 import unittest
+from collections.abc import Mapping
+from typing import Any
 
 import attrs
 import curio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cranecart.http import HttpConnection, Request
+from cranecart.models import Share
 from tests.lib.fake_targets import (
+    CONFIG,
     HOST,
     KEY,
     MODEL,
@@ -21,6 +27,7 @@
     ClientAnswer,
     Exchange,
     GatewayWorld,
+    route,
 )
 
 # An answer at once, on a busy machine.
@@ -80,6 +87,15 @@
                 self._refused(_ask(world, request))
                 self.assertEqual(world.targets[0].seen, [], left)
 
+    def test_shares_of_nothing(self) -> None:
+        """A split whose parts are all zero is drawn evenly."""
+        world = GatewayWorld(_fine, service=PLAIN)
+        shares = (Share(PLAIN, 0), Share(PLAIN, 0))
+        split = route('split', shares=shares)
+        world.config = attrs.evolve(CONFIG, routes=(split,))
+        answer = _ask(world, _request('/split/x'))
+        self.assertEqual(answer.status, 200)
+
     def test_odd_targets(self) -> None:
         """What is no path has no route; it ends in an answer still."""
         for target in ('//[', '//[x/', 'http://[/safe/x', '*', '/safe/%zz'):
@@ -104,11 +120,81 @@
                 answer = _ask(world, _request(path, **{name: text}))
                 self.assertIn(answer.status, _PROPER | {200}, (name, path))
 
+    def test_a_name_in_any_letters(self) -> None:
+        """An organisation's name goes to the target as it is written."""
+        world = GatewayWorld(_fine, service=PLAIN)
+        assert CONFIG.holders is not None
+        holder = attrs.evolve(CONFIG.holders[0], name='Győr')
+        world.config = attrs.evolve(CONFIG, holders=(holder,))
+        answer = _ask(world, _request('/safe/x'))
+        self.assertEqual(answer.status, 200)
+        seen = world.targets[0].seen[0]
+        sent = seen.headers['tenant']
+        self.assertEqual(sent.encode('latin-1').decode(), 'Győr')
+
+    def test_a_fault_of_our_own(self) -> None:
+        """It is logged, and what was not sent is refused."""
+        self._refused(_ask(FaultyWorld(), _request('/safe/x')))
+
+    def test_a_fault_of_our_own_after_it_was_sent(self) -> None:
+        """Nobody says then that it has not run."""
+        world = FaultyWorld(after_sending=True)
+        answer = _ask(world, _request('/unsafe/x'))
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(world.targets[0].seen), 1)
+
+    @settings(max_examples=40)
+    @given(
+        headers=st.dictionaries(
+            st.sampled_from(
+                ('token_usage', 'deadline_ms', 'model', 'last_event_id'),
+            ),
+            st.text(
+                st.characters(min_codepoint=33, max_codepoint=255).filter(
+                    lambda one: not 127 <= ord(one) < 161,
+                ),
+                min_size=1,
+                max_size=30,
+            ),
+        ),
+        path=st.sampled_from(_PATHS),
+    )
+    def test_any_headers(self, headers: Mapping[str, str], path: str) -> None:
+        """They end in an answer."""
+        world = GatewayWorld(_fine)
+        answer = _ask(world, _request(path, **headers))
+        self.assertIn(answer.status, _PROPER | {200})
+
     def _refused(self, answer: ClientAnswer) -> None:
         self.assertEqual(answer.status, 503)
         self.assertGreater(float(answer.headers['retry-after']), 0)
 
 
+class FaultyWorld(GatewayWorld):
+    """A gateway with a fault that nobody has thought of."""
+
+    def __init__(self, *, after_sending: bool = False) -> None:
+        """Break the choice of a target, or what follows an answer."""
+        super().__init__(_fine, service=PLAIN)
+        broken = 'gaps' if after_sending else 'choose'
+        sender: Any = self.gateway._sender
+        sender.router = Broken(self.router, broken)
+
+
+@attrs.frozen
+class Broken:
+    """A router one part of which fails."""
+
+    _router: object
+    _part: str
+
+    def __getattr__(self, name: str) -> object:
+        """Return the router's own, but fail for the broken part."""
+        if name == self._part:
+            raise ZeroDivisionError('nobody has thought of this')
+        return getattr(self._router, name)
+
+
 def _ask(world: GatewayWorld, request: Request) -> ClientAnswer:
     asking = _Asking(request)
     started = time.monotonic()
