Give up connections that were left early, bound answers too many, believe refusals by name

Change: a connection whose end was read ahead is closed; one wait covers all that is dropped, sixteen answers at the most; names come first; requests without a name share no connection; doubt follows from what the target did; poll.

--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -3,6 +3,7 @@
 import re
 import time
 from collections import defaultdict
+from collections.abc import Callable
 
 import attrs
 
@@ -28,6 +29,8 @@
 # what must not run twice goes on connections of its own.
 _DOUBT_SECONDS = 10.0
 _MOST_IDLE = 16
+# Calls that must not run twice take none of these, and would leave one each.
+_MOST_IDLE_DOUBTED = 2
 _TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
@@ -45,6 +48,7 @@
     ``uneven`` counts those that brought more answers than were asked for.
     """
 
+    _clock: Callable[[], float] = time.monotonic
     opened: int = attrs.field(default=0, init=False)
     uneven: int = attrs.field(default=0, init=False)
     _idle: dict[str, list[_Idle]] = attrs.field(
@@ -59,12 +63,18 @@
         instance: ListedInstance,
         *,
         is_sure: bool,
+        is_new: bool = False,
     ) -> HttpConnection:
-        """Return a connection; raise ``TargetNotReachedError``."""
+        """Return a connection; raise ``TargetNotReachedError``.
+
+        One that ``is_sure`` to be alive was used lately, one that ``is_new``
+        never.
+        """
         kept = self._idle.get(instance.id)
-        while kept and not (is_sure and self._is_doubted(instance)):
+        must_open = is_new or (is_sure and self._is_doubted(instance))
+        while kept and not must_open:
             idle = kept.pop()
-            now = time.monotonic()
+            now = self._clock()
             is_young = not is_sure or now - idle.since < _SURE_SECONDS
             if is_young and now < idle.until and idle.connection.is_quiet():
                 return idle.connection
@@ -94,7 +104,7 @@
         """Keep a connection whose answer was read whole; close any other."""
         if connection.has_more:
             self.uneven += 1
-            self._doubt(instance)
+            self.doubt(instance)
             decision(
                 'left_over',
                 instance=instance.id,
@@ -102,11 +112,12 @@
                 carried=connection.carried,
             )
         kept = self._idle[instance.id]
-        if not connection.is_reusable or len(kept) >= _MOST_IDLE:
+        most = _MOST_IDLE_DOUBTED if self._is_doubted(instance) else _MOST_IDLE
+        if not connection.is_reusable or len(kept) >= most:
             await connection.close()
             return
         connection.reset()
-        now = time.monotonic()
+        now = self._clock()
         seconds = self._keep.get(instance.id, _UNTOLD_SECONDS)
         kept.append(_Idle(connection, now, now + seconds))
 
@@ -116,13 +127,20 @@
         What made one silent may have made all of them so, and each would
         cost the next request its objective.
         """
-        self._doubt(instance)
         for idle in self._idle.pop(instance.id, ()):
             await idle.connection.close()
 
+    def doubt(self, instance: ListedInstance) -> None:
+        """Take over that a target broke a connection, or said too much."""
+        self._doubted_until[instance.id] = self._clock() + _DOUBT_SECONDS
+
+    def idle_count(self, instance_id: str) -> int:
+        """Return how many connections to an instance are kept."""
+        return len(self._idle.get(instance_id, ()))
+
     async def close_old(self, listed: frozenset[str]) -> None:
         """Close connections that are past their time or to gone instances."""
-        now = time.monotonic()
+        now = self._clock()
         for name, kept in list(self._idle.items()):
             good = [one for one in kept if now < one.until and name in listed]
             for idle in kept:
@@ -138,8 +156,5 @@
             if now < until
         }
 
-    def _doubt(self, instance: ListedInstance) -> None:
-        self._doubted_until[instance.id] = time.monotonic() + _DOUBT_SECONDS
-
     def _is_doubted(self, instance: ListedInstance) -> bool:
-        return time.monotonic() < self._doubted_until.get(instance.id, 0)
+        return self._clock() < self._doubted_until.get(instance.id, 0)
--- a/src/cranecart/forwarding/_events.py
+++ b/src/cranecart/forwarding/_events.py
@@ -1,6 +1,8 @@
 """Cut a stream into whole events and remember the id of the last one."""
 
+import itertools
 import re
+from collections.abc import Sequence
 
 import attrs
 
@@ -17,8 +19,8 @@
     last_id: str = ''
     events: int = 0
     _rest: bytes = b''
-    # Whether the next event comes from another target than the last one.
-    _goes_on: bool = False
+    # Whether the stream has moved, so that others' events come behind own.
+    _has_moved: bool = False
 
     @property
     def is_between_events(self) -> bool:
@@ -41,19 +43,21 @@
         self.events += whole.count(_EVENT_END)
         ids = _ID_LINE.findall(whole)
         if ids:
-            self._check_order(ids[0])
+            self._check_order(ids)
             self.last_id = ids[-1].decode('latin-1').strip()
         return whole
 
     def restart(self) -> None:
         """Drop what is held back, as its stream has broken off."""
         self._rest = b''
-        self._goes_on = True
+        self._has_moved = True
 
-    def _check_order(self, first_id: bytes) -> None:
-        if not self._goes_on:
+    def _check_order(self, ids: Sequence[bytes]) -> None:
+        if not self._has_moved:
             return
-        self._goes_on = False
-        first, last = first_id.strip(), self.last_id
-        if first.isdigit() and last.isdecimal() and int(first) <= int(last):
-            raise TargetBrokenError(f'its events start over behind {last}')
+        named = [self.last_id, *(one.decode('latin-1').strip() for one in ids)]
+        numbers = [int(one) for one in named if one.isdecimal()]
+        if any(later <= one for one, later in itertools.pairwise(numbers)):
+            raise TargetBrokenError(
+                f'its events fall back behind {self.last_id}',
+            )
--- /dev/null
+++ b/src/cranecart/forwarding/_own_head.py
@@ -0,0 +1,45 @@
+"""Read on to the answer that names a request."""
+
+import attrs
+
+from cranecart.forwarding._call import RoutedCall
+from cranecart.http import HttpConnection, ResponseHead
+from cranecart.ports import CallForm
+
+
+@attrs.define
+class OwnHead:
+    """The head of a request's own answer, behind whatever comes before it.
+
+    Targets may answer twice, and the second answer may name nothing: all that
+    does not name this request was taken for its answer once.
+    """
+
+    _form: CallForm
+    _call: RoutedCall
+    _connection: HttpConnection
+    _is_foreign: bool = attrs.field(default=False, init=False)
+
+    async def read(self) -> ResponseHead:
+        """Return the head; an interrupted call may be repeated."""
+        while True:
+            if self._is_foreign:
+                await self._connection.drop_answer()
+                self._is_foreign = False
+            head = await self._connection.read_head()
+            named = self._form.read_answer(head).request_id
+            if named == self._call.request_id:
+                return head
+            self._is_foreign = True
+            self._tell(head, named)
+
+    def _tell(self, head: ResponseHead, named: str) -> None:
+        self._call.trace.is_notable = True
+        self._call.trace.add(
+            'foreign_answer',
+            target=str(self._connection.address),
+            status=head.status,
+            named=named,
+            carried=self._connection.carried,
+            left_over=self._connection.left_over,
+        )
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -18,6 +18,7 @@
 )
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnections
+from cranecart.forwarding._own_head import OwnHead
 from cranecart.http import HttpConnection, ResponseHead
 from cranecart.ports import AnswerFacts, CallForm, Dispatch
 from cranecart.routing import HeadRouter, Target
@@ -124,6 +125,7 @@
                 silence = time.monotonic() - started
                 self._check_silence(call, target, patience, silence)
             except HttpError as error:
+                self.connections.doubt(target.instance)
                 raise TargetBrokenError(str(error)) from error
             if silence >= patience.suspect and not is_told:
                 is_told = True
@@ -166,6 +168,9 @@
             return await self.connections.take(
                 target.instance,
                 is_sure=not call.may_repeat,
+                # No answer can name a request that has no name: what comes on
+                # a connection of its own is its own.
+                is_new=not call.request_id,
             )
         except TargetNotReachedError as error:
             await self.tell(target, str(error))
@@ -191,6 +196,7 @@
                 self.form.request_for(call.request, dispatch)
             )
         except HttpError as error:
+            self.connections.doubt(target.instance)
             raise TargetBrokenError(str(error)) from error
 
     async def _own_head(
@@ -200,24 +206,8 @@
         patience: Patience,
         connection: HttpConnection,
     ) -> ResponseHead:
-        """Read on to the answer that names the request.
-
-        Targets may answer twice, and the second answer may name nothing: all
-        that does not name this request was taken for its answer once.
-        """
-        head = await self.wait(call, target, patience, connection.read_head)
-        named = self.form.read_answer(head).request_id
-        while named != call.request_id:
-            _tell_foreign(call, connection, head, named)
-            await self.wait(call, target, patience, connection.drop_answer)
-            head = await self.wait(
-                call,
-                target,
-                patience,
-                connection.read_head,
-            )
-            named = self.form.read_answer(head).request_id
-        return head
+        reading = OwnHead(self.form, call, connection)
+        return await self.wait(call, target, patience, reading.read)
 
     async def _checked(
         self,
@@ -243,23 +233,6 @@
     return min(_LOOK_SECONDS, patience.suspect - silence)
 
 
-def _tell_foreign(
-    call: RoutedCall,
-    connection: HttpConnection,
-    head: ResponseHead,
-    named: str,
-) -> None:
-    call.trace.is_notable = True
-    call.trace.add(
-        'foreign_answer',
-        target=str(connection.address),
-        status=head.status,
-        named=named,
-        carried=connection.carried,
-        left_over=connection.left_over,
-    )
-
-
 def _check_answer(
     target: Target,
     head: ResponseHead,
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -36,6 +36,9 @@
 _UNANSWERED_MS = 2000
 _CONNECT_SECONDS = 1.0
 _MAX_BODY_BYTES = 67108864
+# Far more than a target that stutters owes. Answers that come without end are
+# read without ever waiting: they held a node for 19 s.
+_MOST_DROPPED = 16
 # Below it a request goes out in one write, which is not worth a task; most
 # kernels buffer at least as much as this for a connection.
 _SMALL_BODY_BYTES = 16384
@@ -47,6 +50,8 @@
     def __init__(self, address: Address, sock: curio.io.Socket) -> None:
         """Wrap an open socket."""
         self.address = address
+        # How many requests were sent on it before the present one.
+        self.carried = 0
         self._sock = sock
         self._h11 = _new_parser()
         self._request: Request | None = None
@@ -56,8 +61,7 @@
         self._peeked: object = None
         # Kept here, as whoever waits for the rest may be interrupted.
         self._body = bytearray()
-        self._carried = 0
-        self._has_dropped = False
+        self._dropped = 0
 
     @classmethod
     async def open(
@@ -93,11 +97,6 @@
             _keep_alive(sock)
         return cls(address, sock)
 
-    @property
-    def carried(self) -> int:
-        """Return how many requests were sent on it before the present one."""
-        return self._carried
-
     @property
     def left_over(self) -> int:
         """Return how many bytes have come behind the answer at hand."""
@@ -107,7 +106,7 @@
     def has_more(self) -> bool:
         """Tell whether more came than the answers that were asked for."""
         is_read = self._h11.their_state is h11.DONE
-        return self._has_dropped or (is_read and self.left_over > 0)
+        return self._dropped > 0 or (is_read and self.left_over > 0)
 
     @property
     def is_reusable(self) -> bool:
@@ -115,13 +114,16 @@
 
         A peer that sent more answers than it was asked for may owe others.
         """
-        is_finished = self._sent_whole and _is_between_answers(self._h11)
-        return is_finished and not self.has_more
+        # A reader who left early has not taken the end that was read ahead.
+        is_read = _is_between_answers(self._h11) and self._peeked is None
+        return self._sent_whole and is_read and not self.has_more
 
     def is_quiet(self) -> bool:
         """Tell whether nothing came, not even the end, while it was idle."""
-        ready, _, _ = select.select([self._sock.fileno()], [], [], 0)
-        return not ready
+        # A node holds thousands of descriptors, and select takes 1,024.
+        poller = select.poll()
+        poller.register(self._sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
 
     async def wait_closed(self) -> None:
         """Return once the idle peer closed, or spoke unasked."""
@@ -136,20 +138,12 @@
         self._request = None
         self._sent_whole = False
         self._body.clear()
-        self._carried += 1
+        self.carried += 1
         self._h11.start_next_cycle()
 
     async def send(self, request: Request) -> None:
         """Send a whole request."""
-        self._request = request
-        encoded = self._encode(request)
-        try:
-            await self._sock.sendall(encoded)
-        except OSError as error:
-            raise ConnectionBrokenError(
-                f'{self.address} closed during the request',
-            ) from error
-        self._sent_whole = True
+        await self._write(self._encode(request))
 
     async def begin(self, request: Request) -> None:
         """Send a request, a large one while the response is awaited.
@@ -159,12 +153,14 @@
         """
         if len(request.body) <= _SMALL_BODY_BYTES:
             await self.send(request)
-        else:
-            self._sending = await curio.spawn(
-                self._send_quietly,
-                request,
-                daemon=True,
-            )
+            return
+        # Before anything is read: what is there already answers nothing.
+        encoded = self._encode(request)
+        self._sending = await curio.spawn(
+            self._write_quietly,
+            encoded,
+            daemon=True,
+        )
 
     async def ask(self, request: Request) -> ResponseHead:
         """Send a request and wait for the response's status and headers."""
@@ -180,13 +176,15 @@
         await self.read_body()
         if self._request is None or not _is_between_answers(self._h11):
             raise ConnectionBrokenError(f'{self.address} sent a wrong answer')
+        self._dropped += 1
+        if self._dropped > _MOST_DROPPED:
+            raise ConnectionBrokenError(f'{self.address} answers without end')
         behind, _closed = self._h11.trailing_data
         self._h11 = _new_parser()
         self._encode(self._request)
         if behind:
             self._h11.receive_data(behind)
         self._body.clear()
-        self._has_dropped = True
 
     async def read_head(self) -> ResponseHead:
         """Wait for the response's status and headers."""
@@ -232,6 +230,7 @@
         await self._sock.close()
 
     def _encode(self, request: Request) -> bytes:
+        self._request = request
         lines = request.lines or _default_lines(self.address, request)
         try:
             head = h11.Request(
@@ -244,9 +243,18 @@
         except h11.LocalProtocolError as error:
             raise BadMessageError(f'not valid HTTP: {error}') from error
 
-    async def _send_quietly(self, request: Request) -> None:
+    async def _write(self, encoded: bytes) -> None:
         try:
-            await self.send(request)
+            await self._sock.sendall(encoded)
+        except OSError as error:
+            raise ConnectionBrokenError(
+                f'{self.address} closed during the request',
+            ) from error
+        self._sent_whole = True
+
+    async def _write_quietly(self, encoded: bytes) -> None:
+        try:
+            await self._write(encoded)
         except ConnectionBrokenError:
             # The reading side finds the same, or an answer that came first.
             return
--- a/src/cranecart/standins/_engine.py
+++ b/src/cranecart/standins/_engine.py
@@ -139,15 +139,21 @@
         actual = (order.replica, str(order.generation))
         is_ready = state == MemberState.READY and self._membership.leads
         is_ready = is_ready and not order.retiring
+        # Callers believe a refusal only of the call that it names.
+        named = {'x-request-id': request.headers.get('x-request-id', '')}
         if expected != actual or not is_ready:
             body = {'error': 'not this replica', 'state': state.value}
-            await responder.send(json_response(_CONFLICT, body, _NOT_RUN))
+            await responder.send(
+                json_response(_CONFLICT, body, {**named, **_NOT_RUN})
+            )
             return
         try:
             generation = _read_generation(request)
         except (LookupError, TypeError, msgspec.DecodeError) as error:
             body = {'error': repr(error)}
-            await responder.send(json_response(_BAD_REQUEST, body, _NOT_RUN))
+            await responder.send(
+                json_response(_BAD_REQUEST, body, {**named, **_NOT_RUN})
+            )
             return
         if self._crosses:
             generation = attrs.evolve(
--- a/src/cranecart/targets/_engine.py
+++ b/src/cranecart/targets/_engine.py
@@ -223,17 +223,16 @@
     call: CompletionCall,
     head: ResponseHead,
 ) -> None:
+    # First of all, as a late refusal of another call says nothing of this one.
+    if head.headers.get('x-request-id') != call.request_id:
+        raise TargetBrokenError(f'{replica.id} answered another request')
     if head.headers.get('x-execution') == _NOT_RUN:
         raise TargetRefusedError(f'{replica.id} refused: {head.status}')
     if not head.is_success:
         raise TargetBrokenError(f'{replica.id} answered {head.status}')
-    told = (
-        head.headers.get('x-request-id'),
-        head.headers.get('x-replica'),
-        head.headers.get('x-generation'),
-    )
-    if told != (call.request_id, replica.id, str(replica.generation)):
-        raise TargetBrokenError(f'{replica.id} answered another request')
+    told = (head.headers.get('x-replica'), head.headers.get('x-generation'))
+    if told != (replica.id, str(replica.generation)):
+        raise TargetBrokenError(f'{replica.id} answered as another replica')
 
 
 async def ask(
--- a/src/cranecart/targets/_service.py
+++ b/src/cranecart/targets/_service.py
@@ -49,9 +49,9 @@
             raise TargetTimeoutError(str(error)) from error
         except HttpError as error:
             raise TargetBrokenError(str(error)) from error
-        if response.headers.get('x-execution') == _NOT_RUN:
-            raise TargetRefusedError(f'{instance.id} refused the call')
-        # One that names nothing may be anybody's.
+        # One that names nothing may be anybody's, a refusal too.
         if response.headers.get('x-request-id') != call.request_id:
             raise TargetBrokenError(f'{instance.id} answered another call')
+        if response.headers.get('x-execution') == _NOT_RUN:
+            raise TargetRefusedError(f'{instance.id} refused the call')
         return response
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -113,8 +113,8 @@
     Mutation(
         'crossed-answers-are-taken',
         'targets/_engine.py',
-        'if told != (call.request_id, replica.id, str(replica.generation)):',
-        'if not told:',
+        "if head.headers.get('x-request-id') != call.request_id:",
+        'if not head:',
         'tests.functional.test_crossed',
     ),
     Mutation(
@@ -156,16 +156,16 @@
     ),
     Mutation(
         'foreign-answers-are-taken',
-        'forwarding/_sender.py',
-        'while named != call.request_id:',
-        'while False:',
+        'forwarding/_own_head.py',
+        'if named == self._call.request_id:',
+        'if head:',
         f'{_WHOLE_ANSWERS}.test_a_foreign_answer_is_dropped',
     ),
     Mutation(
         'unnamed-answers-are-taken',
-        'forwarding/_sender.py',
-        'while named != call.request_id:',
-        'while named and named != call.request_id:',
+        'forwarding/_own_head.py',
+        'if named == self._call.request_id:',
+        'if not named or named == self._call.request_id:',
         f'{_FOREIGN_ANSWERS}.test_answers_too_many_are_nobodys',
     ),
     Mutation(
@@ -178,15 +178,15 @@
     Mutation(
         'uneven-connections-are-kept',
         'http/_client.py',
-        'return is_finished and not self.has_more',
-        'return is_finished',
+        'return self._sent_whole and is_read and not self.has_more',
+        'return self._sent_whole and is_read',
         f'{_FOREIGN_ANSWERS}.test_an_uneven_connection_is_given_up',
     ),
     Mutation(
         'doubted-targets-get-calls-on-kept-connections',
         'forwarding/_connections.py',
-        'while kept and not (is_sure and self._is_doubted(instance)):',
-        'while kept:',
+        'must_open = is_new or (is_sure and self._is_doubted(instance))',
+        'must_open = is_new',
         f'{_FOREIGN_ANSWERS}.test_broken_off_behind_answers',
     ),
     Mutation(
