Take no answer of the store that lacks rows or names another table

A late answer to a write passed for a part without rows (red: nothing raised), which would have ended all that was known of it. Rows must be there and name the table that was asked for; otherwise no kept connection is used on.

--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -55,7 +55,7 @@
     """Rows read at one moment; ``schemaVersion`` is the table's newest."""
 
     schema_version: int
-    rows: list[WireRow] = []
+    rows: list[WireRow]
     truncated: bool = False
 
 
@@ -162,7 +162,12 @@
             raise HistoryLostError(f'{path}: the history is gone')
         if response.status != _OK:
             raise PlatformUnavailableError(f'{path}: {response.status}')
-        return _decode(response, WireRows)
+        try:
+            return _read_rows(response, str(query['tableName']))
+        except PlatformUnavailableError:
+            # It may answer an earlier question, and so would the next one.
+            await self._pool.drop(self._address)
+            raise
 
     async def _exchange(self, request: Request, seconds: float) -> Response:
         try:
@@ -185,6 +190,14 @@
         return Response(head.status, head.headers, body)
 
 
+def _read_rows(response: Response, table: str) -> WireRows:
+    """Decode rows of a table; an answer to a write has none at all."""
+    page = _decode(response, WireRows)
+    if any(row.table_name not in {'', table} for row in page.rows):
+        raise PlatformUnavailableError(f'rows of another table than {table!r}')
+    return page
+
+
 def _decode(response: Response, wanted: type[Message]) -> Message:
     try:
         return msgspec.json.decode(response.body, type=wanted)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """The adapter's store client against a stand-in of the wire."""
 
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from types import MappingProxyType
@@ -224,3 +225,48 @@
         put = Transaction((), (Put('t/p/k', 'v'),))
         with self.assertRaises(PlatformUnavailableError):
             curio.run(PlatformTable(client).commit, put)
+
+
+class AnsweredLateTest(unittest.TestCase):
+    """An answer of the store that belongs to an earlier question."""
+
+    def test_a_writes_answer_is_no_empty_part(self) -> None:
+        """A part without rows would end all that is known of it."""
+        with self.assertRaises(PlatformUnavailableError):
+            curio.run(_read_behind, b'{"schemaVersion":9,"nowMs":1}')
+
+    def test_rows_of_another_table(self) -> None:
+        """They are not taken for those that were asked for."""
+        with self.assertRaises(PlatformUnavailableError):
+            curio.run(
+                _read_behind,
+                b'{"schemaVersion":9,"rows":[{"keyFile":"k","tableName":"u"}]}',
+            )
+
+
+async def _read_behind(late: bytes) -> None:
+    """Read a part on a connection that still owes an answer."""
+    listener = curio.io.Socket(socket.create_server(('127.0.0.1', 0)))
+    store = StoreClient(Address(*listener.getsockname()[:2]))
+    serving = await curio.spawn(_answer_late, listener, late)
+    try:
+        await store.commit({})
+        await store.read_part('t', 'p')
+    finally:
+        await serving.cancel()
+
+
+async def _answer_late(listener: curio.io.Socket, late: bytes) -> None:
+    written = b'{"schemaVersion":9,"nowMs":1}'
+    async with listener:
+        sock, _ = await listener.accept()
+        async with sock:
+            await sock.recv(65536)
+            await sock.sendall(_answer(written))
+            await sock.recv(65536)
+            await sock.sendall(_answer(late))
+            await curio.sleep(5)
+
+
+def _answer(body: bytes) -> bytes:
+    return b'HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n%b' % (len(body), body)
