--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -49,6 +49,13 @@
         self.assertEqual((facts.prompt_tokens, facts.max_tokens), (1460, 80))
         self.assertEqual(facts.resume_after, '3')
 
+    def test_numbers_of_any_length(self) -> None:
+        """What no request can ask for is read like nothing."""
+        for usage in (f'{"9" * 5000},7', f'{"9" * 400},7'):
+            request = Request('POST', '/x', {'token-usage': usage})
+            facts = PlatformCallForm().read_request(request)
+            self.assertEqual((facts.prompt_tokens, facts.max_tokens), (0, 7))
+
     def test_bad_deadline(self) -> None:
         """It is the client's error."""
         with self.assertRaises(InvalidRequestError):
--- /dev/null
+++ b/tests/unit/test_room.py
@@ -0,0 +1,122 @@
+"""A node that says it is ready takes new connections, or says it is not.
+
+At the bound of its connections a server closed each new one without a word,
+while the balancer was told that it is ready; out of descriptors it left new
+ones waiting. Requests that came on them were lost, however little was to do.
+"""
+
+import contextlib
+import resource
+import socket
+import time
+import unittest
+from collections.abc import Awaitable, Callable, Generator
+
+import curio
+
+from cranecart.exceptions import ConnectionBrokenError
+from cranecart.http import (
+    Address,
+    HttpConnection,
+    HttpServer,
+    Request,
+    Responder,
+    Response,
+    ServerLimits,
+)
+
+_LIMIT = 4
+_SOON_SECONDS = 3.0
+
+
+class Serving:
+    """A server with few places, whose requests end when a test says so."""
+
+    def __init__(self, limit: int = _LIMIT) -> None:
+        """Keep the bound; nothing listens until ``run``."""
+        self.server = HttpServer(
+            Address('127.0.0.1', 0),
+            self._handle,
+            ServerLimits(connections=limit),
+        )
+        self.end = curio.Event()
+        self.inside = 0
+        self.most = 0
+
+    async def run(self, play: Callable[['Serving'], Awaitable[None]]) -> None:
+        """Listen while a play lasts."""
+        self.server.open()
+        serving = await curio.spawn(self.server.run)
+        try:
+            await play(self)
+        finally:
+            await serving.cancel()
+
+    async def connect(self, count: int) -> list[HttpConnection]:
+        """Open connections that ask nothing yet."""
+        found = []
+        for _number in range(count):
+            found.append(await HttpConnection.open(self.server.address))
+            await curio.sleep(0.01)
+        return found
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        self.inside += 1
+        self.most = max(self.most, self.inside)
+        if request.path == '/long':
+            await self.end.wait()
+        self.inside -= 1
+        await responder.send(Response(200))
+
+
+class RoomTest(unittest.TestCase):
+    """What becomes of one connection more."""
+
+    def test_idle_ones_make_room(self) -> None:
+        """The longest idle ones go, the others stay."""
+        curio.run(Serving().run, self._idle)
+
+    def test_out_of_descriptors(self) -> None:
+        """Idle ones make room there as well."""
+        curio.run(Serving(1000).run, self._without_descriptors)
+
+    async def _idle(self, serving: Serving) -> None:
+        kept = await serving.connect(_LIMIT)
+        started = time.monotonic()
+        late = await HttpConnection.open(serving.server.address)
+        self.assertEqual((await late.ask(Request('GET', '/'))).status, 200)
+        self.assertLess(time.monotonic() - started, _SOON_SECONDS)
+        with self.assertRaises(ConnectionBrokenError):
+            await kept[0].ask(Request('GET', '/'))
+        self.assertEqual((await kept[-1].ask(Request('GET', '/'))).status, 200)
+        await _close(late, *kept)
+
+    async def _without_descriptors(self, serving: Serving) -> None:
+        kept = await serving.connect(2)
+        with _few_descriptors(1):
+            late = await HttpConnection.open(serving.server.address)
+            head = await curio.timeout_after(
+                _SOON_SECONDS,
+                late.ask,
+                Request('GET', '/'),
+            )
+        self.assertEqual(head.status, 200)
+        await _close(late, *kept)
+
+
+@contextlib.contextmanager
+def _few_descriptors(free: int) -> Generator[None, None, None]:
+    """Let this process open so many descriptors more."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with socket.socket() as probe:
+        lowest = probe.fileno()
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest + free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+async def _close(*connections: HttpConnection) -> None:
+    for one in connections:
+        await one.close()
