--- a/src/cranecart/config/_serving.py
+++ b/src/cranecart/config/_serving.py
@@ -13,6 +13,7 @@
 _WINDOW_SECONDS = 10.0
 _STALL_MS = 4000.0
 _GRACE_SECONDS = 8.0
+_DESCRIPTORS = 4096.0
 # A tenth of the requests, as long as nobody says what may be sent again.
 _RETRY_RATIO = 0.1
 # Enough ordinary requests to compare a failed one with.
@@ -51,6 +52,7 @@
     ``retry_slack`` and ``retry_ratio`` of the requests in each window.
     ``stall_ms`` is how long a replica without a member stands still before
     it is broken, ``stop_grace_seconds`` how long a stopping process is left.
+    ``max_descriptors`` is how many files and connections it may have open.
     ``log_successes`` is the share of ordinary requests that are logged.
     Figures are in the units that platforms name them in, so that nothing
     has to be worked out where the file is written.
@@ -70,6 +72,7 @@
     retry_window_seconds: float = _figure(_WINDOW_SECONDS)
     stall_ms: float = _figure(_STALL_MS)
     stop_grace_seconds: float = _figure(_GRACE_SECONDS)
+    max_descriptors: float = _figure(_DESCRIPTORS)
     log_successes: float = attrs.field(
         default=_LOGGED_SHARE,
         validator=[_NOT_NEGATIVE, attrs.validators.le(1)],
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -1,5 +1,7 @@
 """The answering side of HTTP: a listener with one task a connection."""
 
+import contextlib
+import errno
 import logging
 import socket
 import time
@@ -27,6 +29,13 @@
 _READ_BYTES = 65536
 _BACKLOG = 512
 _ACCEPT_AGAIN_SECONDS = 0.05
+# How often a server without places looks whether one has become free, and
+# which part of its idle connections it closes at a time.
+_ROOM_LOOK_SECONDS = 0.01
+_CLOSED_PART = 0.03
+# How long a server counts as full since it last found no place.
+_FULL_SECONDS = 0.5
+_NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
 # Some round trips; a client that goes on sending for longer is cut off.
 _LINGER_SECONDS = 1.0
 _STATUS_BAD_REQUEST = 400
@@ -162,7 +171,9 @@
         self._connections = 0
         self._closing = False
         self._accepting: curio.Task | None = None
-        self._idle: set[curio.io.Socket] = set()
+        # In the order in which they became idle.
+        self._idle: dict[curio.io.Socket, None] = {}
+        self._full_until = float('-inf')
 
     @property
     def address(self) -> Address:
@@ -171,6 +182,11 @@
             return self._requested
         return Address(*self._listener.getsockname()[:2])
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether new connections wait, as all places are busy."""
+        return time.monotonic() < self._full_until
+
     def open(self) -> None:
         """Bind and listen; raise ``OSError`` if the address is taken."""
         sock = curio.io.Socket(socket.socket())
@@ -211,22 +227,52 @@
                 try:
                     sock, _peer = await self._listener.accept()
                 except OSError as error:
-                    # No descriptor is free, or a client left in the queue.
-                    _LOG.warning('a connection was not accepted: %s', error)
-                    await curio.sleep(_ACCEPT_AGAIN_SECONDS)
-                    continue
-                await self._begin(sock)
+                    await self._wait_after(error)
+                else:
+                    await self._begin(sock)
+
+    async def _wait_after(self, error: OSError) -> None:
+        # No descriptor is free, or a client left in the queue.
+        _LOG.warning('a connection was not accepted: %s', error)
+        if error.errno in _NO_DESCRIPTOR:
+            await self._make_room()
+        await curio.sleep(_ACCEPT_AGAIN_SECONDS)
+
+    async def _wait_for_room(self) -> None:
+        """Return once one connection more can be served.
+
+        Nobody is told why a connection closes, so that new ones wait while
+        the balancer hears that the server is full.
+        """
+        while self._connections >= self.limits.connections:
+            await self._make_room()
+            await curio.sleep(_ROOM_LOOK_SECONDS)
+        self._full_until = float('-inf')
+
+    async def _make_room(self) -> None:
+        """Close those that are idle the longest, or say that all are busy."""
+        if not self._idle:
+            self._full_until = time.monotonic() + _FULL_SECONDS
+        count = max(1, int(len(self._idle) * _CLOSED_PART))
+        for sock in list(self._idle)[:count]:
+            self._idle.pop(sock)
+            # Its task finds the end and closes it.
+            with contextlib.suppress(OSError):
+                await sock.shutdown(socket.SHUT_RDWR)
 
     async def _begin(self, sock: curio.io.Socket) -> None:
-        if self._connections >= self.limits.connections:
+        try:
+            await self._wait_for_room()
+        except curio.CancelledError:
             await sock.close()
-            return
+            raise
+        # Many may be accepted before the first of their tasks begins.
+        self._connections += 1
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # A task group would keep every ended task until it ends itself.
         await curio.spawn(self._serve, sock, daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
-        self._connections += 1
         try:
             await self._serve_requests(sock)
         except (ConnectionBrokenError, OSError, h11.LocalProtocolError):
@@ -301,7 +347,7 @@
             ) from error
 
     async def _wait_for_request(self, sock: curio.io.Socket) -> bytes:
-        self._idle.add(sock)
+        self._idle[sock] = None
         try:
             return await curio.timeout_after(
                 self.limits.idle_seconds,
@@ -311,40 +357,29 @@
         except TaskTimeout:
             return b''
         finally:
-            self._idle.discard(sock)
+            self._idle.pop(sock, None)
 
     async def _receive_whole(
         self,
         sock: curio.io.Socket,
         connection: h11.Connection,
     ) -> Request:
-        head = await self._next_event(sock, connection)
+        head = await _next_event(sock, connection)
         if not isinstance(head, h11.Request):
             raise ConnectionBrokenError('closed before a request')
         self._check_announced(head)
         await _answer_expectation(sock, connection)
         body = bytearray()
-        event = await self._next_event(sock, connection)
+        event = await _next_event(sock, connection)
         while isinstance(event, h11.Data):
             body += event.data
             self._check_size(len(body))
-            event = await self._next_event(sock, connection)
+            event = await _next_event(sock, connection)
         if not isinstance(event, h11.EndOfMessage):
             raise ConnectionBrokenError('closed mid-request')
         _check_not_pipelined(connection)
         return _to_request(head, bytes(body))
 
-    async def _next_event(
-        self,
-        sock: curio.io.Socket,
-        connection: h11.Connection,
-    ) -> object:
-        event = connection.next_event()
-        while event is h11.NEED_DATA:
-            connection.receive_data(await sock.recv(_READ_BYTES))
-            event = connection.next_event()
-        return event
-
     def _check_announced(self, head: h11.Request) -> None:
         announced = dict(head.headers).get(b'content-length', b'0')
         self._check_size(int(announced))
@@ -357,6 +392,17 @@
             )
 
 
+async def _next_event(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+) -> object:
+    event = connection.next_event()
+    while event is h11.NEED_DATA:
+        connection.receive_data(await sock.recv(_READ_BYTES))
+        event = connection.next_event()
+    return event
+
+
 async def _answer_expectation(
     sock: curio.io.Socket,
     connection: h11.Connection,
--- a/src/cranecart/serving/_making.py
+++ b/src/cranecart/serving/_making.py
@@ -3,7 +3,7 @@
 from cranecart.config import ServingSettings
 from cranecart.duties import Lease, LeaseTimes
 from cranecart.grouping import PlacerPlace
-from cranecart.http import Address
+from cranecart.http import Address, ServerLimits
 from cranecart.limits import RetryRules
 from cranecart.mesh import (
     Mesh,
@@ -13,6 +13,7 @@
     decode_mesh_message,
     encode_mesh_message,
 )
+from cranecart.models import ClientLimits
 from cranecart.nodes import NodeLink
 from cranecart.ports import Table
 
@@ -22,6 +23,11 @@
 # takeover needs no longer wait than a renewal (docs/design/platform.md).
 _TRUSTED_SECONDS = 2.5
 _TAKEOVER_SECONDS = 1.2
+# What machines keep back for files, and what clients get of the rest: each
+# request under way has a connection to a target, and some are kept there.
+_FILE_DESCRIPTORS = 200
+_CLIENTS_PART = 0.6
+_FEWEST_CONNECTIONS = 16
 
 
 def make_mesh(settings: ServingSettings, events: MeshEvents) -> Mesh:
@@ -49,6 +55,25 @@
     )
 
 
+def server_limits(
+    settings: ServingSettings,
+    limits: ClientLimits,
+) -> ServerLimits:
+    """Return what clients may make the node hold.
+
+    Connections to targets, to the store and to other nodes need descriptors
+    too, and without any the node answers neither clients nor its balancer.
+    """
+    free = settings.max_descriptors - _FILE_DESCRIPTORS
+    return ServerLimits(
+        head_bytes=limits.head_bytes,
+        body_bytes=limits.body_bytes,
+        receive_seconds=limits.receive_seconds,
+        idle_seconds=limits.idle_seconds,
+        connections=max(_FEWEST_CONNECTIONS, int(free * _CLIENTS_PART)),
+    )
+
+
 def placer_place(settings: ServingSettings) -> PlacerPlace:
     """Return where a node's placer acts."""
     return PlacerPlace(
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -20,13 +20,12 @@
     HttpServer,
     Request,
     Responder,
-    ServerLimits,
 )
 from cranecart.limits import SharedRetryBudget
 from cranecart.logs import LineQueue, decision, set_log_level
 from cranecart.mesh import Mesh, MeshEvents, Stopped, Suspect
 from cranecart.metrics import Metrics
-from cranecart.models import RouteConfig
+from cranecart.models import ClientLimits, RouteConfig
 from cranecart.routing import HeadRouter
 from cranecart.serving._configuration import ForceConfig
 from cranecart.serving._endpoints import MetricsEndpoint, ReadyEndpoint
@@ -36,6 +35,7 @@
     make_mesh,
     placer_place,
     retry_rules,
+    server_limits,
 )
 from cranecart.serving._registry import NodeRegistry
 from cranecart.serving._surroundings import Surroundings
@@ -93,6 +93,7 @@
         self._clients = HttpServer(
             Address.from_text(settings.client_address),
             self._serve,
+            server_limits(settings, ClientLimits()),
         )
         self._ready = HttpServer(
             Address.from_text(settings.ready_address),
@@ -277,16 +278,11 @@
     def _is_ready(self) -> bool:
         is_configured = self._config.current() is not None
         is_informed = is_configured and self._knowledge.is_informed
-        return is_informed and not self._stopping
+        has_room = not self._clients.is_full
+        return is_informed and has_room and not self._stopping
 
     def _take_limits(self, config: RouteConfig) -> None:
-        limits = config.limits
-        self._clients.limits = ServerLimits(
-            head_bytes=limits.head_bytes,
-            body_bytes=limits.body_bytes,
-            receive_seconds=limits.receive_seconds,
-            idle_seconds=limits.idle_seconds,
-        )
+        self._clients.limits = server_limits(self._live.current, config.limits)
         self._mesh.broadcast(self._mesh.beat())
 
     def _tell_stopped(
--- a/tests/unit/test_deploy_template.py
+++ b/tests/unit/test_deploy_template.py
@@ -65,13 +65,13 @@
         'internalPortRange': [7020, 7035],
         'bootstrap': True,
         'platform': {'address': '10.200.1.7:80'},
-        'bounds': {
-            name: figure
-            for name, figure in bounds.items()
-            if figure is not _MISSING
-        },
+        'bounds': _named(bounds),
         **changes,
     }
+    return _named(fields)
+
+
+def _named(fields: Mapping[str, object]) -> dict[str, object]:
     return {
         name: field for name, field in fields.items() if field is not _MISSING
     }
@@ -109,6 +109,14 @@
         self.assertEqual(set(found), named | {'here'})
         self.assertEqual(len(set(found)), len(found))
 
+    @given(named=_DRAWN)
+    def test_descriptors(self, named: object) -> None:
+        """They are the machine's; a node without the figure has some."""
+        found = self._read(_fields({}, limits=_named({'maxFds': named})))
+        if named is None or named is _MISSING:
+            named = attrs.fields(ServingSettings).max_descriptors.default
+        self.assertEqual(found.max_descriptors, named)
+
     def test_first_start(self) -> None:
         """It holds only where it is named."""
         for named, wanted in ((True, True), (False, False), (None, False)):
--- /dev/null
+++ b/tests/unit/test_readiness.py
@@ -0,0 +1,90 @@
+"""When a node tells its balancer that it is ready."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+from cranecart.config import LiveSettings, ServingSettings
+from cranecart.logs import set_up_lines
+from cranecart.models import ClientLimits
+from cranecart.serving import ServingNode
+from cranecart.serving._making import server_limits
+from tests.lib.fake_targets import CONFIG
+
+
+def _settings(**changes: object) -> bytes:
+    address = '127.0.0.1:0'
+    fields = {
+        'node_id': 'n',
+        'failure_domain': 'east',
+        'client_address': address,
+        'ready_address': address,
+        'peer_address': address,
+        'metrics_address': address,
+        'platform_address': address,
+    }
+    return msgspec.json.encode({**fields, **changes})
+
+
+def _node(file: Path) -> Any:
+    live = LiveSettings(ServingSettings.from_file(file), file)
+    return ServingNode(live, set_up_lines('error', 'n'))
+
+
+class ReadinessTest(unittest.TestCase):
+    """Each of the things without which a node must not be sent to."""
+
+    def setUp(self) -> None:
+        """Build a node that has all of them; nothing runs."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / 'node.json'
+        self.file.write_bytes(_settings(max_descriptors=1200.5))
+        self.node = _node(self.file)
+        self.node._config._config = CONFIG
+        self.node._knowledge = SimpleNamespace(is_informed=True)
+        self.node._clients = SimpleNamespace(is_full=False, limits=None)
+
+    def tearDown(self) -> None:
+        """Free the addresses."""
+        self.node._mesh.close()
+
+    def test_ready(self) -> None:
+        """It has all."""
+        self.assertTrue(self.node._is_ready())
+
+    def test_full(self) -> None:
+        """Connections wait that it cannot serve."""
+        self.node._clients.is_full = True
+        self.assertFalse(self.node._is_ready())
+
+    def test_uninformed(self) -> None:
+        """It knows no configuration, or no targets."""
+        self.node._knowledge.is_informed = False
+        self.assertFalse(self.node._is_ready())
+        self.node._knowledge.is_informed = True
+        self.node._config._config = None
+        self.assertFalse(self.node._is_ready())
+
+    def test_stopping(self) -> None:
+        """It was told to stop."""
+        self.node._stopping = True
+        self.assertFalse(self.node._is_ready())
+
+    def test_descriptors_are_left_for_targets(self) -> None:
+        """A new configuration keeps the bound that the machine gives."""
+        self.assertLessEqual(self._connections(), 600)
+        self.assertGreaterEqual(self._connections(), 500)
+        self.file.write_bytes(_settings(max_descriptors=100))
+        settings = ServingSettings.from_file(self.file)
+        few = server_limits(settings, ClientLimits())
+        self.assertGreater(few.connections, 0)
+
+    def _connections(self) -> int:
+        self.node._take_limits(CONFIG)
+        bound: int = self.node._clients.limits.connections
+        return bound
