Relay sums and names instead of whole beats

Cause: a digest of all beats, sent to all nodes of a failure domain, makes a relay's bytes grow with the square of the domain; where all nodes have other instances it came to 575 KB a second for 20 nodes, on machines with links of 2.5 MB a second.

Change: a digest holds the relay's own summary, the names it sums up and the other failure domains' summaries; a node takes out what it told itself. Placers are still heard directly.

--- a/src/cranecart/mesh/_hearing.py
+++ b/src/cranecart/mesh/_hearing.py
@@ -35,7 +35,7 @@
         now = self._circle.clock()
         match message:
             case Beat():
-                self._take_beat(message, now, is_direct=True)
+                self._take_beat(message)
             case Digest():
                 self._take_digest(message, now)
             case Summary():
@@ -74,35 +74,37 @@
             beside = roster.beside(with_silent=False)
             self._link.send_all(beside, message)
 
-    def _take_beat(self, beat: Beat, at: float, *, is_direct: bool) -> None:
-        if beat.sender == self._circle.own.node_id:
-            return
+    def _take_beat(self, beat: Beat) -> None:
         self._hear_stopped(beat.stopped)
         if beat.stopping:
             self._circle.others.drop(beat.sender)
             self._circle.roster.stop_relaying(beat.sender)
             return
-        if is_direct and self._circle.others.heard(beat.sender) is None:
+        if not self._circle.others.has_met(beat.sender):
             decision('peer_met', peer=beat.sender, address=beat.address)
         if beat.for_relays:
             self._circle.roster.grow()
         peer = PeerNode(beat.address, beat.failure_domain)
         self._circle.roster.add(beat.sender, peer)
-        self._circle.others.take_beat(beat, at, is_direct=is_direct)
+        self._circle.others.take_beat(beat)
 
     def _take_digest(self, digest: Digest, now: float) -> None:
-        if digest.sender == self._circle.own.node_id:
-            return
+        domain = digest.own.failure_domain
+        self._take_beat(digest.beat)
         self._circle.roster.grow()
-        if digest.failure_domain == self._circle.own.failure_domain:
-            self._circle.roster.note_digest(digest)
+        if domain == self._circle.own.failure_domain:
             self._circle.digest_at = now
-        for age, beat in zip(digest.ages, digest.beats, strict=False):
-            is_direct = beat.sender == digest.sender
-            self._take_beat(beat, now - age, is_direct=is_direct)
-        told = zip(digest.summary_ages, digest.summaries, strict=False)
-        for summary_age, summary in told:
-            self._take_summary(summary, now - summary_age)
+            self._circle.roster.note_digest(digest)
+            self._circle.others.take_digest(digest)
+            for name, address in digest.own.relays.items():
+                self._meet(name, PeerNode(address, domain))
+        self._hear_stopped(digest.own.stopped)
+        for age, summary in zip(digest.ages, digest.others, strict=False):
+            self._take_summary(summary, now - age)
+
+    def _meet(self, name: str, peer: PeerNode) -> None:
+        if name != self._circle.own.node_id:
+            self._circle.roster.add(name, peer)
 
     def _take_summary(self, summary: Summary, at: float) -> None:
         self._circle.roster.grow()
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -119,7 +119,7 @@
 
     def in_flight_elsewhere(self, instance_id: str) -> int:
         """Return the requests that other nodes have at an instance."""
-        return self._others.totals().in_flight[instance_id]
+        return max(0, self._others.totals().in_flight[instance_id])
 
     def hears_placer(self, failure_domain: str) -> bool:
         """Tell whether another node says that it places there."""
@@ -146,7 +146,9 @@
     def demand(self) -> Counter[str]:
         """Return the work that all nodes' clients want of each model."""
         total = Counter(self.own.demand)
-        total.update(self._others.totals().demand)
+        # Where a relay sums up this node's last beat but one, less than
+        # nothing may be left of the others.
+        total.update(+self._others.totals().demand)
         return total
 
     def nodes(self) -> int:
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -47,7 +47,7 @@
 
 
 class Summary(msgspec.Struct, tag='summary', array_like=True):
-    """What a relay tells other failure domains of its own.
+    """What the nodes of a failure domain tell, as a relay sums it up.
 
     ``relays`` are the addresses of those that take in what others tell;
     ``announced`` holds the first name among a source's readers and the
@@ -69,17 +69,18 @@
 
 
 class Digest(msgspec.Struct, tag='digest', array_like=True):
-    """What a relay has heard, for all nodes of its failure domain.
+    """What a relay tells the nodes of its failure domain.
 
-    ``ages`` and ``summary_ages`` are the seconds since it heard each.
+    ``beat`` is its own; ``heard`` names those that ``own`` sums up,
+    ``others`` are the summaries of other failure domains, ``ages`` the
+    seconds since it heard each.
     """
 
-    sender: str
-    failure_domain: str
+    beat: Beat
+    own: Summary
+    heard: list[str]
     ages: list[float]
-    beats: list[Beat]
-    summary_ages: list[float]
-    summaries: list[Summary]
+    others: list[Summary]
 
 
 class Suspect(msgspec.Struct, tag='suspect', array_like=True):
--- a/src/cranecart/mesh/_others.py
+++ b/src/cranecart/mesh/_others.py
@@ -2,17 +2,15 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
-from cranecart.mesh._messages import Beat, Summary
+from cranecart.mesh._messages import Beat, Digest, Summary
 
 # Two beats may be lost before a node's figures are held to be old.
 _FRESH_SECONDS = 0.8
-# One that came by a relay counts until the next relay speaks.
-_RELAYED_SECONDS = 1.0
-# A summary is made of beats and comes by two relays, each a beat later.
+# What a relay told is used until the next relay speaks.
 _SUMMARY_SECONDS = 1.0
 # A relay that dies takes with it what it passed on until another one speaks;
 # meanwhile those nodes go on counting for the retry budget, as each would
@@ -22,23 +20,15 @@
 
 @attrs.frozen
 class HeardBeat:
-    """A beat, when its sender was heard, and for how long it counts."""
+    """A beat, and when it came."""
 
     beat: Beat
     at: float
-    is_direct: bool
 
     @property
-    def fresh_until(self) -> float:
+    def until(self) -> float:
         """Return until when its figures are used."""
-        seconds = _FRESH_SECONDS if self.is_direct else _RELAYED_SECONDS
-        return self.at + seconds
-
-    @property
-    def counted_until(self) -> float:
-        """Return until when its sender counts as alive."""
-        seconds = _FRESH_SECONDS if self.is_direct else _COUNTED_SECONDS
-        return self.at + seconds
+        return self.at + _FRESH_SECONDS
 
 
 @attrs.frozen
@@ -49,7 +39,7 @@
     at: float
 
     @property
-    def fresh_until(self) -> float:
+    def until(self) -> float:
         """Return until when its figures are used."""
         return self.at + _SUMMARY_SECONDS
 
@@ -58,6 +48,23 @@
         """Return until when its nodes count as alive."""
         return self.at + _COUNTED_SECONDS
 
+    def replaceable(self, now: float) -> 'HeardSummary':
+        """Return the same as too old to use, but not to count."""
+        return attrs.evolve(self, at=min(self.at, now - _SUMMARY_SECONDS))
+
+    def is_worse(self, summary: Summary, at: float, now: float) -> bool:
+        """Tell whether another summary is to be used instead.
+
+        Of two relays that speak at once, the one that hears more counts.
+        """
+        if at < self.at:
+            return False
+        return (
+            summary.sender == self.summary.sender
+            or summary.nodes >= self.summary.nodes
+            or self.until <= now
+        )
+
 
 Reader = tuple[str, int]
 
@@ -67,7 +74,8 @@
     """What the fresh messages of others come to.
 
     ``announced`` holds names of readers and versions, by source; ``newest``
-    the newest configuration and the address of a node that has it.
+    the newest configuration and the address of a node that has it. They hold
+    ``until`` the first of the messages is too old.
     """
 
     until: float = float('inf')
@@ -80,6 +88,7 @@
 
     def add_beat(self, beat: Beat) -> None:
         """Add one node's figures."""
+        self.nodes += 1
         self.in_flight.update(beat.in_flight)
         self.demand.update(beat.demand)
         self.newest = max(self.newest, (beat.config_version, beat.address))
@@ -90,74 +99,100 @@
             told.append((beat.sender, version))
 
     def add_summary(self, summary: Summary) -> None:
-        """Add the figures of another failure domain."""
+        """Add the figures of a failure domain, but for its nodes."""
         self.in_flight.update(summary.in_flight)
         self.demand.update(summary.demand)
         known = (summary.config_version, summary.config_address)
         self.newest = max(self.newest, known)
-        if summary.placer:
-            self.places[summary.failure_domain] = summary.placer
         for source, told in summary.announced.items():
             self.announced.setdefault(source, []).append(told)
 
+    def leave_out(self, beat: Beat) -> None:
+        """Take out of a sum what this node itself has told."""
+        self.in_flight.subtract(beat.in_flight)
+        self.demand.subtract(beat.demand)
+
 
 @attrs.define
 class Others:
-    """The last messages of other nodes; they are summed up once a change."""
+    """The last messages of other nodes; they are summed up once a change.
+
+    ``told`` is what this node told last, which the relay's sum holds.
+    """
 
+    _name: str
     _domain: str
     _clock: Callable[[], float] = time.monotonic
     has_traffic: bool = attrs.field(default=False, init=False)
+    told: Beat | None = attrs.field(default=None, init=False)
     _beats: dict[str, HeardBeat] = attrs.field(factory=dict, init=False)
     _summaries: dict[str, HeardSummary] = attrs.field(factory=dict, init=False)
+    # Whom the relay of the own failure domain hears.
+    _relayed: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _totals: Totals | None = attrs.field(default=None, init=False)
 
-    def take_beat(self, beat: Beat, at: float, *, is_direct: bool) -> None:
-        """Take a beat over, unless a newer one of its sender has come."""
-        known = self._beats.get(beat.sender)
-        if known is None or at >= known.at:
-            self._beats[beat.sender] = HeardBeat(beat, at, is_direct)
-            self.has_traffic = self.has_traffic or beat.requests > 0
-            self._totals = None
-
-    def take_summary(self, summary: Summary, at: float) -> None:
-        """Take a summary over, unless a better one has come.
+    def take_beat(self, beat: Beat) -> None:
+        """Take over what a node told this one."""
+        self._beats[beat.sender] = HeardBeat(beat, self._clock())
+        self.has_traffic = self.has_traffic or beat.requests > 0
+        self._totals = None
 
-        Of two relays that speak at once, the one that hears more counts.
-        """
+    def take_summary(self, summary: Summary, at: float) -> bool:
+        """Take a summary over, unless a better one has come."""
         known = self._summaries.get(summary.failure_domain)
-        if known is not None and not self._is_better(known, summary, at):
-            return
+        now = self._clock()
+        if known is not None and not known.is_worse(summary, at, now):
+            return False
         self._summaries[summary.failure_domain] = HeardSummary(summary, at)
         self.has_traffic = self.has_traffic or summary.has_traffic
         self._totals = None
+        return True
+
+    def take_digest(self, digest: Digest) -> None:
+        """Take over what a relay of the own failure domain told."""
+        if self.take_summary(digest.own, self._clock()):
+            self._relayed = frozenset(digest.heard)
 
     def drop(self, name: str) -> None:
-        """Forget a node that stops or was taken from the table."""
-        if self._beats.pop(name, None) is not None:
-            self._totals = None
+        """Forget a node that stops or was taken from the table.
 
-    def heard(self, name: str) -> HeardBeat | None:
-        """Return the last beat of a node."""
-        return self._beats.get(name)
+        What it summed up as a relay is what its successor replaces at once.
+        """
+        self._relayed -= {name}
+        self._totals = None
+        self._beats.pop(name, None)
+        for domain, one in self._summaries.items():
+            if one.summary.sender == name:
+                self._summaries[domain] = one.replaceable(self._clock())
+
+    def has_met(self, name: str) -> bool:
+        """Tell whether a node has ever told this one anything."""
+        return name in self._beats
 
     def is_fresh(self, name: str) -> bool:
-        """Tell whether a node was heard lately, directly or not."""
+        """Tell whether this node or its relay hears a node."""
         known = self._beats.get(name)
-        return known is not None and known.fresh_until > self._clock()
+        now = self._clock()
+        if known is not None and known.until > now:
+            return True
+        return name in self._relayed and self._domain in self.summaries()
 
-    def fresh_beats(self) -> Iterator[HeardBeat]:
-        """Return the beats whose figures are used."""
+    def beside(self) -> list[Beat]:
+        """Return the fresh beats of the own failure domain's nodes."""
         now = self._clock()
-        return (one for one in self._beats.values() if one.fresh_until > now)
+        return [
+            one.beat
+            for one in self._beats.values()
+            if one.until > now and one.beat.failure_domain == self._domain
+        ]
 
-    def fresh_summaries(self) -> dict[str, HeardSummary]:
+    def summaries(self) -> dict[str, HeardSummary]:
         """Return the summaries that are used, by failure domain."""
         now = self._clock()
         return {
             domain: one
             for domain, one in self._summaries.items()
-            if one.fresh_until > now
+            if one.until > now
         }
 
     def totals(self) -> Totals:
@@ -167,56 +202,44 @@
             self._totals = self._sum(now)
         return self._totals
 
-    def own_domain(self) -> Totals:
-        """Return what the fresh beats of the own failure domain come to."""
-        totals = Totals()
-        for one in self.fresh_beats():
-            if one.beat.failure_domain == self._domain:
-                totals.nodes += 1
-                totals.add_beat(one.beat)
-        return totals
-
-    def _is_better(
-        self,
-        known: HeardSummary,
-        summary: Summary,
-        at: float,
-    ) -> bool:
-        if at < known.at:
-            return False
-        return (
-            summary.sender == known.summary.sender
-            or summary.nodes >= known.summary.nodes
-            or known.fresh_until <= self._clock()
-        )
-
     def _sum(self, now: float) -> Totals:
         totals = Totals()
-        for told in self._summaries.values():
-            if told.counted_until > now:
-                totals.nodes += told.summary.nodes
-                totals.until = min(totals.until, told.counted_until)
-            if told.fresh_until > now:
-                totals.add_summary(told.summary)
-                totals.until = min(totals.until, told.fresh_until)
-        for heard in self._single_beats(now):
-            if heard.counted_until > now:
-                totals.nodes += 1
-                totals.until = min(totals.until, heard.counted_until)
-            if heard.fresh_until > now:
-                totals.add_beat(heard.beat)
-                totals.until = min(totals.until, heard.fresh_until)
+        for one in self._summaries.values():
+            self._add_summary(totals, one, now)
+        for heard in self._beats.values():
+            if heard.until > now:
+                self._add_beat(totals, heard, now)
         return totals
 
-    def _single_beats(self, now: float) -> Iterator[HeardBeat]:
-        """Leave out beats that a summary in use holds already."""
-        held = {
-            domain
-            for domain, one in self._summaries.items()
-            if one.counted_until > now
-        }
-        return (
-            one
-            for one in self._beats.values()
-            if one.beat.failure_domain not in held
-        )
+    def _add_summary(
+        self,
+        totals: Totals,
+        one: HeardSummary,
+        now: float,
+    ) -> None:
+        summary = one.summary
+        is_own = summary.failure_domain == self._domain
+        if one.counted_until > now:
+            is_told = is_own and self._name in self._relayed
+            totals.nodes += summary.nodes - int(is_told)
+            totals.until = min(totals.until, one.counted_until)
+        if one.until > now:
+            totals.add_summary(summary)
+            totals.until = min(totals.until, one.until)
+            if not is_own and summary.placer:
+                totals.places[summary.failure_domain] = summary.placer
+            if is_own and self.told and self._name in self._relayed:
+                totals.leave_out(self.told)
+
+    def _add_beat(self, totals: Totals, heard: HeardBeat, now: float) -> None:
+        """Add a beat, or only its duty where a summary holds the rest."""
+        beat = heard.beat
+        totals.until = min(totals.until, heard.until)
+        if beat.places:
+            totals.places[beat.places] = beat.address
+        told = self._summaries.get(beat.failure_domain)
+        is_told = told is not None and told.counted_until > now
+        if is_told and beat.failure_domain == self._domain:
+            is_told = beat.sender in self._relayed
+        if not is_told:
+            totals.add_beat(beat)
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -79,8 +79,8 @@
 
     def note_digest(self, digest: Digest) -> None:
         """Take over whom a relay of the own failure domain hears."""
-        names = frozenset(beat.sender for beat in digest.beats)
-        self._digests[digest.sender] = (self._clock(), names)
+        relay = digest.own.sender
+        self._digests[relay] = (self._clock(), frozenset(digest.heard))
 
     def stop_relaying(self, name: str) -> None:
         """Take over that a node relays no more."""
@@ -100,11 +100,7 @@
         covered = self._covered()
         if covered is None:
             return self._name in self.relays()
-        return any(
-            one.beat.sender not in covered
-            for one in self._others.fresh_beats()
-            if one.is_direct and one.beat.failure_domain == self._domain
-        )
+        return any(beat.sender not in covered for beat in self._others.beside())
 
     def beside(self, *, with_silent: bool) -> list[str]:
         """Return the addresses of the own failure domain's other nodes."""
@@ -128,7 +124,7 @@
         Where they are not known, all nodes of that failure domain are tried:
         often those just listed, now and then the others.
         """
-        summaries = self._others.fresh_summaries()
+        summaries = self._others.summaries()
         known = {
             address
             for domain, one in summaries.items()
@@ -176,4 +172,4 @@
             return True
         # What relays tell is surer than that a node has been listed.
         is_new = self._clock() - self._since[name] < _NEW_SECONDS
-        return is_new and self._others.heard(name) is None
+        return is_new and not self._others.has_met(name)
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -61,7 +61,11 @@
 
     @others.default
     def _make_others(self) -> Others:
-        return Others(self.own.failure_domain, self.clock)
+        return Others(
+            self.own.node_id,
+            self.own.failure_domain,
+            self.clock,
+        )
 
     @roster.default
     def _make_roster(self) -> Roster:
--- a/src/cranecart/mesh/_telling.py
+++ b/src/cranecart/mesh/_telling.py
@@ -9,6 +9,7 @@
     MeshMessage,
     Summary,
 )
+from cranecart.mesh._others import Totals
 from cranecart.mesh._state import Circle, MeshEvents
 from cranecart.nodes import NodeLink
 
@@ -53,6 +54,7 @@
         """Send a beat to whom it concerns, or relay."""
         roster = self._circle.roster
         beat = self.beat()
+        self._circle.others.told = beat
         if beat.for_relays:
             self._tell_relays(beat, with_silent=with_silent)
         else:
@@ -89,37 +91,39 @@
     def _relay(self, own: Beat, *, with_silent: bool) -> None:
         """Tell the own failure domain all, and the others a summary."""
         roster = self._circle.roster
+        beats = [own, *self._circle.others.beside()]
+        summary = self._summary(beats)
         beside = roster.beside(with_silent=with_silent)
-        self._link.send_all(beside, self._digest(own))
+        self._link.send_all(beside, self._digest(beats, summary))
         far = roster.far_relays(with_silent=with_silent)
-        self._link.send_all(far, self._summary(own))
+        self._link.send_all(far, summary)
 
-    def _digest(self, own: Beat) -> Digest:
+    def _digest(self, beats: list[Beat], summary: Summary) -> Digest:
         now = self._circle.clock()
-        heard = [
+        told = [
             one
-            for one in self._circle.others.fresh_beats()
-            if one.is_direct and one.beat.failure_domain == own.failure_domain
+            for domain, one in self._circle.others.summaries().items()
+            if domain != summary.failure_domain
         ]
-        told = self._circle.others.fresh_summaries().values()
         return Digest(
-            own.sender,
-            own.failure_domain,
-            [0, *(round(now - one.at, 3) for one in heard)],
-            [own, *(one.beat for one in heard)],
+            beats[0],
+            summary,
+            [beat.sender for beat in beats],
             [round(now - one.at, 3) for one in told],
             [one.summary for one in told],
         )
 
-    def _summary(self, own: Beat) -> Summary:
+    def _summary(self, beats: list[Beat]) -> Summary:
+        own = beats[0]
         roster = self._circle.roster
-        totals = self._circle.others.own_domain()
-        totals.add_beat(own)
+        totals = Totals()
+        for beat in beats:
+            totals.add_beat(beat)
         version, address = totals.newest
         return Summary(
             own.sender,
             own.failure_domain,
-            1 + totals.nodes,
+            totals.nodes,
             {
                 name: own.address
                 if name == own.sender
