--- a/src/cranecart/nodes/_link.py
+++ b/src/cranecart/nodes/_link.py
@@ -56,6 +56,11 @@
         self._outboxes: dict[str, zmq.Socket[bytes]] = {}
         self._sent_at: dict[str, float] = {}
 
+    @property
+    def connections(self) -> int:
+        """Return how many nodes this one has a socket to speak to."""
+        return len(self._outboxes)
+
     def send(self, address: str, message: Sent) -> None:
         """Queue a message for the node at an address, or drop it."""
         self.send_all((address,), message)
--- a/tests/unit/test_link.py
+++ b/tests/unit/test_link.py
@@ -60,6 +60,30 @@
             await curio.sleep(_EVERY_SECONDS)
 
 
+class IdleLinkTest(unittest.TestCase):
+    """Connections that nothing is sent on are closed, and made again."""
+
+    def test_it_is_made_again(self) -> None:
+        """Open ones cost, and urgent news must still arrive."""
+        taken = Addresses()
+        self.addCleanup(taken.release)
+        curio.run(self._play, taken.take(), taken.take())
+
+    async def _play(self, one: Address, other: Address) -> None:
+        near, far = _link(one), _link(other)
+        for word in (1, 2):
+            near.send_all((str(other),), word)
+            heard = await curio.timeout_after(_PATIENCE_SECONDS, far.receive)
+            self.assertEqual(heard, word)
+            self.assertEqual(near.connections, 1)
+            near.close_idle(10)
+            self.assertEqual(near.connections, 1)
+            near.close_idle(0)
+            self.assertEqual(near.connections, 0)
+        near.close()
+        far.close()
+
+
 def _link(address: Address) -> NodeLink[int]:
     return NodeLink(
         address,
