--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -154,8 +154,15 @@
         return total
 
     def nodes(self) -> int:
-        """Return how many nodes are alive, this one included."""
-        return 1 + self._others.totals().nodes
+        """Return how many nodes are alive, this one included.
+
+        Where a relay has to speak first, those just listed count as well: a
+        node that has started would take the whole retry budget for its own.
+        """
+        told = self._others.totals().nodes
+        if self._roster.is_large:
+            told = max(told, self._roster.live_count())
+        return 1 + told
 
     def beat(self) -> Beat:
         """Return what this node tells of itself now."""
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -86,6 +86,10 @@
         """Take over that a node relays no more."""
         self._digests.pop(name, None)
 
+    def live_count(self) -> int:
+        """Return how many nodes are heard beside this one, or just listed."""
+        return sum(map(self._is_live, self.peers))
+
     def relays(self) -> list[str]:
         """Return the first live names of the own failure domain."""
         live = [name for name in self._own_peers() if self._is_live(name)]
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -173,6 +173,13 @@
         self.world.run(_FIND_SECONDS)
         self._expect_nodes(_LARGE)
 
+    def test_a_node_that_starts_counts_the_listed(self) -> None:
+        """Its part of the retry budget is not larger than others'."""
+        self.world.dead.add('node-010')
+        self.world.start('node-010')
+        started = self.nodes['node-010'].mesh
+        self.assertEqual(started.nodes(), _LARGE)
+
     def test_a_node_that_stops_is_not_counted(self) -> None:
         """Also a relay hands over at once."""
         relay = self.nodes['node-000'].mesh
