--- a/tests/unit/test_readiness.py
+++ b/tests/unit/test_readiness.py
@@ -46,7 +46,10 @@
         self.file.write_bytes(_settings(max_descriptors=1200.5))
         self.node = _node(self.file)
         self.node._config._config = CONFIG
-        self.node._knowledge = SimpleNamespace(is_informed=True)
+        self.node._knowledge = SimpleNamespace(
+            is_informed=True,
+            announced=dict,
+        )
         self.node._clients = SimpleNamespace(is_full=False, limits=None)
 
     def tearDown(self) -> None:
