--- a/src/cranecart/grouping/_losses.py
+++ b/src/cranecart/grouping/_losses.py
@@ -91,17 +91,18 @@
     def _witnesses(self, record: ReplicaRecord) -> list[ListedInstance]:
         """Return instances that would answer if this node's link does.
 
-        Those of another fabric domain go first, as they rarely die with the
-        members.
+        Those of the same failure domain and of another fabric domain go
+        first: they are near, and rarely die with the members.
         """
         lost = self.current().union(record.members)
         others = [
-            one
-            for one in self._fleet.instances.values()
-            if one.id not in lost
-            and one.failure_domain == record.failure_domain
+            one for one in self._fleet.instances.values() if one.id not in lost
         ]
         others.sort(
-            key=lambda one: (one.fabric_domain == record.fabric_domain, one.id),
+            key=lambda one: (
+                one.fabric_domain == record.fabric_domain,
+                one.failure_domain != record.failure_domain,
+                one.id,
+            ),
         )
         return others[:_WITNESSES]
--- a/tests/unit/test_liveness.py
+++ b/tests/unit/test_liveness.py
@@ -53,6 +53,11 @@
         answers = {**dict.fromkeys('ab'), 'x': True, 'y': None, 'z': None}
         self.assertEqual(_found_lost(answers), {'a', 'b'})
 
+    def test_a_whole_fabric_domain_is_accused(self) -> None:
+        """Its other instances died with the members; one elsewhere answers."""
+        answers = {**dict.fromkeys('abxyz'), 'elsewhere': True}
+        self.assertEqual(_found_lost(answers), {'a', 'b'})
+
     def test_a_refusal_is_an_answer(self) -> None:
         """It comes from the instance's own machine."""
         answers = {**dict.fromkeys('bxyz'), 'a': False}
@@ -84,7 +89,15 @@
 def _lost_by(network: _Network) -> set[str]:
     fleet = Fleet()
     names = (*_MEMBERS, 'x', 'y', 'z')
-    fleet.take_instances({one: listed(one, _ADDRESS) for one in names}, True)
+    fleet.take_instances(
+        {one: listed(one, _ADDRESS, 'f') for one in names},
+        True,
+    )
+    if 'elsewhere' in network.answers:
+        fleet.take_instances(
+            {'elsewhere': listed('elsewhere', _ADDRESS, 'g')},
+            False,
+        )
     fleet.take_records({_RECORD.key: _RECORD}, True)
     found = []
 
