--- a/tests/unit/test_kinds.py
+++ b/tests/unit/test_kinds.py
@@ -13,7 +13,11 @@
 _SITE = MappingProxyType(
     {
         'services': [
-            {'name': 'writer', 'servers': [{'zone': 'east'}, {'zone': 'west'}]},
+            {
+                'name': 'writer',
+                'model': 'llm',
+                'servers': [{'zone': 'east'}, {'zone': 'west'}],
+            },
             {'name': 'shop', 'servers': [{'zone': 'west'}]},
         ],
         'zones': [{'name': 'east'}, {'name': 'west'}],
@@ -48,6 +52,11 @@
         self.assertEqual(by_zone, ['east', 'west'])
         self.assertEqual(of_each, ['writer east', 'shop west'])
 
+    def test_services_of_models(self) -> None:
+        """What only they have strikes nobody else."""
+        aims = [one.aim for one in _days(aims='model')]
+        self.assertEqual(aims, ['writer'])
+
     def test_aimed_at_nothing(self) -> None:
         """A row without more is a day by itself."""
         self.assertEqual([one.aim for one in _days()], ['all'])
--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -1,12 +1,13 @@
 """Play days of one kind of trouble, aimed at each service and domain.
 
 Usage: python -m tools.kinds --bench=PROGRAM --site=FILE [--seeds=N,...]
-[--only=PATTERN] [--keep=FOLDER] TABLE...
+[--only=PATTERN] [--keep=FOLDER] [--below=WORTH] TABLE...
 A table, as bench/kinds/*.toml, has rows of fields of an impairment. 'hows'
 lists variants, each a day. 'aims' tells what it is aimed at: 'service',
-'zone', 'each' (one zone of a service at a time) or nothing; the names are the
-site's. 'beside' lists impairments that strike at the same times, and 'planned'
-tells planned work. Of plays that break a rule, log and report are kept.
+'model' (services that serve models), 'zone', 'each' (one zone of a service at
+a time) or nothing; the names are the site's. 'beside' lists impairments that
+strike at the same times, and 'planned' tells planned work. Of plays that break
+a rule or give little, log and report are kept.
 """
 
 import itertools
@@ -97,6 +98,10 @@
         case 'service':
             for service in site['services']:
                 yield {'service': service['name']}
+        case 'model':
+            for service in site['services']:
+                if 'model' in service:
+                    yield {'service': service['name']}
         case 'zone':
             for zone in site['zones']:
                 yield {'zone': zone['name']}
@@ -192,7 +197,8 @@
 def _tell(trouble: Trouble, given: Given) -> bool:
     """Print the row of a play, and return whether it broke a rule."""
     _say(row_of(trouble, given))
-    if given.rules:
+    is_poor = given.worth is not None and given.worth < _FLAGS.below
+    if given.rules or is_poor:
         _keep(trouble, given, Path(_FLAGS.keep))
     return bool(given.rules)
 
@@ -203,6 +209,7 @@
     flags.DEFINE_string('why', 'days of one kind', 'a line for the journal')
     flags.DEFINE_string('only', '', 'play days whose name has this pattern')
     flags.DEFINE_string('keep', '.', 'a folder for logs of broken plays')
+    flags.DEFINE_float('below', 0, 'keep the logs of plays of less worth')
     flags.DEFINE_list('seeds', [_SEED], 'a play for each of them')
     flags.DEFINE_integer('jobs', 4, 'how many days to play at once', 1, 4)
     flags.mark_flags_as_required(['bench', 'site'])
