--- a/tests/unit/test_kinds.py
+++ b/tests/unit/test_kinds.py
@@ -53,9 +53,10 @@
         self.assertEqual(of_each, ['writer east', 'shop west'])
 
     def test_services_of_models(self) -> None:
-        """What only they have strikes nobody else."""
+        """What only they have strikes nobody else, and the other way."""
         aims = [one.aim for one in _days(aims='model')]
-        self.assertEqual(aims, ['writer'])
+        others = [one.aim for one in _days(aims='plain')]
+        self.assertEqual((aims, others), (['writer'], ['shop']))
 
     def test_aimed_at_nothing(self) -> None:
         """A row without more is a day by itself."""
--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -4,8 +4,8 @@
 [--only=PATTERN] [--keep=FOLDER] [--below=WORTH] TABLE...
 A table, as bench/kinds/*.toml, has rows of fields of an impairment. 'hows'
 lists variants, each a day. 'aims' tells what it is aimed at: 'service',
-'model' (services that serve models), 'zone', 'each' (one zone of a service at
-a time) or nothing; the names are the site's. 'beside' lists impairments that
+'model' (services that serve models), 'plain' (those that don't), 'zone',
+'each' (one zone of a service at a time) or nothing; the names are the site's. 'beside' lists impairments that
 strike at the same times, and 'planned' tells planned work. Of plays that break
 a rule or give little, log and report are kept.
 """
@@ -93,25 +93,34 @@
             yield Trouble((struck, *beside), row.get('planned', False))
 
 
-def _aims(aims: str, site: _Fields) -> Iterator[Mapping[str, str]]:
+def _aims(aims: str, site: _Fields) -> list[Mapping[str, str]]:
+    services = site['services']
     match aims:
         case 'service':
-            for service in site['services']:
-                yield {'service': service['name']}
+            return [{'service': one['name']} for one in services]
         case 'model':
-            for service in site['services']:
-                if 'model' in service:
-                    yield {'service': service['name']}
+            return [
+                {'service': one['name']} for one in services if _serves(one)
+            ]
+        case 'plain':
+            return [
+                {'service': one['name']}
+                for one in services
+                if not _serves(one)
+            ]
         case 'zone':
-            for zone in site['zones']:
-                yield {'zone': zone['name']}
+            return [{'zone': zone['name']} for zone in site['zones']]
         case 'each':
-            for service in site['services']:
-                # One of its zones tells what the others would.
-                zone = service['servers'][0]['zone']
-                yield {'service': service['name'], 'zone': zone}
-        case _:
-            yield {}
+            # One of a service's zones tells what the others would.
+            return [
+                {'service': one['name'], 'zone': one['servers'][0]['zone']}
+                for one in services
+            ]
+    return [{}]
+
+
+def _serves(service: _Fields) -> bool:
+    return 'model' in service
 
 
 def _strikes(faults: Sequence[_Fields]) -> str:
--- a/tools/plays.py
+++ b/tools/plays.py
@@ -96,7 +96,9 @@
             played = subprocess.run(
                 self._command(play, report),
                 cwd=play.checkout,
-                capture_output=True,
+                stdout=subprocess.PIPE,
+                # Nodes' lines and the reason of a day not played go there.
+                stderr=subprocess.STDOUT,
                 check=False,
                 text=True,
                 timeout=_SECONDS,
