--- a/src/cranecart/standins/_stutter.py
+++ b/src/cranecart/standins/_stutter.py
@@ -81,7 +81,8 @@
     """A service that answers each request by the next of its turns.
 
     After the last turn it behaves. ``ran`` counts how often each request ran,
-    ``connections`` those that were accepted.
+    ``connections`` those that were accepted, ``answering`` the requests whose
+    turns go on.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         """Listen; nothing is accepted until ``run``."""
         self.ran: Counter[str] = Counter()
         self.connections = 0
+        self.answering = 0
         self._style = style
         self._turns = iter(turns)
         sock = socket.create_server((address.host, address.port))
@@ -158,6 +160,18 @@
         request_id: str,
     ) -> bool:
         """Answer a request; return whether the connection goes on."""
+        self.answering += 1
+        try:
+            return await self._take_turn(sock, turn, request_id)
+        finally:
+            self.answering -= 1
+
+    async def _take_turn(
+        self,
+        sock: curio.io.Socket,
+        turn: Turn,
+        request_id: str,
+    ) -> bool:
         body = own_body(request_id)
         whole = self._style.head(turn.status, request_id, len(body)) + body
         if turn.pause_seconds:
--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -104,9 +104,7 @@
             ]
         case 'plain':
             return [
-                {'service': one['name']}
-                for one in services
-                if not _serves(one)
+                {'service': one['name']} for one in services if not _serves(one)
             ]
         case 'zone':
             return [{'zone': zone['name']} for zone in site['zones']]
