One place for dropping idle connections, for orders of one membership, for whole figures

Found on reading the change. The store's pool was a subclass that reached into HttpPool for what every pool can need; it is HttpPool.drop now. The words of an order that concerns one membership stood four times after the leave got a connection of its own. An instance's slots were made whole beside the function that does so. Behaviour as before.

--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -19,8 +19,9 @@
 Item = TypeVar('Item')
 
 # How long one read waits for changes, nearly the longest that stores allow, as
-# each costs; a read that hangs is made up for by other nodes. Where others depend on what this node
-# reads, it has to show often that its path to the store is good.
+# each costs; a read that hangs is made up for by other nodes. Where others
+# depend on what this node reads, it has to show often that its path to the
+# store is good.
 _WAIT_SECONDS = 28.0
 _RELAY_WAIT_SECONDS = 0.5
 # Twice the shorter wait shows that the path is good; with beats every 0.25 s
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -91,7 +91,8 @@
         connection = await self._connect(call, target)
         try:
             await self._send(call, target, connection, resume_after)
-            head = await self._own_head(call, target, patience, connection)
+            reading = OwnHead(self.form, call, connection)
+            head = await self.wait(call, target, patience, reading.read)
             yield await self._checked(target, connection, head)
         except (TargetBrokenError, TargetTimeoutError):
             await self.connections.drop(target.instance)
@@ -199,16 +200,6 @@
             self.connections.doubt(target.instance)
             raise TargetBrokenError(str(error)) from error
 
-    async def _own_head(
-        self,
-        call: RoutedCall,
-        target: Target,
-        patience: Patience,
-        connection: HttpConnection,
-    ) -> ResponseHead:
-        reading = OwnHead(self.form, call, connection)
-        return await self.wait(call, target, patience, reading.read)
-
     async def _checked(
         self,
         target: Target,
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -347,6 +347,11 @@
         else:
             await connection.close()
 
+    async def drop(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            await connection.close()
+
 
 async def exchange(
     address: Address,
--- a/src/cranecart/platform/_orders.py
+++ b/src/cranecart/platform/_orders.py
@@ -1,6 +1,6 @@
 """Orders to engine instances, and what their answers mean."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import attrs
 import curio
@@ -49,7 +49,7 @@
         await self._order(
             instance,
             fencing,
-            {'operation': 'join', 'group': replica, 'epoch': epoch, **body},
+            {**_change('join', replica, epoch), **body},
         )
 
     async def open(
@@ -60,8 +60,7 @@
         fencing: int,
     ) -> None:
         """Let a ready replica serve."""
-        body = {'operation': 'open', 'group': replica, 'epoch': epoch}
-        await self._order(head, fencing, body)
+        await self._order(head, fencing, _change('open', replica, epoch))
 
     async def close(
         self,
@@ -74,12 +73,7 @@
         await self._order(
             head,
             fencing,
-            {
-                'operation': 'close',
-                'method': 'queue',
-                'group': replica,
-                'epoch': epoch,
-            },
+            {**_change('close', replica, epoch), 'method': 'queue'},
         )
 
     async def leave(
@@ -95,7 +89,7 @@
         name nothing: one that comes on a connection of its own is none to an
         earlier order.
         """
-        body = {'operation': 'leave', 'group': replica, 'epoch': epoch}
+        body = _change('leave', replica, epoch)
         await self._order(instance, fencing, body, self._ask_alone)
 
     async def stage(
@@ -115,7 +109,7 @@
         self,
         instance: ListedInstance,
         fencing: int,
-        body: dict[str, object],
+        body: Mapping[str, object],
         ask: _Ask | None = None,
     ) -> None:
         self.sent += 1
@@ -161,6 +155,11 @@
         return response.status
 
 
+def _change(operation: str, replica: str, epoch: int) -> dict[str, object]:
+    """Return an order that concerns one membership and no other."""
+    return {'operation': operation, 'group': replica, 'epoch': epoch}
+
+
 def _not_reached(
     instance: ListedInstance,
     error: ConnectFailedError,
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -1,6 +1,7 @@
 """The one client of the platform's store: rows, transactions, changes."""
 
 import base64
+import functools
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any, TypeVar
@@ -68,22 +69,14 @@
     return base64.b64encode(value).decode()
 
 
-@attrs.define
-class _StorePool(HttpPool):
-    async def drop(self, address: Address) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            await connection.close()
-
-
 @attrs.define
 class StoreClient:
     """Calls of one store on kept connections, each with a bound."""
 
     _address: Address
     counts: Counter[str] = attrs.field(factory=Counter, init=False)
-    _pool: _StorePool = attrs.field(
-        factory=lambda: _StorePool(keeps_alive=True),
+    _pool: HttpPool = attrs.field(
+        factory=functools.partial(HttpPool, keeps_alive=True),
         init=False,
     )
 
--- a/src/cranecart/platform/_targets.py
+++ b/src/cranecart/platform/_targets.py
@@ -7,6 +7,7 @@
 from cranecart.http import Address
 from cranecart.logs import decision
 from cranecart.platform._store import StoreClient, WireRow, decode_row
+from cranecart.platform._wire_config import whole
 from cranecart.ports import (
     Changes,
     ListedInstance,
@@ -95,7 +96,7 @@
         Address.from_text(wire.address),
         wire.zone,
         # A place that is there in part takes no request.
-        max(1, int(wire.slots)),
+        whole(wire.slots, 1),
         wire.state == _LEAVING,
         wire.domain,
         tuple(model.name for model in wire.models),
--- a/tests/unit/test_uneven_connections.py
+++ b/tests/unit/test_uneven_connections.py
@@ -119,7 +119,7 @@
     def test_a_clients_short_deadline_is_no_doubt(self) -> None:
         """The target did nothing wrong."""
         opened: list[int] = []
-        play = attrs.evolve(_ShortDeadline(opened))
+        play = _ShortDeadline(opened)
         curio.run(GatewayWorld(_slow_when_asked, service=PLAIN).run, play.run)
         self.assertLessEqual(opened[0], 3)
 
--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -5,9 +5,9 @@
 A table, as bench/kinds/*.toml, has rows of fields of an impairment. 'hows'
 lists variants, each a day. 'aims' tells what it is aimed at: 'service',
 'model' (services that serve models), 'plain' (those that don't), 'zone',
-'each' (one zone of a service at a time) or nothing; the names are the site's. 'beside' lists impairments that
-strike at the same times, and 'planned' tells planned work. Of plays that break
-a rule or give little, log and report are kept.
+'each' (one zone of a service at a time) or nothing; the names are the site's.
+'beside' lists impairments that strike at the same times, and 'planned' tells
+planned work. Of plays that break a rule or give little, log and report are kept.
 """
 
 import itertools
