--- a/src/cranecart/forwarding/_events.py
+++ b/src/cranecart/forwarding/_events.py
@@ -14,14 +14,14 @@
 
 @attrs.define
 class EventCutter:
-    """Holds back what has come of an event that is not whole yet.
-
-    Ids of events rise, also over the targets that a stream moves between.
-    """
+    """Holds back what has come of an event that is not whole yet."""
 
     last_id: str = ''
     events: int = 0
     _rest: bytes = b''
+    # Whether ids must rise: from the first attempt at a stream on, over all
+    # the targets that it moves between.
+    _is_ordered: bool = False
 
     @property
     def is_between_events(self) -> bool:
@@ -31,8 +31,8 @@
     def feed(self, piece: bytes) -> bytes:
         """Take what one read brought; return the whole events in it.
 
-        Raise ``TargetBrokenError`` where ids fall back, as those of a stream
-        do that starts over elsewhere: a caller would get events twice.
+        Raise ``TargetBrokenError`` where a stream that should go on behind
+        the last event starts over: a caller would get events twice.
         """
         held = self._rest + piece if self._rest else piece
         end = held.rfind(_EVENT_END) + len(_EVENT_END)
@@ -51,8 +51,11 @@
     def restart(self) -> None:
         """Drop what is held back, as its stream has broken off."""
         self._rest = b''
+        self._is_ordered = True
 
     def _check_order(self, ids: Sequence[bytes]) -> None:
+        if not self._is_ordered:
+            return
         named = [self.last_id, *(one.decode('latin-1').strip() for one in ids)]
         numbers = [int(one) for one in named if one.isdecimal()]
         if any(later <= one for one, later in itertools.pairwise(numbers)):
