Read rows of other writers without ending, and use no instance that isn't ready

Cause: the store's tables have other writers. Any state of an instance but 'draining' counted as ready; a lease, a replica's or a node's row that was no text of this project's raised through the follower's task and ended the process, again at each start.

--- a/src/cranecart/duties/_lease.py
+++ b/src/cranecart/duties/_lease.py
@@ -24,6 +24,8 @@
 from cranecart.ports import Check, Put, Row, Table, Transaction
 
 _NO_ROW_VERSION = 0
+# Stands for whoever has written what is not this project's.
+_UNREADABLE_HOLDER = '?'
 
 
 @attrs.frozen
@@ -185,4 +187,12 @@
 
 
 def _decode(row: Row) -> _Value:
-    return msgspec.json.decode(row.value, type=_Value)
+    """Return what a lease's row says; one that can't be read has a holder.
+
+    It is waited for like any other. The fencing number after it has to be above
+    all that were used: the row's version rises faster than they do.
+    """
+    try:
+        return msgspec.json.decode(row.value, type=_Value)
+    except (msgspec.MsgspecError, RecursionError):
+        return _Value(_UNREADABLE_HOLDER, row.version, '')
--- a/src/cranecart/logs/__init__.py
+++ b/src/cranecart/logs/__init__.py
@@ -13,11 +13,13 @@
     read_lines,
 )
 from cranecart.logs._setup import decision, set_up_logging
+from cranecart.logs._unreadable import UnreadableRows
 
 __all__ = (
     'LineQueue',
     'LogLine',
     'RequestTrace',
+    'UnreadableRows',
     'decision',
     'lines_about',
     'lines_around',
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -205,7 +205,7 @@
     """
     try:
         return _decode_value(row.decoded(), wanted)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (ValueError, RecursionError, msgspec.MsgspecError) as error:
         raise PlatformUnavailableError(
             f'row {row.key_file!r} cannot be read: {error}',
         ) from error
--- a/src/cranecart/platform/_tables.py
+++ b/src/cranecart/platform/_tables.py
@@ -112,5 +112,13 @@
     return Row(
         f'{table}/{part}/{row.key_file}',
         row.schema_version,
-        row.decoded().decode(),
+        _text(row),
     )
+
+
+def _text(row: WireRow) -> str:
+    """Return a row's text; whatever is none says nothing to its reader."""
+    try:
+        return row.decoded().decode()
+    except ValueError:
+        return ''
--- a/src/cranecart/platform/_targets.py
+++ b/src/cranecart/platform/_targets.py
@@ -1,11 +1,14 @@
 """The platform's list of instances, decoded into the product's types."""
 
+import functools
+import ipaddress
+
 import attrs
 import msgspec
 
 from cranecart.exceptions import PlatformUnavailableError
 from cranecart.http import Address
-from cranecart.logs import decision
+from cranecart.logs import UnreadableRows
 from cranecart.platform._store import StoreClient, WireRow, decode_row
 from cranecart.platform._wire_config import whole
 from cranecart.ports import (
@@ -18,6 +21,9 @@
 
 _TABLE = 'servers'
 _LEAVING = 'draining'
+_LAST_PORT = 65535
+# Other writers may name further states; none of them takes requests.
+_STATES = frozenset(('ready', _LEAVING))
 
 
 class WireGroup(msgspec.Struct):
@@ -36,13 +42,18 @@
 
 
 class WireInstance(msgspec.Struct):
-    """What an instance writes of itself; ``domain`` is its fabric domain."""
+    """What an instance writes of itself.
+
+    ``domain`` is its fabric domain; ``born`` tells this start of it from
+    others under the same id, in ms.
+    """
 
     address: str
-    service: str = ''
-    zone: str = ''
+    service: str
+    zone: str
+    state: str
     slots: float = 1
-    state: str = 'ready'
+    born: float = 0
     domain: str = ''
     models: list[WireModel] = []
     staged: list[str] = []
@@ -54,11 +65,14 @@
     """The list as a source that can be followed."""
 
     _store: StoreClient
+    _unreadable: UnreadableRows = attrs.field(
+        factory=functools.partial(UnreadableRows, 'list_entry_unreadable'),
+    )
 
     async def snapshot(self) -> Snapshot[ListedInstance]:
         """Read the whole list."""
         rows = await self._store.read_part(_TABLE, '')
-        read = {row.key_file: _read(row) for row in rows.rows}
+        read = {row.key_file: self._read(row) for row in rows.rows}
         return Snapshot(
             rows.schema_version,
             {key: entry for key, entry in read.items() if entry is not None},
@@ -74,26 +88,32 @@
         return Changes(
             changed.schema_version,
             {
-                row.key_file: None if row.deleted else _read(row)
+                row.key_file: None if row.deleted else self._read(row)
                 for row in changed.rows
             },
         )
 
-
-def _read(row: WireRow) -> ListedInstance | None:
-    try:
-        wire = decode_row(row, WireInstance)
-        return _instance(row.key_file, wire)
-    except (PlatformUnavailableError, ValueError) as error:
-        decision('list_entry_unreadable', instance=row.key_file, why=str(error))
-        return None
+    def _read(self, row: WireRow) -> ListedInstance | None:
+        """Return an entry's instance; one that can't be read names none."""
+        try:
+            wire = decode_row(row, WireInstance)
+            read = _instance(row.key_file, wire)
+        except (PlatformUnavailableError, ValueError) as error:
+            self._unreadable.note(row.key_file, str(error))
+            return None
+        self._unreadable.forget(row.key_file)
+        return read
 
 
 def _instance(name: str, wire: WireInstance) -> ListedInstance:
+    if wire.state not in _STATES:
+        raise ValueError(f'its state is {wire.state!r}')
+    if not wire.service or not wire.zone:
+        raise ValueError('it names no service, or no place')
     return ListedInstance(
         name,
         wire.service,
-        Address.from_text(wire.address),
+        _address(wire.address),
         wire.zone,
         # A place that is there in part takes no request.
         whole(wire.slots, 1),
@@ -102,9 +122,18 @@
         tuple(model.name for model in wire.models),
         tuple(wire.staged),
         _membership(wire.group),
+        whole(wire.born),
     )
 
 
+def _address(text: str) -> Address:
+    address = Address.from_text(text)
+    ipaddress.ip_address(address.host)
+    if not 0 < address.port <= _LAST_PORT:
+        raise ValueError(f'{text!r} names no port')
+    return address
+
+
 def _membership(group: WireGroup | None) -> Membership | None:
     if group is None:
         return None
--- a/src/cranecart/ports/__init__.py
+++ b/src/cranecart/ports/__init__.py
@@ -7,6 +7,7 @@
 from cranecart.ports._calls import AnswerFacts, CallFacts, CallForm, Dispatch
 from cranecart.ports._listed import (
     Changes,
+    Life,
     ListedInstance,
     MemberPhase,
     Membership,
@@ -23,6 +24,7 @@
     'Changes',
     'Check',
     'Dispatch',
+    'Life',
     'ListedInstance',
     'MemberPhase',
     'Membership',
--- a/src/cranecart/ports/_listed.py
+++ b/src/cranecart/ports/_listed.py
@@ -35,6 +35,22 @@
         return self.replica == replica and self.epoch == epoch
 
 
+@attrs.frozen
+class Life:
+    """One life of an instance, which may start again under its id.
+
+    ``born`` tells lives apart: ms of the instance's own clock at its start,
+    0 where it tells none. Clocks jump, so that it does not order lives.
+    """
+
+    id: str
+    born: int = 0
+
+    def is_another(self, life: 'Life') -> bool:
+        """Tell whether two lives of an instance are surely not the same."""
+        return bool(self.born and life.born) and self.born != life.born
+
+
 @attrs.frozen
 class ListedInstance:
     """What the platform lists of one life of an instance.
@@ -53,6 +69,12 @@
     loaded: tuple[str, ...] = ()
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
+    born: int = 0
+
+    @property
+    def life(self) -> Life:
+        """Return what tells this life from others of the same id."""
+        return Life(self.id, self.born)
 
     def phase_in(self, replica: str, epoch: int) -> MemberPhase | None:
         """Return how far it has come in a replica, if it is a member."""
--- a/src/cranecart/ports/_table.py
+++ b/src/cranecart/ports/_table.py
@@ -8,7 +8,11 @@
 
 @attrs.frozen
 class Row:
-    """One row; ``version`` changes with every write, 0 means no row."""
+    """One row; ``version`` changes with every write, 0 means no row.
+
+    The table has other writers: a value may be anything, and is empty where it
+    is no text.
+    """
 
     key: str
     version: int
--- a/src/cranecart/serving/_registry.py
+++ b/src/cranecart/serving/_registry.py
@@ -9,11 +9,13 @@
 from cranecart.config import ServingSettings
 from cranecart.exceptions import PlatformError
 from cranecart.fleet import node_key
-from cranecart.logs import decision
+from cranecart.http import Address
+from cranecart.logs import UnreadableRows, decision
 from cranecart.mesh import PeerNode
 from cranecart.ports import Put, Row, Table, Transaction
 
 _AGAIN_SECONDS = 0.5
+_UNREADABLE = UnreadableRows('node_row_unreadable')
 
 
 @attrs.define
@@ -55,12 +57,28 @@
 def peers_from_rows(
     items: Mapping[str, Row | None],
 ) -> dict[str, PeerNode | None]:
-    """Return the nodes among changed rows, by node id."""
+    """Return the nodes among changed rows, by node id.
+
+    What cannot be read changes nothing that is known of a node.
+    """
     prefix = node_key('')
-    return {
-        key.removeprefix(prefix): None
-        if row is None
-        else msgspec.json.decode(row.value, type=PeerNode)
+    read = {
+        key: None if row is None else _peer_from_row(row)
         for key, row in items.items()
         if key.startswith(prefix)
     }
+    return {
+        key.removeprefix(prefix): peer
+        for key, peer in read.items()
+        if peer is not None or items[key] is None
+    }
+
+
+def _peer_from_row(row: Row) -> PeerNode | None:
+    try:
+        peer = msgspec.json.decode(row.value, type=PeerNode)
+        Address.from_text(peer.address)
+    except (ValueError, RecursionError, msgspec.MsgspecError) as error:
+        _UNREADABLE.note(row.key, str(error))
+        return None
+    return peer
