--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -84,6 +84,7 @@
         self.second = Held()
         self.feeds = True
         self.loses_news = False
+        self.turn = 0
         self.reader = self._follower(
             self.source,
             self.first,
@@ -92,7 +93,11 @@
         self.fed = self._follower(
             self.source,
             self.second,
-            Feeding(self._announced, lambda _news: None),
+            Feeding(
+                self._announced,
+                lambda _news: None,
+                turn=lambda: self.turn,
+            ),
         )
 
     def _follower(
@@ -233,8 +238,7 @@
 
     async def _take_turns(self) -> None:
         pair, tasks = await self._both()
-        assert pair.fed._feeding is not None
-        pair.fed._feeding = attrs.evolve(pair.fed._feeding, turn=lambda: 2)
+        pair.turn = 2
         await tasks[0].cancel()
         before = pair.source.reads
         pair.feeds = False
