--- a/src/cranecart/serving/_making.py
+++ b/src/cranecart/serving/_making.py
@@ -19,14 +19,14 @@
 from cranecart.ports import Table
 
 _MILLISECONDS = 1000
-# The holder renews every 2.5 s, as each renewal costs a call, and every second
+# The holder renews every 2 s, as each renewal costs a call, and every second
 # while it hears nobody; others look only once its beats are silent. A holder
 # that stalls loses the duty's rows by their versions, so that a takeover needs
 # no longer wait than a renewal (docs/design/platform.md), but by who may be the
 # one that is cut off: two such took the duty from each other by turns.
-_TRUSTED_SECONDS = 6.0
+_TRUSTED_SECONDS = 5.0
 _TAKEOVER_SECONDS = 1.2
-_PATIENT_SECONDS = 4.0
+_PATIENT_SECONDS = 3.5
 # What machines keep back for files, and what clients get of the rest: each
 # request under way has a connection to a target, and some are kept there.
 _FILE_DESCRIPTORS = 200
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -96,7 +96,7 @@
     def test_who_may_be_cut_off_is_patient(self) -> None:
         """Two that did not hear each other took the duty by turns.
 
-        The holder shows it every 2.5 s; one that hears nobody beside it waits
+        The holder shows it every 2 s; one that hears nobody beside it waits
         for longer, and everybody else for 1.2 s, as a dead holder's replicas
         are repaired by nobody.
         """
@@ -109,7 +109,7 @@
         run_now(holder.keep())
         for _renewal in range(3):
             run_now(cut.keep(is_patient=True))
-            clock.now += 2.5
+            clock.now += 2
             self.assertFalse(run_now(cut.keep(is_patient=True)))
             run_now(holder.keep())
         run_now(other.keep())
