--- a/src/cranecart/fleet/_listing.py
+++ b/src/cranecart/fleet/_listing.py
@@ -67,7 +67,9 @@
     def lives_anew(self, life: Life) -> bool:
         """Tell whether another life of an instance is known than this."""
         known = self.known(life.id)
-        return known is not None and known.life.is_another(life)
+        if known is None or not life.born:
+            return False
+        return known.life.is_another(life)
 
     def has_ended(self, life: Life) -> bool:
         """Tell whether a later life of an instance shows that one is over.
--- a/src/cranecart/fleet/_records.py
+++ b/src/cranecart/fleet/_records.py
@@ -1,6 +1,7 @@
 """Replicas as their placer recorded them before ordering anything."""
 
 import enum
+import functools
 import itertools
 
 import attrs
@@ -57,7 +58,7 @@
         """Return the id of the instance that takes the requests."""
         return self.members[0]
 
-    @property
+    @functools.cached_property
     def lives(self) -> tuple[Life, ...]:
         """Return the lives of the members, as far as they are known."""
         births = itertools.chain(self.births, itertools.repeat(0))
--- a/src/cranecart/grouping/_judge.py
+++ b/src/cranecart/grouping/_judge.py
@@ -31,7 +31,8 @@
     dead = [name for name in record.members if name in lost]
     if dead:
         return Verdict(RecordState.ENDING, f'lost {", ".join(dead)}')
-    anew = [life.id for life in record.lives if fleet.listing.lives_anew(life)]
+    lives_anew = fleet.listing.lives_anew
+    anew = [life.id for life in record.lives if lives_anew(life)]
     if anew:
         return Verdict(RecordState.ENDING, f'{", ".join(anew)} lives anew')
     unknown = [name for name in record.members if fleet.known(name) is None]
--- a/src/cranecart/grouping/_losses.py
+++ b/src/cranecart/grouping/_losses.py
@@ -68,8 +68,9 @@
 
     async def check(self, records: Iterable[ReplicaRecord]) -> None:
         """Begin to check the replicas that are doubted or have a lapse."""
+        hit = self._fleet.recorded.keys_naming(self._fleet.lapsed)
         for record in records:
-            if self._fleet.lapsed.keys() & set(record.members):
+            if record.key in hit:
                 self._doubts.setdefault(record.name, record)
         due = [one for one in self._doubts.values() if self._is_due(one)]
         self._doubts.clear()
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -15,6 +15,7 @@
 from cranecart.models import Preference
 from tools.bench import (
     _control,
+    _fleet,
     _placement,
     _policies,
     _probe,
@@ -56,6 +57,7 @@
         'probe': _probe.measure(),
         'policies': _policies.measure(),
         'times': _times.measure(),
+        'fleet': _fleet.measure(),
         'placement': {
             'plan_ms': _placement.plan_times(),
             'after_loss': {
