Announce a large configuration instead of sending it around

Nodes that were behind asked one and the same node for it with every beat. Change: one over 32 KB is announced only and read by each node within 0.4 s; who is behind asks once a second.

--- a/src/cranecart/mesh/_telling.py
+++ b/src/cranecart/mesh/_telling.py
@@ -13,8 +13,11 @@
 from cranecart.mesh._state import Circle, MeshEvents
 from cranecart.nodes import NodeLink
 
-# How long the store may be ahead of a node before it asks another node.
-_CONFIG_LAG_SECONDS = 0.3
+# How long others may be ahead of a node before it asks one of them: it reads a
+# configuration from the store some 0.4 s after it was announced. Asked again
+# with each beat, one of half a megabyte was sent four times a second.
+_CONFIG_LAG_SECONDS = 0.55
+_ASK_AGAIN_SECONDS = 1.0
 
 
 @attrs.define
@@ -87,6 +90,7 @@
             own = self._circle.own
             ask = ConfigAsk(own.node_id, own.address, version)
             self._link.send(address, ask)
+            self._behind_since = now + _ASK_AGAIN_SECONDS - _CONFIG_LAG_SECONDS
 
     def _tell_relays(self, beat: Beat, *, with_silent: bool) -> None:
         roster = self._circle.roster
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -22,6 +22,7 @@
     Mesh,
     RecordNews,
     SourceNews,
+    encode_mesh_message,
 )
 from cranecart.models import RouteConfig
 from cranecart.ports import ListedInstance, Row
@@ -42,6 +43,12 @@
 # A cut reader of the list is missed by all in under four waits, which has to be
 # within the time that leaving instances may still get requests.
 _LEAVING_PART = 0.25
+# A larger configuration is told of only, and each node reads it: 1,680 routes,
+# half a megabyte, sent on to 21 nodes filled their links of 20 Mbit/s for
+# seconds, and a quarter of a gigabyte went between failure domains in a day.
+_MOST_SPREAD_BYTES = 32768
+# So that it is read before another node would be asked for it.
+_CONFIG_BEHIND_SECONDS = 0.15
 _LIST = 'list'
 _RECORDS = 'records'
 _CONFIG = 'configuration'
@@ -82,7 +89,11 @@
                 surroundings.declarations,
                 config.take_from_store,
                 source,
-                feeding=_feeding(mesh, _CONFIG, ConfigNews),
+                feeding=attrs.evolve(
+                    _feeding(mesh, _CONFIG, ConfigNews),
+                    pass_on=lambda news: spread_config(mesh, news),
+                    behind_seconds=_CONFIG_BEHIND_SECONDS,
+                ),
             ),
             SourceFollower(
                 _LIST,
@@ -161,6 +172,13 @@
         self._fleet.take_records(_records_of(items), is_whole)
 
 
+def spread_config(mesh: Mesh, news: News[RouteConfig]) -> None:
+    """Pass a configuration on, unless it is too large to send around."""
+    message = ConfigNews(mesh.own.node_id, news)
+    if len(encode_mesh_message(message)) <= _MOST_SPREAD_BYTES:
+        mesh.spread(message)
+
+
 def _feeding(
     mesh: Mesh,
     source: str,
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -2,15 +2,18 @@
 
 import unittest
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cranecart.fleet import News
-from cranecart.mesh import ConfigNews, ListNews, Stopped
+from cranecart.mesh import ConfigAsk, ConfigNews, ListNews, Stopped
 from cranecart.mesh._notices import Notices
 from cranecart.models import RouteConfig
 from cranecart.ports import ListedInstance
+from cranecart.serving._knowledge import spread_config
 from tests.lib.circles import World
+from tests.lib.fake_targets import CONFIG
 
 _SMALL = 9
 _LARGE = 30
@@ -164,6 +167,37 @@
         heard = [77 in node.versions for node in self.world.alive]
         self.assertEqual(heard.count(False), 1)
 
+    def test_a_large_configuration_is_not_sent_around(self) -> None:
+        """Half a megabyte to each of many nodes fills their links."""
+        reader = self.nodes['node-004'].mesh
+        route = CONFIG.routes[0]
+        for count in (20, 2000):
+            routes = tuple(
+                attrs.evolve(route, name=f'r{number}')
+                for number in range(count)
+            )
+            config = RouteConfig(9, routes, {})
+            self.world.sent.clear()
+            spread_config(reader, News(1, 77, {'config': config}))
+            self.world.deliver()
+            self.assertEqual(bool(self.world.sent), count < 2000)
+
+    def test_who_is_behind_asks_once_a_second(self) -> None:
+        """Asked with each beat, a large one was sent again and again."""
+        behind = self.nodes['node-004']
+        self.nodes['node-005'].configs.append(RouteConfig(3, (), {}))
+        asks: list[float] = []
+        link = behind.telling._link
+        send = link.send
+        link.send = lambda address, message: (  # type: ignore[method-assign]
+            asks.append(self.world.now)
+            if isinstance(message, ConfigAsk)
+            else send(address, message)
+        )
+        self.world.run(4)
+        self.assertGreaterEqual(len(asks), 2)
+        self.assertLessEqual(len(asks), 4)
+
     def test_turns(self) -> None:
         """One goes on at once, one of each other domain next, then all."""
         turns = [node.mesh.circle.roster.turn() for node in self.nodes.values()]
