Follow the configuration on each node again; keep asks to one a second

Change: each node waits for its changes at the store, as before this work. The message, its limit and their tests go with it. Who is behind asks once a second.

--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -71,8 +71,7 @@
     itself; ``pass_on`` takes what this node has read. One read waits for
     changes for ``wait_seconds``; ``gap_seconds`` returns the least time between
     two reads as things stand, ``turn`` which in the row of nodes this one is
-    that go on reading once the reader is gone. What was announced and has not
-    come for ``behind_seconds`` is read.
+    that go on reading once the reader is gone.
     """
 
     announced: Callable[[], int | None]
@@ -80,7 +79,6 @@
     wait_seconds: float = _RELAY_WAIT_SECONDS
     gap_seconds: Callable[[], float] = float
     turn: Callable[[], int] = int
-    behind_seconds: float = _BEHIND_SECONDS
 
 
 @attrs.define
@@ -153,12 +151,6 @@
             self._changed_version = news.version
             self._take(news.items, False)
 
-    @property
-    def _behind_seconds(self) -> float:
-        if self._feeding is None:
-            return _BEHIND_SECONDS
-        return self._feeding.behind_seconds
-
     @property
     def _wait_seconds(self) -> float:
         if self._feeding is None:
@@ -234,7 +226,7 @@
                 behind_since = None
             elif behind_since is None:
                 behind_since = self._clock()
-            elif self._clock() - behind_since > self._behind_seconds:
+            elif self._clock() - behind_since > _BEHIND_SECONDS:
                 return False
             await curio.sleep(_FED_LOOK_SECONDS)
             announced = self._announced()
--- a/src/cranecart/mesh/_hearing.py
+++ b/src/cranecart/mesh/_hearing.py
@@ -7,7 +7,6 @@
     Beat,
     ConfigAsk,
     ConfigGive,
-    ConfigNews,
     Digest,
     ListNews,
     MeshMessage,
@@ -46,7 +45,7 @@
                 self._take_stopped(message)
             case Suspect():
                 await self._events.suspect(message)
-            case ListNews() | RecordNews() | ConfigNews():
+            case ListNews() | RecordNews():
                 self._take_news(message)
             case ConfigAsk():
                 self._give_config(message)
@@ -64,8 +63,6 @@
                 self._events.list_news(message.news)
             case RecordNews():
                 self._events.record_news(message.news)
-            case ConfigNews():
-                self._events.config_news(message.news)
 
     def _take_stopped(self, message: Stopped) -> None:
         if self._circle.notices.note(message):
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -121,14 +121,7 @@
     news: News[Row]
 
 
-class ConfigNews(msgspec.Struct, tag='config_news', array_like=True):
-    """A configuration that the sender has read."""
-
-    sender: str
-    news: News[RouteConfig]
-
-
-SourceNews = ListNews | RecordNews | ConfigNews
+SourceNews = ListNews | RecordNews
 
 MeshMessage = (
     Beat
@@ -140,7 +133,6 @@
     | ConfigGive
     | ListNews
     | RecordNews
-    | ConfigNews
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -43,7 +43,6 @@
     read_config: Callable[[], RouteConfig | None]
     take_config: Callable[[RouteConfig], None]
     renew_own: Callable[[], None]
-    config_news: Callable[[News[RouteConfig]], None]
 
 
 @attrs.define
--- a/src/cranecart/mesh/_telling.py
+++ b/src/cranecart/mesh/_telling.py
@@ -13,10 +13,10 @@
 from cranecart.mesh._state import Circle, MeshEvents
 from cranecart.nodes import NodeLink
 
-# How long others may be ahead of a node before it asks one of them: it reads a
-# configuration from the store some 0.4 s after it was announced. Asked again
-# with each beat, one of half a megabyte was sent four times a second.
-_CONFIG_LAG_SECONDS = 0.55
+# How long the store may be ahead of a node before it asks another node, and how
+# long it waits for an answer: asked with each beat, one of half a megabyte was
+# sent four times a second.
+_CONFIG_LAG_SECONDS = 0.3
 _ASK_AGAIN_SECONDS = 1.0
 
 
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -17,12 +17,10 @@
     record_from_row,
 )
 from cranecart.mesh import (
-    ConfigNews,
     ListNews,
     Mesh,
     RecordNews,
     SourceNews,
-    encode_mesh_message,
 )
 from cranecart.models import RouteConfig
 from cranecart.ports import ListedInstance, Row
@@ -43,15 +41,8 @@
 # A cut reader of the list is missed by all in under four waits, which has to be
 # within the time that leaving instances may still get requests.
 _LEAVING_PART = 0.25
-# A larger configuration is told of only, and each node reads it: 1,680 routes,
-# half a megabyte, sent on to 21 nodes filled their links of 20 Mbit/s for
-# seconds, and a quarter of a gigabyte went between failure domains in a day.
-_MOST_SPREAD_BYTES = 32768
-# So that it is read before another node would be asked for it.
-_CONFIG_BEHIND_SECONDS = 0.15
 _LIST = 'list'
 _RECORDS = 'records'
-_CONFIG = 'configuration'
 # What both first users' sheets say.
 _LEAVING_SECONDS = 2.0
 
@@ -79,21 +70,18 @@
         """Build the followers; nothing is read until ``run``.
 
         The list is read often enough to show that the path to the store is
-        good; the others wait for changes on that same path.
+        good; the records wait for changes on that same path. Each node follows
+        the configuration itself: sent around, a large one filled the links of
+        small nodes for seconds.
         """
         return cls(
             mesh,
             fleet,
             SourceFollower(
-                _CONFIG,
+                'configuration',
                 surroundings.declarations,
                 config.take_from_store,
                 source,
-                feeding=attrs.evolve(
-                    _feeding(mesh, _CONFIG, ConfigNews),
-                    pass_on=lambda news: spread_config(mesh, news),
-                    behind_seconds=_CONFIG_BEHIND_SECONDS,
-                ),
             ),
             SourceFollower(
                 _LIST,
@@ -132,10 +120,6 @@
         """Take over what another node has read of the records."""
         self._records.take_news(news)
 
-    def take_config_news(self, news: News[RouteConfig]) -> None:
-        """Take over what another node has read of the configuration."""
-        self._declarations.take_news(news)
-
     def announced(self) -> dict[str, int]:
         """Return the last changes of the sources that this node reads.
 
@@ -143,7 +127,7 @@
         """
         if not self._instances.is_proven:
             return {}
-        followers = (self._instances, self._records, self._declarations)
+        followers = (self._instances, self._records)
         return {
             follower.name: follower.changed_version
             for follower in followers
@@ -172,13 +156,6 @@
         self._fleet.take_records(_records_of(items), is_whole)
 
 
-def spread_config(mesh: Mesh, news: News[RouteConfig]) -> None:
-    """Pass a configuration on, unless it is too large to send around."""
-    message = ConfigNews(mesh.own.node_id, news)
-    if len(encode_mesh_message(message)) <= _MOST_SPREAD_BYTES:
-        mesh.spread(message)
-
-
 def _feeding(
     mesh: Mesh,
     source: str,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -148,7 +148,6 @@
             self._config.current,
             self._config.take_from_peer,
             self._renew_own,
-            lambda news: self._knowledge.take_config_news(news),
         )
         return make_mesh(self._live.current, events)
 
--- a/tests/lib/circles.py
+++ b/tests/lib/circles.py
@@ -172,7 +172,6 @@
             lambda: configs[-1] if configs else None,
             configs.append,
             lambda: None,
-            lambda news: versions.append(news.version),
         )
         link = WorldLink(world, name)
         own = OwnState(name, name, domain)
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -2,18 +2,15 @@
 
 import unittest
 
-import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cranecart.fleet import News
-from cranecart.mesh import ConfigAsk, ConfigNews, ListNews, Stopped
+from cranecart.mesh import ConfigAsk, ListNews, Stopped
 from cranecart.mesh._notices import Notices
 from cranecart.models import RouteConfig
 from cranecart.ports import ListedInstance
-from cranecart.serving._knowledge import spread_config
 from tests.lib.circles import World
-from tests.lib.fake_targets import CONFIG
 
 _SMALL = 9
 _LARGE = 30
@@ -157,31 +154,6 @@
         self.assertLessEqual(self.world.sent['node-020'], beside + far)
         self.assertLess(far, _LARGE // 3)
 
-    def test_news_of_the_configuration(self) -> None:
-        """Every node has what one has read, without reading."""
-        reader = self.nodes['node-004'].mesh
-        config = RouteConfig(9, (), {})
-        news = News(1, 77, {'config': config})
-        reader.spread(ConfigNews('node-004', news))
-        self.world.deliver()
-        heard = [77 in node.versions for node in self.world.alive]
-        self.assertEqual(heard.count(False), 1)
-
-    def test_a_large_configuration_is_not_sent_around(self) -> None:
-        """Half a megabyte to each of many nodes fills their links."""
-        reader = self.nodes['node-004'].mesh
-        route = CONFIG.routes[0]
-        for count in (20, 2000):
-            routes = tuple(
-                attrs.evolve(route, name=f'r{number}')
-                for number in range(count)
-            )
-            config = RouteConfig(9, routes, {})
-            self.world.sent.clear()
-            spread_config(reader, News(1, 77, {'config': config}))
-            self.world.deliver()
-            self.assertEqual(bool(self.world.sent), count < 2000)
-
     def test_who_is_behind_asks_once_a_second(self) -> None:
         """Asked with each beat, a large one was sent again and again."""
         behind = self.nodes['node-004']
