--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -28,7 +28,8 @@
 # Without the duty there is nothing to do but to hear its holder, by beats.
 _IDLE_TICK_SECONDS = 0.1
 # The lease is trusted for five seconds, so that one renewal may fail; renewed
-# every second by each of five placers it took 319 of 1,175 calls of a calm day.
+# every second by each of five placers it took 185 of the 932 calls that 22 nodes
+# made from their start to the twelfth second of traffic, in one play.
 _RENEW_SECONDS = 2.0
 # While others may not hear this node, or its last call failed, they look at the
 # lease itself, and take what has not changed for 1.2 s.
