Name the records' place once, and share the tests' store of written rows

The table and part of the records stood in fleet and in serving, so that one could have moved without the other; a store client that answers with a test's rows stood in two test modules. No behaviour changes; the tests keep their assertions.

--- a/src/cranecart/fleet/__init__.py
+++ b/src/cranecart/fleet/__init__.py
@@ -8,6 +8,8 @@
     SourceFollower,
 )
 from cranecart.fleet._records import (
+    RECORDS_PART,
+    RECORDS_TABLE,
     RecordState,
     ReplicaRecord,
     lease_duty,
@@ -25,6 +27,8 @@
     'ReplicaRecord',
     'ServingHead',
     'LONG_WAIT_SECONDS',
+    'RECORDS_PART',
+    'RECORDS_TABLE',
     'SourceFollower',
     'lease_duty',
     'node_key',
--- a/src/cranecart/fleet/_records.py
+++ b/src/cranecart/fleet/_records.py
@@ -10,11 +10,11 @@
 from cranecart.logs import UnreadableRows
 from cranecart.ports import Life, Row
 
-_TABLE = 'placement'
+RECORDS_TABLE = 'placement'
 # One part for all: each node reads them at its start, and a part is a call. Of
 # the 300 writes a second that a part takes, replicas that all form at once
 # need some hundred.
-_PART = 'all'
+RECORDS_PART = 'all'
 _NODE = 'node/'
 _REPLICA = 'replica/'
 _UNREADABLE = UnreadableRows('record_unreadable')
@@ -81,17 +81,17 @@
 
 def records_prefix(failure_domain: str) -> str:
     """Return what the keys of a failure domain's replicas start with."""
-    return f'{_TABLE}/{_PART}/{_REPLICA}{failure_domain}/'
+    return f'{RECORDS_TABLE}/{RECORDS_PART}/{_REPLICA}{failure_domain}/'
 
 
 def lease_duty(failure_domain: str) -> str:
     """Return the duty of placing there; its row is in the records' part."""
-    return f'{_PART}/{failure_domain}'
+    return f'{RECORDS_PART}/{failure_domain}'
 
 
 def node_key(node_id: str) -> str:
     """Return the key of a node's row."""
-    return f'{_TABLE}/{_PART}/{_NODE}{node_id}'
+    return f'{RECORDS_TABLE}/{RECORDS_PART}/{_NODE}{node_id}'
 
 
 def record_from_row(row: Row) -> ReplicaRecord | None:
--- a/src/cranecart/serving/_surroundings.py
+++ b/src/cranecart/serving/_surroundings.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cranecart.config import ServingSettings
+from cranecart.fleet import RECORDS_PART, RECORDS_TABLE
 from cranecart.http import Address
 from cranecart.models import RouteConfig
 from cranecart.platform import (
@@ -19,9 +20,6 @@
 )
 from cranecart.ports import CallForm, ListedInstance, Orders, Row, Source, Table
 
-_RECORDS_TABLE = 'placement'
-_RECORDS_PART = 'all'
-
 
 @attrs.frozen
 class Surroundings:
@@ -45,8 +43,8 @@
             PlatformTargetList(store),
             PlatformRowSource(
                 store,
-                _RECORDS_TABLE,
-                (_RECORDS_PART,),
+                RECORDS_TABLE,
+                (RECORDS_PART,),
             ),
             PlatformOrders(),
             PlatformCallForm(),
--- /dev/null
+++ b/tests/platform/_rows.py
@@ -0,0 +1,45 @@
+"""A store whose rows a test writes as bytes."""
+
+import base64
+
+from cranecart.http import Address
+from cranecart.platform import StoreClient
+from cranecart.platform._store import WireRow, WireRows
+
+
+class RowsOf(StoreClient):
+    """A store that holds some rows as bytes, and tells them as changes too."""
+
+    def __init__(self, rows: dict[str, bytes]) -> None:
+        """Keep the rows; nothing is asked of any address."""
+        super().__init__(Address('127.0.0.1', 1))
+        self.written = rows
+
+    async def read_part(
+        self,
+        table: str,
+        part: str,
+        first: str = '',
+    ) -> WireRows:
+        """Return the rows."""
+        return self._page()
+
+    async def feed(
+        self,
+        table: str,
+        since: int,
+        wait_seconds: float,
+    ) -> WireRows:
+        """Return the rows."""
+        return self._page()
+
+    def _page(self) -> WireRows:
+        rows = [
+            WireRow(
+                key,
+                value=base64.b64encode(value).decode(),
+                schema_version=3,
+            )
+            for key, value in self.written.items()
+        ]
+        return WireRows(3, rows)
--- a/tests/platform/test_figures.py
+++ b/tests/platform/test_figures.py
@@ -8,6 +8,7 @@
 """
 
 import copy
+import json
 import unittest
 from collections.abc import Iterator, Sequence
 from types import MappingProxyType
@@ -17,16 +18,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranecart.http import Address
 from cranecart.models import RouteConfig
 from cranecart.platform import (
     PlatformDeclarations,
     PlatformTargetList,
-    StoreClient,
 )
-from cranecart.platform._store import WireRow, WireRows
 from cranecart.ports import ListedInstance
-from tests.platform._standin import encoded
+from tests.platform._rows import RowsOf
 
 Path = tuple[str | int, ...]
 
@@ -125,32 +123,16 @@
 _NEEDED_OF_ENTRY = frozenset((('service',), ('zone',), ('state',)))
 
 
-class RowsOf(StoreClient):
-    """A store that holds one row."""
-
-    def __init__(self, key: str, value: object) -> None:
-        """Keep the row; nothing is asked of any address."""
-        super().__init__(Address('127.0.0.1', 1))
-        self._row = WireRow(key, value=encoded(value), schema_version=3)
-
-    async def read_part(
-        self,
-        table: str,
-        part: str,
-        first: str = '',
-    ) -> WireRows:
-        """Return the row."""
-        return WireRows(3, [self._row])
-
-
 def _read_config(value: object) -> RouteConfig:
-    source = PlatformDeclarations(RowsOf('config', value))
+    source = PlatformDeclarations(
+        RowsOf({'config': json.dumps(value).encode()})
+    )
     config: RouteConfig = curio.run(source.snapshot).items['config']
     return config
 
 
 def _read_entry(value: object) -> ListedInstance | None:
-    source = PlatformTargetList(RowsOf('i1', value))
+    source = PlatformTargetList(RowsOf({'i1': json.dumps(value).encode()}))
     found: ListedInstance | None = curio.run(source.snapshot).items.get('i1')
     return found
 
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -6,7 +6,6 @@
 on every node that read it, as often as it started again.
 """
 
-import base64
 import copy
 import json
 import unittest
@@ -20,7 +19,6 @@
 from cranecart.duties import Lease
 from cranecart.exceptions import PlatformError, PlatformUnavailableError
 from cranecart.fleet import Fleet, ReplicaRecord, record_from_row
-from cranecart.http import Address
 from cranecart.logs import UnreadableRows
 from cranecart.platform import (
     PlatformDeclarations,
@@ -29,9 +27,9 @@
     PlatformTargetList,
     StoreClient,
 )
-from cranecart.platform._store import WireRow, WireRows
 from cranecart.ports import Changes, ListedInstance, Put, Row, Transaction
 from cranecart.serving._registry import peers_from_rows
+from tests.platform._rows import RowsOf
 from tests.platform._standin import StandinStore, start
 from tests.platform.test_figures import _CONFIG, _ENTRY
 
@@ -55,44 +53,6 @@
 _DEEP = b'[' * 100000
 
 
-class RowsOf(StoreClient):
-    """A store that holds some rows as bytes, and tells them as changes too."""
-
-    def __init__(self, rows: dict[str, bytes]) -> None:
-        """Keep the rows; nothing is asked of any address."""
-        super().__init__(Address('127.0.0.1', 1))
-        self.written = rows
-
-    async def read_part(
-        self,
-        table: str,
-        part: str,
-        first: str = '',
-    ) -> WireRows:
-        """Return the rows."""
-        return self._page()
-
-    async def feed(
-        self,
-        table: str,
-        since: int,
-        wait_seconds: float,
-    ) -> WireRows:
-        """Return the rows."""
-        return self._page()
-
-    def _page(self) -> WireRows:
-        rows = [
-            WireRow(
-                key,
-                value=base64.b64encode(value).decode(),
-                schema_version=3,
-            )
-            for key, value in self.written.items()
-        ]
-        return WireRows(3, rows)
-
-
 def _entries(value: bytes) -> dict[str, ListedInstance | None]:
     """Read an entry of another writer beside a sound one, both ways."""
     good = json.dumps(dict(_ENTRY)).encode()
