Tell what was running where a target's connection ended

No line told two tries of one request from tries of two, nor whether a request had begun where its target ended: the hypotheses of the incident could not be told apart. target_disconnected has a digest of the request, the target's life, how long it had been answering, and the requests there. A refused connection and an answer that broke off have types of their own; what is decided is as before.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -27,6 +27,11 @@
     """No connection was made, so nothing was sent."""
 
 
+@final
+class ConnectRefusedError(ConnectFailedError):
+    """The host answered that nothing listens at the port."""
+
+
 class ConnectionBrokenError(HttpError):
     """The connection ended before the whole message was exchanged."""
 
@@ -88,11 +93,15 @@
     execution = Execution.NOT_RUN
 
 
-@final
 class TargetBrokenError(TargetError):
     """The target went away or answered wrongly after the request was sent."""
 
 
+@final
+class TargetDisconnectedError(TargetBrokenError):
+    """The connection ended before the answer did; the target may have ended."""
+
+
 @final
 class TargetTimeoutError(TargetError):
     """The target did not answer within the time the request had left."""
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -1,5 +1,6 @@
 """Decide whether a request goes to another target."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -11,6 +12,7 @@
     OutcomeUnknownError,
     OverloadedError,
     RequestError,
+    TargetDisconnectedError,
     TargetError,
     TargetNotReachedError,
     TargetTimeoutError,
@@ -43,6 +45,8 @@
     _sent: int = attrs.field(default=0, init=False)
     _not_reached: int = attrs.field(default=0, init=False)
     _last: TargetError | None = attrs.field(default=None, init=False)
+    # When the present target began to answer, on the monotonic clock.
+    _answering_at: float | None = attrs.field(default=None, init=False)
 
     async def run(self, attempt: Callable[[Target], Awaitable[None]]) -> None:
         """Attempt until one succeeds; raise ``RequestError`` for the last."""
@@ -81,6 +85,10 @@
             self._router.begun(target, self.call.facts.model)
         self.has_begun = True
 
+    def answering(self) -> None:
+        """Take over that the present target has begun to answer."""
+        self._answering_at = time.monotonic()
+
     def _wanted(self) -> Wanted:
         return wanted(self.call, self.tried, has_begun=self.has_begun)
 
@@ -105,6 +113,7 @@
             tried=list(self.tried),
         )
         self.tried.append(target.instance.id)
+        self._answering_at = None
         return target
 
     def _check_time(self) -> None:
@@ -136,6 +145,20 @@
             why=str(error),
             left=round(self.call.seconds_left, 3),
         )
+        if isinstance(error, TargetDisconnectedError):
+            self._tell_disconnected(target)
+
+    def _tell_disconnected(self, target: Target) -> None:
+        """Log what shows whether the request has ended its target."""
+        began = self._answering_at
+        self.call.trace.add(
+            'target_disconnected',
+            instance=target.instance.id,
+            born=target.instance.born,
+            identity=self.call.identity,
+            answered_for=began and round(time.monotonic() - began, 3),
+            beside=self._router.load(target.instance.id),
+        )
 
     def _may_go_on(self) -> bool:
         call = self.call
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -9,6 +9,7 @@
 from cranecart.logs import RequestTrace
 from cranecart.models import Route, RouteConfig
 from cranecart.ports import CallFacts
+from cranecart.quarantine import identity_of
 from cranecart.routing import Wanted
 
 # A client that names no deadline waits as long as its route allows.
@@ -40,6 +41,18 @@
         """Return the client's id of the request."""
         return self.facts.request_id
 
+    @property
+    def identity(self) -> str:
+        """Return what all tries of its client at this request share."""
+        request = self.request
+        return identity_of(
+            self.organisation,
+            self.facts.host,
+            request.method,
+            request.target,
+            request.body,
+        )
+
     @property
     def seconds_left(self) -> float:
         """Return how long the client and the route still allow."""
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -12,6 +12,7 @@
 from cranecart.exceptions import (
     HttpError,
     TargetBrokenError,
+    TargetDisconnectedError,
     TargetNotReachedError,
     TargetRefusedError,
     TargetTimeoutError,
@@ -127,7 +128,7 @@
                 self._check_silence(call, target, patience, silence)
             except HttpError as error:
                 self.connections.doubt(target.instance)
-                raise TargetBrokenError(str(error)) from error
+                raise TargetDisconnectedError(str(error)) from error
             if silence >= patience.suspect and not is_told:
                 is_told = True
                 await self.tell(target, f'silent for {silence:.3f} s')
@@ -198,7 +199,7 @@
             )
         except HttpError as error:
             self.connections.doubt(target.instance)
-            raise TargetBrokenError(str(error)) from error
+            raise TargetDisconnectedError(str(error)) from error
 
     async def _checked(
         self,
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -4,9 +4,7 @@
 
 import attrs
 
-from cranecart.exceptions import (
-    TargetBrokenError,
-)
+from cranecart.exceptions import TargetBrokenError, TargetDisconnectedError
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._events import EventCutter
 from cranecart.forwarding._sender import Patience, Sender, TargetAnswer
@@ -69,6 +67,7 @@
             self.cutter.last_id,
         )
         async with answering as answer:
+            self._attempts.answering()
             if not answer.head.is_success:
                 await self._take_failure(target, answer)
                 return
@@ -91,7 +90,9 @@
         with self._sender.router.pulse.following(life) as pulse:
             await self._pass_events(target, answer, pulse)
         if not self.cutter.is_between_events:
-            raise TargetBrokenError(f'{target.instance.id} cut an event off')
+            raise TargetDisconnectedError(
+                f'{target.instance.id} cut an event off',
+            )
 
     async def _pass_events(
         self,
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -14,6 +14,7 @@
     BadMessageError,
     ConnectFailedError,
     ConnectionBrokenError,
+    ConnectRefusedError,
     PeerTimeoutError,
 )
 from cranecart.http._messages import (
@@ -86,9 +87,9 @@
             )
         except (OSError, TaskTimeout) as error:
             await sock.close()
-            raise ConnectFailedError(
-                f'{address} cannot be reached: {error!r}',
-            ) from error
+            is_refused = isinstance(error, ConnectionRefusedError)
+            kind = ConnectRefusedError if is_refused else ConnectFailedError
+            raise kind(f'{address} cannot be reached: {error!r}') from error
         except BaseException:
             await sock.close()
             raise
