--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -273,7 +273,7 @@
         self.fleet = Fleet()
         self.evidence: list[str] = []
         instances = {
-            name: _instance(name, target.address, service)
+            name: instance(name, target.address, service)
             for name, target in self._listening.items()
         }
         self.fleet.take_instances(instances, True)
@@ -397,7 +397,8 @@
     return ClientAnswer(head.status, head.headers, b''.join(pieces), True)
 
 
-def _instance(name: str, address: Address, service: str) -> ListedInstance:
+def instance(name: str, address: Address, service: str) -> ListedInstance:
+    """Return a listed instance that is the head of a replica of its own."""
     membership = Membership(name, 1, 0, MemberPhase.OPEN)
     return ListedInstance(
         name,
