--- a/tests/lib/circles.py
+++ b/tests/lib/circles.py
@@ -22,6 +22,7 @@
 from cranecart.mesh._telling import Telling
 from cranecart.models import RouteConfig
 from cranecart.nodes import NodeLink
+from cranecart.quarantine import CaseBook
 
 BEAT_SECONDS = 0.25
 _DOMAINS = 3
@@ -153,6 +154,7 @@
     stopped: set[str]
     versions: list[int]
     configs: list[RouteConfig]
+    book: CaseBook
     world: World
 
     @classmethod
@@ -163,10 +165,13 @@
         stopped: set[str] = set()
         versions: list[int] = []
         configs: list[RouteConfig] = []
+        book = CaseBook(lambda: world.now)
         events = MeshEvents(
             lambda message: stopped.add(message.replica),
             _no_suspect,
-            lambda message: False,
+            lambda message: any(
+                [book.take(one, is_own=False) for one in message.cases],
+            ),
             lambda news: versions.append(news.version),
             _ignore,
             lambda: in_flight,
@@ -186,6 +191,7 @@
             stopped,
             versions,
             configs,
+            book,
             world,
         )
 
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -6,10 +6,11 @@
 from hypothesis import strategies as st
 
 from cranecart.fleet import News
-from cranecart.mesh import ConfigAsk, ListNews, Stopped
+from cranecart.mesh import ConfigAsk, ListNews, RequestCases, Stopped
 from cranecart.mesh._notices import Notices
 from cranecart.models import RouteConfig
-from cranecart.ports import ListedInstance
+from cranecart.ports import Life, ListedInstance
+from cranecart.quarantine import CaseNews, End, Standing
 from tests.lib.circles import World
 
 _SMALL = 9
@@ -309,6 +310,39 @@
         self.assertEqual(without, [])
 
 
+class CasesTest(unittest.TestCase):
+    """That targets ended under a request reaches everybody at once."""
+
+    def test_three_nodes_saw_an_end_each(self) -> None:
+        """All know the three, of whatever failure domain, before a beat."""
+        for count in (8, 60):
+            with self.subTest(nodes=count):
+                world = World.of(count)
+                world.run(3)
+                for number in range(3):
+                    _tell_end(world, f'node-{number:03}', number)
+                world.deliver()
+                held = [node.book.standing('a') for node in world.alive]
+                self.assertEqual(set(held), {Standing.HELD})
+
+    def test_it_does_not_go_round(self) -> None:
+        """Told twice, it is passed on once."""
+        world = World.of(60)
+        world.run(3)
+        before = world.sent.total()
+        for _time in range(2):
+            _tell_end(world, 'node-000', 0)
+            world.deliver()
+        self.assertLess(world.sent.total() - before, 2 * 60)
+
+
+def _tell_end(world: World, name: str, number: int) -> None:
+    news = CaseNews('a', (End(Life(f'i{number}', 1), True),))
+    node = world.nodes[name]
+    node.book.take(news, is_own=True)
+    node.mesh.tell_cases(RequestCases(name, [news]))
+
+
 class NewsTest(unittest.TestCase):
     """What one node has read reaches all, once between failure domains."""
 
--- /dev/null
+++ b/tests/unit/test_quarantine.py
@@ -0,0 +1,389 @@
+"""What is remembered of requests under which targets end, and of whom not."""
+
+import unittest
+from collections.abc import Sequence
+
+import attrs
+import curio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranecart.exceptions import (
+    ConnectFailedError,
+    ConnectRefusedError,
+    HeldError,
+)
+from cranecart.http import Address
+from cranecart.ports import Life, ListedInstance, Row
+from cranecart.quarantine import (
+    CaseBook,
+    CaseNews,
+    End,
+    EndProbe,
+    HeldRows,
+    RequestGuard,
+    Standing,
+    held_from_rows,
+    held_key,
+    identity_of,
+)
+from tests.lib.fake_platform import (
+    LOST_ANSWER,
+    REFUSED,
+    FakePlatform,
+)
+
+_LIVES = tuple(Life(f'i{number}', number) for number in range(12))
+_ENDS = st.builds(End, st.sampled_from(_LIVES), st.booleans())
+_NEWS = st.builds(
+    CaseNews,
+    st.sampled_from(('a', 'b')),
+    st.lists(_ENDS, max_size=3).map(tuple),
+    st.lists(st.sampled_from(_LIVES[:4]), max_size=2).map(tuple),
+)
+
+
+@attrs.define
+class _Clock:
+    now: float = 100
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def _begun(*numbers: int) -> CaseNews:
+    return CaseNews('a', tuple(End(_LIVES[one], True) for one in numbers))
+
+
+def _unsure(*numbers: int) -> CaseNews:
+    return CaseNews('a', tuple(End(_LIVES[one], False) for one in numbers))
+
+
+class IdentityTest(unittest.TestCase):
+    """What all tries at one request share."""
+
+    def test_parts_do_not_run_into_each_other(self) -> None:
+        """No two different requests have the same text of parts."""
+        self.assertNotEqual(
+            identity_of('ab', 'c', 'POST', '/', b'x'),
+            identity_of('a', 'bc', 'POST', '/', b'x'),
+        )
+
+    @given(st.binary(), st.binary())
+    def test_bodies(self, one: bytes, other: bytes) -> None:
+        """Only the same bytes are the same request."""
+        self.assertEqual(
+            identity_of('o', 'h', 'POST', '/p', one)
+            == identity_of('o', 'H', 'POST', '/p', other),
+            one == other,
+        )
+
+
+class BookTest(unittest.TestCase):
+    """Sets of lives, whoever tells them."""
+
+    def test_three_begun_ends(self) -> None:
+        """Told by three nodes, and once again by each."""
+        book = CaseBook()
+        for number in (0, 1, 2, 0, 1, 2):
+            book.take(_begun(number), is_own=False)
+        self.assertIs(book.standing('a'), Standing.HELD)
+
+    def test_one_life_counts_once(self) -> None:
+        """However many tries had begun there, and whoever tells it."""
+        book = CaseBook()
+        for _number in range(9):
+            book.take(_begun(0), is_own=True)
+        self.assertIs(book.standing('a'), Standing.SUSPECT)
+
+    def test_who_may_have_waited(self) -> None:
+        """One end more is asked for, and none makes a suspect."""
+        book = CaseBook()
+        standings = []
+        for number in range(4):
+            book.take(_unsure(number), is_own=True)
+            standings.append(book.standing('a'))
+        self.assertEqual(
+            standings,
+            [Standing.FREE, Standing.APART, Standing.APART, Standing.HELD],
+        )
+
+    def test_a_whole_answer_clears(self) -> None:
+        """Also against news of the same ends that come late."""
+        book = CaseBook()
+        book.take(_begun(0, 1), is_own=True)
+        news = book.cleared('a')
+        assert news is not None
+        book.take(news, is_own=True)
+        book.take(_begun(0, 1), is_own=False)
+        book.take(_begun(2), is_own=False)
+        self.assertIs(book.standing('a'), Standing.SUSPECT)
+
+    @given(st.lists(_NEWS, max_size=12), st.randoms())
+    def test_order_does_not_matter(
+        self,
+        told: list[CaseNews],
+        source: 'st.Random',  # type: ignore[name-defined]
+    ) -> None:
+        """Late, again, and in any order: nodes come to the same."""
+        shuffled = [*told, *told]
+        source.shuffle(shuffled)
+        books = (CaseBook(), CaseBook())
+        for book, news in zip(books, (told, shuffled), strict=True):
+            for one in news:
+                book.take(one, is_own=False)
+        for identity in ('a', 'b'):
+            self.assertIs(
+                books[0].standing(identity),
+                books[1].standing(identity),
+            )
+
+    def test_bounded(self) -> None:
+        """Bodies that vary fill no memory; the newest held ones stay."""
+        book = CaseBook()
+        for number in range(3000):
+            news = attrs.evolve(_begun(0, 1, 2), identity=f'held {number}')
+            book.take(news, is_own=True)
+            news = attrs.evolve(_begun(0), identity=f'suspect {number}')
+            book.take(news, is_own=True)
+        counts = book.counts()
+        self.assertLessEqual(counts['requests_held'], 256)
+        self.assertLessEqual(counts['requests_suspected'], 2048)
+        self.assertIs(book.standing('held 2999'), Standing.HELD)
+
+    def test_suspects_are_forgotten(self) -> None:
+        """After an hour; what is held stays."""
+        clock = _Clock()
+        book = CaseBook(clock)
+        book.take(_begun(0, 1, 2), is_own=True)
+        book.take(attrs.evolve(_begun(0), identity='old'), is_own=True)
+        clock.now += 3700
+        book.take(attrs.evolve(_begun(0), identity='new'), is_own=True)
+        self.assertIs(book.standing('old'), Standing.FREE)
+        self.assertIs(book.standing('a'), Standing.HELD)
+
+
+class ProbeTest(unittest.TestCase):
+    """What a port says of a life."""
+
+    def test_only_a_refusal_tells(self) -> None:
+        """A connection that is taken, or a cut path, is no evidence."""
+        for error, ended in (
+            (None, False),
+            (ConnectFailedError('no answer'), False),
+            (ConnectRefusedError('nothing listens'), True),
+        ):
+            with self.subTest(error=error):
+                probe = EndProbe(_Port(error))
+                found = curio.run(probe.has_ended, _listed(0))
+                self.assertIs(found, ended)
+
+    def test_asked_once_for_all(self) -> None:
+        """Thirty requests that break off together ask once."""
+        port = _Port(ConnectRefusedError('nothing listens'))
+        curio.run(_ask_together, EndProbe(port), 30)
+        self.assertEqual(port.asked, 1)
+
+    def test_forgotten(self) -> None:
+        """Lives that are gone take no memory for ever."""
+        clock = _Clock()
+        port = _Port(ConnectRefusedError('nothing listens'))
+        probe = EndProbe(port, clock)
+        curio.run(probe.has_ended, _listed(0))
+        clock.now += 120
+        probe.forget(())
+        self.assertFalse(probe._found or probe._locks)
+
+
+class GuardTest(unittest.TestCase):
+    """Which ends count, and what follows from them."""
+
+    def test_what_does_not_count(self) -> None:
+        """Who had run for long, who left as planned, who lives on."""
+        for seconds, leaves, error in (
+            (0.6, False, ConnectRefusedError('nothing listens')),
+            (0.1, True, ConnectRefusedError('nothing listens')),
+            (0.1, False, None),
+        ):
+            with self.subTest(seconds=seconds, leaves=leaves, error=error):
+                guard = _guard(_Port(error), leaves=leaves)
+                for number in range(5):
+                    curio.run(
+                        guard.disconnected,
+                        'a',
+                        _listed(number),
+                        seconds,
+                    )
+                self.assertTrue(guard.book.is_empty)
+
+    def test_nothing_is_computed_on_ordinary_days(self) -> None:
+        """No digest where there is nothing to compare it with."""
+        guard = _guard(_Port(None))
+        with guard.running(_fail, _listed(0)):
+            self.assertFalse(guard.passed_over(_fail))
+        guard.served(_fail)
+
+    def test_held(self) -> None:
+        """The third end holds it; it is told with what it ended."""
+        guard = _guard(_Port(ConnectRefusedError('nothing listens')))
+        for number in range(3):
+            curio.run(guard.disconnected, 'a', _listed(number), 0.1)
+        with self.assertRaises(HeldError) as caught:
+            guard.passed_over(lambda: 'a')
+        self.assertIn('i0, i1, i2', str(caught.exception))
+        self.assertFalse(guard.passed_over(lambda: 'b'))
+
+    def test_suspects_keep_apart(self) -> None:
+        """Those of one end go to different targets, others where none is."""
+        guard = _guard(_Port(None))
+        for identity, numbers in (('a', (0, 1)), ('b', (0,)), ('c', (0,))):
+            news = attrs.evolve(_begun(*numbers), identity=identity)
+            guard.book.take(news, is_own=True)
+        with (
+            guard.running(lambda: 'a', _listed(4)),
+            guard.running(lambda: 'b', _listed(5)),
+        ):
+            self.assertEqual(set(guard.passed_over(lambda: 'c')), {'i4', 'i5'})
+            # Others are kept away only from what was there at two ends.
+            self.assertEqual(set(guard.passed_over(lambda: 'x')), {'i4'})
+        self.assertFalse(guard.passed_over(lambda: 'c'))
+
+    def test_told_again(self) -> None:
+        """News may be lost: it is repeated for two seconds, then no more."""
+        clock = _Clock()
+        told: list[Sequence[CaseNews]] = []
+        guard = RequestGuard(
+            lambda _one: False,
+            told.append,
+            CaseBook(clock),
+            clock,
+            EndProbe(_Port(ConnectRefusedError('nothing listens'))),
+        )
+        curio.run(guard.disconnected, 'a', _listed(0), 0.1)
+        for _turn in range(9):
+            clock.now += 0.5
+            guard.repeat()
+        self.assertEqual(len(told), 4)
+
+
+class RowsTest(unittest.TestCase):
+    """What outlasts every node."""
+
+    def test_another_node_reads_it(self) -> None:
+        """One that has started since, or that nobody reaches."""
+        table, book = FakePlatform(), CaseBook()
+        book.take(_begun(0, 1, 2), is_own=True)
+        curio.run(HeldRows('n0', table, book).write)
+        other = CaseBook()
+        HeldRows('n1', FakePlatform(), other).take(table.rows, True)
+        self.assertIs(other.standing('a'), Standing.HELD)
+
+    def test_written_once(self) -> None:
+        """Also where an answer was lost, or the store was away."""
+        for faults in ((), (LOST_ANSWER,), (REFUSED, REFUSED)):
+            with self.subTest(faults=faults):
+                table = FakePlatform(faults=iter(faults))
+                book = CaseBook()
+                rows = HeldRows('n0', table, book)
+                book.take(_begun(0, 1, 2), is_own=True)
+                for _turn in range(5):
+                    curio.run(rows.write)
+                    rows.take(table.rows, False)
+                self.assertEqual(len(table.rows), 1)
+                self.assertLessEqual(table.version, 2)
+
+    def test_its_finder_dies(self) -> None:
+        """Another node writes what it was told, after some time."""
+        clock = _Clock()
+        table, book = FakePlatform(), CaseBook(clock)
+        rows = HeldRows('n1', table, book, clock)
+        book.take(_begun(0, 1, 2), is_own=False)
+        curio.run(rows.write)
+        self.assertFalse(table.rows)
+        clock.now += 2.5
+        curio.run(rows.write)
+        self.assertTrue(table.rows)
+
+    def test_an_operator_releases(self) -> None:
+        """The row goes, nobody writes it again, and it starts at nothing."""
+        for is_whole in (False, True):
+            with self.subTest(is_whole=is_whole):
+                table, book = FakePlatform(), CaseBook()
+                rows = HeldRows('n0', table, book)
+                book.take(_begun(0, 1, 2), is_own=True)
+                curio.run(rows.write)
+                gone = {} if is_whole else dict.fromkeys(table.rows)
+                rows.take(gone, is_whole)
+                table.rows.clear()
+                book.take(_begun(0, 1, 2), is_own=False)
+                curio.run(rows.write)
+                self.assertFalse(table.rows)
+                self.assertIs(book.standing('a'), Standing.FREE)
+
+    def test_cleared_drops_the_row(self) -> None:
+        """A copy that was under way is answered whole."""
+        table, book = FakePlatform(), CaseBook()
+        rows = HeldRows('n0', table, book)
+        book.take(_begun(0, 1, 2), is_own=True)
+        curio.run(rows.write)
+        news = book.cleared('a')
+        assert news is not None
+        book.take(news, is_own=True)
+        curio.run(rows.write)
+        self.assertFalse(table.rows)
+
+    @given(st.one_of(st.text(), st.from_regex(r'\{"news":.*\}')))
+    def test_rows_of_other_writers(self, text: str) -> None:
+        """They hold nobody, and change nothing that is known."""
+        key = held_key('a')
+        book = CaseBook()
+        book.take(_begun(0, 1, 2), is_own=True)
+        rows = HeldRows('n0', FakePlatform(), book)
+        rows.take({key: Row(key, 1, text)}, False)
+        self.assertIs(book.standing('a'), Standing.HELD)
+        self.assertFalse(held_from_rows({key: Row(key, 1, text)}))
+
+
+@attrs.define
+class _Port:
+    """A port that takes connections, or what it answers with."""
+
+    error: Exception | None
+    asked: int = 0
+
+    async def __call__(self, _address: Address) -> None:
+        self.asked += 1
+        await curio.sleep(0.001)
+        if self.error is not None:
+            raise self.error
+
+
+def _guard(port: _Port, *, leaves: bool = False) -> RequestGuard:
+    return RequestGuard(
+        lambda _one: leaves,
+        lambda _cases: None,
+        probe=EndProbe(port),
+    )
+
+
+def _listed(number: int) -> ListedInstance:
+    life = _LIVES[number]
+    address = Address('127.0.0.1', 1)
+    return ListedInstance(life.id, 's', address, 'east', 1, born=life.born)
+
+
+async def _ask_together(probe: EndProbe, count: int) -> None:
+    asking = [
+        await curio.spawn(probe.has_ended, _listed(0))
+        for _number in range(count)
+    ]
+    for task in asking:
+        await task.join()
+
+
+def _fail() -> str:
+    raise AssertionError('there is nothing to compare it with')
+
+
+if __name__ == '__main__':
+    unittest.main()
