--- a/tests/lib/ending_targets.py
+++ b/tests/lib/ending_targets.py
@@ -160,6 +160,8 @@
         """Build everything; nothing runs until ``run``."""
         self.back_seconds = back_seconds
         self.ends: list[float] = []
+        # Nodes that the others' news does not reach.
+        self.cut_off: list[GatewayWorld] = []
         self.sent: list[Sent] = []
         self._renamed = renamed
         self._service = service
@@ -223,7 +225,7 @@
     def _tell(self, teller: GatewayWorld, cases: Sequence[CaseNews]) -> None:
         """Pass news on to the other nodes."""
         for node in self.nodes:
-            if node is not teller:
+            if node is not teller and node not in self.cut_off:
                 for news in cases:
                     node.guard.hear(news, 'another node')
 
