Hold such calls on the native path as well

Cause: the same gap; a call's attempts know the targets of their own try only. Change: its attempts ask the same guard, and nodes tell each other by entries of their own topic, also across failure domains; a generation of a replica is a life, and a plain service's instance one. Its routing does not yet pass over targets that run other suspects.

--- a/src/cranecart/clients/_attempts.py
+++ b/src/cranecart/clients/_attempts.py
@@ -11,6 +11,7 @@
 from cranecart.exceptions import (
     DeadlineError,
     Execution,
+    HeldError,
     NoReplicaError,
     RequestError,
     TargetError,
@@ -18,6 +19,7 @@
 )
 from cranecart.limits import RetryBudget
 from cranecart.logs import decision
+from cranecart.quarantine import RequestGuard
 from cranecart.targets import Call
 
 Answer = TypeVar('Answer')
@@ -32,6 +34,7 @@
 
     _call: Call
     _budget: RetryBudget
+    _guard: RequestGuard
     _number: int = attrs.field(default=0, init=False)
     _last: TargetError | None = attrs.field(default=None, init=False)
 
@@ -43,15 +46,19 @@
         while self._may_go_on():
             self._number += 1
             try:
+                self._guard.passed_over(self._identity)
                 return await attempt()
             except TargetError as error:
                 self._note(error)
-            except NoReplicaError as error:
+            except (NoReplicaError, HeldError) as error:
                 raise self._final_error(error) from error
         raise self._final_error(
             DeadlineError('the deadline passed before it was sent'),
         )
 
+    def _identity(self) -> str:
+        return self._call.identity
+
     def _note(self, error: TargetError) -> None:
         # Once it may have run, a later refusal does not make it 'not run'.
         if self._last is None or self._last.execution is Execution.NOT_RUN:
@@ -76,9 +83,11 @@
         return is_safe and self._budget.take()
 
     def _final_error(self, without_attempt: RequestError) -> RequestError:
-        if self._last is None:
+        is_held = isinstance(without_attempt, HeldError)
+        last = self._last
+        if last is None or (is_held and last.execution is Execution.NOT_RUN):
             return without_attempt
-        return describe_target_error(self._last)
+        return describe_target_error(last)
 
 
 async def within_deadline(
--- a/src/cranecart/clients/_gateway.py
+++ b/src/cranecart/clients/_gateway.py
@@ -10,7 +10,7 @@
 from cranecart.clients._attempts import Attempts, within_deadline
 from cranecart.clients._errors import error_response
 from cranecart.clients._reading import find_organisation, read_call
-from cranecart.clients._relay import StreamRelay
+from cranecart.clients._relay import StreamRelay, replica_runner
 from cranecart.exceptions import (
     ConnectionBrokenError,
     Execution,
@@ -21,10 +21,13 @@
 from cranecart.limits import Admission, RetryBudget
 from cranecart.logs import decision
 from cranecart.models import Declarations
+from cranecart.ports import Life
+from cranecart.quarantine import NamedRunner, RequestGuard
 from cranecart.routing import Router
 from cranecart.targets import (
     Call,
     CompletionCall,
+    EngineAnswer,
     EngineClient,
     ServiceCall,
     ServiceClient,
@@ -48,6 +51,7 @@
     _claims: Claims
     _admission: Admission
     _observe: Observer
+    _guard: RequestGuard
     _budget: RetryBudget = attrs.field(factory=RetryBudget, init=False)
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -133,9 +137,15 @@
         call: CompletionCall,
         responder: Responder,
     ) -> Response | None:
-        relay = StreamRelay(call, responder, self._router, self._engines)
+        relay = StreamRelay(
+            call,
+            responder,
+            self._router,
+            self._engines,
+            self._guard,
+        )
         try:
-            await Attempts(call, self._budget).run(relay.attempt)
+            await self._attempts(call).run(relay.attempt)
         except RequestError as error:
             if not responder.has_started:
                 raise
@@ -149,12 +159,17 @@
         async def attempt() -> Response:  # noqa: WPS430
             replica = self._router.choose_replica(call, tried)
             tried.append(replica.id)
+            runner = replica_runner(replica)
             with self._router.in_flight(replica.id):
-                async with await self._engines.start(replica, call) as answer:
-                    body = await within_deadline(call, answer.read_body)
-                    return Response(_OK, answer.head.headers, body)
+                async with self._guard.watching(
+                    lambda: call.identity,
+                    runner,
+                ) as watch:
+                    answer = await self._engines.start(replica, call)
+                    watch.answering()
+                    return await _read_completion(call, answer)
 
-        return await Attempts(call, self._budget).run(attempt)
+        return await self._attempts(call).run(attempt)
 
     async def _call_service(self, call: ServiceCall) -> Response:
         tried: list[str] = []
@@ -162,10 +177,26 @@
         async def attempt() -> Response:  # noqa: WPS430
             instance = self._router.choose_instance(call, tried)
             tried.append(instance.id)
+            life = Life(instance.id)
+            runner = NamedRunner(instance.id, life, instance.address)
+            watching = self._guard.watching(lambda: call.identity, runner)
             with self._router.in_flight(instance.id):
-                return await self._services.call(instance, call)
+                async with watching:
+                    return await self._services.call(instance, call)
+
+        return await self._attempts(call).run(attempt)
+
+    def _attempts(self, call: Call) -> Attempts:
+        return Attempts(call, self._budget, self._guard)
+
 
-        return await Attempts(call, self._budget).run(attempt)
+async def _read_completion(
+    call: CompletionCall,
+    answer: EngineAnswer,
+) -> Response:
+    async with answer:
+        body = await within_deadline(call, answer.read_body)
+        return Response(_OK, answer.head.headers, body)
 
 
 async def _send_whole(
--- a/src/cranecart/clients/_relay.py
+++ b/src/cranecart/clients/_relay.py
@@ -10,6 +10,8 @@
 )
 from cranecart.http import Responder, Response
 from cranecart.logs import decision
+from cranecart.ports import Life
+from cranecart.quarantine import NamedRunner, RequestGuard, Watch
 from cranecart.routing import Router
 from cranecart.targets import (
     CompletionCall,
@@ -22,6 +24,12 @@
 _EVENT_STREAM = 'text/event-stream'
 
 
+def replica_runner(replica: ServingReplica) -> NamedRunner:
+    """Return the leader; each generation of a replica is a life of its own."""
+    life = Life(replica.members[0], replica.generation)
+    return NamedRunner(replica.id, life, replica.leader)
+
+
 class StreamRelay:
     """One client's stream, over all attempts at it."""
 
@@ -31,6 +39,7 @@
         responder: Responder,
         router: Router,
         engines: EngineClient,
+        guard: RequestGuard,
     ) -> None:
         """Start with no token passed on."""
         self._counter = EventCounter()
@@ -38,6 +47,7 @@
         self._responder = responder
         self._router = router
         self._engines = engines
+        self._guard = guard
         self._tried: list[str] = []
         self._pieces: list[bytes] = []
         self._client_left = False
@@ -51,8 +61,11 @@
         """Relay from a replica that was not tried; raise ``TargetError``."""
         replica = self._router.choose_replica(self._call, self._tried)
         self._tried.append(replica.id)
+        runner = replica_runner(replica)
+        watching = self._guard.watching(lambda: self._call.identity, runner)
         with self._router.in_flight(replica.id):
-            await self._relay(replica)
+            async with watching as watch:
+                await self._relay(replica, watch)
 
     async def finish_with(self, error: RequestError) -> None:
         """End a stream that has started with an event that says why."""
@@ -74,7 +87,7 @@
             b''.join(self._pieces),
         )
 
-    async def _relay(self, replica: ServingReplica) -> None:
+    async def _relay(self, replica: ServingReplica, watch: Watch) -> None:
         self._counter.restart()
         answer = await self._engines.start(
             replica,
@@ -82,6 +95,7 @@
             self._counter.tokens,
         )
         async with answer:
+            watch.answering()
             await self._start()
             # One timer for the whole stream; one an event costs too much.
             await within_deadline(self._call, self._pass_all_on, answer)
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -1,8 +1,6 @@
 """Decide whether a request goes to another target."""
 
-import contextlib
-import time
-from collections.abc import Awaitable, Callable, Generator
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -22,7 +20,7 @@
 )
 from cranecart.forwarding._call import RoutedCall, wanted
 from cranecart.limits import SharedRetryBudget
-from cranecart.quarantine import RequestGuard
+from cranecart.quarantine import RequestGuard, Watch
 from cranecart.routing import HeadRouter, Target, Wanted
 
 # When to come back after a target has refused, in seconds.
@@ -50,8 +48,7 @@
     _sent: int = attrs.field(default=0, init=False)
     _not_reached: int = attrs.field(default=0, init=False)
     _last: TargetError | None = attrs.field(default=None, init=False)
-    # When the present target began to answer, on the monotonic clock.
-    _answering_at: float | None = attrs.field(default=None, init=False)
+    _watch: Watch | None = attrs.field(default=None, init=False)
 
     async def run(self, attempt: Callable[[Target], Awaitable[None]]) -> None:
         """Attempt until one succeeds; raise ``RequestError`` for the last."""
@@ -83,22 +80,24 @@
 
     def answering(self) -> None:
         """Take over that the present target has begun to answer."""
-        self._answering_at = time.monotonic()
+        if self._watch is not None:
+            self._watch.answering()
 
     async def _succeeds(
         self,
         attempt: Callable[[Target], Awaitable[None]],
         target: Target,
     ) -> bool:
+        watching = self._guard.watching(self._identity, target.instance)
         try:
-            with self._running(target):
-                await attempt(target)
+            async with watching as watch:
+                self._watch = watch
+                with self._router.in_flight(target):
+                    await attempt(target)
         except TargetError as error:
             self._note(target, error)
-            await self._look_for_end(target, error)
             return False
         self._router.succeeded(target.instance.life)
-        self._guard.served(self._identity)
         return True
 
     def _wanted(self) -> Wanted:
@@ -130,7 +129,6 @@
             tried=list(self.tried),
         )
         self.tried.append(target.instance.id)
-        self._answering_at = None
         return target
 
     def _check_time(self) -> None:
@@ -162,13 +160,12 @@
             why=str(error),
             left=round(self.call.seconds_left, 3),
         )
+        if isinstance(error, TargetDisconnectedError):
+            self._tell_disconnected(target)
 
-    async def _look_for_end(self, target: Target, error: TargetError) -> None:
-        """Find out whether the request has ended its target."""
-        if not isinstance(error, TargetDisconnectedError):
-            return
-        began = self._answering_at
-        answered = None if began is None else time.monotonic() - began
+    def _tell_disconnected(self, target: Target) -> None:
+        """Log what shows whether the request has ended its target."""
+        answered = self._watch and self._watch.answered_seconds
         self.call.trace.add(
             'target_disconnected',
             instance=target.instance.id,
@@ -177,18 +174,6 @@
             answered_for=answered and round(answered, 3),
             beside=self._router.load(target.instance.id),
         )
-        await self._guard.disconnected(
-            self.call.identity,
-            target.instance,
-            answered,
-        )
-
-    @contextlib.contextmanager
-    def _running(self, target: Target) -> Generator[None, None, None]:
-        """Count the request at a target while an attempt lasts."""
-        counted = self._router.in_flight(target)
-        with counted, self._guard.running(self._identity, target.instance):
-            yield
 
     def _identity(self) -> str:
         return self.call.identity
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -83,6 +83,7 @@
             shares,
             TokenRates(shares.share),
         )
+        self._guard = self._peering.make_guard(self._book)
         gateway = Gateway(
             self._config.declarations,
             Router(
@@ -95,6 +96,7 @@
             Claims(settings.node_id, WriteBatcher(platform)),
             self._admission,
             self._metrics.observe_request,
+            self._guard,
         )
         self._client_server = HttpServer(settings.clients, gateway.handle)
         self._admin_server = HttpServer(
@@ -167,6 +169,7 @@
     def _metrics_text(self) -> bytes:
         counts = {
             **self._peering.counts(),
+            **self._guard.counts(),
             'platform_reads': self._platform.reads,
             'platform_writes': self._platform.writes,
         }
--- a/src/cranecart/node/_peering.py
+++ b/src/cranecart/node/_peering.py
@@ -1,5 +1,6 @@
 """The parts of a node that deal with other nodes."""
 
+import functools
 import random
 import time
 from typing import Self
@@ -28,9 +29,10 @@
     decode_message,
     encode_message,
 )
+from cranecart.quarantine import RequestGuard, Runner
 from cranecart.rollout import CurrentConfig
 from cranecart.signals import raise_first_error
-from cranecart.targets import Directory
+from cranecart.targets import Directory, ReportBook
 
 _MILLISECONDS = 1000
 
@@ -93,6 +95,20 @@
         )
         return cls(members, peers, state, link)
 
+    def make_guard(self, book: ReportBook) -> RequestGuard:
+        """Build what holds requests that end targets, told by all nodes."""
+
+        def is_expected(runner: Runner) -> bool:  # noqa: WPS430
+            listed = book.instances.get(runner.life.id)
+            return listed is None or listed.leaving
+
+        guard = RequestGuard(
+            is_expected,
+            functools.partial(self.state.tell_cases, self.peers),
+        )
+        self.state.on_case = guard.hear
+        return guard
+
     async def run(self) -> None:
         """Talk to other nodes until cancelled."""
         async with curio.TaskGroup(wait=any) as tasks:
--- a/src/cranecart/node/_shared_state.py
+++ b/src/cranecart/node/_shared_state.py
@@ -1,7 +1,7 @@
 """What this node tells others and takes from them, between its parts."""
 
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 import curio
@@ -18,6 +18,7 @@
     Topic,
     choose_nodes,
 )
+from cranecart.quarantine import CaseNews
 from cranecart.rollout import CurrentConfig, Release
 from cranecart.targets import Directory, Probe, Reach, ReportBook, Summary
 
@@ -29,6 +30,8 @@
 # who ask in its place have found something.
 _GRACE_SECONDS = 1.5
 _PROBERS_PER_INSTANCE = 2
+# They go to other failure domains with each message, some 200 bytes each.
+_MOST_CASES = 64
 
 
 @attrs.define
@@ -41,6 +44,11 @@
     _directory: Directory
     _config: CurrentConfig
     _demand_sharing: DemandSharing
+    # Told what other nodes know of requests that end targets, and who says so.
+    on_case: Callable[[CaseNews, str], object] = attrs.field(
+        default=lambda _news, _sender: None,
+        init=False,
+    )
     _summary: Summary | None = attrs.field(default=None, init=False)
     _live: frozenset[str] = attrs.field(factory=frozenset, init=False)
     _counting: frozenset[str] = attrs.field(factory=frozenset, init=False)
@@ -82,9 +90,20 @@
                 summary = msgspec.convert(entry.body, Summary)
                 self._directory.note(summary)
                 self._demand_sharing.take_summary(summary)
+            case Topic.CASE:
+                news = msgspec.convert(entry.body, CaseNews)
+                self.on_case(news, entry.key.origin)
+                self._forget_cases()
             case _:
                 self._demand_sharing.take_entry(entry)
 
+    def tell_cases(self, peers: Peers, cases: Iterable[CaseNews]) -> None:
+        """Tell the other nodes of requests under which targets have ended."""
+        for news in cases:
+            body = msgspec.to_builtins(news)
+            peers.publish(Topic.CASE, news.identity, body)
+        self._forget_cases()
+
     def read_config(self) -> HeldConfig:
         """Return the configuration in force."""
         release = self._config.release
@@ -118,6 +137,10 @@
         """Return the instances that this node answers for."""
         return self._probed
 
+    def _forget_cases(self) -> None:
+        cases = [entry.key for entry in self._store.of_topic(Topic.CASE)]
+        self._store.forget(cases[:-_MOST_CASES])
+
     def _choose_probed(self) -> None:
         # Worth doing on change only: it is a hash for each instance and node.
         domain = self._members.info.failure_domain
--- a/src/cranecart/nodes/_entries.py
+++ b/src/cranecart/nodes/_entries.py
@@ -14,6 +14,7 @@
     REPORT = 'report'
     DEMAND = 'demand'
     SUMMARY = 'summary'
+    CASE = 'case'
 
 
 class MemberStatus(enum.IntEnum):
--- a/src/cranecart/nodes/_peers.py
+++ b/src/cranecart/nodes/_peers.py
@@ -61,6 +61,9 @@
     was_paused: Callable[[], None]
 
 
+_OF_ALL_DOMAINS = frozenset((Topic.SUMMARY, Topic.CASE))
+
+
 class Peers:
     """The part of a node that talks to other nodes."""
 
@@ -185,8 +188,8 @@
         for entry in message.entries:
             if entry.key.topic is Topic.MEMBER:
                 self._config.look_at(entry)
-            # Of other domains nothing is kept but their summaries.
-            is_wanted = is_near or entry.key.topic is Topic.SUMMARY
+            # Of other domains nothing else is kept.
+            is_wanted = is_near or entry.key.topic in _OF_ALL_DOMAINS
             if is_wanted and self._store.accept(entry):
                 self._accepted(entry)
 
--- a/src/cranecart/nodes/_speaker.py
+++ b/src/cranecart/nodes/_speaker.py
@@ -49,7 +49,10 @@
         near = self.members.addresses()
         if address in near:
             return self.store.next_news(len(near) + 1)
-        # Strangers and other failure domains hear who speaks, and summaries.
+        # Strangers and other failure domains hear who speaks, and little else.
         own = self.store.get(member_key(self.members.node_id))
-        summaries = self.store.of_topic(Topic.SUMMARY)
-        return (*([own] if own else []), *summaries)
+        return (
+            *([own] if own else []),
+            *self.store.of_topic(Topic.SUMMARY),
+            *self.store.of_topic(Topic.CASE),
+        )
--- a/src/cranecart/nodes/_store.py
+++ b/src/cranecart/nodes/_store.py
@@ -12,7 +12,8 @@
 
 _SPREAD_FACTOR = 2
 _MAX_PER_MESSAGE = 48
-_PERIODIC = frozenset((Topic.SUMMARY, Topic.DEMAND))
+# Told again at times, or bounded in number: not asked for where it is missing.
+_PASSING = frozenset((Topic.SUMMARY, Topic.DEMAND, Topic.CASE))
 
 
 @attrs.define
@@ -88,7 +89,7 @@
         What is published again and again anyway is left out: it differs
         between any two nodes at most times, and need not be asked for.
         """
-        if entry is not None and entry.key.topic not in _PERIODIC:
+        if entry is not None and entry.key.topic not in _PASSING:
             self.digest ^= _mark(entry)
 
 
--- a/src/cranecart/quarantine/__init__.py
+++ b/src/cranecart/quarantine/__init__.py
@@ -6,10 +6,11 @@
     End,
     Standing,
 )
-from cranecart.quarantine._guard import RequestGuard
+from cranecart.quarantine._guard import RequestGuard, Watch
 from cranecart.quarantine._identity import identity_of
 from cranecart.quarantine._probe import EndProbe
 from cranecart.quarantine._rows import HeldRows, held_from_rows, held_key
+from cranecart.quarantine._runner import NamedRunner, Runner
 
 __all__ = (
     'CaseBook',
@@ -17,8 +18,11 @@
     'End',
     'EndProbe',
     'HeldRows',
+    'NamedRunner',
     'RequestGuard',
+    'Runner',
     'Standing',
+    'Watch',
     'held_from_rows',
     'held_key',
     'identity_of',
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -3,15 +3,22 @@
 import contextlib
 import time
 from collections import Counter
-from collections.abc import Callable, Collection, Generator, Sequence
+from collections.abc import (
+    AsyncGenerator,
+    Callable,
+    Collection,
+    Generator,
+    Sequence,
+)
 
 import attrs
 
-from cranecart.exceptions import HeldError
+from cranecart.exceptions import HeldError, TargetDisconnectedError
 from cranecart.logs import decision
-from cranecart.ports import Life, ListedInstance
+from cranecart.ports import Life
 from cranecart.quarantine._book import CaseBook, CaseNews, End, Standing
 from cranecart.quarantine._probe import EndProbe
+from cranecart.quarantine._runner import Runner
 
 # What ends a target does so as it begins there: within 0.04 to 0.13 s where it
 # was seen. Four times as much is left for busy nodes. Who had run for longer
@@ -23,6 +30,23 @@
 _SUSPECTS = frozenset((Standing.SUSPECT, Standing.APART))
 
 
+@attrs.define
+class Watch:
+    """One attempt, and since when its target has been answering."""
+
+    _clock: Callable[[], float]
+    _since: float | None = attrs.field(default=None, init=False)
+
+    @property
+    def answered_seconds(self) -> float | None:
+        """Return for how long the target has answered, if it has begun."""
+        return None if self._since is None else self._clock() - self._since
+
+    def answering(self) -> None:
+        """Take over that the target has begun to answer."""
+        self._since = self._clock()
+
+
 @attrs.define
 class RequestGuard:
     """One node's part in finding and holding such requests.
@@ -32,7 +56,7 @@
     digests that all tries at one share.
     """
 
-    _is_expected: Callable[[ListedInstance], bool]
+    _is_expected: Callable[[Runner], bool]
     _tell: Callable[[Sequence[CaseNews]], None]
     book: CaseBook = attrs.field(factory=CaseBook)
     _clock: Callable[[], float] = time.monotonic
@@ -68,11 +92,28 @@
         suspected = standing in _SUSPECTS
         return (self._suspects if suspected else self._apart).keys()
 
+    @contextlib.asynccontextmanager
+    async def watching(
+        self,
+        identity: Callable[[], str],
+        runner: Runner,
+    ) -> AsyncGenerator['Watch', None]:
+        """Watch one attempt; it succeeded if the context ends without error."""
+        watch = Watch(self._clock)
+        try:
+            with self.running(identity, runner):
+                yield watch
+        except TargetDisconnectedError:
+            seconds = watch.answered_seconds
+            await self.disconnected(identity(), runner, seconds)
+            raise
+        self.served(identity)
+
     @contextlib.contextmanager
     def running(
         self,
         identity: Callable[[], str],
-        instance: ListedInstance,
+        runner: Runner,
     ) -> Generator[None, None, None]:
         """Count a suspected request at an instance while the context lasts."""
         standing = Standing.FREE
@@ -87,17 +128,17 @@
             if standing in counted
         ]
         for count in counts:
-            count[instance.id] += 1
+            count[runner.id] += 1
         try:
             yield
         finally:
             for count in counts:
-                _take_off(count, instance.id)
+                _take_off(count, runner.id)
 
     async def disconnected(
         self,
         identity: str,
-        instance: ListedInstance,
+        runner: Runner,
         answered_seconds: float | None,
     ) -> None:
         """Look whether a request has ended the target that it was at.
@@ -106,15 +147,15 @@
         was at all.
         """
         is_old = (answered_seconds or 0) > _BEGIN_SECONDS
-        if is_old or self._is_expected(instance):
+        if is_old or self._is_expected(runner):
             return
-        if not await self.probe.has_ended(instance):
+        if not await self.probe.has_ended(runner):
             return
         begun = answered_seconds is not None
-        news = CaseNews(identity, (End(instance.life, begun),))
+        news = CaseNews(identity, (End(runner.life, begun),))
         if self.book.take(news, is_own=True):
             self.ended += 1
-            self._log(identity, instance.life, 'seen here')
+            self._log(identity, runner.life, 'seen here')
             self._spread(identity)
 
     def served(self, identity: Callable[[], str]) -> None:
--- a/src/cranecart/quarantine/_probe.py
+++ b/src/cranecart/quarantine/_probe.py
@@ -8,7 +8,8 @@
 
 from cranecart.exceptions import ConnectFailedError, ConnectRefusedError
 from cranecart.http import Address, HttpConnection
-from cranecart.ports import Life, ListedInstance
+from cranecart.ports import Life
+from cranecart.quarantine._runner import Runner
 
 # Told by a live host within a few milliseconds on the deployments' links; what
 # a cut path says nothing of is no evidence, and others wait for the answer.
@@ -43,13 +44,13 @@
     )
     _locks: dict[Life, curio.Lock] = attrs.field(factory=dict, init=False)
 
-    async def has_ended(self, instance: ListedInstance) -> bool:
+    async def has_ended(self, runner: Runner) -> bool:
         """Tell whether a life has surely ended."""
-        life = instance.life
+        life = runner.life
         async with self._locks.setdefault(life, curio.Lock()):
             known = self._recent(life)
             if known is None:
-                known = await self._ask(instance.address)
+                known = await self._ask(runner.address)
                 self._found[life] = (known, self._clock())
         return known
 
--- a/src/cranecart/serving/_holding.py
+++ b/src/cranecart/serving/_holding.py
@@ -8,8 +8,8 @@
 
 from cranecart.fleet import Fleet
 from cranecart.mesh import Mesh, RequestCases
-from cranecart.ports import ListedInstance, Table
-from cranecart.quarantine import CaseNews, HeldRows, RequestGuard
+from cranecart.ports import Table
+from cranecart.quarantine import CaseNews, HeldRows, RequestGuard, Runner
 
 
 @attrs.frozen
@@ -33,8 +33,8 @@
         def tell(cases: Sequence[CaseNews]) -> None:  # noqa: WPS430
             mesh().tell_cases(RequestCases(node_id, list(cases)))
 
-        def is_expected(instance: ListedInstance) -> bool:  # noqa: WPS430
-            listed = fleet.instances.get(instance.id)
+        def is_expected(runner: Runner) -> bool:  # noqa: WPS430
+            listed = fleet.instances.get(runner.id)
             return listed is None or listed.leaving
 
         guard = RequestGuard(is_expected, tell)
--- a/src/cranecart/targets/_calls.py
+++ b/src/cranecart/targets/_calls.py
@@ -1,10 +1,12 @@
 """Calls of clients, read and checked, on their way to a target."""
 
+import functools
 import time
 
 import attrs
 
 from cranecart.models import Priority
+from cranecart.quarantine import identity_of
 
 
 @attrs.frozen(kw_only=True)
@@ -27,6 +29,22 @@
         """Return the time until the deadline, never below zero."""
         return max(0, self.deadline - time.monotonic())
 
+    @property
+    def path_named(self) -> str:
+        """Return what is asked for, beside the body."""
+        return ''
+
+    @functools.cached_property
+    def identity(self) -> str:
+        """Return what all tries of its caller at this call share."""
+        return identity_of(
+            self.organisation,
+            '',
+            '',
+            self.path_named,
+            self.body,
+        )
+
     @property
     def trace_headers(self) -> dict[str, str]:
         """Return the headers that let a target tell calls apart."""
@@ -61,3 +79,8 @@
     path: str
     method: str
     content_type: str = ''
+
+    @property
+    def path_named(self) -> str:
+        """Return the service, the method and the path."""
+        return f'{self.service} {self.method} {self.path}'
--- a/src/cranecart/targets/_engine.py
+++ b/src/cranecart/targets/_engine.py
@@ -12,6 +12,7 @@
     ConnectFailedError,
     HttpError,
     TargetBrokenError,
+    TargetDisconnectedError,
     TargetNotReachedError,
     TargetRefusedError,
     TargetTimeoutError,
@@ -106,14 +107,14 @@
         try:
             return await self._connection.read_piece()
         except HttpError as error:
-            raise TargetBrokenError(str(error)) from error
+            raise TargetDisconnectedError(str(error)) from error
 
     async def read_body(self) -> bytes:
         """Return the rest of the answer."""
         try:
             return await self._connection.read_body()
         except HttpError as error:
-            raise TargetBrokenError(str(error)) from error
+            raise TargetDisconnectedError(str(error)) from error
 
 
 @attrs.define
@@ -173,7 +174,7 @@
             ) from error
         except HttpError as error:
             await connection.close()
-            raise TargetBrokenError(str(error)) from error
+            raise TargetDisconnectedError(str(error)) from error
         except BaseException:
             await connection.close()
             raise
--- a/src/cranecart/targets/_service.py
+++ b/src/cranecart/targets/_service.py
@@ -7,6 +7,7 @@
     HttpError,
     PeerTimeoutError,
     TargetBrokenError,
+    TargetDisconnectedError,
     TargetNotReachedError,
     TargetRefusedError,
     TargetTimeoutError,
@@ -48,7 +49,7 @@
         except PeerTimeoutError as error:
             raise TargetTimeoutError(str(error)) from error
         except HttpError as error:
-            raise TargetBrokenError(str(error)) from error
+            raise TargetDisconnectedError(str(error)) from error
         # One that names nothing may be anybody's, a refusal too.
         if response.headers.get('x-request-id') != call.request_id:
             raise TargetBrokenError(f'{instance.id} answered another call')
--- /dev/null
+++ b/tests/unit/test_native_ending.py
@@ -0,0 +1,153 @@
+"""The native path holds a call that ends the targets that run it.
+
+It had the same gap as the path on the users' platform: a call's attempts knew
+only their own targets, so that each try of its caller ended up to four more.
+"""
+
+import itertools
+import random
+import socket
+import time
+import unittest
+from collections.abc import Iterable, Sequence
+
+import attrs
+import curio
+
+from cranecart.clients import Gateway
+from cranecart.exceptions import HeldError, RequestError
+from cranecart.models import Instance, InstanceKind
+from cranecart.quarantine import CaseNews, RequestGuard
+from cranecart.routing import Router
+from cranecart.targets import Call, EngineClient, ServiceCall, ServiceClient
+
+_TARGETS = 12
+_CALLS = 6
+# One of which nobody can tell whether it had begun is held after four ends.
+_MOST_ENDS = 4
+
+
+class NativeEndingTest(unittest.TestCase):
+    """One caller that sends the same call again and again."""
+
+    def test_calls_at_one_node(self) -> None:
+        """Four ends, and then it is refused at once."""
+        targets = [_Target(f's{number}') for number in range(_TARGETS)]
+        errors = curio.run(_play, targets, [_gateway(targets)])
+        self.assertEqual(sum(one.has_ended for one in targets), _MOST_ENDS)
+        self.assertIsInstance(errors[-1], HeldError)
+
+    def test_calls_at_several_nodes(self) -> None:
+        """The nodes add up what each saw."""
+        targets = [_Target(f's{number}') for number in range(_TARGETS)]
+        nodes = [_gateway(targets) for _number in range(3)]
+        guards = [node._guard for node in nodes]
+        for guard in guards:
+            guard._tell = _Others([one for one in guards if one is not guard])
+        curio.run(_play, targets, nodes)
+        self.assertEqual(sum(one.has_ended for one in targets), _MOST_ENDS)
+
+
+@attrs.define
+class _Target:
+    """A plain service that ends with its first call."""
+
+    name: str
+    has_ended: bool = False
+    listener: socket.socket = attrs.field(
+        factory=lambda: socket.create_server(('127.0.0.1', 0)),
+    )
+
+    @property
+    def instance(self) -> Instance:
+        """Return its entry in the list."""
+        host, port = self.listener.getsockname()[:2]
+        return Instance(
+            self.name,
+            InstanceKind.SERVICE,
+            host,
+            port,
+            'east',
+            '',
+            'crew',
+        )
+
+    async def run(self) -> None:
+        """Take one call, and end without an answer."""
+        listener = curio.io.Socket(self.listener)
+        async with listener:
+            sock, _address = await listener.accept()
+            async with sock:
+                await sock.recv(65536)
+                self.has_ended = True
+
+
+@attrs.define
+class _Directory:
+    """Lists all targets: that some have ended is not known yet."""
+
+    instances: Sequence[Instance]
+    failure_domain: str = 'east'
+
+    def services(self, _service: str) -> Sequence[Instance]:
+        """Return the instances of any service."""
+        return self.instances
+
+
+@attrs.define
+class _Others:
+    """The other nodes."""
+
+    guards: Sequence[RequestGuard]
+
+    def __call__(self, cases: Iterable[CaseNews]) -> None:
+        for guard, news in itertools.product(self.guards, cases):
+            guard.hear(news, 'another node')
+
+
+def _gateway(targets: Iterable[_Target]) -> Gateway:
+    directory = _Directory([target.instance for target in targets])
+    return Gateway(
+        lambda: None,
+        Router(directory, random.Random(1)),  # type: ignore[arg-type]
+        EngineClient(),
+        ServiceClient(),
+        None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+        lambda _outcome, _seconds: None,
+        RequestGuard(lambda _runner: False, lambda _cases: None),
+    )
+
+
+def _call(number: int) -> Call:
+    return ServiceCall(
+        request_id=f'r{number}',
+        organisation='org',
+        body=b'ends what runs it',
+        deadline=time.monotonic() + 5,
+        service='crew',
+        path='/x',
+        method='POST',
+    )
+
+
+async def _play(
+    targets: Iterable[_Target],
+    nodes: Sequence[Gateway],
+) -> list[RequestError]:
+    tasks = [await curio.spawn(target.run) for target in targets]
+    errors = []
+    for number in range(_CALLS):
+        call = _call(number)
+        assert isinstance(call, ServiceCall)
+        try:
+            await nodes[number % len(nodes)]._call_service(call)
+        except RequestError as error:
+            errors.append(error)
+    for task in tasks:
+        await task.cancel()
+    return errors
+
+
+if __name__ == '__main__':
+    unittest.main()
