Red: a node that was suspended takes what it knows for fresh

With CLOCK_BOOTTIME 20 s ahead and the steady clock where it was, a placer still trusts its lease, a call has time that its caller has not, other nodes are alive and connections young. Three tests, listed until the mend.

--- /dev/null
+++ b/tests/unit/test_suspension.py
@@ -0,0 +1,90 @@
+"""A node that was suspended does not take what it knows for fresh.
+
+The steady clock does not count the seconds of a suspension, and all was
+measured by it: a placer that woke after eight seconds trusted the lease that
+another had taken meanwhile, a call was given time that its client had not, and
+connections and other nodes that had long been given up looked young.
+"""
+
+import contextlib
+import time
+import unittest
+from collections.abc import Generator
+from unittest import mock
+
+from cranecart.duties import Lease, LeaseTimes
+from cranecart.exceptions import LeaseLostError
+from cranecart.forwarding import TargetConnections
+from cranecart.limits import RetryRules, SharedRetryBudget
+from cranecart.mesh import Beat
+from cranecart.mesh._others import Others
+from cranecart.routing._ejection import Ejection
+from cranecart.targets import ServiceCall
+from tests.lib.fake_platform import FakePlatform
+from tests.lib.run import run_now
+
+_SLEPT_SECONDS = 20
+
+
+@contextlib.contextmanager
+def _suspended(seconds: float = _SLEPT_SECONDS) -> Generator[None, None, None]:
+    """Wake after a suspension: only the steady clock has not moved."""
+    read = time.clock_gettime
+    time_of_day = time.time
+
+    def shifted(clock: int) -> float:
+        late = seconds if clock == time.CLOCK_BOOTTIME else 0
+        return read(clock) + late
+
+    with (
+        mock.patch('time.clock_gettime', shifted),
+        mock.patch('time.time', lambda: time_of_day() + seconds),
+    ):
+        yield
+
+
+class SuspensionTest(unittest.TestCase):
+    """What a node believes right after it has woken."""
+
+    def test_lease(self) -> None:
+        """It gives no order by a lease that others have taken over."""
+        lease = Lease('placing', 'n0', FakePlatform(), LeaseTimes())
+        self.assertTrue(run_now(lease.keep()))
+        with _suspended():
+            self.assertFalse(lease.is_held)
+            with self.assertRaises(LeaseLostError):
+                lease.check()
+
+    def test_a_callers_time(self) -> None:
+        """Nothing is passed on with more time than the caller has left."""
+        native = ServiceCall(
+            request_id='r',
+            organisation='org',
+            body=b'',
+            deadline=time.clock_gettime(time.CLOCK_BOOTTIME) + 5,
+            service='crew',
+            path='/',
+            method='GET',
+        )
+        with _suspended():
+            self.assertEqual(native.seconds_left, 0)
+
+    def test_what_is_known(self) -> None:
+        """Nodes, connections, budgets and failures are as old as they are."""
+        others = Others('n0', 'east')
+        others.take_beat(Beat('n1', 'a', 'east', 1, 0, {}))
+        self.assertTrue(others.is_fresh('n1'))
+        clocks = (
+            TargetConnections()._clock,
+            SharedRetryBudget(RetryRules(1, 1, 10), lambda: 1)._clock,
+            Ejection()._clock,
+        )
+        before = [clock() for clock in clocks]
+        with _suspended():
+            self.assertFalse(others.is_fresh('n1'))
+            for clock, earlier in zip(clocks, before, strict=True):
+                self.assertGreater(clock() - earlier, _SLEPT_SECONDS - 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
