Measure everything that others see by a clock that counts suspensions

Change: one module of clocks; all of these go by CLOCK_BOOTTIME, the native lateness of the loop by the steady clock. That the two drift apart is noticed with each beat and logged (node_was_suspended).

--- a/src/cranecart/cli/_apply.py
+++ b/src/cranecart/cli/_apply.py
@@ -1,13 +1,13 @@
 """Have the declarations of a folder accepted. Usage: apply FOLDER."""
 
 import getpass
-import time
 from pathlib import Path
 
 import curio
 from absl import flags
 
 from cranecart.cli import _common
+from cranecart.clocks import since_boot
 from cranecart.config import compile_folder
 from cranecart.exit_codes import ExitCode
 from cranecart.models import Declarations
@@ -84,7 +84,7 @@
     seconds: float,
 ) -> list[str]:
     """Wait for a version everywhere; return who is behind in the end."""
-    deadline = time.monotonic() + seconds
+    deadline = since_boot() + seconds
     while True:
         domains = (await client.status()).domains
         behind = [
@@ -92,7 +92,7 @@
             for domain, versions in domains.items()
             if versions.oldest < version
         ]
-        if not behind or time.monotonic() > deadline:
+        if not behind or since_boot() > deadline:
             return behind
         await curio.sleep(_POLL_SECONDS)
 
--- a/src/cranecart/clients/_gateway.py
+++ b/src/cranecart/clients/_gateway.py
@@ -1,6 +1,5 @@
 """Serve clients: admit, claim, route, send, relay."""
 
-import time
 import uuid
 from collections.abc import Callable
 
@@ -11,6 +10,7 @@
 from cranecart.clients._errors import error_response
 from cranecart.clients._reading import find_organisation, read_call
 from cranecart.clients._relay import StreamRelay, replica_runner
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     ConnectionBrokenError,
     Execution,
@@ -57,7 +57,7 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; every error gets its final answer at once."""
         request_id = uuid.uuid4().hex
-        started = time.monotonic()
+        started = since_boot()
         outcome = 'answered'
         try:
             await self._serve(request, responder, request_id)
--- a/src/cranecart/clients/_reading.py
+++ b/src/cranecart/clients/_reading.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import time
 import uuid
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -10,6 +9,7 @@
 
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     InvalidRequestError,
     NotFoundError,
@@ -78,7 +78,7 @@
         'request_id': uuid.uuid4().hex,
         'organisation': organisation.name,
         'body': request.body,
-        'deadline': time.monotonic() + _deadline_seconds(headers),
+        'deadline': since_boot() + _deadline_seconds(headers),
         'priority': _priority(headers, organisation),
         'repeatable': _choice(headers, 'x-repeatable', _YES_NO, default=True),
         'idempotency_key': key,
--- a/src/cranecart/config/_reloading.py
+++ b/src/cranecart/config/_reloading.py
@@ -1,11 +1,11 @@
 """Take up changed settings while a process runs."""
 
-import time
 from collections.abc import Callable
 from pathlib import Path
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.config._serving import ServingSettings
 from cranecart.config._source import FindingsError
 from cranecart.logs import decision
@@ -33,7 +33,7 @@
 
     current: ServingSettings
     _file: Path
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _seen: tuple[int, int] | None = attrs.field(default=None, init=False)
     _looked_at: float = attrs.field(default=float('-inf'), init=False)
 
--- a/src/cranecart/duties/_lease.py
+++ b/src/cranecart/duties/_lease.py
@@ -3,17 +3,17 @@
 No clocks are compared between machines. The holder trusts its lease for a
 while that starts before it sent the renewal; everybody else waits, on its own
 clock, until the row has not changed for longer than that. A process that was
-paused finds its own time run out when it wakes, as the monotonic clock goes
-on while it is stopped.
+paused, or whose machine was suspended, finds its own time run out when it
+wakes: the clock that counts from the machine's start goes on meanwhile.
 """
 
-import time
 import uuid
 from collections.abc import Callable
 
 import attrs
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     LeaseLostError,
     PlatformError,
@@ -55,7 +55,7 @@
     node_id: str
     _table: Table
     _times: LeaseTimes = attrs.field(factory=LeaseTimes)
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _seen: Row | None = attrs.field(default=None, init=False)
     _seen_at: float = attrs.field(default=0, init=False)
     _trusted_until: float = attrs.field(default=float('-inf'), init=False)
--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -5,13 +5,13 @@
 """
 
 import random
-import time
 from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import HistoryLostError, PlatformUnavailableError
 from cranecart.logs import decision
 from cranecart.ports import Source
@@ -95,7 +95,7 @@
     _random: random.Random
     _gap_seconds: float = 0
     _feeding: Feeding[Item] | None = None
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _version: int = attrs.field(default=-1, init=False)
     _changed_version: int = attrs.field(default=-1, init=False)
     _is_whole: bool = attrs.field(default=False, init=False)
--- a/src/cranecart/fleet/_lives.py
+++ b/src/cranecart/fleet/_lives.py
@@ -6,11 +6,11 @@
 """
 
 import enum
-import time
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.logs import decision
 from cranecart.ports import Life, ListedInstance
 
@@ -41,7 +41,7 @@
 class LifeBook:
     """The lives that have ended, and the entries that nobody is sure of."""
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _ended: dict[str, tuple[Life, ...]] = attrs.field(factory=dict, init=False)
     _unsure: dict[str, tuple[ListedInstance, float]] = attrs.field(
         factory=dict,
--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -1,9 +1,9 @@
 """Find a request's route, organisation and service, or refuse it."""
 
 import random
-import time
 from urllib.parse import urlsplit
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     NotConfiguredError,
     NotFoundError,
@@ -38,7 +38,7 @@
     if route is None:
         raise NotFoundError(f'no route begins {request.target!r}')
     holder = _find_holder(config, route, facts)
-    now = time.monotonic()
+    now = since_boot()
     rank = route.rank
     if holder is not None and holder.rank is not None:
         rank = holder.rank
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -1,11 +1,11 @@
 """One client's request on its way, with all that decides about it."""
 
 import functools
-import time
 from collections.abc import Collection
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.http import Request
 from cranecart.logs import RequestTrace
 from cranecart.models import Route, RouteConfig
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class RoutedCall:
-    """A checked request; ``ends_at`` is on the monotonic clock.
+    """A checked request; ``ends_at`` is a time of ``since_boot``.
 
     ``returned_seconds`` is how long before it came its client first asked,
     zero if it was not refused before.
@@ -57,7 +57,7 @@
     @property
     def seconds_left(self) -> float:
         """Return how long the client and the route still allow."""
-        return self.ends_at - time.monotonic()
+        return self.ends_at - since_boot()
 
     @property
     def may_repeat(self) -> bool:
@@ -73,7 +73,7 @@
     has_begun: bool,
 ) -> Wanted:
     """Return what the router needs to know of a call now."""
-    here = time.monotonic() - call.started_at
+    here = since_boot() - call.started_at
     return Wanted(
         call.config,
         call.route,
@@ -90,7 +90,7 @@
 
 
 def end_of(route: Route, facts: CallFacts, now: float) -> float:
-    """Return when a request is given up, on the monotonic clock."""
+    """Return when a request is given up, as a time of ``since_boot``."""
     deadline = facts.deadline_seconds
     waits = _NO_DEADLINE if deadline is None else deadline
     return now + min(waits, route.timeout_seconds)
--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -1,12 +1,12 @@
 """Kept connections to targets, as long as they are surely alive."""
 
 import re
-import time
 from collections import defaultdict
 from collections.abc import Callable, Collection
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError, TargetNotReachedError
 from cranecart.http import HttpConnection, ResponseHead
 from cranecart.logs import decision
@@ -48,7 +48,7 @@
     ``uneven`` counts those that brought more answers than were asked for.
     """
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     opened: int = attrs.field(default=0, init=False)
     uneven: int = attrs.field(default=0, init=False)
     _idle: dict[Life, list[_Idle]] = attrs.field(
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -2,13 +2,13 @@
 
 import logging
 import random
-import time
 import zlib
 from collections.abc import Callable
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.door import Returns
 from cranecart.exceptions import (
     ConnectionBrokenError,
@@ -80,7 +80,7 @@
         await serving.cancel(blocking=False)
 
     async def _answer(self, request: Request, responder: Responder) -> None:
-        started = time.monotonic()
+        started = since_boot()
         trace = RequestTrace('')
         outcome = 'answered'
         try:
@@ -136,7 +136,7 @@
             await self._attempt(call, attempts, responder)
         except RequestError as error:
             if error.retry_after is not None:
-                self._returns.note_refused(call.route.name, time.monotonic())
+                self._returns.note_refused(call.route.name, since_boot())
             raise
         except ConnectionBrokenError:
             raise
@@ -247,4 +247,4 @@
 
 
 def _since(started: float) -> float:
-    return round(time.monotonic() - started, 3)
+    return round(since_boot() - started, 3)
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -1,7 +1,6 @@
 """Send one attempt to one target, and make sure whose answer comes back."""
 
 import contextlib
-import time
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from typing import TypeVar
 
@@ -9,6 +8,7 @@
 import curio
 from curio.errors import TaskTimeout
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     HttpError,
     TargetBrokenError,
@@ -113,7 +113,7 @@
         Raise ``TargetTimeoutError`` at the call's end and
         ``TargetBrokenError`` where the target stands still or broke off.
         """
-        started = time.monotonic()
+        started = since_boot()
         silence = float(0)
         is_told = False
         while True:
@@ -124,7 +124,7 @@
                     read,
                 )
             except TaskTimeout:
-                silence = time.monotonic() - started
+                silence = since_boot() - started
                 self._check_silence(call, target, patience, silence)
             except HttpError as error:
                 self.connections.doubt(target.instance)
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -1,9 +1,8 @@
 """Pass a stream on event by event; go on elsewhere when it stops."""
 
-import time
-
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import TargetBrokenError, TargetDisconnectedError
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._events import EventCutter
@@ -24,7 +23,7 @@
 class StreamTiming:
     """When events were passed on, in seconds from the start."""
 
-    _started_at: float = attrs.field(factory=time.monotonic, init=False)
+    _started_at: float = attrs.field(factory=since_boot, init=False)
     _last_at: float | None = attrs.field(default=None, init=False)
     first: float = attrs.field(default=0, init=False)
     longest_gap: float = attrs.field(default=0, init=False)
@@ -34,7 +33,7 @@
 
         Return the seconds since the one before, if there was one.
         """
-        now = time.monotonic()
+        now = since_boot()
         earlier = self._last_at
         self._last_at = now
         if earlier is None:
--- a/src/cranecart/forwarding/_whole.py
+++ b/src/cranecart/forwarding/_whole.py
@@ -1,9 +1,8 @@
 """Get a whole answer from a target, then pass it on."""
 
-import time
-
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import TargetBrokenError
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._sender import Patience, Sender, TargetAnswer
@@ -24,7 +23,7 @@
     async def attempt(self, target: Target) -> None:
         """Fetch an answer; raise ``TargetError`` where another may do."""
         call = self._attempts.call
-        started = time.monotonic()
+        started = since_boot()
         patience = self._patience()
         async with self._sender.answer(call, target, patience) as answer:
             body = await self._sender.wait(
@@ -34,7 +33,7 @@
                 answer.connection.read_body,
             )
             self.response = self._response(answer, body)
-            took = time.monotonic() - started
+            took = since_boot() - started
             self._sender.router.gaps.note(call.service, took)
         if self._is_worth_another(answer):
             raise TargetBrokenError(
--- a/src/cranecart/grouping/_demand.py
+++ b/src/cranecart/grouping/_demand.py
@@ -1,11 +1,12 @@
 """How much work of each model comes in, fading with time."""
 
 import math
-import time
 from collections.abc import Callable, Mapping
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 # Some hundred requests of a node on the users' sheets, so that chance moves
 # the figure by a tenth, and short against the minutes in which traffic moves
 # from one model to another.
@@ -42,7 +43,7 @@
     Requests that were refused count as well: they are what is not served yet.
     """
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _models: dict[str, _ModelDemand] = attrs.field(factory=dict, init=False)
     _at: float | None = attrs.field(default=None, init=False)
     _since: float | None = attrs.field(default=None, init=False)
--- a/src/cranecart/grouping/_ending.py
+++ b/src/cranecart/grouping/_ending.py
@@ -8,12 +8,12 @@
 no connection says little: an instance that leaves stops listening first.
 """
 
-import time
 from collections.abc import Callable, Iterable
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     LeaseLostError,
     OrderError,
@@ -51,7 +51,7 @@
     _duty: PlacerDuty
     _book: RecordBook
     _stall_seconds: float
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _member_left_at: float | None = attrs.field(default=None, init=False)
     _head_asked_at: float = attrs.field(default=float('-inf'), init=False)
     _lost_asked_at: float = attrs.field(default=float('-inf'), init=False)
--- a/src/cranecart/grouping/_forming.py
+++ b/src/cranecart/grouping/_forming.py
@@ -1,11 +1,11 @@
 """Bring one recorded replica to serve, straight down, as its own task."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     OrderFencedError,
     OrderRefusedError,
@@ -35,7 +35,7 @@
     record: ReplicaRecord
     _fleet: Fleet
     _duty: PlacerDuty
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _ordered_at: dict[tuple[str, str], float] = attrs.field(
         factory=dict, init=False
     )
--- a/src/cranecart/grouping/_liveness.py
+++ b/src/cranecart/grouping/_liveness.py
@@ -4,12 +4,12 @@
 its answer comes from the kernel, whatever the engine is doing.
 """
 
-import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError
 from cranecart.http import HttpConnection
 from cranecart.logs import decision
@@ -55,7 +55,7 @@
         [ListedInstance],
         Awaitable[bool | None],
     ] = _try_instance
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     checks: int = attrs.field(default=0, init=False)
 
     async def check(
--- a/src/cranecart/grouping/_loads.py
+++ b/src/cranecart/grouping/_loads.py
@@ -1,10 +1,11 @@
 """Bound the loads from the weight store that one placer begins."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 # A placer's part of the store's rate that it uses; the rest is for a placer
 # that took over and does not know what was begun before.
 _PART = 0.8
@@ -16,7 +17,7 @@
 class LoadBudget:
     """Tokens for loads, by the store's rate and the number of placers."""
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _tokens: float = attrs.field(default=_BURST, init=False)
     _at: float | None = attrs.field(default=None, init=False)
 
--- a/src/cranecart/grouping/_losses.py
+++ b/src/cranecart/grouping/_losses.py
@@ -1,11 +1,11 @@
 """Evidence that replicas stand still, and what was found lost by checking."""
 
-import time
 from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
 from cranecart.grouping._liveness import LivenessCheck
 from cranecart.logs import decision
@@ -27,7 +27,7 @@
     _fleet: Fleet
     # Told at once of a replica that has lost a member.
     _found: Callable[[ReplicaRecord], Awaitable[None]]
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     liveness: LivenessCheck = attrs.field(factory=LivenessCheck, init=False)
     _lost: dict[Life, float] = attrs.field(factory=dict, init=False)
     _doubts: dict[str, ReplicaRecord] = attrs.field(factory=dict, init=False)
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -1,10 +1,10 @@
 """Hold the placement duty of one failure domain, and act on it."""
 
 import random
-import time
 
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.duties import Lease
 from cranecart.exceptions import LeaseLostError, PlatformError
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
@@ -95,8 +95,8 @@
         self._outdated: dict[str, str] = {}
         # Nodes that start together look one after the other, and the first that
         # has the duty tells the rest.
-        self._renewed_at = time.monotonic() - _LOOK_SECONDS * random.random()
-        self._ticked_at = time.monotonic()
+        self._renewed_at = since_boot() - _LOOK_SECONDS * random.random()
+        self._ticked_at = since_boot()
         self._stopped = False
         self._is_failing = False
 
@@ -165,7 +165,7 @@
         self._is_failing = True
 
     async def _keep_lease(self) -> None:
-        now = time.monotonic()
+        now = since_boot()
         stood_still = now - self._ticked_at > _STALL_SECONDS
         self._ticked_at = now
         if self.lease.is_held:
--- a/src/cranecart/grouping/_reshape.py
+++ b/src/cranecart/grouping/_reshape.py
@@ -1,13 +1,13 @@
 """Which replicas may make room for others, and how often that is weighed."""
 
 import enum
-import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Self
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.fleet import ReplicaRecord
 from cranecart.grouping._division import Closable
 from cranecart.grouping._supply import ServingMember, Supply
@@ -63,7 +63,7 @@
     one that closed for long kept all others from making room.
     """
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _seen: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _made_at: float = attrs.field(default=float('-inf'), init=False)
     _looked_at: float = attrs.field(default=float('-inf'), init=False)
--- a/src/cranecart/grouping/_settling.py
+++ b/src/cranecart/grouping/_settling.py
@@ -1,11 +1,11 @@
 """Tell since when nothing has come to or gone from a fabric domain."""
 
-import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.ports import ListedInstance
 
 # Instances that return together are listed one by one, within a heartbeat of
@@ -21,7 +21,7 @@
 class Settling:
     """The instances of each fabric domain, and when they last changed."""
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _names: dict[str, frozenset[str]] = attrs.field(factory=dict, init=False)
     _since: dict[str, float] = attrs.field(factory=dict, init=False)
     _listed_at: dict[str, float] = attrs.field(factory=dict, init=False)
--- a/src/cranecart/grouping/_stager.py
+++ b/src/cranecart/grouping/_stager.py
@@ -1,11 +1,11 @@
 """Bring models to unused instances, and bound all loads."""
 
-import time
 from collections.abc import Callable, Mapping
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.duties import Lease
 from cranecart.exceptions import OrderError
 from cranecart.grouping._loads import LoadBudget
@@ -30,7 +30,7 @@
     _orders: Orders
     _placers: int
     _has_traffic: Callable[[], bool]
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _loads: LoadBudget = attrs.field(factory=LoadBudget, init=False)
     _staged_at: dict[tuple[Life, str], float] = attrs.field(
         factory=dict,
--- a/src/cranecart/grouping/_warmer.py
+++ b/src/cranecart/grouping/_warmer.py
@@ -6,12 +6,12 @@
 replaces that membership at once.
 """
 
-import time
 from collections.abc import Callable
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.duties import Lease
 from cranecart.exceptions import OrderError
 from cranecart.grouping._supply import Warming
@@ -28,7 +28,7 @@
 
     _lease: Lease
     _orders: Orders
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _ordered_at: dict[Life, float] = attrs.field(factory=dict, init=False)
 
     async def warm(self, warming: Warming) -> None:
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -4,7 +4,6 @@
 import errno
 import logging
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,6 +12,7 @@
 import h11
 from curio.errors import TaskTimeout
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
 from cranecart.http._messages import (
     Address,
@@ -142,7 +142,7 @@
 
     async def _write(self, *events: h11.Event) -> None:
         if self._first_byte_at is None:
-            self._first_byte_at = time.monotonic()
+            self._first_byte_at = since_boot()
         pieces = [self._h11.send(event) for event in events]
         try:
             await curio.timeout_after(
@@ -185,7 +185,7 @@
     @property
     def is_full(self) -> bool:
         """Tell whether new connections wait, as all places are busy."""
-        return time.monotonic() < self._full_until
+        return since_boot() < self._full_until
 
     def open(self) -> None:
         """Bind and listen; raise ``OSError`` if the address is taken."""
@@ -252,7 +252,7 @@
     async def _make_room(self) -> None:
         """Close those that are idle the longest, or say that all are busy."""
         if not self._idle:
-            self._full_until = time.monotonic() + _FULL_SECONDS
+            self._full_until = since_boot() + _FULL_SECONDS
         count = max(1, int(len(self._idle) * _CLOSED_PART))
         for sock in list(self._idle)[:count]:
             self._idle.pop(sock)
--- a/src/cranecart/limits/_rates.py
+++ b/src/cranecart/limits/_rates.py
@@ -1,10 +1,10 @@
 """Tokens a second of each organisation, as far as this node's share goes."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import LimitedError
 from cranecart.models import OrganisationSpec
 
@@ -22,7 +22,7 @@
     """A token bucket for each organisation."""
 
     _share: Callable[[str], float]
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _buckets: dict[str, _Bucket] = attrs.field(factory=dict, init=False)
 
     def take(self, organisation: OrganisationSpec, tokens: int) -> None:
--- a/src/cranecart/limits/_shares.py
+++ b/src/cranecart/limits/_shares.py
@@ -10,12 +10,13 @@
 about the share that it had.
 """
 
-import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 RAISE_SECONDS = 3.0
 KEEP_SECONDS = 60.0
 _HOLD_SECONDS = 3.0
@@ -50,7 +51,7 @@
 class Shares:
     """This node's share of each organisation's limits."""
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _peaks: dict[str, tuple[int, float]] = attrs.field(
         factory=dict,
         init=False,
--- a/src/cranecart/limits/_window.py
+++ b/src/cranecart/limits/_window.py
@@ -1,11 +1,12 @@
 """A budget of repeated sends that holds over all nodes together."""
 
-import time
 from collections import deque
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 
 @attrs.frozen
 class RetryRules:
@@ -35,7 +36,7 @@
 
     rules: RetryRules
     _nodes: Callable[[], int]
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _requests: dict[str, deque[float]] = attrs.field(factory=dict, init=False)
     _repeats: dict[str, deque[float]] = attrs.field(factory=dict, init=False)
 
--- a/src/cranecart/logs/_unreadable.py
+++ b/src/cranecart/logs/_unreadable.py
@@ -1,10 +1,10 @@
 """Tell of rows that cannot be read, once a change and within a rate."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.logs._setup import decision
 
 # Rows are named by whoever writes them, so that what is remembered is bounded.
@@ -19,7 +19,7 @@
     """What was said last of each row that could not be read."""
 
     event: str
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _said: dict[str, str] = attrs.field(factory=dict, init=False)
     _second: int = attrs.field(default=0, init=False)
     _told: int = attrs.field(default=0, init=False)
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -6,12 +6,12 @@
 (docs/design/platform.md). News that cannot wait goes straight to everybody.
 """
 
-import time
 from collections import Counter
 from collections.abc import Callable, Mapping
 
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.mesh._hearing import Hearing
 from cranecart.mesh._messages import (
     MeshMessage,
@@ -45,7 +45,7 @@
         own: OwnState,
         link: NodeLink[MeshMessage],
         events: MeshEvents,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = since_boot,
     ) -> None:
         """Know nobody yet; nothing is told until ``run``."""
         self.own = own
--- a/src/cranecart/mesh/_notices.py
+++ b/src/cranecart/mesh/_notices.py
@@ -1,10 +1,10 @@
 """What must reach every node, repeated until it surely has."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.mesh._messages import Stopped
 
 # Twelve beats, so that a message lost with a relay, or on a connection that
@@ -18,7 +18,7 @@
 class Notices:
     """The replicas that were said to have stopped, and since when."""
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _since: dict[tuple[str, int, bool], tuple[Stopped, float]] = attrs.field(
         factory=dict,
         init=False,
--- a/src/cranecart/mesh/_others.py
+++ b/src/cranecart/mesh/_others.py
@@ -1,11 +1,11 @@
 """What other nodes told last, and what it comes to."""
 
-import time
 from collections import Counter
 from collections.abc import Callable
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.mesh._messages import Beat, Digest, Summary
 
 # Two beats may be lost before a node's figures are held to be old.
@@ -126,7 +126,7 @@
 
     _name: str
     _domain: str
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     has_traffic: bool = attrs.field(default=False, init=False)
     told: Beat | None = attrs.field(default=None, init=False)
     _beats: dict[str, HeardBeat] = attrs.field(factory=dict, init=False)
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -1,10 +1,10 @@
 """Who the other nodes are, which of them relay, and whom to tell."""
 
-import time
 from collections.abc import Callable, Iterator
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.mesh._messages import Digest
 from cranecart.mesh._others import Others
 
@@ -42,7 +42,7 @@
     _name: str
     _domain: str
     _others: Others
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     peers: dict[str, PeerNode] = attrs.field(factory=dict, init=False)
     _since: dict[str, float] = attrs.field(factory=dict, init=False)
     _digests: dict[str, Covered] = attrs.field(
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -1,10 +1,10 @@
 """What the parts of the mesh share."""
 
-import time
 from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.fleet import News
 from cranecart.mesh._messages import RequestCases, Stopped, Suspect
 from cranecart.mesh._notices import Notices
@@ -55,7 +55,7 @@
     """
 
     own: OwnState
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = since_boot
     others: Others = attrs.field(init=False)
     roster: Roster = attrs.field(init=False)
     notices: Notices = attrs.field(init=False)
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -1,7 +1,6 @@
 """The parts of one node, and its start and stop."""
 
 import random
-import time
 from collections.abc import Sequence
 
 import curio
@@ -9,6 +8,7 @@
 
 from cranecart.claims import Claims
 from cranecart.clients import Gateway
+from cranecart.clocks import awake, since_boot
 from cranecart.config import NodeSettings
 from cranecart.http import HttpServer
 from cranecart.limits import Admission, Capacity, Shares, TokenRates
@@ -48,7 +48,7 @@
         self._settings = settings
         self._stopping = False
         self._informed = False
-        self._started_at = time.monotonic()
+        self._started_at = since_boot()
         self._metrics = Metrics()
         self._config = CurrentConfig()
         self._book = ReportBook(settings.node_id)
@@ -135,17 +135,15 @@
         # The balancer needs a while to see that the node is not ready.
         await curio.sleep(self._settings.ready_off_ms / _MILLISECONDS)
         self._client_server.refuse_new()
-        deadline = (
-            time.monotonic() + self._settings.stop_grace_ms / _MILLISECONDS
-        )
-        while self._admission.inside and time.monotonic() < deadline:
+        deadline = since_boot() + self._settings.stop_grace_ms / _MILLISECONDS
+        while self._admission.inside and since_boot() < deadline:
             await curio.sleep(_DRAIN_POLL_SECONDS)
 
     async def _watch_loop(self) -> None:
         while True:
-            due = time.monotonic() + _LATENESS_SECONDS
+            due = awake() + _LATENESS_SECONDS
             await curio.sleep(_LATENESS_SECONDS)
-            lateness = time.monotonic() - due
+            lateness = awake() - due
             self._metrics.loop_lateness_ms.record(lateness * _MILLISECONDS)
 
     def _take_list(self, instances: Sequence[Instance]) -> None:
@@ -184,7 +182,7 @@
             return False
         # Once it was informed, a node stays ready and serves what it can.
         domain = self._settings.failure_domain
-        late = time.monotonic() - self._started_at > _INFORMED_SECONDS
+        late = since_boot() - self._started_at > _INFORMED_SECONDS
         self._informed = (
             self._informed or late or self._book.is_informed(domain)
         )
--- a/src/cranecart/node/_shared_state.py
+++ b/src/cranecart/node/_shared_state.py
@@ -1,12 +1,12 @@
 """What this node tells others and takes from them, between its parts."""
 
-import time
 from collections.abc import Callable, Collection, Iterable
 
 import attrs
 import curio
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.models import DomainVersions, Instance
 from cranecart.node._demand_sharing import DemandSharing
 from cranecart.nodes import (
@@ -156,7 +156,7 @@
         live = frozenset(self._members.alive())
         if peers.is_isolated:
             live = frozenset((self._members.node_id,))
-        now = time.monotonic()
+        now = since_boot()
         self._seen_live.update(dict.fromkeys(live, now))
         counting = frozenset(
             name
--- a/src/cranecart/nodes/_config_exchange.py
+++ b/src/cranecart/nodes/_config_exchange.py
@@ -1,11 +1,11 @@
 """Bring newer configuration from peer to peer, also without the platform."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import DamagedObjectError
 from cranecart.logs import decision
 from cranecart.nodes._entries import (
@@ -79,7 +79,7 @@
             )
 
     def _ask_if_newer(self, info: MemberInfo) -> None:
-        now = time.monotonic()
+        now = since_boot()
         is_newer = info.config_version > self._read().version
         if is_newer and now - self._asked_at > _ASK_SECONDS:
             self._asked_at = now
--- a/src/cranecart/nodes/_link.py
+++ b/src/cranecart/nodes/_link.py
@@ -1,7 +1,6 @@
 """Messages between nodes over pyzmq, driven by curio."""
 
 import logging
-import time
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
@@ -10,6 +9,7 @@
 import zmq
 from curio.traps import _read_wait  # noqa: PLC2701
 
+from cranecart.clocks import since_boot
 from cranecart.http import Address
 
 Sent = TypeVar('Sent')
@@ -115,7 +115,7 @@
         Each open one asks and answers twice a second, and one to a node that
         is gone tries to connect for ever.
         """
-        oldest = time.monotonic() - seconds
+        oldest = since_boot() - seconds
         for address, at in list(self._sent_at.items()):
             if at < oldest:
                 self.forget(address)
@@ -129,7 +129,7 @@
 
     def _queue(self, address: str, encoded: bytes) -> None:
         outbox = self._outbox(address)
-        self._sent_at[address] = time.monotonic()
+        self._sent_at[address] = since_boot()
         try:
             outbox.send(encoded, zmq.NOBLOCK)
         except zmq.Again:
--- a/src/cranecart/nodes/_members.py
+++ b/src/cranecart/nodes/_members.py
@@ -1,11 +1,11 @@
 """Who is a member: alive, suspected, dead, by incarnations."""
 
-import time
 from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.logs import decision
 from cranecart.nodes._entries import (
     Entry,
@@ -37,7 +37,7 @@
     info: MemberInfo
     _store: EntryStore
     _incarnation: int
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _seen: int = attrs.field(default=-1, init=False)
     _others: dict[str, MemberInfo] = attrs.field(factory=dict, init=False)
     _alive: list[str] = attrs.field(factory=list, init=False)
--- a/src/cranecart/nodes/_peers.py
+++ b/src/cranecart/nodes/_peers.py
@@ -7,13 +7,13 @@
 
 import itertools
 import random
-import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.logs import decision
 from cranecart.nodes._config_exchange import ConfigExchange
 from cranecart.nodes._entries import (
@@ -92,12 +92,12 @@
         self._dropped_at_change = -1
         self._mismatches = 0
         self._synced_at = float('-inf')
-        self._heard_at = time.monotonic()
+        self._heard_at = since_boot()
 
     @property
     def is_isolated(self) -> bool:
         """Tell whether there are other nodes but none has been heard."""
-        silence = time.monotonic() - self._heard_at
+        silence = since_boot() - self._heard_at
         return silence > _ISOLATED_SECONDS and bool(self._members.others())
 
     async def run(self) -> None:
@@ -123,9 +123,9 @@
 
     async def _probe_in_turn(self) -> None:
         for number in itertools.count():
-            before = time.monotonic()
+            before = since_boot()
             await curio.sleep(self._settings.period_seconds)
-            if time.monotonic() - before > _PAUSE_SECONDS:
+            if since_boot() - before > _PAUSE_SECONDS:
                 self._wake_up()
             self._members.expire()
             self._drop_entries_of_dead()
@@ -179,7 +179,7 @@
     async def _hear(self) -> None:
         while True:
             message = await self._link.receive()
-            self._heard_at = time.monotonic()
+            self._heard_at = since_boot()
             self._take_entries(message)
             await self._answer(message)
 
@@ -237,7 +237,7 @@
             self._ask_for_everything(message.address)
 
     def _ask_for_everything(self, address: str) -> None:
-        now = time.monotonic()
+        now = since_boot()
         if now - self._synced_at > _SYNC_SECONDS:
             self._mismatches = 0
             self._synced_at = now
--- a/src/cranecart/placement/_placer.py
+++ b/src/cranecart/placement/_placer.py
@@ -1,11 +1,11 @@
 """Carry out plans: transactions first, then orders to the engines."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.duties import Lease
 from cranecart.exceptions import (
     LeaseLostError,
@@ -75,7 +75,7 @@
             await self._send_orders(plan_orders(after))
 
     async def _keep_lease(self) -> None:
-        now = time.monotonic()
+        now = since_boot()
         if now - self._renewed_at > _RENEW_SECONDS:
             await self.lease.keep()
             self._renewed_at = now
@@ -112,7 +112,7 @@
         }
 
     def _settled(self, state: DomainState) -> frozenset[str]:
-        now = time.monotonic()
+        now = since_boot()
         self._closed_since = {
             name: self._closed_since.get(name, now)
             for name in state.instances
--- a/src/cranecart/quarantine/_book.py
+++ b/src/cranecart/quarantine/_book.py
@@ -12,11 +12,11 @@
 """
 
 import enum
-import time
 from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.ports import Life
 
 # Ends shortly after the request had begun. One or two happen by chance: heads
@@ -128,7 +128,7 @@
 class CaseBook:
     """The requests that are suspected or held, as one node knows them."""
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _cases: dict[str, Case] = attrs.field(factory=dict, init=False)
 
     @property
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -1,7 +1,6 @@
 """Hold requests that end the targets that run them."""
 
 import contextlib
-import time
 from collections import Counter
 from collections.abc import (
     AsyncGenerator,
@@ -13,6 +12,7 @@
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import HeldError, TargetDisconnectedError
 from cranecart.logs import decision
 from cranecart.ports import Life
@@ -59,7 +59,7 @@
     _is_expected: Callable[[Runner], bool]
     _tell: Callable[[Sequence[CaseNews]], None]
     book: CaseBook = attrs.field(factory=CaseBook)
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     probe: EndProbe = attrs.field(factory=EndProbe)
     refused: int = attrs.field(default=0, init=False)
     ended: int = attrs.field(default=0, init=False)
--- a/src/cranecart/quarantine/_probe.py
+++ b/src/cranecart/quarantine/_probe.py
@@ -1,11 +1,11 @@
 """Find out whether a life has ended, or only a connection to it."""
 
-import time
 from collections.abc import Awaitable, Callable, Collection
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError, ConnectRefusedError
 from cranecart.http import Address, HttpConnection
 from cranecart.ports import Life
@@ -37,7 +37,7 @@
     """
 
     _connect: Callable[[Address], Awaitable[None]] = connect_once
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _found: dict[Life, tuple[bool, float]] = attrs.field(
         factory=dict,
         init=False,
--- a/src/cranecart/quarantine/_rows.py
+++ b/src/cranecart/quarantine/_rows.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import PlatformError
 from cranecart.fleet import RECORDS_PART, RECORDS_TABLE
 from cranecart.logs import UnreadableRows, decision
@@ -78,7 +79,7 @@
     _node_id: str
     _table: Table
     _book: CaseBook
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     # Digests whose rows were read or written.
     _known: set[str] = attrs.field(factory=set, init=False)
     _is_writing: bool = attrs.field(default=False, init=False)
--- a/src/cranecart/routing/_ejection.py
+++ b/src/cranecart/routing/_ejection.py
@@ -1,12 +1,13 @@
 """Pass over targets that keep failing, for a while and never all of them."""
 
 import operator
-import time
 from collections.abc import Callable, Hashable, Iterable
 from typing import Any, TypeVar
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 Target = TypeVar('Target')
 # What tells targets apart: an id, or a life where ids may come again.
 Key = Hashable
@@ -29,7 +30,7 @@
     ``_key`` returns what failures of a target are counted under.
     """
 
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _key: Callable[[Any], Key] = operator.attrgetter('id')
     _records: dict[Key, _Record] = attrs.field(factory=dict, init=False)
 
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -4,13 +4,13 @@
 import functools
 import operator
 import random
-import time
 from collections import Counter
 from collections.abc import Callable, Collection, Generator, Sequence
 from typing import TypeVar
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.door import (
     Ask,
     ForecastErrors,
@@ -56,7 +56,7 @@
     _elsewhere: Callable[[str], int]
     _run_seconds: Callable[[str], float]
     _failure_domain: str = ''
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     gaps: GapMeter = attrs.field(factory=GapMeter, init=False)
     pulse: Pulse = attrs.field(init=False)
     errors: ForecastErrors = attrs.field(factory=ForecastErrors, init=False)
--- a/src/cranecart/routing/_pulse.py
+++ b/src/cranecart/routing/_pulse.py
@@ -8,12 +8,13 @@
 """
 
 import contextlib
-import time
 from collections import Counter
 from collections.abc import Callable, Generator, Hashable
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 # Streams whose events must all stay away.
 _LEAST_STREAMS = 2
 # A replica's events come together, at most as far apart as those of its
@@ -29,7 +30,7 @@
     """
 
     _suspect_seconds: Callable[[str], float]
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _due: Counter[Hashable] = attrs.field(factory=Counter, init=False)
     _at: dict[Hashable, float] = attrs.field(factory=dict, init=False)
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -1,10 +1,10 @@
 """One node on a platform: start, serve, stop."""
 
 import random
-import time
 
 import curio
 
+from cranecart.clocks import SuspensionWatch, since_boot
 from cranecart.config import LiveSettings
 from cranecart.fleet import Fleet, ReplicaRecord
 from cranecart.forwarding import (
@@ -61,6 +61,7 @@
         self._lines = lines
         self._live = live
         self._stopping = False
+        self._suspensions = SuspensionWatch()
         self._metrics = Metrics()
         self._random = random.Random()
         self._config = ForceConfig()
@@ -237,6 +238,10 @@
 
     def _renew_own(self) -> None:
         """Bring up to date what the next beat tells."""
+        slept = self._suspensions.slept_seconds()
+        if slept:
+            # Leases, deadlines and ages go by a clock that counted it.
+            decision('node_was_suspended', seconds=round(slept, 3))
         self._mesh.own.places = self._placer.places
         self._mesh.own.announced = self._knowledge.announced()
         self._mesh.own.demand = {
@@ -255,7 +260,7 @@
 
     async def _wait_for_stop(self, stop: StopSignal) -> None:
         await stop.wait()
-        started = time.monotonic()
+        started = since_boot()
         self._stopping = True
         self._mesh.own.stopping = True
         decision('node_stopping', in_flight=self._gateway.inside)
@@ -267,9 +272,9 @@
 
     async def _drain(self, started: float) -> None:
         grace = self._live.current.stop_grace_seconds - _LAST_SECONDS
-        while time.monotonic() - started < grace:
+        while since_boot() - started < grace:
             await curio.sleep(_DRAIN_LOOK_SECONDS)
-            if time.monotonic() - started < _LISTEN_ON_SECONDS:
+            if since_boot() - started < _LISTEN_ON_SECONDS:
                 continue
             # A balancer that has too few ready nodes goes on sending to all,
             # and what came later could not be finished.
--- a/src/cranecart/targets/_book.py
+++ b/src/cranecart/targets/_book.py
@@ -1,10 +1,10 @@
 """What is known of instances, and which replicas are whole because of it."""
 
-import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.models import Instance, InstanceKind, MemberReport
 from cranecart.targets._assemble import ServingReplica
 from cranecart.targets._assembly import Assembly
@@ -19,7 +19,7 @@
     """What this node and the live others found of each instance."""
 
     node_id: str
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _instances: dict[str, Instance] = attrs.field(factory=dict, init=False)
     _views: dict[str, InstanceViews] = attrs.field(factory=dict, init=False)
     _assembly: Assembly = attrs.field(factory=Assembly, init=False)
--- a/src/cranecart/targets/_calls.py
+++ b/src/cranecart/targets/_calls.py
@@ -1,10 +1,10 @@
 """Calls of clients, read and checked, on their way to a target."""
 
 import functools
-import time
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.models import Priority
 from cranecart.quarantine import identity_of
 
@@ -13,7 +13,7 @@
 class Call:
     """What every call has, whatever target it is for.
 
-    ``deadline`` is a time of the monotonic clock, in seconds.
+    ``deadline`` is a time of ``since_boot``, in seconds.
     """
 
     request_id: str
@@ -27,7 +27,7 @@
     @property
     def seconds_left(self) -> float:
         """Return the time until the deadline, never below zero."""
-        return max(0, self.deadline - time.monotonic())
+        return max(0, self.deadline - since_boot())
 
     @property
     def path_named(self) -> str:
--- a/src/cranecart/targets/_directory.py
+++ b/src/cranecart/targets/_directory.py
@@ -1,13 +1,13 @@
 """Where calls can go: own failure domain in full, others by summaries."""
 
 import itertools
-import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from operator import attrgetter
 from typing import TypeVar
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.models import DomainVersions, Instance
 from cranecart.targets._assemble import ServingReplica
 from cranecart.targets._book import ReportBook
@@ -35,7 +35,7 @@
 
     failure_domain: str
     book: ReportBook
-    _clock: Callable[[], float] = time.monotonic
+    _clock: Callable[[], float] = since_boot
     _summaries: dict[str, tuple[float, Summary]] = attrs.field(
         factory=dict,
         init=False,
--- a/src/cranecart/targets/_prober.py
+++ b/src/cranecart/targets/_prober.py
@@ -2,12 +2,12 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable, Collection
 
 import attrs
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import TargetError
 from cranecart.models import MemberReport
 from cranecart.targets._book import ReportBook
@@ -73,7 +73,7 @@
 
     def _no_longer_wanted(self, wanted: Collection[str]) -> list[str]:
         """Return whose probing may end, as others have taken over by now."""
-        now = time.monotonic()
+        now = since_boot()
         self._unwanted_since = {
             name: self._unwanted_since.get(name, now)
             for name in self._tasks
--- a/tests/unit/test_suspension.py
+++ b/tests/unit/test_suspension.py
@@ -7,11 +7,14 @@
 """
 
 import contextlib
+import re
 import time
 import unittest
 from collections.abc import Generator
-from unittest import mock
+from pathlib import Path
+from unittest.mock import patch
 
+from cranecart.clocks import SuspensionWatch
 from cranecart.duties import Lease, LeaseTimes
 from cranecart.exceptions import LeaseLostError
 from cranecart.forwarding import TargetConnections
@@ -26,19 +29,24 @@
 _SLEPT_SECONDS = 20
 
 
+_SOURCES = Path(__file__).parents[2] / 'src' / 'cranecart'
+# What measures work of its own, or stands in for others.
+_OWN_TIMES = frozenset(('clocks.py', 'emulation', 'load', 'standins'))
+
+
 @contextlib.contextmanager
 def _suspended(seconds: float = _SLEPT_SECONDS) -> Generator[None, None, None]:
     """Wake after a suspension: only the steady clock has not moved."""
     read = time.clock_gettime
     time_of_day = time.time
 
-    def shifted(clock: int) -> float:
+    def shifted(clock: int) -> float:  # noqa: WPS430
         late = seconds if clock == time.CLOCK_BOOTTIME else 0
         return read(clock) + late
 
     with (
-        mock.patch('time.clock_gettime', shifted),
-        mock.patch('time.time', lambda: time_of_day() + seconds),
+        patch('time.clock_gettime', shifted),
+        patch('time.time', lambda: time_of_day() + seconds),
     ):
         yield
 
@@ -69,6 +77,14 @@
         with _suspended():
             self.assertEqual(native.seconds_left, 0)
 
+    def test_it_is_noticed(self) -> None:
+        """Once, for as long as it lasted; drawn out reading is none."""
+        watch = SuspensionWatch()
+        self.assertEqual(watch.slept_seconds(), 0)
+        with _suspended():
+            self.assertAlmostEqual(watch.slept_seconds(), _SLEPT_SECONDS, 1)
+            self.assertEqual(watch.slept_seconds(), 0)
+
     def test_what_is_known(self) -> None:
         """Nodes, connections, budgets and failures are as old as they are."""
         others = Others('n0', 'east')
@@ -85,6 +101,17 @@
             for clock, earlier in zip(clocks, before, strict=True):
                 self.assertGreater(clock() - earlier, _SLEPT_SECONDS - 1)
 
+    def test_no_other_clock(self) -> None:
+        """Nothing that is compared with the outside reads the steady clock."""
+        steady = re.compile(r'time\.monotonic|import monotonic')
+        reading = [
+            str(path.relative_to(_SOURCES))
+            for path in _SOURCES.rglob('*.py')
+            if not _OWN_TIMES & set(path.relative_to(_SOURCES).parts)
+            and steady.search(path.read_text('utf-8'))
+        ]
+        self.assertEqual(reading, [])
+
 
 if __name__ == '__main__':
     unittest.main()
