Judge progress by parts of an answer that came; keep what is told bounded

An answer's head may come while a request still waits at another platform's target, so that the time since the head would clear the cause. The native node never forgot what it had told or asked of ports; it does now, twice a second. A write of rows is begun only where there is something to write.

--- a/src/cranecart/clients/_relay.py
+++ b/src/cranecart/clients/_relay.py
@@ -98,7 +98,7 @@
             watch.answering()
             await self._start()
             # One timer for the whole stream; one an event costs too much.
-            await within_deadline(self._call, self._pass_all_on, answer)
+            await within_deadline(self._call, self._pass_all_on, answer, watch)
             if not self.is_finished:
                 raise TargetBrokenError(f'{replica.id} stopped mid-stream')
         if not self._client_left:
@@ -116,8 +116,9 @@
             },
         )
 
-    async def _pass_all_on(self, answer: EngineAnswer) -> None:
+    async def _pass_all_on(self, answer: EngineAnswer, watch: Watch) -> None:
         while piece := await answer.read_piece():
+            watch.progressing()
             whole = self._counter.feed(piece)
             if not whole:
                 continue
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -73,7 +73,9 @@
         )
 
     def begun(self, target: Target) -> None:
-        """Take over that the first event came, or the first after a move."""
+        """Take over that an event came, maybe the first after a move."""
+        if self._watch is not None:
+            self._watch.progressing()
         if not self.has_begun:
             self._router.begun(target, self.call.facts.model)
         self.has_begun = True
@@ -165,13 +167,14 @@
 
     def _tell_disconnected(self, target: Target) -> None:
         """Log what shows whether the request has ended its target."""
-        answered = self._watch and self._watch.answered_seconds
+        watch = self._watch
         self.call.trace.add(
             'target_disconnected',
             instance=target.instance.id,
             born=target.instance.born,
             identity=self.call.identity,
-            answered_for=answered and round(answered, 3),
+            begun=watch is not None and watch.has_begun,
+            progress_for=watch and round(watch.progress_seconds, 3),
             beside=self._router.load(target.instance.id),
         )
 
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -34,6 +34,7 @@
 )
 
 _LATENESS_SECONDS = 0.1
+_KEEP_SECONDS = 0.5
 _DRAIN_POLL_SECONDS = 0.05
 _MILLISECONDS = 1000
 # A node that cannot hear of every instance gets ready all the same.
@@ -121,6 +122,7 @@
             ):
                 await tasks.spawn(part.run)
             await tasks.spawn(self._watch_loop)
+            await tasks.spawn(self._keep_guard)
             await tasks.spawn(self._wait_for_stop, stop)
         self._peering.close()
         raise_first_error(tasks)
@@ -146,6 +148,11 @@
             lateness = awake() - due
             self._metrics.loop_lateness_ms.record(lateness * _MILLISECONDS)
 
+    async def _keep_guard(self) -> None:
+        while True:
+            await curio.sleep(_KEEP_SECONDS)
+            self._guard.keep(())
+
     def _take_list(self, instances: Sequence[Instance]) -> None:
         self._peering.state.replace_instances(
             instance
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -21,8 +21,8 @@
 from cranecart.quarantine._runner import Runner
 
 # What ends a target does so as it begins there: within 0.04 to 0.13 s where it
-# was seen. Four times as much is left for busy nodes. Who had run for longer
-# was there by chance.
+# was seen. Four times as much is left for busy nodes. Whose answer had been
+# coming for longer was there by chance.
 _BEGIN_SECONDS = 0.5
 # Three turns of housekeeping: a connection between nodes that carries nothing
 # any more is found out after 1.5 s.
@@ -32,19 +32,25 @@
 
 @attrs.define
 class Watch:
-    """One attempt, and since when its target has been answering."""
+    """One attempt: whether its target has begun, and what came since."""
 
     _clock: Callable[[], float]
+    has_begun: bool = attrs.field(default=False, init=False)
     _since: float | None = attrs.field(default=None, init=False)
 
     @property
-    def answered_seconds(self) -> float | None:
-        """Return for how long the target has answered, if it has begun."""
-        return None if self._since is None else self._clock() - self._since
+    def progress_seconds(self) -> float:
+        """Return how long ago the first part of an answer came."""
+        return 0 if self._since is None else self._clock() - self._since
 
     def answering(self) -> None:
         """Take over that the target has begun to answer."""
-        self._since = self._clock()
+        self.has_begun = True
+
+    def progressing(self) -> None:
+        """Take over that a part of the answer came."""
+        if self._since is None:
+            self._since = self._clock()
 
 
 @attrs.define
@@ -104,8 +110,7 @@
             with self.running(identity, runner):
                 yield watch
         except TargetDisconnectedError:
-            seconds = watch.answered_seconds
-            await self.disconnected(identity(), runner, seconds)
+            await self._look_for_end(identity(), runner, watch)
             raise
         self.served(identity)
 
@@ -135,29 +140,6 @@
             for count in counts:
                 _take_off(count, runner.id)
 
-    async def disconnected(
-        self,
-        identity: str,
-        runner: Runner,
-        answered_seconds: float | None,
-    ) -> None:
-        """Look whether a request has ended the target that it was at.
-
-        ``answered_seconds`` is for how long it had been answered there, if it
-        was at all.
-        """
-        is_old = (answered_seconds or 0) > _BEGIN_SECONDS
-        if is_old or self._is_expected(runner):
-            return
-        if not await self.probe.has_ended(runner):
-            return
-        begun = answered_seconds is not None
-        news = CaseNews(identity, (End(runner.life, begun),))
-        if self.book.take(news, is_own=True):
-            self.ended += 1
-            self._log(identity, runner.life, 'seen here')
-            self._spread(identity)
-
     def served(self, identity: Callable[[], str]) -> None:
         """Take over that a request was answered whole: it ends nothing."""
         if self.book.is_empty:
@@ -177,8 +159,13 @@
             self._log(news.identity, None, f'heard from {sender}')
         return is_news
 
-    def repeat(self) -> None:
-        """Tell once more what was told lately; some of it may be lost."""
+    def keep(self, listed: Collection[Life]) -> None:
+        """Forget lives that are gone, and tell once more what is new."""
+        self.probe.forget(listed)
+        self._repeat()
+
+    def _repeat(self) -> None:
+        """Tell what was told lately; some of it may be lost."""
         oldest = self._clock() - _REPEAT_SECONDS
         self._told_at = {
             identity: at
@@ -190,6 +177,24 @@
         if news:
             self._tell(news)
 
+    async def _look_for_end(
+        self,
+        identity: str,
+        runner: Runner,
+        watch: Watch,
+    ) -> None:
+        """Look whether a request has ended the target that it was at."""
+        is_old = watch.progress_seconds > _BEGIN_SECONDS
+        if is_old or self._is_expected(runner):
+            return
+        if not await self.probe.has_ended(runner):
+            return
+        news = CaseNews(identity, (End(runner.life, watch.has_begun),))
+        if self.book.take(news, is_own=True):
+            self.ended += 1
+            self._log(identity, runner.life, 'seen here')
+            self._spread(identity)
+
     def _spread(self, identity: str) -> None:
         case = self.book.find(identity)
         if case is not None:
--- a/src/cranecart/quarantine/_rows.py
+++ b/src/cranecart/quarantine/_rows.py
@@ -84,6 +84,11 @@
     _known: set[str] = attrs.field(factory=set, init=False)
     _is_writing: bool = attrs.field(default=False, init=False)
 
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether there is something to write, and nobody writes."""
+        return not self._is_writing and any(self._due())
+
     def take(self, items: Mapping[str, Row | None], is_whole: bool) -> None:
         """Take over changed rows, or all; a row that goes releases."""
         held = held_from_rows(items)
@@ -100,11 +105,9 @@
 
     async def write(self) -> None:
         """Bring the rows up to date, if anything has changed."""
-        if self._is_writing:
+        if not self.is_behind:
             return
         puts, deletes = self._due()
-        if not puts and not deletes:
-            return
         self._is_writing = True
         try:
             await self._commit(puts, deletes)
--- a/src/cranecart/serving/_holding.py
+++ b/src/cranecart/serving/_holding.py
@@ -47,7 +47,7 @@
 
     async def keep(self) -> None:
         """Repeat what is new, forget what is old, write what must last."""
-        self.guard.probe.forget(self._fleet.listing.lives())
-        self.guard.repeat()
-        # The store may be slow: nothing else is kept waiting for it.
-        await curio.spawn(self.rows.write, daemon=True)
+        self.guard.keep(self._fleet.listing.lives())
+        if self.rows.is_behind:
+            # The store may be slow: nothing else is kept waiting for it.
+            await curio.spawn(self.rows.write, daemon=True)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -1,5 +1,6 @@
 """What is remembered of requests under which targets end, and of whom not."""
 
+import contextlib
 import unittest
 from collections.abc import Sequence
 
@@ -12,6 +13,7 @@
     ConnectFailedError,
     ConnectRefusedError,
     HeldError,
+    TargetDisconnectedError,
 )
 from cranecart.http import Address
 from cranecart.ports import Life, ListedInstance, Row
@@ -206,14 +208,10 @@
             (0.1, False, None),
         ):
             with self.subTest(seconds=seconds, leaves=leaves, error=error):
-                guard = _guard(_Port(error), leaves=leaves)
+                clock = _Clock()
+                guard = _guard(_Port(error), clock, leaves=leaves)
                 for number in range(5):
-                    curio.run(
-                        guard.disconnected,
-                        'a',
-                        _listed(number),
-                        seconds,
-                    )
+                    curio.run(_end_under, guard, number, clock, seconds)
                 self.assertTrue(guard.book.is_empty)
 
     def test_nothing_is_computed_on_ordinary_days(self) -> None:
@@ -227,7 +225,7 @@
         """The third end holds it; it is told with what it ended."""
         guard = _guard(_Port(ConnectRefusedError('nothing listens')))
         for number in range(3):
-            curio.run(guard.disconnected, 'a', _listed(number), 0.1)
+            curio.run(_end_under, guard, number)
         with self.assertRaises(HeldError) as caught:
             guard.passed_over(lambda: 'a')
         self.assertIn('i0, i1, i2', str(caught.exception))
@@ -259,10 +257,10 @@
             clock,
             EndProbe(_Port(ConnectRefusedError('nothing listens'))),
         )
-        curio.run(guard.disconnected, 'a', _listed(0), 0.1)
+        curio.run(_end_under, guard, 0)
         for _turn in range(9):
             clock.now += 0.5
-            guard.repeat()
+            guard.keep(())
         self.assertEqual(len(told), 4)
 
 
@@ -358,14 +356,36 @@
             raise self.error
 
 
-def _guard(port: _Port, *, leaves: bool = False) -> RequestGuard:
+def _guard(
+    port: _Port,
+    clock: _Clock | None = None,
+    *,
+    leaves: bool = False,
+) -> RequestGuard:
     return RequestGuard(
         lambda _one: leaves,
         lambda _cases: None,
+        clock=clock or _Clock(),
         probe=EndProbe(port),
     )
 
 
+async def _end_under(
+    guard: RequestGuard,
+    number: int,
+    clock: _Clock | None = None,
+    progress_seconds: float = 0,
+) -> None:
+    """Break an attempt off after its answer has been coming for so long."""
+    with contextlib.suppress(TargetDisconnectedError):
+        async with guard.watching(lambda: 'a', _listed(number)) as watch:
+            watch.answering()
+            watch.progressing()
+            if clock is not None:
+                clock.now += progress_seconds
+            raise TargetDisconnectedError('it broke off')
+
+
 def _listed(number: int) -> ListedInstance:
     life = _LIVES[number]
     address = Address('127.0.0.1', 1)
