--- a/src/cranecart/cli/_explain.py
+++ b/src/cranecart/cli/_explain.py
@@ -2,7 +2,8 @@
 
 The id is that of a request, a replica or an instance. Every decision that
 names it is printed in order of time; for a request also what its node came
-to believe about the replicas and instances that it touched.
+to believe about the replicas and instances that it touched, and what all nodes
+found of targets that ended under it, in whatever try.
 """
 
 import itertools
@@ -14,7 +15,13 @@
 from cranecart.cli import _common
 from cranecart.exceptions import OperatorError
 from cranecart.exit_codes import ExitCode
-from cranecart.logs import LogLine, lines_about, lines_around, read_lines
+from cranecart.logs import (
+    LogLine,
+    lines_about,
+    lines_about_held,
+    lines_around,
+    read_lines,
+)
 
 # Fields that the first columns show, or that say nothing about a decision.
 _HIDDEN = frozenset(('asctime', 'levelname', 'name', 'message', 'request'))
@@ -34,6 +41,8 @@
     )
     about = lines_about(lines, rest[0])
     is_request = any(line.fields.get('request') == rest[0] for line in about)
+    if is_request:
+        about = [*about, *lines_about_held(lines, about)]
     around = lines_around(lines, about) if is_request else []
     shown = sorted((*about, *around), key=lambda line: line.at)
     text = '\n'.join(
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -116,6 +116,8 @@
             self._check_time()
             target = self._router.choose(self._wanted())
         except _NOWHERE as error:
+            if isinstance(error, HeldError):
+                call.trace.add('held', identity=call.identity)
             if self._last is None or not self._is_worse_than(error):
                 raise
             raise self._final_error() from error
--- a/src/cranecart/logs/__init__.py
+++ b/src/cranecart/logs/__init__.py
@@ -9,6 +9,7 @@
 from cranecart.logs._reading import (
     LogLine,
     lines_about,
+    lines_about_held,
     lines_around,
     read_lines,
 )
@@ -22,6 +23,7 @@
     'UnreadableRows',
     'decision',
     'lines_about',
+    'lines_about_held',
     'lines_around',
     'read_lines',
     'set_log_level',
--- a/src/cranecart/logs/_reading.py
+++ b/src/cranecart/logs/_reading.py
@@ -33,6 +33,8 @@
         'log_lines_dropped',
     ),
 )
+# What was found of a request in whatever try, at any node.
+_ENDS = frozenset(('target_ended', 'request_cleared', 'request_released'))
 # How long before and after a request something may have to do with it.
 _BEFORE_SECONDS = 6.0
 _AFTER_SECONDS = 1.0
@@ -70,6 +72,22 @@
     return [line for line in lines if line.names(wanted)]
 
 
+def lines_about_held(
+    lines: Iterable[LogLine],
+    about: Iterable[LogLine],
+) -> list[LogLine]:
+    """Return what was found of targets that ended under a request.
+
+    All tries of its client share a digest, which decisions of any node name.
+    """
+    shared = {line.fields.get('identity') for line in about} - {None}
+    return [
+        line
+        for line in lines
+        if line.event in _ENDS and line.fields.get('identity') in shared
+    ]
+
+
 def lines_around(
     lines: Iterable[LogLine],
     about: list[LogLine],
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -136,6 +136,26 @@
         self.assertEqual(code, ExitCode.OK)
         self.assertEqual(len(out.splitlines()), 2)
 
+    def test_a_held_request(self) -> None:
+        """What ended under its other tries, seen or heard by any node."""
+        lines = (
+            {
+                'event': 'target_ended',
+                'identity': 'd1',
+                'instance': 'i1',
+                'node': 'n2',
+                'source': 'seen here',
+            },
+            {'event': 'target_ended', 'identity': 'd2', 'instance': 'i2'},
+            {'event': 'held', 'request': 'a', 'identity': 'd1', 'node': 'n1'},
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / 'log'
+            log.write_bytes(b'\n'.join(map(msgspec.json.encode, lines)))
+            _code, out, _ = _run('explain', 'a', str(log))
+        self.assertIn('n2 target_ended', out)
+        self.assertEqual(len(out.splitlines()), 2)
+
     def test_nothing_decided(self) -> None:
         """It says so and fails."""
         code, out, _ = _run('explain', 'zzz', sys.executable)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -203,6 +203,31 @@
         "self._rest = b''\n        whole = held",
         'tests.unit.test_forwarding.StreamTest.test_moves_between_events',
     ),
+    Mutation(
+        'requests-are-never-held',
+        'quarantine/_book.py',
+        'if begun >= _HELD_BEGUN or len(left) >= _HELD_ALL:',
+        'if not left and begun:',
+        'tests.unit.test_ending_requests.EndingRequestTest.test_streams',
+    ),
+    Mutation(
+        'broken-connections-pass-for-ends',
+        'quarantine/_probe.py',
+        """        except ConnectFailedError:
+            return False
+        return False""",
+        """        except ConnectFailedError:
+            return True
+        return True""",
+        'tests.unit.test_quarantine.ProbeTest.test_only_a_refusal_tells',
+    ),
+    Mutation(
+        'suspensions-are-not-counted',
+        'clocks.py',
+        'return time.clock_gettime(time.CLOCK_BOOTTIME)',
+        'return time.monotonic()',
+        'tests.unit.test_suspension.SuspensionTest.test_lease',
+    ),
 )
 
 
