--- a/tests/lib/ending_targets.py
+++ b/tests/lib/ending_targets.py
@@ -170,13 +170,14 @@
             EndingTarget(f'i{number}', self, mute=mute)
             for number in range(targets)
         ]
-        self.nodes = [self.new_node() for _number in range(nodes)]
+        self.nodes = [self.new_node(number) for number in range(nodes)]
 
-    def new_node(self) -> GatewayWorld:
+    def new_node(self, seed: int = 1) -> GatewayWorld:
         """Build a node that knows the targets as they are."""
         node = GatewayWorld(
             service=self._service,
             others={target.name: target for target in self.targets},
+            seed=seed,
         )
         for target in self.targets:
             self._list(node, target)
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -257,6 +257,7 @@
         service: str = ENGINES,
         retries: float = 100,
         others: Mapping[str, Listening] | None = None,
+        seed: int = 1,
     ) -> None:
         """Build a target a script; nothing runs until ``run``.
 
@@ -292,7 +293,7 @@
             for name in instances
         )
         self.fleet.take_records({one.key: one for one in records}, True)
-        source = random.Random(1)
+        source = random.Random(seed)
         self.router = HeadRouter(
             self.fleet,
             source,
