A read from before a write does not release a held request

Cause, found on reading: a whole read of the table that was under way while a held request's row was written lacks the row, and was taken for an operator's release: the node would have forgotten the ends of a true cause (test, red). Change: only rows that were read count as gone. test_an_operator_releases let a row be dropped that its node had never read; it reads it first now, as nodes do by following the table.

--- a/src/cranecart/quarantine/_rows.py
+++ b/src/cranecart/quarantine/_rows.py
@@ -80,8 +80,10 @@
     _table: Table
     _book: CaseBook
     _clock: Callable[[], float] = since_boot
-    # Digests whose rows were read or written.
-    _known: set[str] = attrs.field(factory=set, init=False)
+    # Digests whose rows were read, and those that were written since: a whole
+    # read that is older than a write does not show that its row has gone.
+    _read: set[str] = attrs.field(factory=set, init=False)
+    _written: set[str] = attrs.field(factory=set, init=False)
     _is_writing: bool = attrs.field(default=False, init=False)
 
     @property
@@ -95,12 +97,13 @@
         gone = [one for one, news in held.items() if news is None]
         if is_whole:
             keys = {key.removeprefix(_PREFIX) for key in items}
-            gone.extend(self._known - keys)
+            gone.extend(self._read - keys)
         for identity in gone:
             self._release(identity)
         for identity, news in held.items():
             if news is not None:
-                self._known.add(identity)
+                self._read.add(identity)
+                self._written.discard(identity)
                 self._book.take(news, is_own=False)
 
     async def write(self) -> None:
@@ -129,21 +132,22 @@
         except PlatformError as error:
             decision('held_not_written', requests=len(cases), why=str(error))
             return
-        self._known.update(case.identity for case in cases)
-        self._known.difference_update(deletes)
+        self._written.update(case.identity for case in cases)
+        self._written.difference_update(deletes)
+        self._read.difference_update(deletes)
 
     def _due(self) -> tuple[list[Case], list[str]]:
         """Return whose rows are to be written, and whose dropped."""
         now = self._clock()
-        held = self._book.held()
+        known = self._read | self._written
         puts = [
             case
-            for case in held
-            if case.identity not in self._known and self._is_due(case, now)
+            for case in self._book.held()
+            if case.identity not in known and self._is_due(case, now)
         ]
         deletes = [
             identity
-            for identity in sorted(self._known)
+            for identity in sorted(known)
             if not self._book.is_grave(identity)
         ]
         return puts[:_MOST_AT_ONCE], deletes[:_MOST_AT_ONCE]
@@ -164,7 +168,8 @@
 
     def _release(self, identity: str) -> None:
         """Take over that an operator, or a node, has dropped a row."""
-        self._known.discard(identity)
+        self._read.discard(identity)
+        self._written.discard(identity)
         news = self._book.cleared(identity)
         if news is not None:
             self._book.take(news, is_own=False)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -331,6 +331,7 @@
                 rows = HeldRows('n0', table, book)
                 book.take(_begun(0, 1, 2), is_own=True)
                 curio.run(rows.write)
+                rows.take(table.rows, False)
                 gone = {} if is_whole else dict.fromkeys(table.rows)
                 rows.take(gone, is_whole)
                 table.rows.clear()
@@ -339,6 +340,16 @@
                 self.assertFalse(table.rows)
                 self.assertIs(book.standing('a'), Standing.FREE)
 
+    def test_a_read_from_before_the_write(self) -> None:
+        """It does not show that the row was dropped."""
+        table, book = FakePlatform(), CaseBook()
+        rows = HeldRows('n0', table, book)
+        book.take(_begun(0, 1, 2), is_own=True)
+        before = dict(table.rows)
+        curio.run(rows.write)
+        rows.take(before, True)
+        self.assertIs(book.standing('a'), Standing.HELD)
+
     def test_cleared_drops_the_row(self) -> None:
         """A copy that was under way is answered whole."""
         table, book = FakePlatform(), CaseBook()
