--- a/tests/lib/ending_targets.py
+++ b/tests/lib/ending_targets.py
@@ -223,6 +223,14 @@
         since = self.ends[ends - 1] + seconds
         return sum(one.is_marked and one.at > since for one in self.sent)
 
+    def under_way(self, ends: int) -> int:
+        """Count marked requests at targets when so many had ended."""
+        if len(self.ends) < ends:
+            return 0
+        decided_at = self.ends[ends - 1]
+        come = sum(one.is_marked and one.at <= decided_at for one in self.sent)
+        return come - ends
+
     def _tell(self, teller: GatewayWorld, cases: Sequence[CaseNews]) -> None:
         """Pass news on to the other nodes."""
         for node in self.nodes:
