Read successive versions of the configuration together

Change: half a second at least between two reads of the configuration, of two seconds in which a version has to be in force; the first version after a rest is read at once. Twenty versions in a second cost 5 reads a node at most (test), 20 before.

--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -36,6 +36,10 @@
 # Changes come in bursts, as members of a replica change together; a repair
 # waits for some four of them in a row, and is delayed by half of this for each.
 _LIST_GAP_SECONDS = 0.1
+# Operators change the configuration several times in a second, and every node
+# asks the store anew after each version. A quarter of the two seconds in which
+# a version has to be in force everywhere; the first one comes at once.
+_DECLARATIONS_GAP_SECONDS = 0.5
 _RECORDS_GAP_SECONDS = 0.15
 # Before the first request nothing is late. It stays well below the third of a
 # second without an entry that means that the list is whole.
@@ -84,6 +88,7 @@
                 surroundings.declarations,
                 config.take_from_store,
                 source,
+                _DECLARATIONS_GAP_SECONDS,
                 path=path,
             ),
             _list_follower(
--- a/tests/unit/test_store_path.py
+++ b/tests/unit/test_store_path.py
@@ -13,6 +13,7 @@
 
 from cranecart.fleet import SourceFollower, StorePath
 from cranecart.grouping import GroupPlacer
+from cranecart.serving._knowledge import _DECLARATIONS_GAP_SECONDS
 from tests.lib.waiting import until
 from tests.unit.test_follower import FakeSource, Held
 
@@ -49,6 +50,40 @@
         return all(held == {'a': '1'} for held in self.held.values())
 
 
+class StormTest(TestCase):
+    """Versions in quick succession.
+
+    In a day with seven of them in six seconds 78 nodes read the configuration
+    939 times, once each after every version.
+    """
+
+    def test_versions_come_together(self) -> None:
+        """The first is known at once, the last soon, by few reads."""
+        curio.run(self._storm)
+
+    async def _storm(self) -> None:
+        source = FakeSource(items={'a': '0'})
+        held = Held()
+        follower = SourceFollower(
+            'configuration',
+            source,
+            held.take,  # type: ignore[arg-type]
+            random.Random(1),
+            _DECLARATIONS_GAP_SECONDS,
+        )
+        task = await curio.spawn(follower.run)
+        await curio.sleep(1)
+        source.put('a', '1')
+        await until(lambda: held == {'a': '1'}, 0.3)
+        before = source.reads
+        for number in range(2, 22):
+            source.put('a', str(number))
+            await curio.sleep(0.05)
+        await until(lambda: held == {'a': '21'}, 1)
+        self.assertLessEqual(source.reads - before, 5)
+        await task.cancel()
+
+
 class StorePathTest(TestCase):
     """One reader asks; all know soon after the store's return."""
 
