--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 by h11 over curio sockets, for both sides of a connection."""
 
-from cranecart.http._client import HttpConnection, HttpPool, exchange
+from cranecart.http._client import HttpConnection
+from cranecart.http._limits import ServerLimits
 from cranecart.http._messages import (
     Address,
     HeaderLines,
@@ -10,7 +11,9 @@
     ResponseHead,
     json_response,
 )
-from cranecart.http._server import HttpServer, Responder, ServerLimits
+from cranecart.http._pool import HttpPool, exchange
+from cranecart.http._responder import Responder
+from cranecart.http._server import HttpServer
 
 __all__ = (
     'Address',
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -1,11 +1,9 @@
-"""The asking side of HTTP: one connection, and a pool of idle ones."""
+"""The asking side of HTTP: one connection."""
 
 import select
 import socket
-from collections import defaultdict
 from typing import Self
 
-import attrs
 import curio
 import h11
 from curio.errors import TaskTimeout
@@ -15,13 +13,11 @@
     ConnectFailedError,
     ConnectionBrokenError,
     ConnectRefusedError,
-    PeerTimeoutError,
 )
 from cranecart.http._messages import (
     Address,
     HeaderLines,
     Request,
-    Response,
     ResponseHead,
     decode_lines,
     encode_headers,
@@ -29,13 +25,12 @@
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 32768
-_MAX_IDLE = 32
 # A dark path is noticed after about two seconds, as nodes must follow again
 # within three once it is back (the bound of being in touch).
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_TRIES = 2
 _UNANSWERED_MS = 2000
-_CONNECT_SECONDS = 1.0
+CONNECT_SECONDS = 1.0
 _MAX_BODY_BYTES = 67108864
 # Far more than a target that stutters owes. Answers that come without end are
 # read without ever waiting: they held a node for 19 s.
@@ -68,7 +63,7 @@
     async def open(
         cls,
         address: Address,
-        connect_seconds: float = _CONNECT_SECONDS,
+        connect_seconds: float = CONNECT_SECONDS,
         *,
         keeps_alive: bool = False,
     ) -> Self:
@@ -314,72 +309,3 @@
         h11.CLIENT,
         max_incomplete_event_size=_MAX_HEAD_BYTES,
     )
-
-
-@attrs.define
-class HttpPool:
-    """Idle connections by address; a connection is lent to one request."""
-
-    _keeps_alive: bool = False
-    _idle: dict[Address, list[HttpConnection]] = attrs.field(
-        factory=lambda: defaultdict(list),
-        init=False,
-    )
-
-    async def take(self, address: Address) -> HttpConnection:
-        """Return an idle connection or open one."""
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_quiet():
-                return connection
-            await connection.close()
-        return await HttpConnection.open(
-            address,
-            keeps_alive=self._keeps_alive,
-        )
-
-    async def give_back(self, connection: HttpConnection) -> None:
-        """Keep a connection that finished cleanly; close any other."""
-        idle = self._idle[connection.address]
-        if connection.is_reusable and len(idle) < _MAX_IDLE:
-            connection.reset()
-            idle.append(connection)
-        else:
-            await connection.close()
-
-    async def drop(self, address: Address) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            await connection.close()
-
-
-async def exchange(
-    address: Address,
-    request: Request,
-    seconds: float,
-    connect_seconds: float = _CONNECT_SECONDS,
-) -> Response:
-    """Send one request on a connection of its own; return the response.
-
-    Raise ``ConnectFailedError`` where nothing was sent, and
-    ``PeerTimeoutError`` or ``ConnectionBrokenError`` where something was.
-    """
-    connection = await HttpConnection.open(
-        address,
-        min(seconds, connect_seconds),
-    )
-    try:
-        return await curio.timeout_after(seconds, _ask, connection, request)
-    except TaskTimeout as error:
-        raise PeerTimeoutError(
-            f'{address} did not answer within {seconds} s',
-        ) from error
-    finally:
-        await connection.close()
-
-
-async def _ask(connection: HttpConnection, request: Request) -> Response:
-    await connection.send(request)
-    head = await connection.read_head()
-    return Response(head.status, head.headers, await connection.read_body())
--- /dev/null
+++ b/src/cranecart/http/_pool.py
@@ -0,0 +1,82 @@
+"""Idle connections to be lent, and single exchanges."""
+
+from collections import defaultdict
+
+import attrs
+import curio
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import PeerTimeoutError
+from cranecart.http._client import CONNECT_SECONDS, HttpConnection
+from cranecart.http._messages import Address, Request, Response
+
+_MAX_IDLE = 32
+
+
+@attrs.define
+class HttpPool:
+    """Idle connections by address; a connection is lent to one request."""
+
+    _keeps_alive: bool = False
+    _idle: dict[Address, list[HttpConnection]] = attrs.field(
+        factory=lambda: defaultdict(list),
+        init=False,
+    )
+
+    async def take(self, address: Address) -> HttpConnection:
+        """Return an idle connection or open one."""
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.close()
+        return await HttpConnection.open(
+            address,
+            keeps_alive=self._keeps_alive,
+        )
+
+    async def give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection that finished cleanly; close any other."""
+        idle = self._idle[connection.address]
+        if connection.is_reusable and len(idle) < _MAX_IDLE:
+            connection.reset()
+            idle.append(connection)
+        else:
+            await connection.close()
+
+    async def drop(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            await connection.close()
+
+
+async def exchange(
+    address: Address,
+    request: Request,
+    seconds: float,
+    connect_seconds: float = CONNECT_SECONDS,
+) -> Response:
+    """Send one request on a connection of its own; return the response.
+
+    Raise ``ConnectFailedError`` where nothing was sent, and
+    ``PeerTimeoutError`` or ``ConnectionBrokenError`` where something was.
+    """
+    connection = await HttpConnection.open(
+        address,
+        min(seconds, connect_seconds),
+    )
+    try:
+        return await curio.timeout_after(seconds, _ask, connection, request)
+    except TaskTimeout as error:
+        raise PeerTimeoutError(
+            f'{address} did not answer within {seconds} s',
+        ) from error
+    finally:
+        await connection.close()
+
+
+async def _ask(connection: HttpConnection, request: Request) -> Response:
+    await connection.send(request)
+    head = await connection.read_head()
+    return Response(head.status, head.headers, await connection.read_body())
--- /dev/null
+++ b/src/cranecart/http/_receiving.py
@@ -0,0 +1,115 @@
+"""Read one whole request from a client, within bounds."""
+
+import curio
+import h11
+from curio.errors import TaskTimeout
+
+from cranecart.exceptions import BadMessageError, ConnectionBrokenError
+from cranecart.http._limits import ServerLimits
+from cranecart.http._messages import Request, decode_lines
+
+_READ_BYTES = 65536
+_STATUS_TIMEOUT = 408
+_STATUS_TOO_LARGE = 413
+
+
+async def receive(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+    limits: ServerLimits,
+) -> Request:
+    """Read the rest of a request that has begun to come.
+
+    Raise ``BadMessageError`` for what is wrong, too large or too slow, and
+    ``ConnectionBrokenError`` where the client closed before its end.
+    """
+    try:
+        return await curio.timeout_after(
+            limits.receive_seconds,
+            _receive_whole,
+            sock,
+            connection,
+            limits.body_bytes,
+        )
+    except TaskTimeout as error:
+        raise BadMessageError(
+            'the request did not arrive whole in time',
+            _STATUS_TIMEOUT,
+        ) from error
+    except h11.RemoteProtocolError as error:
+        raise BadMessageError(
+            str(error),
+            error.error_status_hint,
+        ) from error
+
+
+async def _receive_whole(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+    most_bytes: int,
+) -> Request:
+    head = await _next_event(sock, connection)
+    if not isinstance(head, h11.Request):
+        raise ConnectionBrokenError('closed before a request')
+    _check_announced(head, most_bytes)
+    await _answer_expectation(sock, connection)
+    body = bytearray()
+    event = await _next_event(sock, connection)
+    while isinstance(event, h11.Data):
+        body += event.data
+        _check_size(len(body), most_bytes)
+        event = await _next_event(sock, connection)
+    if not isinstance(event, h11.EndOfMessage):
+        raise ConnectionBrokenError('closed mid-request')
+    _check_not_pipelined(connection)
+    return _to_request(head, bytes(body))
+
+
+def _check_announced(head: h11.Request, most_bytes: int) -> None:
+    announced = dict(head.headers).get(b'content-length', b'0')
+    _check_size(int(announced), most_bytes)
+
+
+def _check_size(size: int, most_bytes: int) -> None:
+    if size > most_bytes:
+        raise BadMessageError(
+            f'the body is over {most_bytes} bytes',
+            _STATUS_TOO_LARGE,
+        )
+
+
+async def _next_event(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+) -> object:
+    event = connection.next_event()
+    while event is h11.NEED_DATA:
+        connection.receive_data(await sock.recv(_READ_BYTES))
+        event = connection.next_event()
+    return event
+
+
+async def _answer_expectation(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+) -> None:
+    if connection.they_are_waiting_for_100_continue:
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        await sock.sendall(connection.send(go_on))
+
+
+def _check_not_pipelined(connection: h11.Connection) -> None:
+    trailing, _closed = connection.trailing_data
+    if trailing:
+        raise BadMessageError('pipelined requests are not supported')
+
+
+def _to_request(head: h11.Request, body: bytes) -> Request:
+    lines = decode_lines(head.headers)
+    return Request(
+        head.method.decode('ascii'),
+        head.target.decode('ascii'),
+        dict(lines),
+        body,
+        lines,
+    )
--- /dev/null
+++ b/src/cranecart/http/_responder.py
@@ -0,0 +1,132 @@
+"""The response to one request, whole or piece by piece."""
+
+from collections.abc import Callable
+
+import curio
+import h11
+from curio.errors import TaskTimeout
+
+from cranecart.clocks import since_boot
+from cranecart.exceptions import BadMessageError, ConnectionBrokenError
+from cranecart.http._messages import (
+    HeaderLines,
+    Headers,
+    Response,
+    encode_headers,
+    json_response,
+)
+
+_READ_BYTES = 65536
+
+
+class Responder:
+    """Writes the response to one request, whole or piece by piece."""
+
+    def __init__(
+        self,
+        sock: curio.io.Socket,
+        connection: h11.Connection,
+        write_seconds: float,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        """Wrap the connection that the request came on."""
+        self._sock = sock
+        self._h11 = connection
+        self._write_seconds = write_seconds
+        self._is_closing = is_closing
+        self._first_byte_at: float | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the response's head was sent."""
+        return self._h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}
+
+    def seconds_to_first_byte(self, since: float) -> float | None:
+        """Return how long it took until the response began, if it has."""
+        if self._first_byte_at is None:
+            return None
+        return self._first_byte_at - since
+
+    async def send(self, response: Response) -> None:
+        """Send a whole response."""
+        await self._write(
+            self._head(
+                response.status,
+                response.lines or response.headers,
+                ('content-length', str(len(response.body))),
+            ),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
+
+    async def start(self, status: int, headers: Headers | HeaderLines) -> None:
+        """Send the head of a response whose body comes in pieces."""
+        await self._write(self._head(status, headers))
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body; its caller bounds the time."""
+        encoded = self._h11.send(h11.Data(data=piece))
+        try:
+            await self._sock.sendall(encoded)
+        except OSError as error:
+            raise ConnectionBrokenError('the client went away') from error
+
+    async def end(self) -> None:
+        """Send the end of the body."""
+        await self._write(h11.EndOfMessage())
+
+    async def client_left(self) -> None:
+        """Return once the client closed its side.
+
+        Whatever it sends instead is kept for the next request.
+        """
+        try:
+            while received := await self._sock.recv(_READ_BYTES):
+                self._h11.receive_data(received)
+        except OSError:
+            return
+
+    def _head(
+        self,
+        status: int,
+        headers: Headers | HeaderLines,
+        *more: tuple[str, str],
+    ) -> h11.Response:
+        closing = [('connection', 'close')] if self._is_closing() else []
+        return h11.Response(
+            status_code=status,
+            headers=[
+                *encode_headers(headers),
+                *encode_headers((*more, *closing)),
+            ],
+        )
+
+    async def _write(self, *events: h11.Event) -> None:
+        if self._first_byte_at is None:
+            self._first_byte_at = since_boot()
+        pieces = [self._h11.send(event) for event in events]
+        try:
+            await curio.timeout_after(
+                self._write_seconds,
+                self._sock.sendall,
+                b''.join(filter(None, pieces)),
+            )
+        except (OSError, TaskTimeout) as error:
+            raise ConnectionBrokenError('the client went away') from error
+
+
+async def refuse(responder: Responder, error: BadMessageError) -> None:
+    """Tell a client what is wrong with its message."""
+    answer = json_response(
+        error.status,
+        {
+            'error': {
+                'code': 'bad_request',
+                'message': str(error),
+                'execution': 'not run',
+                'retry_after_seconds': None,
+            },
+        },
+        {'connection': 'close'},
+    )
+    await responder.send(answer)
