Look seldom where the store is out of reach; queue before going to a broken one

A reader that fails for another reason than the path, such as a configuration that cannot be read, would have kept nodes from ever looking for a placer: they look every 3 s now. A plain target that broke a connection was asked as soon as the others had no free place; it is now only where they would refuse (test). Nodes log when they are informed.

--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -36,6 +36,9 @@
 _DOUBTED_RENEW_SECONDS = 1.0
 # How long other nodes wait before they look at the lease again.
 _LOOK_SECONDS = 0.4
+# Where a reader of this node does not reach the store, hardly anything is
+# gained: 26 nodes that looked for a holder in vain asked twice a second each.
+_CUT_LOOK_SECONDS = 3.0
 # A process that stood still for so long may have lost the duty meanwhile.
 _STALL_SECONDS = 1.0
 
@@ -174,11 +177,8 @@
                 await self.lease.keep()
                 self._is_failing = False
             return
-        if self._view.hears_other() or now - self._renewed_at < _LOOK_SECONDS:
-            return
-        if self._view.is_cut():
-            # Of 26 nodes that looked for a holder in vain, each asked twice a
-            # second beside its readers.
+        pause = _CUT_LOOK_SECONDS if self._view.is_cut() else _LOOK_SECONDS
+        if self._view.hears_other() or now - self._renewed_at < pause:
             return
         self._renewed_at = now
         if await self.lease.keep(is_patient=self._view.is_isolated()):
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -257,11 +257,11 @@
             )
         good = self._ejection.without_ejected(instances)
         chosen = min(good, key=self._load_then_chance)
-        if self.load(chosen.id) >= chosen.slots:
-            # What is passed over may be well again, and waiting costs more.
+        if _is_full(chosen, self.load(chosen.id)):
+            # What is passed over may be well again; those others refuse.
             chosen = min(instances, key=self._load_then_chance)
         load = self.load(chosen.id)
-        if load >= chosen.slots * (1 + _PLAIN_QUEUE_PART):
+        if _is_full(chosen, load):
             raise OverloadedError(
                 f'the least loaded target has {load} requests',
                 retry_after=self._return_after(_FULL_SECONDS, wanted),
@@ -272,6 +272,10 @@
         return self.load(one.id), self._random.random()
 
 
+def _is_full(instance: ListedInstance, load: int) -> bool:
+    return load >= instance.slots * (1 + _PLAIN_QUEUE_PART)
+
+
 Named = TypeVar('Named', ServingHead, ListedInstance)
 
 
--- a/src/cranecart/serving/_placing.py
+++ b/src/cranecart/serving/_placing.py
@@ -9,6 +9,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import Fleet, ReplicaRecord
+from cranecart.logs import decision
 from cranecart.mesh import Mesh
 from cranecart.serving._configuration import ForceConfig
 from cranecart.serving._knowledge import Knowledge
@@ -18,7 +19,7 @@
 if TYPE_CHECKING:
     from cranecart.grouping import GroupPlacer
 
-_LOOK_SECONDS = 0.05
+_LOOK_SECONDS = 0.02
 # A node that is told nothing may still have to hold the duty.
 _LATEST_SECONDS = 2.0
 
@@ -62,7 +63,13 @@
 
     async def run(self) -> None:
         """Load the placer and run it, until cancelled."""
+        started = since_boot()
         await self._wait_until_serving()
+        decision(
+            'node_informed',
+            informed=self._parts.knowledge.is_informed,
+            after=round(since_boot() - started, 3),
+        )
         # In a thread, as requests go on meanwhile.
         made = await curio.run_in_thread(
             importlib.import_module,
--- a/tests/unit/test_broken_plain.py
+++ b/tests/unit/test_broken_plain.py
@@ -11,8 +11,8 @@
 import curio
 
 from cranecart.ports import Life
-from cranecart.routing import Ejection
-from tests.lib.fake_targets import PLAIN, Exchange, GatewayWorld
+from cranecart.routing import Ejection, Wanted
+from tests.lib.fake_targets import CONFIG, PLAIN, Exchange, GatewayWorld
 from tools.bench import _plain
 
 _WRITE = '/unsafe/x'
@@ -48,6 +48,17 @@
         curio.run(world.run, self._write)
         self.assertEqual(set(self.statuses), {200})
 
+    def test_the_others_are_full(self) -> None:
+        """Rather than refusing, the one that is passed over is tried."""
+        world = GatewayWorld(_whole, _whole, service=PLAIN)
+        first, second = world.fleet.plain(PLAIN)
+        world.router.pass_over(second.life)
+        call = Wanted(CONFIG, CONFIG.routes[0], PLAIN, '', 0, 2)
+        for _held in range(first.slots * 3):
+            self.assertIs(world.router.choose(call).instance, first)
+            world.router.counts()[first.id] += 1
+        self.assertIs(world.router.choose(call).instance, second)
+
     def test_all_break(self) -> None:
         """Each call is still tried: nobody is told the same again and again."""
         world = GatewayWorld(_break, _break, service=PLAIN)
--- a/tests/unit/test_store_path.py
+++ b/tests/unit/test_store_path.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from cranecart.clocks import since_boot
 from cranecart.fleet import SourceFollower, StorePath
 from cranecart.grouping import GroupPlacer
 from cranecart.serving._knowledge import _DECLARATIONS_GAP_SECONDS
@@ -102,8 +103,8 @@
             StorePath().longest_pause,
         )
 
-    def test_nobody_looks_for_a_placer_in_vain(self) -> None:
-        """The duty is looked at again once a reader has been answered."""
+    def test_few_look_for_a_placer_in_vain(self) -> None:
+        """The duty is looked at seldom until a reader has been answered."""
         lease = mock.Mock(is_held=False, keep=mock.AsyncMock())
         lease.keep.return_value = False
         view = mock.Mock()
@@ -111,14 +112,19 @@
         view.is_cut.return_value = True
         placer: Any = object.__new__(GroupPlacer)
         placer._ticked_at = float('inf')
-        placer._renewed_at = float('-inf')
         placer.lease = lease
         placer._view = view
+        placer._renewed_at = since_boot() - 1
         curio.run(placer._keep_lease)
         lease.keep.assert_not_awaited()
         view.is_cut.return_value = False
         curio.run(placer._keep_lease)
-        lease.keep.assert_awaited()
+        lease.keep.assert_awaited_once()
+        # One reader alone may fail for long, while the duty can be had.
+        view.is_cut.return_value = True
+        placer._renewed_at = since_boot() - 3.1
+        curio.run(placer._keep_lease)
+        self.assertEqual(lease.keep.await_count, 2)
 
     async def _be_away(self) -> None:
         node = _Node()
