--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -21,6 +21,7 @@
 )
 from cranecart.exceptions import NoReplicaError, OverloadedError
 from cranecart.fleet import Fleet, ServingHead
+from cranecart.logs import decision
 from cranecart.models import EngineProfile, RouteConfig
 from cranecart.ports import Life, ListedInstance
 from cranecart.routing._ejection import Ejection
@@ -137,10 +138,13 @@
         is_news = not self._ejection.is_out(life)
         self._ejection.failed(life, reached=False)
         if is_news:
+            decision('target_passed_over', instance=life.id, by='this node')
             self._tell_broken(life)
 
     def pass_over(self, life: Life) -> None:
         """Take over that an instance broke another node's connection."""
+        if not self._ejection.is_out(life):
+            decision('target_passed_over', instance=life.id, by='another node')
         self._ejection.pass_over(life)
 
     def succeeded(self, life: Life) -> None:
