--- a/tests/unit/test_ending_requests.py
+++ b/tests/unit/test_ending_requests.py
@@ -30,6 +30,8 @@
 # begun at them.
 _DECIDED = 3
 _DECIDED_MUTE = 4
+# What is wanted at most, copies that were under way included.
+_MOST_ENDS = 6
 # Of eight targets six may be gone for a second of the four.
 _LEAST_SERVED = 0.8
 _OK = 200
@@ -62,6 +64,12 @@
         curio.run(deployment.run, self._play)
         self._check(deployment, is_unsure=True)
 
+    def test_no_more_than_six_end(self) -> None:
+        """Copies under way included, also where nobody can tell."""
+        deployment = Deployment(4, 8, mute=True)
+        curio.run(deployment.run, self._play)
+        self.assertLessEqual(len(deployment.ends), _MOST_ENDS)
+
     def test_copies_at_once(self) -> None:
         """Nine nodes get a copy at one moment; it is all over with these."""
         deployment = Deployment(9, 12)
