--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -228,6 +228,44 @@
         'return time.monotonic()',
         'tests.unit.test_suspension.SuspensionTest.test_lease',
     ),
+    Mutation(
+        'nobody-listens-before-all-is-loaded',
+        'listening.py',
+        'if not host or not port.isdecimal():',
+        'if True:',
+        'tests.functional.test_node_start.NodeStartTest'
+        '.test_a_connection_made_before_it_is_there',
+    ),
+    Mutation(
+        'requests-do-not-wait-for-a-start',
+        'forwarding/_starting.py',
+        'while not self._is_informed() and self._clock() < until:',
+        'while False:',
+        'tests.unit.test_starting.StartGateTest.test_waits_until_informed',
+    ),
+    Mutation(
+        'entries-that-lapsed-in-an-outage-are-gone',
+        'fleet/_listing.py',
+        'if kept_until and self._are_many(gone):',
+        'if False:',
+        'tests.unit.test_returning_list.MissingEntriesTest'
+        '.test_many_are_kept_after_the_stores_return',
+    ),
+    Mutation(
+        'each-reader-asks-a-store-that-is-away',
+        'fleet/_path.py',
+        'if self._asking == reader:',
+        'if True:',
+        'tests.unit.test_store_path.StorePathTest.test_a_store_that_is_away',
+    ),
+    Mutation(
+        'broken-targets-are-told-to-nobody',
+        'routing/_heads.py',
+        'self._tell_broken(life)',
+        'return',
+        'tests.unit.test_broken_plain.BrokenPlainTest'
+        '.test_it_is_passed_over_at_once',
+    ),
 )
 
 
