--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -53,8 +53,8 @@
     Mutation(
         'claims-taken-over',
         'claims/_claims.py',
-        'case _State.NOT_RUN:',
-        'case _State.NOT_RUN | _State.CLAIMED:',
+        'case ClaimState.NOT_RUN:',
+        'case ClaimState.NOT_RUN | ClaimState.CLAIMED:',
         'tests.functional.test_at_most_once.AtMostOnceTest'
         '.test_death_of_the_node_that_sent_it',
     ),
@@ -77,7 +77,7 @@
     Mutation(
         'lease-taken-without-waiting',
         'duties/_lease.py',
-        'return self._clock() - self._seen_at > self._times.takeover',
+        'return self._clock() - self._seen_at > wait',
         'return True',
         'tests.unit.test_lease',
     ),
@@ -128,8 +128,11 @@
     Mutation(
         'members-freed-at-once',
         'grouping/_ending.py',
-        'head = self._fleet.known(self.record.head)\n        if self._member',
-        "return 'at once'\n        if self._member",
+        """        if self._fleet.listing.has_ended(self.record.lives[0]):
+            return 'the head lives anew'
+        if self._member""",
+        """        return 'at once'
+        if self._member""",
         _DRAWN_FAULTS,
     ),
     Mutation(
@@ -150,7 +153,7 @@
     Mutation(
         'unknown-outcomes-are-sent-again',
         'forwarding/_attempts.py',
-        'if not call.may_repeat and not is_not_run:',
+        'if not call.may_repeat and self._has_run:',
         'if call is None:',
         f'{_WHOLE_ANSWERS}.test_unknown_outcome_is_not_repeated',
     ),
