Plan the first division as if no other placer had begun

Cause: before traffic each placer plans for all failure domains and forms its own part, but one that was some tens of milliseconds later took what another had formed by then as given, and planned the rest around a part.

Change: before traffic only a placer's own replicas are taken as they are. tests/unit/test_first_division.py was red before (4 large ones for 3 small and 2 large).

--- a/src/cranecart/grouping/_stock.py
+++ b/src/cranecart/grouping/_stock.py
@@ -34,7 +34,7 @@
         """Return what a plan for a service is made from."""
         serving = [
             record
-            for record in self._serving()
+            for record in self._planned_with()
             if record.service == profile.name
         ]
         present: dict[str, float] = defaultdict(float)
@@ -108,6 +108,20 @@
                 wait = self._stall_seconds
             yield from ((name, wait) for name in record.members)
 
+    def _planned_with(self) -> Iterator[ReplicaRecord]:
+        """Yield the replicas that a plan takes as they are.
+
+        Before traffic only the own ones: what other placers have formed by now
+        is a part of the very division that is planned. Taken as it was, two of
+        three placers came to 3 and 10 replicas where 6 and 8 were best.
+        """
+        return (
+            record
+            for record in self._serving()
+            if self._has_traffic()
+            or record.failure_domain == self._failure_domain
+        )
+
     def _serving(self) -> Iterator[ReplicaRecord]:
         return (
             record
@@ -137,7 +151,7 @@
         its own part. Planning each for itself, three placers gave the large
         model 9 replicas and the small one 6, where 8 and 8 were best.
         """
-        used = {name for one in self._serving() for name in one.members}
+        used = {name for one in self._planned_with() for name in one.members}
         used.update(self._losses.current())
         return (
             instance
--- /dev/null
+++ b/tests/unit/test_first_division.py
@@ -0,0 +1,107 @@
+"""The first division, which all placers work out at about the same moment.
+
+Each placer plans for all failure domains and forms its own part. One that was
+35 ms later than another found two of that one's replicas already recorded, and
+planned the rest around them: 3 replicas of a model and 10 of the other came of
+it ('present': {'loba740e0': 2.0}), where 6 and 8 came of three plans at one
+moment. Seven of the ten were closed in the first seconds of traffic.
+"""
+
+import itertools
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import attrs
+
+from cranecart.fleet import Fleet, ReplicaRecord
+from cranecart.grouping._plan import plan
+from cranecart.grouping._stager import Stager
+from cranecart.grouping._stock import Stock
+from cranecart.grouping._supply import NewReplica
+from cranecart.http import Address
+from cranecart.models import EngineModel, EngineProfile, ServiceProfile
+from tests.lib.fake_engines import SERVICE, listed
+
+_LARGE = EngineModel('large', 4, 1.0, 0.5, 16, 1.6)
+_SMALL = EngineModel('small', 3, 0.6, 0.5, 12, 1.1)
+_PROFILE = ServiceProfile(
+    SERVICE,
+    EngineProfile((_LARGE, _SMALL), 13, 0.3, 8, 1),
+)
+_DOMAINS = ('east', 'north', 'west')
+_FABRICS = 2
+_MEMBERS = 9
+_ADDRESS = Address('127.0.0.1', 1)
+
+
+def _fleet() -> Fleet:
+    fleet = Fleet()
+    places = itertools.product(_DOMAINS, range(_FABRICS), range(_MEMBERS))
+    entries = (
+        attrs.evolve(
+            listed(f'{domain}-{fabric}-{number}', _ADDRESS),
+            failure_domain=domain,
+            fabric_domain=f'{domain}-{fabric}',
+        )
+        for domain, fabric, number in places
+    )
+    fleet.take_instances({one.id: one for one in entries}, True)
+    return fleet
+
+
+def _stock(fleet: Fleet, domain: str) -> Stock:
+    losses: Any = SimpleNamespace(current=frozenset)
+    nothing: Any = None
+    stager = Stager(nothing, nothing, len(_DOMAINS), bool)
+    return Stock(domain, fleet, losses, stager, dict, bool, 4)
+
+
+def _own_part(fleet: Fleet, domain: str) -> list[NewReplica]:
+    stock = _stock(fleet, domain)
+    return list(plan(stock.supply(_PROFILE)).only(stock.is_own).replicas)
+
+
+def _record(fleet: Fleet, domain: str, new: NewReplica) -> None:
+    record = ReplicaRecord(
+        f'{domain}-{new.members[0].id}',
+        1,
+        SERVICE,
+        new.model,
+        domain,
+        new.fabric_domain,
+        tuple(member.id for member in new.members),
+    )
+    fleet.take_records({record.key: record}, False)
+
+
+class FirstDivisionTest(unittest.TestCase):
+    """Placers that are some tens of milliseconds apart."""
+
+    def test_one_is_ahead(self) -> None:
+        """However much of its part it has formed, the others' stay."""
+        together = {one: _own_part(_fleet(), one) for one in _DOMAINS}
+        for ahead, late in itertools.permutations(_DOMAINS, 2):
+            fleet = _fleet()
+            for new in together[ahead]:
+                _record(fleet, ahead, new)
+                with self.subTest(ahead=ahead, late=late):
+                    self._check_same(fleet, late, together[late])
+
+    def test_the_rest_of_an_own_part(self) -> None:
+        """What a placer has formed itself is not formed again."""
+        for domain in _DOMAINS:
+            fleet = _fleet()
+            for new in _own_part(fleet, domain):
+                _record(fleet, domain, new)
+            self.assertEqual(_own_part(fleet, domain), [])
+
+    def _check_same(
+        self,
+        fleet: Fleet,
+        domain: str,
+        wanted: list[NewReplica],
+    ) -> None:
+        found = Counter(new.model for new in _own_part(fleet, domain))
+        self.assertEqual(found, Counter(new.model for new in wanted))
