--- a/tests/functional/test_node_start.py
+++ b/tests/functional/test_node_start.py
@@ -20,14 +20,33 @@
 import curio
 
 from cranecart.exceptions import HttpError
-from cranecart.http import Address, HttpConnection, Request, Response
+from cranecart.http import (
+    Address,
+    HttpConnection,
+    Request,
+    Responder,
+    Response,
+)
 from cranecart.listening import ADDRESS_VARIABLE
 from tests.lib.fake_targets import Exchange, FakeTarget
+from tests.lib.waiting import until
 from tests.platform._standin import StandinStore, start
 
 _KEY = 'secret'
 _SECONDS = 15.0
 _TARGET = 't-1'
+_NODES = 6
+# A slow store's answers on the users' sheets.
+_SLOW_SECONDS = 0.25
+
+
+class _SlowStore(StandinStore):
+    """A stand-in whose answers take their time."""
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one call late."""
+        await curio.sleep(_SLOW_SECONDS)
+        await super().handle(request, responder)
 
 
 async def _answer(exchange: Exchange) -> None:
@@ -40,8 +59,7 @@
         return port
 
 
-def _store_with(target: FakeTarget) -> StandinStore:
-    store = StandinStore()
+def _fill(store: StandinStore, target: FakeTarget) -> StandinStore:
     route = {
         'name': 'r',
         'host': 'a.example',
@@ -74,11 +92,11 @@
 class _Started:
     """A node's process, begun a moment ago."""
 
-    def __init__(self, folder: Path, platform: Address) -> None:
+    def __init__(self, folder: Path, platform: Address, name: str) -> None:
         self.client = Address('127.0.0.1', _free_port())
         self.ready = Address('127.0.0.1', _free_port())
         settings = {
-            'node_id': 'n',
+            'node_id': name,
             'failure_domain': 'east',
             'client_address': str(self.client),
             'ready_address': str(self.ready),
@@ -87,9 +105,9 @@
             'platform_address': str(platform),
             'log_successes': 1,
         }
-        file = folder / 'node.json'
+        file = folder / f'{name}.json'
         file.write_text(json.dumps(settings))
-        self._log = folder / 'log'
+        self._log = folder / f'{name}.log'
         variables = {**os.environ, ADDRESS_VARIABLE: str(self.client)}
         command = (sys.executable, '-m', 'cranecart', 'serve', str(file))
         with self._log.open('wb') as log:
@@ -99,11 +117,13 @@
                 env=variables,
             )
 
-    def started_at(self) -> float:
-        """Return when the node said that it has started."""
-        lines = map(json.loads, self._log.read_text().splitlines())
+    def started_at(self) -> float | None:
+        """Return when the node said that it has started, once it has."""
+        whole, _, _ = self._log.read_text().rpartition('\n')
+        lines = map(json.loads, whole.splitlines())
         return next(
-            line['time'] for line in lines if line['event'] == 'node_started'
+            (line['time'] for line in lines if line['event'] == 'node_started'),
+            None,
         )
 
     def end(self) -> None:
@@ -139,6 +159,14 @@
     return Response(head.status, head.headers, await connection.read_body())
 
 
+async def _meet(node: _Started) -> tuple[float, int]:
+    """Connect as soon as may be; return when, and what the answer was."""
+    connection = await _connect(node.client)
+    connected_at = time.time()
+    response = await curio.timeout_after(_SECONDS, _ask, connection)
+    return connected_at, response.status
+
+
 class NodeStartTest(unittest.TestCase):
     """A process that starts, seen by its first client."""
 
@@ -150,7 +178,15 @@
 
     def test_a_connection_made_before_it_is_there(self) -> None:
         """It waits, and its request is answered by a target."""
-        curio.run(self._meet_a_starting_node)
+        curio.run(self._meet_starting_nodes, StandinStore(), 1)
+
+    def test_the_store_is_slow(self) -> None:
+        """It waits for what the node has to read."""
+        curio.run(self._meet_starting_nodes, _SlowStore(), 1)
+
+    def test_all_start_at_one_moment(self) -> None:
+        """No client of any of them is refused."""
+        curio.run(self._meet_starting_nodes, StandinStore(), _NODES)
 
     def test_the_store_is_away(self) -> None:
         """The client is told within its time, and when to come back."""
@@ -160,17 +196,21 @@
         """The process ends at once, and its client is not left hanging."""
         curio.run(self._stop_a_starting_node)
 
-    async def _meet_a_starting_node(self) -> None:
+    async def _meet_starting_nodes(
+        self,
+        store: StandinStore,
+        count: int,
+    ) -> None:
         target = FakeTarget(_TARGET, _answer)
         serving = await curio.spawn(target.run)
-        task, platform = await start(_store_with(target))
-        node = self._start(platform)
-        connection = await _connect(node.client)
-        connected_at = time.time()
-        response = await curio.timeout_after(_SECONDS, _ask, connection)
-        self.assertEqual(response.status, 200)
-        await curio.sleep(0.3)
-        self.assertLess(connected_at, node.started_at())
+        task, platform = await start(_fill(store, target))
+        nodes = [self._start(platform, f'n{one}') for one in range(count)]
+        clients = [await curio.spawn(_meet, node) for node in nodes]
+        for node, client in zip(nodes, clients, strict=True):
+            connected_at, status = await client.join()
+            self.assertEqual(status, 200)
+            await until(node.started_at)
+            self.assertLess(connected_at, node.started_at())
         await task.cancel()
         await serving.cancel()
 
@@ -197,7 +237,7 @@
         with self.assertRaises(HttpError):
             await curio.timeout_after(1, _ask, connection)
 
-    def _start(self, platform: Address) -> Any:
-        node = _Started(self.folder, platform)
+    def _start(self, platform: Address, name: str = 'n') -> Any:
+        node = _Started(self.folder, platform, name)
         self.addCleanup(node.end)
         return node
