--- a/tests/unit/test_tools.py
+++ b/tests/unit/test_tools.py
@@ -5,6 +5,7 @@
 
 from tools.plays import Given, Play, combine
 from tools.processes import Addresses
+from tools.slopes import put, section
 
 _PLAY = Play(Path(), Path('site'), 'quiet')
 
@@ -56,3 +57,33 @@
         plays = combine(two, [Path('site')], ['quiet', 'trouble'], ['1', '2'])
         self.assertEqual([one.checkout for one in plays], two * 4)
         self.assertEqual(plays[0].seed, plays[1].seed)
+
+
+_PRINTED = """
+sweep-30     31/300   0.91  0.911  0.990   0.000  0.000  worst windows 0.97
+middle / busiest or longest, by own machines
+                          10          30   power  at 362
+node: memory MB    26 / 27.4   26 / 28.9    0.13    43.7
+power: the busiest grows as machines to this power
+"""
+
+
+class SlopesTest(unittest.TestCase):
+    """What a sweep printed, as sections of a page."""
+
+    def test_section(self) -> None:
+        """Days and slopes are tables."""
+        tables = section(_PRINTED)
+        self.assertIn('| sweep-30 | 0.911 | 0.990 |', tables)
+        row = '| node: memory MB | 26 / 27.4 | 26 / 28.9 | 0.13 | 43.7 |'
+        self.assertIn(row, tables)
+        self.assertNotIn('power: the', tables)
+
+    def test_a_page_takes_it_over(self) -> None:
+        """A second time it takes the place of the first."""
+        page = put('text\n<!-- end of sweeps -->\n', 'one', 'first')
+        page = put(page, 'two', 'other')
+        page = put(page, 'one', 'second')
+        self.assertNotIn('first', page)
+        self.assertEqual(page.count('<!-- begin one -->'), 1)
+        self.assertLess(page.index('second'), page.index('other'))
