Look past other placers' replicas in the first plan only

Read again: until traffic began every tick would have planned for all instances anew, also after a placer had formed its part; a restarted placer would have planned as if nothing served. Now only a placer without a replica of its own plans as if no other had begun.

--- a/src/cranecart/grouping/_stock.py
+++ b/src/cranecart/grouping/_stock.py
@@ -108,19 +108,18 @@
                 wait = self._stall_seconds
             yield from ((name, wait) for name in record.members)
 
-    def _planned_with(self) -> Iterator[ReplicaRecord]:
-        """Yield the replicas that a plan takes as they are.
+    def _planned_with(self) -> tuple[ReplicaRecord, ...]:
+        """Return the replicas that a plan takes as they are.
 
-        Before traffic only the own ones: what other placers have formed by now
-        is a part of the very division that is planned. Taken as it was, two of
-        three placers came to 3 and 10 replicas where 6 and 8 were best.
+        None in the first one: what other placers have formed by now is a part
+        of the very division that is planned. Taken as it was, two of three
+        placers came to 3 and 10 replicas where 6 and 8 were best.
         """
-        return (
-            record
-            for record in self._serving()
-            if self._has_traffic()
-            or record.failure_domain == self._failure_domain
+        serving = tuple(self._serving())
+        has_begun = any(
+            one.failure_domain == self._failure_domain for one in serving
         )
+        return serving if has_begun or self._has_traffic() else ()
 
     def _serving(self) -> Iterator[ReplicaRecord]:
         return (
