--- a/tests/functional/test_node_start.py
+++ b/tests/functional/test_node_start.py
@@ -8,7 +8,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -31,6 +30,7 @@
 from tests.lib.fake_targets import Exchange, FakeTarget
 from tests.lib.waiting import until
 from tests.platform._standin import StandinStore, start
+from tools.processes import Addresses
 
 _KEY = 'secret'
 _SECONDS = 15.0
@@ -53,12 +53,6 @@
     await exchange.answer(b'whole')
 
 
-def _free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as sock:
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def _fill(store: StandinStore, target: FakeTarget) -> StandinStore:
     route = {
         'name': 'r',
@@ -92,16 +86,21 @@
 class _Started:
     """A node's process, begun a moment ago."""
 
-    def __init__(self, folder: Path, platform: Address, name: str) -> None:
-        self.client = Address('127.0.0.1', _free_port())
-        self.ready = Address('127.0.0.1', _free_port())
+    def __init__(
+        self,
+        folder: Path,
+        addresses: Addresses,
+        platform: Address,
+        name: str,
+    ) -> None:
+        self.client = addresses.take()
         settings = {
             'node_id': name,
             'failure_domain': 'east',
             'client_address': str(self.client),
-            'ready_address': str(self.ready),
-            'peer_address': f'127.0.0.1:{_free_port()}',
-            'metrics_address': f'127.0.0.1:{_free_port()}',
+            'ready_address': str(addresses.take()),
+            'peer_address': str(addresses.take()),
+            'metrics_address': str(addresses.take()),
             'platform_address': str(platform),
             'log_successes': 1,
         }
@@ -175,6 +174,8 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
+        self.addresses = Addresses()
+        self.addCleanup(self.addresses.release)
 
     def test_a_connection_made_before_it_is_there(self) -> None:
         """It waits, and its request is answered by a target."""
@@ -215,7 +216,7 @@
         await serving.cancel()
 
     async def _meet_a_node_without_store(self) -> None:
-        node = self._start(Address('127.0.0.1', _free_port()))
+        node = self._start(self.addresses.take())
         connection = await _connect(node.client)
         response = await curio.timeout_after(_SECONDS, _ask, connection)
         self.assertEqual(response.status, 503)
@@ -227,7 +228,7 @@
         self.assertLess(time.monotonic() - before, 0.3)
 
     async def _stop_a_starting_node(self) -> None:
-        node = self._start(Address('127.0.0.1', _free_port()))
+        node = self._start(self.addresses.take())
         connection = await _connect(node.client)
         node.process.send_signal(signal.SIGTERM)
         ends = time.monotonic() + 1
@@ -238,6 +239,6 @@
             await curio.timeout_after(1, _ask, connection)
 
     def _start(self, platform: Address, name: str = 'n') -> Any:
-        node = _Started(self.folder, platform, name)
+        node = _Started(self.folder, self.addresses, platform, name)
         self.addCleanup(node.end)
         return node
--- a/tools/bench/_start.py
+++ b/tools/bench/_start.py
@@ -18,7 +18,9 @@
 
 import attrs
 
+from cranecart.http import Address
 from cranecart.listening import ADDRESS_VARIABLE
+from tools.processes import Addresses
 
 _PLAYS = 5
 _SECONDS = 20.0
@@ -62,16 +64,18 @@
 
 
 def _start() -> StartCost:
+    addresses = Addresses()
     with tempfile.TemporaryDirectory() as folder:
-        client, ready = _free_port(), _free_port()
+        client, ready = addresses.take(), addresses.take()
         file = Path(folder) / 'node.json'
-        file.write_text(json.dumps(_settings(client, ready)))
+        file.write_text(json.dumps(_settings(addresses, client, ready)))
         with _running(file, client) as process:
             started = time.monotonic()
             _wait_for(client, asks=False)
             listening = time.monotonic() - started
             listening_cpu = _cpu_ms(process.pid)
             _wait_for(ready, asks=True)
+            addresses.release()
             return StartCost(
                 listening * _MILLISECONDS,
                 listening_cpu,
@@ -82,11 +86,11 @@
 
 @contextlib.contextmanager
 def _running(
-    file: Path, client: int
+    file: Path, client: Address
 ) -> Generator['subprocess.Popen[bytes]', None, None]:
     variables = {
         **os.environ,
-        ADDRESS_VARIABLE: f'127.0.0.1:{client}',
+        ADDRESS_VARIABLE: str(client),
         'PYTHONPATH': os.pathsep.join(sys.path[1:]),
     }
     command = (sys.executable, '-S', '-m', 'cranecart', 'serve', str(file))
@@ -103,31 +107,30 @@
         process.wait()
 
 
-def _settings(client: int, ready: int) -> dict[str, str]:
-    other = f'127.0.0.1:{_free_port()}'
+def _settings(
+    addresses: Addresses,
+    client: Address,
+    ready: Address,
+) -> dict[str, str]:
     return {
         'node_id': 'n',
         'failure_domain': 'east',
-        'client_address': f'127.0.0.1:{client}',
-        'ready_address': f'127.0.0.1:{ready}',
-        'peer_address': f'127.0.0.1:{_free_port()}',
-        'metrics_address': f'127.0.0.1:{_free_port()}',
-        'platform_address': other,
+        'client_address': str(client),
+        'ready_address': str(ready),
+        'peer_address': str(addresses.take()),
+        'metrics_address': str(addresses.take()),
+        'platform_address': str(addresses.take()),
     }
 
 
-def _free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as sock:
-        port: int = sock.getsockname()[1]
-        return port
-
-
-def _wait_for(port: int, *, asks: bool) -> None:
-    """Return once a port takes a connection, and answers if asked."""
+def _wait_for(address: Address, *, asks: bool) -> None:
+    """Return once an address takes a connection, and answers if asked."""
     ends = time.monotonic() + _SECONDS
     while time.monotonic() < ends:
         with contextlib.suppress(OSError):
-            with socket.create_connection(('127.0.0.1', port), 1) as sock:
+            with socket.create_connection(
+                (address.host, address.port), 1
+            ) as sock:
                 if asks:
                     sock.sendall(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
                     sock.recv(_READ_BYTES)
