Read and log the limits that targets name

Sight only: no decision changes. An answer's limit is read in the adapter, as one plain decimal number (anything else names nothing and is logged once a life), and kept by life with a version, so that late answers and repeated news change nothing. 'target_limit' says what became known, from whom, and what it was before; the figures count the limits in force.

--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -91,10 +91,11 @@
         """
         connection = await self._connect(call, target)
         try:
+            sent_at = since_boot()
             await self._send(call, target, connection, resume_after)
             reading = OwnHead(self.form, call, connection)
             head = await self.wait(call, target, patience, reading.read)
-            yield await self._checked(target, connection, head)
+            yield await self._checked(target, connection, head, sent_at)
         except (TargetBrokenError, TargetTimeoutError):
             await self.connections.drop(target.instance)
             raise
@@ -206,9 +207,11 @@
         target: Target,
         connection: HttpConnection,
         head: ResponseHead,
+        sent_at: float,
     ) -> TargetAnswer:
         facts = self.form.read_answer(head)
         self.connections.note_head(target.instance, head)
+        self.router.limits.note_answer(target.instance.life, facts, sent_at)
         if facts.at_fault:
             await self.tell(target, f'cannot work without {facts.at_fault}')
         _check_answer(target, head, facts)
--- a/src/cranecart/ports/_calls.py
+++ b/src/cranecart/ports/_calls.py
@@ -42,12 +42,16 @@
 
     ``not_run`` holds only where the target itself promises it;
     ``at_fault`` names the instance that it could not work without.
+    ``limit`` is how many requests a second it takes from all nodes together;
+    ``unreadable`` holds what it says of itself that cannot be understood.
     """
 
     request_id: str
     is_genuine: bool
     not_run: bool
     at_fault: str = ''
+    limit: float | None = None
+    unreadable: tuple[str, ...] = ()
 
 
 class CallForm(Protocol):
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -29,6 +29,7 @@
 from cranecart.routing._places import Places, Target
 from cranecart.routing._pulse import Pulse
 from cranecart.routing._wanted import Wanted
+from cranecart.throttling import LimitBook
 
 # So many replicas near and as many far are drawn to decide between; more
 # bring nothing where counts are a quarter of a second old. A decision between
@@ -67,6 +68,7 @@
     gaps: GapMeter = attrs.field(factory=GapMeter, init=False)
     pulse: Pulse = attrs.field(init=False)
     errors: ForecastErrors = attrs.field(factory=ForecastErrors, init=False)
+    limits: LimitBook = attrs.field(factory=LimitBook, init=False)
     _ejection: Ejection = attrs.field(
         factory=functools.partial(Ejection, key=operator.attrgetter('life')),
         init=False,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -230,6 +230,7 @@
             listed = self._fleet.listing.lives()
             await self._connections.close_old(listed)
             self._router.errors.forget(listed)
+            self._router.limits.forget(listed)
             await self._holding.keep()
 
     def _renew_own(self) -> None:
@@ -291,6 +292,7 @@
             'log_bytes': self._lines.written_bytes,
             'log_lines_dropped': self._lines.dropped,
             'liveness_checks': self._placing.checks,
+            'targets_with_limit': len(self._router.limits.in_force()),
         }
 
     def _knows_enough(self) -> bool:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -10,6 +10,7 @@
 from cranecart.platform import PlatformCallForm
 from cranecart.ports import Dispatch
 
+_LIMIT = 'server-limit'
 _FORM = PlatformCallForm()
 _LINES: HeaderLines = (
     ('host', 'a.example'),
@@ -119,6 +120,45 @@
         self.assertTrue(_FORM.read_answer(ResponseHead(421)).not_run)
         self.assertFalse(_FORM.read_answer(ResponseHead(503)).not_run)
 
+    def test_limit(self) -> None:
+        """A decimal number is the target's limit; a huge one is bounded."""
+        for text, limit in (
+            ('2', 2),
+            ('1.4', 1.4),
+            (' 0.25 ', 0.25),
+            ('0', 0),
+            ('999999999', 1e6),
+        ):
+            facts = _FORM.read_answer(ResponseHead(200, {_LIMIT: text}))
+            self.assertEqual((facts.limit, facts.unreadable), (limit, ()))
+        self.assertIsNone(_FORM.read_answer(ResponseHead(200)).limit)
+
+    def test_unreadable_limits(self) -> None:
+        """They name nothing, and are told with a bounded part of the text."""
+        for text in (
+            '',
+            '-1',
+            '+2',
+            'nan',
+            'inf',
+            '1e3',
+            '1,4',
+            '٣',
+            '9' * 5000,
+            'Wed, 21 Oct 2026 07:28:00 GMT',
+        ):
+            facts = _FORM.read_answer(ResponseHead(200, {_LIMIT: text}))
+            self.assertIsNone(facts.limit, text)
+            self.assertEqual(len(facts.unreadable), 1)
+            self.assertLess(len(facts.unreadable[0]), 100)
+
+    def test_repeated_limits(self) -> None:
+        """Nobody can tell which of two is meant."""
+        lines = ((_LIMIT, '2'), (_LIMIT, '3'))
+        facts = _FORM.read_answer(ResponseHead(200, dict(lines), lines))
+        self.assertIsNone(facts.limit)
+        self.assertEqual(facts.unreadable, (f'{_LIMIT}: 2, 3',))
+
     def test_refusal(self) -> None:
         """The product's own answer says when to come back."""
         refusal = _FORM.refusal('r1', 503, 'no_replica', 'none', 0.25)
