--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -74,13 +74,13 @@
         )
         await self.sock.sendall(head.encode('latin-1') + body)
 
-    async def start_stream(self) -> None:
+    async def start_stream(self, extra: str = '') -> None:
         """Send the head of a stream."""
         named = self.headers['request-id']
         await self.sock.sendall(
             (
                 f'HTTP/1.1 200 OK\r\nrequest-id: {named}\r\n'
-                'replica-signature: sig\r\n'
+                f'replica-signature: sig\r\n{extra}'
                 'content-type: text/event-stream\r\n'
                 'transfer-encoding: chunked\r\n\r\n'
             ).encode(),
--- /dev/null
+++ b/tests/lib/speaking_targets.py
@@ -0,0 +1,176 @@
+"""Targets that say what load they take, before several nodes."""
+
+import functools
+import itertools
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+import curio
+
+from cranecart.exceptions import HttpError
+from tests.lib.fake_targets import (
+    ENGINES,
+    PLAIN,
+    ClientAnswer,
+    Exchange,
+    FakeTarget,
+    GatewayWorld,
+)
+
+_EVENTS = 3
+_EVENT_SECONDS = 0.01
+
+
+@attrs.frozen
+class Words:
+    """What a target says with an answer: header lines, and a refusal."""
+
+    lines: str = ''
+    refuses: bool = False
+
+
+# What a target says so many seconds after the start.
+Says = Callable[[str, float], Words]
+
+
+@attrs.frozen
+class Arrival:
+    """A request that came to a target; seconds after the start."""
+
+    at: float
+    target: str
+    node: str
+
+
+class SpeakingDeployment:
+    """Nodes before the same targets, in one event loop."""
+
+    def __init__(
+        self,
+        nodes: int,
+        targets: int,
+        says: Says,
+        *,
+        service: str = ENGINES,
+    ) -> None:
+        """Build everything; nothing runs until ``run``."""
+        self.arrivals: list[Arrival] = []
+        self.service = service
+        self._says = says
+        self._started_at = time.monotonic()
+        self.targets = [
+            FakeTarget(name, functools.partial(self._serve, name))
+            for name in map('i{}'.format, range(targets))
+        ]
+        self.nodes = [self._new_node(number) for number in range(nodes)]
+
+    @property
+    def now(self) -> float:
+        """Return the seconds since the start."""
+        return time.monotonic() - self._started_at
+
+    async def run(
+        self,
+        play: Callable[['SpeakingDeployment'], Awaitable[None]],
+    ) -> None:
+        """Run everything while a play lasts."""
+        tasks = [await curio.spawn(target.run) for target in self.targets]
+        for node in self.nodes:
+            node.server.open()
+            tasks.append(await curio.spawn(node.server.run))
+        self._started_at = time.monotonic()
+        try:
+            await play(self)
+        finally:
+            for task in tasks:
+                await task.cancel()
+
+    async def ask(
+        self,
+        seconds: float,
+        per_second: float,
+        nodes: Sequence[GatewayWorld] = (),
+    ) -> list[ClientAnswer]:
+        """Ask nodes by turns at a rate; return what came back."""
+        asked = []
+        started = time.monotonic()
+        for number, node in enumerate(itertools.cycle(nodes or self.nodes)):
+            due = started + number / per_second
+            if due > started + seconds:
+                break
+            await curio.sleep(max(0, due - time.monotonic()))
+            asked.append(await curio.spawn(self._ask, node, number))
+        answers = [await task.join() for task in asked]
+        return [one for one in answers if one is not None]
+
+    def most_within(
+        self,
+        seconds: float,
+        targets: Sequence[str],
+        since: float,
+    ) -> int:
+        """Return the most arrivals at one target in any span of a length."""
+        return max(
+            _most_in_span(
+                [
+                    one.at
+                    for one in self.arrivals
+                    if one.target == target and one.at >= since
+                ],
+                seconds,
+            )
+            for target in targets
+        )
+
+    def count(self, target: str, since: float, until: float) -> int:
+        """Return the arrivals at a target in a span."""
+        return sum(
+            one.target == target and since <= one.at < until
+            for one in self.arrivals
+        )
+
+    def _new_node(self, number: int) -> GatewayWorld:
+        return GatewayWorld(
+            service=self.service,
+            others={target.name: target for target in self.targets},
+            seed=number,
+        )
+
+    async def _ask(
+        self,
+        node: GatewayWorld,
+        number: int,
+    ) -> ClientAnswer | None:
+        path = '/safe/x' if self.service == PLAIN else '/stream/x'
+        try:
+            return await node.ask(path, request_id=f'r{number}')
+        except HttpError:
+            return None
+
+    async def _serve(self, name: str, exchange: Exchange) -> None:
+        node = exchange.headers.get('user-agent', '')
+        self.arrivals.append(Arrival(self.now, name, node))
+        words = self._says(name, self.now)
+        if words.refuses:
+            refusal = f'not-executed: 1\r\n{words.lines}'
+            await exchange.answer(b'full', 503, signature='', extra=refusal)
+        elif self.service == PLAIN:
+            await curio.sleep(_EVENTS * _EVENT_SECONDS)
+            await exchange.answer(b'fine', extra=words.lines)
+        else:
+            await exchange.start_stream(words.lines)
+            for event in range(1, _EVENTS):
+                await exchange.events(event, event)
+                await curio.sleep(_EVENT_SECONDS)
+            await exchange.end_stream()
+
+
+def _most_in_span(times: Sequence[float], seconds: float) -> int:
+    first = 0
+    most = 0
+    for last, at in enumerate(times):
+        while at - times[first] > seconds:
+            first += 1
+        most = max(most, last + 1 - first)
+    return most
--- /dev/null
+++ b/tests/unit/test_named_limits.py
@@ -0,0 +1,72 @@
+"""A target gets no more than it names, from all nodes together.
+
+Two heads of replicas named limits of 1.6 and 1.4 requests a second in their
+answers and went on getting 5 and 4 a second, from all nodes, as if they had said
+nothing. No line of any node told of it.
+"""
+
+import unittest
+from collections.abc import Sequence
+
+import curio
+
+from tests.lib.fake_targets import PLAIN, ClientAnswer
+from tests.lib.speaking_targets import SpeakingDeployment, Words
+
+_LIMIT = 2.0
+_NAMED_AT = 0.5
+# From when on the users count, and in which spans.
+_COUNTED_FROM = _NAMED_AT + 3
+_SPAN_SECONDS = 4.0
+# The aim: what the limit allows, and two more, whatever the number of nodes.
+_MOST_IN_SPAN = _LIMIT * _SPAN_SECONDS + 2
+_PLAY_SECONDS = 8.5
+_A_SECOND = 120
+_OK = 200
+
+
+def _some_limited(name: str, now: float) -> Words:
+    is_limited = name in {'i0', 'i1', 'i2'} and now >= _NAMED_AT
+    return Words(f'server-limit: {_LIMIT}\r\n' if is_limited else '')
+
+
+def _all_limited(_name: str, now: float) -> Words:
+    is_limited = now >= _NAMED_AT
+    return Words(f'server-limit: {_LIMIT}\r\n' if is_limited else '')
+
+
+class NamedLimitTest(unittest.TestCase):
+    """Four nodes before ten targets, 120 requests a second."""
+
+    answers: Sequence[ClientAnswer]
+
+    def test_some_targets(self) -> None:
+        """Three of ten name a limit; the others take the rest."""
+        self._play(SpeakingDeployment(4, 10, _some_limited), ('i0', 'i1', 'i2'))
+        self.assertEqual({one.status for one in self.answers}, {_OK})
+
+    def test_some_instances_of_a_plain_service(self) -> None:
+        """So do plain services."""
+        deployment = SpeakingDeployment(4, 10, _some_limited, service=PLAIN)
+        self._play(deployment, ('i0', 'i1', 'i2'))
+        self.assertEqual({one.status for one in self.answers}, {_OK})
+
+    def test_all_targets(self) -> None:
+        """All name a limit: what is over it is refused, at no target."""
+        deployment = SpeakingDeployment(4, 10, _all_limited)
+        self._play(deployment, [one.name for one in deployment.targets])
+        refused = [one for one in self.answers if one.status != _OK]
+        self.assertEqual({one.status for one in refused}, {503})
+        self.assertTrue(all('retry-after' in one.headers for one in refused))
+
+    def _play(
+        self,
+        deployment: SpeakingDeployment,
+        limited: Sequence[str],
+    ) -> None:
+        curio.run(deployment.run, self._ask)
+        most = deployment.most_within(_SPAN_SECONDS, limited, _COUNTED_FROM)
+        self.assertLessEqual(most, _MOST_IN_SPAN)
+
+    async def _ask(self, deployment: SpeakingDeployment) -> None:
+        self.answers = await deployment.ask(_PLAY_SECONDS, _A_SECOND)
