--- a/src/cranecart/platform/_calls.py
+++ b/src/cranecart/platform/_calls.py
@@ -1,6 +1,5 @@
 """The form of calls on the platform: headers in and out."""
 
-import re
 from collections.abc import Mapping
 
 import attrs
@@ -13,6 +12,7 @@
     ResponseHead,
     json_response,
 )
+from cranecart.platform._words import with_words
 from cranecart.ports import AnswerFacts, CallFacts, Dispatch
 
 _MILLISECONDS = 1000
@@ -27,17 +27,10 @@
 _SIGNATURE = 'replica-signature'
 _NOT_RUN = 'not-executed'
 _AT_FAULT = 'at-server'
-_LIMIT = 'server-limit'
 _WRONG_INSTANCE = 421
 _LAST_RANK = 9
 # No request has a milliard of tokens; longer numbers cannot be reckoned with.
 _MOST_DIGITS = 9
-# Figures with more digits say nothing that can be meant.
-_DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,20})?', re.ASCII)
-# No target takes more, and what is reckoned from it stays finite.
-_MOST_PER_SECOND = 1_000_000.0
-# As much of a figure that cannot be read as a log line may hold.
-_MOST_TOLD = 40
 
 # Headers that concern one connection only.
 _HOP = frozenset(
@@ -105,7 +98,7 @@
             _NOT_RUN in headers or head.status == _WRONG_INSTANCE,
             headers.get(_AT_FAULT, ''),
         )
-        return _with_limit(facts, head) if _LIMIT in headers else facts
+        return with_words(facts, head)
 
     def answer_lines(self, head: ResponseHead) -> HeaderLines:
         """Return the headers of a target's answer that a client gets."""
@@ -128,36 +121,6 @@
         return json_response(status, body, headers)
 
 
-def _with_limit(facts: AnswerFacts, head: ResponseHead) -> AnswerFacts:
-    limit = _figure(head, _LIMIT)
-    if limit is None:
-        return _with_unreadable(facts, head, _LIMIT)
-    return attrs.evolve(facts, limit=min(limit, _MOST_PER_SECOND))
-
-
-def _figure(head: ResponseHead, name: str) -> float | None:
-    """Return the decimal number of a header, if it holds just one."""
-    texts = _texts(head, name)
-    is_one = len(texts) == 1 and _DECIMAL.fullmatch(texts[0].strip())
-    return float(texts[0]) if is_one else None
-
-
-def _with_unreadable(
-    facts: AnswerFacts,
-    head: ResponseHead,
-    name: str,
-) -> AnswerFacts:
-    texts = ', '.join(_texts(head, name))
-    told = f'{name}: {texts[:_MOST_TOLD]}'
-    return attrs.evolve(facts, unreadable=(*facts.unreadable, told))
-
-
-def _texts(head: ResponseHead, name: str) -> list[str]:
-    if not head.lines:
-        return [head.headers[name]]
-    return [text for line_name, text in head.lines if line_name == name]
-
-
 def _added(request: Request, dispatch: Dispatch) -> HeaderLines:
     milliseconds = max(1, int(dispatch.seconds_left * _MILLISECONDS))
     lines = [
--- a/src/cranecart/ports/_calls.py
+++ b/src/cranecart/ports/_calls.py
@@ -42,8 +42,9 @@
 
     ``not_run`` holds only where the target itself promises it;
     ``at_fault`` names the instance that it could not work without.
-    ``limit`` is how many requests a second it takes from all nodes together;
-    ``unreadable`` holds what it says of itself that cannot be understood.
+    ``limit`` is how many requests a second it takes from all nodes together,
+    ``rest_seconds`` for how long it wants none of this node, and ``is_leaving``
+    tells that it ends soon and wants none any more. ``unreadable`` holds what it says of itself that cannot be understood.
     """
 
     request_id: str
@@ -51,6 +52,8 @@
     not_run: bool
     at_fault: str = ''
     limit: float | None = None
+    rest_seconds: float | None = None
+    is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -9,6 +9,7 @@
 import attrs
 
 from cranecart.clocks import since_boot
+from cranecart.logs import decision
 from cranecart.ports import AnswerFacts, Life, ListedInstance
 from cranecart.throttling._bucket import TokenBucket
 from cranecart.throttling._limits import LimitBook, LimitNews
@@ -86,6 +87,15 @@
 
         ``sent_at`` is when the request was sent that it answers.
         """
+        if facts.rest_seconds:
+            decision(
+                'target_rest',
+                instance=life.id,
+                born=life.born,
+                seconds=facts.rest_seconds,
+            )
+        if facts.is_leaving:
+            decision('target_leaving', instance=life.id, born=life.born)
         news = self._book.note_answer(life, facts, sent_at)
         if news is not None:
             self._put(news)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -11,6 +11,8 @@
 from cranecart.ports import Dispatch
 
 _LIMIT = 'server-limit'
+_REST = 'retry-after'
+_LEAVING = 'server-leaving'
 _FORM = PlatformCallForm()
 _LINES: HeaderLines = (
     ('host', 'a.example'),
@@ -159,6 +161,29 @@
         self.assertIsNone(facts.limit)
         self.assertEqual(facts.unreadable, (f'{_LIMIT}: 2, 3',))
 
+    def test_rest(self) -> None:
+        """Seconds beside a 503 alone; a huge number is bounded."""
+        for text, seconds in (('3', 3), ('0.5', 0.5), ('99999999', 3600)):
+            facts = _FORM.read_answer(ResponseHead(503, {_REST: text}))
+            self.assertEqual(facts.rest_seconds, seconds)
+        for status in (200, 429):
+            facts = _FORM.read_answer(ResponseHead(status, {_REST: '3'}))
+            self.assertIsNone(facts.rest_seconds)
+        for text in ('-1', 'nan', 'Wed, 21 Oct 2026 07:28:00 GMT', '9' * 5000):
+            facts = _FORM.read_answer(ResponseHead(503, {_REST: text}))
+            self.assertIsNone(facts.rest_seconds)
+            self.assertEqual(len(facts.unreadable), 1)
+
+    def test_leaving(self) -> None:
+        """Only the one word says so, beside any status."""
+        for status in (200, 500, 503):
+            facts = _FORM.read_answer(ResponseHead(status, {_LEAVING: '1'}))
+            self.assertTrue(facts.is_leaving)
+        for text in ('0', '', 'true'):
+            facts = _FORM.read_answer(ResponseHead(200, {_LEAVING: text}))
+            self.assertFalse(facts.is_leaving)
+            self.assertEqual(len(facts.unreadable), 1)
+
     def test_refusal(self) -> None:
         """The product's own answer says when to come back."""
         refusal = _FORM.refusal('r1', 503, 'no_replica', 'none', 0.25)
