--- a/tests/lib/speaking_targets.py
+++ b/tests/lib/speaking_targets.py
@@ -38,11 +38,15 @@
 
 @attrs.frozen
 class Arrival:
-    """A request that came to a target; seconds after the start."""
+    """A request of a node that came to a target, and what that said.
+
+    ``at`` is in seconds after the start.
+    """
 
     at: float
     target: str
-    node: str
+    node: int
+    words: Words
 
 
 class SpeakingDeployment:
@@ -97,7 +101,8 @@
         """Ask nodes by turns at a rate; return what came back."""
         asked = []
         started = time.monotonic()
-        for number, node in enumerate(itertools.cycle(nodes or self.nodes)):
+        turns = itertools.cycle(nodes or self.nodes)
+        for number, node in enumerate(turns):
             due = started + number / per_second
             if due > started + seconds:
                 break
@@ -125,6 +130,37 @@
             for target in targets
         )
 
+    def most_in_rest(self, rest_seconds: float, from_seconds: float) -> int:
+        """Return the most requests of one node at a target within one rest.
+
+        A rest is told with each refusal; those count that come so many seconds
+        after it or later.
+        """
+        return max(
+            sum(
+                later.target == told.target
+                and later.node == told.node
+                and from_seconds < later.at - told.at < rest_seconds
+                for later in self.arrivals
+            )
+            for told in self.arrivals
+            if told.words.refuses
+        )
+
+    def after_word(self, seconds: float) -> int:
+        """Count requests that came to a target from a node it had told.
+
+        Those count that come so many seconds after the first such answer.
+        """
+        first: dict[tuple[str, int], float] = {}
+        for one in self.arrivals:
+            if one.words.lines:
+                first.setdefault((one.target, one.node), one.at)
+        return sum(
+            one.at > first.get((one.target, one.node), one.at) + seconds
+            for one in self.arrivals
+        )
+
     def count(self, target: str, since: float, until: float) -> int:
         """Return the arrivals at a target in a span."""
         return sum(
@@ -168,14 +204,15 @@
     ) -> ClientAnswer | None:
         path = '/safe/x' if self.service == PLAIN else '/stream/x'
         try:
-            return await node.ask(path, request_id=f'r{number}')
+            name = f'{self.nodes.index(node)}.{number}'
+            return await node.ask(path, request_id=name)
         except HttpError:
             return None
 
     async def _serve(self, name: str, exchange: Exchange) -> None:
-        node = exchange.headers.get('user-agent', '')
-        self.arrivals.append(Arrival(self.now, name, node))
+        node = int(exchange.headers['request-id'].partition('.')[0])
         words = self._says(name, self.now)
+        self.arrivals.append(Arrival(self.now, name, node, words))
         if words.refuses:
             refusal = f'not-executed: 1\r\n{words.lines}'
             await exchange.answer(b'full', 503, signature='', extra=refusal)
--- /dev/null
+++ b/tests/unit/test_asked_for_rest.py
@@ -0,0 +1,70 @@
+"""A target that asks a node for rest gets none of its requests meanwhile.
+
+Seven heads of replicas turned all requests away and asked for three seconds of rest
+each; single nodes sent them up to six in that time, as what turns everything away
+looks free. Their clients were told to come back after 0.2 s each time.
+"""
+
+import functools
+import unittest
+from collections.abc import Collection, Sequence
+
+import curio
+
+from tests.lib.fake_targets import ClientAnswer
+from tests.lib.speaking_targets import SpeakingDeployment, Words
+
+_REST_SECONDS = 3.0
+_ASKED_AT = 0.5
+_SERVES_AGAIN_AT = 4.0
+# The rule: what comes half a second after the answer or later, two at most.
+_FROM_SECONDS = 0.5
+_MOST = 2
+_PLAY_SECONDS = 6.0
+_A_SECOND = 120
+_OK = 200
+# Clients wait three seconds, and heed a third of what they have left.
+_HEEDED_SECONDS = 0.95
+
+
+def _rest(names: Collection[str], name: str, now: float) -> Words:
+    if name in names and _ASKED_AT <= now < _SERVES_AGAIN_AT:
+        return Words(f'retry-after: {_REST_SECONDS}\r\n', refuses=True)
+    return Words()
+
+
+_ALL = tuple(map('i{}'.format, range(10)))
+
+
+class RestTest(unittest.TestCase):
+    """Four nodes before ten targets, 120 requests a second."""
+
+    answers: Sequence[ClientAnswer]
+
+    def test_some_targets(self) -> None:
+        """Two of ten rest, and the others serve all."""
+        deployment = self._play(('i0', 'i1'))
+        most = deployment.most_in_rest(_REST_SECONDS, _FROM_SECONDS)
+        self.assertLessEqual(most, _MOST)
+        self.assertEqual({one.status for one in self.answers}, {_OK})
+
+    def test_all_targets(self) -> None:
+        """All rest: nobody is asked, and clients are told for how long."""
+        deployment = self._play(_ALL)
+        most = deployment.most_in_rest(_REST_SECONDS, _FROM_SECONDS)
+        self.assertLessEqual(most, _MOST)
+        refused = [one for one in self.answers if one.status != _OK]
+        self.assertEqual({one.status for one in refused}, {503})
+        # Those refused in the first second, while every rest goes on for two.
+        early = refused[:_A_SECOND]
+        told = [float(one.headers['retry-after']) for one in early]
+        self.assertGreater(min(told), _HEEDED_SECONDS)
+
+    def _play(self, names: Collection[str]) -> SpeakingDeployment:
+        says = functools.partial(_rest, names)
+        deployment = SpeakingDeployment(4, 10, says)
+        curio.run(deployment.run, self._ask)
+        return deployment
+
+    async def _ask(self, deployment: SpeakingDeployment) -> None:
+        self.answers = await deployment.ask(_PLAY_SECONDS, _A_SECOND)
