Let targets rest for as long as they ask a node to

What callers saw: a request went to targets that turn everything away, one after the other, as these look free; single nodes sent up to 12 requests into a rest of three seconds (62 where all targets rest). The time beside a refusal was read by nothing, and three refusals in a row put a target aside as a preference only.

A rest is this node's own, by life, from the answer on to its end; later ones make it longer, successes do not end it. It closes the gate that limits have, before each choice, and once more before sending, as a request may wait for its connection when the word comes: that attempt is no failure and costs no retry.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -90,6 +90,13 @@
     execution = Execution.NOT_RUN
 
 
+@final
+class TargetWithdrawnError(TargetError):
+    """The target said after it was chosen that it takes none; none was sent."""
+
+    execution = Execution.NOT_RUN
+
+
 @final
 class TargetRefusedError(TargetError):
     """The target itself said that it did not run the request."""
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -16,6 +16,7 @@
     TargetError,
     TargetNotReachedError,
     TargetTimeoutError,
+    TargetWithdrawnError,
     TimeoutPassedError,
 )
 from cranecart.forwarding._call import RoutedCall, wanted
@@ -32,6 +33,7 @@
 # Targets that could not be reached at all count in no limit of the route,
 # but are not tried for ever.
 _MOST_NOT_REACHED = 3
+_NOT_SENT = (TargetNotReachedError, TargetWithdrawnError)
 _NOWHERE = (HeldError, NoReplicaError, NotTakenError, OverloadedError)
 
 
@@ -148,16 +150,12 @@
             )
 
     def _note(self, target: Target, error: TargetError) -> None:
-        is_reached = not isinstance(error, TargetNotReachedError)
-        if is_reached:
-            self._sent += 1
-        else:
+        if isinstance(error, _NOT_SENT):
             self._not_reached += 1
-        is_broken = isinstance(error, TargetDisconnectedError)
-        if is_broken and target.forming is None:
-            self._router.broke(target.instance.life)
         else:
-            self._router.failed(target.instance.life, reached=is_reached)
+            self._sent += 1
+        is_broken = isinstance(error, TargetDisconnectedError)
+        self._count_failure(target, error)
         # Once it may have run, a later refusal does not make it 'not run'.
         if not self._has_run:
             self._last = error
@@ -172,6 +170,17 @@
         if is_broken:
             self._tell_disconnected(target)
 
+    def _count_failure(self, target: Target, error: TargetError) -> None:
+        life = target.instance.life
+        if isinstance(error, TargetWithdrawnError):
+            # That it said so in time is no failure.
+            return
+        if isinstance(error, TargetDisconnectedError) and not target.forming:
+            self._router.broke(life)
+            return
+        is_reached = not isinstance(error, TargetNotReachedError)
+        self._router.failed(life, reached=is_reached)
+
     def _tell_disconnected(self, target: Target) -> None:
         """Log what shows whether the request has ended its target."""
         watch = self._watch
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -16,6 +16,7 @@
     TargetNotReachedError,
     TargetRefusedError,
     TargetTimeoutError,
+    TargetWithdrawnError,
 )
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnections
@@ -186,6 +187,11 @@
         connection: HttpConnection,
         resume_after: str,
     ) -> None:
+        if not self.router.gate.may_reach(target.instance.life):
+            # While it waited for a connection another answer asked for rest.
+            raise TargetWithdrawnError(
+                f'{target.instance.id} takes nothing any more',
+            )
         late_ranks = _LATE_RANKS if target.is_late else 0
         dispatch = Dispatch(
             target.instance.id,
--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -1,7 +1,8 @@
 """Let no more requests through to a target than it says that it takes.
 
 Load answered: targets in need name a few requests a second, for all nodes
-together, and every node may be asked for many times that.
+together, and every node may be asked for many times that; others turn away what
+comes and ask for rest, and look free by their counts meanwhile.
 """
 
 from collections.abc import Callable, Collection, Iterable, Sequence
@@ -13,6 +14,7 @@
 from cranecart.ports import AnswerFacts, Life, ListedInstance
 from cranecart.throttling._bucket import TokenBucket
 from cranecart.throttling._limits import LimitBook, LimitNews
+from cranecart.throttling._rests import RestBook
 from cranecart.throttling._shares import FewNodes, Share, ShareRule
 
 # How long a node that comes to send in another's place waits before it does:
@@ -68,6 +70,7 @@
     _clock: Callable[[], float] = since_boot
     _rule: ShareRule = attrs.field(factory=FewNodes)
     _book: LimitBook = attrs.field(init=False)
+    _rests: RestBook = attrs.field(init=False)
     _parts: dict[Life, _Part] = attrs.field(factory=dict, init=False)
     _repeated_at: float = attrs.field(default=0, init=False)
     _turned_away: int = attrs.field(default=0, init=False)
@@ -75,7 +78,7 @@
     @property
     def is_open(self) -> bool:
         """Tell whether no target has said anything."""
-        return not self._parts
+        return not self._parts and self._rests.is_empty
 
     def note_answer(
         self,
@@ -88,12 +91,7 @@
         ``sent_at`` is when the request was sent that it answers.
         """
         if facts.rest_seconds:
-            decision(
-                'target_rest',
-                instance=life.id,
-                born=life.born,
-                seconds=facts.rest_seconds,
-            )
+            self._rests.note(life, facts.rest_seconds)
         if facts.is_leaving:
             decision('target_leaving', instance=life.id, born=life.born)
         news = self._book.note_answer(life, facts, sent_at)
@@ -109,6 +107,8 @@
 
     def is_open_to(self, life: Life) -> bool:
         """Tell whether a target takes a request of this node now."""
+        if not self.may_reach(life):
+            return False
         part = self._parts.get(life)
         if part is None:
             return True
@@ -116,6 +116,10 @@
         self._look(life, part, now)
         return part.nodes > 0 and part.bucket.has_token(now)
 
+    def may_reach(self, life: Life) -> bool:
+        """Tell whether what was chosen for a target may still be sent."""
+        return not self._rests.seconds_left(life)
+
     def take(self, life: Life) -> None:
         """Count a request that goes to a target."""
         part = self._parts.get(life)
@@ -123,13 +127,14 @@
             part.bucket.take(self._clock())
 
     def room_seconds(self, life: Life) -> float:
-        """Return after how long a target takes a request of any node."""
+        """Return after how long a target should take a request again."""
+        rest = self._rests.seconds_left(life)
         part = self._parts.get(life)
         if part is None:
-            return 0
+            return rest
         if part.nodes:
-            return part.bucket.seconds_to_token(self._clock())
-        return 1 / self._rule.share(part.limit, 1).per_second
+            return max(rest, part.bucket.seconds_to_token(self._clock()))
+        return max(rest, 1 / self._rule.share(part.limit, 1).per_second)
 
     def share_of(self, life: Life) -> Share | None:
         """Return this node's part of a target's limit, if it has one."""
@@ -145,6 +150,7 @@
     def renew(self, listed: Collection[Life]) -> None:
         """Look anew who sends, and repeat what others have to know."""
         now = self._clock()
+        self._rests.forget_ended()
         for life, part in self._parts.items():
             self._look(life, part, now)
         sends = {life for life, part in self._parts.items() if part.nodes}
@@ -164,9 +170,14 @@
         """Return figures by name."""
         return {
             'targets_with_limit': len(self._parts),
+            'targets_at_rest': len(self._rests),
             'turned_away_by_targets_words': self._turned_away,
         }
 
+    @_rests.default
+    def _make_rests(self) -> RestBook:
+        return RestBook(self._clock)
+
     @_book.default
     def _make_book(self) -> LimitBook:
         return LimitBook(self._clock)
--- /dev/null
+++ b/src/cranecart/throttling/_rests.py
@@ -0,0 +1,56 @@
+"""Until when targets want nothing of this node."""
+
+from collections.abc import Callable
+
+import attrs
+
+from cranecart.clocks import since_boot
+from cranecart.logs import decision
+from cranecart.ports import Life
+
+
+@attrs.define
+class RestBook:
+    """The rests that targets have asked this node for, by life.
+
+    A later one makes a rest longer and never shorter, as answers pass each
+    other; no success ends it, as those come of requests sent before it.
+    """
+
+    _clock: Callable[[], float] = since_boot
+    _until: dict[Life, float] = attrs.field(factory=dict, init=False)
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no target has asked for any."""
+        return not self._until
+
+    def __len__(self) -> int:
+        """Return how many targets rest."""
+        return len(self._until)
+
+    def note(self, life: Life, seconds: float) -> None:
+        """Take over that a target asks for so many seconds from now on."""
+        until = self._clock() + seconds
+        earlier = self._until.get(life, 0)
+        self._until[life] = max(earlier, until)
+        decision(
+            'target_rest',
+            instance=life.id,
+            born=life.born,
+            seconds=seconds,
+            left=round(self.seconds_left(life), 3),
+        )
+
+    def seconds_left(self, life: Life) -> float:
+        """Return for how long a target still rests, 0 if it does not."""
+        until = self._until.get(life)
+        return 0 if until is None else max(0, until - self._clock())
+
+    def forget_ended(self) -> None:
+        """Forget the rests that are over."""
+        now = self._clock()
+        for life, until in list(self._until.items()):
+            if until <= now:
+                self._until.pop(life)
+                decision('target_rest_over', instance=life.id, born=life.born)
--- /dev/null
+++ b/tests/unit/test_target_gate.py
@@ -0,0 +1,124 @@
+"""What a node may send to targets that have said something of themselves."""
+
+import unittest
+
+import attrs
+import curio
+
+from cranecart.forwarding import TargetConnections
+from cranecart.http import HttpConnection
+from cranecart.ports import AnswerFacts, Life, ListedInstance
+from cranecart.routing import Wanted
+from cranecart.throttling import TargetGate
+from tests.lib.fake_targets import CONFIG, MODEL, Exchange, GatewayWorld
+
+_LIFE = Life('i1', 7)
+_REFUSAL = AnswerFacts('r1', False, True, rest_seconds=3)
+_SUCCESS = AnswerFacts('r1', True, False)
+
+
+class RestTest(unittest.TestCase):
+    """Rests, on a clock that the test turns."""
+
+    def setUp(self) -> None:
+        """Hear a target ask for three seconds at second ten."""
+        self.now = float(10)
+        self.gate = TargetGate(clock=self.clock)
+        self.gate.note_answer(_LIFE, _REFUSAL, 9)
+
+    def clock(self) -> float:
+        """Return what the test has turned the clock to."""
+        return self.now
+
+    def test_it_ends(self) -> None:
+        """Until then nothing goes there, and it is known when it does."""
+        self.assertFalse(self.gate.is_open_to(_LIFE))
+        self.now = 12
+        self.assertEqual(self.gate.room_seconds(_LIFE), 1)
+        self.now = 13
+        self.assertTrue(self.gate.is_open_to(_LIFE))
+        self.gate.renew({_LIFE})
+        self.assertTrue(self.gate.is_open)
+
+    def test_a_success_does_not_end_it(self) -> None:
+        """Its request was sent before the target asked."""
+        self.gate.note_answer(_LIFE, _SUCCESS, 9.5)
+        self.assertFalse(self.gate.is_open_to(_LIFE))
+
+    def test_a_later_one_makes_it_longer_only(self) -> None:
+        """Answers pass each other."""
+        self.now = 12
+        brief = attrs.evolve(_REFUSAL, rest_seconds=0.1)
+        self.gate.note_answer(_LIFE, brief, 11)
+        self.assertEqual(self.gate.room_seconds(_LIFE), 1)
+        self.gate.note_answer(_LIFE, _REFUSAL, 11)
+        self.assertEqual(self.gate.room_seconds(_LIFE), 3)
+
+    def test_another_life_rests_not(self) -> None:
+        """What comes back under the same id has asked for nothing."""
+        self.assertTrue(self.gate.is_open_to(Life('i1', 8)))
+
+    def test_a_rest_and_a_limit(self) -> None:
+        """Both hold, and a limit goes on behind a rest."""
+        limited = AnswerFacts('r1', True, False, limit=2)
+        self.gate.note_answer(_LIFE, limited, 9)
+        self.now = 11
+        self.assertFalse(self.gate.is_open_to(_LIFE))
+        self.now = 14
+        self.assertTrue(self.gate.is_open_to(_LIFE))
+        self.gate.take(_LIFE)
+        self.gate.take(_LIFE)
+        self.assertFalse(self.gate.is_open_to(_LIFE))
+
+
+class WaySendTest(unittest.TestCase):
+    """A word that comes while a request is on its way to the target."""
+
+    def test_looked_at_before_sending(self) -> None:
+        """It goes elsewhere, which is no failure and costs no retry."""
+        world = GatewayWorld(_serve, _serve, retries=0)
+        curio.run(world.run, self._ask)
+        self.assertEqual(len(world.targets[0].seen), 0)
+
+    def test_no_other_is_left(self) -> None:
+        """A stream has no target to move to where the other rests."""
+        world = GatewayWorld(_serve, _serve)
+        route = next(one for one in CONFIG.routes if one.name == 'stream')
+        wanted = Wanted(CONFIG, route, 'drafts', MODEL, 100, 2)
+        ask = (CONFIG, 'drafts', MODEL, ['i0'])
+        self.assertTrue(world.router.has_untried(*ask))
+        world.router.gate.note_answer(Life('i1'), _REFUSAL, 0)
+        self.assertFalse(world.router.has_untried(*ask))
+        chosen = {world.router.choose(wanted).instance.id for _ in range(20)}
+        self.assertEqual(chosen, {'i0'})
+
+    async def _ask(self, world: GatewayWorld) -> None:
+        sender = world.gateway._sender
+        sender.connections = SlowConnections(gate=world.router.gate)
+        for _number in range(6):
+            answer = await world.ask('/stream/x')
+            self.assertEqual(answer.status, 200)
+
+
+@attrs.define(kw_only=True)
+class SlowConnections(TargetConnections):
+    """While the first target is connected to, another answer asks for rest."""
+
+    gate: TargetGate
+
+    async def take(
+        self,
+        instance: ListedInstance,
+        *,
+        is_sure: bool,
+        is_new: bool = False,
+    ) -> HttpConnection:
+        """Hear of the rest, then return a connection."""
+        self.gate.note_answer(Life('i0'), _REFUSAL, 0)
+        return await super().take(instance, is_sure=is_sure, is_new=is_new)
+
+
+async def _serve(exchange: Exchange) -> None:
+    await exchange.start_stream()
+    await exchange.events(1, 2)
+    await exchange.end_stream()
