Tell refused clients when the first target takes requests again

What callers saw: refused by targets at rest, they were told to come back after 0.2 s each time, found the same, and had lost their last try. The time was a fixed one; it is the end of the first rest now, or the next place under a limit, as far as a client heeds it.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -24,8 +24,8 @@
 from cranecart.retries import SharedRetryBudget
 from cranecart.routing import HeadRouter, Target, Wanted
 
-# When to come back after a target has refused, in seconds.
-_REFUSED_SECONDS = 0.2
+# When to come back with more time left, in seconds.
+_NO_TIME_SECONDS = 0.2
 # What has less time left than this part of its objective would be cut before
 # any target could answer it; objectives begin at 0.1 s on the users' sheets.
 _LEAST_PART = 0.1
@@ -146,7 +146,7 @@
         if not self.has_begun and self.call.seconds_left <= least:
             raise NotTakenError(
                 'no time is left for any target',
-                retry_after=_REFUSED_SECONDS,
+                retry_after=_NO_TIME_SECONDS,
             )
 
     def _note(self, target: Target, error: TargetError) -> None:
@@ -224,7 +224,10 @@
     def _final_error(self) -> RequestError:
         last = self._last
         if last is not None and last.execution is Execution.NOT_RUN:
-            return NotTakenError(str(last), retry_after=_REFUSED_SECONDS)
+            return NotTakenError(
+                str(last),
+                retry_after=self._router.return_after(self._wanted()),
+            )
         if isinstance(last, TargetTimeoutError):
             return TimeoutPassedError(str(last))
         return OutcomeUnknownError(str(last))
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -89,6 +89,20 @@
             return self._choose_plain(wanted)
         return self._choose_head(wanted, engine)
 
+    def return_after(self, wanted: Wanted) -> float:
+        """Return when a client should come back that targets have refused."""
+        targets = _targets(
+            self._fleet,
+            wanted.config,
+            wanted.service,
+            wanted.model,
+        )
+        expected = min(
+            (self.gate.room_seconds(one.life) for one in targets),
+            default=_NOTHING_FORMS_SECONDS,
+        )
+        return _return_after(self._random, wanted, expected)
+
     def has_untried(
         self,
         config: RouteConfig,
@@ -100,14 +114,9 @@
 
         This is asked with every event of a stream, so that nothing is built.
         """
-        targets: Sequence[ServingHead | ListedInstance]
-        if config.engine(service) is None:
-            targets = self._fleet.plain(service)
-        else:
-            targets = self._fleet.heads(service, model)
         return any(
             one.id not in tried and self.gate.is_open_to(one.life)
-            for one in targets
+            for one in _targets(self._fleet, config, service, model)
         )
 
     @contextlib.contextmanager
@@ -179,7 +188,7 @@
         taking = taking_now(
             allowed,
             self.gate,
-            functools.partial(self._return_after, wanted=wanted),
+            functools.partial(_return_after, self._random, wanted),
         )
         heads = {head.id: head for head in self._drawn_heads(taking, wanted)}
         ask = Ask(
@@ -198,7 +207,7 @@
         if isinstance(chosen, Refuse):
             raise OverloadedError(
                 f'a place is due {chosen.seconds:.2f} s after its client left',
-                retry_after=self._return_after(chosen.seconds, wanted),
+                retry_after=_return_after(self._random, wanted, chosen.seconds),
             )
         head = heads[chosen.name]
         self.gate.take(head.life)
@@ -261,14 +270,9 @@
         expected = _FORMING_SECONDS if forms else _NOTHING_FORMS_SECONDS
         return NoReplicaError(
             f'no whole replica of {wanted.model!r} serves',
-            retry_after=self._return_after(expected, wanted),
+            retry_after=_return_after(self._random, wanted, expected),
         )
 
-    def _return_after(self, expected: float, wanted: Wanted) -> float:
-        """Return when a refused client should come back, drawn for it."""
-        drawn = self._random.random()
-        return return_seconds(expected, wanted.left_seconds, drawn)
-
     def _choose_plain(self, wanted: Wanted) -> Target:
         allowed = _allowed(self._fleet.plain(wanted.service), wanted)
         if not allowed:
@@ -279,7 +283,7 @@
         instances = taking_now(
             allowed,
             self.gate,
-            functools.partial(self._return_after, wanted=wanted),
+            functools.partial(_return_after, self._random, wanted),
         )
         good = self._ejection.without_ejected(instances)
         chosen = min(good, key=self._load_then_chance)
@@ -290,7 +294,7 @@
         if _is_full(chosen, load):
             raise OverloadedError(
                 f'the least loaded target has {load} requests',
-                retry_after=self._return_after(_FULL_SECONDS, wanted),
+                retry_after=_return_after(self._random, wanted, _FULL_SECONDS),
             )
         self.gate.take(chosen.life)
         return Target(
@@ -306,6 +310,26 @@
         return self.load(one.id), self._random.random()
 
 
+def _return_after(
+    source: random.Random,
+    wanted: Wanted,
+    expected: float,
+) -> float:
+    """Return when a refused client should come back, drawn for it."""
+    return return_seconds(expected, wanted.left_seconds, source.random())
+
+
+def _targets(
+    fleet: Fleet,
+    config: RouteConfig,
+    service: str,
+    model: str,
+) -> Sequence[ServingHead | ListedInstance]:
+    if config.engine(service) is None:
+        return fleet.plain(service)
+    return fleet.heads(service, model)
+
+
 def _is_full(instance: ListedInstance, load: int) -> bool:
     return load >= instance.slots * (1 + _PLAIN_QUEUE_PART)
 
