--- a/tests/lib/limit_world.py
+++ b/tests/lib/limit_world.py
@@ -102,6 +102,8 @@
         self.limit: float | None = limit
         self.per_second = _A_SECOND_EACH
         self.arrivals: list[tuple[float, str]] = []
+        # Nodes that the others do not hear now, though they live.
+        self.hidden: set[str] = set()
         self._rule = rule or FewNodes()
         self._random = random.Random(seed)
         self._numbers: Iterator[int] = itertools.count()
@@ -198,7 +200,7 @@
         node = self.nodes[name]
         believed = {name}
         if not node.is_cut:
-            believed |= self._seen(self.now - node.lag)
+            believed |= self._seen(self.now - node.lag) - self.hidden
         near = {one for one in believed if not self.nodes[one].domain}
         chosen = first_names(near or {name}, _LIFE.id, most)
         return len(chosen) if name in chosen else 0
--- a/tests/unit/test_limit_shares.py
+++ b/tests/unit/test_limit_shares.py
@@ -21,6 +21,8 @@
 _LEAST_USED = 0.9
 # Within this all nodes know what one has learned, or what they missed.
 _KNOWN_SECONDS = 2.5
+# As where two of its messages are lost.
+_UNHEARD_SECONDS = 0.8
 
 
 def _allowed(limit: float) -> float:
@@ -74,17 +76,18 @@
 
     def test_nodes_that_join(self) -> None:
         """Whoever comes first in the ranking then waits before it sends."""
-        for seed, nodes in itertools.product(range(5), (4, 9)):
-            world = LimitWorld(nodes, 2, seed=seed)
-            world.run(6)
-            for number in range(6):
-                world.start(f'new-{number}')
-            world.run(10)
-            most = world.most_in_span(RULE_BEGINS_SECONDS, only_told=True)
-            self.assertLessEqual(most, _allowed(2))
-            # What they sent before they knew, in the first tenth of a second.
-            most = world.most_in_span(6 + _KNOWN_SECONDS)
-            self.assertLessEqual(most, _allowed(2))
+        for seed, nodes in itertools.product(range(8), (4, 9)):
+            for limit in (2, 7):
+                world = LimitWorld(nodes, limit, seed=seed)
+                world.run(6)
+                for number in range(6):
+                    world.start(f'new-{number}')
+                world.run(10)
+                most = world.most_in_span(RULE_BEGINS_SECONDS, only_told=True)
+                self.assertLessEqual(most, _allowed(limit))
+                # They send for some tenths of a second before they know.
+                most = world.most_in_span(6 + _KNOWN_SECONDS)
+                self.assertLessEqual(most, _allowed(limit))
 
     def test_a_sender_restarts(self) -> None:
         """What it sends before it knows is its own; the others keep to it."""
@@ -113,6 +116,19 @@
                 most = world.most_in_span(RULE_BEGINS_SECONDS, without)
                 self.assertLessEqual(most, _allowed(2))
 
+    def test_a_sender_is_not_heard_for_a_moment(self) -> None:
+        """Who would take its place has not waited long enough to send."""
+        for seed, nodes in itertools.product(range(5), (9, 30)):
+            world = LimitWorld(nodes, 5, seed=seed)
+            world.run(4)
+            for _turn in range(6):
+                world.hidden = set(world.senders())
+                world.run(_UNHEARD_SECONDS)
+                world.hidden = set()
+                world.run(1)
+            most = world.most_in_span(RULE_BEGINS_SECONDS)
+            self.assertLessEqual(most, _allowed(5))
+
     def test_a_limit_ends(self) -> None:
         """One answer without it, and all nodes send again."""
         world = LimitWorld(9, 1.4)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -39,6 +39,7 @@
     '.test_never_two_and_never_in_part'
 )
 _FOREIGN_ANSWERS = 'tests.unit.test_foreign_answers.StutterTest'
+_LIMIT_SHARES = 'tests.unit.test_limit_shares'
 _WHOLE_ANSWERS = 'tests.unit.test_forwarding.WholeAnswerTest'
 
 MUTATIONS = (
@@ -269,6 +270,55 @@
         'tests.unit.test_broken_plain.BrokenPlainTest'
         '.test_it_is_passed_over_at_once',
     ),
+    Mutation(
+        'limits-of-targets-are-not-kept',
+        'throttling/_gate.py',
+        'return part.nodes > 0 and part.bucket.has_token(now)',
+        'return True',
+        _LIMIT_SHARES,
+    ),
+    Mutation(
+        'every-node-sends-to-limited-targets',
+        'throttling/_gate.py',
+        'most = self._rule.nodes_for(limit)',
+        'most = len(instance.id) * 100 if instance else 1000',
+        _LIMIT_SHARES,
+    ),
+    Mutation(
+        'who-takes-over-does-not-wait',
+        'throttling/_gate.py',
+        'now + _HANDOVER_SECONDS',
+        'now - _HANDOVER_SECONDS',
+        _LIMIT_SHARES,
+    ),
+    Mutation(
+        'late-answers-end-limits',
+        'throttling/_limits.py',
+        'sent_at < known.named_at and not',
+        'sent_at < 0 and not',
+        'tests.unit.test_limit_book',
+    ),
+    Mutation(
+        'rests-are-not-kept',
+        'throttling/_gate.py',
+        'self._rests.seconds_left(life) or ',
+        '',
+        'tests.unit.test_target_gate',
+    ),
+    Mutation(
+        'words-are-not-looked-at-before-sending',
+        'forwarding/_sender.py',
+        'if not self.router.gate.may_reach(target.instance.life):',
+        'if not target:',
+        'tests.unit.test_target_gate',
+    ),
+    Mutation(
+        'own-word-of-leaving-is-forgotten',
+        'fleet/_listing.py',
+        'if entry.leaving or entry.life not in self._said_leaving:',
+        'if entry:',
+        'tests.unit.test_said_to_leave.FleetTest',
+    ),
 )
 
 
