Find at once who shares a limit that has changed

What a target would see: it lowers its limit from 50 to 2 a second, and each of the twelve nodes that shared the larger one goes on for up to a quarter of a second with a part of the smaller, so that each may send once more. Who shares is asked with the change now. The test was red before ([12] instead of [12, 1]).

--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -204,7 +204,7 @@
             self._parts[news.life] = self._new_part(news, now)
         else:
             part.limit = news.per_second
-            self._share_anew(part, part.nodes, now)
+            self._share_anew(part, self._nodes(news.life, part.limit), now)
 
     def _new_part(self, news: LimitNews, now: float) -> _Part:
         limit = news.per_second or 0
@@ -219,21 +219,21 @@
             return
         part.looked_at = now
         nodes = self._nodes(life, part.limit)
+        if nodes != part.nodes:
+            self._share_anew(part, nodes, now)
+
+    def _share_anew(self, part: _Part, nodes: int, now: float) -> None:
+        share = self._rule.share(part.limit, max(1, nodes))
         if nodes and not part.nodes:
-            share = self._rule.share(part.limit, nodes)
+            begins_at = now + _HANDOVER_SECONDS
             part.bucket = TokenBucket(
                 share.per_second,
                 share.burst,
-                now + _HANDOVER_SECONDS,
+                begins_at,
             )
-            part.nodes = nodes
-        elif nodes != part.nodes:
-            self._share_anew(part, nodes, now)
-
-    def _share_anew(self, part: _Part, nodes: int, now: float) -> None:
+        else:
+            part.bucket.change(share.per_second, share.burst, now)
         part.nodes = nodes
-        share = self._rule.share(part.limit, max(1, nodes))
-        part.bucket.change(share.per_second, share.burst, now)
 
     def _nodes(self, life: Life, limit: float) -> int:
         instance = self._known(life.id)
--- a/tests/unit/test_target_gate.py
+++ b/tests/unit/test_target_gate.py
@@ -1,5 +1,6 @@
 """What a node may send to targets that have said something of themselves."""
 
+import time
 import unittest
 
 import attrs
@@ -71,6 +72,24 @@
         self.assertFalse(self.gate.is_open_to(_LIFE))
 
 
+class ChangedLimitTest(unittest.TestCase):
+    """A limit that falls, where many nodes have shared it."""
+
+    def test_who_shares_it_is_found_at_once(self) -> None:
+        """Not only at the next look: each of them could send once more."""
+        asked: list[int] = []
+        gate = TargetGate(lambda _domain, _name, most: _note(asked, most))
+        for limit in (50, 2):
+            facts = AnswerFacts('r1', True, False, limit=limit)
+            gate.note_answer(_LIFE, facts, time.monotonic() + 60)
+        self.assertEqual(asked, [12, 1])
+
+
+def _note(asked: list[int], most: int) -> int:
+    asked.append(most)
+    return most
+
+
 class WaySendTest(unittest.TestCase):
     """A word that comes while a request is on its way to the target."""
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -287,8 +287,8 @@
     Mutation(
         'who-takes-over-does-not-wait',
         'throttling/_gate.py',
-        'now + _HANDOVER_SECONDS',
-        'now - _HANDOVER_SECONDS',
+        'begins_at = now + _HANDOVER_SECONDS',
+        'begins_at = now - _HANDOVER_SECONDS',
         _LIMIT_SHARES,
     ),
     Mutation(
