Keep a limited target's places for urgent requests that it turned away

What callers would see: places under a limit went to whoever asked first, so that urgent requests were refused while others got in. The last place is kept for a second for more urgent ranks that were turned away. With ten requests a second of each of two ranks at a limit of 2, over nine tenths go to the more urgent one, and nine tenths of the limit are used; where nothing urgent is turned away nothing is kept.

--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -86,6 +86,7 @@
         has_begun,
         tried,
         passed_over,
+        call.rank,
     )
 
 
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -188,6 +188,7 @@
         taking = taking_now(
             allowed,
             self.gate,
+            wanted.rank,
             functools.partial(_return_after, self._random, wanted),
         )
         heads = {head.id: head for head in self._drawn_heads(taking, wanted)}
@@ -283,6 +284,7 @@
         instances = taking_now(
             allowed,
             self.gate,
+            wanted.rank,
             functools.partial(_return_after, self._random, wanted),
         )
         good = self._ejection.without_ejected(instances)
--- a/src/cranecart/routing/_taking.py
+++ b/src/cranecart/routing/_taking.py
@@ -14,19 +14,20 @@
 def taking_now(
     targets: Sequence[Named],
     gate: TargetGate,
+    rank: int,
     return_after: Callable[[float], float],
 ) -> Sequence[Named]:
-    """Return the targets that take requests.
+    """Return the targets that take requests of a rank.
 
     Raise ``OverloadedError`` where none of them does: they are not asked.
     ``return_after`` makes of the seconds until one does when to come back.
     """
     if gate.is_open:
         return targets
-    taking = [one for one in targets if gate.is_open_to(one.life)]
+    taking = [one for one in targets if gate.is_open_to(one.life, rank)]
     if taking:
         return taking
-    gate.note_turned_away()
+    gate.note_turned_away((one.life for one in targets), rank)
     seconds = min(gate.room_seconds(one.life) for one in targets)
     raise OverloadedError(
         f'none of {len(targets)} targets takes more, as they have said; '
--- a/src/cranecart/routing/_wanted.py
+++ b/src/cranecart/routing/_wanted.py
@@ -14,7 +14,7 @@
     ``elapsed_seconds`` is how long ago its client first asked; it
     ``has_returned`` if it was refused before, and ``has_begun`` if it is a
     stream that goes on elsewhere. ``tried`` targets are left out, those that are
-    ``passed_over`` as long as there are others.
+    ``passed_over`` as long as there are others. Smaller ranks are more urgent.
     """
 
     config: RouteConfig
@@ -28,6 +28,7 @@
     has_begun: bool = False
     tried: Collection[str] = ()
     passed_over: Collection[str] = ()
+    rank: int = 0
 
     @property
     def engine(self) -> EngineProfile | None:
--- a/src/cranecart/throttling/_bucket.py
+++ b/src/cranecart/throttling/_bucket.py
@@ -22,10 +22,10 @@
         self.burst = burst
         self._tokens = min(self._tokens, burst)
 
-    def has_token(self, now: float) -> bool:
-        """Tell whether a token is there."""
+    def has_tokens(self, count: int, now: float) -> bool:
+        """Tell whether so many tokens are there."""
         self._fill(now)
-        return self._tokens >= 1
+        return self._tokens >= count
 
     def take(self, now: float) -> None:
         """Take a token."""
--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -24,6 +24,9 @@
 # How often limits are repeated, for nodes that have started or missed them.
 _REPEAT_SECONDS = 2.0
 
+# How long a place is kept for urgent requests that were turned away.
+_WAITING_SECONDS = 1.0
+
 # Tells how many nodes share a target if this node is one of them, else 0; by
 # failure domain, what tells the target from others, and how many at most.
 SharingNodes = Callable[[str, str, int], int]
@@ -59,6 +62,24 @@
     nodes: int
     bucket: TokenBucket
     looked_at: float
+    # The most urgent rank that was turned away lately, and when.
+    waiting_rank: int = 0
+    waited_at: float = float('-inf')
+
+    def tokens_for(self, rank: int, now: float) -> int:
+        """Return how many tokens must be there for a request of a rank.
+
+        The last one is left to what is more urgent and was turned away: it
+        comes back within about that time.
+        """
+        is_waited_for = now - self.waited_at < _WAITING_SECONDS
+        return 2 if is_waited_for and rank > self.waiting_rank else 1
+
+    def note_waiting(self, rank: int, now: float) -> None:
+        """Take over that a request of a rank was turned away."""
+        if self.tokens_for(rank, now) == 1:
+            self.waiting_rank = rank
+            self.waited_at = now
 
 
 @attrs.define
@@ -117,8 +138,11 @@
             if self._book.note_news(news, by):
                 self._put(news)
 
-    def is_open_to(self, life: Life) -> bool:
-        """Tell whether a target takes a request of this node now."""
+    def is_open_to(self, life: Life, rank: int = 0) -> bool:
+        """Tell whether a target takes a request of this node now.
+
+        Ranks that are smaller are more urgent.
+        """
         if not self.may_reach(life):
             return False
         part = self._parts.get(life)
@@ -126,7 +150,8 @@
             return True
         now = self._clock()
         self._look(life, part, now)
-        return part.nodes > 0 and part.bucket.has_token(now)
+        wanted = part.tokens_for(rank, now)
+        return part.nodes > 0 and part.bucket.has_tokens(wanted, now)
 
     def may_reach(self, life: Life) -> bool:
         """Tell whether what was chosen for a target may still be sent."""
@@ -155,9 +180,14 @@
             return None
         return self._rule.share(part.limit, part.nodes)
 
-    def note_turned_away(self) -> None:
-        """Count a request that no target took for what it had said."""
+    def note_turned_away(self, lives: Iterable[Life], rank: int) -> None:
+        """Take over that none of some targets took a request of a rank."""
         self._turned_away += 1
+        now = self._clock()
+        for life in lives:
+            part = self._parts.get(life)
+            if part is not None:
+                part.note_waiting(rank, now)
 
     def renew(self, listed: Collection[Life]) -> None:
         """Look anew who sends, and repeat what others have to know."""
--- a/tests/unit/test_target_gate.py
+++ b/tests/unit/test_target_gate.py
@@ -2,6 +2,8 @@
 
 import time
 import unittest
+from collections import Counter
+from collections.abc import Sequence
 
 import attrs
 import curio
@@ -72,6 +74,43 @@
         self.assertFalse(self.gate.is_open_to(_LIFE))
 
 
+class RankTest(unittest.TestCase):
+    """Ten requests a second of each of two ranks, at a target with a limit."""
+
+    def setUp(self) -> None:
+        """Hear of a limit of two a second."""
+        self.now = float(10)
+        self.gate = TargetGate(clock=self.clock)
+        limited = AnswerFacts('r1', True, False, limit=2)
+        self.gate.note_answer(_LIFE, limited, 9)
+        self.taken: Counter[int] = Counter()
+
+    def clock(self) -> float:
+        """Return what the test has turned the clock to."""
+        return self.now
+
+    def test_urgent_ones_go_first(self) -> None:
+        """They get nearly all of it, whoever asks first."""
+        self._ask((3, 1))
+        self.assertGreater(self.taken[1], 9 * self.taken[3])
+        self.assertGreaterEqual(self.taken.total(), 0.9 * 2 * 20)
+
+    def test_others_get_what_is_left(self) -> None:
+        """Where nothing urgent is turned away, nothing is kept for it."""
+        self._ask((3,))
+        self.assertGreaterEqual(self.taken[3], 0.9 * 2 * 20)
+
+    def _ask(self, ranks: Sequence[int]) -> None:
+        for _turn in range(200):
+            self.now += 0.1
+            for rank in ranks:
+                if self.gate.is_open_to(_LIFE, rank):
+                    self.gate.take(_LIFE)
+                    self.taken[rank] += 1
+                else:
+                    self.gate.note_turned_away((_LIFE,), rank)
+
+
 class ChangedLimitTest(unittest.TestCase):
     """A limit that falls, where many nodes have shared it."""
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -273,7 +273,7 @@
     Mutation(
         'limits-of-targets-are-not-kept',
         'throttling/_gate.py',
-        'return part.nodes > 0 and part.bucket.has_token(now)',
+        'return part.nodes > 0 and part.bucket.has_tokens(wanted, now)',
         'return True',
         _LIMIT_SHARES,
     ),
