Red tests: a request that ends targets whose ports still answer

Four nodes before ten targets before each of which something goes on taking connections: 17 (streams) and 25 (plain calls) sends of the request later than three seconds after the third end, where three are allowed.

--- a/tests/lib/ending_targets.py
+++ b/tests/lib/ending_targets.py
@@ -35,7 +35,8 @@
 class EndingTarget(FakeTarget):
     """A target that ends as it begins a marked request, and comes back.
 
-    One that is ``mute`` ends before a byte of an answer.
+    One that is ``mute`` ends before a byte of an answer; before one that
+    ``keeps_port`` something goes on taking connections, and closes them.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         deployment: 'Deployment',
         *,
         mute: bool = False,
+        keeps_port: bool = False,
     ) -> None:
         """Listen; nothing is served until ``run``."""
         super().__init__(name, self._serve_or_end)
@@ -51,6 +53,7 @@
         self.lives = 1
         self.is_down = False
         self._mute = mute
+        self._keeps_port = keeps_port
         self._deployment = deployment
         self._port = self.address.port
         self._is_ending = False
@@ -73,13 +76,23 @@
             await self._live()
             self.is_down = True
             self._deployment.note_end(self)
-            await curio.sleep(self._deployment.back_seconds)
-            self._listener = socket.create_server(('127.0.0.1', self._port))
+            await self._stay_down()
             self.is_down = False
             self.lives += 1
             self._is_ending = False
             self._deployment.list_anew(self)
 
+    async def _stay_down(self) -> None:
+        if self._keeps_port:
+            await curio.ignore_after(
+                self._deployment.back_seconds,
+                _take_and_close,
+                curio.io.Socket(self._listener),
+            )
+            return
+        await curio.sleep(self._deployment.back_seconds)
+        self._listener = socket.create_server(('127.0.0.1', self._port))
+
     async def _live(self) -> None:
         listener = curio.io.Socket(self._listener)
         accepting = await curio.spawn(self._accept, listener)
@@ -95,7 +108,8 @@
         listener: curio.io.Socket,
     ) -> None:
         await accepting.cancel()
-        await listener.close()
+        if not self._keeps_port:
+            await listener.close()
         for task in self._tasks:
             await task.cancel()
         self._tasks.clear()
@@ -132,6 +146,12 @@
         await exchange.answer(b'fine')
 
 
+async def _take_and_close(listener: curio.io.Socket) -> None:
+    while True:
+        sock, _ = await listener.accept()
+        await sock.close()
+
+
 @attrs.define
 class Sent:
     """A request that came to a target; times on the monotonic clock."""
@@ -144,7 +164,7 @@
     """Several nodes before the same targets, in one event loop.
 
     Targets that have ended come back under another id if they are ``renamed``,
-    else with a later birth.
+    else with a later birth. ``kind`` says what else ``EndingTarget`` is told.
     """
 
     def __init__(
@@ -154,8 +174,8 @@
         *,
         service: str = ENGINES,
         renamed: bool = True,
-        mute: bool = False,
         back_seconds: float = 0.8,
+        **kind: bool,
     ) -> None:
         """Build everything; nothing runs until ``run``."""
         self.back_seconds = back_seconds
@@ -167,7 +187,7 @@
         self._service = service
         self.is_plain = service != ENGINES
         self.targets = [
-            EndingTarget(f'i{number}', self, mute=mute)
+            EndingTarget(f'i{number}', self, **kind)
             for number in range(targets)
         ]
         self.nodes = [self.new_node(number) for number in range(nodes)]
