Count ends that show only after a connection broke

What callers saw: with something before the targets that goes on taking connections, one request ended target after target (17 and 25 sends later than three seconds after the third end, streams and plain calls; three are allowed), as only a refused connection told of an end. A break is kept with its life for some seconds, and counts from when it broke once the list shows another life under the id, or an entry that went without leaving. Who had not been answered counts only at the moment of the end.

--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -17,6 +17,7 @@
 from cranecart.logs import decision
 from cranecart.ports import Life
 from cranecart.quarantine._book import CaseBook, CaseNews, End, Standing
+from cranecart.quarantine._pending import PendingEnds
 from cranecart.quarantine._probe import EndProbe
 from cranecart.quarantine._runner import Runner
 
@@ -53,12 +54,17 @@
             self._since = self._clock()
 
 
+def _tell_of_none(_life: Life) -> bool:
+    """Find out of no life later that it has ended."""
+    return False
+
+
 @attrs.define
 class RequestGuard:
     """One node's part in finding and holding such requests.
 
-    ``_is_expected`` tells of a life whose end was planned, or not surprising;
-    ``_tell`` passes news on to the other nodes. Requests are known by the
+    ``_is_expected`` tells of a life whose end was planned, or not surprising,
+    ``_has_ended`` of one that has since turned out to be over; ``_tell`` passes news on to the other nodes. Requests are known by the
     digests that all tries at one share.
     """
 
@@ -67,8 +73,10 @@
     book: CaseBook = attrs.field(factory=CaseBook)
     _clock: Callable[[], float] = since_boot
     probe: EndProbe = attrs.field(factory=EndProbe)
+    _has_ended: Callable[[Life], bool] = attrs.field(default=_tell_of_none)
     refused: int = attrs.field(default=0, init=False)
     ended: int = attrs.field(default=0, init=False)
+    _pending: PendingEnds = attrs.field(init=False)
     _told_at: dict[str, float] = attrs.field(factory=dict, init=False)
     # This node's suspects by instance, and those of them that run apart.
     _suspects: Counter[str] = attrs.field(factory=Counter, init=False)
@@ -162,8 +170,14 @@
     def keep(self, listed: Collection[Life]) -> None:
         """Forget lives that are gone, and tell once more what is new."""
         self.probe.forget(listed)
+        for news in self._pending.take_ended(self._has_ended):
+            self._note_end(news, 'seen here, and known later')
         self._repeat()
 
+    @_pending.default
+    def _make_pending(self) -> PendingEnds:
+        return PendingEnds(self._clock)
+
     def _repeat(self) -> None:
         """Tell what was told lately; some of it may be lost."""
         oldest = self._clock() - _REPEAT_SECONDS
@@ -184,16 +198,22 @@
         watch: Watch,
     ) -> None:
         """Look whether a request has ended the target that it was at."""
-        is_old = watch.progress_seconds > _BEGIN_SECONDS
-        if is_old or self._is_expected(runner):
+        if self._is_expected(runner):
             return
-        if not await self.probe.has_ended(runner):
+        if watch.progress_seconds > _BEGIN_SECONDS:
+            self._pending.note_alive(runner.life)
             return
-        news = CaseNews(identity, (End(runner.life, watch.has_begun),))
+        if await self.probe.has_ended(runner):
+            end = End(runner.life, watch.has_begun)
+            self._note_end(CaseNews(identity, (end,)), 'seen here')
+        else:
+            self._pending.note(runner.life, identity, begun=watch.has_begun)
+
+    def _note_end(self, news: CaseNews, source: str) -> None:
         if self.book.take(news, is_own=True):
             self.ended += 1
-            self._log(identity, runner.life, 'seen here')
-            self._spread(identity)
+            self._log(news.identity, news.ends[0].life, source)
+            self._spread(news.identity)
 
     def _spread(self, identity: str) -> None:
         case = self.book.find(identity)
--- a/src/cranecart/serving/_holding.py
+++ b/src/cranecart/serving/_holding.py
@@ -8,7 +8,7 @@
 
 from cranecart.fleet import Fleet
 from cranecart.mesh import Mesh, RequestCases
-from cranecart.ports import Table
+from cranecart.ports import Life, Table
 from cranecart.quarantine import CaseNews, HeldRows, RequestGuard, Runner
 
 
@@ -37,7 +37,14 @@
             listed = fleet.instances.get(runner.id)
             return listed is None or listed.leaving
 
-        guard = RequestGuard(is_expected, tell)
+        def has_ended(life: Life) -> bool:  # noqa: WPS430
+            known = fleet.known(life.id)
+            if known is None or life.id in fleet.instances:
+                return known is None or known.life.is_another(life)
+            # Its entry went, but not as it was leaving.
+            return not known.leaving
+
+        guard = RequestGuard(is_expected, tell, has_ended=has_ended)
         return cls(guard, HeldRows(node_id, table, guard.book), fleet)
 
     def hear(self, message: RequestCases) -> bool:
--- a/tests/lib/ending_targets.py
+++ b/tests/lib/ending_targets.py
@@ -287,6 +287,7 @@
             births=(target.lives,),
         )
         node.fleet.take_records({record.key: record}, False)
+        node.guard.keep(node.fleet.listing.lives())
 
 
 async def ask_in_turn(
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -321,6 +321,7 @@
         self.guard = RequestGuard(
             lambda one: one.id not in self.fleet.instances,
             lambda cases: self.tell(cases),
+            has_ended=self._has_ended,
         )
         self.gateway = RoutedGateway(
             lambda: self.config,
@@ -389,6 +390,10 @@
             self.fleet.listing.is_leaving,
         )
 
+    def _has_ended(self, life: Life) -> bool:
+        known = self.fleet.instances.get(life.id)
+        return known is None or known.life.is_another(life)
+
     def _leave(self, life: Life) -> None:
         if note_leaving(self.fleet, life, 'an answer'):
             self.tell_leaving(life)
--- a/tests/lib/hail.py
+++ b/tests/lib/hail.py
@@ -66,6 +66,8 @@
     seed: int
     ends_a_second: float
     has_cause: bool
+    # Whether ends show only once their targets are back.
+    tells_late: bool = False
     held_by_chance: int = 0
     requests: int = 0
     cause_ends: int = 0
@@ -207,7 +209,11 @@
         ran = 0 if one.begun_at is None else self._now - one.begun_at
         if ran <= _BEGIN_SECONDS:
             news = CaseNews(one.name, (End(life, begun),))
-            self._book.take(news, is_own=True)
+            seconds = _BACK_SECONDS if self.tells_late else 0
+            self._at(seconds, lambda: self._hear(news))
+
+    def _hear(self, news: CaseNews) -> None:
+        self._book.take(news, is_own=True)
 
     def _back(self, spot: Spot) -> None:
         spot.life += 1
@@ -216,14 +222,17 @@
 
 def main(days: int) -> None:
     """Print what many days give."""
-    for replicas, has_cause in itertools.product((100, 8), (False, True)):
+    kinds = itertools.product((100, 8), (False, True), (False, True))
+    for replicas, has_cause, tells_late in kinds:
+        rate = 1.0 if replicas > 8 else 0.4
         played = [
-            Hail(replicas, seed, 1.0 if replicas > 8 else 0.4, has_cause).play()
+            Hail(replicas, seed, rate, has_cause, tells_late).play()
             for seed in range(days)
         ]
         ends = [one.cause_ends for one in played]
         sys.stdout.write(
-            f'{replicas} replicas, cause {has_cause}: held by chance '
+            f'{replicas} replicas, cause {has_cause}, ends told late '
+            f'{tells_late}: held by chance '
             f'{sum(one.held_by_chance for one in played)} of '
             f'{sum(one.requests for one in played)} requests in {days} days; '
             f'ends by the cause: median {statistics.median(ends)}, '
--- a/tests/unit/test_hail.py
+++ b/tests/unit/test_hail.py
@@ -20,6 +20,19 @@
                     day = Hail(replicas, seed, rate, has_cause=False).play()
                     self.assertEqual(day.held_by_chance, 0)
 
+    def test_ends_that_show_late(self) -> None:
+        """Nobody is held who was there by chance, beside a cause or not."""
+        for seed in range(_DAYS):
+            with self.subTest(seed=seed):
+                day = Hail(
+                    8,
+                    seed,
+                    0.4,
+                    has_cause=bool(seed % 2),
+                    tells_late=True,
+                ).play()
+                self.assertEqual(day.held_by_chance, 0)
+
     def test_with_a_cause(self) -> None:
         """It is held after a few ends, and nobody with it."""
         days = [
--- a/tests/unit/test_kept_ports.py
+++ b/tests/unit/test_kept_ports.py
@@ -4,7 +4,9 @@
 connections after it has ended, so that a refused connection never told of the end:
 80 targets ended under one request that came seven times a second for twelve seconds
 to four nodes, 124 sends of it later than three seconds after the third end, and 281
-of 426 requests beside it were served.
+of 426 requests beside it were served. A port that answers said nothing, and what
+said nothing was forgotten. A break is kept with its life for some seconds now, and
+counts from when it broke once the list shows another life, or none.
 """
 
 import unittest
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -29,6 +29,7 @@
     held_key,
     identity_of,
 )
+from cranecart.quarantine._pending import PendingEnds
 from tests.lib.fake_platform import (
     LOST_ANSWER,
     REFUSED,
@@ -285,6 +286,55 @@
         self.assertEqual(len(told), 4)
 
 
+class PendingTest(unittest.TestCase):
+    """Ends that show only after a connection broke."""
+
+    def setUp(self) -> None:
+        """Know of no break."""
+        self.clock = _Clock()
+        self.pending = PendingEnds(self.clock)
+        self.ended: set[Life] = set()
+
+    def found(self) -> dict[str, bool]:
+        """Return who was there at ends that show now, and whether begun."""
+        news = self.pending.take_ended(self.ended.__contains__)
+        return {one.identity: one.ends[0].begun for one in news}
+
+    def test_known_later(self) -> None:
+        """It counts from when it broke, once."""
+        self.pending.note(_LIVES[0], 'a', begun=True)
+        self.assertEqual(self.found(), {})
+        self.ended.add(_LIVES[0])
+        self.assertEqual(self.found(), {'a': True})
+        self.assertEqual(self.found(), {})
+
+    def test_who_came_after_the_end(self) -> None:
+        """What is sent to a port without a target has ended nothing."""
+        self.pending.note(_LIVES[0], 'a', begun=True)
+        self.pending.note(_LIVES[0], 'waited', begun=False)
+        self.clock.now += 0.5
+        self.pending.note(_LIVES[0], 'later', begun=False)
+        self.ended.add(_LIVES[0])
+        self.assertEqual(self.found(), {'a': True, 'waited': False})
+
+    def test_an_earlier_break(self) -> None:
+        """A connection was reset, and the target went on; then it ended."""
+        self.pending.note(_LIVES[0], 'reset', begun=False)
+        self.clock.now += 1
+        self.pending.note(_LIVES[0], 'waited', begun=False)
+        self.pending.note_alive(_LIVES[0])
+        self.ended.add(_LIVES[0])
+        self.assertEqual(self.found(), {'waited': False})
+
+    def test_it_does_not_wait_for_ever(self) -> None:
+        """An end that comes much later is another's doing."""
+        self.pending.note(_LIVES[0], 'a', begun=True)
+        self.clock.now += 10
+        self.assertEqual(self.found(), {})
+        self.ended.add(_LIVES[0])
+        self.assertEqual(self.found(), {})
+
+
 class RowsTest(unittest.TestCase):
     """What outlasts every node."""
 
