Look at all replicas' words only where none that was drawn takes a request

What it cost: with one target in need each choice looked at every replica of the model, 760 at the target size. Twelve near and twelve far are drawn first now, as without any words, and all are looked at only where none of these takes it.

--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -28,7 +28,7 @@
 from cranecart.routing._gaps import GapMeter
 from cranecart.routing._places import Places, Target
 from cranecart.routing._pulse import Pulse
-from cranecart.routing._taking import taking_now
+from cranecart.routing._taking import drawn_taking, taking_now
 from cranecart.routing._wanted import Wanted
 from cranecart.throttling import TargetGate
 
@@ -185,13 +185,14 @@
         allowed = self._allowed_heads(wanted)
         if not allowed or model is None:
             raise self._no_replica(wanted)
-        taking = taking_now(
+        taking, passed_over = drawn_taking(
             allowed,
             self.gate,
             wanted.rank,
+            functools.partial(_draw, self._random, self._failure_domain),
             functools.partial(_return_after, self._random, wanted),
         )
-        heads = {head.id: head for head in self._drawn_heads(taking, wanted)}
+        heads = {head.id: head for head in self._sound(taking, wanted)}
         ask = Ask(
             wanted.route,
             engine,
@@ -221,25 +222,15 @@
             chosen.seconds,
             self._error(head.life, wanted.model),
             chosen.is_late,
-            len(allowed) - len(taking),
+            passed_over,
         )
 
-    def _drawn_heads(
+    def _sound(
         self,
-        heads: Sequence[ServingHead],
+        drawn: Sequence[ServingHead],
         wanted: Wanted,
     ) -> Sequence[ServingHead]:
-        """Draw replicas that may be asked; those in doubt if none is left."""
-        near: list[ServingHead] = []
-        far: list[ServingHead] = []
-        for one in heads:
-            is_near = one.head.failure_domain == self._failure_domain
-            (near if is_near else far).append(one)
-        drawn = [
-            head
-            for side in (near, far)
-            for head in self._random.sample(side, min(_MOST_ASKED, len(side)))
-        ]
+        """Leave out replicas in doubt, but where no other is left."""
         good = self._ejection.without_ejected(drawn)
         moving = [
             one
@@ -312,6 +303,24 @@
         return self.load(one.id), self._random.random()
 
 
+def _draw(
+    source: random.Random,
+    failure_domain: str,
+    heads: Sequence[ServingHead],
+) -> Sequence[ServingHead]:
+    """Draw replicas to decide between, near ones and far ones."""
+    near: list[ServingHead] = []
+    far: list[ServingHead] = []
+    for one in heads:
+        is_near = one.head.failure_domain == failure_domain
+        (near if is_near else far).append(one)
+    return [
+        head
+        for side in (near, far)
+        for head in source.sample(side, min(_MOST_ASKED, len(side)))
+    ]
+
+
 def _return_after(
     source: random.Random,
     wanted: Wanted,
--- a/src/cranecart/routing/_taking.py
+++ b/src/cranecart/routing/_taking.py
@@ -11,6 +11,33 @@
 Named = TypeVar('Named', ServingHead, ListedInstance)
 
 
+# Draws some targets to decide between.
+Draw = Callable[[Sequence[ServingHead]], Sequence[ServingHead]]
+
+
+def drawn_taking(
+    heads: Sequence[ServingHead],
+    gate: TargetGate,
+    rank: int,
+    draw: Draw,
+    return_after: Callable[[float], float],
+) -> tuple[Sequence[ServingHead], int]:
+    """Draw some of the replicas that take requests; count those left out.
+
+    All of them are looked at only where none of the first drawn does: among
+    many this costs more than the decision. Raise ``OverloadedError`` where none
+    takes any.
+    """
+    drawn = draw(heads)
+    if gate.is_open:
+        return drawn, 0
+    taking = [one for one in drawn if gate.is_open_to(one.life, rank)]
+    if taking:
+        return taking, len(drawn) - len(taking)
+    every = taking_now(heads, gate, rank, return_after)
+    return draw(every), len(heads) - len(every)
+
+
 def taking_now(
     targets: Sequence[Named],
     gate: TargetGate,
--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -141,9 +141,10 @@
     def is_open_to(self, life: Life, rank: int = 0) -> bool:
         """Tell whether a target takes a request of this node now.
 
-        Ranks that are smaller are more urgent.
+        Ranks that are smaller are more urgent. What leaves is not asked for
+        here, as the fleet leaves it out.
         """
-        if not self.may_reach(life):
+        if not self._rests.is_empty and self._rests.seconds_left(life):
             return False
         part = self._parts.get(life)
         if part is None:
