--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -224,9 +224,10 @@
     def _final_error(self) -> RequestError:
         last = self._last
         if last is not None and last.execution is Execution.NOT_RUN:
+            again = wanted(self.call, (), has_begun=self.has_begun)
             return NotTakenError(
                 str(last),
-                retry_after=self._router.return_after(self._wanted()),
+                retry_after=self._router.return_after(again),
             )
         if isinstance(last, TargetTimeoutError):
             return TimeoutPassedError(str(last))
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -114,8 +114,9 @@
 
         This is asked with every event of a stream, so that nothing is built.
         """
+        is_open = self.gate.is_open
         return any(
-            one.id not in tried and self.gate.is_open_to(one.life)
+            one.id not in tried and (is_open or self.gate.is_open_to(one.life))
             for one in _targets(self._fleet, config, service, model)
         )
 
