--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -64,8 +64,8 @@
     """One node's part in finding and holding such requests.
 
     ``_is_expected`` tells of a life whose end was planned, or not surprising,
-    ``_has_ended`` of one that has since turned out to be over; ``_tell`` passes news on to the other nodes. Requests are known by the
-    digests that all tries at one share.
+    ``_has_ended`` of one that has since turned out to be over; ``_tell`` passes
+    news on to the other nodes. Requests are known by the digests that all tries at one share.
     """
 
     _is_expected: Callable[[Runner], bool]
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -6,7 +6,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Generator, Sequence
-from typing import TypeVar
 
 import attrs
 
@@ -28,7 +27,7 @@
 from cranecart.routing._gaps import GapMeter
 from cranecart.routing._places import Places, Target
 from cranecart.routing._pulse import Pulse
-from cranecart.routing._taking import drawn_taking, taking_now
+from cranecart.routing._taking import Named, drawn_taking, taking_now
 from cranecart.routing._wanted import Wanted
 from cranecart.throttling import TargetGate
 
@@ -45,8 +44,6 @@
 # In which a full plain service ends a request.
 _FULL_SECONDS = 0.2
 
-Named = TypeVar('Named', ServingHead, ListedInstance)
-
 
 def _tell_nobody(_life: Life) -> None:
     """Serve a router without other nodes."""
--- a/src/cranecart/routing/_taking.py
+++ b/src/cranecart/routing/_taking.py
@@ -9,8 +9,6 @@
 from cranecart.throttling import TargetGate
 
 Named = TypeVar('Named', ServingHead, ListedInstance)
-
-
 # Draws some targets to decide between.
 Draw = Callable[[Sequence[ServingHead]], Sequence[ServingHead]]
 
@@ -31,7 +29,7 @@
     drawn = draw(heads)
     if gate.is_open:
         return drawn, 0
-    taking = [one for one in drawn if gate.is_open_to(one.life, rank)]
+    taking = _open_ones(drawn, gate, rank)
     if taking:
         return taking, len(drawn) - len(taking)
     every = taking_now(heads, gate, rank, return_after)
@@ -51,7 +49,7 @@
     """
     if gate.is_open:
         return targets
-    taking = [one for one in targets if gate.is_open_to(one.life, rank)]
+    taking = _open_ones(targets, gate, rank)
     if taking:
         return taking
     gate.note_turned_away((one.life for one in targets), rank)
@@ -61,3 +59,11 @@
         f'the first does in {seconds:.2f} s',
         retry_after=return_after(seconds),
     )
+
+
+def _open_ones(
+    targets: Sequence[Named],
+    gate: TargetGate,
+    rank: int,
+) -> list[Named]:
+    return [one for one in targets if gate.is_open_to(one.life, rank)]
--- a/src/cranecart/serving/_holding.py
+++ b/src/cranecart/serving/_holding.py
@@ -39,8 +39,10 @@
 
         def has_ended(life: Life) -> bool:  # noqa: WPS430
             known = fleet.known(life.id)
-            if known is None or life.id in fleet.instances:
-                return known is None or known.life.is_another(life)
+            if known is None:
+                return True
+            if life.id in fleet.instances:
+                return known.life.is_another(life)
             # Its entry went, but not as it was leaving.
             return not known.leaving
 
--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -23,7 +23,6 @@
 _LOOK_SECONDS = 0.25
 # How often limits are repeated, for nodes that have started or missed them.
 _REPEAT_SECONDS = 2.0
-
 # How long a place is kept for urgent requests that were turned away.
 _WAITING_SECONDS = 1.0
 
@@ -111,7 +110,7 @@
     @property
     def is_open(self) -> bool:
         """Tell whether no target has said anything."""
-        return not self._parts and self._rests.is_empty
+        return not self._parts and not self._rests
 
     def note_answer(
         self,
@@ -144,7 +143,7 @@
         Ranks that are smaller are more urgent. What leaves is not asked for
         here, as the fleet leaves it out.
         """
-        if not self._rests.is_empty and self._rests.seconds_left(life):
+        if self._rests and self._rests.seconds_left(life):
             return False
         part = self._parts.get(life)
         if part is None:
--- a/src/cranecart/throttling/_rests.py
+++ b/src/cranecart/throttling/_rests.py
@@ -20,11 +20,6 @@
     _clock: Callable[[], float] = since_boot
     _until: dict[Life, float] = attrs.field(factory=dict, init=False)
 
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether no target has asked for any."""
-        return not self._until
-
     def __len__(self) -> int:
         """Return how many targets rest."""
         return len(self._until)
--- a/tests/lib/limit_world.py
+++ b/tests/lib/limit_world.py
@@ -23,6 +23,7 @@
     ShareRule,
     TargetGate,
 )
+from tests.lib.spans import most_in_span
 
 _LIFE = Life('i1', 1)
 _DOMAINS = 3
@@ -172,13 +173,7 @@
             and name not in without
             and not (only_told and at < self._counted_from(name))
         )
-        most = 0
-        first = 0
-        for last, at in enumerate(times):
-            while at - times[first] > SPAN_SECONDS:
-                first += 1
-            most = max(most, last + 1 - first)
-        return most
+        return most_in_span(times, SPAN_SECONDS)
 
     def per_second_between(self, since: float, until: float) -> float:
         """Return the arrivals a second in a span."""
--- a/tests/lib/speaking_targets.py
+++ b/tests/lib/speaking_targets.py
@@ -21,6 +21,7 @@
     FakeTarget,
     GatewayWorld,
 )
+from tests.lib.spans import most_in_span
 
 _EVENTS = 3
 _EVENT_SECONDS = 0.01
@@ -148,7 +149,7 @@
     ) -> int:
         """Return the most arrivals at one target in any span of a length."""
         return max(
-            _most_in_span(
+            most_in_span(
                 [
                     one.at
                     for one in self.arrivals
@@ -267,13 +268,3 @@
                 await exchange.events(event, event)
                 await curio.sleep(_EVENT_SECONDS)
             await exchange.end_stream()
-
-
-def _most_in_span(times: Sequence[float], seconds: float) -> int:
-    first = 0
-    most = 0
-    for last, at in enumerate(times):
-        while at - times[first] > seconds:
-            first += 1
-        most = max(most, last + 1 - first)
-    return most
