Log when the store has come back from a copy, and dropped changes

Now each rise of the era has a line, and the era is among the figures. No decision changes. The stand-in of the store can be copied and come back.

--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -192,6 +192,13 @@
         since = self._version
         changes = await self._source.changes(since, self._wait_seconds)
         self._note_fresh()
+        if changes.version < since:
+            decision(
+                'changes_ignored',
+                source=self.name,
+                version=changes.version,
+                known=since,
+            )
         # Another node's news may have come meanwhile.
         if changes.version <= self._version:
             return
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -21,6 +21,7 @@
     WriteUnknownError,
 )
 from cranecart.http import Address, HttpPool, Request, Response
+from cranecart.platform._era import StoreEra
 
 Message = TypeVar('Message')
 
@@ -75,6 +76,7 @@
 
     _address: Address
     counts: Counter[str] = attrs.field(factory=Counter, init=False)
+    _era: StoreEra = attrs.field(factory=StoreEra, init=False)
     _pool: HttpPool = attrs.field(
         factory=functools.partial(HttpPool, keeps_alive=True),
         init=False,
@@ -180,6 +182,8 @@
             await connection.close()
             raise
         await self._pool.give_back(connection)
+        self._era.note(head.headers)
+        self.counts['store_era'] = self._era.current
         return Response(head.status, head.headers, body)
 
 
--- a/tests/platform/_standin.py
+++ b/tests/platform/_standin.py
@@ -1,8 +1,9 @@
 """A small stand-in of the users' platform, as its pages describe the wire."""
 
 import base64
+import copy
 import json
-from collections import deque
+from collections import Counter, deque
 from typing import Any
 
 import attrs
@@ -20,6 +21,7 @@
 _OK = 200
 _GONE = 410
 _CONFLICT = 412
+_UNAVAILABLE = 503
 _FEED_LOOK_SECONDS = 0.01
 
 RowKey = tuple[str, str, str]
@@ -30,6 +32,15 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store held at some moment."""
+
+    version: int
+    rows: dict[RowKey, tuple[int, str]]
+    log: list[tuple[int, RowKey]]
+
+
 @attrs.define
 class StandinStore:
     """Rows, transactions and a feed; faults are queued by a test.
@@ -45,8 +56,27 @@
     oldest: int = 0
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     order_status: int = 202
+    era: int | None = None
+    is_away: bool = False
+    calls: Counter[tuple[str, str]] = attrs.field(factory=Counter, init=False)
     _log: list[tuple[int, RowKey]] = attrs.field(factory=list)
 
+    def copied(self) -> 'StoreCopy':
+        """Return a copy of what the store holds now."""
+        return StoreCopy(self.version, dict(self.rows), copy.copy(self._log))
+
+    def restore(self, earlier: 'StoreCopy') -> None:
+        """Come back from a copy: what was written since is gone.
+
+        Versions go on from the copy's, and none that it lacks can be read
+        from.
+        """
+        self.version = earlier.version
+        self.rows = dict(earlier.rows)
+        self._log = copy.copy(earlier.log)
+        self.era = (self.era or 0) + 1
+        self.is_away = False
+
     def put(self, table: str, part: str, key: str, value: object) -> None:
         """Write a row past all conditions."""
         self.version += 1
@@ -60,17 +90,34 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one call."""
+        self.calls[request.path, request.query.get('tableName', '')] += 1
         fault = self.faults.popleft() if self.faults else ''
         if fault == 'silent':
             await curio.sleep(60)
         if isinstance(fault, int):
-            await responder.send(Response(fault))
+            await responder.send(self._of_era(Response(fault)))
             return
         response = await self._answer(request)
         if fault != 'lost':
             await responder.send(response)
 
     async def _answer(self, request: Request) -> Response:
+        if self.is_away:
+            return Response(_UNAVAILABLE)
+        era = self.era
+        response = await self._answer_now(request)
+        if self.is_away or self.era != era:
+            # A call that was under way when the store went away.
+            return Response(_UNAVAILABLE)
+        return self._of_era(response)
+
+    def _of_era(self, response: Response) -> Response:
+        if self.era is None:
+            return response
+        headers = {**response.headers, 'store-era': str(self.era)}
+        return attrs.evolve(response, headers=headers)
+
+    async def _answer_now(self, request: Request) -> Response:
         match request.path:
             case '/rows-tx':
                 return self._commit(json.loads(request.body))
@@ -114,7 +161,7 @@
 
     async def _feed(self, query: dict[str, str]) -> Response:
         since = int(query['sinceRevision'])
-        if since < self.oldest:
+        if since < self.oldest or since > self.version:
             return Response(_GONE)
         for _turn in range(int(query['waitMs']) // 10 + 1):
             changed = [
@@ -122,7 +169,7 @@
                 for at, key in self._log
                 if at > since and key[0] == query['tableName']
             ]
-            if changed:
+            if changed or self.is_away:
                 break
             await curio.sleep(_FEED_LOOK_SECONDS)
         keys = dict.fromkeys(changed)
