--- /dev/null
+++ b/tests/lib/store_rig.py
@@ -0,0 +1,289 @@
+"""Some nodes beside one store, in one process; the store may go back.
+
+Each node has the parts that follow the store and those that tell other nodes;
+the store is the stand-in of the wire, met over real connections.
+"""
+
+import random
+from collections.abc import Iterable
+from types import MappingProxyType
+from typing import Any, Self
+
+import attrs
+import curio
+import msgspec
+
+from cranecart.fleet import (
+    RECORDS_PART,
+    RECORDS_TABLE,
+    Fleet,
+    note_leaving,
+)
+from cranecart.http import Address
+from cranecart.links import NodeLink
+from cranecart.mesh import (
+    Mesh,
+    MeshEvents,
+    MeshMessage,
+    OwnState,
+    PeerNode,
+    decode_mesh_message,
+    encode_mesh_message,
+)
+from cranecart.platform import (
+    PlatformCallForm,
+    PlatformDeclarations,
+    PlatformOrders,
+    PlatformRowSource,
+    PlatformTable,
+    PlatformTargetList,
+    StoreClient,
+)
+from cranecart.quarantine import CaseBook, HeldRows
+from cranecart.serving._configuration import ForceConfig
+from cranecart.serving._knowledge import Knowledge, RowTaker
+from cranecart.serving._surroundings import Surroundings
+from tests.lib.waiting import until
+from tests.platform._standin import StandinStore, start
+
+_BEAT_SECONDS = 0.25
+_LINK_SECONDS = 0.002
+_DOMAINS = 3
+_START_SECONDS = 15.0
+SERVICE = 'crew'
+_ROUTE = MappingProxyType(
+    {
+        'name': 'r',
+        'host': 'a.example',
+        'pathPrefix': '/',
+        'type': 'safe',
+        'timeoutMs': 1000,
+        'service': SERVICE,
+        'attempts': 2,
+    },
+)
+
+
+def config_row(version: int, **changed: object) -> dict[str, Any]:
+    """Return the operator's row for a version."""
+    return {
+        'version': version,
+        'routes': [{**_ROUTE, **changed}],
+        'services': [{'name': SERVICE}],
+    }
+
+
+def entry_row(state: str = 'ready', **changed: object) -> dict[str, Any]:
+    """Return an instance's entry."""
+    entry = {
+        'address': '127.0.0.1:9',
+        'service': SERVICE,
+        'zone': 'd0',
+        'state': state,
+        'slots': 4,
+        'born': 1,
+    }
+    return {**entry, **changed}
+
+
+class RigLink(NodeLink[MeshMessage]):
+    """A link that hands messages to a rig instead of sockets."""
+
+    def __init__(self, rig: 'StoreRig') -> None:  # noqa: WPS612
+        """Remember whose link it is."""
+        self._rig = rig
+
+    def send_all(
+        self,
+        addresses: Iterable[str],
+        message: MeshMessage,
+    ) -> None:
+        """Hand a message over, as it looks on the wire."""
+        encoded = encode_mesh_message(message)
+        self._rig.wire.extend((address, encoded) for address in addresses)
+
+    def forget(self, address: str) -> None:
+        """Do nothing, as there is no socket."""
+
+
+@attrs.define
+class RigNode:
+    """What one node knows, and how it learns it."""
+
+    name: str
+    surroundings: Surroundings
+    config: ForceConfig
+    fleet: Fleet
+    held: HeldRows
+    book: CaseBook
+    mesh: Mesh
+    knowledge: Knowledge
+
+    @classmethod
+    def beside(cls, rig: 'StoreRig', name: str) -> Self:
+        """Build a node that has read nothing yet."""
+        surroundings = _surroundings(rig.address)
+        config = ForceConfig()
+        fleet = Fleet()
+        book = CaseBook()
+        held = HeldRows(name, surroundings.table, book)
+
+        def renew_own() -> None:  # noqa: WPS430
+            mesh.own.announced = knowledge.announced()
+
+        events = MeshEvents(
+            lambda told: fleet.stop((told.replica, told.epoch), told.reason),
+            _no_suspect,
+            lambda _told: False,
+            lambda news: knowledge.take_list_news(news),
+            lambda news: knowledge.take_record_news(news),
+            dict,
+            config.current,
+            config.take_from_peer,
+            renew_own,
+            lambda _told: None,
+            lambda _told: None,
+            lambda told: note_leaving(fleet, told.life, told.sender),
+        )
+        domain = f'd{int(name.rpartition("-")[2]) % _DOMAINS}'
+        mesh = Mesh(OwnState(name, name, domain), RigLink(rig), events)
+        knowledge = Knowledge.from_surroundings(
+            surroundings,
+            config,
+            RowTaker(mesh, fleet, held),
+            random.Random(name),
+        )
+        return cls(
+            name,
+            surroundings,
+            config,
+            fleet,
+            held,
+            book,
+            mesh,
+            knowledge,
+        )
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force."""
+        config = self.config.current()
+        return 0 if config is None else config.version
+
+    async def run(self) -> None:
+        """Follow the store and tell the others until cancelled."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self.knowledge.run)
+            await tasks.spawn(self._beat)
+
+    async def hear(self, encoded: bytes) -> None:
+        """Take over what another node tells."""
+        await self.mesh.hearing.take(decode_mesh_message(encoded))
+
+    async def _beat(self) -> None:
+        turn = 0
+        while True:
+            self.mesh.telling.tell(with_silent=turn % 8 == 0)
+            self.mesh.telling.ask_for_config()
+            self.fleet.settle_lives()
+            turn += 1
+            await curio.sleep(_BEAT_SECONDS)
+
+
+@attrs.define
+class StoreRig:
+    """A store, nodes by name, and the messages under way between them."""
+
+    store: StandinStore
+    address: Address
+    wire: list[tuple[str, bytes]] = attrs.field(factory=list, init=False)
+    nodes: dict[str, RigNode] = attrs.field(factory=dict, init=False)
+    _tasks: dict[str, curio.Task] = attrs.field(factory=dict, init=False)
+
+    @classmethod
+    async def of(cls, count: int, store: StandinStore) -> Self:
+        """Serve a store and start so many nodes; wait until all have read."""
+        server, address = await start(store)
+        rig = cls(store, address)
+        rig._tasks['store'] = server
+        rig._tasks['wire'] = await curio.spawn(rig._carry)
+        for number in range(count):
+            await rig.start(f'node-{number:02}')
+        await until(rig.is_informed, _START_SECONDS)
+        return rig
+
+    async def start(self, name: str) -> RigNode:
+        """Start a node; it and the others know each other from the table."""
+        node = RigNode.beside(self, name)
+        self.nodes[name] = node
+        peers = {
+            one.name: PeerNode(one.name, one.mesh.own.failure_domain)
+            for one in self.nodes.values()
+        }
+        for name_of, peer in peers.items():
+            self.store.put(
+                RECORDS_TABLE,
+                RECORDS_PART,
+                f'node/{name_of}',
+                msgspec.to_builtins(peer),
+            )
+        for one in self.nodes.values():
+            one.mesh.take_peers(peers, False)
+        self._tasks[name] = await curio.spawn(node.run)
+        return node
+
+    async def kill(self, name: str) -> None:
+        """End a node without a word."""
+        self.nodes.pop(name)
+        await self._tasks.pop(name).cancel()
+
+    async def close(self) -> None:
+        """End all."""
+        for task in self._tasks.values():
+            await task.cancel()
+
+    def is_informed(self) -> bool:
+        """Tell whether all nodes have read everything once."""
+        return all(
+            node.knowledge.is_informed and node.version
+            for node in self.nodes.values()
+        )
+
+    def all_in_force(self, version: int) -> bool:
+        """Tell whether a configuration is in force at all nodes."""
+        return all(node.version == version for node in self.nodes.values())
+
+    def all_know_leaving(self, name: str) -> bool:
+        """Tell whether no node would send a request to an instance."""
+        return not any(
+            one.id == name
+            for node in self.nodes.values()
+            for one in node.fleet.plain(SERVICE)
+        )
+
+    async def _carry(self) -> None:
+        while True:
+            under_way = self.wire
+            self.wire = []
+            for address, encoded in under_way:
+                node = self.nodes.get(address)
+                if node is not None:
+                    await node.hear(encoded)
+            await curio.sleep(_LINK_SECONDS)
+
+
+def _surroundings(address: Address) -> Surroundings:
+    store = StoreClient(address)
+    return Surroundings(
+        PlatformTable(store),
+        PlatformDeclarations(store),
+        PlatformTargetList(store),
+        PlatformRowSource(store, RECORDS_TABLE, (RECORDS_PART,)),
+        PlatformOrders(),
+        PlatformCallForm(),
+        store.counts,
+    )
+
+
+async def _no_suspect(_message: object) -> None:
+    """Take evidence over, and do nothing."""
--- /dev/null
+++ b/tests/platform/test_restored_store.py
@@ -0,0 +1,95 @@
+"""A store that comes back from a copy: versions are given out again."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from cranecart.duties import Lease, LeaseTimes
+from cranecart.platform import PlatformTable, StoreClient
+from tests.lib.store_rig import StoreRig, config_row, entry_row
+from tests.lib.waiting import until
+from tests.platform._standin import StandinStore, start
+
+_AIM_SECONDS = 1.0
+_AWAY_SECONDS = 0.5
+_FEED_SECONDS = 1.0
+_TIMES = LeaseTimes(5.0, 1.2, 3.5)
+
+
+def _filled() -> StandinStore:
+    store = StandinStore(era=1)
+    store.put('op', '', 'config', config_row(10))
+    for number in range(6):
+        store.put('servers', '', f'i-{number}', entry_row(born=number + 1))
+    return store
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """Nodes follow a store that lost what it had acknowledged."""
+
+    def test_configuration_not_in_force_after_restore(self) -> None:
+        """A version written after the return is in force in time."""
+        self._play(self._configure)
+
+    def test_leaving_target_not_heard_after_restore(self) -> None:
+        """An instance that leaves after the return is left alone in time."""
+        self._play(self._leave)
+
+    def test_fence_given_out_again_after_restore(self) -> None:
+        """A lease taken after the return gets a fence of its own."""
+        curio.run(self._take_lease)
+
+    def _play(self, scene: Callable[[StoreRig], Awaitable[None]]) -> None:
+        curio.run(self._with_rig, scene)
+
+    async def _with_rig(
+        self,
+        scene: Callable[[StoreRig], Awaitable[None]],
+    ) -> None:
+        rig = await StoreRig.of(3, _filled())
+        await curio.sleep(1)
+        try:
+            await scene(rig)
+        finally:
+            await rig.close()
+
+    async def _return(self, rig: StoreRig) -> None:
+        """Lose what is written here, and come back."""
+        store = rig.store
+        earlier = store.copied()
+        store.put('op', '', 'config', config_row(11))
+        for number in range(40):
+            store.put('other', '', f'k{number}', 'lost')
+        await until(lambda: rig.all_in_force(11))
+        # Empty answers to those who wait for changes tell the newest version.
+        await curio.sleep(_FEED_SECONDS)
+        store.is_away = True
+        await curio.sleep(_AWAY_SECONDS)
+        store.restore(earlier)
+
+    async def _configure(self, rig: StoreRig) -> None:
+        await self._return(rig)
+        rig.store.put('op', '', 'config', config_row(12))
+        await until(lambda: rig.all_in_force(12), _AIM_SECONDS)
+
+    async def _leave(self, rig: StoreRig) -> None:
+        await self._return(rig)
+        rig.store.put('servers', '', 'i-1', entry_row('draining', born=2))
+        await until(lambda: rig.all_know_leaving('i-1'), _AIM_SECONDS)
+
+    async def _take_lease(self) -> None:
+        store = _filled()
+        server, address = await start(store)
+        earlier = store.copied()
+        first, second = (
+            Lease('x/y', name, PlatformTable(StoreClient(address)), _TIMES)
+            for name in ('first', 'second')
+        )
+        self.assertTrue(await first.keep())
+        store.restore(earlier)
+        await second.keep()
+        await curio.sleep(_TIMES.takeover + 0.1)
+        self.assertTrue(await second.keep())
+        self.assertGreater(second.fencing, first.fencing)
+        await server.cancel()
