Order versions by the era of the store, and its number only then

What callers saw: after the store had come back from a copy, refusals by an older configuration 2.2 to 5 s after a newer one was acknowledged (CONFIG), and requests to a target that had said that it leaves (DRAIN).

Cause: versions go back with the copy and are given out again.

The adapter now returns versions that hold the era, as Store-Era tells it, above the number, so that what is newer is greater wherever it is compared: followers, news and beats between nodes, records, conditions. A feed from an earlier era is read whole; a condition of an earlier era never holds; a write that passes a return is unknown; pages of two eras, and answers of before the return, are no reading.

--- a/src/cranecart/native/_client.py
+++ b/src/cranecart/native/_client.py
@@ -54,6 +54,11 @@
     reads: int = attrs.field(default=0, init=False)
     writes: int = attrs.field(default=0, init=False)
 
+    @property
+    def era(self) -> int:
+        """Return 0: the native table never comes back from a copy."""
+        return 0
+
     async def read_keys(self, keys: Iterable[str]) -> dict[str, Row]:
         """Read rows by key; absent rows are left out."""
         query = urlencode({'keys': ','.join(keys)})
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -22,6 +22,7 @@
 )
 from cranecart.http import Address, HttpPool, Request, Response
 from cranecart.platform._era import StoreEra
+from cranecart.ports import era_of, number_of, version_in
 
 Message = TypeVar('Message')
 
@@ -36,10 +37,15 @@
 _HISTORY_GONE = 410
 _NOT_DONE = frozenset((429, 503))
 _MILLISECONDS = 1000
+_RESTORED = 'the store has come back from a copy'
+_LATE = 'the answer is of before the store came back from a copy'
 
 
 class WireRow(msgspec.Struct, rename='camel'):
-    """A row; ``keyFile`` is its key and ``schemaVersion`` its version."""
+    """A row; ``keyFile`` is its key and ``schemaVersion`` its version.
+
+    ``StoreClient`` returns versions that rise over all eras.
+    """
 
     key_file: str
     table_name: str = ''
@@ -60,6 +66,13 @@
     rows: list[WireRow]
     truncated: bool = False
 
+    def of_era(self, era: int) -> 'WireRows':
+        """Return the same with versions that rise over all eras."""
+        self.schema_version = version_in(era, self.schema_version)
+        for row in self.rows:
+            row.schema_version = version_in(era, row.schema_version)
+        return self
+
 
 class _WireCommitted(msgspec.Struct, rename='camel'):
     schema_version: int
@@ -82,19 +95,30 @@
         init=False,
     )
 
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store's answers."""
+        return self._era.current
+
     async def read_part(
         self,
         table: str,
         part: str,
         first: str = '',
     ) -> WireRows:
-        """Read a part from a key on, all pages of it."""
+        """Read a part from a key on, all pages of it.
+
+        Raise ``HistoryLostError`` where they are of more than one era.
+        """
         page = await self._read_page(table, part, first)
+        era = era_of(page.schema_version)
         rows = list(page.rows)
         while page.truncated and page.rows:
             # The next page starts right behind the last key.
             page = await self._read_page(table, part, f'{rows[-1].key_file}\0')
             rows.extend(page.rows)
+            if era_of(page.schema_version) != era:
+                raise HistoryLostError(_RESTORED)
         return WireRows(page.schema_version, rows)
 
     async def feed(
@@ -104,13 +128,18 @@
         wait_seconds: float,
     ) -> WireRows:
         """Wait for a table's changes; raise ``HistoryLostError``."""
+        if era_of(since) < self.era:
+            raise HistoryLostError(_RESTORED)
         query = {
             'tableName': table,
-            'sinceRevision': since,
+            'sinceRevision': number_of(since),
             'waitMs': round(wait_seconds * _MILLISECONDS),
         }
         seconds = wait_seconds + _WAIT_SLACK_SECONDS
-        return await self._get('/rows-feed', query, seconds)
+        rows = await self._get('/rows-feed', query, seconds)
+        if era_of(rows.schema_version) != era_of(since):
+            raise HistoryLostError(_RESTORED)
+        return rows
 
     async def commit(self, body: Mapping[str, object]) -> int:
         """Send a transaction; return the version that its rows got."""
@@ -127,13 +156,11 @@
             raise PlatformUnavailableError(str(error)) from error
         except (HttpError, TaskTimeout) as error:
             raise WriteUnknownError(f'no answer to a write: {error}') from error
-        if response.status == _CONFLICT:
-            raise WriteConflictError('a row has changed since it was read')
-        if response.status in _NOT_DONE:
-            raise PlatformUnavailableError(f'refused with {response.status}')
-        if response.status != _OK:
-            raise WriteUnknownError(f'answered with {response.status}')
-        return _decode(response, _WireCommitted).schema_version
+        _check_written(response.status)
+        era = self._era.note(response.headers)
+        if era < self.era:
+            raise WriteUnknownError(_LATE)
+        return version_in(era, _decode(response, _WireCommitted).schema_version)
 
     async def _read_page(self, table: str, part: str, first: str) -> WireRows:
         query = {'tableName': table, 'part': part, 'limit': _PAGE_ROWS}
@@ -157,8 +184,11 @@
             raise HistoryLostError(f'{path}: the history is gone')
         if response.status != _OK:
             raise PlatformUnavailableError(f'{path}: {response.status}')
+        era = self._era.note(response.headers)
+        if era < self.era:
+            raise PlatformUnavailableError(_LATE)
         try:
-            return _read_rows(response, str(query['tableName']))
+            return _read_rows(response, str(query['tableName'])).of_era(era)
         except PlatformUnavailableError:
             # It may answer an earlier question, and so would the next one.
             await self._pool.drop(self._address)
@@ -187,6 +217,15 @@
         return Response(head.status, head.headers, body)
 
 
+def _check_written(status: int) -> None:
+    if status == _CONFLICT:
+        raise WriteConflictError('a row has changed since it was read')
+    if status in _NOT_DONE:
+        raise PlatformUnavailableError(f'refused with {status}')
+    if status != _OK:
+        raise WriteUnknownError(f'answered with {status}')
+
+
 def _read_rows(response: Response, table: str) -> WireRows:
     """Decode rows of a table; an answer to a write has none at all."""
     page = _decode(response, WireRows)
--- a/src/cranecart/platform/_tables.py
+++ b/src/cranecart/platform/_tables.py
@@ -8,8 +8,16 @@
 
 import attrs
 
+from cranecart.exceptions import WriteConflictError, WriteUnknownError
 from cranecart.platform._store import StoreClient, WireRow, encode_value
-from cranecart.ports import Changes, Row, Snapshot, Transaction
+from cranecart.ports import (
+    Changes,
+    Row,
+    Snapshot,
+    Transaction,
+    era_of,
+    number_of,
+)
 
 
 @attrs.frozen
@@ -18,6 +26,11 @@
 
     _store: StoreClient
 
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store's answers."""
+        return self._store.era
+
     async def read_keys(self, keys: Iterable[str]) -> dict[str, Row]:
         """Read rows by key; absent rows are left out."""
         wanted = list(keys)
@@ -38,23 +51,19 @@
         }
 
     async def commit(self, transaction: Transaction) -> int:
-        """Write a transaction; return the version that its rows got."""
-        return await self._store.commit(
-            {
-                'expectedRevision': [
-                    {**_address(check.key), 'schemaVersion': check.version}
-                    for check in transaction.checks
-                ],
-                'putCount': [
-                    {
-                        **_address(put.key),
-                        'value': encode_value(put.value.encode()),
-                    }
-                    for put in transaction.puts
-                ],
-                'remove': list(map(_address, transaction.deletes)),
-            },
-        )
+        """Write a transaction; return the version that its rows got.
+
+        Conditions of an earlier era may be met by other rows that got the same
+        numbers since.
+        """
+        era = self.era
+        versions = filter(None, (one.version for one in transaction.checks))
+        if any(era_of(version) != era for version in versions):
+            raise WriteConflictError('the store has come back from a copy')
+        version = await self._store.commit(_body(transaction))
+        if transaction.checks and era_of(version) != era:
+            raise WriteUnknownError('the store came back from a copy meanwhile')
+        return version
 
 
 @attrs.frozen
@@ -89,6 +98,26 @@
         )
 
 
+def _body(transaction: Transaction) -> dict[str, object]:
+    return {
+        'expectedRevision': [
+            {
+                **_address(check.key),
+                'schemaVersion': number_of(check.version),
+            }
+            for check in transaction.checks
+        ],
+        'putCount': [
+            {
+                **_address(put.key),
+                'value': encode_value(put.value.encode()),
+            }
+            for put in transaction.puts
+        ],
+        'remove': list(map(_address, transaction.deletes)),
+    }
+
+
 def _place(key: str) -> tuple[str, str]:
     table, part, _name = key.split('/', 2)
     return table, part
--- a/src/cranecart/ports/__init__.py
+++ b/src/cranecart/ports/__init__.py
@@ -16,6 +16,7 @@
     Source,
 )
 from cranecart.ports._table import Check, Put, Row, Table, Transaction
+from cranecart.ports._versions import era_of, number_of, version_in
 
 __all__ = (
     'AnswerFacts',
@@ -35,4 +36,7 @@
     'Source',
     'Table',
     'Transaction',
+    'era_of',
+    'number_of',
+    'version_in',
 )
--- a/src/cranecart/ports/_table.py
+++ b/src/cranecart/ports/_table.py
@@ -50,6 +50,13 @@
     Every method raises ``PlatformUnavailableError`` where nothing was done.
     """
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that the table has answered in.
+
+        It rises when the table has come back from a copy.
+        """
+
     async def read_keys(self, keys: Iterable[str]) -> Mapping[str, Row]:
         """Read rows by key; absent rows are left out."""
 
@@ -59,6 +66,7 @@
     async def commit(self, transaction: Transaction) -> int:
         """Write a transaction; return the version that its rows got.
 
-        Raise ``WriteConflictError`` if a check does not hold, and
-        ``WriteUnknownError`` where nobody can tell whether it was done.
+        Raise ``WriteConflictError`` if a check does not hold, or is of an
+        earlier era, and ``WriteUnknownError`` where nobody can tell whether
+        it was done.
         """
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -20,10 +20,11 @@
 
 @attrs.define
 class FakePlatform:
-    """Stands in for ``PlatformClient`` where only the table is used."""
+    """Stands in for a table client where only the table is used."""
 
     rows: dict[str, Row] = attrs.field(factory=dict)
     version: int = 0
+    era: int = 0
     faults: Iterator[str] = attrs.field(factory=lambda: iter(()))
     down: bool = False
 
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -89,7 +89,7 @@
     async def follow(self) -> object:
         """Wait for changes."""
         listing = PlatformTargetList(self.client)
-        return await listing.changes(9, _FEED_SECONDS)
+        return await listing.changes(0, _FEED_SECONDS)
 
 
 class SilentStoreTest(unittest.TestCase):
