Give no fence out again after a return, and let the holder go on

Cause: a fence was the one in the row plus one, and the copy holds an earlier row, or none. Now it starts anew above all of the earlier eras, so that it also tells in which era its holder took the lease. A holder whose row is of an earlier era reads it again and goes on unless somebody has taken the lease since. Others wait for a row that a copy lacks, and for a lease that it shows as given up, as for one that stands. A renewal that passes a return is not trusted.

--- a/src/cranecart/duties/_lease.py
+++ b/src/cranecart/duties/_lease.py
@@ -5,6 +5,10 @@
 clock, until the row has not changed for longer than that. A process that was
 paused, or whose machine was suspended, finds its own time run out when it
 wakes: the clock that counts from the machine's start goes on meanwhile.
+
+A table that comes back from a copy may lack the row, or hold that of an earlier
+holder. Fencing numbers rise with the table's eras, so that none is given out
+twice and each tells in which era its holder took the lease.
 """
 
 import uuid
@@ -21,7 +25,15 @@
     WriteUnknownError,
 )
 from cranecart.logs import decision
-from cranecart.ports import Check, Put, Row, Table, Transaction
+from cranecart.ports import (
+    Check,
+    Put,
+    Row,
+    Table,
+    Transaction,
+    era_of,
+    version_in,
+)
 
 _NO_ROW_VERSION = 0
 # Stands for whoever has written what is not this project's.
@@ -61,6 +73,7 @@
     _trusted_until: float = attrs.field(default=float('-inf'), init=False)
     _fencing: int = attrs.field(default=0, init=False)
     _taken_at: float = attrs.field(default=0, init=False)
+    _has_seen_a_row: bool = attrs.field(default=False, init=False)
 
     @property
     def key(self) -> str:
@@ -106,21 +119,15 @@
 
         Raise ``PlatformError`` when the table cannot be asked.
         """
-        if self.is_held and self._seen is not None:
+        if self.is_held and self._is_of_this_era():
             await self._write(self._seen, self._fencing)
-            return self.is_held
+            if not self.is_held or self._is_of_this_era():
+                return self.is_held
         await self._look()
-        if self._may_take(is_patient):
-            earlier = _decode(self._seen) if self._seen else None
-            fencing = earlier.fencing + 1 if earlier else 1
-            await self._write(self._seen, fencing)
-            if self.is_held:
-                decision(
-                    'duty_taken',
-                    duty=self.duty,
-                    fencing=fencing,
-                    earlier=earlier.holder if earlier else '',
-                )
+        if self.is_held and self._was_taken_since():
+            self._trusted_until = float('-inf')
+        if self.is_held or self._may_take(is_patient):
+            await self._take()
         return self.is_held
 
     async def hand_over(self) -> None:
@@ -142,23 +149,69 @@
         else:
             decision('duty_handed_over', duty=self.duty)
 
+    async def _take(self) -> None:
+        earlier = _decode(self._seen) if self._seen else None
+        fencing = version_in(self._table.era, 1)
+        if earlier is not None:
+            fencing = max(fencing, earlier.fencing + 1)
+        await self._write(self._seen, fencing)
+        if self.is_held:
+            decision(
+                'duty_taken',
+                duty=self.duty,
+                fencing=fencing,
+                earlier=earlier.holder if earlier else '',
+            )
+
+    def _is_of_this_era(self) -> bool:
+        """Tell whether the row that was seen last can be a condition."""
+        return (
+            self._seen is not None
+            and era_of(self._seen.version) == self._table.era
+        )
+
+    def _was_taken_since(self) -> bool:
+        """Tell whether another has the lease since the table came back.
+
+        Its fencing number is of this era then; a copy holds earlier ones.
+        """
+        if self._seen is None:
+            return False
+        found = _decode(self._seen)
+        is_taken = era_of(found.fencing) == self._table.era
+        return is_taken and found.holder != self.node_id
+
     async def _look(self) -> None:
         rows = await self._table.read_keys([self.key])
         row = rows.get(self.key)
         if row != self._seen or self._seen_at == 0:
             self._seen = row
             self._seen_at = self._clock()
+        # A holder's row that a copy lacks is waited for like one that stands.
+        self._has_seen_a_row = self._has_seen_a_row or row is not None
 
     def _may_take(self, is_patient: bool) -> bool:
-        if self._seen is None or not _decode(self._seen).holder:
+        if self._is_free():
             return True
         wait = self._times.takeover
         if is_patient:
             wait = max(wait, self._times.patient)
         return self._clock() - self._seen_at > wait
 
+    def _is_free(self) -> bool:
+        """Tell whether nobody can hold the lease.
+
+        A copy may lack a holder's row, or show the lease as given up before
+        its last holder took it.
+        """
+        if self._seen is None:
+            return not self._has_seen_a_row
+        found = _decode(self._seen)
+        return not found.holder and era_of(found.fencing) == self._table.era
+
     async def _write(self, seen: Row | None, fencing: int) -> None:
         started = self._clock()
+        era = self._table.era
         wanted = _Value(self.node_id, fencing, uuid.uuid4().hex)
         version = seen.version if seen else _NO_ROW_VERSION
         put = Put(self.key, _encode(wanted))
@@ -167,21 +220,29 @@
                 Transaction((Check(self.key, version),), (put,)),
             )
         except WriteConflictError:
-            self._trusted_until = float('-inf')
-            await self._look()
+            if self._table.era == era:
+                self._trusted_until = float('-inf')
+                await self._look()
             return
         except WriteUnknownError:
-            await self._find_out(wanted, started)
+            if self._table.era == era:
+                await self._find_out(wanted, started)
+            else:
+                # It may have replaced the row of one who took the lease since.
+                self._trusted_until = float('-inf')
             return
         self._accept(Row(self.key, written, put.value), fencing, started)
 
     async def _find_out(self, wanted: _Value, started: float) -> None:
         row = (await self._table.read_keys([self.key])).get(self.key)
-        if row is not None and _decode(row) == wanted:
+        if row is None or _decode(row) != wanted:
+            return
+        if era_of(row.version) == era_of(wanted.fencing):
             self._accept(row, wanted.fencing, started)
 
     def _accept(self, row: Row, fencing: int, started: float) -> None:
         self._seen = row
+        self._has_seen_a_row = True
         self._seen_at = started
         if fencing != self._fencing:
             self._taken_at = self._clock()
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -12,6 +12,8 @@
 from tests.lib.run import run_now
 
 _NODES = ('a', 'b', 'c')
+_COPY = 'copy'
+_RETURN = 'return'
 
 
 @attrs.define
@@ -67,6 +69,73 @@
             len(set(fencings)),
         )
 
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.sampled_from(_NODES), st.floats(0, 5)),
+                st.sampled_from((_COPY, _RETURN)),
+            ),
+            max_size=60,
+        ),
+        st.lists(st.sampled_from(FAULTS), max_size=60),
+    )
+    def test_never_two_holders_over_returns(
+        self,
+        steps: list[tuple[str, float] | str],
+        faults: list[str],
+    ) -> None:
+        """A copy may lack the holder's row, or hold another holder's."""
+        platform = FakePlatform()
+        clock = _Clock()
+        leases = _leases(platform, clock)
+        copies = [platform.copied()]
+        # Whoever has never seen the row takes one that is missing at once.
+        for lease in leases.values():
+            _keep(lease)
+        platform.faults = iter(faults)
+        taken: dict[int, str] = {}
+        for step in steps:
+            match step:
+                case 'copy':
+                    copies.append(platform.copied())
+                case 'return':
+                    platform.restore(copies[-1])
+                case name, wait:
+                    clock.now += wait
+                    self._keep_rising(leases[name], taken)
+            held = [one for one in leases.values() if one.is_held]
+            self.assertLessEqual(len(held), 1)
+
+    def _keep_rising(self, lease: Lease, taken: dict[int, str]) -> None:
+        if not _keep(lease):
+            return
+        self.assertGreaterEqual(lease.fencing, max(taken, default=0))
+        holder = taken.setdefault(lease.fencing, lease.node_id)
+        self.assertEqual(holder, lease.node_id)
+
+    def test_a_holder_goes_on_after_a_return(self) -> None:
+        """Nobody waits for a holder that is there."""
+        platform = FakePlatform()
+        lease = _leases(platform, _Clock())['a']
+        earlier = platform.copied()
+        _keep(lease)
+        platform.restore(earlier)
+        before = lease.fencing
+        self.assertTrue(_keep(lease))
+        self.assertGreater(lease.fencing, before)
+        self.assertEqual(lease.check().version, platform.version)
+
+    def test_a_holder_yields_to_one_of_after_a_return(self) -> None:
+        """Whose fencing number is of the new era took it since."""
+        platform = FakePlatform()
+        clock = _Clock()
+        leases = _leases(platform, clock)
+        _keep(leases['a'])
+        platform.restore((0, {}))
+        _keep(leases['b'])
+        self.assertTrue(leases['b'].is_held)
+        self.assertFalse(_keep(leases['a']))
+
     def test_a_paused_holder_knows_that_it_lost(self) -> None:
         """The check that ties transactions to the lease raises."""
         clock = _Clock()
