Pass on what is read whole, and keep what a copy lacks until it had time

Two faults of one path. After a lost history (410) the node that reads for the others read everything and told nobody, so that each of the others found from beats that it was behind, waited, got 410 for itself, rested and read whole: at nine nodes eight whole reads of the records where one does (test_nine_nodes_read_a_forgotten_history, red before), and up to 2 s until a change is known. What is read whole is passed on now, at once after the 410.

After a return from a copy a whole reading took everything for gone that was written after the copy. It is merged now: what it lacks counts as there for the two seconds in which it may be written again; then all is read once more.

A feed that was under way when another node's whole reading came does not make this node read whole as well.

--- a/src/cranecart/fleet/__init__.py
+++ b/src/cranecart/fleet/__init__.py
@@ -3,6 +3,7 @@
 from cranecart.fleet._fleet import Fleet, ServingHead
 from cranecart.fleet._follower import (
     LONG_WAIT_SECONDS,
+    Extent,
     Feeding,
     News,
     SourceFollower,
@@ -22,6 +23,7 @@
 )
 
 __all__ = (
+    'Extent',
     'Feeding',
     'Fleet',
     'News',
--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -4,6 +4,7 @@
 who read for themselves only while nobody does that for them.
 """
 
+import enum
 import random
 from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
@@ -15,7 +16,7 @@
 from cranecart.exceptions import HistoryLostError, PlatformUnavailableError
 from cranecart.fleet._path import StorePath
 from cranecart.logs import decision
-from cranecart.ports import Source
+from cranecart.ports import Source, era_of
 
 Item = TypeVar('Item')
 
@@ -52,21 +53,39 @@
 
 # A source that nobody has read for so long was away, for this node at least.
 _AWAY_SECONDS = 2.0
-# How long after a source's return it may lack what lives, by the users' pages.
+# How long after a source's return it may lack what lives.
 _FILLING_SECONDS = 2.0
 
 # Takes items by key, ``None`` for one that is gone, and whether the items
 # are everything that there is.
 Taker = Callable[[Mapping[str, Item | None], bool], None]
+# Takes all items of a store that has come back from a copy.
+RestoredTaker = Callable[[Mapping[str, Item]], None]
+
+
+class Extent(enum.Enum):
+    """What a reading holds."""
+
+    # What has changed.
+    CHANGES = 'changes'
+    # All that a store holds that has just come back from a copy; what it lacks
+    # may be there all the same.
+    RESTORED = 'restored'
+    # Everything that there is.
+    WHOLE = 'whole'
 
 
 @attrs.frozen
 class News(Generic[Item]):
-    """Changes after one change of a source up to another, by version."""
+    """What a node has read, as of one version.
+
+    Changes are those after the version ``since``.
+    """
 
     since: int
     version: int
     items: Mapping[str, Item | None]
+    extent: Extent = Extent.CHANGES
 
 
 @attrs.frozen
@@ -93,7 +112,9 @@
     """Keeps a taker up to date with one source.
 
     ``gap_seconds`` is the least time between two reads, so that changes in
-    quick succession come together.
+    quick succession come together. ``take_restored`` takes what a store holds
+    that has come back from a copy. What that lacks counts as there until it had
+    time to be written again; then all is read once more.
     """
 
     name: str
@@ -104,6 +125,7 @@
     _feeding: Feeding[Item] | None = None
     _clock: Callable[[], float] = since_boot
     _path: StorePath = attrs.field(factory=StorePath)
+    _take_restored: RestoredTaker[Item] | None = None
     _version: int = attrs.field(default=-1, init=False)
     _changed_version: int = attrs.field(default=-1, init=False)
     _is_whole: bool = attrs.field(default=False, init=False)
@@ -113,6 +135,7 @@
     _fresh_at: float | None = attrs.field(default=None, init=False)
     _filled_at: float = attrs.field(default=0, init=False)
     _started_at: float | None = attrs.field(default=None, init=False)
+    _check_at: float = attrs.field(default=float('inf'), init=False)
 
     @property
     def is_informed(self) -> bool:
@@ -151,18 +174,16 @@
                 decision('history_lost', source=self.name, why=str(error))
             except PlatformUnavailableError as error:
                 await self._wait_after(error)
-                continue
-            self._note_success()
-            rest = self._gap(started) - (self._clock() - started)
-            if rest > 0:
-                await curio.sleep(rest)
-            if self._feeding is not None:
-                await self._leave_to_others(self._feeding, started)
+            else:
+                await self._rest(started)
 
     def take_news(self, news: News[Item]) -> None:
         """Take over what another node has read, if nothing is between."""
         self._note_fresh()
-        if self._is_whole and news.since <= self._version < news.version:
+        if news.extent is not Extent.CHANGES:
+            if news.version >= self._version:
+                self._take_all(news.version, _present(news.items), news.extent)
+        elif self._is_whole and news.since <= self._version < news.version:
             self._version = news.version
             self._changed_version = news.version
             self._take(news.items, False)
@@ -176,29 +197,71 @@
         return self._feeding.wait_seconds
 
     async def _read(self) -> None:
-        if self._is_whole:
+        if self._is_whole and self._clock() < self._check_at:
             await self._read_changes()
             return
         snapshot = await self._source.snapshot()
         if snapshot.version < self._version:
             raise PlatformUnavailableError('the store answers with the past')
         self._note_fresh()
-        self._version = snapshot.version
-        self._changed_version = snapshot.version
+        was_informed = self.is_informed
+        extent = self._extent(snapshot.version)
+        self._take_all(snapshot.version, snapshot.items, extent)
+        # At a start each node reads for itself.
+        if was_informed and self._feeding is not None:
+            self._feeding.pass_on(
+                News(0, snapshot.version, snapshot.items, extent),
+            )
+
+    def _extent(self, version: int) -> Extent:
+        """Return what a whole reading holds."""
+        if not self.is_informed:
+            return Extent.WHOLE
+        is_filling = self._clock() < self._check_at < float('inf')
+        if is_filling or era_of(version) > era_of(self._version):
+            return Extent.RESTORED
+        return Extent.WHOLE
+
+    def _take_all(
+        self,
+        version: int,
+        items: Mapping[str, Item],
+        extent: Extent,
+    ) -> None:
+        earlier = self._version
+        self._version = version
+        self._changed_version = version
         self._is_whole = True
-        self._take(snapshot.items, True)
+        if extent is Extent.WHOLE or earlier < 0:
+            self._check_at = float('inf')
+            self._take(items, True)
+            return
+        if era_of(version) > era_of(earlier):
+            self._check_at = self._clock() + _FILLING_SECONDS
+            decision(
+                'source_restored',
+                source=self.name,
+                earlier=earlier,
+                version=version,
+                items=len(items),
+            )
+        if self._take_restored is None:
+            self._take(items, False)
+        else:
+            self._take_restored(items)
 
     async def _read_changes(self) -> None:
         since = self._version
-        changes = await self._source.changes(since, self._wait_seconds)
+        until_check = max(0, self._check_at - self._clock())
+        seconds = min(self._wait_seconds, until_check)
+        try:
+            changes = await self._source.changes(since, seconds)
+        except HistoryLostError:
+            # Another node may have read everything and passed it on meanwhile.
+            if self._version == since:
+                raise
+            return
         self._note_fresh()
-        if changes.version < since:
-            decision(
-                'changes_ignored',
-                source=self.name,
-                version=changes.version,
-                known=since,
-            )
         # Another node's news may have come meanwhile.
         if changes.version <= self._version:
             return
@@ -213,6 +276,15 @@
                 News(min(earlier, since), changes.version, changes.items),
             )
 
+    async def _rest(self, started: float) -> None:
+        """Wait after a reading, until this node should read again."""
+        self._note_success()
+        rest = self._gap(started) - (self._clock() - started)
+        if rest > 0:
+            await curio.sleep(rest)
+        if self._feeding is not None:
+            await self._leave_to_others(self._feeding, started)
+
     def _gap(self, now: float) -> float:
         if self._started_at is None:
             self._started_at = now
@@ -250,6 +322,8 @@
         while announced is not None:
             was_fed = True
             self._note_fresh()
+            if self._clock() > self._check_at + _BEHIND_SECONDS:
+                return False
             if announced <= self._version:
                 behind_since = None
             elif behind_since is None:
@@ -285,3 +359,7 @@
         self._path.find()
         self._read_at = self._clock()
         self._pause = _FIRST_PAUSE_SECONDS
+
+
+def _present(items: Mapping[str, Item | None]) -> dict[str, Item]:
+    return {key: item for key, item in items.items() if item is not None}
--- a/src/cranecart/mesh/_hearing.py
+++ b/src/cranecart/mesh/_hearing.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranecart.fleet import Extent
 from cranecart.links import NodeLink
 from cranecart.logs import decision
 from cranecart.mesh._messages import (
@@ -35,7 +36,10 @@
     _link: NodeLink[MeshMessage]
     _events: MeshEvents
     # The last version of each kind of news that was passed on.
-    _passed_on: dict[type, int] = attrs.field(factory=dict, init=False)
+    _passed_on: dict[tuple[type, Extent], int] = attrs.field(
+        factory=dict,
+        init=False,
+    )
 
     async def take(self, message: MeshMessage) -> None:
         """Take one message over."""
@@ -77,7 +81,7 @@
                 self._events.limits(message)
 
     def _take_news(self, message: SourceNews) -> None:
-        kind = type(message)
+        kind = (type(message), message.news.extent)
         # Two relays that speak at once hand it to each other as well.
         if message.news.version > self._passed_on.get(kind, -1):
             if self._pass_on(message, with_silent=False):
--- a/tests/lib/store_rig.py
+++ b/tests/lib/store_rig.py
@@ -49,6 +49,8 @@
 _BEAT_SECONDS = 0.25
 _LINK_SECONDS = 0.002
 _DOMAINS = 3
+# Names of nodes to each other; nothing listens there.
+_FIRST_PORT = 1000
 _START_SECONDS = 15.0
 SERVICE = 'crew'
 _ROUTE = MappingProxyType(
@@ -146,7 +148,8 @@
             lambda told: note_leaving(fleet, told.life, told.sender),
         )
         domain = f'd{int(name.rpartition("-")[2]) % _DOMAINS}'
-        mesh = Mesh(OwnState(name, name, domain), RigLink(rig), events)
+        own = OwnState(name, _peer_address(name), domain)
+        mesh = Mesh(own, RigLink(rig), events)
         knowledge = Knowledge.from_surroundings(
             surroundings,
             config,
@@ -217,7 +220,10 @@
         node = RigNode.beside(self, name)
         self.nodes[name] = node
         peers = {
-            one.name: PeerNode(one.name, one.mesh.own.failure_domain)
+            one.name: PeerNode(
+                one.mesh.own.address,
+                one.mesh.own.failure_domain,
+            )
             for one in self.nodes.values()
         }
         for name_of, peer in peers.items():
@@ -265,13 +271,20 @@
         while True:
             under_way = self.wire
             self.wire = []
+            nodes = {
+                node.mesh.own.address: node for node in self.nodes.values()
+            }
             for address, encoded in under_way:
-                node = self.nodes.get(address)
+                node = nodes.get(address)
                 if node is not None:
                     await node.hear(encoded)
             await curio.sleep(_LINK_SECONDS)
 
 
+def _peer_address(name: str) -> str:
+    return f'127.0.0.1:{_FIRST_PORT + int(name.rpartition("-")[2])}'
+
+
 def _surroundings(address: Address) -> Surroundings:
     store = StoreClient(address)
     return Surroundings(
--- a/tests/platform/_standin.py
+++ b/tests/platform/_standin.py
@@ -45,7 +45,7 @@
 class StandinStore:
     """Rows, transactions and a feed; faults are queued by a test.
 
-    A fault is a status to answer with, ``'lost'`` for a write that is done
+    While it ``is_deaf``, feeds wait and hear nothing. A fault is a status to answer with, ``'lost'`` for a write that is done
     and not answered, or ``'silent'`` for a call that is not answered.
     """
 
@@ -58,9 +58,15 @@
     order_status: int = 202
     era: int | None = None
     is_away: bool = False
+    is_deaf: bool = False
     calls: Counter[tuple[str, str]] = attrs.field(factory=Counter, init=False)
     _log: list[tuple[int, RowKey]] = attrs.field(factory=list)
 
+    def forget_history(self) -> None:
+        """Answer no feed any more from what was before now."""
+        self.oldest = self.version
+        self.is_deaf = False
+
     def copied(self) -> 'StoreCopy':
         """Return a copy of what the store holds now."""
         return StoreCopy(self.version, dict(self.rows), copy.copy(self._log))
@@ -163,6 +169,10 @@
         since = int(query['sinceRevision'])
         if since < self.oldest or since > self.version:
             return Response(_GONE)
+        while self.is_deaf:
+            await curio.sleep(_FEED_LOOK_SECONDS)
+        if since < self.oldest:
+            return Response(_GONE)
         for _turn in range(int(query['waitMs']) // 10 + 1):
             changed = [
                 key
--- /dev/null
+++ b/tests/platform/test_reads_of_a_return.py
@@ -0,0 +1,94 @@
+"""What the store's return, or its lost history, costs at many nodes."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from tests.lib.store_rig import StoreRig, config_row, entry_row
+from tests.lib.waiting import until
+from tests.platform._standin import StandinStore
+
+_DOMAINS = 3
+# Of each table that nodes pass on to each other, in each failure domain: one
+# where the history was lost, and three where the store came back from a copy.
+_LOST_READS = 1
+_RESTORED_READS = 3
+_AIM_SECONDS = 1.5
+_DEAF_SECONDS = 1.0
+_AWAY_SECONDS = 2.5
+_TABLES = ('servers', 'placement')
+
+
+def _filled() -> StandinStore:
+    store = StandinStore(era=1)
+    store.put('op', '', 'config', config_row(10))
+    for number in range(60):
+        store.put('servers', '', f'i-{number}', entry_row(born=number + 1))
+    return store
+
+
+class ReadsOfAReturnTest(unittest.TestCase):
+    """One node reads, and passes on what it has read."""
+
+    def test_nine_nodes_read_a_forgotten_history(self) -> None:
+        """Each of nine read all tables whole, 2 s after the change."""
+        self._play(9, self._forget)
+
+    def test_nine_nodes_read_a_restored_store(self) -> None:
+        """The list and the records are read by few."""
+        self._play(9, self._return)
+
+    def test_thirty_nodes_read_a_restored_store(self) -> None:
+        """Also where relays tell the others."""
+        self._play(30, self._return)
+
+    def _play(
+        self,
+        count: int,
+        scene: Callable[[StoreRig], Awaitable[None]],
+    ) -> None:
+        async def play() -> None:  # noqa: WPS430
+            rig = await StoreRig.of(count, _filled())
+            await curio.sleep(3)
+            rig.store.calls.clear()
+            await scene(rig)
+            await rig.close()
+
+        curio.run(play)
+
+    async def _forget(self, rig: StoreRig) -> None:
+        store = rig.store
+        store.is_deaf = True
+        await curio.sleep(0.05)
+        store.put('op', '', 'config', config_row(11))
+        store.put('servers', '', 'i-1', entry_row('draining', born=2))
+        await curio.sleep(_DEAF_SECONDS)
+        store.forget_history()
+        await until(
+            lambda: rig.all_in_force(11) and rig.all_know_leaving('i-1'),
+            _AIM_SECONDS - _DEAF_SECONDS,
+        )
+        await curio.sleep(1)
+        self._check_reads(rig, _LOST_READS)
+
+    async def _return(self, rig: StoreRig) -> None:
+        store = rig.store
+        earlier = store.copied()
+        store.put('servers', '', 'i-2', entry_row(slots=5, born=3))
+        await curio.sleep(0.7)
+        store.is_away = True
+        # All nodes ask for themselves by then, each at a moment of its own.
+        await curio.sleep(_AWAY_SECONDS)
+        store.restore(earlier)
+        store.put('servers', '', 'i-1', entry_row('draining', born=2))
+        await until(lambda: rig.all_know_leaving('i-1'), 1)
+        await curio.sleep(4)
+        self._check_reads(rig, _RESTORED_READS)
+
+    def _check_reads(self, rig: StoreRig, most: int) -> None:
+        reads = {
+            table: rig.store.calls['/rows-get', table] for table in _TABLES
+        }
+        for count in reads.values():
+            self.assertLessEqual(count, most * _DOMAINS, reads)
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -106,13 +106,6 @@
             held = [one for one in leases.values() if one.is_held]
             self.assertLessEqual(len(held), 1)
 
-    def _keep_rising(self, lease: Lease, taken: dict[int, str]) -> None:
-        if not _keep(lease):
-            return
-        self.assertGreaterEqual(lease.fencing, max(taken, default=0))
-        holder = taken.setdefault(lease.fencing, lease.node_id)
-        self.assertEqual(holder, lease.node_id)
-
     def test_a_holder_goes_on_after_a_return(self) -> None:
         """Nobody waits for a holder that is there."""
         platform = FakePlatform()
@@ -191,3 +184,10 @@
         _keep(leases['a'])
         run_now(leases['a'].hand_over())
         self.assertTrue(_keep(leases['b']))
+
+    def _keep_rising(self, lease: Lease, taken: dict[int, str]) -> None:
+        if not _keep(lease):
+            return
+        self.assertGreaterEqual(lease.fencing, max(taken, default=0))
+        holder = taken.setdefault(lease.fencing, lease.node_id)
+        self.assertEqual(holder, lease.node_id)
