Take no target again that was leaving or gone, because a copy shows it ready

What callers could see: a request reaches a target that left long ago (DRAIN). Cause: a copy of the store shows a leaving target as ready, and brings back the entry of one that is gone. Each entry replaced what was known.

A life that leaves counts as leaving for good, by its entry as by its own word. An entry that had gone and that a copy brings back is awaited: it counts once it is written, or has not been dropped for as long as silent entries stand.

--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -137,10 +137,20 @@
         self._begin_lives(self.listing.take(items, is_whole, kept_until))
         self._changed |= self.recorded.keys_naming(touched)
 
+    def restore_instances(self, items: Mapping[str, ListedInstance]) -> None:
+        """Take over a list of a store that has come back from a copy."""
+        anew = self.listing.restore(items, since_boot())
+        self._begin_lives(anew)
+        self._changed |= self.recorded.keys_naming(items)
+
     def settle_lives(self) -> None:
         """Believe entries that have stood, or been missed, for long."""
+        now = since_boot()
         self._changed |= self.recorded.keys_naming(
-            self.listing.lapse_missing(since_boot()),
+            (
+                *self.listing.lapse_missing(now),
+                *self.listing.admit_awaited(now),
+            ),
         )
         anew = self.listing.settle_lives()
         self._begin_lives(anew)
@@ -196,15 +206,6 @@
         phase = head and head.phase_in(record.name, record.epoch)
         return phase is MemberPhase.OPEN
 
-    def is_forming(self, service: str, model: str) -> bool:
-        """Tell whether a replica of a model is recorded that is not open."""
-        return any(
-            record.service == service
-            and record.model == model
-            and record.state is RecordState.SERVING
-            for record in self.records.values()
-        )
-
     def heads(self, service: str, model: str) -> tuple[ServingHead, ...]:
         """Return the whole replicas of a model that take requests."""
         self._look()
--- a/src/cranecart/fleet/_listing.py
+++ b/src/cranecart/fleet/_listing.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cranecart.fleet._lives import LifeBook, Told
+from cranecart.fleet._remembered import AwaitedEntries, RememberedLives
 from cranecart.logs import decision
 from cranecart.ports import Life, ListedInstance
 
@@ -13,8 +14,6 @@
 # Deaths and departures take two or three instances of a hundred at a time.
 _MANY_PART = 0.1
 _MANY = 3
-# Lives whose own word is remembered that they leave; they end within a minute.
-_MOST_LEAVING = 1024
 
 
 @attrs.define
@@ -33,8 +32,14 @@
     lapsed: dict[str, ListedInstance] = attrs.field(factory=dict, init=False)
     # Instances that are kept for a while though their entries went.
     _missing: dict[str, float] = attrs.field(factory=dict, init=False)
-    # Lives that have said themselves that they leave, the oldest first.
-    _said_leaving: dict[Life, None] = attrs.field(factory=dict, init=False)
+    # Lives that leave, by their entry or their own word.
+    _leaving: RememberedLives = attrs.field(
+        factory=RememberedLives,
+        init=False,
+    )
+    # Lives whose entries have gone.
+    _gone: RememberedLives = attrs.field(factory=RememberedLives, init=False)
+    _awaited: AwaitedEntries = attrs.field(factory=AwaitedEntries, init=False)
     _of_service: dict[str, dict[str, ListedInstance]] = attrs.field(
         factory=dict,
         init=False,
@@ -63,27 +68,62 @@
             gone -= self._keep(gone, kept_until)
         for name in gone:
             self._lapse(name)
-        entries = [item for item in items.values() if item is not None]
+        if is_whole:
+            self._awaited.keep_only(items)
+        else:
+            self._awaited.drop(items)
+        entries = [
+            item
+            for item in items.values()
+            if item is not None and not self._awaited.holds(item)
+        ]
         return [entry.id for entry in entries if self._take_entry(entry)]
 
+    def restore(
+        self,
+        items: Mapping[str, ListedInstance],
+        now: float,
+    ) -> list[str]:
+        """Take over a list from a copy; return the ids that live anew.
+
+        What it lacks stays. An entry that had gone counts again once it is
+        written, or has not been dropped for as long as silent ones stand.
+        """
+        awaited = {
+            name: item
+            for name, item in items.items()
+            if name not in self.instances and item.life in self._gone
+        }
+        known = {
+            name: item for name, item in items.items() if name not in awaited
+        }
+        anew = self.take(known, False)
+        self._awaited.hold(awaited, now)
+        return anew
+
+    def admit_awaited(self, now: float) -> list[str]:
+        """Take over awaited entries that have stood; return their ids."""
+        due = self._awaited.take_due(now)
+        for item in due:
+            self._take_entry(item)
+        return [item.id for item in due]
+
     def leave(self, life: Life) -> bool:
         """Remember that a life says that it leaves; tell if it is news.
 
         Its entry may tell it later, or never; it counts from when the entry is
         taken next.
         """
-        if life in self._said_leaving:
+        if life in self._leaving:
             return False
-        self._said_leaving[life] = None
-        for oldest in list(self._said_leaving)[:-_MOST_LEAVING]:
-            self._said_leaving.pop(oldest)
+        self._leaving.add(life)
         return True
 
     def is_leaving(self, life: Life) -> bool:
         """Tell whether a life leaves, by its own word or its entry."""
         known = self.known(life.id)
         is_listed = known is not None and known.leaving and known.life == life
-        return is_listed or life in self._said_leaving
+        return is_listed or life in self._leaving
 
     def settle_lives(self) -> list[str]:
         """Believe entries that have stood; return the ids that live anew."""
@@ -160,6 +200,7 @@
         self._missing.pop(name, None)
         instance = self.instances.pop(name)
         self.lapsed[name] = instance
+        self._gone.add(instance.life)
         self._of_service[instance.service].pop(name)
         self._plain.pop(instance.service, None)
         self._lives.forget(name)
@@ -198,7 +239,10 @@
         self._put(entry)
 
     def _as_it_said(self, entry: ListedInstance) -> ListedInstance:
-        if entry.leaving or entry.life not in self._said_leaving:
+        if entry.leaving:
+            # A copy of the store may show it as it was before.
+            self._leaving.add(entry.life)
+        if entry.leaving or entry.life not in self._leaving:
             return entry
         return attrs.evolve(entry, leaving=True)
 
@@ -211,6 +255,7 @@
         self.instances[entry.id] = entry
         self.lapsed.pop(entry.id, None)
         self._missing.pop(entry.id, None)
+        self._gone.forget(entry.life)
         self._of_service.setdefault(entry.service, {})[entry.id] = entry
         self._plain.pop(entry.service, None)
 
--- a/src/cranecart/fleet/_recorded.py
+++ b/src/cranecart/fleet/_recorded.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cranecart.fleet._records import ReplicaRecord
+from cranecart.fleet._records import RecordState, ReplicaRecord
 
 # Keys of dropped rows that are remembered; a feed is never further behind.
 _MOST_DROPPED = 256
@@ -68,6 +68,15 @@
         """Tell whether there is a record of one forming of a replica."""
         return forming in self._keys
 
+    def is_forming(self, service: str, model: str) -> bool:
+        """Tell whether a replica of a model is recorded that is not open."""
+        return any(
+            record.service == service
+            and record.model == model
+            and record.state is RecordState.SERVING
+            for record in self.records.values()
+        )
+
     def _put(self, record: ReplicaRecord) -> None:
         self._unname(record.key)
         self.records[record.key] = record
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -256,7 +256,7 @@
         return self.errors.expected(life, model, self._clock())
 
     def _no_replica(self, wanted: Wanted) -> NoReplicaError:
-        forms = self._fleet.is_forming(wanted.service, wanted.model)
+        forms = self._fleet.recorded.is_forming(wanted.service, wanted.model)
         expected = _FORMING_SECONDS if forms else _NOTHING_FORMS_SECONDS
         return NoReplicaError(
             f'no whole replica of {wanted.model!r} serves',
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -188,6 +188,7 @@
             gap_seconds=lambda: 0 if mesh.has_traffic() else _EARLY_GAP_SECONDS,
         ),
         path=path,
+        take_restored=taker.fleet.restore_instances,
     )
     return follower
 
--- a/tests/lib/store_rig.py
+++ b/tests/lib/store_rig.py
@@ -267,6 +267,13 @@
             for one in node.fleet.plain(SERVICE)
         )
 
+    def all_take(self, name: str) -> bool:
+        """Tell whether every node would send requests to an instance."""
+        return all(
+            name in {one.id for one in node.fleet.plain(SERVICE)}
+            for node in self.nodes.values()
+        )
+
     async def _carry(self) -> None:
         while True:
             under_way = self.wire
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -1,5 +1,6 @@
 """A store that comes back from a copy: versions are given out again."""
 
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +15,9 @@
 _AIM_SECONDS = 1.0
 _AWAY_SECONDS = 0.5
 _FEED_SECONDS = 1.0
+# Longer than until all is read once more; entries are back sooner.
+_WATCH_SECONDS = 3.0
+_AGAIN_SECONDS = 1.5
 _TIMES = LeaseTimes(5.0, 1.2, 3.5)
 
 
@@ -40,6 +44,18 @@
         """A lease taken after the return gets a fence of its own."""
         curio.run(self._take_lease)
 
+    def test_leaving_target_taken_again_from_a_copy(self) -> None:
+        """It had said that it leaves after the copy was made."""
+        self._play(self._keep_left)
+
+    def test_gone_target_taken_again_from_a_copy(self) -> None:
+        """It serves on without an entry, and gets nothing new."""
+        self._play(self._keep_gone)
+
+    def test_new_target_lost_with_a_copy(self) -> None:
+        """It came after the copy was made, and writes its entry again."""
+        self._play(self._keep_new)
+
     def _play(self, scene: Callable[[StoreRig], Awaitable[None]]) -> None:
         curio.run(self._with_rig, scene)
 
@@ -78,6 +94,40 @@
         rig.store.put('servers', '', 'i-1', entry_row('draining', born=2))
         await until(lambda: rig.all_know_leaving('i-1'), _AIM_SECONDS)
 
+    async def _keep_left(self, rig: StoreRig) -> None:
+        earlier = rig.store.copied()
+        rig.store.put('servers', '', 'i-1', entry_row('draining', born=2))
+        await until(lambda: rig.all_know_leaving('i-1'))
+        rig.store.restore(earlier)
+        await self._watch(lambda: rig.all_know_leaving('i-1'))
+
+    async def _keep_gone(self, rig: StoreRig) -> None:
+        earlier = rig.store.copied()
+        rig.store.drop('servers', '', 'i-1')
+        await until(lambda: rig.all_know_leaving('i-1'))
+        rig.store.restore(earlier)
+        await self._watch(lambda: rig.all_know_leaving('i-1'))
+
+    async def _keep_new(self, rig: StoreRig) -> None:
+        earlier = rig.store.copied()
+        entry = entry_row(born=8)
+        rig.store.put('servers', '', 'i-7', entry)
+        await until(lambda: rig.all_take('i-7'))
+        rig.store.restore(earlier)
+        await self._watch(lambda: rig.all_take('i-7'), _AGAIN_SECONDS)
+        rig.store.put('servers', '', 'i-7', entry)
+        await self._watch(lambda: rig.all_take('i-7'))
+
+    async def _watch(
+        self,
+        holds: Callable[[], bool],
+        seconds: float = _WATCH_SECONDS,
+    ) -> None:
+        ends = time.monotonic() + seconds
+        while time.monotonic() < ends:
+            self.assertTrue(holds())
+            await curio.sleep(0.01)
+
     async def _take_lease(self) -> None:
         store = _filled()
         server, address = await start(store)
