Write records again that a copy lacks, and drop those that it brought back

Rows of replicas given up since stay for ever, and are taken up by the next placer.

Cause: a row that is missing in a reading was taken for dropped, and a placer read rows only as it took its duty. Now the era of a record's version tells whether the table is of before it. A placer notices that the table has come back, takes its duty again at once, writes the records that the copy lacks or holds in an earlier state, and drops the rows of replicas that it knows to have ended. A replica's state never goes back under one name.

--- a/src/cranecart/duties/_lease.py
+++ b/src/cranecart/duties/_lease.py
@@ -105,6 +105,14 @@
         """Return who held the lease when the row was seen last."""
         return _decode(self._seen).holder if self._seen else ''
 
+    @property
+    def is_of_this_era(self) -> bool:
+        """Tell whether the row that was seen last can be a condition."""
+        return (
+            self._seen is not None
+            and era_of(self._seen.version) == self._table.era
+        )
+
     def check(self) -> Check:
         """Return the condition that ties a transaction to this lease.
 
@@ -119,9 +127,9 @@
 
         Raise ``PlatformError`` when the table cannot be asked.
         """
-        if self.is_held and self._is_of_this_era():
+        if self.is_held and self.is_of_this_era:
             await self._write(self._seen, self._fencing)
-            if not self.is_held or self._is_of_this_era():
+            if not self.is_held or self.is_of_this_era:
                 return self.is_held
         await self._look()
         if self.is_held and self._was_taken_since():
@@ -163,13 +171,6 @@
                 earlier=earlier.holder if earlier else '',
             )
 
-    def _is_of_this_era(self) -> bool:
-        """Tell whether the row that was seen last can be a condition."""
-        return (
-            self._seen is not None
-            and era_of(self._seen.version) == self._table.era
-        )
-
     def _was_taken_since(self) -> bool:
         """Tell whether another has the lease since the table came back.
 
--- a/src/cranecart/fleet/_recorded.py
+++ b/src/cranecart/fleet/_recorded.py
@@ -1,6 +1,7 @@
 """The replicas that placers have recorded, as one node knows them; no I/O."""
 
 from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -10,6 +11,14 @@
 _MOST_DROPPED = 256
 
 Forming = tuple[str, int]
+# No replica that closes or ends serves again under the same name.
+_PROGRESS = MappingProxyType(
+    {
+        RecordState.SERVING: 0,
+        RecordState.CLOSING: 1,
+        RecordState.ENDING: 2,
+    },
+)
 
 
 @attrs.define
@@ -98,4 +107,8 @@
         known = self.records.get(key)
         if key in self._dropped:
             return False
-        return known is None or record.version >= known.version
+        if known is None:
+            return True
+        # A copy of the store shows a replica as it was before it closed.
+        goes_back = _PROGRESS[record.state] < _PROGRESS[known.state]
+        return record.version >= known.version and not goes_back
--- a/src/cranecart/grouping/_book.py
+++ b/src/cranecart/grouping/_book.py
@@ -1,6 +1,6 @@
 """The records of one failure domain: read, written under its lease."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -14,7 +14,10 @@
 )
 from cranecart.grouping._supply import NewReplica
 from cranecart.logs import decision
-from cranecart.ports import Put, Table, Transaction
+from cranecart.ports import Put, Table, Transaction, era_of
+
+# Well below the hundred entries of a transaction.
+_MOST_AT_ONCE = 50
 
 
 @attrs.define
@@ -26,6 +29,12 @@
     _table: Table
     _fleet: Fleet
     _epoch: int = attrs.field(default=0, init=False)
+    _read_era: int | None = attrs.field(default=None, init=False)
+
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether the table has come back since it was read."""
+        return self._read_era != era_of(self.lease.version)
 
     def records(self) -> list[ReplicaRecord]:
         """Return the records of the failure domain."""
@@ -36,17 +45,24 @@
         ]
 
     async def read(self) -> None:
-        """Read all rows anew; raise ``PlatformError``."""
+        """Read all rows anew; raise ``PlatformError``.
+
+        Where the table has come back from a copy, write what it lacks and drop
+        what it brought back; raise ``LeaseLostError`` too.
+        """
         prefix = records_prefix(self.failure_domain)
         rows = await self._table.read_prefix(prefix)
         read = {key: record_from_row(row) for key, row in rows.items()}
-        gone = {record.key for record in self.records()} - rows.keys()
-        for key in gone:
-            self._fleet.take_records({key: None}, False)
+        for record in self.records():
+            if record.key not in rows and not self._is_earlier(record):
+                self._fleet.take_records({record.key: None}, False)
         self._fleet.take_records(
             {key: one for key, one in read.items() if one is not None},
             False,
         )
+        await self._write_lost()
+        await self._drop_brought_back(read)
+        self._read_era = era_of(self.lease.version)
 
     async def write(self, records: Sequence[ReplicaRecord]) -> None:
         """Write records; raise ``PlatformError`` or ``LeaseLostError``."""
@@ -96,6 +112,38 @@
             births=tuple(member.born for member in new.members),
         )
 
+    async def _write_lost(self) -> None:
+        """Write the records that a copy lacks, or holds in an earlier state."""
+        lost = [one for one in self.records() if self._is_earlier(one)]
+        for start in range(0, len(lost), _MOST_AT_ONCE):
+            await self.write(lost[start : start + _MOST_AT_ONCE])
+        if lost:
+            names = [record.name for record in lost]
+            decision('records_written_again', replicas=names)
+
+    async def _drop_brought_back(
+        self,
+        read: Mapping[str, ReplicaRecord | None],
+    ) -> None:
+        """Drop the rows of replicas that had been given up before."""
+        known = self._fleet.records
+        old = [
+            key
+            for key, record in read.items()
+            if record is not None and key not in known
+        ]
+        for start in range(0, len(old), _MOST_AT_ONCE):
+            keys = tuple(old[start : start + _MOST_AT_ONCE])
+            await self._table.commit(
+                Transaction((self.lease.check(),), (), keys),
+            )
+        if old:
+            decision('records_set_aside', rows=old)
+
+    def _is_earlier(self, record: ReplicaRecord) -> bool:
+        """Tell whether a record is of before the table's last return."""
+        return era_of(record.version) < era_of(self.lease.version)
+
     def _log(self, record: ReplicaRecord, version: int) -> None:
         decision(
             'placed',
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -172,10 +172,10 @@
         stood_still = now - self._ticked_at > _STALL_SECONDS
         self._ticked_at = now
         if self.lease.is_held:
-            if stood_still or now - self._renewed_at > self._renew_seconds():
+            is_due = now - self._renewed_at > self._renew_seconds()
+            if stood_still or is_due or not self.lease.is_of_this_era:
                 self._renewed_at = now
-                await self.lease.keep()
-                self._is_failing = False
+                await self._renew()
             return
         pause = _CUT_LOOK_SECONDS if self._view.is_cut() else _LOOK_SECONDS
         if self._view.hears_other() or now - self._renewed_at < pause:
@@ -185,6 +185,12 @@
             await self._book.read()
             self._is_failing = False
 
+    async def _renew(self) -> None:
+        await self.lease.keep()
+        if self.lease.is_held and self._book.is_behind:
+            await self._book.read()
+        self._is_failing = False
+
     def _renew_seconds(self) -> float:
         """Return after how long the duty is to be shown to be held."""
         if self._is_failing or self._view.is_isolated():
--- /dev/null
+++ b/tests/unit/test_restored_records.py
@@ -0,0 +1,127 @@
+"""Placers, after the table has come back from a copy."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import attrs
+import curio
+
+from cranecart.fleet import RecordState, record_from_row, records_prefix
+from tests.lib.fake_engines import DOMAIN
+from tests.lib.waiting import until
+from tests.unit.test_grouping import World
+
+_AIM_SECONDS = 1.0
+_WATCH_SECONDS = 1.5
+
+
+class RestoredRecordsTest(unittest.TestCase):
+    """Replicas that serve go on, and those that were given up stay so."""
+
+    def setUp(self) -> None:
+        """Build a world with replicas to be formed."""
+        self.world = World()
+        self.addCleanup(self.world.listener.close)
+
+    def test_a_copy_lacks_records_of_serving_replicas(self) -> None:
+        """The placer writes them again."""
+        self._play(self._lose_records)
+        self.assertEqual(self._recorded(), self._serving())
+
+    def test_a_successor_finds_no_records(self) -> None:
+        """It knows them from before the return and goes on with them."""
+        self._play(self._succeed)
+        self.assertEqual(self._recorded(), self._serving())
+
+    def test_a_copy_holds_replicas_that_were_given_up(self) -> None:
+        """Their rows go, and none of their members is ordered anything."""
+        self._play(self._bring_back)
+
+    def test_a_copy_shows_an_ending_replica_as_serving(self) -> None:
+        """It ends all the same."""
+        self._play(self._end)
+
+    def _play(self, scene: Callable[[], Awaitable[None]]) -> None:
+        curio.run(self._formed, scene)
+        self.assertEqual(self.world.engines.violations, [])
+
+    async def _formed(self, scene: Callable[[], Awaitable[None]]) -> None:
+        self.empty = self.world.table.copied()
+        self.running = await curio.spawn(self.world.placer.run)
+        await until(lambda: len(self.world.heads()) == 2)
+        self.first = {head.replica for head in self.world.heads()}
+        await scene()
+        await self.running.cancel()
+
+    async def _lose_records(self) -> None:
+        orders = self._orders()
+        self.world.table.restore(self.empty)
+        await until(lambda: self._recorded() == self.first, _AIM_SECONDS)
+        await curio.sleep(_WATCH_SECONDS)
+        self.assertEqual(self._serving(), self.first)
+        self.assertEqual(self._orders(), orders)
+
+    async def _succeed(self) -> None:
+        await self.running.cancel()
+        orders = self._orders()
+        self.world.table.restore(self.empty)
+        placer = self.world.make_placer('two')
+        self.running = await curio.spawn(placer.run)
+        await until(lambda: self._recorded() == self.first)
+        await curio.sleep(_WATCH_SECONDS)
+        self.assertEqual(self._serving(), self.first)
+        self.assertEqual(self._orders(), orders)
+
+    async def _bring_back(self) -> None:
+        world = self.world
+        earlier = world.table.copied()
+        lost = world.heads()[0]
+        world.lose(lost.members[1])
+        await until(lambda: lost.replica not in self._recorded())
+        await until(lambda: len(world.heads()) == 2)
+        serving = self._serving()
+        world.table.restore(earlier)
+        await until(lambda: self._recorded() == serving, _AIM_SECONDS)
+        await curio.sleep(_WATCH_SECONDS)
+        self.assertEqual(self._serving(), serving)
+
+    async def _end(self) -> None:
+        world = self.world
+        earlier = world.table.copied()
+        world.engines.work_seconds = 1
+        head = world.heads()[0]
+        leaves = attrs.evolve(
+            world.fleet.instances[head.members[1]],
+            leaving=True,
+        )
+        world.fleet.take_instances({leaves.id: leaves}, False)
+        await until(lambda: head.replica not in self._recorded())
+        world.table.restore(earlier)
+        await until(lambda: head.replica not in self._recorded())
+        await curio.sleep(_WATCH_SECONDS)
+        self.assertNotIn(head.replica, self._serving())
+
+    def _orders(self) -> int:
+        """Return how many orders to members were sent."""
+        bound = {name for one in self.world.heads() for name in one.members}
+        return sum(
+            1
+            for order, name in self.world.engines.orders
+            if name in bound and order != 'stage'
+        )
+
+    def _serving(self) -> set[str]:
+        return {head.replica for head in self.world.heads()}
+
+    def _recorded(self) -> set[str]:
+        prefix = records_prefix(DOMAIN)
+        read = [
+            record_from_row(row)
+            for key, row in self.world.table.rows.items()
+            if key.startswith(prefix)
+        ]
+        return {
+            record.name
+            for record in read
+            if record is not None and record.state is RecordState.SERVING
+        }
