Take up replicas that serve without a record, and join none of their members

What could be seen: after a return from a copy that lacks records, with nodes that were started since, members of open replicas counted as free. In test_nobody_knows_a_replica_that_lacks_a_member 'i0 joined ..., had ...' while the head was open (TWO), and serving replicas were replaced.

Cause: only the table told that instances belong together. Their entries tell it as well. A placer looks for such replicas after it has read its rows, for a few seconds; it takes none of their members for free, records those that are whole, and ends those that lack a member once the list had time to fill. Nodes that do not place keep records that a whole reading of a later era lacks: what becomes of them is for their placer to decide.

Evidence: three tests of test_restored_records failed before.

--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -160,9 +160,10 @@
         self,
         items: Mapping[str, ReplicaRecord | None],
         is_whole: bool,
+        era: int = 0,
     ) -> None:
         """Take over changed rows of replicas, by the keys of their rows."""
-        self._changed.update(self.recorded.take(items, is_whole))
+        self._changed.update(self.recorded.take(items, is_whole, era))
         self._forget()
 
     def stop(self, forming: Forming, reason: str) -> bool:
--- a/src/cranecart/fleet/_recorded.py
+++ b/src/cranecart/fleet/_recorded.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cranecart.fleet._records import RecordState, ReplicaRecord
+from cranecart.ports import era_of
 
 # Keys of dropped rows that are remembered; a feed is never further behind.
 _MOST_DROPPED = 256
@@ -34,14 +35,21 @@
         self,
         items: Mapping[str, ReplicaRecord | None],
         is_whole: bool,
+        era: int = 0,
     ) -> list[str]:
         """Take over changed rows; return the keys of what has changed.
 
-        What this node wrote itself may be newer than what it reads.
+        What this node wrote itself may be newer than what it reads. Whole
+        readings of a later ``era`` than a record's may come from a copy that
+        lacks it: what becomes of it is for its placer to decide.
         """
         gone = [key for key, record in items.items() if record is None]
         if is_whole:
-            gone.extend(self.records.keys() - items.keys())
+            gone.extend(
+                key
+                for key in self.records.keys() - items.keys()
+                if era_of(self.records[key].version) >= era
+            )
         for key in gone:
             self.drop(key)
         news = [
@@ -73,6 +81,10 @@
         """Yield the records that have an instance as a member."""
         return (self.records[key] for key in self.naming.get(name, ()))
 
+    def has_known(self, key: str) -> bool:
+        """Tell whether there is or was a record under a key."""
+        return key in self.records or key in self._dropped
+
     def is_recorded(self, forming: Forming) -> bool:
         """Tell whether there is a record of one forming of a replica."""
         return forming in self._keys
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -8,6 +8,7 @@
 from cranecart.duties import Lease
 from cranecart.exceptions import LeaseLostError, PlatformError
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._adoption import Adoption
 from cranecart.grouping._book import RecordBook
 from cranecart.grouping._duty import PlacerDuty
 from cranecart.grouping._ending import Ending
@@ -63,6 +64,7 @@
         self._fleet = fleet
         self._view = view
         self._book = RecordBook(place.failure_domain, lease, table, fleet)
+        self._adoption = Adoption(place.failure_domain, fleet)
         stager = Stager(
             lease,
             orders,
@@ -74,6 +76,7 @@
             fleet,
             self.losses,
             stager,
+            self._adoption,
             view.demand,
             view.has_traffic,
             place.stall_seconds,
@@ -144,6 +147,9 @@
         config = self._view.config()
         if config is None or not self._may_act():
             return
+        adopted = self._adoption.due(config)
+        if adopted:
+            await self._book.write(adopted)
         records = self._book.records()
         await self.losses.check(records)
         for record in records:
@@ -182,15 +188,19 @@
             return
         self._renewed_at = now
         if await self.lease.keep(is_patient=self._view.is_isolated()):
-            await self._book.read()
+            await self._read_records()
             self._is_failing = False
 
     async def _renew(self) -> None:
         await self.lease.keep()
         if self.lease.is_held and self._book.is_behind:
-            await self._book.read()
+            await self._read_records()
         self._is_failing = False
 
+    async def _read_records(self) -> None:
+        await self._book.read()
+        self._adoption.watch()
+
     def _renew_seconds(self) -> float:
         """Return after how long the duty is to be shown to be held."""
         if self._is_failing or self._view.is_isolated():
--- a/src/cranecart/grouping/_stock.py
+++ b/src/cranecart/grouping/_stock.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._adoption import Adoption
 from cranecart.grouping._losses import Losses
 from cranecart.grouping._membership import counted
 from cranecart.grouping._reshape import CLOSE_SECONDS
@@ -26,6 +27,7 @@
     _fleet: Fleet
     _losses: Losses
     _stager: Stager
+    _adoption: Adoption
     _demand: Callable[[], Mapping[str, float]]
     _has_traffic: Callable[[], bool]
     _stall_seconds: float
@@ -73,7 +75,7 @@
         An instance that is being freed leaves its replica when it joins
         anything else, and that must not happen before the head has ended.
         """
-        return frozenset(
+        return self._adoption.members().union(
             name
             for record in self._fleet.records.values()
             for name in record.members
@@ -153,6 +155,7 @@
         """
         used = {name for one in planned_with for name in one.members}
         used.update(self._losses.current())
+        used.update(self._adoption.members())
         return (
             instance
             for instance in self._fleet.listing.of_service(service)
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -24,7 +24,7 @@
     SourceNews,
 )
 from cranecart.models import RouteConfig
-from cranecart.ports import ListedInstance, Row, Source
+from cranecart.ports import ListedInstance, Row, Source, era_of
 from cranecart.quarantine import HeldRows
 from cranecart.serving._configuration import ForceConfig
 from cranecart.serving._registry import peers_from_rows
@@ -157,7 +157,9 @@
     def take(self, items: Mapping[str, Row | None], is_whole: bool) -> None:
         """Take over changed rows, or all of them."""
         self.mesh.take_peers(peers_from_rows(items), is_whole)
-        self.fleet.take_records(_records_of(items), is_whole)
+        versions = (0 if row is None else row.version for row in items.values())
+        era = era_of(max(versions, default=0))
+        self.fleet.take_records(_records_of(items), is_whole, era)
         self.held.take(items, is_whole)
 
 
--- a/tests/unit/test_first_division.py
+++ b/tests/unit/test_first_division.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cranecart.fleet import Fleet, ReplicaRecord
+from cranecart.grouping._adoption import Adoption
 from cranecart.grouping._plan import plan
 from cranecart.grouping._stager import Stager
 from cranecart.grouping._stock import Stock
@@ -55,7 +56,8 @@
     losses: Any = SimpleNamespace(current=frozenset)
     nothing: Any = None
     stager = Stager(nothing, nothing, len(_DOMAINS), bool)
-    return Stock(domain, fleet, losses, stager, dict, bool, 4)
+    adoption = Adoption(domain, fleet)
+    return Stock(domain, fleet, losses, stager, adoption, dict, bool, 4)
 
 
 def _own_part(fleet: Fleet, domain: str) -> list[NewReplica]:
--- a/tests/unit/test_restored_records.py
+++ b/tests/unit/test_restored_records.py
@@ -6,13 +6,20 @@
 import attrs
 import curio
 
-from cranecart.fleet import RecordState, record_from_row, records_prefix
+from cranecart.fleet import (
+    Fleet,
+    RecordState,
+    record_from_row,
+    records_prefix,
+)
 from tests.lib.fake_engines import DOMAIN
 from tests.lib.waiting import until
 from tests.unit.test_grouping import World
 
 _AIM_SECONDS = 1.0
 _WATCH_SECONDS = 1.5
+# The list is waited for, then the head that lacks a member has to break.
+_END_SECONDS = 8.0
 
 
 class RestoredRecordsTest(unittest.TestCase):
@@ -41,6 +48,23 @@
         """It ends all the same."""
         self._play(self._end)
 
+    def test_nobody_knows_a_serving_replica(self) -> None:
+        """All nodes are new, and the copy lacks its record."""
+        self._play(self._start_anew)
+        self.assertEqual(self._serving(), self.first)
+        self.assertEqual(self._recorded(), self.first)
+
+    def test_nobody_knows_a_replica_that_lacks_a_member(self) -> None:
+        """It ends, and nothing is joined before its head has left."""
+        self._play(self._start_anew_without_one)
+        self.assertEqual(len(self._serving()), 2)
+        self.assertEqual(self._recorded(), self._serving())
+
+    def test_a_whole_reading_of_a_copy(self) -> None:
+        """Nodes that do not place keep the records that it lacks."""
+        self._play(self._read_whole)
+        self.assertEqual(self._serving(), self.first)
+
     def _play(self, scene: Callable[[], Awaitable[None]]) -> None:
         curio.run(self._formed, scene)
         self.assertEqual(self.world.engines.violations, [])
@@ -101,6 +125,41 @@
         await curio.sleep(_WATCH_SECONDS)
         self.assertNotIn(head.replica, self._serving())
 
+    async def _start_anew(self) -> None:
+        orders = self._orders()
+        await self._restart()
+        await until(lambda: self._serving() == self.first)
+        await curio.sleep(_WATCH_SECONDS)
+        self.assertEqual(self._orders(), orders)
+
+    async def _start_anew_without_one(self) -> None:
+        world = self.world
+        gone = world.heads()[0].members[1]
+        await self._restart(gone)
+        await until(lambda: len(self._serving()) == 2, _END_SECONDS)
+        await curio.sleep(_WATCH_SECONDS)
+
+    async def _restart(self, *gone: str) -> None:
+        """Begin with another node that knows the list only."""
+        await self.running.cancel()
+        world = self.world
+        world.has_traffic = True
+        world.table.restore(self.empty)
+        listed = {
+            name: one
+            for name, one in world.fleet.instances.items()
+            if name not in gone
+        }
+        world.fleet = Fleet()
+        world.fleet.take_instances(listed, True)
+        world.engines.fleet = world.fleet
+        self.running = await curio.spawn(world.make_placer('two').run)
+
+    async def _read_whole(self) -> None:
+        await self.running.cancel()
+        self.world.table.restore(self.empty)
+        self.world.fleet.take_records({}, True, self.world.table.era)
+
     def _orders(self) -> int:
         """Return how many orders to members were sent."""
         bound = {name for one in self.world.heads() for name in one.members}
