--- a/src/cranecart/quarantine/_rows.py
+++ b/src/cranecart/quarantine/_rows.py
@@ -84,6 +84,8 @@
     # read that is older than a write does not show that its row has gone.
     _read: set[str] = attrs.field(factory=set, init=False)
     _written: set[str] = attrs.field(factory=set, init=False)
+    # Digests whose rows a copy of the table lacks, and since when.
+    _lost: dict[str, float] = attrs.field(factory=dict, init=False)
     _is_writing: bool = attrs.field(default=False, init=False)
 
     @property
@@ -104,8 +106,21 @@
             if news is not None:
                 self._read.add(identity)
                 self._written.discard(identity)
+                self._lost.pop(identity, None)
                 self._book.take(news, is_own=False)
 
+    def restore(self, items: Mapping[str, Row]) -> None:
+        """Take over the rows of a table that has come back from a copy.
+
+        What it lacks was not dropped by anybody, and is written again.
+        """
+        known = self._read | self._written
+        lost = {one for one in known if held_key(one) not in items}
+        self._lost.update(dict.fromkeys(lost, self._clock()))
+        self._read -= lost
+        self._written -= lost
+        self.take(items, False)
+
     async def write(self) -> None:
         """Bring the rows up to date, if anything has changed."""
         if not self.is_behind:
@@ -132,7 +147,9 @@
         except PlatformError as error:
             decision('held_not_written', requests=len(cases), why=str(error))
             return
-        self._written.update(case.identity for case in cases)
+        for case in cases:
+            self._written.add(case.identity)
+            self._lost.pop(case.identity, None)
         self._written.difference_update(deletes)
         self._read.difference_update(deletes)
 
@@ -153,7 +170,8 @@
         return puts[:_MOST_AT_ONCE], deletes[:_MOST_AT_ONCE]
 
     def _is_due(self, case: Case, now: float) -> bool:
-        age = now - (case.held_at or now)
+        since = self._lost.get(case.identity, case.held_at)
+        age = now - (since or now)
         return age < _GIVEN_UP_SECONDS and (
             case.is_own or age >= _OTHERS_SECONDS
         )
@@ -170,6 +188,7 @@
         """Take over that an operator, or a node, has dropped a row."""
         self._read.discard(identity)
         self._written.discard(identity)
+        self._lost.pop(identity, None)
         news = self._book.cleared(identity)
         if news is not None:
             self._book.take(news, is_own=False)
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -27,7 +27,7 @@
 from cranecart.ports import ListedInstance, Row, Source, era_of
 from cranecart.quarantine import HeldRows
 from cranecart.serving._configuration import ForceConfig
-from cranecart.serving._registry import peers_from_rows
+from cranecart.serving._registry import NodeRegistry, peers_from_rows
 from cranecart.serving._surroundings import Surroundings
 from cranecart.signals import raise_first_error
 
@@ -106,6 +106,7 @@
                 _RECORDS_GAP_SECONDS,
                 _feeding(mesh, _RECORDS, RecordNews),
                 path=path,
+                take_restored=taker.restore,
             ),
             path,
         )
@@ -153,6 +154,18 @@
     mesh: Mesh
     fleet: Fleet
     held: HeldRows
+    registry: NodeRegistry | None = None
+
+    def restore(self, items: Mapping[str, Row]) -> None:
+        """Take over the rows of a table that has come back from a copy.
+
+        What it lacks counts on, and is written again by whoever knows it.
+        """
+        self.mesh.take_peers(peers_from_rows(items), False)
+        self.fleet.take_records(_records_of(items), False)
+        self.held.restore(items)
+        if self.registry is not None:
+            self.registry.restore(items)
 
     def take(self, items: Mapping[str, Row | None], is_whole: bool) -> None:
         """Take over changed rows, or all of them."""
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -94,7 +94,12 @@
         self._knowledge = Knowledge.from_surroundings(
             self._surroundings,
             self._config,
-            RowTaker(self._mesh, self._fleet, self._holding.rows),
+            RowTaker(
+                self._mesh,
+                self._fleet,
+                self._holding.rows,
+                self._registry,
+            ),
             self._random,
             settings.leaving_ms / _MILLISECONDS,
         )
@@ -236,6 +241,8 @@
             self._router.errors.forget(listed)
             self._router.gate.renew(listed)
             await self._holding.keep()
+            if self._registry.is_missing:
+                await curio.spawn(self._registry.register, daemon=True)
 
     def _renew_own(self) -> None:
         """Bring up to date what the next beat tells."""
--- a/src/cranecart/serving/_registry.py
+++ b/src/cranecart/serving/_registry.py
@@ -25,15 +25,42 @@
     _settings: ServingSettings
     _table: Table
     _written: bool = attrs.field(default=False, init=False)
+    _writing: bool = attrs.field(default=False, init=False)
+    _is_withdrawn: bool = attrs.field(default=False, init=False)
+
+    @property
+    def is_missing(self) -> bool:
+        """Tell whether the row has to be written, and nobody writes it."""
+        is_due = not self._written and not self._is_withdrawn
+        return is_due and not self._writing
+
+    def restore(self, items: Mapping[str, Row]) -> None:
+        """Take over the rows of a table that has come back from a copy."""
+        self._written = self._written and self._key in items
 
     async def register(self) -> None:
         """Write the row; go on trying until the store has taken it."""
+        self._writing = True
+        try:
+            await self._write()
+        finally:
+            self._writing = False
+
+    async def withdraw(self) -> None:
+        """Drop the row, if the store takes that."""
+        self._is_withdrawn = True
+        try:
+            await self._table.commit(Transaction((), (), (self._key,)))
+        except PlatformError as error:
+            decision('node_not_withdrawn', why=str(error))
+
+    async def _write(self) -> None:
         peer = PeerNode(
             self._settings.peer_address,
             self._settings.failure_domain,
         )
         put = Put(self._key, msgspec.json.encode(peer).decode())
-        while not self._written:
+        while not self._written and not self._is_withdrawn:
             try:
                 await self._table.commit(Transaction((), (put,)))
             except PlatformError as error:
@@ -42,13 +69,6 @@
             else:
                 self._written = True
 
-    async def withdraw(self) -> None:
-        """Drop the row, if the store takes that."""
-        try:
-            await self._table.commit(Transaction((), (), (self._key,)))
-        except PlatformError as error:
-            decision('node_not_withdrawn', why=str(error))
-
     @property
     def _key(self) -> str:
         return node_key(self._settings.node_id)
