Take a configuration whose version was given out again with other content

What could be seen: after a return from a copy that lacked version 11 the operator writes another version 11, and nodes that had the first keep it for good. Two ways were weighed. To order versions by the era in which they were read would need the era with each configuration and in each beat, for what only the store can tell. To take a version that is known with other content, from the store only, needs nothing: within an era no version comes twice, and a copy cannot hold another content of a version that it does not lack. The second is kept. Nothing older is put in force, and a node that starts after the return hears of the version in force from the others (tests, passed before as well).

Evidence: test_configuration_of_the_same_version_is_ignored failed before.

--- a/src/cranecart/serving/_configuration.py
+++ b/src/cranecart/serving/_configuration.py
@@ -31,19 +31,31 @@
         items: Mapping[str, RouteConfig | None],
         is_whole: bool,
     ) -> None:
-        """Take over what the operator's row holds."""
+        """Take over what the operator's row holds.
+
+        Its version may be given out again after the store has come back from a
+        copy that lacked it; what the operator has written then counts.
+        """
         for config in items.values():
             if config is not None:
-                self._take(config, 'store')
+                known = self._config.version if self._config else 0
+                if config.version > known or self._is_rewritten(config):
+                    self._take(config, 'store')
 
     def take_from_peer(self, config: RouteConfig) -> None:
         """Take over what another node has in force."""
-        self._take(config, 'peer')
+        known = self._config.version if self._config else 0
+        if config.version > known:
+            self._take(config, 'peer')
+
+    def _is_rewritten(self, config: RouteConfig) -> bool:
+        known = self._config
+        if known is None or config.version != known.version:
+            return False
+        return config != known
 
     def _take(self, config: RouteConfig, source: str) -> None:
         known = self._config.version if self._config else 0
-        if config.version <= known:
-            return
         self._config = config
         decision(
             'config_in_force',
--- a/tests/lib/store_rig.py
+++ b/tests/lib/store_rig.py
@@ -259,6 +259,15 @@
         """Tell whether a configuration is in force at all nodes."""
         return all(node.version == version for node in self.nodes.values())
 
+    def all_have_attempts(self, attempts: int) -> bool:
+        """Tell whether all routes allow so many attempts at all nodes."""
+        configs = [node.config.current() for node in self.nodes.values()]
+        return all(
+            config is not None
+            and all(route.attempts == attempts for route in config.routes)
+            for config in configs
+        )
+
     def all_know_leaving(self, name: str) -> bool:
         """Tell whether no node would send a request to an instance."""
         return not any(
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -36,6 +36,18 @@
         """A version written after the return is in force in time."""
         self._play(self._configure)
 
+    def test_configuration_goes_back_with_a_copy(self) -> None:
+        """What is in force stays until the operator has written again."""
+        self._play(self._keep_configuration)
+
+    def test_configuration_of_the_same_version_is_ignored(self) -> None:
+        """Its version was given out again after the return."""
+        self._play(self._configure_again)
+
+    def test_node_started_after_restore_has_an_old_configuration(self) -> None:
+        """It hears of the one in force from the others."""
+        self._play(self._start_after)
+
     def test_leaving_target_not_heard_after_restore(self) -> None:
         """An instance that leaves after the return is left alone in time."""
         self._play(self._leave)
@@ -89,6 +101,20 @@
         rig.store.put('op', '', 'config', config_row(12))
         await until(lambda: rig.all_in_force(12), _AIM_SECONDS)
 
+    async def _keep_configuration(self, rig: StoreRig) -> None:
+        await self._return(rig)
+        await self._watch(lambda: rig.all_in_force(11))
+
+    async def _configure_again(self, rig: StoreRig) -> None:
+        await self._return(rig)
+        rig.store.put('op', '', 'config', config_row(11, attempts=7))
+        await until(lambda: rig.all_have_attempts(7), _AIM_SECONDS)
+
+    async def _start_after(self, rig: StoreRig) -> None:
+        await self._return(rig)
+        await rig.start('node-07')
+        await until(lambda: rig.all_in_force(11), _AIM_SECONDS)
+
     async def _leave(self, rig: StoreRig) -> None:
         await self._return(rig)
         rig.store.put('servers', '', 'i-1', entry_row('draining', born=2))
