--- a/src/cranecart/cli/_registry.py
+++ b/src/cranecart/cli/_registry.py
@@ -49,8 +49,7 @@
 def load_command(name: str) -> ModuleType:
     """Import the module of a command that is in the registry.
 
-    Nothing of it is ever garbage: looking through it again and again took 25 of
-    195 ms of processor time until ``serve`` is loaded (medians of 15 runs).
+    Nothing of it is ever garbage, and looking through it delays the start.
     """
     gc.disable()
     try:
--- a/src/cranecart/fleet/__init__.py
+++ b/src/cranecart/fleet/__init__.py
@@ -1,14 +1,9 @@
 """What a node knows of instances and replicas, and which of them serve."""
 
 from cranecart.fleet._fleet import Fleet, ServingHead
-from cranecart.fleet._follower import (
-    LONG_WAIT_SECONDS,
-    Extent,
-    Feeding,
-    News,
-    SourceFollower,
-)
+from cranecart.fleet._follower import LONG_WAIT_SECONDS, SourceFollower
 from cranecart.fleet._leaving import note_leaving
+from cranecart.fleet._news import Extent, Feeding, News
 from cranecart.fleet._path import StorePath
 from cranecart.fleet._records import (
     RECORDS_PART,
--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -224,8 +224,7 @@
     def _begin_lives(self, names: Iterable[str]) -> None:
         """Stop the replicas of lives that have ended.
 
-        Streams leave them at once: they lost 0.35 s and more each where only
-        their silence told.
+        Streams leave them at once, and not only once they have been silent.
         """
         for name in names:
             for record in list(self.recorded.naming_one(name)):
--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -4,7 +4,6 @@
 who read for themselves only while nobody does that for them.
 """
 
-import enum
 import random
 from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
@@ -14,6 +13,13 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import HistoryLostError, PlatformUnavailableError
+from cranecart.fleet._news import (
+    Extent,
+    Feeding,
+    News,
+    RestoredTaker,
+    Taker,
+)
 from cranecart.fleet._path import StorePath
 from cranecart.logs import decision
 from cranecart.ports import Source, era_of
@@ -23,32 +29,26 @@
 # How long one read waits for changes, nearly the longest that stores allow, as
 # each costs; a read that hangs is made up for by other nodes.
 LONG_WAIT_SECONDS = 28.0
-# Where others depend on what this node reads, it has to show often that its
-# path to the store is good: twice the wait, less what two reads overlap, shows
-# it. With beats every 0.25 s all nodes notice a cut relay in under four waits.
-_RELAY_WAIT_SECONDS = 0.5
+# A reader whose path to the store has not shown to be good for two waits, less
+# what two reads overlap, is not relied on.
 _PROVEN_WAITS = 1.8
 _FIRST_PAUSE_SECONDS = 0.1
 # How long a read waits that shows whether the store is back.
 _PROBE_SECONDS = 0.25
 _JITTER = 0.25
-# Beats come four times a second. Two followers that looked every 0.04 s took a
-# fifth of an idle node's wake-ups each.
+# Beats come more seldom, and each look wakes an idle node.
 _FED_LOOK_SECONDS = 0.1
-# Until the nodes have met all of them read, while the list fills: sixty nodes
-# made 27 reads each at a start. A third of a second without an entry means
-# that the list is whole, so that it must not be longer than half of that.
+# While a deployment starts, all nodes read and the list fills entry by entry.
+# It stays below the rest by which placers tell that the list is whole.
 _START_GAP_SECONDS = 0.15
 _START_SECONDS = 2.0
 # News that was announced but has not come for this long is read.
 _BEHIND_SECONDS = 0.3
-# How long each turn of nodes waits for those before it when a reader is gone:
-# until a beat and a relay's digest have told of the next. Without turns each of
-# 21 nodes read three sources when one was killed.
+# How long each turn of nodes waits for those before it when a reader is gone,
+# so that not all of them begin to read: until a beat has told of the next.
 _TURN_SECONDS = 0.25
-# After its first reading a node waits for so long for another that goes on: two
-# beats, so that a relay has spoken. All of 22 nodes that started read on for
-# themselves, 6 times each, as nobody had told them anything yet.
+# After its first reading a node waits for so long for another that goes on
+# reading: two beats, as a relay may have to speak first.
 _MEET_SECONDS = 0.5
 
 # A source that nobody has read for so long was away, for this node at least.
@@ -56,56 +56,6 @@
 # How long after a source's return it may lack what lives.
 _FILLING_SECONDS = 2.0
 
-# Takes items by key, ``None`` for one that is gone, and whether the items
-# are everything that there is.
-Taker = Callable[[Mapping[str, Item | None], bool], None]
-# Takes all items of a store that has come back from a copy.
-RestoredTaker = Callable[[Mapping[str, Item]], None]
-
-
-class Extent(enum.Enum):
-    """What a reading holds."""
-
-    # What has changed.
-    CHANGES = 'changes'
-    # All that a store holds that has just come back from a copy; what it lacks
-    # may be there all the same.
-    RESTORED = 'restored'
-    # Everything that there is.
-    WHOLE = 'whole'
-
-
-@attrs.frozen
-class News(Generic[Item]):
-    """What a node has read, as of one version.
-
-    Changes are those after the version ``since``.
-    """
-
-    since: int
-    version: int
-    items: Mapping[str, Item | None]
-    extent: Extent = Extent.CHANGES
-
-
-@attrs.frozen
-class Feeding(Generic[Item]):
-    """How a follower is spared from reading, and spares others.
-
-    ``announced`` returns the version of the last change that a node with a
-    good path to the store tells of, or nothing if this node must read for
-    itself; ``pass_on`` takes what this node has read. One read waits for
-    changes for ``wait_seconds``; ``gap_seconds`` returns the least time between
-    two reads as things stand, ``turn`` which in the row of nodes this one is
-    that go on reading once the reader is gone.
-    """
-
-    announced: Callable[[], int | None]
-    pass_on: Callable[[News[Item]], None]
-    wait_seconds: float = _RELAY_WAIT_SECONDS
-    gap_seconds: Callable[[], float] = float
-    turn: Callable[[], int] = int
-
 
 @attrs.define
 class SourceFollower(Generic[Item]):
--- a/src/cranecart/fleet/_path.py
+++ b/src/cranecart/fleet/_path.py
@@ -1,8 +1,7 @@
 """Whether a node reaches the store; one of its readers finds out for all.
 
-Load answered: the store is away, or turns a third of the nodes away, for some
-seconds. Each reader of each node asked on its own then, and calls that are
-refused cost as much as others.
+While the store is away, or turns this node away, one reader asks and the others
+wait for it, as calls that are refused cost as much as others.
 """
 
 from collections.abc import Callable
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -28,17 +28,15 @@
 _TICK_SECONDS = 0.04
 # Without the duty there is nothing to do but to hear its holder, by beats.
 _IDLE_TICK_SECONDS = 0.1
-# The lease is trusted for five seconds, so that one renewal may fail; renewed
-# every second by each of five placers it took 185 of the 932 calls that 22 nodes
-# made from their start to the twelfth second of traffic, in one play.
+# Well within the time for which a lease is trusted, so that one renewal may
+# fail; each renewal is a call of the store.
 _RENEW_SECONDS = 2.0
 # While others may not hear this node, or its last call failed, they look at the
-# lease itself, and take what has not changed for 1.2 s.
+# lease itself and would take it over.
 _DOUBTED_RENEW_SECONDS = 1.0
 # How long other nodes wait before they look at the lease again.
 _LOOK_SECONDS = 0.4
-# Where a reader of this node does not reach the store, hardly anything is
-# gained: 26 nodes that looked for a holder in vain asked twice a second each.
+# Where a reader of this node does not reach the store, a look hardly succeeds.
 _CUT_LOOK_SECONDS = 3.0
 # A process that stood still for so long may have lost the duty meanwhile.
 _STALL_SECONDS = 1.0
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -26,8 +26,7 @@
 
 Message = TypeVar('Message')
 
-# Ordinary answers take 4 ms and slow ones some 200 ms on the deployments'
-# sheets; beyond this the store counts as away.
+# Well above the answers of a slow store; beyond it the store counts as away.
 CALL_SECONDS = 1.5
 # What a waiting call may take longer than it was asked to wait.
 _WAIT_SLACK_SECONDS = 1.5
--- a/src/cranecart/routing/_heads.py
+++ b/src/cranecart/routing/_heads.py
@@ -32,8 +32,8 @@
 from cranecart.throttling import TargetGate
 
 # So many replicas near and as many far are drawn to decide between; more
-# bring nothing where counts are a quarter of a second old. A decision between
-# all of 760 full ones took 1.7 ms, where a request may cost 0.2 ms.
+# bring nothing where counts of other nodes are a beat old, and each one that is
+# looked at costs the request time.
 _MOST_ASKED = 12
 # Plain services queue up to four times their slots on the users' sheets.
 _PLAIN_QUEUE_PART = 2.0
--- a/src/cranecart/serving/_endpoints.py
+++ b/src/cranecart/serving/_endpoints.py
@@ -38,8 +38,7 @@
 class RequestFigures:
     """Outcomes and first bytes of requests; metrics are made by a reader.
 
-    Loading them takes 33 ms of processor time beside the 169 of all that
-    serving needs (medians of 15 runs), and many nodes are never read.
+    Loading them would delay each start, and many nodes are never read.
     """
 
     _outcomes: Counter[str] = attrs.field(factory=Counter, init=False)
--- a/src/cranecart/serving/_knowledge.py
+++ b/src/cranecart/serving/_knowledge.py
@@ -34,22 +34,20 @@
 Item = TypeVar('Item')
 
 # Changes come in bursts, as members of a replica change together; a repair
-# waits for some four of them in a row, and is delayed by half of this for each.
+# waits for several of them in a row.
 _LIST_GAP_SECONDS = 0.1
-# Operators change the configuration several times in a second, and every node
-# asks the store anew after each version. A quarter of the two seconds in which
-# a version has to be in force everywhere; the first one comes at once.
+# Versions may come several times in a second, and every node asks the store
+# anew after each. Well below the time in which one has to be in force.
 _DECLARATIONS_GAP_SECONDS = 0.5
 _RECORDS_GAP_SECONDS = 0.15
-# Before the first request nothing is late. It stays well below the third of a
-# second without an entry that means that the list is whole.
+# Before the first request nothing is late. It stays below the rest by which
+# placers tell that the list is whole.
 _EARLY_GAP_SECONDS = 0.15
 # A cut reader of the list is missed by all in under four waits, which has to be
 # within the time that leaving instances may still get requests.
 _LEAVING_PART = 0.25
 _LIST = 'list'
 _RECORDS = 'records'
-# What both first users' sheets say.
 _LEAVING_SECONDS = 2.0
 
 
--- a/src/cranecart/serving/_placing.py
+++ b/src/cranecart/serving/_placing.py
@@ -41,8 +41,8 @@
 class Placing:
     """The placer, once it is there.
 
-    Loading it takes 13 ms of processor time beside the 169 of all that serving
-    needs (medians of 15 runs), while clients wait; replicas live on without it.
+    It is loaded late, as clients wait while a node starts; replicas live on
+    without it.
     """
 
     _parts: PlacerParts
