--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -40,6 +40,9 @@
 )
 _FOREIGN_ANSWERS = 'tests.unit.test_foreign_answers.StutterTest'
 _LIMIT_SHARES = 'tests.unit.test_limit_shares'
+_RESTORED = 'tests.platform.test_restored_store.RestoredStoreTest'
+_RESTORED_RECORDS = 'tests.unit.test_restored_records.RestoredRecordsTest'
+_VERSIONS = 'tests.platform.test_versions.VersionsTest'
 _WHOLE_ANSWERS = 'tests.unit.test_forwarding.WholeAnswerTest'
 
 MUTATIONS = (
@@ -315,10 +318,67 @@
     Mutation(
         'own-word-of-leaving-is-forgotten',
         'fleet/_listing.py',
-        'if entry.leaving or entry.life not in self._said_leaving:',
+        'if entry.leaving or entry.life not in self._leaving:',
         'if entry:',
         'tests.unit.test_said_to_leave.FleetTest',
     ),
+    Mutation(
+        'versions-without-era',
+        'platform/_store.py',
+        'self.schema_version = version_in(era, self.schema_version)',
+        'self.schema_version = version_in(0, self.schema_version)',
+        f'{_VERSIONS}.test_versions_rise_over_a_return',
+    ),
+    Mutation(
+        'conditions-of-an-earlier-era-hold',
+        'platform/_tables.py',
+        'if any(era_of(version) != era for version in versions):',
+        'if not versions:',
+        f'{_VERSIONS}.test_a_condition_of_an_earlier_era_never_holds',
+    ),
+    Mutation(
+        'fences-start-anew',
+        'duties/_lease.py',
+        'fencing = version_in(self._table.era, 1)',
+        'fencing = 1',
+        'tests.unit.test_lease.LeaseTest.test_a_holder_goes_on_after_a_return',
+    ),
+    Mutation(
+        'a-copy-is-everything',
+        'fleet/_follower.py',
+        'self._take_restored(items)',
+        'self._take(items, True)',
+        f'{_RESTORED}.test_new_target_lost_with_a_copy',
+    ),
+    Mutation(
+        'what-had-gone-is-not-awaited',
+        'fleet/_listing.py',
+        'if name not in self.instances and item.life in self._gone',
+        'if not name',
+        f'{_RESTORED}.test_gone_target_taken_again_from_a_copy',
+    ),
+    Mutation(
+        'records-are-not-written-again',
+        'grouping/_book.py',
+        'await self._write_lost()',
+        'self.records()',
+        f'{_RESTORED_RECORDS}.test_a_copy_lacks_records_of_serving_replicas',
+    ),
+    Mutation(
+        'members-without-a-record-are-free',
+        'grouping/_stock.py',
+        'used.update(self._adoption.members())',
+        'used.update(())',
+        f'{_RESTORED_RECORDS}.test_nobody_knows_a_serving_replica',
+    ),
+    Mutation(
+        'what-is-read-whole-is-not-told',
+        'fleet/_follower.py',
+        'if was_informed and self._feeding is not None:',
+        'if not was_informed and self._feeding is not None:',
+        'tests.platform.test_reads_of_a_return.ReadsOfAReturnTest'
+        '.test_nine_nodes_read_a_forgotten_history',
+    ),
 )
 
 
