--- a/tests/platform/_standin.py
+++ b/tests/platform/_standin.py
@@ -167,24 +167,27 @@
 
     async def _feed(self, query: dict[str, str]) -> Response:
         since = int(query['sinceRevision'])
-        if since < self.oldest or since > self.version:
+        turns = int(query['waitMs']) // 10 + 1
+        if self._has_forgotten(since):
             return Response(_GONE)
-        while self.is_deaf:
-            await curio.sleep(_FEED_LOOK_SECONDS)
-        if since < self.oldest:
-            return Response(_GONE)
-        for _turn in range(int(query['waitMs']) // 10 + 1):
-            changed = [
-                key
-                for at, key in self._log
-                if at > since and key[0] == query['tableName']
-            ]
-            if changed or self.is_away:
+        while self.is_deaf or turns > 0:
+            turns -= 1
+            if self.is_away or self._changed(query['tableName'], since):
                 break
             await curio.sleep(_FEED_LOOK_SECONDS)
-        keys = dict.fromkeys(changed)
+        if self._has_forgotten(since):
+            return Response(_GONE)
+        keys = dict.fromkeys(self._changed(query['tableName'], since))
         return self._told({'rows': [self._row(key) for key in keys]})
 
+    def _has_forgotten(self, since: int) -> bool:
+        return since < self.oldest or since > self.version
+
+    def _changed(self, table: str, since: int) -> list[RowKey]:
+        if self.is_deaf:
+            return []
+        return [key for at, key in self._log if at > since and key[0] == table]
+
     def _set(self, key: RowKey, value: str) -> None:
         self.rows[key] = (self.version, value)
         self._log.append((self.version, key))
