--- a/tests/lib/store_rig.py
+++ b/tests/lib/store_rig.py
@@ -13,13 +13,14 @@
 import curio
 import msgspec
 
+from cranecart.exceptions import ConnectFailedError
 from cranecart.fleet import (
     RECORDS_PART,
     RECORDS_TABLE,
     Fleet,
     note_leaving,
 )
-from cranecart.http import Address
+from cranecart.http import Address, Request, Response
 from cranecart.links import NodeLink
 from cranecart.mesh import (
     Mesh,
@@ -108,11 +109,24 @@
         """Do nothing, as there is no socket."""
 
 
+@attrs.define
+class GatedClient(StoreClient):
+    """A client that a test may cut from its store."""
+
+    is_cut: bool = attrs.field(default=False, init=False)
+
+    async def _exchange(self, request: Request, seconds: float) -> Response:
+        if self.is_cut:
+            raise ConnectFailedError('cut by the test')
+        return await super()._exchange(request, seconds)
+
+
 @attrs.define
 class RigNode:
     """What one node knows, and how it learns it."""
 
     name: str
+    gate: GatedClient
     surroundings: Surroundings
     config: ForceConfig
     fleet: Fleet
@@ -124,7 +138,8 @@
     @classmethod
     def beside(cls, rig: 'StoreRig', name: str) -> Self:
         """Build a node that has read nothing yet."""
-        surroundings = _surroundings(rig.address)
+        gate = GatedClient(rig.address)
+        surroundings = _surroundings(gate)
         config = ForceConfig()
         fleet = Fleet()
         book = CaseBook()
@@ -158,6 +173,7 @@
         )
         return cls(
             name,
+            gate,
             surroundings,
             config,
             fleet,
@@ -301,8 +317,7 @@
     return f'127.0.0.1:{_FIRST_PORT + int(name.rpartition("-")[2])}'
 
 
-def _surroundings(address: Address) -> Surroundings:
-    store = StoreClient(address)
+def _surroundings(store: StoreClient) -> Surroundings:
     return Surroundings(
         PlatformTable(store),
         PlatformDeclarations(store),
