Ask anew when a reader of this node has found the store lost, or takes over

Cause: the store answered nothing for half a second, and the connections of that moment stayed silent. Each node's feed of the configuration waits for 28 s, so that all of them heard nothing from 5.2 to 34.7 s; nobody had a newer version to give to others. Only the reader of the list asks often enough to notice.

When one reader of a node finds the store lost or back, the others of that node ask anew; so they do where a node begins to read for others. What is known of newer versions then reaches nodes whose own feed is still silent.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -73,6 +73,10 @@
     """Changes since a version cannot be had; read everything anew."""
 
 
+class ReadRenewedError(PlatformError):
+    """A read was given up, as its connection may be silent; ask anew."""
+
+
 class DamagedObjectError(PlatformError):
     """An object's bytes do not match its checksum."""
 
--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -12,7 +12,11 @@
 import curio
 
 from cranecart.clocks import since_boot
-from cranecart.exceptions import HistoryLostError, PlatformUnavailableError
+from cranecart.exceptions import (
+    HistoryLostError,
+    PlatformUnavailableError,
+    ReadRenewedError,
+)
 from cranecart.fleet._news import (
     Extent,
     Feeding,
@@ -124,6 +128,8 @@
                 decision('history_lost', source=self.name, why=str(error))
             except PlatformUnavailableError as error:
                 await self._wait_after(error)
+            except ReadRenewedError:
+                decision('feed_renewed', source=self.name)
             else:
                 await self._rest(started)
 
@@ -205,7 +211,11 @@
         until_check = max(0, self._check_at - self._clock())
         seconds = min(self._wait_seconds, until_check)
         try:
-            changes = await self._source.changes(since, seconds)
+            changes = await self._path.ask(
+                self._source.changes,
+                since,
+                seconds,
+            )
         except HistoryLostError:
             # Another node may have read everything and passed it on meanwhile.
             if self._version == since:
@@ -228,6 +238,8 @@
 
     async def _rest(self, started: float) -> None:
         """Wait after a reading, until this node should read again."""
+        if self._is_lost:
+            await self._path.renew()
         self._note_success()
         rest = self._gap(started) - (self._clock() - started)
         if rest > 0:
@@ -252,8 +264,13 @@
         """Wait while another node reads, or may be about to."""
         if self._started_at == started:
             await self._meet_feeder(_MEET_SECONDS)
+        was_fed = False
         while await self._be_fed():
+            was_fed = True
             await self._meet_feeder(_TURN_SECONDS * feeding.turn())
+        if was_fed:
+            # Others rely on this node from now on.
+            await self._path.renew()
 
     async def _meet_feeder(self, seconds: float) -> None:
         """Wait for a while for the word of another node that reads."""
@@ -298,6 +315,7 @@
         if not self._is_lost:
             self._is_lost = True
             decision('source_lost', source=self.name, why=str(error))
+            await self._path.renew()
         spread = 1 + self._random.uniform(-_JITTER, _JITTER)
         await self._path.wait(self.name, self._pause * spread)
         self._pause = min(self._path.longest_pause, self._pause * 2)
--- a/src/cranecart/fleet/_path.py
+++ b/src/cranecart/fleet/_path.py
@@ -4,12 +4,16 @@
 wait for it, as calls that are refused cost as much as others.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import attrs
 import curio
 
 from cranecart.clocks import since_boot
+from cranecart.exceptions import ReadRenewedError
+
+Answer = TypeVar('Answer')
 
 # Readers that wait for the one that asks look so often, and ask for themselves
 # if it has found nothing out for so long.
@@ -27,6 +31,7 @@
 
     _is_fed: Callable[[], bool] = attrs.field(default=bool)
     _asking: str = attrs.field(default='', init=False)
+    _renewed: curio.Event = attrs.field(factory=curio.Event, init=False)
 
     @property
     def is_lost(self) -> bool:
@@ -42,6 +47,31 @@
         """Take over that the store has answered."""
         self._asking = ''
 
+    async def renew(self) -> None:
+        """Have all readers ask anew that wait for an answer.
+
+        A connection that falls silent does not end, so that one which waits for
+        long would hear nothing for as long.
+        """
+        renewed = self._renewed
+        self._renewed = curio.Event()
+        await renewed.set()
+
+    async def ask(
+        self,
+        call: Callable[[int, float], Awaitable[Answer]],
+        since: int,
+        seconds: float,
+    ) -> Answer:
+        """Wait for a source's changes; raise ``ReadRenewedError``."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            asked = await tasks.spawn(call, since, seconds)
+            await tasks.spawn(self._renewed.wait)
+        if tasks.completed is not asked:
+            raise ReadRenewedError('this node has to ask anew')
+        answer: Answer = asked.result
+        return answer
+
     async def wait(self, reader: str, pause: float) -> None:
         """Wait after a failure, until a reader should ask again."""
         if not self._asking:
--- a/tests/lib/store_rig.py
+++ b/tests/lib/store_rig.py
@@ -271,6 +271,19 @@
             for node in self.nodes.values()
         )
 
+    def reader(self) -> str:
+        """Return the node that reads the list for all."""
+        return min(
+            name for name, node in self.nodes.items() if node.mesh.own.announced
+        )
+
+    def all_know_node(self, name: str) -> bool:
+        """Tell whether all nodes know another one from its row."""
+        return all(
+            name in node.mesh.circle.roster.peers
+            for node in self.nodes.values()
+        )
+
     def all_in_force(self, version: int) -> bool:
         """Tell whether a configuration is in force at all nodes."""
         return all(node.version == version for node in self.nodes.values())
--- a/tests/platform/_standin.py
+++ b/tests/platform/_standin.py
@@ -45,7 +45,8 @@
 class StandinStore:
     """Rows, transactions and a feed; faults are queued by a test.
 
-    While it ``is_deaf``, feeds wait and hear nothing. A fault is a status to answer with, ``'lost'`` for a write that is done
+    While it ``is_deaf``, feeds wait and hear nothing; connections on which it
+    was asked while it ``is_mute`` hear nothing ever after. A fault is a status to answer with, ``'lost'`` for a write that is done
     and not answered, or ``'silent'`` for a call that is not answered.
     """
 
@@ -59,14 +60,21 @@
     era: int | None = None
     is_away: bool = False
     is_deaf: bool = False
+    is_mute: bool = False
     calls: Counter[tuple[str, str]] = attrs.field(factory=Counter, init=False)
     _log: list[tuple[int, RowKey]] = attrs.field(factory=list)
+    _mutes: int = attrs.field(default=0, init=False)
 
     def forget_history(self) -> None:
         """Answer no feed any more from what was before now."""
         self.oldest = self.version
         self.is_deaf = False
 
+    def be_mute(self, *, is_mute: bool) -> None:
+        """Answer nothing from now on, or answer again what is asked then."""
+        self.is_mute = is_mute
+        self._mutes += 1
+
     def copied(self) -> 'StoreCopy':
         """Return a copy of what the store holds now."""
         return StoreCopy(self.version, dict(self.rows), copy.copy(self._log))
@@ -103,7 +111,10 @@
         if isinstance(fault, int):
             await responder.send(self._of_era(Response(fault)))
             return
+        mutes = self._mutes
         response = await self._answer(request)
+        if self.is_mute or self._mutes != mutes:
+            await curio.sleep(60)
         if fault != 'lost':
             await responder.send(response)
 
