Draw returns of the table against a placer as well

Copies, returns and nodes that start afresh among deaths, leaving instances and faults of the table: no member joins while its head may serve, none is in two replicas, and in the end each recorded replica serves.

--- a/tests/unit/test_grouping_faults.py
+++ b/tests/unit/test_grouping_faults.py
@@ -7,13 +7,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranecart.fleet import RecordState
-from tests.lib.fake_engines import listed
+from cranecart.fleet import (
+    Fleet,
+    RecordState,
+    ReplicaRecord,
+    record_from_row,
+    records_prefix,
+)
+from cranecart.ports import Row
+from tests.lib.fake_engines import DOMAIN, listed
 from tests.lib.fake_platform import FINE, LOST_ANSWER, LOST_WRITE, REFUSED
 from tests.lib.waiting import until
 from tests.unit.test_grouping import World
 
 _STEP_SECONDS = 0.06
+TableCopy = tuple[int, dict[str, Row]]
 _INSTANCES = 9
 _STORE_FAULTS = (REFUSED, FINE, LOST_ANSWER, FINE, LOST_WRITE, REFUSED)
 
@@ -28,6 +36,27 @@
 )
 
 
+_returns = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                'copy',
+                'return',
+                'return',
+                'fresh',
+                'dark',
+                'leaving',
+                'new',
+                'store',
+                'placer',
+            ),
+        ),
+        st.integers(0, _INSTANCES - 1),
+    ),
+    max_size=8,
+)
+
+
 @attrs.define
 class _Play:
     """One world, and the faults that strike it one after the other."""
@@ -35,6 +64,7 @@
     world: World
     events: list[tuple[str, int]]
     running: curio.Task | None = None
+    copy: TableCopy = (0, {})
 
     async def run(self) -> None:
         """Form, strike, and wait until nothing changes any more."""
@@ -70,6 +100,40 @@
                 world.fleet.take_instances({fresh.id: fresh}, False)
             case 'placer':
                 await self._replace_placer()
+            case _:
+                await self._strike_table(kind)
+
+    async def _strike_table(self, kind: str) -> None:
+        world = self.world
+        match kind:
+            case 'copy':
+                self.copy = world.table.copied()
+            case 'return':
+                world.table.restore(self.copy)
+                world.fleet.take_records(self._rows(), False)
+            case 'fresh':
+                await self._start_afresh()
+
+    def _rows(self) -> dict[str, ReplicaRecord]:
+        """Return what a node reads of the table's records."""
+        prefix = records_prefix(DOMAIN)
+        read = {
+            key: record_from_row(row)
+            for key, row in self.world.table.rows.items()
+            if key.startswith(prefix)
+        }
+        return {key: one for key, one in read.items() if one is not None}
+
+    async def _start_afresh(self) -> None:
+        """Kill the placer; the next one knows the list and the rows only."""
+        world = self.world
+        listed_now = dict(world.fleet.instances)
+        world.fleet = Fleet()
+        world.fleet.take_instances(listed_now, True)
+        world.fleet.take_records(self._rows(), True)
+        world.engines.fleet = world.fleet
+        world.has_traffic = True
+        await self._replace_placer()
 
     async def _replace_placer(self) -> None:
         """Kill the placer without a word; another one takes over."""
@@ -101,6 +165,18 @@
         events: list[tuple[str, int]],
     ) -> None:
         """And in the end each recorded replica serves."""
+        self._play(events)
+
+    @settings(max_examples=10, deadline=None)
+    @given(_returns)
+    def test_never_two_over_returns_of_the_table(
+        self,
+        events: list[tuple[str, int]],
+    ) -> None:
+        """The table comes back from a copy, and nodes start afresh."""
+        self._play(events)
+
+    def _play(self, events: list[tuple[str, int]]) -> None:
         world = World()
         try:
             curio.run(_Play(world, events).run)
