Let a head that closes finish, whatever a copy says of its replica

What could be seen: a placer that has just started reads from a copy that a replica serves, while its head closes, and joins its members again, which cuts what they run. The list shows the closing: the record follows it now. test_a_copy_shows_a_closing_replica_to_a_new_node failed before.

--- a/src/cranecart/grouping/_judge.py
+++ b/src/cranecart/grouping/_judge.py
@@ -67,6 +67,9 @@
     config: RouteConfig,
     phase: MemberPhase | None,
 ) -> Verdict | None:
+    if phase is MemberPhase.CLOSING:
+        # A copy of the table shows it as it was before.
+        return Verdict(RecordState.CLOSING, 'the head closes')
     soft_end = (
         RecordState.CLOSING if phase is MemberPhase.OPEN else RecordState.ENDING
     )
--- a/tests/unit/test_restored_records.py
+++ b/tests/unit/test_restored_records.py
@@ -12,7 +12,10 @@
     record_from_row,
     records_prefix,
 )
-from tests.lib.fake_engines import DOMAIN
+from cranecart.grouping._judge import judge
+from cranecart.models import RouteConfig
+from cranecart.ports import MemberPhase
+from tests.lib.fake_engines import DOMAIN, PROFILE, SERVICE
 from tests.lib.waiting import until
 from tests.unit.test_grouping import World
 
@@ -60,6 +63,10 @@
         self.assertEqual(len(self._serving()), 2)
         self.assertEqual(self._recorded(), self._serving())
 
+    def test_a_copy_shows_a_closing_replica_to_a_new_node(self) -> None:
+        """It is not brought up again while its head finishes."""
+        self._play(self._close_head)
+
     def test_a_whole_reading_of_a_copy(self) -> None:
         """Nodes that do not place keep the records that it lacks."""
         self._play(self._read_whole)
@@ -139,6 +146,22 @@
         await until(lambda: len(self._serving()) == 2, _END_SECONDS)
         await curio.sleep(_WATCH_SECONDS)
 
+    async def _close_head(self) -> None:
+        await self.running.cancel()
+        world = self.world
+        head = world.fleet.instances[world.heads()[0].id]
+        record = next(iter(world.fleet.recorded.naming_one(head.id)))
+        assert head.membership is not None
+        closing = attrs.evolve(head.membership, phase=MemberPhase.CLOSING)
+        world.fleet.take_instances(
+            {head.id: attrs.evolve(head, membership=closing)},
+            False,
+        )
+        config = RouteConfig(1, (), {SERVICE: PROFILE})
+        verdict = judge(record, world.fleet, (), config)
+        assert verdict is not None
+        self.assertIs(verdict.state, RecordState.CLOSING)
+
     async def _restart(self, *gone: str) -> None:
         """Begin with another node that knows the list only."""
         await self.running.cancel()
