--- a/src/cranecart/fleet/_path.py
+++ b/src/cranecart/fleet/_path.py
@@ -11,7 +11,7 @@
 import curio
 
 from cranecart.clocks import since_boot
-from cranecart.exceptions import ReadRenewedError
+from cranecart.exceptions import PlatformError, ReadRenewedError
 
 Answer = TypeVar('Answer')
 
@@ -65,11 +65,13 @@
     ) -> Answer:
         """Wait for a source's changes; raise ``ReadRenewedError``."""
         async with curio.TaskGroup(wait=any) as tasks:
-            asked = await tasks.spawn(call, since, seconds)
+            asked = await tasks.spawn(_ask, call, since, seconds)
             await tasks.spawn(self._renewed.wait)
         if tasks.completed is not asked:
             raise ReadRenewedError('this node has to ask anew')
-        answer: Answer = asked.result
+        answer: Answer | PlatformError = asked.result
+        if isinstance(answer, PlatformError):
+            raise answer
         return answer
 
     async def wait(self, reader: str, pause: float) -> None:
@@ -92,3 +94,15 @@
         while left > 0 and (was_fed or not self._is_fed()):
             await curio.sleep(min(left, _LOOK_SECONDS))
             left = until - since_boot()
+
+
+async def _ask(
+    call: Callable[[int, float], Awaitable[Answer]],
+    since: int,
+    seconds: float,
+) -> Answer | PlatformError:
+    """Return an error instead of raising it, as a task that raises is logged."""
+    try:
+        return await call(since, seconds)
+    except PlatformError as error:
+        return error
--- a/tests/unit/test_store_path.py
+++ b/tests/unit/test_store_path.py
@@ -126,6 +126,20 @@
         curio.run(placer._keep_lease)
         self.assertEqual(lease.keep.await_count, 2)
 
+    def test_a_feed_that_fails_is_no_crash(self) -> None:
+        """Each failure was logged with its traceback as a task's crash."""
+        with self.assertNoLogs('curio', 'ERROR'):
+            curio.run(self._fail_while_following)
+
+    async def _fail_while_following(self) -> None:
+        node = _Node()
+        node.source.down = False
+        tasks = await node.run()
+        await until(node.all_know)
+        node.source.down = True
+        await until(lambda: node.path.is_lost)
+        await tasks.cancel_remaining()
+
     async def _be_away(self) -> None:
         node = _Node()
         tasks = await node.run()
