Log which part of a target's limit a node has, when it changes

Left of the work on limits: no line told how much of a limit a node may send, only what the target had named. The share is told when the limit or the number of nodes that send changes.

--- a/src/cranecart/throttling/_gate.py
+++ b/src/cranecart/throttling/_gate.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cranecart.clocks import since_boot
+from cranecart.logs import decision
 from cranecart.ports import AnswerFacts, Life, ListedInstance
 from cranecart.throttling._bucket import TokenBucket
 from cranecart.throttling._limits import LimitBook, LimitNews
@@ -235,6 +236,7 @@
         else:
             part.limit = news.per_second
             self._share_anew(part, self._nodes(news.life, part.limit), now)
+        self._tell_share(news.life)
 
     def _new_part(self, news: LimitNews, now: float) -> _Part:
         limit = news.per_second or 0
@@ -251,6 +253,17 @@
         nodes = self._nodes(life, part.limit)
         if nodes != part.nodes:
             self._share_anew(part, nodes, now)
+            self._tell_share(life)
+
+    def _tell_share(self, life: Life) -> None:
+        share = self.share_of(life)
+        decision(
+            'target_share',
+            instance=life.id,
+            born=life.born,
+            per_second=share and share.per_second,
+            nodes=self._parts[life].nodes,
+        )
 
     def _share_anew(self, part: _Part, nodes: int, now: float) -> None:
         share = self._rule.share(part.limit, max(1, nodes))
--- a/tests/unit/test_target_gate.py
+++ b/tests/unit/test_target_gate.py
@@ -1,5 +1,6 @@
 """What a node may send to targets that have said something of themselves."""
 
+import operator
 import time
 import unittest
 from collections import Counter
@@ -61,6 +62,17 @@
         """What comes back under the same id has asked for nothing."""
         self.assertTrue(self.gate.is_open_to(Life('i1', 8)))
 
+    def test_the_share_of_a_limit_is_told(self) -> None:
+        """What this node may send could not be seen in any line."""
+        limited = AnswerFacts('r1', True, False, limit=2)
+        with self.assertLogs('cranecart.decisions', 'INFO') as told:
+            self.gate.note_answer(_LIFE, limited, 9)
+        fields = map(operator.attrgetter('fields'), told.records)
+        shares = [one for one in fields if one['event'] == 'target_share']
+        self.assertEqual(len(shares), 1)
+        self.assertEqual(shares[0]['per_second'], 2)
+        self.assertEqual(shares[0]['nodes'], 1)
+
     def test_a_rest_and_a_limit(self) -> None:
         """Both hold, and a limit goes on behind a rest."""
         limited = AnswerFacts('r1', True, False, limit=2)
