Treat the first whole reading of an era as one of a copy, whoever passed it on

A node that missed the reading right after the return, and got the later one, took it for everything: a held request whose row the copy lacks was released at that node, an entry that had gone and still stood was taken for a living target's, and the node did not write its own row again. test_a_whole_reading_is_the_first_of_an_era failed before.

A whole reading that is overtaken by another node's news is dropped without a line that the store is lost.

--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -158,6 +158,9 @@
             return
         snapshot = await self._source.snapshot()
         if snapshot.version < self._version:
+            if self._is_whole:
+                # Another node's news has come meanwhile.
+                return
             raise PlatformUnavailableError('the store answers with the past')
         self._note_fresh()
         was_informed = self.is_informed
@@ -188,11 +191,7 @@
         self._version = version
         self._changed_version = version
         self._is_whole = True
-        if extent is Extent.WHOLE or earlier < 0:
-            self._check_at = float('inf')
-            self._take(items, True)
-            return
-        if era_of(version) > era_of(earlier):
+        if 0 <= earlier and era_of(earlier) < era_of(version):
             self._check_at = self._clock() + _FILLING_SECONDS
             decision(
                 'source_restored',
@@ -201,6 +200,10 @@
                 version=version,
                 items=len(items),
             )
+        elif extent is Extent.WHOLE or earlier < 0:
+            self._check_at = float('inf')
+            self._take(items, True)
+            return
         if self._take_restored is None:
             self._take(items, False)
         else:
--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -8,10 +8,10 @@
 import curio
 
 from cranecart.exceptions import HistoryLostError, PlatformUnavailableError
-from cranecart.fleet import Feeding, News, SourceFollower
+from cranecart.fleet import Extent, Feeding, News, SourceFollower
 from cranecart.http import Address
 from cranecart.mesh import ListNews, decode_mesh_message, encode_mesh_message
-from cranecart.ports import Changes, Snapshot
+from cranecart.ports import Changes, Snapshot, version_in
 from tests.lib.fake_engines import listed
 from tests.lib.waiting import until
 
@@ -164,6 +164,25 @@
         """Once nobody feeds it, a node reads for itself at once."""
         curio.run(self._lose_feeder)
 
+    def test_a_whole_reading_is_the_first_of_an_era(self) -> None:
+        """Whoever missed the one before keeps what a copy may lack."""
+        held = Held()
+        restored: list[dict[str, str]] = []
+        follower = SourceFollower(
+            'a source',
+            FakeSource(),
+            held.take,  # type: ignore[arg-type]
+            random.Random(1),
+            take_restored=lambda items: restored.append(dict(items)),
+        )
+        follower.take_news(News(0, 9, {'a': '1'}, Extent.WHOLE))
+        later = version_in(1, 5)
+        follower.take_news(News(0, later, {'b': '2'}, Extent.WHOLE))
+        self.assertEqual(held, {'a': '1'})
+        self.assertEqual(restored, [{'b': '2'}])
+        follower.take_news(News(0, later, {'b': '2'}, Extent.WHOLE))
+        self.assertEqual(held, {'b': '2'})
+
     def test_news_over_the_wire(self) -> None:
         """Entries of the list survive their way between nodes."""
         instance = listed('i', Address('127.0.0.1', 1))
