Order nothing before a placer has read the rows of its duty

Cause: the rows are read after the lease was taken; where that reading failed, the next turn found the lease held and acted on what the node happened to know. It stood so before this work; after a return from a copy, when the store is busy, it would join members of replicas that only the rows or their entries tell of. A placer now acts only once it has read them in the era of its lease, and tries that five times a second at most. test_nothing_is_ordered_before_the_rows_are_read failed before.

--- a/src/cranecart/grouping/_book.py
+++ b/src/cranecart/grouping/_book.py
@@ -33,7 +33,7 @@
 
     @property
     def is_behind(self) -> bool:
-        """Tell whether the table has come back since it was read."""
+        """Tell whether the rows have to be read before anything is done."""
         return self._read_era != era_of(self.lease.version)
 
     def records(self) -> list[ReplicaRecord]:
@@ -44,6 +44,10 @@
             if record.failure_domain == self.failure_domain
         ]
 
+    def outdate(self) -> None:
+        """Take over that another placer may have written rows."""
+        self._read_era = None
+
     async def read(self) -> None:
         """Read all rows anew; raise ``PlatformError``.
 
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -38,6 +38,8 @@
 _LOOK_SECONDS = 0.4
 # Where a reader of this node does not reach the store, a look hardly succeeds.
 _CUT_LOOK_SECONDS = 3.0
+# How soon a placer tries again that could not read its rows.
+_AGAIN_SECONDS = 0.2
 # A process that stood still for so long may have lost the duty meanwhile.
 _STALL_SECONDS = 1.0
 
@@ -164,7 +166,8 @@
         await self._wake.set()
 
     def _may_act(self) -> bool:
-        return self.lease.is_held and self._view.is_informed()
+        is_ready = self.lease.is_held and not self._book.is_behind
+        return is_ready and self._view.is_informed()
 
     def _note_failure(self, error: Exception) -> None:
         if not self._is_failing:
@@ -177,7 +180,7 @@
         self._ticked_at = now
         if self.lease.is_held:
             is_due = now - self._renewed_at > self._renew_seconds()
-            if stood_still or is_due or not self.lease.is_of_this_era:
+            if stood_still or is_due or self._is_outdated(now):
                 self._renewed_at = now
                 await self._renew()
             return
@@ -185,10 +188,17 @@
         if self._view.hears_other() or now - self._renewed_at < pause:
             return
         self._renewed_at = now
+        self._book.outdate()
         if await self.lease.keep(is_patient=self._view.is_isolated()):
             await self._read_records()
             self._is_failing = False
 
+    def _is_outdated(self, now: float) -> bool:
+        """Tell whether to read anew, as the table has come back from a copy."""
+        if now - self._renewed_at < _AGAIN_SECONDS:
+            return False
+        return self._book.is_behind or not self.lease.is_of_this_era
+
     async def _renew(self) -> None:
         await self.lease.keep()
         if self.lease.is_held and self._book.is_behind:
--- a/tests/unit/test_restored_records.py
+++ b/tests/unit/test_restored_records.py
@@ -1,11 +1,12 @@
 """Placers, after the table has come back from a copy."""
 
-import unittest
 from collections.abc import Awaitable, Callable
+from unittest import TestCase, mock
 
 import attrs
 import curio
 
+from cranecart.exceptions import PlatformUnavailableError
 from cranecart.fleet import (
     Fleet,
     RecordState,
@@ -16,6 +17,7 @@
 from cranecart.models import RouteConfig
 from cranecart.ports import MemberPhase
 from tests.lib.fake_engines import DOMAIN, PROFILE, SERVICE
+from tests.lib.fake_platform import FakePlatform
 from tests.lib.waiting import until
 from tests.unit.test_grouping import World
 
@@ -25,7 +27,7 @@
 _END_SECONDS = 8.0
 
 
-class RestoredRecordsTest(unittest.TestCase):
+class RestoredRecordsTest(TestCase):
     """Replicas that serve go on, and those that were given up stay so."""
 
     def setUp(self) -> None:
@@ -67,6 +69,11 @@
         """It is not brought up again while its head finishes."""
         self._play(self._close_head)
 
+    def test_nothing_is_ordered_before_the_rows_are_read(self) -> None:
+        """A placer that has the duty may fail to read what others wrote."""
+        curio.run(self._fail_to_read)
+        self.assertEqual(self.world.engines.orders, [])
+
     def test_a_whole_reading_of_a_copy(self) -> None:
         """Nodes that do not place keep the records that it lacks."""
         self._play(self._read_whole)
@@ -178,6 +185,17 @@
         world.engines.fleet = world.fleet
         self.running = await curio.spawn(world.make_placer('two').run)
 
+    async def _fail_to_read(self) -> None:
+        world = self.world
+        unread = mock.AsyncMock(side_effect=PlatformUnavailableError('busy'))
+        with mock.patch.object(FakePlatform, 'read_prefix', unread):
+            running = await curio.spawn(world.placer.run)
+            await until(lambda: world.placer.lease.is_held)
+            await curio.sleep(_WATCH_SECONDS)
+            await running.cancel()
+        # No more often than five times a second.
+        self.assertLessEqual(unread.await_count, 5 * _WATCH_SECONDS + 2)
+
     async def _read_whole(self) -> None:
         await self.running.cancel()
         self.world.table.restore(self.empty)
--- a/tests/unit/test_store_path.py
+++ b/tests/unit/test_store_path.py
@@ -113,6 +113,7 @@
         placer: Any = object.__new__(GroupPlacer)
         placer._ticked_at = float('inf')
         placer.lease = lease
+        placer._book = mock.Mock()
         placer._view = view
         placer._renewed_at = since_boot() - 1
         curio.run(placer._keep_lease)
