--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -374,8 +374,8 @@
     Mutation(
         'what-is-read-whole-is-not-told',
         'fleet/_follower.py',
-        'if was_informed and self._feeding is not None:',
-        'if not was_informed and self._feeding is not None:',
+        'if earlier >= 0 and self._feeding is not None:',
+        'if earlier < 0 and self._feeding is not None:',
         'tests.platform.test_reads_of_a_return.ReadsOfAReturnTest'
         '.test_nine_nodes_read_a_forgotten_history',
     ),
