--- a/tests/lib/store_rig.py
+++ b/tests/lib/store_rig.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from types import MappingProxyType
 from typing import Any, Self
 
@@ -89,6 +89,15 @@
     return {**entry, **changed}
 
 
+def filled_store(instances: int) -> StandinStore:
+    """Return a store with version 10 and instances ``i-0``, ``i-1`` and so on."""
+    store = StandinStore(era=1)
+    store.put('op', '', 'config', config_row(10))
+    for number in range(instances):
+        store.put('servers', '', f'i-{number}', entry_row(born=number + 1))
+    return store
+
+
 class RigLink(NodeLink[MeshMessage]):
     """A link that hands messages to a rig instead of sockets."""
 
@@ -326,6 +335,30 @@
             await curio.sleep(_LINK_SECONDS)
 
 
+def play(
+    count: int,
+    instances: int,
+    settle_seconds: float,
+    scene: Callable[[StoreRig], Awaitable[None]],
+) -> None:
+    """Run a scene with so many nodes that have met before."""
+    curio.run(_play, count, instances, settle_seconds, scene)
+
+
+async def _play(
+    count: int,
+    instances: int,
+    settle_seconds: float,
+    scene: Callable[[StoreRig], Awaitable[None]],
+) -> None:
+    rig = await StoreRig.of(count, filled_store(instances))
+    await curio.sleep(settle_seconds)
+    try:
+        await scene(rig)
+    finally:
+        await rig.close()
+
+
 def _peer_address(name: str) -> str:
     return f'127.0.0.1:{_FIRST_PORT + int(name.rpartition("-")[2])}'
 
--- a/tests/platform/test_reads_of_a_return.py
+++ b/tests/platform/test_reads_of_a_return.py
@@ -1,13 +1,11 @@
 """What the store's return, or its lost history, costs at many nodes."""
 
 import unittest
-from collections.abc import Awaitable, Callable
 
 import curio
 
-from tests.lib.store_rig import StoreRig, config_row, entry_row
+from tests.lib.store_rig import StoreRig, config_row, entry_row, play
 from tests.lib.waiting import until
-from tests.platform._standin import StandinStore
 
 _DOMAINS = 3
 # Of each table that nodes pass on to each other, in each failure domain: one
@@ -17,48 +15,29 @@
 _AIM_SECONDS = 1.5
 _DEAF_SECONDS = 1.0
 _AWAY_SECONDS = 2.5
+_INSTANCES = 60
+_SETTLE_SECONDS = 3.0
 _TABLES = ('servers', 'placement')
 
 
-def _filled() -> StandinStore:
-    store = StandinStore(era=1)
-    store.put('op', '', 'config', config_row(10))
-    for number in range(60):
-        store.put('servers', '', f'i-{number}', entry_row(born=number + 1))
-    return store
-
-
 class ReadsOfAReturnTest(unittest.TestCase):
     """One node reads, and passes on what it has read."""
 
     def test_nine_nodes_read_a_forgotten_history(self) -> None:
         """Each of nine read all tables whole, 2 s after the change."""
-        self._play(9, self._forget)
+        play(9, _INSTANCES, _SETTLE_SECONDS, self._forget)
 
     def test_nine_nodes_read_a_restored_store(self) -> None:
         """The list and the records are read by few."""
-        self._play(9, self._return)
+        play(9, _INSTANCES, _SETTLE_SECONDS, self._return)
 
     def test_thirty_nodes_read_a_restored_store(self) -> None:
         """Also where relays tell the others."""
-        self._play(30, self._return)
-
-    def _play(
-        self,
-        count: int,
-        scene: Callable[[StoreRig], Awaitable[None]],
-    ) -> None:
-        async def play() -> None:  # noqa: WPS430
-            rig = await StoreRig.of(count, _filled())
-            await curio.sleep(3)
-            rig.store.calls.clear()
-            await scene(rig)
-            await rig.close()
-
-        curio.run(play)
+        play(30, _INSTANCES, _SETTLE_SECONDS, self._return)
 
     async def _forget(self, rig: StoreRig) -> None:
         store = rig.store
+        store.calls.clear()
         store.is_deaf = True
         await curio.sleep(0.05)
         store.put('op', '', 'config', config_row(11))
@@ -74,6 +53,7 @@
 
     async def _return(self, rig: StoreRig) -> None:
         store = rig.store
+        store.calls.clear()
         earlier = store.copied()
         store.put('servers', '', 'i-2', entry_row(slots=5, born=3))
         await curio.sleep(0.7)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -8,12 +8,19 @@
 
 from cranecart.duties import Lease, LeaseTimes
 from cranecart.platform import PlatformTable, StoreClient
-from tests.lib.store_rig import StoreRig, config_row, entry_row
+from tests.lib.store_rig import (
+    StoreRig,
+    config_row,
+    entry_row,
+    filled_store,
+    play,
+)
 from tests.lib.waiting import until
-from tests.platform._standin import StandinStore, start
+from tests.platform._standin import start
 
 _AIM_SECONDS = 1.0
 _AWAY_SECONDS = 0.5
+_INSTANCES = 6
 _FEED_SECONDS = 1.0
 # Longer than until all is read once more; entries are back sooner.
 _WATCH_SECONDS = 3.0
@@ -21,14 +28,6 @@
 _TIMES = LeaseTimes(5.0, 1.2, 3.5)
 
 
-def _filled() -> StandinStore:
-    store = StandinStore(era=1)
-    store.put('op', '', 'config', config_row(10))
-    for number in range(6):
-        store.put('servers', '', f'i-{number}', entry_row(born=number + 1))
-    return store
-
-
 class RestoredStoreTest(unittest.TestCase):
     """Nodes follow a store that lost what it had acknowledged."""
 
@@ -69,18 +68,7 @@
         self._play(self._keep_new)
 
     def _play(self, scene: Callable[[StoreRig], Awaitable[None]]) -> None:
-        curio.run(self._with_rig, scene)
-
-    async def _with_rig(
-        self,
-        scene: Callable[[StoreRig], Awaitable[None]],
-    ) -> None:
-        rig = await StoreRig.of(3, _filled())
-        await curio.sleep(1)
-        try:
-            await scene(rig)
-        finally:
-            await rig.close()
+        play(3, _INSTANCES, 1, scene)
 
     async def _return(self, rig: StoreRig) -> None:
         """Lose what is written here, and come back."""
@@ -155,7 +143,7 @@
             await curio.sleep(0.01)
 
     async def _take_lease(self) -> None:
-        store = _filled()
+        store = filled_store(_INSTANCES)
         server, address = await start(store)
         earlier = store.copied()
         first, second = (
