Take differences over from first readings of other versions

Cause: nodes that start read the list at various versions of the store, with no change of the list between them. The differences that a reader passes on were taken only by nodes whose first reading had the very same version, so that all others read for themselves. The news now says up to which version the reader had seen no other change; a node takes it if what it knows holds at one of these versions too.

Evidence: the new test of a later first reading fails where versions must be the same, by the condition that it replaces; the rig's tests pass.

--- a/src/cranecart/fleet/_follower.py
+++ b/src/cranecart/fleet/_follower.py
@@ -143,8 +143,9 @@
         if not self._is_whole or news.version < self._version:
             return
         if news.extent is not Extent.CHANGES:
-            # Only what was the same before is the same with the differences.
-            if news.since == self._changed_version:
+            # First readings are of various versions, with no change between.
+            first = max(news.since, self._changed_version)
+            if first <= min(news.until, self._version):
                 items = self._held.changed_by(news.items)
                 self._take_all(news.version, items, news.extent)
         elif news.since <= self._version < news.version:
@@ -171,13 +172,20 @@
             raise PlatformUnavailableError('the store answers with the past')
         self._note_fresh()
         earlier = self._changed_version
+        until = self._version
         extent = self._extent(snapshot.version)
         differences = self._held.differences(snapshot.items)
         self._take_all(snapshot.version, snapshot.items, extent)
         # At a start each node reads for itself.
         if earlier >= 0 and self._feeding is not None:
             self._feeding.pass_on(
-                News(earlier, snapshot.version, differences, extent),
+                News(
+                    earlier,
+                    snapshot.version,
+                    differences,
+                    extent,
+                    until,
+                ),
             )
 
     def _extent(self, version: int) -> Extent:
--- a/src/cranecart/fleet/_news.py
+++ b/src/cranecart/fleet/_news.py
@@ -36,13 +36,15 @@
     """What a node has read, as of one version.
 
     It holds what differs from the last change before it, that of the version
-    ``since``; with what was known then it gives all that ``extent`` says.
+    ``since``; with what was known then it gives all that ``extent`` says. Where
+    it does not follow a feed, nothing else had changed up to ``until``.
     """
 
     since: int
     version: int
     items: Mapping[str, Item | None]
     extent: Extent = Extent.CHANGES
+    until: int = 0
 
 
 @attrs.frozen
--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -179,12 +179,25 @@
         follower._take_all(9, {'a': '1'}, Extent.WHOLE)
         later = version_in(1, 5)
         differences = {'a': None, 'b': '2'}
-        follower.take_news(News(9, later, differences, Extent.WHOLE))
+        follower.take_news(News(9, later, differences, Extent.WHOLE, 9))
         self.assertEqual(held, {'a': '1'})
         self.assertEqual(restored, [{'b': '2'}])
-        follower.take_news(News(later, later, {}, Extent.WHOLE))
+        follower.take_news(News(later, later, {}, Extent.WHOLE, later))
         self.assertEqual(held, {'b': '2'})
 
+    def test_differences_after_first_readings_of_other_versions(self) -> None:
+        """No change lies between them, so that both know the same."""
+        held = Held()
+        follower = SourceFollower(
+            'a source',
+            FakeSource(),
+            held.take,  # type: ignore[arg-type]
+            random.Random(1),
+        )
+        follower._take_all(9, {'a': '1'}, Extent.WHOLE)
+        follower.take_news(News(7, 12, {'b': '2'}, Extent.WHOLE, 10))
+        self.assertEqual(held, {'a': '1', 'b': '2'})
+
     def test_differences_from_something_else(self) -> None:
         """They say nothing to a node that has missed a change before."""
         held = Held()
@@ -195,9 +208,11 @@
             random.Random(1),
         )
         follower._take_all(9, {'a': '1'}, Extent.WHOLE)
-        follower.take_news(News(10, 12, {'b': '2'}, Extent.WHOLE))
+        follower.take_news(News(10, 12, {'b': '2'}, Extent.WHOLE, 11))
+        self.assertEqual(held, {'a': '1'})
+        follower.take_news(News(6, 12, {'b': '2'}, Extent.WHOLE, 8))
         self.assertEqual(held, {'a': '1'})
-        follower.take_news(News(9, 12, {'b': '2'}, Extent.WHOLE))
+        follower.take_news(News(9, 12, {'b': '2'}, Extent.WHOLE, 9))
         self.assertEqual(held, {'a': '1', 'b': '2'})
 
     def test_news_over_the_wire(self) -> None:
