Tell by route, rank, organisation and failure domain what requests came to

tools.losses counted lost requests by model, second and cause. It now tallies asked, in time, late, refused and failed for each window by any of model, route, rank, organisation, failure domain and node (--by). The outcomes and tallies are in tools.outcomes.

- The line 'admitted' gets the rank; nothing else is logged anew.
The failure domain is taken from the node's 'node_started' line.
- Requests that were refused before a route was found are counted; they were left out.
- A refusal that may have run, a cut response, a 5xx of a target and a client that left are failed, not refused.
- 'overloaded' is divided by its text without the numbers, as several parts refuse with this code.

The existing check of causes is unchanged.

--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import zlib
 from collections.abc import Callable
 
 import attrs
@@ -24,7 +23,7 @@
 from cranecart.forwarding._startup import StartupGate
 from cranecart.forwarding._stream import StreamingExchange
 from cranecart.http import Request, Responder
-from cranecart.logs import RequestTrace
+from cranecart.logs import RequestTrace, sampling_position
 from cranecart.models import RouteConfig
 from cranecart.quarantine import RequestGuard
 from cranecart.retries import SharedRetryBudget
@@ -33,7 +32,6 @@
 Observer = Callable[[str, float | None], None]
 
 _LOG = logging.getLogger(__name__)
-_CRC_RANGE = 1 << 32  # noqa: WPS432
 _MILLISECONDS = 1000
 
 
@@ -138,8 +136,8 @@
 
     def _write_trace(self, trace: RequestTrace, outcome: str) -> None:
         """Log a request, but only a fraction of the unremarkable ones."""
-        hash_fraction = zlib.crc32(trace.request_id.encode()) / _CRC_RANGE
-        is_sampled = hash_fraction < self._success_log_fraction()
+        position = sampling_position(trace.request_id)
+        is_sampled = position < self._success_log_fraction()
         if is_sampled or trace.is_notable or outcome != 'answered':
             trace.write()
 
@@ -247,6 +245,7 @@
         left=round(call.seconds_left, 3),
         objective=call.route.objective_seconds,
         pause=call.route.pause_seconds,
+        rank=call.rank,
     )
 
 
--- a/src/cranecart/logs/__init__.py
+++ b/src/cranecart/logs/__init__.py
@@ -4,6 +4,7 @@
 from cranecart.logs._lines import (
     LogQueue,
     RequestTrace,
+    sampling_position,
     set_log_level,
     set_up_log_queue,
 )
@@ -14,6 +15,7 @@
     'RequestTrace',
     'UnreadableRowLog',
     'log_decision',
+    'sampling_position',
     'set_log_level',
     'set_up_log_queue',
 )
--- a/src/cranecart/logs/_lines.py
+++ b/src/cranecart/logs/_lines.py
@@ -5,6 +5,7 @@
 import select
 import sys
 import time
+import zlib
 from collections import deque
 from typing import Self
 
@@ -16,6 +17,7 @@
 # About two seconds of output at a node's highest log rate.
 _MAX_QUEUED_LINES = 4000
 _MAX_BLOCK_BYTES = 32768
+_CRC_RANGE = 1 << 32  # noqa: WPS432
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -127,6 +129,14 @@
 _TracedLine = tuple[float, str, dict[str, object]]
 
 
+def sampling_position(request_id: str) -> float:
+    """Return where in [0, 1) a request's id lies.
+
+    An unremarkable request is logged if this is below the configured fraction.
+    """
+    return zlib.crc32(request_id.encode()) / _CRC_RANGE
+
+
 @attrs.define
 class RequestTrace:
     """Log lines of one request, written together or not at all.
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -1,83 +1,50 @@
-"""List the lost requests of a benchmark run by second and cause.
-
-Usage: python -m tools.losses --log=FILE [--report=FILE] [--plot=FILE]
-[--seconds=N]. The log is the benchmark's output with --log all; nodes log
-every request if 'log_successes' is 1 in deploy/node.json. With --report the
-costs in the benchmark report are printed too. The ideal detects every failure at
-once and has capacity for all requests: it serves everything in time.
+"""List what became of the requests of a run, by window and cause.
+
+Usage: python -m tools.losses --log=FILE [--by=NAME ...] [--seconds=N]
+[--log_successes=FRACTION] [--report=FILE] [--plot=FILE]. The log is the
+benchmark's output with --log all, or the concatenated logs of all nodes. Nodes
+log every request if 'log_successes' is 1 in deploy/node.json; with a smaller
+fraction, given here too, answered requests are estimated from the logged ones.
+--by (model by default, may be repeated) divides each window by model, route,
+rank, organisation, failure_domain or node; the failure domain is that of the
+node that received the request. With --report the costs in the benchmark report
+are printed too. The ideal detects every failure at once and has capacity for all
+requests: it serves everything in time.
 """
 
 import json
+import operator
 import sys
-from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
-import attrs
 from absl import app, flags
 
+from tools.outcomes import (
+    RequestOutcome,
+    Tally,
+    Verdict,
+    request_outcomes,
+    tally_by,
+)
 from tools.repairs import LogEvent, read_events
 
 _FLAGS = flags.FLAGS
-_IN_TIME = 'in time'
-_MILLISECONDS = 1000
+# Below this, a day of some thousand requests has no sampled ones.
+_MIN_FRACTION = 0.001
+_MODEL = 'model'
+_DIMENSIONS = (
+    _MODEL,
+    'route',
+    'rank',
+    'organisation',
+    'failure_domain',
+    'node',
+)
 _MAX_COST_ROWS = 8
 _HISTOGRAM_BINS = 80
-# A second of the run and the model whose requests are counted.
-_Row = tuple[int, str]
-
-
-@attrs.frozen
-class RequestOutcome:
-    """Outcome of one request and the cause of a loss."""
-
-    at: float
-    model: str
-    organisation: str
-    node: str
-    cause: str
-
-
-def request_outcomes(events: Iterable[LogEvent]) -> Iterator[RequestOutcome]:
-    """Yield the outcome of each request with a logged admission."""
-    traces: dict[str, list[LogEvent]] = defaultdict(list)
-    for event in events:
-        traces[event.get('request', '')].append(event)
-    traces.pop('', None)
-    for trace in traces.values():
-        by_event = {event['event']: event for event in trace}
-        admitted = by_event.get('admitted')
-        if admitted is not None:
-            yield RequestOutcome(
-                admitted['at'],
-                admitted['model'] or 'plain service',
-                admitted['organisation'],
-                admitted['node'],
-                _cause(admitted, by_event),
-            )
-
-
-def _cause(admitted: LogEvent, by_event: Mapping[str, LogEvent]) -> str:
-    match by_event:
-        case {'refused': refused}:
-            interrupted = ', cut' if refused['begun'] else ''
-            return f'{refused["code"]}{interrupted}'
-        case {'streamed': streamed}:
-            return _stream_cause(admitted, streamed)
-        case {'answered': answered}:
-            is_late = answered['after'] > admitted['objective']
-            return 'answered late' if is_late else _IN_TIME
-    return 'client left' if 'client_left' in by_event else 'unknown'
-
-
-def _stream_cause(admitted: LogEvent, streamed: LogEvent) -> str:
-    moved = ', moved' if len(streamed['tried']) > 1 else ''
-    if streamed['first_ms'] > admitted['objective'] * _MILLISECONDS:
-        return f'first event late{moved}'
-    if streamed['gap_ms'] > admitted['pause'] * _MILLISECONDS:
-        return f'pause{moved}'
-    return _IN_TIME
 
 
 def replicas_by_second(
@@ -107,31 +74,40 @@
     replicas: Mapping[int, Counter[str]],
     started_at: float,
 ) -> None:
-    rows: dict[_Row, Counter[str]] = defaultdict(Counter)
-    for outcome in outcomes:
-        second = int(outcome.at - started_at) // _FLAGS.seconds * _FLAGS.seconds
-        rows[second, outcome.model][outcome.cause] += 1
-    for (second, model), causes in sorted(rows.items()):
-        open_counts = replicas.get(second + _FLAGS.seconds - 1, Counter())
-        received = causes.total()
-        lost = received - causes.pop(_IN_TIME, 0)
-        _print_line(
-            f'{second:5} {model:14} open {open_counts[model]:3} '
-            f'received {received:4} lost {lost:4} {_format_causes(causes)}',
-        )
+    names = _FLAGS.by
+    tallies = tally_by(
+        outcomes,
+        lambda outcome: (
+            _window_start(outcome.at - started_at),
+            *(getattr(outcome, name) for name in names),
+        ),
+    )
+    for (second, *group), tally in sorted(tallies.items()):
+        columns = [f'{second:5}', *(f'{name:14}' for name in group)]
+        if _MODEL in names:
+            last_second = second + _FLAGS.seconds - 1
+            open_counts = replicas.get(last_second, Counter())
+            model = group[names.index(_MODEL)]
+            columns.append(f'open {open_counts[model]:3}')
+        _print_line(f'{" ".join(columns)} {tally}')
+
+
+def _window_start(second: float) -> int:
+    seconds: int = _FLAGS.seconds
+    return int(second) // seconds * seconds
 
 
 def _print_totals(outcomes: Sequence[RequestOutcome]) -> None:
-    for name in ('model', 'organisation', 'node', 'cause'):
-        received = Counter(getattr(outcome, name) for outcome in outcomes)
-        lost = Counter(
-            getattr(outcome, name)
-            for outcome in outcomes
-            if outcome.cause != _IN_TIME
-        )
-        _print_line(f'by {name}: lost of received')
-        for key, count in lost.most_common():
-            _print_line(f'  {key:32} {count:6} {received[key]:6}')
+    for name in _DIMENSIONS:
+        _print_line(f'by {name.replace("_", " ")}, most losses first')
+        tallies = tally_by(outcomes, operator.attrgetter(name))
+        rows = sorted(tallies.items(), key=_lost_in_row, reverse=True)
+        for key, tally in rows:
+            _print_line(f'  {key:32} {tally}')
+
+
+def _lost_in_row(row: tuple[str, Tally]) -> int:
+    return row[1].lost
 
 
 def _print_costs(report: Mapping[str, Any]) -> None:
@@ -141,12 +117,6 @@
     _print_line(f'worth {report["G"]:.3f} of 1 for the ideal')
 
 
-def _format_causes(causes: Counter[str]) -> str:
-    return '; '.join(
-        f'{cause} {count}' for cause, count in causes.most_common()
-    )
-
-
 def _plot(
     outcomes: Sequence[RequestOutcome],
     replicas: Mapping[int, Counter[str]],
@@ -161,7 +131,9 @@
         2, sharex=True, figsize=(11, 7)
     )
     causes = Counter(
-        outcome.cause for outcome in outcomes if outcome.cause != _IN_TIME
+        outcome.cause
+        for outcome in outcomes
+        if outcome.verdict is not Verdict.IN_TIME
     )
     times = [
         [
@@ -195,9 +167,12 @@
 def main(_arguments: Sequence[str]) -> int:
     """Print the lost requests of a run and plot them if requested."""
     events = read_events(Path(_FLAGS.log).read_text('utf-8'))
-    outcomes = sorted(request_outcomes(events), key=lambda outcome: outcome.at)
+    outcomes = sorted(
+        request_outcomes(events, _FLAGS.log_successes),
+        key=operator.attrgetter('at'),
+    )
     if not outcomes:
-        _print_line('the log has no admitted requests')
+        _print_line('the log has no requests')
         return 1
     started_at = outcomes[0].at
     replicas = replicas_by_second(events, started_at)
@@ -215,5 +190,13 @@
     flags.DEFINE_string('report', '', 'benchmark report of the same run')
     flags.DEFINE_string('plot', '', 'image file to plot to')
     flags.DEFINE_integer('seconds', 2, 'seconds per row', 1)
+    flags.DEFINE_multi_enum('by', [_MODEL], _DIMENSIONS, 'columns of the rows')
+    flags.DEFINE_float(
+        'log_successes',
+        1,
+        'fraction of answered requests in the log',
+        _MIN_FRACTION,
+        1,
+    )
     flags.mark_flag_as_required('log')
     app.run(main)
