Evacuate a failure domain by a row of the operator

An operator had no means to take the targets of a failure domain out of use: leaving is a state of single instances, and a configuration cannot name zones.

The row evacuate/ZONE of the table op now withdraws them: the follower of the configuration reads it with the same long poll, beats and summaries repeat it for nodes without the store, Fleet.heads and Fleet.available omit the targets, and Sender checks again right before sending. Placement starts nothing there and does not count the replicas there as capacity.

Tried: ending unfinished replicas of the failure domain. A restored list may show an open head as unopened, so that complete replicas would end; formations pause instead.

--- a/src/cranecart/fleet/__init__.py
+++ b/src/cranecart/fleet/__init__.py
@@ -1,5 +1,6 @@
 """A node's view of instances and replicas, kept up to date from the store."""
 
+from cranecart.fleet._evacuations import Evacuations
 from cranecart.fleet._fleet import Fleet, ServingHead
 from cranecart.fleet._leaving import mark_leaving
 from cranecart.fleet._record_rows import (
@@ -18,6 +19,7 @@
 from cranecart.fleet._updates import Extent, SourceUpdate, UpdateSharing
 
 __all__ = (
+    'Evacuations',
     'Extent',
     'UpdateSharing',
     'Fleet',
--- a/src/cranecart/fleet/_fleet.py
+++ b/src/cranecart/fleet/_fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cranecart.clocks import since_boot
+from cranecart.fleet._evacuations import Evacuations
 from cranecart.fleet._instance_list import InstanceList
 from cranecart.fleet._record_rows import RecordState, ReplicaRecord
 from cranecart.fleet._replica_records import ReplicaEpoch, ReplicaRecords
@@ -62,6 +63,8 @@
         factory=dict,
         init=False,
     )
+    # The evacuated failure domains, whose heads the cache omits.
+    _omitted: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     def put(self, key: str, model: ModelKey, head: ServingHead) -> None:
         """Add or replace the head of a replica that serves."""
@@ -77,11 +80,20 @@
             self._by_model[model].pop(key)
             self._cache.pop(model, None)
 
-    def of_model(self, model: ModelKey) -> tuple[ServingHead, ...]:
-        """Return the heads of a model's serving replicas."""
+    def of_model(
+        self, model: ModelKey, evacuated: frozenset[str]
+    ) -> tuple[ServingHead, ...]:
+        """Return the heads of a model's replicas, except evacuated ones."""
+        if evacuated is not self._omitted:
+            self._omitted = evacuated
+            self._cache.clear()
         heads = self._cache.get(model)
         if heads is None:
-            heads = tuple(self._by_model.get(model, {}).values())
+            heads = tuple(
+                head
+                for head in self._by_model.get(model, {}).values()
+                if head.head.failure_domain not in evacuated
+            )
             self._cache[model] = heads
         return heads
 
@@ -100,6 +112,7 @@
     """
 
     instance_list: InstanceList = attrs.field(factory=InstanceList)
+    evacuations: Evacuations = attrs.field(factory=Evacuations, init=False)
     replica_records: ReplicaRecords = attrs.field(
         factory=ReplicaRecords, init=False
     )
@@ -220,16 +233,30 @@
         return phase is MemberPhase.OPEN
 
     def heads(self, service: str, model: str) -> tuple[ServingHead, ...]:
-        """Return the heads of a model's serving replicas."""
+        """Return the heads of a model's serving replicas.
+
+        Those in evacuated failure domains are omitted.
+        """
         self._refresh_heads()
-        return self._heads.of_model((service, model))
+        return self._heads.of_model((service, model), self.evacuations.active())
 
     def available(self, service: str) -> tuple[ListedInstance, ...]:
-        """Return the instances of a plain service that accept requests."""
-        return self.instance_list.available(service)
+        """Return the instances of a plain service that accept requests.
+
+        Those in evacuated failure domains are omitted.
+        """
+        instances = self.instance_list.available(service)
+        evacuated = self.evacuations.active()
+        if not evacuated:
+            return instances
+        return tuple(
+            instance
+            for instance in instances
+            if instance.failure_domain not in evacuated
+        )
 
     def all_heads(self) -> Iterable[ServingHead]:
-        """Return the heads of all serving replicas."""
+        """Return the heads of all open replicas, including evacuated ones."""
         self._refresh_heads()
         return self._heads.all_heads()
 
--- a/src/cranecart/fleet/_replica_records.py
+++ b/src/cranecart/fleet/_replica_records.py
@@ -1,6 +1,6 @@
 """One node's copy of the replica records that placers write; no I/O."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from types import MappingProxyType
 
 import attrs
@@ -92,12 +92,18 @@
         """Return whether there is a record of a replica epoch."""
         return replica_epoch in self._keys
 
-    def is_starting(self, service: str, model: str) -> bool:
-        """Return whether a replica of a model is recorded as due to serve."""
+    def is_starting(
+        self, service: str, model: str, evacuated: Collection[str] = ()
+    ) -> bool:
+        """Return whether a replica of a model is recorded as due to serve.
+
+        Replicas in ``evacuated`` failure domains will not serve soon.
+        """
         return any(
             record.service == service
             and record.model == model
             and record.state is RecordState.SERVING
+            and record.failure_domain not in evacuated
             for record in self.records.values()
         )
 
--- a/src/cranecart/fleet/_source_follower.py
+++ b/src/cranecart/fleet/_source_follower.py
@@ -66,6 +66,11 @@
 _REPOPULATION_SECONDS = 2.0
 
 
+def _always() -> bool:
+    """Return ``True``: what a restored store lacks can be anywhere in it."""
+    return True
+
+
 @attrs.define
 class SourceFollower(Generic[Item]):
     """Keeps a consumer up to date with one source.
@@ -74,7 +79,8 @@
     combines changes in quick succession. ``apply_restored`` is called with the
     contents of a store that was restored from a backup. Items that are missing
     there are assumed to exist until they had time to be written again; then
-    the source is read completely once more.
+    the source is read completely once more, unless ``needs_reread`` tells then
+    that nothing is missing.
     """
 
     name: str
@@ -86,6 +92,7 @@
     _clock: Callable[[], float] = since_boot
     _reachability: StoreReachability = attrs.field(factory=StoreReachability)
     _apply_restored: RestoredItemsConsumer[Item] | None = None
+    _needs_reread: Callable[[], bool] = _always
     _version: int = attrs.field(default=-1, init=False)
     _last_change_version: int = attrs.field(default=-1, init=False)
     _has_snapshot: bool = attrs.field(default=False, init=False)
@@ -239,6 +246,8 @@
             self._apply(items, False)
         else:
             self._apply_restored(items)
+            if not self._needs_reread():
+                self._resync_at = float('inf')
 
     async def _read_changes(self) -> None:
         since = self._version
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -186,7 +186,8 @@
     def _report_failure(self, target: Target, error: TargetError) -> None:
         incarnation = target.instance.incarnation
         if isinstance(error, TargetWithdrawnError):
-            # Not a failure: nothing was sent, as the target asked for a pause.
+            # Not a failure: nothing was sent, as the target asked for a pause
+            # or was evacuated.
             return
         if (
             isinstance(error, TargetDisconnectedError)
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -21,6 +21,7 @@
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnectionPool
 from cranecart.forwarding._own_response import OwnResponseReader
+from cranecart.forwarding._resume_guard import ResumeGuard
 from cranecart.http import HttpConnection, ResponseHead
 from cranecart.ports import CallTranslator, Dispatch, ResponseInfo
 from cranecart.routing import Target, TargetRouter
@@ -84,6 +85,7 @@
     connections: TargetConnectionPool
     _has_stopped: Callable[[tuple[str, int]], bool]
     _report_suspicion: SuspicionReporter
+    _resume_guard: ResumeGuard = attrs.field(factory=ResumeGuard)
 
     @contextlib.asynccontextmanager
     async def start_attempt(
@@ -202,6 +204,10 @@
         connection: HttpConnection,
         resume_after: str,
     ) -> None:
+        seconds = self._resume_guard.seconds_to_wait(since_boot())
+        if seconds:
+            await curio.sleep(seconds)
+        self.router.evacuations.check_target(target.instance)
         if not self.router.throttle.may_send(target.instance.incarnation):
             # Another response asked for a pause while this attempt waited for
             # a connection.
--- a/src/cranecart/grouping/_formation.py
+++ b/src/cranecart/grouping/_formation.py
@@ -43,13 +43,16 @@
     )
 
     async def run(self) -> None:
-        """Join all members, wait until all are ready, then open the head."""
+        """Join all members, wait until all are ready, then open the head.
+
+        While the failure domain is evacuated, no orders are sent.
+        """
         started = self._clock()
         while self._is_wanted() and not self._all_members_in(_READY_PHASES):
             await self._join_missing()
             await curio.sleep(_POLL_SECONDS)
         while self._is_wanted() and not self._is_open():
-            if self._is_due('open', self.record.head):
+            if self._may_order and self._is_due('open', self.record.head):
                 await self._open()
             await curio.sleep(_POLL_SECONDS)
         if self._is_wanted():
@@ -66,6 +69,11 @@
             for name in filter(self._needs_join, self.record.members):
                 await joining.spawn(self._join, name)
 
+    @property
+    def _may_order(self) -> bool:
+        evacuations = self._fleet.evacuations
+        return not evacuations.is_evacuated(self.record.failure_domain)
+
     def _is_wanted(self) -> bool:
         current = self._fleet.records.get(self.record.key)
         return (
@@ -89,7 +97,8 @@
     def _needs_join(self, name: str) -> bool:
         # ``_is_due`` comes last, as it records the time of the order to send.
         return (
-            self._phase(name) not in _JOINED_PHASES
+            self._may_order
+            and self._phase(name) not in _JOINED_PHASES
             and not self._belongs_to_other_replica(name)
             and self._is_due('join', name)
         )
--- a/src/cranecart/grouping/_inventory.py
+++ b/src/cranecart/grouping/_inventory.py
@@ -32,10 +32,23 @@
     _has_traffic: Callable[[], bool]
     _stall_seconds: float
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether nothing may be placed in the own failure domain."""
+        return self._fleet.evacuations.is_evacuated(self._failure_domain)
+
     def plan_input(self, profile: ServiceProfile) -> PlanInput:
-        """Return the input for planning a service."""
+        """Return the input for planning a service.
+
+        Replicas in evacuated failure domains are no capacity, so that the other
+        domains compensate for them.
+        """
         fixed = self._fixed_replicas()
-        serving = [record for record in fixed if record.service == profile.name]
+        serving = [
+            record
+            for record in fixed
+            if record.service == profile.name and self._is_capacity(record)
+        ]
         replica_counts: dict[str, float] = defaultdict(float)
         for record in serving:
             replica_counts[record.model] += self._discounted(profile, record)
@@ -65,12 +78,13 @@
         """Return how many loads from the weight store are in progress.
 
         Loads of members are counted from the records of all placers; stagings
-        are known only to the placer that ordered them.
+        are known only to the placer that ordered them. Formations in evacuated
+        failure domains pause, so that their loads end unnoticed.
         """
         joining = sum(
             record.loads
             for record in self._serving()
-            if not self._fleet.is_open(record)
+            if self._is_capacity(record) and not self._fleet.is_open(record)
         )
         return joining + len(self._stager.pending_models(self._fleet.instances))
 
@@ -90,7 +104,13 @@
         """Return whether this placer sends orders to an instance."""
         return instance.failure_domain == self._failure_domain
 
+    def _is_capacity(self, record: ReplicaRecord) -> bool:
+        evacuations = self._fleet.evacuations
+        return not evacuations.is_evacuated(record.failure_domain)
+
     def _may_plan(self, failure_domain: str) -> bool:
+        if self._fleet.evacuations.is_evacuated(failure_domain):
+            return False
         is_own = failure_domain == self._failure_domain
         return is_own or not self._has_traffic()
 
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -134,6 +134,7 @@
 
     def _handle_beat(self, beat: Beat) -> None:
         self._handle_repeated_stops(beat.recent_stops)
+        self._handle_evacuations(beat)
         if beat.stopping:
             self._state.peer_state.forget_node(beat.sender)
             self._state.roster.remove_relay(beat.sender)
@@ -157,6 +158,7 @@
             for name, address in digest.summary.relays.items():
                 self._add_relay(name, PeerNode(address, domain))
         self._handle_repeated_stops(digest.summary.recent_stops)
+        self._handle_evacuations(digest.summary)
         for age, summary in zip(
             digest.summary_ages, digest.other_summaries, strict=False
         ):
@@ -171,6 +173,11 @@
         if summary.failure_domain != self._state.local.failure_domain:
             self._state.peer_state.record_summary(summary, made_at)
         self._handle_repeated_stops(summary.recent_stops)
+        self._handle_evacuations(summary)
+
+    def _handle_evacuations(self, message: Beat | Summary) -> None:
+        if message.evacuations:
+            self._callbacks.on_evacuations(message.evacuations, message.sender)
 
     def _handle_repeated_stops(self, stops: list[Stopped]) -> None:
         for message in stops:
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -9,7 +9,7 @@
     RequestCases,
     TargetLimits,
 )
-from cranecart.models import RouteConfig
+from cranecart.models import Evacuation, RouteConfig
 from cranecart.ports import ListedInstance, Row
 
 
@@ -36,7 +36,8 @@
     for each source that the node reads from the store over a path known to
     work. ``demand`` is the work that its clients ask for, by model.
     ``recent_stops`` repeats recent notices for nodes that missed them. A beat
-    ``via_relays`` is not sent to all nodes.
+    ``via_relays`` is not sent to all nodes. ``evacuations`` has what the node
+    knows of failure domains that are or were evacuated.
     """
 
     sender: str
@@ -51,6 +52,7 @@
     demand: dict[str, float] = {}
     recent_stops: list[Stopped] = []
     via_relays: bool = False
+    evacuations: list[Evacuation] = []
 
 
 class Summary(msgspec.Struct, tag='summary', array_like=True):
@@ -58,7 +60,8 @@
 
     ``relays`` are the addresses of the nodes that receive the summaries of
     other domains, by name. ``source_readers`` has, for each source, the first
-    name among its readers and the version of the last change.
+    name among its readers and the version of the last change. ``evacuations``
+    are those that the relay knows, as it learns them from the beats.
     """
 
     sender: str
@@ -73,6 +76,7 @@
     source_readers: dict[str, tuple[str, int]] = {}
     demand: dict[str, float] = {}
     recent_stops: list[Stopped] = []
+    evacuations: list[Evacuation] = []
 
 
 class Digest(msgspec.Struct, tag='digest', array_like=True):
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -51,6 +51,7 @@
             local.demand,
             self._state.stop_notices.to_repeat(),
             self._state.roster.uses_relays,
+            local.evacuations,
         )
 
     def send_beat(self, *, include_silent: bool) -> None:
@@ -185,4 +186,5 @@
             },
             dict(totals.demand),
             own_beat.recent_stops,
+            own_beat.evacuations,
         )
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -1,6 +1,6 @@
 """State and callbacks shared by the parts of the mesh."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import attrs
 
@@ -16,7 +16,7 @@
     RequestCases,
     TargetLimits,
 )
-from cranecart.models import RouteConfig
+from cranecart.models import Evacuation, RouteConfig
 from cranecart.ports import ListedInstance, Row
 
 
@@ -27,7 +27,7 @@
     ``requests`` counts those received since the start; ``placer_domain`` is the
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
-    that clients ask for, by model.
+    that clients ask for, by model. ``evacuations`` are all that it knows.
     """
 
     node_id: str
@@ -38,6 +38,13 @@
     stopping: bool = False
     source_versions: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
+
+
+def _ignore_evacuations(
+    _evacuations: Sequence[Evacuation], _sender: str
+) -> None:
+    """Ignore evacuations, where nothing is sent to targets."""
 
 
 @attrs.frozen
@@ -60,6 +67,9 @@
     on_broken: Callable[[Broken], None]
     on_limits: Callable[[TargetLimits], None]
     on_leaving: Callable[[Leaving], object]
+    on_evacuations: Callable[[Sequence[Evacuation], str], object] = (
+        _ignore_evacuations
+    )
 
 
 @attrs.define
--- a/src/cranecart/metrics.py
+++ b/src/cranecart/metrics.py
@@ -49,6 +49,11 @@
             description='messages and bytes to and from peers, and calls of '
             'the platform, since the start',
         )
+        self.evacuated = meter.create_gauge(
+            'cranecart_evacuated',
+            description='1 for a failure domain to whose targets this node '
+            'sends nothing, 0 once the evacuation has ended',
+        )
         self.config_version = meter.create_gauge(
             'cranecart_config_version',
             description='version of the configuration in force',
--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -1,5 +1,6 @@
 """Data classes that several packages share; without I/O."""
 
+from cranecart.models._evacuation import Evacuation
 from cranecart.models._routes import (
     ClientLimits,
     EngineModel,
@@ -18,6 +19,7 @@
     'EngineModel',
     'EngineProfile',
     'EngineTiming',
+    'Evacuation',
     'KeyHolder',
     'Route',
     'RouteConfig',
--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -1,11 +1,17 @@
-"""The operator's configuration, decoded into ``RouteConfig``."""
+"""The operator's rows: the configuration and evacuations, decoded."""
+
+import re
+from collections.abc import Iterable
 
 import attrs
 
+from cranecart.exceptions import PlatformUnavailableError
+from cranecart.logs import log_decision
 from cranecart.models import (
     ClientLimits,
     EngineModel,
     EngineProfile,
+    Evacuation,
     KeyHolder,
     Route,
     RouteConfig,
@@ -27,47 +33,89 @@
 
 _TABLE = 'op'
 _KEY = 'config'
+_EVACUATION_KEY = re.compile('evacuate/.+', re.DOTALL)
 _MILLISECONDS = 1000
 _STREAMING = 'streaming'
 _SAFE = 'safe'
 _DEFAULT_WEIGHT = 1
 
 
+OperatorRow = RouteConfig | Evacuation
+
+
 @attrs.frozen
 class PlatformConfigSource:
-    """The operator's configuration as a source to follow."""
+    """The operator's configuration and evacuations as a source to follow.
+
+    An evacuation is the row ``evacuate/ZONE``, whatever its value. If the row
+    was deleted, its item is an evacuation that is not active. The first page of
+    a read starts at the configuration, whose key comes before theirs.
+    """
 
     _store: StoreClient
 
-    async def snapshot(self) -> Snapshot[RouteConfig]:
-        """Read the configuration, if there is one yet."""
+    async def snapshot(self) -> Snapshot[OperatorRow]:
+        """Read the configuration, if there is one yet, and evacuations."""
         rows = await self._store.read_part(_TABLE, '', _KEY)
         return Snapshot(
-            rows.schema_version,
-            {
-                row.key_file: decode_config(row)
-                for row in rows.rows
-                if row.key_file == _KEY
-            },
+            rows.schema_version, _decode_rows(rows.rows, rows.schema_version)
         )
 
     async def changes(
         self,
         since: int,
         wait_seconds: float,
-    ) -> Changes[RouteConfig]:
-        """Wait for the next version of the configuration."""
+    ) -> Changes[OperatorRow]:
+        """Wait for the next change of the configuration or an evacuation."""
         changed = await self._store.feed(_TABLE, since, wait_seconds)
         return Changes(
             changed.schema_version,
-            {
-                row.key_file: decode_config(row)
-                for row in changed.rows
-                if row.key_file == _KEY and not row.deleted
-            },
+            _decode_rows(changed.rows, changed.schema_version),
         )
 
 
+def _decode_rows(
+    rows: Iterable[WireRow], table_version: int
+) -> dict[str, OperatorRow]:
+    """Decode the rows; leave out those of any other kind."""
+    read = list(rows)
+    evacuations = {
+        row.key_file: _decode_evacuation(row, table_version)
+        for row in read
+        if _EVACUATION_KEY.fullmatch(row.key_file) and not row.part
+    }
+    configs = [row for row in read if row.key_file == _KEY and not row.deleted]
+    return {**evacuations, **_decode_configs(configs, bool(evacuations))}
+
+
+def _decode_configs(
+    rows: Iterable[WireRow], may_omit: bool
+) -> dict[str, RouteConfig]:
+    """Decode the configuration, if it is among the rows.
+
+    An invalid one must not delay the evacuations beside it, so with
+    ``may_omit`` it is left out. The feed shows when it is written again.
+    """
+    try:
+        return {row.key_file: decode_config(row) for row in rows}
+    except PlatformUnavailableError as error:
+        if not may_omit:
+            raise
+        log_decision('config_unreadable', row=_KEY, why=str(error))
+    return {}
+
+
+def _decode_evacuation(row: WireRow, table_version: int) -> Evacuation:
+    """Decode an evacuation; its value does not matter.
+
+    A deleted row is absent as of the version of the table that was read, which
+    is higher than that of any earlier state of the row.
+    """
+    version = table_version if row.deleted else row.schema_version
+    zone = row.key_file.partition('/')[2]
+    return Evacuation(zone, version, not row.deleted)
+
+
 def decode_config(row: WireRow) -> RouteConfig:
     """Decode the operator's row.
 
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -19,7 +19,7 @@
     spread_retry_after,
 )
 from cranecart.exceptions import NoReplicaError, OverloadedError
-from cranecart.fleet import Fleet, ServingHead
+from cranecart.fleet import Evacuations, Fleet, ServingHead
 from cranecart.logs import log_decision
 from cranecart.models import EngineProfile, RouteConfig
 from cranecart.ports import Incarnation, ListedInstance
@@ -74,6 +74,12 @@
         default=_ignore_report
     )
     throttle: TargetThrottle = attrs.field(factory=TargetThrottle)
+    evacuations: Evacuations = attrs.field(
+        default=attrs.Factory(
+            lambda router: router._fleet.evacuations, takes_self=True
+        ),
+        init=False,
+    )
     gaps: EventGapTracker = attrs.field(factory=EventGapTracker, init=False)
     stalls: StallDetector = attrs.field(init=False)
     forecast_errors: ForecastErrors = attrs.field(
@@ -297,14 +303,16 @@
         return self.forecast_errors.expected(incarnation, model, self._clock())
 
     def _no_replica(self, request: RoutingRequest) -> NoReplicaError:
+        evacuated = self.evacuations.active()
         is_forming = self._fleet.replica_records.is_starting(
-            request.service, request.model
+            request.service, request.model, evacuated
         )
         expected_seconds = (
             _FORMING_SECONDS if is_forming else _NO_REPLICA_SECONDS
         )
         return NoReplicaError(
-            f'no complete replica of {request.model!r} is serving',
+            f'no complete replica of {request.model!r} is serving'
+            f'{_evacuated_text(evacuated)}',
             retry_after=_retry_after(self._random, request, expected_seconds),
         )
 
@@ -312,7 +320,8 @@
         eligible = _eligible(self._fleet.available(request.service), request)
         if not eligible:
             raise NoReplicaError(
-                f'no instance of {request.service!r} is serving',
+                f'no instance of {request.service!r} is serving'
+                f'{_evacuated_text(self.evacuations.active())}',
                 retry_after=_NO_REPLICA_SECONDS,
             )
         instances = available_targets(
@@ -346,6 +355,10 @@
         return self.load(target.id), self._random.random()
 
 
+def _evacuated_text(evacuated: Collection[str]) -> str:
+    return f' outside of evacuated {sorted(evacuated)}' if evacuated else ''
+
+
 def _sample(
     source: random.Random,
     failure_domain: str,
--- a/src/cranecart/serving/_followers.py
+++ b/src/cranecart/serving/_followers.py
@@ -9,6 +9,7 @@
 
 from cranecart.fleet import (
     LONG_POLL_SECONDS,
+    Evacuations,
     Fleet,
     ReplicaRecord,
     SourceFollower,
@@ -23,7 +24,8 @@
     RecordNews,
     SourceUpdateMessage,
 )
-from cranecart.models import RouteConfig
+from cranecart.models import Evacuation, RouteConfig
+from cranecart.platform import OperatorRow
 from cranecart.ports import ListedInstance, Row, Source, era_of
 from cranecart.quarantine import HeldRows
 from cranecart.serving._active_config import ActiveRouteConfig
@@ -61,7 +63,7 @@
     """The followers of the configuration, instance list and records."""
 
     _mesh: Mesh
-    _configuration: SourceFollower[RouteConfig]
+    _configuration: SourceFollower[OperatorRow]
     _instances: SourceFollower[ListedInstance]
     _records: SourceFollower[Row]
     reachability: StoreReachability
@@ -88,13 +90,11 @@
         )
         return cls(
             mesh,
-            SourceFollower(
-                'configuration',
+            _operator_follower(
+                OperatorDispatcher(config, dispatcher.fleet.evacuations),
                 platform_adapters.configuration,
-                config.apply_from_store,
                 random_source,
-                _CONFIG_MIN_INTERVAL_SECONDS,
-                reachability=reachability,
+                reachability,
             ),
             _list_follower(
                 dispatcher,
@@ -183,6 +183,60 @@
         self.held.apply(items, is_complete)
 
 
+@attrs.frozen
+class OperatorDispatcher:
+    """Passes the operator's rows on to the configuration or evacuations.
+
+    Evacuations come first, so that no request is sent by a new configuration to
+    a failure domain that was evacuated before.
+    """
+
+    config: ActiveRouteConfig
+    evacuations: Evacuations
+
+    def apply(
+        self,
+        items: Mapping[str, OperatorRow | None],
+        is_complete: bool,
+        version: int,
+    ) -> None:
+        """Apply changed rows, or all rows if ``is_complete``."""
+        evacuations: list[Evacuation] = []
+        configs: dict[str, RouteConfig] = {}
+        for key, item in items.items():
+            match item:
+                case Evacuation():
+                    evacuations.append(item)
+                case RouteConfig():
+                    configs[key] = item
+        self.evacuations.apply(evacuations, is_complete, version, 'store')
+        self.config.apply_from_store(configs, is_complete)
+
+
+def _operator_follower(
+    dispatcher: OperatorDispatcher,
+    source: Source[OperatorRow],
+    random_source: random.Random,
+    reachability: StoreReachability,
+) -> SourceFollower[OperatorRow]:
+    def apply(  # noqa: WPS430
+        items: Mapping[str, OperatorRow | None], is_complete: bool
+    ) -> None:
+        dispatcher.apply(items, is_complete, follower.last_change_version)
+
+    follower = SourceFollower(
+        'configuration',
+        source,
+        apply,
+        random_source,
+        _CONFIG_MIN_INTERVAL_SECONDS,
+        reachability=reachability,
+        apply_restored=lambda items: apply(items, False),
+        needs_reread=lambda: dispatcher.evacuations.lacks_restored_rows,
+    )
+    return follower
+
+
 def _list_follower(
     dispatcher: RowDispatcher,
     instances: Source[ListedInstance],
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -8,6 +8,7 @@
 from cranecart.demand import DemandMeter
 from cranecart.fleet import Fleet, ReplicaRecord, mark_leaving
 from cranecart.forwarding import (
+    ResumeGuard,
     RoutedCall,
     RoutedGateway,
     Sender,
@@ -70,6 +71,7 @@
         self._live_settings = live_settings
         self._is_stopping = False
         self._suspension_watch = SuspensionWatch()
+        self._resume_guard = ResumeGuard()
         self._request_statistics = RequestStatistics()
         self._random_source = random.Random()
         self._active_config = ActiveRouteConfig()
@@ -193,6 +195,7 @@
             lambda message: mark_leaving(
                 self._fleet, message.incarnation, message.sender
             ),
+            self._fleet.evacuations.merge,
         )
         return make_mesh(self._live_settings.current, callbacks)
 
@@ -203,6 +206,7 @@
             self._target_connections,
             self._fleet.is_stopped,
             self._report_suspect,
+            self._resume_guard,
         )
         return RoutedGateway(
             self._active_config.current,
@@ -264,6 +268,8 @@
             log_decision(
                 'node_was_suspended', seconds=round(suspended_seconds, 3)
             )
+        self._resume_guard.record_awake(since_boot())
+        self._mesh.local.evacuations = list(self._fleet.evacuations.known())
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
         self._mesh.local.demand = {
@@ -321,6 +327,9 @@
             'log_lines_dropped': self._log_queue.dropped,
             'liveness_checks': self._placer_host.liveness_check_count,
             **self._router.throttle.counts(),
+            'evacuated_domains': len(self._fleet.evacuations.active()),
+            'evacuation_changes': self._fleet.evacuations.changes,
+            'evacuated_choices': self._fleet.evacuations.withdrawn,
         }
 
     def _is_informed(self) -> bool:
--- a/src/cranecart/serving/_platform_adapters.py
+++ b/src/cranecart/serving/_platform_adapters.py
@@ -7,8 +7,8 @@
 
 from cranecart.fleet import RECORDS_PART, RECORDS_TABLE
 from cranecart.http import Address
-from cranecart.models import RouteConfig
 from cranecart.platform import (
+    OperatorRow,
     PlatformCallTranslator,
     PlatformConfigSource,
     PlatformOrders,
@@ -36,7 +36,7 @@
     """
 
     table: Table
-    configuration: Source[RouteConfig]
+    configuration: Source[OperatorRow]
     instances: Source[ListedInstance]
     records: Source[Row]
     orders: Orders
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -17,7 +17,12 @@
     ReplicaRecord,
     mark_leaving,
 )
-from cranecart.forwarding import RoutedGateway, Sender, TargetConnectionPool
+from cranecart.forwarding import (
+    ResumeGuard,
+    RoutedGateway,
+    Sender,
+    TargetConnectionPool,
+)
 from cranecart.http import (
     Address,
     Headers,
@@ -329,6 +334,7 @@
             throttle=self._make_throttle(),
         )
         self.connections = TargetConnectionPool()
+        self.resume_guard = ResumeGuard()
         # Called with updates on requests that crash targets.
         self.publish_cases: Callable[[Sequence[CaseUpdate]], None] = (
             _publish_to_nobody
@@ -346,6 +352,7 @@
                 self.connections,
                 self.fleet.is_stopped,
                 self._record_evidence,
+                self.resume_guard,
             ),
             SharedRetryBudget(
                 RetryLimits(retries / 500, retries, 10), lambda: 1
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cranecart.fleet import Evacuations
 from cranecart.mesh import (
     LocalState,
     Mesh,
@@ -166,6 +167,7 @@
     broken: set[str]
     limits: list[LimitUpdate]
     leaving: set[str]
+    evacuations: Evacuations
     cluster: SimulatedCluster
 
     @classmethod
@@ -182,6 +184,12 @@
         broken: set[str] = set()
         limits: list[LimitUpdate] = []
         leaving: set[str] = set()
+        evacuations = Evacuations()
+        local = LocalState(name, name, domain)
+
+        def refresh_local_state() -> None:  # noqa: WPS430
+            local.evacuations = list(evacuations.known())
+
         callbacks = MeshCallbacks(
             lambda message: stopped.add(message.replica),
             _ignore_suspect,
@@ -193,13 +201,13 @@
             lambda: in_flight,
             lambda: configs[-1] if configs else None,
             configs.append,
-            lambda: None,
+            refresh_local_state,
             lambda message: broken.add(message.instance),
             lambda message: limits.extend(message.limits),
             lambda message: leaving.add(message.instance),
+            evacuations.merge,
         )
         transport = SimulatedTransport(cluster, name)
-        local = LocalState(name, name, domain)
         mesh = Mesh(local, transport, callbacks, lambda: cluster.now)
         return cls(
             mesh,
@@ -214,6 +222,7 @@
             broken,
             limits,
             leaving,
+            evacuations,
             cluster,
         )
 
--- a/tests/lib/store_testbed.py
+++ b/tests/lib/store_testbed.py
@@ -159,6 +159,7 @@
 
         def refresh_local_state() -> None:  # noqa: WPS430
             mesh.local.source_versions = followers.announced_versions()
+            mesh.local.evacuations = list(fleet.evacuations.known())
 
         events = MeshCallbacks(
             lambda message: fleet.mark_stopped(
@@ -177,6 +178,7 @@
             lambda message: mark_leaving(
                 fleet, message.incarnation, message.sender
             ),
+            fleet.evacuations.merge,
         )
         domain = f'd{int(name.rpartition("-")[2]) % _DOMAINS}'
         local = LocalState(name, _peer_address(name), domain)
@@ -305,6 +307,13 @@
         """Return whether a configuration version is active at all nodes."""
         return all(node.version == version for node in self.nodes.values())
 
+    def all_have_evacuated(self, *failure_domains: str) -> bool:
+        """Return whether exactly these domains are evacuated at all nodes."""
+        return all(
+            node.fleet.evacuations.active() == set(failure_domains)
+            for node in self.nodes.values()
+        )
+
     def all_have_attempts(self, attempts: int) -> bool:
         """Return whether all routes at all nodes allow this many attempts."""
         configs = [node.config.current() for node in self.nodes.values()]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
     WriteUnknownError,
 )
 from cranecart.http import Address
+from cranecart.models import RouteConfig
 from cranecart.platform import (
     PlatformConfigSource,
     PlatformRowSource,
@@ -165,6 +166,7 @@
             lambda client: PlatformConfigSource(client).snapshot()
         )
         config = snapshot.items['config']
+        assert isinstance(config, RouteConfig)
         route = config.route('A.example:80', '/x/z')
         assert route is not None
         self.assertEqual(route.name, 'r1')
--- a/tests/unit/test_request_statistics.py
+++ b/tests/unit/test_request_statistics.py
@@ -1,11 +1,39 @@
 """Request statistics before and after metrics are read for the first time."""
 
-import unittest
+from unittest import TestCase, mock
 
-from cranecart.serving._endpoints import RequestStatistics
+from cranecart.fleet import Fleet
+from cranecart.http import Request, Response
+from cranecart.models import Evacuation
+from cranecart.serving._active_config import ActiveRouteConfig
+from cranecart.serving._endpoints import MetricsEndpoint, RequestStatistics
+from tests.lib.synchronous import run_synchronously
 
 
-class RequestStatisticsTest(unittest.TestCase):
+class EvacuatedMetricTest(TestCase):
+    """Operators see which failure domains a node treats as evacuated."""
+
+    def test_active_and_ended(self) -> None:
+        """The metric is 1 for an evacuated domain and 0 for an ended one."""
+        fleet = Fleet()
+        fleet.evacuations.merge(
+            [Evacuation('east', 1, True), Evacuation('west', 2, False)], 'n1'
+        )
+        sent: list[Response] = []
+        responder = mock.Mock()
+        responder.send = mock.AsyncMock(side_effect=sent.append)
+        endpoint = MetricsEndpoint(
+            RequestStatistics(), dict, fleet, ActiveRouteConfig()
+        )
+        run_synchronously(
+            endpoint.handle(Request('GET', '/metrics'), responder)
+        )
+        text = sent[0].body.decode()
+        self.assertIn('cranecart_evacuated{failure_domain="east"} 1', text)
+        self.assertIn('cranecart_evacuated{failure_domain="west"} 0', text)
+
+
+class RequestStatisticsTest(TestCase):
     """The first read of metrics loses nothing and counts nothing twice."""
 
     def setUp(self) -> None:
