Test paused formations, deleted rows and the cache of heads more closely

Five of fifteen faults that were put into the code on purpose went unnoticed: a formation that joins or opens, a cache of heads that is not renewed (the check before sending made up for it), a deleted row's own version, and the check in PlanExecutor, which was superfluous as the plan's input is empty then. The check is gone, and tests notice the other four.

--- a/src/cranecart/grouping/_inventory.py
+++ b/src/cranecart/grouping/_inventory.py
@@ -32,16 +32,12 @@
     _has_traffic: Callable[[], bool]
     _stall_seconds: float
 
-    @property
-    def is_evacuated(self) -> bool:
-        """Return whether nothing may be placed in the own failure domain."""
-        return self._fleet.evacuations.is_evacuated(self._failure_domain)
-
     def plan_input(self, profile: ServiceProfile) -> PlanInput:
         """Return the input for planning a service.
 
         Replicas in evacuated failure domains are no capacity, so that the other
-        domains compensate for them.
+        domains compensate for them. If the own one is evacuated, the input has
+        neither free instances nor members, so that the plan is empty.
         """
         fixed = self._fixed_replicas()
         serving = [
--- a/src/cranecart/grouping/_plan_executor.py
+++ b/src/cranecart/grouping/_plan_executor.py
@@ -61,12 +61,9 @@
         await self._record_store.write([changed])
 
     async def execute(self, profile: ServiceProfile) -> None:
-        """Plan for a service and start what may start now.
-
-        Nothing is started while the failure domain is evacuated.
-        """
+        """Plan for a service and start what may start now."""
         engine = profile.engine
-        if engine is None or self._inventory.is_evacuated:
+        if engine is None:
             return
         plan_input = self._inventory.plan_input(profile)
         wanted = plan(plan_input, self._preemption_scope()).restricted_to(
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -6,6 +6,10 @@
 
 import curio
 
+from cranecart.http import Address
+from cranecart.models import Evacuation
+from cranecart.platform import PlatformConfigSource, StoreClient
+from cranecart.platform._store import WireRow, WireRows
 from tests.lib.store_testbed import (
     StoreTestbed,
     config_row,
@@ -25,6 +29,35 @@
 _REWRITE_SECONDS = 1.5
 
 
+class ChangedRowsClient(StoreClient):
+    """Returns an answer of the feed in which only the table has a version."""
+
+    async def feed(
+        self, table: str, since: int, wait_seconds: float
+    ) -> WireRows:
+        """Return a deleted row, and rows that are no evacuations."""
+        return WireRows(
+            9,
+            [
+                WireRow('evacuate/d0', deleted=True),
+                WireRow('evacuate/d1', part='other', schema_version=9),
+                WireRow('evacuate/', schema_version=9),
+            ],
+        )
+
+
+class EvacuationRowsTest(unittest.TestCase):
+    """Rows of the platform, decoded."""
+
+    def test_deleted_row(self) -> None:
+        """The end is newer than the start, whatever version the row has."""
+        client = ChangedRowsClient(Address('127.0.0.1', 1))
+        changes = curio.run(PlatformConfigSource(client).changes, 8, 1)
+        self.assertEqual(
+            list(changes.items.values()), [Evacuation('d0', 9, False)]
+        )
+
+
 class EvacuationTest(unittest.TestCase):
     """Three nodes, with instances of a service in two failure domains."""
 
--- a/tests/unit/test_evacuated_placement.py
+++ b/tests/unit/test_evacuated_placement.py
@@ -8,6 +8,7 @@
 import curio
 
 from cranecart.fleet import RecordState, ReplicaRecord
+from cranecart.grouping._formation import ReplicaFormation
 from cranecart.models import EngineModel, Evacuation
 from cranecart.ports import MemberPhase, Membership
 from tests.lib.fake_engines import (
@@ -45,8 +46,10 @@
         self._run_scenario(self._lose_member_evacuated)
 
     def test_formation_pauses(self) -> None:
-        """A replica that lacks a member is not opened until the end."""
-        self._run_scenario(self._evacuate_during_formation)
+        """No member joins, and no complete replica opens, until the end."""
+        for phase in (None, MemberPhase.READY):
+            with self.subTest(phase=phase):
+                curio.run(self._form_evacuated, phase)
 
     def test_other_domain_compensates(self) -> None:
         """Replicas there are no capacity: the model is formed here instead."""
@@ -54,7 +57,8 @@
 
     def test_formations_of_other_domain(self) -> None:
         """Paused formations there must not block all loads here."""
-        self._add_replicas_elsewhere(BIG, 2, MemberPhase.JOINING)
+        for name in ('r0', 'r1'):
+            self._add_replica(name, _OTHER, MemberPhase.JOINING)
         inventory = self.testbed.placer._executor._inventory
         loads = inventory.loads_in_progress()
         self._evacuate(_OTHER)
@@ -124,22 +128,25 @@
         self.assertEqual(testbed.heads(), heads[1:])
         await until(lambda: len(testbed.heads()) == 2)
 
-    async def _evacuate_during_formation(self) -> None:
-        engines = self.testbed.engines
-        names = set(self.testbed.fleet.instances)
-        engines.unreachable.update(names)
-        await until(lambda: ('join', 'i0') in engines.orders)
+    async def _form_evacuated(self, phase: MemberPhase | None) -> None:
+        testbed = self.testbed
+        await testbed.placer.lease.acquire_or_renew()
+        record = self._add_replica(f'{phase}', DOMAIN, phase)
+        testbed.engines._members[record.name, 1] = record.members
         self._evacuate(DOMAIN)
-        engines.unreachable.clear()
-        await curio.sleep(0.1)
+        formation = ReplicaFormation(
+            record, testbed.fleet, testbed.placer._context
+        )
+        forming = await curio.spawn(formation.run)
         await self._assert_no_orders()
-        self.assertNotIn('open', {order for order, _ in engines.orders})
         self._evacuate()
-        await until(lambda: len(self.testbed.heads()) == 2)
+        await until(lambda: testbed.fleet.is_open(record))
+        await forming.join()
 
     async def _evacuate_other_domain(self) -> None:
         testbed = self.testbed
-        self._add_replicas_elsewhere(BIG, 4, MemberPhase.OPEN)
+        for name in ('r0', 'r1', 'r2', 'r3'):
+            self._add_replica(name, _OTHER, MemberPhase.OPEN)
         testbed.has_traffic = True
         testbed.demand = {BIG.name: 1.5, SMALL.name: 1.5}
         await until(lambda: len(self._own(SMALL)) == 2, _LOAD_SECONDS)
@@ -159,33 +166,25 @@
             and record.state is RecordState.SERVING
         ]
 
-    def _add_replicas_elsewhere(
-        self, model: EngineModel, count: int, phase: MemberPhase
-    ) -> None:
-        """Add replicas of another failure domain, with heads in a phase."""
-        for replica in range(count):
-            members = tuple(f'w{replica}-{rank}' for rank in range(model.size))
-            record = ReplicaRecord(
-                f'r{replica}',
-                1,
-                SERVICE,
-                model.name,
-                _OTHER,
-                'west-0',
-                members,
-                RecordState.SERVING,
-                loads=model.size,
+    def _add_replica(
+        self, name: str, domain: str, phase: MemberPhase | None
+    ) -> ReplicaRecord:
+        """Add a large replica; its members are in a phase, if it has begun."""
+        members = tuple(f'{name}-{rank}' for rank in range(BIG.size))
+        record = ReplicaRecord(
+            name, 1, SERVICE, BIG.name, domain, 'f', members, loads=BIG.size
+        )
+        instances = {
+            member: attrs.evolve(
+                listed_instance(member, self.testbed.address, 'f'),
+                failure_domain=domain,
+                membership=phase and Membership(name, 1, rank, phase),
             )
-            instances = {
-                name: attrs.evolve(
-                    listed_instance(name, self.testbed.address, 'west-0'),
-                    failure_domain=_OTHER,
-                    membership=Membership(record.name, 1, rank, phase),
-                )
-                for rank, name in enumerate(members)
-            }
-            self.testbed.fleet.apply_instances(instances, False)
-            self.testbed.fleet.apply_records({record.key: record}, False)
+            for rank, member in enumerate(members)
+        }
+        self.testbed.fleet.apply_instances(instances, False)
+        self.testbed.fleet.apply_records({record.key: record}, False)
+        return record
 
 
 if __name__ == '__main__':
--- a/tests/unit/test_evacuations.py
+++ b/tests/unit/test_evacuations.py
@@ -143,12 +143,17 @@
     async def _ask_before_and_after(
         self, testbed: 'TwoDomainTestbed', path: str
     ) -> None:
+        await self._assert_answered(testbed, path, 40)
+        before = len(testbed.targets[0].received)
+        self.assertGreater(before, 0)
         testbed.evacuate('east')
         await self._assert_answered(testbed, path, 10)
-        self.assertEqual(len(testbed.targets[0].received), 0)
+        self.assertEqual(len(testbed.targets[0].received), before)
+        # None was chosen and then withdrawn.
+        self.assertEqual(testbed.fleet.evacuations.withdrawn, 0)
         testbed.evacuate()
         await self._assert_answered(testbed, path, 40)
-        self.assertGreater(len(testbed.targets[0].received), 0)
+        self.assertGreater(len(testbed.targets[0].received), before)
 
     async def _evacuate_chosen(
         self, testbed: 'TwoDomainTestbed', path: str
