Bound what a node holds for clients that do not read

Cause: a node's process holds one chunk for each unread response, but the kernel accepts up to 4 MB more for each. 200 clients that read nothing of streams of 2.4 MB held 253 MB in the send buffers of a node that may use 152 MB.

Change: with the setting memory_mb (limits.memoryMb of the platform) the kernel accepts 16 KB beyond what a client can receive and 64 KB from a target. A response whose client has accepted nothing for 0.5 s counts with what it holds at most. If all of them exceed an eighth of the memory, the longest unread are reset (line unread_cut in the request's trace, counters unread_responses_cut and unread_bytes). Without the setting nothing changes.

--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -46,7 +46,8 @@
     """Idle connections by incarnation of an instance.
 
     ``opened`` counts the connections that were opened, ``desynchronized`` those
-    that carried more responses than requests.
+    that carried more responses than requests. ``_receive_bytes`` bounds what
+    the kernel receives on each before it is read.
     """
 
     _clock: Callable[[], float] = since_boot
@@ -62,6 +63,7 @@
     _unreliable_until: dict[Incarnation, float] = attrs.field(
         factory=dict, init=False
     )
+    _receive_bytes: int | None = None
 
     async def acquire(
         self,
@@ -98,6 +100,7 @@
             connection = await HttpConnection.open(
                 instance.address,
                 _CONNECT_TIMEOUT_SECONDS,
+                receive_bytes=self._receive_bytes,
             )
         except ConnectFailedError as error:
             raise TargetUnreachableError(str(error)) from error
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -113,8 +113,7 @@
             outcome = client_error.code
             await self._refuse(trace, client_error, responder, started)
         except (curio.CancelledError, ConnectionBrokenError):
-            outcome = 'client_left'
-            trace.add('client_left', after=_elapsed_since(started))
+            outcome = _trace_departure(trace, responder, started)
             raise
         except Exception as error:
             _LOG.exception('unexpected error while handling a request')
@@ -234,6 +233,19 @@
             raise
 
 
+def _trace_departure(
+    trace: RequestTrace, responder: Responder, started: float
+) -> str:
+    """Log that the client left or was cut off; return the outcome."""
+    after = _elapsed_since(started)
+    if responder.unread_seconds is None:
+        trace.add('client_left', after=after)
+        return 'client_left'
+    unread_for = round(responder.unread_seconds, 3)
+    trace.add('unread_cut', after=after, unread_for=unread_for)
+    return 'unread_cut'
+
+
 def _log_admitted(call: RoutedCall) -> None:
     call.trace.add(
         'admitted',
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -14,8 +14,10 @@
 from cranecart.http._pool import HttpConnectionPool, exchange
 from cranecart.http._responder import Responder
 from cranecart.http._server import HttpServer
+from cranecart.http._unread import TARGET_RECEIVE_BYTES
 
 __all__ = (
+    'TARGET_RECEIVE_BYTES',
     'Address',
     'HeaderLines',
     'Headers',
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -67,15 +67,20 @@
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         *,
         tcp_keepalive: bool = False,
+        receive_bytes: int | None = None,
     ) -> Self:
         """Connect; raise ``ConnectFailedError`` if that fails.
 
         With ``tcp_keepalive`` a broken network path closes the connection
-        within some seconds, even if nothing is sent on it.
+        within some seconds, even if nothing is sent on it. ``receive_bytes``
+        bounds what the kernel receives before it is read.
         """
         # curio.open_connection resolves names in a thread, which IP addresses
         # do not need.
         sock = curio.io.Socket(socket.socket())
+        if receive_bytes is not None:
+            # Before connecting, as it also determines the window's scale.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         try:
             await curio.timeout_after(
                 connect_timeout_seconds,
--- a/src/cranecart/http/_limits.py
+++ b/src/cranecart/http/_limits.py
@@ -14,6 +14,8 @@
     receiving it, ``idle_seconds`` to waiting for the next one,
     ``write_seconds`` to each write of a response but its body's chunks, and
     ``connections`` is the number of connections served at a time.
+    ``unread_bytes`` bounds the memory held for all clients that do not read;
+    without it there is no bound.
     """
 
     head_bytes: int = 16384
@@ -22,3 +24,4 @@
     idle_seconds: float = 60.0
     write_seconds: float = 30.0
     connections: int = 4096
+    unread_bytes: float | None = None
--- a/src/cranecart/http/_responder.py
+++ b/src/cranecart/http/_responder.py
@@ -16,12 +16,15 @@
     encode_headers,
     json_response,
 )
+from cranecart.http._unread import UnreadResponses
 
 
 class Responder:
     """Writes the response to one request, at once or in chunks.
 
     While ``is_closing`` returns true, responses carry "Connection: close".
+    ``unread_seconds`` is set if the response was cut off because the client had
+    not read it for this long.
     """
 
     def __init__(
@@ -30,12 +33,15 @@
         connection: h11.Connection,
         write_seconds: float,
         is_closing: Callable[[], bool],
+        unread: UnreadResponses,
     ) -> None:
         """Wrap the connection of the request."""
         self._sock = sock
         self._connection = connection
         self._write_seconds = write_seconds
         self._is_closing = is_closing
+        self._unread = unread
+        self.unread_seconds: float | None = None
         self._first_byte_at: float | None = None
 
     @property
@@ -69,7 +75,7 @@
         """Send a chunk of the body, without a timeout of its own."""
         encoded = self._connection.send(h11.Data(data=chunk))
         try:
-            await self._sock.sendall(encoded)
+            await self._transmit(encoded)
         except OSError as error:
             raise ConnectionBrokenError('the client disconnected') from error
 
@@ -88,6 +94,12 @@
         except OSError:
             return
 
+    async def _transmit(self, encoded: bytes) -> None:
+        await self._unread.send_all(self._sock, encoded, self._note_cut)
+
+    def _note_cut(self, unread_seconds: float) -> None:
+        self.unread_seconds = unread_seconds
+
     def _head(
         self,
         status: int,
@@ -112,7 +124,7 @@
         try:
             await curio.timeout_after(
                 self._write_seconds,
-                self._sock.sendall,
+                self._transmit,
                 b''.join(filter(None, encoded_events)),
             )
         except (OSError, TaskTimeout) as error:
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -17,6 +17,7 @@
 from cranecart.http._messages import Address, Request
 from cranecart.http._request_reader import receive_request
 from cranecart.http._responder import Responder, send_error
+from cranecart.http._unread import UnreadResponses
 from cranecart.listening import take_listener
 
 _LOG = logging.getLogger(__name__)
@@ -48,6 +49,7 @@
         self._requested_address = address
         self._handler = handler
         self.limits = limits or ServerLimits()
+        self.unread = UnreadResponses(lambda: self.limits.unread_bytes)
         self._listener: Any = None
         self._connection_count = 0
         self._closing = False
@@ -151,6 +153,7 @@
         # their tasks runs.
         self._connection_count += 1
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.unread.prepare(sock)
         # Not in a task group, which would keep all finished tasks until its end.
         await curio.spawn(self._serve_connection, sock, daemon=True)
 
@@ -198,6 +201,7 @@
             connection,
             self.limits.write_seconds,
             lambda: self._closing,
+            self.unread,
         )
 
     async def _receive(
--- /dev/null
+++ b/src/cranecart/http/_unread.py
@@ -0,0 +1,145 @@
+"""Bound the memory that is held for clients that do not read."""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Callable, Iterable, Iterator
+
+import attrs
+import curio
+from curio.errors import TaskTimeout
+
+from cranecart.clocks import since_boot
+
+# A client that has accepted nothing for this long does not read. The kernel
+# sends a lost packet again after at least 0.2 s, and then after twice the time.
+# Until then a response can hold no more than the link brings in this time.
+_UNREAD_SECONDS = 0.5
+# How much of a response the kernel accepts beyond what the client can receive.
+# By default it accepts up to 4 MB for each client that does not read: 200
+# unread streams held 253 MB, which count as the node's memory although its
+# process does not see them.
+_UNSENT_BYTES = 16384
+# Receive buffer of a connection to a target, which fills up while the client
+# reads nothing. The kernel doubles it for its own overhead. It lets a target
+# send 1.3 MB/s at a round trip of 50 ms, as much as a node's link carries.
+TARGET_RECEIVE_BYTES = 65536
+# What an unread response holds besides the bytes to write: twice the buffers
+# above, as the kernel counts their overhead too.
+_OVERHEAD_BYTES = 2 * (_UNSENT_BYTES + TARGET_RECEIVE_BYTES)
+# A chunk is held as received, as split into events, and as encoded.
+_COPIES = 3
+# On and zero seconds: closing resets the connection and discards what the client
+# has not received. Otherwise the kernel keeps it for minutes.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+@attrs.define(eq=False)
+class UnreadResponse:
+    """A response whose client does not read.
+
+    ``since`` is when the client last accepted bytes, ``size`` the number of
+    bytes to write. ``note_cut`` is called with the seconds unread if it is cut.
+    """
+
+    since: float
+    size: int
+    sock: curio.io.Socket
+    note_cut: Callable[[float], None]
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much memory is held for it, at most."""
+        return self.size * _COPIES + _OVERHEAD_BYTES
+
+
+def responses_to_cut(
+    responses: Iterable[UnreadResponse], limit_bytes: float
+) -> Iterator[UnreadResponse]:
+    """Yield the responses to cut so that the others fit into the limit.
+
+    The load is clients that stop reading while others go on, each of which
+    holds some hundred kilobytes until it leaves. The longest unread is cut
+    first: its client is the least likely to go on, and the target cuts off
+    responses that stay unread anyway.
+    """
+    longest_first = sorted(responses, key=lambda response: response.since)
+    excess = sum(response.held_bytes for response in longest_first)
+    for response in longest_first:
+        if excess <= limit_bytes:
+            return
+        excess -= response.held_bytes
+        yield response
+
+
+@attrs.define
+class UnreadResponses:
+    """Sends bytes to clients and cuts off unread responses over a limit.
+
+    ``_limit_bytes`` returns the limit in force, or ``None`` for no limit.
+    """
+
+    _limit_bytes: Callable[[], float | None]
+    cut_count: int = attrs.field(default=0, init=False)
+    _unread: dict[UnreadResponse, None] = attrs.field(factory=dict, init=False)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much memory is held for all unread responses, at most."""
+        return sum(response.held_bytes for response in self._unread)
+
+    def prepare(self, sock: curio.io.Socket) -> None:
+        """Limit what the kernel buffers for a new connection."""
+        if self._limit_bytes() is not None:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
+            )
+
+    async def send_all(
+        self,
+        sock: curio.io.Socket,
+        encoded: bytes,
+        note_cut: Callable[[float], None],
+    ) -> None:
+        """Send bytes; raise ``OSError`` if the client left or was cut off."""
+        if self._limit_bytes() is None:
+            await sock.sendall(encoded)
+            return
+        unsent = memoryview(encoded)
+        while unsent:
+            try:
+                count = await curio.timeout_after(
+                    _UNREAD_SECONDS, sock.send, unsent
+                )
+            except TaskTimeout:
+                response = UnreadResponse(
+                    since_boot() - _UNREAD_SECONDS, len(encoded), sock, note_cut
+                )
+                count = await self._send_unread(response, unsent)
+            unsent = unsent[count:]
+
+    async def _send_unread(
+        self, response: UnreadResponse, unsent: memoryview
+    ) -> int:
+        self._unread[response] = None
+        try:
+            await self._enforce_limit()
+            count: int = await response.sock.send(unsent)
+        finally:
+            self._unread.pop(response, None)
+        return count
+
+    async def _enforce_limit(self) -> None:
+        limit = self._limit_bytes()
+        if limit is None:
+            return
+        for response in list(responses_to_cut(self._unread, limit)):
+            self._unread.pop(response)
+            self.cut_count += 1
+            response.note_cut(since_boot() - response.since)
+            # Its task fails to send, and closes the connection.
+            with contextlib.suppress(OSError):
+                response.sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+                await response.sock.shutdown(socket.SHUT_RDWR)
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from cranecart.fleet import Fleet, mark_leaving
-from cranecart.http import Address, ServerLimits
+from cranecart.forwarding import TargetConnectionPool
+from cranecart.http import TARGET_RECEIVE_BYTES, Address, ServerLimits
 from cranecart.mesh import (
     Leaving,
     LocalState,
@@ -28,6 +29,10 @@
 _RESERVED_DESCRIPTORS = 200
 _CLIENT_FRACTION = 0.6
 _MIN_CONNECTIONS = 16
+# Fraction of a node's memory that may be held for clients that do not read. The
+# state of a large deployment takes up to 128 MB of the smallest nodes' 152 MB.
+_UNREAD_FRACTION = 0.125
+_MEGABYTE = 1_000_000
 
 
 def make_mesh(settings: ServingSettings, callbacks: MeshCallbacks) -> Mesh:
@@ -64,6 +69,21 @@
         connections=max(
             _MIN_CONNECTIONS, int(available_descriptors * _CLIENT_FRACTION)
         ),
+        unread_bytes=(
+            settings.memory_mb * _MEGABYTE * _UNREAD_FRACTION
+            if settings.memory_mb
+            else None
+        ),
+    )
+
+
+def make_target_connections(settings: ServingSettings) -> TargetConnectionPool:
+    """Return the pool of connections to targets.
+
+    What they receive while a client does not read counts against the memory.
+    """
+    return TargetConnectionPool(
+        receive_bytes=TARGET_RECEIVE_BYTES if settings.memory_mb else None
     )
 
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -12,7 +12,6 @@
     RoutedGateway,
     Sender,
     StartupGate,
-    TargetConnectionPool,
 )
 from cranecart.http import (
     Address,
@@ -33,6 +32,7 @@
 )
 from cranecart.serving._factories import (
     make_mesh,
+    make_target_connections,
     make_throttle,
     retry_limits,
     server_limits,
@@ -122,7 +122,7 @@
                 self._report_stopped,
             ),
         )
-        self._target_connections = TargetConnectionPool()
+        self._target_connections = make_target_connections(settings)
         self._retry_budget = SharedRetryBudget(
             retry_limits(settings),
             self._mesh.live_node_count,
@@ -315,6 +315,8 @@
             **self._platform_adapters.store_call_counts,
             **self._quarantine.guard.counts(),
             'requests': self._gateway.received_count,
+            'unread_responses_cut': self._client_server.unread.cut_count,
+            'unread_bytes': self._client_server.unread.held_bytes,
             'target_connections': self._target_connections.opened,
             'uneven_connections': self._target_connections.desynchronized,
             'log_bytes': self._log_queue.written_bytes,
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -54,7 +54,8 @@
     ``stall_ms`` is how long a replica that lost a member stalls before it
     breaks, ``leaving_ms`` how long a leaving instance may still be sent
     requests, ``stop_grace_seconds`` the time a process has to stop.
-    ``max_descriptors`` is how many files and connections it may have open.
+    ``max_descriptors`` is how many files and connections it may have open,
+    ``memory_mb`` how much memory it may use; 0 means that it is not told.
     ``log_successes`` is the share of successful requests that are logged.
     Values are in the units that platforms use, so that the template of the
     settings file converts nothing.
@@ -76,6 +77,7 @@
     leaving_ms: float = _non_negative_field(_LEAVING_MS)
     stop_grace_seconds: float = _non_negative_field(_STOP_GRACE_SECONDS)
     max_descriptors: float = _non_negative_field(_MAX_DESCRIPTORS)
+    memory_mb: float = _non_negative_field(0)
     log_successes: float = attrs.field(
         default=_LOGGED_SUCCESS_SHARE,
         validator=[_NON_NEGATIVE, attrs.validators.le(1)],
--- a/tests/functional/test_node_start.py
+++ b/tests/functional/test_node_start.py
@@ -5,16 +5,8 @@
 earlier are refused: 191 were lost after all nodes had lost power at once.
 """
 
-import json
-import os
 import signal
-import subprocess
-import sys
-import tempfile
 import time
-import unittest
-from pathlib import Path
-from typing import Any
 
 import curio
 
@@ -26,13 +18,16 @@
     Responder,
     Response,
 )
-from cranecart.listening import ADDRESS_VARIABLE
 from tests.lib.fake_targets import Exchange, FakeTarget
+from tests.lib.node_processes import (
+    NodeProcess,
+    NodeProcessTestCase,
+    add_config_and_target,
+    node_request,
+)
 from tests.lib.waiting import until
 from tests.platform._standin import StandinStore, start
-from tools.processes import Addresses
 
-_KEY = 'secret'
 _TIMEOUT_SECONDS = 15.0
 _TARGET = 't-1'
 _NODES = 6
@@ -53,86 +48,6 @@
     await exchange.answer(b'whole')
 
 
-def _add_config_and_target(
-    store: StandinStore, target: FakeTarget
-) -> StandinStore:
-    route = {
-        'name': 'r',
-        'host': 'a.example',
-        'pathPrefix': '/',
-        'type': 'safe',
-        'timeoutMs': 10000,
-        'sloMs': 500,
-        'service': 'crew',
-        'attempts': 2,
-    }
-    config = {
-        'version': 1,
-        'routes': [route],
-        'services': [{'name': 'crew'}],
-        'tenants': [{'name': 'o', 'apiKeys': [_KEY]}],
-    }
-    store.put('op', '', 'config', config)
-    entry = {
-        'address': str(target.address),
-        'service': 'crew',
-        'zone': 'east',
-        'state': 'ready',
-        'slots': 4,
-        'born': 1,
-    }
-    store.put('servers', '', _TARGET, entry)
-    return store
-
-
-class _NodeProcess:
-    """A node's process that has just been started."""
-
-    def __init__(
-        self,
-        folder: Path,
-        addresses: Addresses,
-        platform: Address,
-        name: str,
-    ) -> None:
-        self.client = addresses.take()
-        settings = {
-            'node_id': name,
-            'failure_domain': 'east',
-            'client_address': str(self.client),
-            'ready_address': str(addresses.take()),
-            'peer_address': str(addresses.take()),
-            'metrics_address': str(addresses.take()),
-            'platform_address': str(platform),
-            'log_successes': 1,
-        }
-        file = folder / f'{name}.json'
-        file.write_text(json.dumps(settings))
-        self._log = folder / f'{name}.log'
-        variables = {**os.environ, ADDRESS_VARIABLE: str(self.client)}
-        command = (sys.executable, '-m', 'cranecart', 'serve', str(file))
-        with self._log.open('wb') as log:
-            self.process = subprocess.Popen(
-                command,
-                stdout=log,
-                env=variables,
-            )
-
-    def started_at(self) -> float | None:
-        """Return the logged time of the node's start, or None before it."""
-        complete_lines, _, _ = self._log.read_text().rpartition('\n')
-        lines = map(json.loads, complete_lines.splitlines())
-        return next(
-            (line['time'] for line in lines if line['event'] == 'node_started'),
-            None,
-        )
-
-    def kill(self) -> None:
-        """Kill the process."""
-        self.process.kill()
-        self.process.wait()
-
-
 async def _connect(address: Address) -> HttpConnection:
     deadline = time.monotonic() + _TIMEOUT_SECONDS
     while time.monotonic() < deadline:
@@ -145,24 +60,12 @@
     )
 
 
-def _request() -> Request:
-    return Request(
-        'GET',
-        '/x',
-        {
-            'host': 'a.example',
-            'authorization': f'Bearer {_KEY}',
-            'request-id': 'q1',
-        },
-    )
-
-
 async def _send_request(connection: HttpConnection) -> Response:
-    head = await connection.send_and_read_head(_request())
+    head = await connection.send_and_read_head(node_request())
     return Response(head.status, head.headers, await connection.read_body())
 
 
-async def _connect_and_request(node: _NodeProcess) -> tuple[float, int]:
+async def _connect_and_request(node: NodeProcess) -> tuple[float, int]:
     """Connect as early as possible; return the time and the status."""
     connection = await _connect(node.client)
     connected_at = time.time()
@@ -172,17 +75,9 @@
     return connected_at, response.status
 
 
-class NodeStartTest(unittest.TestCase):
+class NodeStartTest(NodeProcessTestCase):
     """The first client of a node's process that is starting."""
 
-    def setUp(self) -> None:
-        """Create a folder for settings and logs, and reserve addresses."""
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.addresses = Addresses()
-        self.addCleanup(self.addresses.release)
-
     def test_connection_before_the_node_has_started(self) -> None:
         """It stays open, and its request is answered by a target."""
         curio.run(self._request_from_starting_nodes, StandinStore(), 1)
@@ -210,8 +105,10 @@
     ) -> None:
         target = FakeTarget(_TARGET, _answer)
         serving = await curio.spawn(target.run)
-        task, platform = await start(_add_config_and_target(store, target))
-        nodes = [self._start(platform, f'n{number}') for number in range(count)]
+        task, platform = await start(add_config_and_target(store, target))
+        nodes = [
+            self.start_node(platform, f'n{number}') for number in range(count)
+        ]
         clients = [
             await curio.spawn(_connect_and_request, node) for node in nodes
         ]
@@ -224,7 +121,7 @@
         await serving.cancel()
 
     async def _request_without_store(self) -> None:
-        node = self._start(self.addresses.take())
+        node = self.start_node(self.addresses.take())
         connection = await _connect(node.client)
         response = await curio.timeout_after(
             _TIMEOUT_SECONDS, _send_request, connection
@@ -240,7 +137,7 @@
         self.assertLess(time.monotonic() - before, 0.3)
 
     async def _stop_a_starting_node(self) -> None:
-        node = self._start(self.addresses.take())
+        node = self.start_node(self.addresses.take())
         connection = await _connect(node.client)
         node.process.send_signal(signal.SIGTERM)
         deadline = time.monotonic() + 1
@@ -249,8 +146,3 @@
         self.assertIn(node.process.poll(), {0, -signal.SIGTERM})
         with self.assertRaises(HttpError):
             await curio.timeout_after(1, _send_request, connection)
-
-    def _start(self, platform: Address, name: str = 'n') -> Any:
-        node = _NodeProcess(self.folder, self.addresses, platform, name)
-        self.addCleanup(node.kill)
-        return node
--- /dev/null
+++ b/tests/lib/node_processes.py
@@ -0,0 +1,143 @@
+"""A process of a node on a stand-in of the platform, with one target."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from cranecart.http import Address, Request
+from cranecart.listening import ADDRESS_VARIABLE
+from tests.lib.fake_targets import FakeTarget
+from tests.platform._standin import StandinStore
+from tools.processes import Addresses
+
+_KEY = 'secret'
+_TARGET = 't-1'
+
+
+def add_config_and_target(
+    store: StandinStore, target: FakeTarget, slots: int = 4, **fields: Any
+) -> StandinStore:
+    """Add one route, with these fields, and its only target."""
+    route = {
+        'name': 'r',
+        'host': 'a.example',
+        'pathPrefix': '/',
+        'type': 'safe',
+        'timeoutMs': 10000,
+        'sloMs': 500,
+        'service': 'crew',
+        'attempts': 2,
+        **fields,
+    }
+    config = {
+        'version': 1,
+        'routes': [route],
+        'services': [{'name': 'crew'}],
+        'tenants': [{'name': 'o', 'apiKeys': [_KEY]}],
+    }
+    store.put('op', '', 'config', config)
+    entry = {
+        'address': str(target.address),
+        'service': 'crew',
+        'zone': 'east',
+        'state': 'ready',
+        'slots': slots,
+        'born': 1,
+    }
+    store.put('servers', '', _TARGET, entry)
+    return store
+
+
+def node_request(request_id: str = 'q1') -> Request:
+    """Return a request on the route."""
+    return Request(
+        'GET',
+        '/x',
+        {
+            'host': 'a.example',
+            'authorization': f'Bearer {_KEY}',
+            'request-id': request_id,
+        },
+    )
+
+
+class NodeProcess:
+    """A node's process that has just been started."""
+
+    def __init__(
+        self,
+        folder: Path,
+        addresses: Addresses,
+        platform: Address,
+        name: str,
+        **settings: Any,
+    ) -> None:
+        """Start it, with these settings besides the necessary ones."""
+        self.client = addresses.take()
+        self.metrics = addresses.take()
+        all_settings = {
+            'node_id': name,
+            'failure_domain': 'east',
+            'client_address': str(self.client),
+            'ready_address': str(addresses.take()),
+            'peer_address': str(addresses.take()),
+            'metrics_address': str(self.metrics),
+            'platform_address': str(platform),
+            'log_successes': 1,
+            **settings,
+        }
+        file = folder / f'{name}.json'
+        file.write_text(json.dumps(all_settings))
+        self._log = folder / f'{name}.log'
+        variables = {**os.environ, ADDRESS_VARIABLE: str(self.client)}
+        command = (sys.executable, '-m', 'cranecart', 'serve', str(file))
+        with self._log.open('wb') as log:
+            self.process = subprocess.Popen(
+                command,
+                stdout=log,
+                env=variables,
+            )
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the complete log lines of an event."""
+        complete_lines, _, _ = self._log.read_text().rpartition('\n')
+        lines = map(json.loads, complete_lines.splitlines())
+        return [line for line in lines if line['event'] == name]
+
+    def started_at(self) -> float | None:
+        """Return the logged time of the node's start, or None before it."""
+        return next(
+            (line['time'] for line in self.events('node_started')), None
+        )
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait()
+
+
+class NodeProcessTestCase(unittest.TestCase):
+    """A test that starts nodes' processes."""
+
+    def setUp(self) -> None:
+        """Create a folder for settings and logs, and reserve addresses."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.addresses = Addresses()
+        self.addCleanup(self.addresses.release)
+
+    def start_node(
+        self, platform: Address, name: str = 'n', **settings: Any
+    ) -> NodeProcess:
+        """Start a node that is killed after the test."""
+        node = NodeProcess(
+            self.folder, self.addresses, platform, name, **settings
+        )
+        self.addCleanup(node.kill)
+        return node
--- a/tests/unit/test_deploy_template.py
+++ b/tests/unit/test_deploy_template.py
@@ -23,6 +23,8 @@
 from cranecart.cli import main
 from cranecart.documents import FindingsError
 from cranecart.exit_codes import ExitCode
+from cranecart.models import ClientLimits
+from cranecart.serving._factories import server_limits
 from cranecart.settings import ServingSettings
 from tests.lib.settings_template import render
 
@@ -120,6 +122,15 @@
             named = attrs.fields(ServingSettings).max_descriptors.default
         self.assertEqual(settings.max_descriptors, named)
 
+    @given(named=_DRAWN)
+    def test_memory(self, named: object) -> None:
+        """Without the platform's value, unread responses are not bounded."""
+        settings = self._read(_fields({}, limits=_named({'memoryMb': named})))
+        is_given = named is not None and named is not _MISSING
+        self.assertEqual(settings.memory_mb, named if is_given else 0)
+        limits = server_limits(settings, ClientLimits())
+        self.assertEqual(limits.unread_bytes is None, not settings.memory_mb)
+
     def test_first_start(self) -> None:
         """It is true only if the platform gives true."""
         for bootstrap, expected in (
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -179,14 +179,23 @@
         case {'streamed': streamed}:
             return _stream_verdict(admitted, streamed)
         case {'answered': answered}:
-            status = answered.get('status', 0)
-            if status >= _MIN_SERVER_ERROR:
-                return Verdict.FAILED, f'status {status} of the target'
-            if answered['after'] > admitted['objective']:
-                return Verdict.LATE, 'answered late'
-            return Verdict.IN_TIME, Verdict.IN_TIME.value
-    cause = 'client left' if 'client_left' in by_event else _UNKNOWN
-    return Verdict.FAILED, cause
+            return _answer_verdict(admitted, answered)
+        case {'client_left': _}:
+            return Verdict.FAILED, 'client left'
+        case {'unread_cut': _}:
+            return Verdict.FAILED, 'cut off unread'
+    return Verdict.FAILED, _UNKNOWN
+
+
+def _answer_verdict(
+    admitted: LogEvent, answered: LogEvent
+) -> tuple[Verdict, str]:
+    status = answered.get('status', 0)
+    if status >= _MIN_SERVER_ERROR:
+        return Verdict.FAILED, f'status {status} of the target'
+    if answered['after'] > admitted['objective']:
+        return Verdict.LATE, 'answered late'
+    return Verdict.IN_TIME, Verdict.IN_TIME.value
 
 
 def _refusal_verdict(refused: LogEvent) -> tuple[Verdict, str]:
