Bound unread responses and hold requests after a freeze only where asked for

Both parts acted on every deployment: every platform names the memory of a node, and a node that was stopped for over three seconds held requests for 0.1 s. The settings now name the platform's features, and the adapter reads from them whether clients may read slowly and whether failure domains may be evacuated. Other deployments have the socket options and the sending path of before.

A kernel without TCP_NOTSENT_LOWAT no longer fails new connections.

--- a/src/cranecart/forwarding/_resume_guard.py
+++ b/src/cranecart/forwarding/_resume_guard.py
@@ -16,15 +16,17 @@
 
     Answers the load that waits in the sockets of a node that was frozen: its
     requests are handled in any order with the news that arrived meanwhile.
-    Without calls of ``record_awake`` nothing is held.
+    Without calls of ``record_awake``, or if it is not enabled, nothing is held.
     """
 
+    _is_enabled: bool = True
+
     _awake_at: float = attrs.field(default=float('inf'), init=False)
     _hold_until: float = attrs.field(default=0, init=False)
 
     def record_awake(self, now: float) -> None:
         """Record that the process runs; called a few times a second."""
-        if now - self._awake_at > _MAX_PAUSE_SECONDS:
+        if self._is_enabled and now - self._awake_at > _MAX_PAUSE_SECONDS:
             self._hold_until = now + _CATCH_UP_SECONDS
         self._awake_at = now
 
--- a/src/cranecart/http/_unread.py
+++ b/src/cranecart/http/_unread.py
@@ -90,7 +90,10 @@
 
     def prepare(self, sock: curio.io.Socket) -> None:
         """Limit what the kernel buffers for a new connection."""
-        if self._limit_bytes() is not None:
+        if self._limit_bytes() is None:
+            return
+        # A kernel without this option only buffers more.
+        with contextlib.suppress(OSError):
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
             )
--- a/src/cranecart/platform/__init__.py
+++ b/src/cranecart/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from cranecart.platform._calls import PlatformCallTranslator
 from cranecart.platform._config_source import OperatorRow, PlatformConfigSource
+from cranecart.platform._features import has_evacuations, has_slow_readers
 from cranecart.platform._orders import PlatformOrders
 from cranecart.platform._store import StoreClient
 from cranecart.platform._tables import PlatformRowSource, PlatformTable
@@ -16,4 +17,6 @@
     'PlatformTable',
     'PlatformTargetList',
     'StoreClient',
+    'has_evacuations',
+    'has_slow_readers',
 )
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from cranecart.fleet import Fleet, mark_leaving
-from cranecart.forwarding import TargetConnectionPool
+from cranecart.forwarding import ResumeGuard, TargetConnectionPool
 from cranecart.http import TARGET_RECEIVE_BYTES, Address, ServerLimits
 from cranecart.mesh import (
     Leaving,
@@ -17,6 +17,7 @@
     sharing_node_count,
 )
 from cranecart.models import ClientLimits
+from cranecart.platform import has_evacuations, has_slow_readers
 from cranecart.ports import Incarnation
 from cranecart.retries import RetryLimits
 from cranecart.settings import ServingSettings
@@ -69,24 +70,34 @@
         connections=max(
             _MIN_CONNECTIONS, int(available_descriptors * _CLIENT_FRACTION)
         ),
-        unread_bytes=(
-            settings.memory_mb * _MEGABYTE * _UNREAD_FRACTION
-            if settings.memory_mb
-            else None
-        ),
+        unread_bytes=_unread_bytes(settings),
     )
 
 
+def make_resume_guard(settings: ServingSettings) -> ResumeGuard:
+    """Return the guard against sending by what was known before a freeze."""
+    return ResumeGuard(has_evacuations(settings.platform_features))
+
+
 def make_target_connections(settings: ServingSettings) -> TargetConnectionPool:
     """Return the pool of connections to targets.
 
     What they receive while a client does not read counts against the memory.
     """
     return TargetConnectionPool(
-        receive_bytes=TARGET_RECEIVE_BYTES if settings.memory_mb else None
+        receive_bytes=(
+            None if _unread_bytes(settings) is None else TARGET_RECEIVE_BYTES
+        )
     )
 
 
+def _unread_bytes(settings: ServingSettings) -> float | None:
+    """Return the bound on memory for unread responses, if there is one."""
+    if settings.memory_mb and has_slow_readers(settings.platform_features):
+        return settings.memory_mb * _MEGABYTE * _UNREAD_FRACTION
+    return None
+
+
 def retry_limits(settings: ServingSettings) -> RetryLimits:
     """Return the limits on retries."""
     return RetryLimits(
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -8,7 +8,6 @@
 from cranecart.demand import DemandMeter
 from cranecart.fleet import Fleet, ReplicaRecord, mark_leaving
 from cranecart.forwarding import (
-    ResumeGuard,
     RoutedCall,
     RoutedGateway,
     Sender,
@@ -33,6 +32,7 @@
 )
 from cranecart.serving._factories import (
     make_mesh,
+    make_resume_guard,
     make_target_connections,
     make_throttle,
     retry_limits,
@@ -71,7 +71,7 @@
         self._live_settings = live_settings
         self._is_stopping = False
         self._suspension_watch = SuspensionWatch()
-        self._resume_guard = ResumeGuard()
+        self._resume_guard = make_resume_guard(settings)
         self._request_statistics = RequestStatistics()
         self._random_source = random.Random()
         self._active_config = ActiveRouteConfig()
