Evacuate a failure domain natively by a command

Nodes on the native protocol had no counterpart to the operator's row.

'cranecart evacuate DOMAIN' and '--end' change one row of the table through the admin interface; the poll of the configuration reads it in the same call, and the gossip repeats it. Selection omits the targets, the clients check once connected, and placement starts nothing there and spreads the declared replicas over the other failure domains.

--- a/src/cranecart/cli/_registry.py
+++ b/src/cranecart/cli/_registry.py
@@ -25,6 +25,9 @@
         'history': CommandInfo('_history', 'list accepted changes'),
         'rollback': CommandInfo('_rollback', 'apply an earlier version again'),
         'status': CommandInfo('_status', 'show nodes, duties and replicas'),
+        'evacuate': CommandInfo(
+            '_evacuate', 'send nothing more to a failure domain'
+        ),
         'explain': CommandInfo('_explain', 'show why a decision was made'),
         'node': CommandInfo('_node', 'run a node'),
         # Takes no flags, so that it starts without loading the flags library.
--- a/src/cranecart/cli/_status.py
+++ b/src/cranecart/cli/_status.py
@@ -26,6 +26,8 @@
         f'{status.node} in {status.failure_domain}: ready {status.ready}, '
         f'version {status.config_version}, {status.in_flight} in flight'
     )
+    for failure_domain in status.evacuated:
+        yield f'evacuated: {failure_domain}'
     for duty, holder in status.duties.items():
         yield f'duty {duty}: {holder or "nobody"}'
     for domain, versions in status.domains.items():
--- a/src/cranecart/declarations/_declarations.py
+++ b/src/cranecart/declarations/_declarations.py
@@ -1,6 +1,8 @@
 """Compiled declarations, which every node receives and applies."""
 
 import enum
+from collections.abc import Collection
+from typing import Self
 
 import attrs
 import msgspec
@@ -51,6 +53,18 @@
         """Return the unique name of this version of the model."""
         return f'{self.name}@{self.version}'
 
+    def outside(self, evacuated: Collection[str]) -> Self:
+        """Return the spec with the replicas in other failure domains only.
+
+        If all are evacuated, the spec stays as it is.
+        """
+        remaining = tuple(
+            domain for domain in self.failure_domains if domain not in evacuated
+        )
+        return attrs.evolve(
+            self, failure_domains=remaining or self.failure_domains
+        )
+
     def replicas_in(self, failure_domain: str) -> int:
         """Return the number of replicas for this failure domain."""
         if failure_domain not in self.failure_domains:
--- a/src/cranecart/fleet/_evacuations.py
+++ b/src/cranecart/fleet/_evacuations.py
@@ -7,7 +7,7 @@
 from cranecart.exceptions import TargetWithdrawnError
 from cranecart.logs import log_decision
 from cranecart.models import Evacuation
-from cranecart.ports import ListedInstance, era_of
+from cranecart.ports import era_of
 
 _NO_VERSION = -1
 
@@ -82,13 +82,13 @@
         """Return whether nothing may be sent to a failure domain's targets."""
         return failure_domain in self._active
 
-    def check_target(self, target: ListedInstance) -> None:
+    def check_target(self, name: str, failure_domain: str) -> None:
         """Raise ``TargetWithdrawnError`` if a selected target was evacuated."""
-        if self.is_evacuated(target.failure_domain):
+        if self.is_evacuated(failure_domain):
             self.withdrawn += 1
             raise TargetWithdrawnError(
-                f'{target.id} is in {target.failure_domain}, which was '
-                'evacuated before the request was sent',
+                f'{name} is in {failure_domain}, which was evacuated before '
+                'the request was sent',
             )
 
     def active(self) -> frozenset[str]:
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -207,7 +207,9 @@
         seconds = self._resume_guard.seconds_to_wait(since_boot())
         if seconds:
             await curio.sleep(seconds)
-        self.router.evacuations.check_target(target.instance)
+        self.router.evacuations.check_target(
+            target.instance.id, target.instance.failure_domain
+        )
         if not self.router.throttle.may_send(target.instance.incarnation):
             # Another response asked for a pause while this attempt waited for
             # a connection.
--- a/src/cranecart/gossip/_entries.py
+++ b/src/cranecart/gossip/_entries.py
@@ -6,6 +6,8 @@
 import attrs
 import msgspec
 
+from cranecart.models import Evacuation
+
 
 class Topic(enum.Enum):
     """What an entry is about.
@@ -32,13 +34,17 @@
 
 @attrs.frozen
 class MemberInfo:
-    """What a node announces about itself."""
+    """What a node announces about itself.
+
+    ``evacuations`` is what it knows of evacuated failure domains.
+    """
 
     address: str
     failure_domain: str
     config_version: int = 0
     config_sha256: str = ''
     stopping: bool = False
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @attrs.frozen
--- a/src/cranecart/http/_pool.py
+++ b/src/cranecart/http/_pool.py
@@ -1,6 +1,7 @@
 """A connection pool, and single exchanges without one."""
 
 from collections import defaultdict
+from collections.abc import Callable
 
 import attrs
 import curio
@@ -54,14 +55,20 @@
             await connection.close()
 
 
+def _no_check() -> None:
+    """Let the request be sent."""
+
+
 async def exchange(
     address: Address,
     request: Request,
     seconds: float,
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    check_connected: Callable[[], object] = _no_check,
 ) -> Response:
     """Send one request on a new connection and return the response.
 
+    ``check_connected`` is called right before sending, and may raise.
     Raise ``ConnectFailedError`` if nothing was sent, ``PeerTimeoutError`` or
     ``ConnectionBrokenError`` if something may have been.
     """
@@ -70,6 +77,7 @@
         min(seconds, connect_timeout_seconds),
     )
     try:
+        check_connected()
         return await curio.timeout_after(
             seconds, _send_and_read, connection, request
         )
--- a/src/cranecart/metrics.py
+++ b/src/cranecart/metrics.py
@@ -14,6 +14,8 @@
     NumberDataPoint,
 )
 
+from cranecart.models import Evacuation
+
 _MILLISECONDS = 1000
 _Point = NumberDataPoint | HistogramDataPoint
 
@@ -80,6 +82,14 @@
         for seconds in first_bytes:
             self.first_token_ms.record(seconds * _MILLISECONDS)
 
+    def set_evacuations(self, evacuations: Iterable[Evacuation]) -> None:
+        """Set what is known of failure domains that are or were evacuated."""
+        for evacuation in evacuations:
+            self.evacuated.set(
+                int(evacuation.is_active),
+                {'failure_domain': evacuation.failure_domain},
+            )
+
     def text(self) -> bytes:
         """Collect all metrics; return them in the text exposition format."""
         collected = self._reader.get_metrics_data()
--- a/src/cranecart/node/_control_plane.py
+++ b/src/cranecart/node/_control_plane.py
@@ -8,11 +8,17 @@
 import curio
 
 from cranecart.claims import Sweeper
+from cranecart.fleet import Evacuations
 from cranecart.leases import Lease
 from cranecart.native import PlatformClient
 from cranecart.operators import AdminInterface, NodeStatus
 from cranecart.placement import Placer
-from cranecart.rollout import ActiveConfig, ConfigHistory, ConfigPoller
+from cranecart.rollout import (
+    ActiveConfig,
+    ConfigHistory,
+    ConfigPoller,
+    EvacuationTable,
+)
 from cranecart.settings import NodeSettings
 from cranecart.signals import raise_first_error
 from cranecart.targets import EngineClient, ReportRegistry
@@ -28,6 +34,7 @@
     _config_poller: ConfigPoller
     _placer: Placer
     _sweeper: Sweeper
+    _evacuation_table: EvacuationTable
 
     @classmethod
     def from_settings(
@@ -37,6 +44,7 @@
         reports: ReportRegistry,
         config: ActiveConfig,
         random_source: random.Random,
+        evacuations: Evacuations,
     ) -> Self:
         """Build the components; nothing runs until ``run``."""
         history = ConfigHistory(platform)
@@ -47,13 +55,25 @@
             platform,
             reports,
             EngineClient(),
+            evacuations,
+        )
+        evacuation_table = EvacuationTable(platform, evacuations)
+        config_poller = ConfigPoller(
+            config, history, platform, random_source, evacuation_table
         )
-        config_poller = ConfigPoller(config, history, platform, random_source)
         sweeper = Sweeper(
             Lease('sweeper', settings.node_id, platform),
             platform,
         )
-        return cls(settings, config, history, config_poller, placer, sweeper)
+        return cls(
+            settings,
+            config,
+            history,
+            config_poller,
+            placer,
+            sweeper,
+            evacuation_table,
+        )
 
     async def run(self) -> None:
         """Run the poller, the placer and the sweeper until cancelled."""
@@ -90,4 +110,5 @@
             is_ready,
             status,
             metrics,
+            self._evacuation_table,
         )
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -73,6 +73,7 @@
             self._reports,
             self._config,
             random_source,
+            self._directory.evacuations,
         )
         self._instances = InstanceListPoller(
             platform, None, self._replace_instances
@@ -96,8 +97,8 @@
                 random_source,
                 policy_from_name(settings.routing_policy),
             ),
-            EngineClient(),
-            ServiceClient(),
+            EngineClient(evacuations=self._directory.evacuations),
+            ServiceClient(self._directory.evacuations),
             ClaimStore(settings.node_id, WriteBatcher(platform)),
             self._admission,
             self._metrics.observe_request,
@@ -189,6 +190,7 @@
         self._metrics.serving_replicas.set(
             len(self._reports.serving_replicas())
         )
+        self._metrics.set_evacuations(self._directory.evacuations.known())
         self._metrics.config_version.set(self._config.release.version)
         return self._metrics.text()
 
@@ -220,4 +222,5 @@
                 self._settings.failure_domain: self._peering.state.versions(),
             },
             self._admission.in_progress,
+            tuple(sorted(self._directory.evacuations.active())),
         )
--- a/src/cranecart/node/_shared_state.py
+++ b/src/cranecart/node/_shared_state.py
@@ -70,10 +70,11 @@
         ticks = 0
         while True:
             self._update_live_nodes(gossip_protocol)
+            self._merge_evacuations()
             self._announce_config()
             self._demand_sharing.publish(gossip_protocol, ticks)
             ticks += 1
-            if ticks % _SUMMARY_INTERVAL_TICKS == 0 and self._is_relay():
+            if self._is_summary_due(ticks) and self._is_relay():
                 self._publish_summary(gossip_protocol, ticks)
             await curio.sleep(_TICK_SECONDS)
 
@@ -99,6 +100,9 @@
             case Topic.SUMMARY:
                 summary = msgspec.convert(entry.body, DomainSummary)
                 self._directory.record_summary(summary)
+                self._directory.evacuations.merge(
+                    summary.evacuations, entry.key.origin
+                )
                 self._demand_sharing.apply_summary(summary)
             case Topic.CASE:
                 update = msgspec.convert(entry.body, CaseUpdate)
@@ -217,9 +221,23 @@
                 self._members.info,
                 config_version=release.version,
                 config_sha256=release.sha256,
+                evacuations=self._directory.evacuations.known(),
             ),
         )
 
+    def _merge_evacuations(self) -> None:
+        for node_id, info in self._members.others().items():
+            if info.evacuations:
+                self._directory.evacuations.merge(info.evacuations, node_id)
+
+    def _is_summary_due(self, ticks: int) -> bool:
+        """Return whether to publish a summary now; at once for evacuations."""
+        published = self._summary.evacuations if self._summary else ()
+        return (
+            ticks % _SUMMARY_INTERVAL_TICKS == 0
+            or self._directory.evacuations.known() != published
+        )
+
     def _is_relay(self) -> bool:
         domain = self._members.info.failure_domain
         chosen = choose_nodes(f'relay/{domain}', self._live_nodes, 1)
--- a/src/cranecart/operators/_admin.py
+++ b/src/cranecart/operators/_admin.py
@@ -20,7 +20,12 @@
 )
 from cranecart.gossip import MemberInfo
 from cranecart.http import Request, Responder, Response, json_response
-from cranecart.rollout import ActiveConfig, ConfigHistory, ConfigPoller
+from cranecart.rollout import (
+    ActiveConfig,
+    ConfigHistory,
+    ConfigPoller,
+    EvacuationTable,
+)
 from cranecart.targets import ServingReplica
 
 _OK = 200
@@ -47,6 +52,7 @@
     nodes: dict[str, MemberInfo]
     domains: dict[str, DomainVersions]
     in_flight: int
+    evacuated: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -60,6 +66,14 @@
     note: str = ''
 
 
+@attrs.frozen
+class EvacuationMessage:
+    """A request to start or end the evacuation of a failure domain."""
+
+    failure_domain: str
+    is_active: bool
+
+
 @attrs.define
 class AdminInterface:
     """Serves operators and monitoring systems."""
@@ -71,6 +85,7 @@
     _is_ready: Callable[[], bool]
     _status: Callable[[], NodeStatus]
     _metrics: Callable[[], bytes]
+    _evacuation_table: EvacuationTable
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request."""
@@ -111,8 +126,10 @@
                 return json_response(_OK, self._status())
             case 'GET', '/v1/changes':
                 return json_response(_OK, await self._history.changes())
-            case 'POST', '/v1/changes':
-                return await self._apply(request)
+            case 'POST', '/v1/changes' | '/v1/evacuations':
+                is_change = path == _CHANGES
+                handle = self._apply if is_change else self._change_evacuation
+                return await handle(request)
             case 'GET', '/v1/declarations':
                 return await self._declarations(request)
         if method == 'GET' and path.startswith(f'{_CHANGES}/'):
@@ -140,6 +157,21 @@
         self._active_config.activate(change.release, encoded)
         return json_response(_OK, change)
 
+    async def _change_evacuation(self, request: Request) -> Response:
+        message = msgspec.json.decode(request.body, type=EvacuationMessage)
+        declarations = self._active_config.declarations()
+        declared = declarations.failure_domains if declarations else ()
+        # An evacuation of a domain that was removed since can still be ended.
+        if message.is_active and message.failure_domain not in declared:
+            raise ValueError(
+                f'{message.failure_domain!r} is none of the declared failure '
+                f'domains: {", ".join(declared)}'
+            )
+        evacuation = await self._evacuation_table.change(
+            message.failure_domain, message.is_active
+        )
+        return json_response(_OK, evacuation)
+
     async def _declarations(self, request: Request) -> Response:
         version = request.query.get('version')
         if version is None:
--- a/src/cranecart/operators/_client.py
+++ b/src/cranecart/operators/_client.py
@@ -16,7 +16,12 @@
     WriteUnknownError,
 )
 from cranecart.http import Address, Request, Response, exchange
-from cranecart.operators._admin import ApplyMessage, NodeStatus
+from cranecart.models import Evacuation
+from cranecart.operators._admin import (
+    ApplyMessage,
+    EvacuationMessage,
+    NodeStatus,
+)
 from cranecart.rollout import Change
 
 Message = TypeVar('Message')
@@ -53,6 +58,19 @@
         query = '' if version is None else f'?version={version}'
         return await self._get(f'/v1/declarations{query}', DeclaredVersion)
 
+    async def change_evacuation(
+        self, failure_domain: str, is_active: bool
+    ) -> Evacuation:
+        """Start or end an evacuation; it may be repeated without harm."""
+        message = EvacuationMessage(failure_domain, is_active)
+        request = Request(
+            'POST',
+            '/v1/evacuations',
+            self._headers(),
+            msgspec.json.encode(message),
+        )
+        return _decode(await self._exchange(request), Evacuation)
+
     async def apply(
         self,
         declarations: Declarations,
--- a/src/cranecart/placement/_placer.py
+++ b/src/cranecart/placement/_placer.py
@@ -12,6 +12,7 @@
     PlatformError,
     TargetError,
 )
+from cranecart.fleet import Evacuations
 from cranecart.instances import Instance, InstanceKind
 from cranecart.leases import Lease
 from cranecart.logs import log_decision
@@ -39,6 +40,7 @@
     _platform: PlatformClient
     _reports: ReportRegistry
     _engines: EngineClient
+    _evacuations: Evacuations
     _stopped: bool = attrs.field(default=False, init=False)
     _renewed_at: float = attrs.field(default=float('-inf'), init=False)
     _refusing_since: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -88,14 +90,19 @@
         declarations: Declarations,
         rows: PlacementRows,
     ) -> DomainState:
+        evacuated = self._evacuations.active()
+        is_evacuated = self.failure_domain in evacuated
         state = DomainState(
             self.failure_domain,
-            declarations.models,
+            declarations.models
+            if is_evacuated
+            else tuple(spec.outside(evacuated) for spec in declarations.models),
             rows.decoded(),
             {name: row.value for name, row in rows.owners.items()},
             self._local_engines(),
             self._reports.fresh_reports(),
             self._reports.lost_instances(),
+            is_evacuated=is_evacuated,
         )
         return attrs.evolve(state, quiesced=self._quiesced(state))
 
--- a/src/cranecart/placement/_plan.py
+++ b/src/cranecart/placement/_plan.py
@@ -50,7 +50,10 @@
 
 
 def plan_orders(state: DomainState) -> list[Order]:
-    """Return the orders that make instances follow the rows."""
+    """Return the orders that make instances follow the rows.
+
+    In an evacuated failure domain, no instance is ordered to join a replica.
+    """
     member_rows: dict[str, ReplicaRow] = {}
     for row in state.ordered_rows():
         member_rows.update(dict.fromkeys(row.members, row))
@@ -59,6 +62,7 @@
         for name in sorted(state.instances)
         if name in state.reports
         and not _matches(state.reports[name], member_rows.get(name))
+        and (not state.is_evacuated or not _is_joining(member_rows.get(name)))
     ]
 
 
@@ -73,6 +77,10 @@
     ) == (row.id, row.generation, row.members, row.retiring)
 
 
+def _is_joining(row: ReplicaRow | None) -> bool:
+    return row is not None and not row.retiring
+
+
 def _create_missing(
     state: DomainState,
     spec: ModelSpec,
@@ -144,7 +152,9 @@
     is_loading = is_growing or not all(map(state.is_ready, current))
     if missing <= 0:
         yield from old
-    elif not is_loading and not any(row.retiring for row in rows):
+    elif is_loading or state.is_evacuated:
+        return
+    elif not any(row.retiring for row in rows):
         yield from old[: max(1, len(old) - missing)]
 
 
--- a/src/cranecart/placement/_repair.py
+++ b/src/cranecart/placement/_repair.py
@@ -29,7 +29,7 @@
     drained = all(state.is_drained(row, member) for member in leaving)
     if gone or (leaving and drained):
         return _replace(row, [*gone, *leaving], free)
-    if _is_broken(state, row):
+    if _is_broken(state, row) and not state.is_evacuated:
         return ReplaceMembers(
             row,
             attrs.evolve(row, generation=row.generation + 1),
--- a/src/cranecart/placement/_state.py
+++ b/src/cranecart/placement/_state.py
@@ -15,7 +15,8 @@
     ``instances`` holds only the domain's engines; ``reports`` holds recent
     reports only; ``lost`` names instances that have not answered for so long
     that they are considered dead; ``quiesced`` names instances that have
-    refused requests for so long that all nodes have learned of it.
+    refused requests for so long that all nodes have learned of it. While the
+    domain ``is_evacuated``, nothing is created or repaired there.
     """
 
     failure_domain: str
@@ -26,6 +27,7 @@
     reports: Mapping[str, MemberReport]
     lost: frozenset[str] = frozenset()
     quiesced: frozenset[str] = frozenset()
+    is_evacuated: bool = False
 
     def ordered_rows(self) -> list[ReplicaRow]:
         """Return the rows by id, so that equal states give equal plans."""
@@ -59,11 +61,14 @@
     def is_free(self, instance_id: str) -> bool:
         """Return whether an instance may join a replica.
 
-        It must have reported that it has left its earlier replica.
+        It must have reported that it has left its earlier replica. No instance
+        is free in an evacuated failure domain.
         """
         report = self.reports.get(instance_id)
         if report is None or report.state is not MemberState.IDLE:
             return False
+        if self.is_evacuated:
+            return False
         if report.replica or instance_id in self.owners:
             return False
         return not self.is_gone(instance_id) and not self.is_leaving(
--- a/src/cranecart/rollout/_history.py
+++ b/src/cranecart/rollout/_history.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from collections.abc import Mapping
 
 import attrs
 import msgspec
@@ -46,7 +47,11 @@
 
     async def head(self) -> Change | None:
         """Return the newest change; raise ``PlatformError``."""
-        row = await self._head_row()
+        return self.head_in(await self._platform.read_keys([HEAD_KEY]))
+
+    def head_in(self, rows: Mapping[str, Row]) -> Change | None:
+        """Return the newest change in rows that include the head's."""
+        row = rows.get(HEAD_KEY)
         return _decode(row) if row else None
 
     async def changes(self) -> list[Change]:
--- a/src/cranecart/rollout/_poller.py
+++ b/src/cranecart/rollout/_poller.py
@@ -9,7 +9,11 @@
 from cranecart.exceptions import PlatformError
 from cranecart.native import PlatformClient
 from cranecart.rollout._active_config import ActiveConfig, Release
-from cranecart.rollout._history import ConfigHistory
+from cranecart.rollout._evacuation_table import (
+    EVACUATIONS_KEY,
+    EvacuationTable,
+)
+from cranecart.rollout._history import HEAD_KEY, ConfigHistory
 
 _LOG = logging.getLogger(__name__)
 _POLL_INTERVAL_SECONDS = 2.0
@@ -18,12 +22,16 @@
 
 @attrs.define
 class ConfigPoller:
-    """Polls the head of the history and fetches newer releases."""
+    """Polls the head of the history and fetches newer releases.
+
+    The same read shows the evacuations.
+    """
 
     _active_config: ActiveConfig
     _history: ConfigHistory
     _platform: PlatformClient
     _random: random.Random
+    _evacuation_table: EvacuationTable
 
     async def run(self) -> None:
         """Poll until cancelled; keep the active release during outages."""
@@ -39,7 +47,9 @@
 
     async def poll(self) -> None:
         """Fetch and activate the newest release; raise ``PlatformError``."""
-        head = await self._history.head()
+        rows = await self._platform.read_keys([HEAD_KEY, EVACUATIONS_KEY])
+        self._evacuation_table.apply(rows.get(EVACUATIONS_KEY))
+        head = self._history.head_in(rows)
         if head is not None:
             await self.fetch(head.release)
 
--- a/src/cranecart/serving/_endpoints.py
+++ b/src/cranecart/serving/_endpoints.py
@@ -89,11 +89,7 @@
         for name, number in self._counters().items():
             metrics.control.set(number, {'what': name})
         metrics.serving_replicas.set(len(list(self._fleet.all_heads())))
-        for evacuation in self._fleet.evacuations.known():
-            metrics.evacuated.set(
-                int(evacuation.is_active),
-                {'failure_domain': evacuation.failure_domain},
-            )
+        metrics.set_evacuations(self._fleet.evacuations.known())
         config = self._config.current()
         metrics.config_version.set(config.version if config else 0)
         await responder.send(Response(_OK, body=metrics.text()))
--- a/src/cranecart/targets/_directory.py
+++ b/src/cranecart/targets/_directory.py
@@ -9,7 +9,9 @@
 
 from cranecart.clocks import since_boot
 from cranecart.declarations import DomainVersions
+from cranecart.fleet import Evacuations
 from cranecart.instances import Instance
+from cranecart.models import Evacuation
 from cranecart.targets._complete_replicas import ServingReplica
 from cranecart.targets._report_registry import ReportRegistry
 
@@ -25,7 +27,8 @@
 
     ``replicas`` and ``services`` are a few targets for calls from other
     domains, ``versions`` the domain's configuration versions, ``demand`` the
-    recent peak of concurrent calls by organisation.
+    recent peak of concurrent calls by organisation, ``evacuations`` what is
+    known of failure domains that are or were evacuated.
     """
 
     failure_domain: str
@@ -33,15 +36,20 @@
     services: tuple[Instance, ...] = ()
     versions: DomainVersions | None = None
     demand: Mapping[str, int] = attrs.field(factory=dict)
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @attrs.define
 class TargetDirectory:
-    """All targets that a node can send calls to."""
+    """All targets that a node can send calls to.
+
+    Those in evacuated failure domains are omitted.
+    """
 
     failure_domain: str
     reports: ReportRegistry
     _clock: Callable[[], float] = since_boot
+    evacuations: Evacuations = attrs.field(factory=Evacuations, init=False)
     _summaries: dict[str, tuple[float, DomainSummary]] = attrs.field(
         factory=dict,
         init=False,
@@ -56,20 +64,24 @@
     def replicas(self) -> list[ServingReplica]:
         """Return the complete replicas, those of other domains last."""
         remote = (summary.replicas for summary in self._fresh())
-        return [
-            *self.reports.serving_replicas(),
-            *itertools.chain.from_iterable(remote),
-        ]
+        return self._not_evacuated(
+            (
+                *self.reports.serving_replicas(),
+                *itertools.chain.from_iterable(remote),
+            )
+        )
 
     def services(self, name: str) -> list[Instance]:
         """Return the instances of a plain service, local ones first."""
         remote = itertools.chain.from_iterable(
             summary.services for summary in self._fresh()
         )
-        return [
-            *self.reports.service_instances(name),
-            *(instance for instance in remote if instance.service == name),
-        ]
+        return self._not_evacuated(
+            (
+                *self.reports.service_instances(name),
+                *(instance for instance in remote if instance.service == name),
+            )
+        )
 
     def service_ids(self) -> list[str]:
         """Return the ids of all service instances that take requests."""
@@ -108,6 +120,7 @@
             tuple(_first_per_name(local, attrgetter('service'))),
             versions,
             demand or {},
+            self.evacuations.known(),
         )
 
     def versions_by_domain(self) -> dict[str, DomainVersions]:
@@ -118,6 +131,13 @@
             if summary.versions is not None
         }
 
+    def _not_evacuated(self, targets: Iterable[TargetT]) -> list[TargetT]:
+        return [
+            target
+            for target in targets
+            if not self.evacuations.is_evacuated(target.failure_domain)
+        ]
+
     def _fresh(self) -> list[DomainSummary]:
         now = self._clock()
         return [
--- a/src/cranecart/targets/_engine.py
+++ b/src/cranecart/targets/_engine.py
@@ -17,6 +17,7 @@
     TargetTimeoutError,
     TargetUnreachableError,
 )
+from cranecart.fleet import Evacuations
 from cranecart.http import (
     HttpConnection,
     HttpConnectionPool,
@@ -122,6 +123,7 @@
     """Sends orders and completions; reports failures as ``TargetError``."""
 
     pool: HttpConnectionPool = attrs.field(factory=HttpConnectionPool)
+    _evacuations: Evacuations = attrs.field(factory=Evacuations)
 
     async def send_order(
         self,
@@ -164,6 +166,7 @@
         except ConnectFailedError as error:
             raise TargetUnreachableError(str(error)) from error
         try:
+            self._evacuations.check_target(replica.id, replica.failure_domain)
             head = await curio.timeout_after(
                 call.seconds_left,
                 _send_and_read_head,
--- a/src/cranecart/targets/_service.py
+++ b/src/cranecart/targets/_service.py
@@ -12,6 +12,7 @@
     TargetTimeoutError,
     TargetUnreachableError,
 )
+from cranecart.fleet import Evacuations
 from cranecart.http import Request, Response, exchange
 from cranecart.instances import Instance
 from cranecart.targets._calls import ServiceCall
@@ -21,12 +22,14 @@
 
 @attrs.frozen
 class ServiceClient:
-    """Sends each call on a new connection.
+    """Sends each call on a new connection, unless its target is evacuated.
 
     Responses to earlier calls cannot arrive on it, and a failure to connect
     means that the call was not run.
     """
 
+    _evacuations: Evacuations = attrs.field(factory=Evacuations)
+
     async def call(self, instance: Instance, call: ServiceCall) -> Response:
         """Return the response; raise ``TargetError`` with its execution."""
         request = Request(
@@ -43,6 +46,9 @@
                 instance.address,
                 request,
                 call.seconds_left,
+                check_connected=lambda: self._evacuations.check_target(
+                    instance.id, instance.failure_domain
+                ),
             )
         except ConnectFailedError as error:
             raise TargetUnreachableError(str(error)) from error
