Do not take clients that do not read for a stall of their replica

A stream that waits for its client reads nothing from its replica. Two such streams made is_stalled return true, so that new requests avoided the replica and those waiting for their first event there were given up and sent again. The detector now leaves a begun stream out while its events are being written.

The new test fails without the change.

--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -116,7 +116,8 @@
             activity.record_event()
             complete = self.splitter.feed(chunk)
             if complete:
-                await self._responder.write(complete)
+                with activity.exclude():
+                    await self._responder.write(complete)
                 self._record_gap(self.timing.record_event())
 
     def _record_gap(self, gap: float | None) -> None:
--- a/src/cranecart/http/_unread.py
+++ b/src/cranecart/http/_unread.py
@@ -83,6 +83,11 @@
     cut_count: int = attrs.field(default=0, init=False)
     _unread: dict[UnreadResponse, None] = attrs.field(factory=dict, init=False)
 
+    @property
+    def response_count(self) -> int:
+        """Return the number of responses that are unread now."""
+        return len(self._unread)
+
     @property
     def held_bytes(self) -> int:
         """Return how much memory is held for all unread responses, at most."""
--- a/src/cranecart/routing/_stalls.py
+++ b/src/cranecart/routing/_stalls.py
@@ -49,7 +49,7 @@
             yield stream
         finally:
             if stream.has_started:
-                self._remove_stream(key)
+                self.remove_stream(key)
 
     def record_event(self, key: Hashable, is_first: bool) -> None:
         """Record an event on a stream of a replica."""
@@ -63,7 +63,8 @@
         silence = self._clock() - self._last_event_at[key]
         return silence > _STALL_FACTOR * self._stall_seconds(model)
 
-    def _remove_stream(self, key: Hashable) -> None:
+    def remove_stream(self, key: Hashable) -> None:
+        """Record that a begun stream has ended or is not read at present."""
         self._active_streams[key] -= 1
         if self._active_streams[key] <= 0:
             self._active_streams.pop(key)
@@ -82,3 +83,16 @@
         """Record that the stream has delivered an event."""
         self._detector.record_event(self._key, not self.has_started)
         self.has_started = True
+
+    @contextlib.contextmanager
+    def exclude(self) -> Generator[None, None, None]:
+        """Exclude the begun stream while its events are sent to the client.
+
+        Nothing is read from the replica meanwhile. If the client does not read,
+        the silence would otherwise be taken for a stall of the replica.
+        """
+        self._detector.remove_stream(self._key)
+        try:
+            yield
+        finally:
+            self._detector.record_event(self._key, is_first=True)
--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -1,9 +1,13 @@
 """Stalled replicas and unreachable targets."""
 
 import contextlib
+import itertools
 import time
 import unittest
 
+import curio
+
+from cranecart.http import HttpConnection, ServerLimits
 from cranecart.ports import Incarnation
 from cranecart.routing import OutlierEjection, RoutingRequest
 from cranecart.routing._stalls import StallDetector
@@ -13,7 +17,9 @@
     MODEL,
     Exchange,
     GatewayTestbed,
+    client_request,
 )
+from tests.lib.waiting import until
 
 # Clearly longer than the silence that is tolerated by default.
 _STALL_SECONDS = 0.3
@@ -89,6 +95,32 @@
         self.assertEqual(chosen, {testbed.targets[1].name})
 
 
+class UnreadStreamsTest(unittest.TestCase):
+    """A replica that sends to clients that do not read."""
+
+    def test_replica_is_not_stalled(self) -> None:
+        """Otherwise requests that are read avoid it or are moved away."""
+        testbed = GatewayTestbed(_send_without_end)
+        # Without a limit the kernel would accept megabytes first.
+        testbed.server.limits = ServerLimits(unread_bytes=10_000_000)
+        curio.run(testbed.run, self._stop_reading)
+
+    async def _stop_reading(self, testbed: GatewayTestbed) -> None:
+        clients = [
+            await HttpConnection.open(testbed.server.address) for _ in range(2)
+        ]
+        for number, client in enumerate(clients):
+            request = client_request('/stream/', request_id=f'r{number}')
+            await client.send(request)
+        unread = testbed.server.unread
+        await until(lambda: unread.response_count == len(clients))
+        # Unread for at least 0.5 s by then.
+        target = Incarnation(testbed.targets[0].name)
+        self.assertFalse(testbed.router.stalls.is_stalled(target, MODEL))
+        for client in clients:
+            await client.close()
+
+
 class UnreachableTargetTest(unittest.TestCase):
     """A failure domain is cut off while its targets are still listed."""
 
@@ -106,5 +138,11 @@
         self.id = name
 
 
+async def _send_without_end(exchange: Exchange) -> None:
+    await exchange.start_stream()
+    for number in itertools.count(1):
+        await exchange.chunk(b'id: %d\ndata: %b\n\n' % (number, bytes(8000)))
+
+
 async def _never_called(_exchange: Exchange) -> None:
     """Serve as a target that receives no request."""
