End a stream that is unread when its request's deadline passes

A write to a client that does not read had no timeout, so its request counted as load of its target for as long as the client kept the connection open, also after the target had cut the response off. With memory_mb it is now cut off at the request's deadline, at which reading from the target ends too. Without memory_mb nothing changes.

--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -104,9 +104,10 @@
         answer: TargetAnswer,
         activity: StreamActivity,
     ) -> None:
+        call = self._attempts.call
         limits = self._first_event_limits()
         while chunk := await self._sender.read_with_limits(
-            self._attempts.call,
+            call,
             target,
             limits,
             answer.connection.read_chunk,
@@ -117,7 +118,7 @@
             complete = self.splitter.feed(chunk)
             if complete:
                 with activity.exclude():
-                    await self._responder.write(complete)
+                    await self._responder.write(complete, call.seconds_left)
                 self._record_gap(self.timing.record_event())
 
     def _record_gap(self, gap: float | None) -> None:
--- a/src/cranecart/http/_responder.py
+++ b/src/cranecart/http/_responder.py
@@ -71,11 +71,17 @@
         """Send the head of a response whose body follows in chunks."""
         await self._write(self._head(status, headers))
 
-    async def write(self, chunk: bytes) -> None:
-        """Send a chunk of the body, without a timeout of its own."""
+    async def write(
+        self, chunk: bytes, seconds_left: float | None = None
+    ) -> None:
+        """Send a chunk of the body, without a timeout of its own.
+
+        If the memory for unread responses is bounded, the response is cut off
+        if it is unread when ``seconds_left`` have passed.
+        """
         encoded = self._connection.send(h11.Data(data=chunk))
         try:
-            await self._transmit(encoded)
+            await self._transmit(encoded, seconds_left)
         except OSError as error:
             raise ConnectionBrokenError('the client disconnected') from error
 
@@ -94,8 +100,12 @@
         except OSError:
             return
 
-    async def _transmit(self, encoded: bytes) -> None:
-        await self._unread.send_all(self._sock, encoded, self._note_cut)
+    async def _transmit(
+        self, encoded: bytes, seconds_left: float | None = None
+    ) -> None:
+        await self._unread.send_all(
+            self._sock, encoded, self._note_cut, seconds_left
+        )
 
     def _note_cut(self, unread_seconds: float) -> None:
         self.unread_seconds = unread_seconds
--- a/src/cranecart/http/_unread.py
+++ b/src/cranecart/http/_unread.py
@@ -39,13 +39,15 @@
     """A response whose client does not read.
 
     ``since`` is when the client last accepted bytes, ``size`` the number of
-    bytes to write. ``note_cut`` is called with the seconds unread if it is cut.
+    bytes to write, ``ends_at`` when nobody waits for it any more. ``note_cut``
+    is called with the seconds unread if it is cut.
     """
 
     since: float
     size: int
     sock: curio.io.Socket
     note_cut: Callable[[float], None]
+    ends_at: float = float('inf')
 
     @property
     def held_bytes(self) -> int:
@@ -105,11 +107,20 @@
         sock: curio.io.Socket,
         encoded: bytes,
         note_cut: Callable[[float], None],
+        seconds_left: float | None = None,
     ) -> None:
-        """Send bytes; raise ``OSError`` if the client left or was cut off."""
+        """Send bytes; raise ``OSError`` if the client left or was cut off.
+
+        With a limit, a response that is unread when ``seconds_left`` have
+        passed is cut off too.
+        """
         if self._limit_bytes() is None:
             await sock.sendall(encoded)
             return
+        started = since_boot()
+        ends_at = (
+            float('inf') if seconds_left is None else started + seconds_left
+        )
         unsent = memoryview(encoded)
         while unsent:
             try:
@@ -118,7 +129,11 @@
                 )
             except TaskTimeout:
                 response = UnreadResponse(
-                    since_boot() - _UNREAD_SECONDS, len(encoded), sock, note_cut
+                    since_boot() - _UNREAD_SECONDS,
+                    len(encoded),
+                    sock,
+                    note_cut,
+                    ends_at,
                 )
                 count = await self._send_unread(response, unsent)
             unsent = unsent[count:]
@@ -129,22 +144,31 @@
         self._unread[response] = None
         try:
             await self._enforce_limit()
-            count: int = await response.sock.send(unsent)
+            count: int = await curio.timeout_after(
+                max(0, response.ends_at - since_boot()),
+                response.sock.send,
+                unsent,
+            )
+        except TaskTimeout as error:
+            await self._cut(response)
+            raise BrokenPipeError('unread until its deadline') from error
         finally:
             self._unread.pop(response, None)
         return count
 
     async def _enforce_limit(self) -> None:
         limit = self._limit_bytes()
-        if limit is None:
-            return
-        for response in list(responses_to_cut(self._unread, limit)):
-            self._unread.pop(response)
-            self.cut_count += 1
-            response.note_cut(since_boot() - response.since)
-            # Its task fails to send, and closes the connection.
-            with contextlib.suppress(OSError):
-                response.sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-                await response.sock.shutdown(socket.SHUT_RDWR)
+        if limit is not None:
+            for response in list(responses_to_cut(self._unread, limit)):
+                await self._cut(response)
+
+    async def _cut(self, response: UnreadResponse) -> None:
+        """Reset a response's connection, which makes its task fail to send."""
+        self._unread.pop(response, None)
+        self.cut_count += 1
+        response.note_cut(since_boot() - response.since)
+        with contextlib.suppress(OSError):
+            response.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            await response.sock.shutdown(socket.SHUT_RDWR)
--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -98,12 +98,18 @@
 class UnreadStreamsTest(unittest.TestCase):
     """A replica that sends to clients that do not read."""
 
+    def setUp(self) -> None:
+        """Limit the kernel, which would accept megabytes otherwise."""
+        self.testbed = GatewayTestbed(_send_without_end)
+        self.testbed.server.limits = ServerLimits(unread_bytes=10_000_000)
+
     def test_replica_is_not_stalled(self) -> None:
         """Otherwise requests that are read avoid it or are moved away."""
-        testbed = GatewayTestbed(_send_without_end)
-        # Without a limit the kernel would accept megabytes first.
-        testbed.server.limits = ServerLimits(unread_bytes=10_000_000)
-        curio.run(testbed.run, self._stop_reading)
+        curio.run(self.testbed.run, self._stop_reading)
+
+    def test_replica_is_released_at_the_deadline(self) -> None:
+        """Otherwise it counts as loaded for as long as the client stays."""
+        curio.run(self.testbed.run, self._outlast_deadline)
 
     async def _stop_reading(self, testbed: GatewayTestbed) -> None:
         clients = [
@@ -120,6 +126,15 @@
         for client in clients:
             await client.close()
 
+    async def _outlast_deadline(self, testbed: GatewayTestbed) -> None:
+        client = await HttpConnection.open(testbed.server.address)
+        await client.send(client_request('/stream/', deadline_ms=1500))
+        name = testbed.targets[0].name
+        await until(lambda: testbed.router.load(name))
+        await until(lambda: not testbed.router.load(name))
+        self.assertEqual(testbed.server.unread.cut_count, 1)
+        await client.close()
+
 
 class UnreachableTargetTest(unittest.TestCase):
     """A failure domain is cut off while its targets are still listed."""
