--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -1,9 +1,13 @@
 """Stalled replicas and unreachable targets."""
 
 import contextlib
+import itertools
 import time
 import unittest
 
+import curio
+
+from cranecart.http import HttpConnection, ServerLimits
 from cranecart.ports import Incarnation
 from cranecart.routing import OutlierEjection, RoutingRequest
 from cranecart.routing._stalls import StallDetector
@@ -13,7 +17,9 @@
     MODEL,
     Exchange,
     GatewayTestbed,
+    client_request,
 )
+from tests.lib.waiting import until
 
 # Clearly longer than the silence that is tolerated by default.
 _STALL_SECONDS = 0.3
@@ -89,6 +95,47 @@
         self.assertEqual(chosen, {testbed.targets[1].name})
 
 
+class UnreadStreamsTest(unittest.TestCase):
+    """A replica that sends to clients that do not read."""
+
+    def setUp(self) -> None:
+        """Limit the kernel, which would accept megabytes otherwise."""
+        self.testbed = GatewayTestbed(_send_without_end)
+        self.testbed.server.limits = ServerLimits(unread_bytes=10_000_000)
+
+    def test_replica_is_not_stalled(self) -> None:
+        """Otherwise requests that are read avoid it or are moved away."""
+        curio.run(self.testbed.run, self._stop_reading)
+
+    def test_replica_is_released_at_the_deadline(self) -> None:
+        """Otherwise it counts as loaded for as long as the client stays."""
+        curio.run(self.testbed.run, self._outlast_deadline)
+
+    async def _stop_reading(self, testbed: GatewayTestbed) -> None:
+        clients = [
+            await HttpConnection.open(testbed.server.address) for _ in range(2)
+        ]
+        for number, client in enumerate(clients):
+            request = client_request('/stream/', request_id=f'r{number}')
+            await client.send(request)
+        unread = testbed.server.unread
+        await until(lambda: unread.response_count == len(clients))
+        # Unread for at least 0.5 s by then.
+        target = Incarnation(testbed.targets[0].name)
+        self.assertFalse(testbed.router.stalls.is_stalled(target, MODEL))
+        for client in clients:
+            await client.close()
+
+    async def _outlast_deadline(self, testbed: GatewayTestbed) -> None:
+        client = await HttpConnection.open(testbed.server.address)
+        await client.send(client_request('/stream/', deadline_ms=1500))
+        name = testbed.targets[0].name
+        await until(lambda: testbed.router.load(name))
+        await until(lambda: not testbed.router.load(name))
+        self.assertEqual(testbed.server.unread.cut_count, 1)
+        await client.close()
+
+
 class UnreachableTargetTest(unittest.TestCase):
     """A failure domain is cut off while its targets are still listed."""
 
@@ -106,5 +153,11 @@
         self.id = name
 
 
+async def _send_without_end(exchange: Exchange) -> None:
+    await exchange.start_stream()
+    for number in itertools.count(1):
+        await exchange.chunk(b'id: %d\ndata: %b\n\n' % (number, bytes(8000)))
+
+
 async def _never_called(_exchange: Exchange) -> None:
     """Serve as a target that receives no request."""
