Release requests that missed their objective last after a start

Requests that waited for a node's start were released in any order, so that late ones took slots from those that could still be on time. Those that have missed their objective by then now go after all others that waited.

--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -34,7 +34,7 @@
             'this node has not received a configuration yet',
             retry_after=_STARTUP_RETRY_AFTER_SECONDS,
         )
-    route = config.route(facts.host, _path(request.target))
+    route = find_route(request, facts, config)
     if route is None:
         raise NotFoundError(f'no route matches {request.target!r}')
     holder = _find_key_holder(config, route, facts)
@@ -55,6 +55,13 @@
     )
 
 
+def find_route(
+    request: Request, facts: RequestInfo, config: RouteConfig
+) -> Route | None:
+    """Return the route of a request, if any."""
+    return config.route(facts.host, _path(request.target))
+
+
 def _path(target: str) -> str:
     try:
         return urlsplit(target).path
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -16,7 +16,7 @@
     OutcomeUnknownError,
     RequestError,
 )
-from cranecart.forwarding._admit import admit
+from cranecart.forwarding._admit import admit, find_route
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._buffered import BufferedExchange
 from cranecart.forwarding._call import RoutedCall
@@ -26,6 +26,7 @@
 from cranecart.http import Request, Responder
 from cranecart.logs import RequestTrace
 from cranecart.models import RouteConfig
+from cranecart.ports import RequestInfo
 from cranecart.quarantine import RequestGuard
 from cranecart.retries import SharedRetryBudget
 
@@ -96,7 +97,10 @@
         try:
             facts = self._sender.translator.read_request(request)
             trace.request_id = facts.request_id
-            await self._startup_gate.wait(facts.deadline_seconds)
+            await self._startup_gate.wait(
+                facts.deadline_seconds,
+                lambda: self._is_late(request, facts, started),
+            )
             call = self._with_retry_time(
                 admit(
                     request,
@@ -127,6 +131,17 @@
             self._observe(outcome, responder.seconds_to_first_byte(started))
             self._write_trace(trace, outcome)
 
+    def _is_late(
+        self, request: Request, facts: RequestInfo, started: float
+    ) -> bool:
+        """Return whether a request has missed its objective already."""
+        config = self._current_config()
+        if config is None:
+            return False
+        route = find_route(request, facts, config)
+        elapsed = since_boot() - started
+        return route is not None and elapsed > route.objective_seconds
+
     def _with_retry_time(self, call: RoutedCall) -> RoutedCall:
         """Add how long the client has been retrying a refused request."""
         retrying_for = self._returns.elapsed_seconds(
--- a/src/cranecart/forwarding/_startup.py
+++ b/src/cranecart/forwarding/_startup.py
@@ -35,16 +35,26 @@
     _is_informed: Callable[[], bool] = attrs.field(default=lambda: True)
     _clock: Callable[[], float] = since_boot
     _started_at: float = attrs.field(init=False)
+    _waiting_count: int = attrs.field(default=0, init=False)
 
-    async def wait(self, deadline_seconds: float | None) -> None:
-        """Return once the node is informed or the longest wait is over."""
-        wait_until = self._started_at + _MAX_WAIT_SECONDS
-        if deadline_seconds is not None:
-            wait_until = min(
-                wait_until,
-                self._clock() + _MAX_DEADLINE_FRACTION * deadline_seconds,
-            )
-        while not self._is_informed() and self._clock() < wait_until:
+    async def wait(
+        self,
+        deadline_seconds: float | None,
+        is_late: Callable[[], bool] = bool,
+    ) -> None:
+        """Return once the node is informed or the longest wait is over.
+
+        Of the requests that waited, those that miss their objective already
+        (``is_late``, asked at the end) return after all others.
+        """
+        if self._is_informed():
+            return
+        self._waiting_count += 1
+        try:
+            await self._wait_until_informed(deadline_seconds)
+        finally:
+            self._waiting_count -= 1
+        while is_late() and self._waiting_count and self._is_informed():
             await curio.sleep(_POLL_SECONDS)
 
     def error_for_client(self, error: RequestError) -> RequestError:
@@ -60,6 +70,18 @@
             retry_after=_RETRY_AFTER_SECONDS,
         )
 
+    async def _wait_until_informed(
+        self, deadline_seconds: float | None
+    ) -> None:
+        wait_until = self._started_at + _MAX_WAIT_SECONDS
+        if deadline_seconds is not None:
+            wait_until = min(
+                wait_until,
+                self._clock() + _MAX_DEADLINE_FRACTION * deadline_seconds,
+            )
+        while not self._is_informed() and self._clock() < wait_until:
+            await curio.sleep(_POLL_SECONDS)
+
     @_started_at.default
     def _now(self) -> float:
         return self._clock()
--- a/tests/unit/test_startup_gate.py
+++ b/tests/unit/test_startup_gate.py
@@ -48,6 +48,12 @@
         self.assertTrue(node.is_informed())
         self.assertLess(node.now, 0.45)
 
+    def test_late_requests_are_released_last(self) -> None:
+        """Slots went to requests that had missed their objective already."""
+        released: list[str] = []
+        curio.run(self._release, _gate(_Node(informed_at=0.4)), released)
+        self.assertEqual(sorted(released[:2]), ['in time', 'in time, too'])
+
     def test_informed_node_does_not_wait(self) -> None:
         """It lets every request through at once."""
         node = _Node(informed_at=0)
@@ -81,3 +87,12 @@
         self.assertIs(informed.error_for_client(error), error)
         overloaded = OverloadedError('full')
         self.assertIs(uninformed.error_for_client(overloaded), overloaded)
+
+    async def _release(self, gate: StartupGate, released: list[str]) -> None:
+        async def wait(name: str) -> None:  # noqa: WPS430
+            await gate.wait(6, lambda: name == 'late')
+            released.append(name)
+
+        async with curio.TaskGroup() as tasks:
+            for name in ('late', 'in time', 'late', 'in time, too'):
+                await tasks.spawn(wait, name)
