Divide the capacity of a model that is short by rank and organisation

Slots went by arrival: the less urgent class has the longer objective, so that it was in time at any queue and filled it.

Nodes publish the load that arrives at them while a model is short, and plan by it: more urgent ranks first, within a rank max-min shares of organisations, within those by a token of the request's id. What exceeds its share gets spare slots only, or is refused at once.

--- a/src/cranecart/dispatch/__init__.py
+++ b/src/cranecart/dispatch/__init__.py
@@ -10,9 +10,14 @@
 )
 from cranecart.dispatch._decision import Refuse, Send, decide
 from cranecart.dispatch._forecast_errors import ForecastErrors
-from cranecart.dispatch._inputs import DispatchRequest, ReplicaState
+from cranecart.dispatch._inputs import (
+    Admission,
+    DispatchRequest,
+    ReplicaState,
+)
 
 __all__ = (
+    'Admission',
     'DispatchRequest',
     'ForecastErrors',
     'Refuse',
--- a/src/cranecart/dispatch/_decision.py
+++ b/src/cranecart/dispatch/_decision.py
@@ -12,7 +12,11 @@
 import attrs
 
 from cranecart.dispatch._forecast import forecast
-from cranecart.dispatch._inputs import DispatchRequest, ReplicaState
+from cranecart.dispatch._inputs import (
+    Admission,
+    DispatchRequest,
+    ReplicaState,
+)
 
 # The fraction of the objective by which a replica in another failure domain
 # must be faster to be chosen: traffic between failure domains costs money, and
@@ -30,6 +34,10 @@
 # waiting.
 _MAX_WAIT_FRACTION = 0.8
 _REFUSED_MAX_WAIT_FRACTION = 1.0
+# A request beyond its share is sent only to a replica with fewer than this part
+# of its slots in use. The rest is for admitted requests, which would otherwise
+# wait for a slot: a stream keeps it for two seconds.
+_SPARE_SLOT_FRACTION = 0.75
 
 
 @attrs.frozen
@@ -43,6 +51,7 @@
     name: str
     forecast_seconds: float
     is_deferred: bool = False
+    is_beyond_share: bool = False
 
 
 @attrs.frozen
@@ -50,9 +59,11 @@
     """Refuse the request.
 
     ``excess_seconds`` is by how much the forecast exceeds the accepted wait.
+    A request that ``is_beyond_share`` was refused by the admission plan.
     """
 
     excess_seconds: float
+    is_beyond_share: bool = False
 
 
 def decide(
@@ -63,6 +74,8 @@
     There must be at least one replica. They come in an order that was drawn at
     random for this request.
     """
+    if request.admission is Admission.BEYOND_SHARE and not request.is_resumed:
+        return _use_free_slot(request, replicas)
     for candidates in (_sample(replicas), replicas):
         best, seconds = _fastest(request, candidates, deferred=False)
         if seconds <= request.objective_seconds:
@@ -81,6 +94,28 @@
     return Refuse(excess)
 
 
+def _use_free_slot(
+    request: DispatchRequest, replicas: Sequence[ReplicaState]
+) -> Send | Refuse:
+    """Send to a replica with a free slot, behind all other requests.
+
+    So no slot stays empty where the plan or the measured load is wrong.
+    """
+    slots = request.engine.slots
+    free = [
+        replica
+        for replica in replicas
+        if replica.in_flight + replica.deferred < _SPARE_SLOT_FRACTION * slots
+    ]
+    if free:
+        best, seconds = _fastest(request, free, deferred=True)
+        if seconds <= request.max_wait_seconds:
+            return Send(
+                best.name, seconds, is_deferred=True, is_beyond_share=True
+            )
+    return Refuse(0, is_beyond_share=True)
+
+
 def _sample(replicas: Sequence[ReplicaState]) -> Sequence[ReplicaState]:
     local = [replica for replica in replicas if replica.is_local]
     remote = [replica for replica in replicas if not replica.is_local]
--- a/src/cranecart/dispatch/_forecast.py
+++ b/src/cranecart/dispatch/_forecast.py
@@ -30,5 +30,9 @@
     prefill += _FIRST_EVENT_PASSES * timing.pass_seconds(active)
     # A full replica completes one request per completion interval.
     queued = max(0, ahead + 1 - slots)
+    if not deferred:
+        # Engines admit more urgent ranks first, but in any case one request has
+        # to be completed before this one is admitted.
+        queued = max(min(queued, 1), queued - replica.less_urgent)
     waiting = queued * request.completion_interval
     return prefill * request.model.pace + waiting + replica.error_seconds
--- a/src/cranecart/dispatch/_inputs.py
+++ b/src/cranecart/dispatch/_inputs.py
@@ -1,5 +1,7 @@
 """Inputs of the dispatch decision: a request and its candidate replicas."""
 
+import enum
+
 import attrs
 
 from cranecart.models import EngineModel, EngineProfile, Route
@@ -12,6 +14,17 @@
 _WAIT_PAUSES = 8.0
 
 
+class Admission(enum.Enum):
+    """What the admission plan of a model that is short says of a request."""
+
+    # The model is not short.
+    UNPLANNED = 'unplanned'
+    ADMITTED = 'admitted'
+    # Beyond the share of its rank or organisation: served only by a slot that
+    # nobody else waits for.
+    BEYOND_SHARE = 'beyond share'
+
+
 @attrs.frozen
 class ReplicaState:
     """The estimated state of one replica.
@@ -19,7 +32,8 @@
     ``in_flight`` counts the requests of all nodes at the replica, ``deferred``
     those that this node has queued there behind all others. ``error_seconds``
     is by how much recent first events were later than forecast. ``is_local``
-    is whether the replica is in the node's failure domain.
+    is whether the replica is in the node's failure domain. ``less_urgent``
+    counts those in flight that have a less urgent rank than the request.
     """
 
     name: str
@@ -27,6 +41,7 @@
     deferred: int = 0
     error_seconds: float = 0
     is_local: bool = True
+    less_urgent: int = 0
 
 
 @attrs.frozen
@@ -49,6 +64,7 @@
     completion_interval: float
     was_refused: bool = False
     is_resumed: bool = False
+    admission: Admission = Admission.UNPLANNED
 
     @property
     def objective_seconds(self) -> float:
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -7,6 +7,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.http import Request
+from cranecart.load_shedding import request_token
 from cranecart.logs import RequestTrace
 from cranecart.models import Route, RouteConfig
 from cranecart.ports import RequestInfo
@@ -88,6 +89,8 @@
         tried,
         passed_over,
         call.rank,
+        call.organisation,
+        request_token(call.request_id),
     )
 
 
--- /dev/null
+++ b/src/cranecart/load_shedding/_plan.py
@@ -0,0 +1,168 @@
+"""Plan which part of each kind of request a model that is short admits.
+
+The load it answers: all requests of a model together need more replicas than
+there are, for seconds. Admitted by arrival order, requests with a long latency
+objective fill the queue and those with a short one are refused, whatever their
+rank, and an organisation that sends five times its usual load takes most
+slots.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from cranecart.load_shedding._offered import OTHERS, OfferedLoad
+
+# The least urgent rank is admitted at least this many times as often as all
+# requests together. Requests of the less urgent class cost half as much, so
+# without it a class is refused almost whole to serve few of the other.
+_RANK_FLOOR_FRACTION = 0.7
+# The same for an organisation within its rank. Users require a quarter; the
+# rest allows for the error of the measured loads.
+_ORGANISATION_FLOOR_FRACTION = 0.3
+_BISECTION_STEPS = 40
+
+# A rank and an organisation.
+_Kind = tuple[int, str]
+
+
+@attrs.frozen
+class AdmissionPlan:
+    """The fraction of requests to admit, by rank and organisation.
+
+    ``offered`` and ``capacity`` are in replicas. ``_rank_fractions`` are those
+    of a rank as a whole, for organisations that were not reported, and
+    ``_admitted`` is the admitted load of each rank.
+    """
+
+    offered: float
+    capacity: float
+    _fractions: Mapping[_Kind, float]
+    _rank_fractions: Mapping[int, float]
+    _admitted: Mapping[int, float]
+
+    def fraction(self, rank: int, organisation: str) -> float:
+        """Return the fraction of requests that are admitted."""
+        of_rank = self._rank_fractions.get(rank, 1)
+        of_others = self._fractions.get((rank, OTHERS), of_rank)
+        return self._fractions.get((rank, organisation), of_others)
+
+    def admits(self, rank: int, organisation: str, token: float) -> bool:
+        """Return whether the request with this token is admitted."""
+        return token < self.fraction(rank, organisation)
+
+    def less_urgent_fraction(self, rank: int) -> float:
+        """Return the part of the admitted load that has a less urgent rank."""
+        total = sum(self._admitted.values())
+        less_urgent = sum(
+            load for other, load in self._admitted.items() if other > rank
+        )
+        return less_urgent / total if total else 0
+
+
+@attrs.frozen
+class _Demand:
+    """The load of an organisation; ``size`` is that of each of several."""
+
+    organisation: str
+    load: float
+    size: float
+
+    def fraction(self, share: float, floor: float) -> float:
+        """Return the admitted fraction if each organisation gets a share."""
+        return max(floor, min(1, share / self.size))
+
+
+def plan_admission(
+    offered: Mapping[OfferedLoad, float], capacity: float
+) -> AdmissionPlan:
+    """Divide a model's capacity among the offered loads.
+
+    More urgent ranks come first; within a rank, organisations get max-min fair
+    shares. ``capacity`` is in replicas, the loads in replica-seconds a second.
+    """
+    ranks = _by_rank(offered)
+    granted = _divide_by_rank(
+        {rank: sum(loads.values()) for rank, loads in ranks.items()}, capacity
+    )
+    fractions = {
+        (rank, organisation): fraction
+        for rank, loads in ranks.items()
+        for organisation, fraction in _fair_fractions(
+            loads, granted[rank]
+        ).items()
+    }
+    rank_fractions = {
+        rank: min(1, grant / sum(ranks[rank].values()))
+        for rank, grant in granted.items()
+    }
+    return AdmissionPlan(
+        sum(offered.values()), capacity, fractions, rank_fractions, granted
+    )
+
+
+def _by_rank(
+    offered: Mapping[OfferedLoad, float],
+) -> dict[int, dict[str, float]]:
+    ranks: dict[int, dict[str, float]] = defaultdict(dict)
+    for key, load in offered.items():
+        if load > 0:
+            ranks[key.rank][key.organisation] = load
+    return ranks
+
+
+def _divide_by_rank(
+    loads: Mapping[int, float], capacity: float
+) -> dict[int, float]:
+    """Grant capacity to the most urgent ranks first, and a floor to each."""
+    total = sum(loads.values())
+    floor = _RANK_FLOOR_FRACTION * min(1, capacity / total) if total else 0
+    remaining = max(0, min(capacity, total))
+    reserved = floor * total
+    granted: dict[int, float] = {}
+    for rank, load in sorted(loads.items()):
+        reserved -= floor * load
+        granted[rank] = max(0, min(load, remaining - reserved))
+        remaining -= granted[rank]
+    return granted
+
+
+def _fair_fractions(
+    loads: Mapping[str, float], granted: float
+) -> dict[str, float]:
+    """Return the admitted fraction of each organisation's load.
+
+    ``OTHERS`` stands for organisations that each offer at most as much as the
+    smallest listed one.
+    """
+    total = sum(loads.values())
+    if granted >= total:
+        return dict.fromkeys(loads, 1)
+    listed = [load for name, load in loads.items() if name != OTHERS]
+    demands = tuple(
+        _Demand(name, load, min((load, *listed)) if name == OTHERS else load)
+        for name, load in loads.items()
+    )
+    floor = _ORGANISATION_FLOOR_FRACTION * granted / total
+    share = _fair_share(demands, floor, granted)
+    return {
+        demand.organisation: demand.fraction(share, floor) for demand in demands
+    }
+
+
+def _fair_share(
+    demands: Sequence[_Demand], floor: float, granted: float
+) -> float:
+    """Return the load up to which each organisation is admitted."""
+    low, high = float(0), max(demand.size for demand in demands)
+    for _step in range(_BISECTION_STEPS):
+        share = (low + high) / 2
+        admitted = sum(
+            demand.load * demand.fraction(share, floor) for demand in demands
+        )
+        if admitted > granted:
+            high = share
+        else:
+            low = share
+    return low
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -145,6 +145,8 @@
         peer = PeerNode(beat.address, beat.failure_domain)
         self._state.roster.add(beat.sender, peer)
         self._state.peer_state.record_beat(beat)
+        if beat.offered:
+            self._callbacks.on_offered(beat)
 
     def _handle_digest(self, digest: Digest, now: float) -> None:
         domain = digest.summary.failure_domain
@@ -156,6 +158,8 @@
             self._state.peer_state.record_digest(digest)
             for name, address in digest.summary.relays.items():
                 self._add_relay(name, PeerNode(address, domain))
+            if digest.summary.offered:
+                self._callbacks.on_offered(digest.summary)
         self._handle_repeated_stops(digest.summary.recent_stops)
         for age, summary in zip(
             digest.summary_ages, digest.other_summaries, strict=False
@@ -170,6 +174,8 @@
         self._state.roster.enable_relays()
         if summary.failure_domain != self._state.local.failure_domain:
             self._state.peer_state.record_summary(summary, made_at)
+            if summary.offered:
+                self._callbacks.on_offered(summary)
         self._handle_repeated_stops(summary.recent_stops)
 
     def _handle_repeated_stops(self, stops: list[Stopped]) -> None:
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -1,6 +1,7 @@
 """Send this node's beats and, on a relay, digests and summaries."""
 
 import attrs
+import msgspec
 
 from cranecart.mesh._messages import (
     Beat,
@@ -51,6 +52,7 @@
             local.demand,
             self._state.stop_notices.to_repeat(),
             self._state.roster.uses_relays,
+            local.offered,
         )
 
     def send_beat(self, *, include_silent: bool) -> None:
@@ -139,6 +141,7 @@
 
     def _build_digest(self, beats: list[Beat], summary: Summary) -> Digest:
         now = self._state.clock()
+        remote_offered = self._state.local.remote_offered
         remote_summaries = [
             received
             for domain, received in self._state.peer_state.summaries().items()
@@ -149,7 +152,15 @@
             summary,
             [beat.sender for beat in beats],
             [round(now - received.made_at, 3) for received in remote_summaries],
-            [received.summary for received in remote_summaries],
+            [
+                msgspec.structs.replace(
+                    received.summary,
+                    offered=remote_offered.get(
+                        received.summary.failure_domain, {}
+                    ),
+                )
+                for received in remote_summaries
+            ],
         )
 
     def _build_summary(self, beats: list[Beat]) -> Summary:
@@ -185,4 +196,5 @@
             },
             dict(totals.demand),
             own_beat.recent_stops,
+            self._state.local.domain_offered,
         )
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -6,7 +6,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import SourceUpdate
-from cranecart.mesh._messages import Stopped, Suspect
+from cranecart.mesh._messages import Beat, Stopped, Summary, Suspect
 from cranecart.mesh._peer_state import PeerState
 from cranecart.mesh._roster import Roster
 from cranecart.mesh._stop_notices import StopNotices
@@ -20,6 +20,10 @@
 from cranecart.ports import ListedInstance, Row
 
 
+def _ignore_offered(_message: Beat | Summary) -> None:
+    """Ignore the load of other nodes, where capacity is not planned."""
+
+
 @attrs.define
 class LocalState:
     """The state of this node that each beat announces.
@@ -27,7 +31,9 @@
     ``requests`` counts those received since the start; ``placer_domain`` is the
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
-    that clients ask for, by model.
+    that clients ask for, by model. ``offered`` is the load that arrives here,
+    ``domain_offered`` that of the failure domain, and ``remote_offered`` what
+    was heard of other failure domains since the last beat.
     """
 
     node_id: str
@@ -38,6 +44,9 @@
     stopping: bool = False
     source_versions: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
+    offered: dict[str, float] = attrs.field(factory=dict)
+    domain_offered: dict[str, float] = attrs.field(factory=dict)
+    remote_offered: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -60,6 +69,7 @@
     on_broken: Callable[[Broken], None]
     on_limits: Callable[[TargetLimits], None]
     on_leaving: Callable[[Leaving], object]
+    on_offered: Callable[[Beat | Summary], None] = _ignore_offered
 
 
 @attrs.define
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+from collections import defaultdict
 from collections.abc import Mapping
 
 import attrs
@@ -152,6 +153,21 @@
         """Return the organisation to which a key belongs, if any."""
         return self._holders_by_digest.get(hash_key(key))
 
+    def divides_capacity(self, service: str) -> bool:
+        """Return whether a service's requests differ in rank or organisation.
+
+        Only then has a shortage to be divided between them.
+        """
+        return bool(self.holders) or len(self._ranks[service]) > 1
+
+    @functools.cached_property
+    def _ranks(self) -> Mapping[str, set[int]]:
+        ranks: dict[str, set[int]] = defaultdict(set)
+        for route in self.routes:
+            for share in route.shares:
+                ranks[share.service].add(route.rank)
+        return ranks
+
     @functools.cached_property
     def _routes_by_host_and_prefix(self) -> Mapping[tuple[str, str], Route]:
         return {
--- a/src/cranecart/routing/_request.py
+++ b/src/cranecart/routing/_request.py
@@ -15,7 +15,8 @@
     ``was_refused`` is whether that was refused, and ``is_resumed`` marks a
     stream that continues after its replica failed. ``tried`` targets are
     excluded; those that are ``avoided`` are used only if there are no others.
-    Smaller ranks are more urgent.
+    Smaller ranks are more urgent. ``token`` decides whether the request is
+    among those of its organisation that a model that is short admits.
     """
 
     config: RouteConfig
@@ -30,6 +31,8 @@
     tried: Collection[str] = ()
     avoided: Collection[str] = ()
     rank: int = 0
+    organisation: str = ''
+    token: float = 0
 
     @property
     def engine(self) -> EngineProfile | None:
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -32,6 +32,12 @@
 from cranecart.routing._event_gaps import EventGapTracker
 from cranecart.routing._in_flight import InFlightCounts, Target
 from cranecart.routing._request import RoutingRequest
+from cranecart.routing._shortage import (
+    PlannedAdmission,
+    ShortageControl,
+    choice_reason,
+    overloaded_error,
+)
 from cranecart.routing._stalls import StallDetector
 from cranecart.throttling import TargetThrottle
 
@@ -79,6 +85,13 @@
     forecast_errors: ForecastErrors = attrs.field(
         factory=ForecastErrors, init=False
     )
+    shortage: ShortageControl = attrs.field(
+        default=attrs.Factory(
+            lambda router: ShortageControl(router._failure_domain),
+            takes_self=True,
+        ),
+        init=False,
+    )
     _ejection: OutlierEjection = attrs.field(
         factory=functools.partial(
             OutlierEjection, key=operator.attrgetter('incarnation')
@@ -223,6 +236,7 @@
             head.id: head
             for head in self._without_unhealthy(available, request)
         }
+        planned = self.shortage.admission(request, len(eligible), self._clock())
         dispatch_request = DispatchRequest(
             request.route,
             engine,
@@ -233,28 +247,23 @@
             self._completion_interval(request.model),
             request.was_refused,
             request.is_resumed,
+            planned.admission,
         )
         states = [
-            self._replica_state(target, request) for target in heads.values()
+            self._replica_state(target, request, planned)
+            for target in heads.values()
         ]
         choice = decide(dispatch_request, states)
+        self.shortage.record(request, choice, self._clock())
         if isinstance(choice, Refuse):
-            raise OverloadedError(
-                f'a slot is expected {choice.excess_seconds:.2f} s after '
-                'the client gives up',
-                retry_after=_retry_after(
-                    self._random, request, choice.excess_seconds
-                ),
-            )
+            raise overloaded_error(request, choice, planned, self._random)
         head = heads[choice.name]
         self.throttle.record_sent(head.incarnation)
         return Target(
             head.head,
             head.replica_epoch,
             self.load(head.id),
-            'deferred: too late for its objective'
-            if choice.is_deferred
-            else 'in time',
+            choice_reason(request, choice, planned),
             self._clock(),
             choice.forecast_seconds,
             self._forecast_error(head.incarnation, request.model),
@@ -283,14 +292,19 @@
         return _eligible(heads, request)
 
     def _replica_state(
-        self, head: ServingHead, request: RoutingRequest
+        self,
+        head: ServingHead,
+        request: RoutingRequest,
+        planned: PlannedAdmission,
     ) -> ReplicaState:
+        load = self.load(head.id)
         return ReplicaState(
             head.id,
-            self.load(head.id),
+            load,
             self._in_flight.deferred[head.id],
             self._forecast_error(head.incarnation, request.model),
             head.head.failure_domain == self._failure_domain,
+            planned.less_urgent(request.rank, load),
         )
 
     def _forecast_error(self, incarnation: Incarnation, model: str) -> float:
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -5,10 +5,8 @@
 import curio
 
 from cranecart.clocks import SuspensionWatch, since_boot
-from cranecart.demand import DemandMeter
 from cranecart.fleet import Fleet, ReplicaRecord, mark_leaving
 from cranecart.forwarding import (
-    RoutedCall,
     RoutedGateway,
     Sender,
     StartupGate,
@@ -38,6 +36,7 @@
     server_limits,
 )
 from cranecart.serving._followers import PlatformFollowers, RowDispatcher
+from cranecart.serving._node_demand import NodeDemand
 from cranecart.serving._node_registration import NodeRegistration
 from cranecart.serving._placer_host import PlacerDependencies, PlacerHost
 from cranecart.serving._platform_adapters import PlatformAdapters
@@ -74,7 +73,6 @@
         self._random_source = random.Random()
         self._active_config = ActiveRouteConfig()
         self._fleet = Fleet()
-        self._demand_meter = DemandMeter()
         self._platform_adapters = PlatformAdapters.from_settings(settings)
         self._registration = NodeRegistration(
             settings, self._platform_adapters.table
@@ -83,7 +81,7 @@
             self._fleet,
             self._random_source,
             lambda name: self._mesh.in_flight_elsewhere(name),
-            self._demand_meter.mean_seconds,
+            lambda model: self._node_demand.mean_seconds(model),
             settings.failure_domain,
             report_broken=lambda incarnation: self._mesh.publish(
                 Broken(settings.node_id, incarnation.id, incarnation.born),
@@ -92,6 +90,7 @@
                 settings.node_id, self._fleet, lambda: self._mesh
             ),
         )
+        self._node_demand = NodeDemand(self._router.shortage.exchange)
         self._mesh = self._make_mesh()
         self._quarantine = NodeQuarantine.for_node(
             settings.node_id,
@@ -193,6 +192,7 @@
             lambda message: mark_leaving(
                 self._fleet, message.incarnation, message.sender
             ),
+            self._node_demand.receive,
         )
         return make_mesh(self._live_settings.current, callbacks)
 
@@ -212,8 +212,8 @@
             self._random_source,
             self._request_statistics.observe_request,
             lambda: self._live_settings.current.log_successes,
-            self._record_demand,
-            self._record_work,
+            self._node_demand.record_request,
+            self._node_demand.record_work,
             StartupGate(self._is_informed),
         )
 
@@ -221,23 +221,6 @@
         self._mesh.local.requests += 1
         await self._gateway.handle(request, responder)
 
-    def _record_demand(self, call: RoutedCall) -> None:
-        if call.facts.model:
-            self._demand_meter.record_request(call.facts.model)
-
-    def _record_work(self, call: RoutedCall, events: int) -> None:
-        facts = call.facts
-        engine = call.config.engine(call.service)
-        model = None if engine is None else engine.model(facts.model)
-        if engine is None or model is None:
-            return
-        work = engine.timing.work_seconds(
-            events,
-            facts.prompt_tokens,
-            engine.slots,
-        )
-        self._demand_meter.record_work(facts.model, work * model.pace)
-
     async def _run_housekeeping(self) -> None:
         iteration = 0
         while True:
@@ -266,10 +249,7 @@
             )
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
-        self._mesh.local.demand = {
-            model: round(replicas, 3)
-            for model, replicas in self._demand_meter.by_model().items()
-        }
+        self._node_demand.update(self._mesh.local)
 
     def _reload(self) -> None:
         if self._live_settings.reload('requested by a signal'):
@@ -321,6 +301,7 @@
             'log_lines_dropped': self._log_queue.dropped,
             'liveness_checks': self._placer_host.liveness_check_count,
             **self._router.throttle.counts(),
+            **self._router.shortage.counts(),
         }
 
     def _is_informed(self) -> bool:
--- a/src/cranecart/simulation/__init__.py
+++ b/src/cranecart/simulation/__init__.py
@@ -5,6 +5,12 @@
 measured ones.
 """
 
+from cranecart.simulation._admission import (
+    ForecastByRank,
+    OccupancyLevels,
+    PlannedAdmission,
+    ReportRelay,
+)
 from cranecart.simulation._engine import Engine, SimulatedRequest
 from cranecart.simulation._policies import (
     FewestInFlight,
@@ -20,10 +26,14 @@
     'Burst',
     'Engine',
     'FewestInFlight',
+    'ForecastByRank',
     'ForecastPolicy',
+    'OccupancyLevels',
     'Outcome',
+    'PlannedAdmission',
     'Policy',
     'ReplicaCrash',
+    'ReportRelay',
     'Result',
     'SimulatedRequest',
     'Simulation',
--- a/src/cranecart/simulation/_engine.py
+++ b/src/cranecart/simulation/_engine.py
@@ -20,6 +20,8 @@
 
     ``first_sent_at`` is the time of the client's first attempt, ``arrived_at``
     that of this attempt. ``events`` is the number of events left to emit.
+    ``token`` is that of the request's id. A client that ``is_impatient`` retries
+    at once, up to three times, whatever time it is told.
     """
 
     route: Route
@@ -34,6 +36,14 @@
     last_event_at: float = 0
     longest_pause: float = 0
     is_done: bool = False
+    organisation: str = ''
+    token: float = 0
+    is_impatient: bool = False
+    refusals: int = 0
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return how long the client will still wait."""
+        return self.route.timeout_seconds - (now - self.first_sent_at)
 
     def record_event(self, now: float) -> None:
         """Record that an event was emitted."""
--- a/src/cranecart/simulation/_policies.py
+++ b/src/cranecart/simulation/_policies.py
@@ -115,36 +115,23 @@
         now: float,
     ) -> Send | Refuse:
         """Return the gateway's decision."""
-        remaining = request.route.timeout_seconds - (
-            now - request.first_sent_at
-        )
-        dispatch_request = DispatchRequest(
-            request.route,
-            engines[0].profile,
-            request.model,
-            request.prompt_tokens,
-            now - request.first_sent_at,
-            remaining,
-            self._service_seconds[request.model.name],
-            request.is_retry,
-            request.first_event_at is not None,
-        )
+        dispatch_request = self._dispatch_request(request, engines, now)
         states = [
             ReplicaState(
                 engine.name,
                 in_flight.get(engine.name, 0),
                 deferred.get(engine.name, 0),
                 self._errors.expected(engine.name, request.model.name, now),
+                less_urgent=self._less_urgent(
+                    request, in_flight.get(engine.name, 0)
+                ),
             )
             for engine in engines
         ]
         self._random.shuffle(states)
         decision = decide(dispatch_request, states)
         if isinstance(decision, Refuse):
-            drawn = self._random.random()
-            return Refuse(
-                spread_retry_after(decision.excess_seconds, remaining, drawn)
-            )
+            return self._refusal(request, decision, now)
         return decision
 
     def record_first_event(
@@ -162,3 +149,37 @@
         self._errors.record(
             name, model, seconds - decision.forecast_seconds + expected, now
         )
+
+    def _refusal(
+        self, request: SimulatedRequest, refusal: Refuse, now: float
+    ) -> Refuse:
+        """Return a refusal with the retry time of the client."""
+        return Refuse(
+            spread_retry_after(
+                refusal.excess_seconds,
+                request.remaining_seconds(now),
+                self._random.random(),
+            )
+        )
+
+    def _less_urgent(self, request: SimulatedRequest, in_flight: int) -> int:
+        """Return how many requests at a replica this one passes."""
+        return 0
+
+    def _dispatch_request(
+        self,
+        request: SimulatedRequest,
+        engines: Sequence[Engine],
+        now: float,
+    ) -> DispatchRequest:
+        return DispatchRequest(
+            request.route,
+            engines[0].profile,
+            request.model,
+            request.prompt_tokens,
+            now - request.first_sent_at,
+            request.remaining_seconds(now),
+            self._service_seconds[request.model.name],
+            request.is_retry,
+            request.first_event_at is not None,
+        )
--- a/src/cranecart/simulation/_result.py
+++ b/src/cranecart/simulation/_result.py
@@ -25,10 +25,12 @@
     """Number of requests by model and outcome."""
 
     counts: Counter[tuple[str, Outcome]] = attrs.field(factory=Counter)
+    requests: list[tuple[SimulatedRequest, Outcome]] = attrs.field(factory=list)
 
     def record(self, request: SimulatedRequest, outcome: Outcome) -> None:
         """Count a request with an outcome."""
         self.counts[request.model.name, outcome] += 1
+        self.requests.append((request, outcome))
 
     def record_answered(self, request: SimulatedRequest) -> None:
         """Count an answered request as in time or late."""
--- a/src/cranecart/simulation/_simulation.py
+++ b/src/cranecart/simulation/_simulation.py
@@ -25,6 +25,11 @@
 _MIN_CLIENT_TIMEOUT_SECONDS = 2.0
 # Retry time for clients while a model has no replica.
 _NO_REPLICA_RETRY_SECONDS = 0.6
+# Clients honour a retry time of up to a third of their remaining time, and give
+# up if it is longer.
+_MAX_RETRY_FRACTION = 1 / 3
+_IMPATIENT_RETRIES = 3
+_IMPATIENT_RETRY_SECONDS = 0.02
 
 # Time, sequence number for events at the same time, and callback.
 _Event = tuple[float, int, Callable[[], None]]
@@ -72,6 +77,7 @@
         self._engines = list(engines)
         self._nodes = [_Node(policy) for policy in policies]
         self._shares_counts = shares_counts
+        self._shared_counts = Counter[str]()
         self._assignments: dict[SimulatedRequest, _Assignment] = {}
         self._now = float(0)
         self._numbers = itertools.count()
@@ -102,8 +108,10 @@
         heapq.heappush(self._events, (when, next(self._numbers), callback))
 
     def _exchange_counts(self) -> None:
+        self._shared_counts = Counter()
         for node in self._nodes:
             node.shared_counts = node.in_flight.copy()
+            self._shared_counts.update(node.shared_counts)
         self._schedule(self._now + _HEARTBEAT_SECONDS, self._exchange_counts)
 
     def _arrive(self, request: SimulatedRequest) -> None:
@@ -138,19 +146,16 @@
     def _known_in_flight(self, node: _Node) -> Counter[str]:
         """Return the in-flight counts that a node has received or made."""
         in_flight = node.in_flight.copy()
-        if self._shares_counts:
-            for other in self._nodes:
-                if other is not node:
-                    in_flight.update(other.shared_counts)
+        in_flight.update(self._shared_counts)
+        in_flight.subtract(node.shared_counts)
         return in_flight
 
     def _send(self, request: SimulatedRequest, assignment: _Assignment) -> None:
         self._assignments[request] = assignment
         assignment.counter()[assignment.engine.name] += 1
-        assignment.engine.enqueue(
-            request,
-            _DEFERRED_RANK if assignment.log_decision.is_deferred else 0,
-        )
+        is_deferred = assignment.log_decision.is_deferred
+        penalty = _DEFERRED_RANK if is_deferred else 0
+        assignment.engine.enqueue(request, request.route.rank + penalty)
         self._begin_pass(assignment.engine)
         if request.first_event_at is None:
             timeout = max(
@@ -162,7 +167,20 @@
             )
 
     def _refuse(self, request: SimulatedRequest, seconds: float) -> None:
-        if request.is_retry or request.first_event_at is not None:
+        request.refusals += 1
+        if request.is_impatient and request.refusals <= _IMPATIENT_RETRIES:
+            self._schedule(
+                self._now + _IMPATIENT_RETRY_SECONDS,
+                lambda: self._arrive(request),
+            )
+            return
+        remaining = request.remaining_seconds(self._now)
+        if (
+            request.is_retry
+            or request.is_impatient
+            or request.first_event_at is not None
+            or seconds > _MAX_RETRY_FRACTION * remaining
+        ):
             self._finish(request, Outcome.REFUSED)
             return
         request.is_retry = True
--- a/src/cranecart/simulation/_workload.py
+++ b/src/cranecart/simulation/_workload.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import attrs
 
@@ -34,7 +34,11 @@
 
 @attrs.frozen
 class Workload:
-    """Requests of one kind: rate per second, mean sizes, and bursts."""
+    """Requests of one kind: rate per second, mean sizes, and bursts.
+
+    ``organisations`` has the weight of each organisation's requests, and
+    ``impatient_fraction`` is the part of the clients that retry at once.
+    """
 
     route: Route
     model: EngineModel
@@ -42,6 +46,8 @@
     prompt_tokens: float
     events: float
     bursts: tuple[Burst, ...] = ()
+    organisations: Mapping[str, float] = attrs.field(factory=dict)
+    impatient_fraction: float = 0
 
     def arrivals(
         self,
@@ -56,7 +62,7 @@
         now = rng.expovariate(peak_rate)
         while now < seconds:
             if rng.random() * peak_rate < self._rate_at(now):
-                yield SimulatedRequest(
+                request = SimulatedRequest(
                     self.route,
                     self.model,
                     rng.randrange(nodes),
@@ -65,8 +71,21 @@
                     _draw_size(rng, self.prompt_tokens),
                     _draw_size(rng, self.events),
                 )
+                self._draw_client(rng, request)
+                yield request
             now += rng.expovariate(peak_rate)
 
+    def _draw_client(
+        self, rng: random.Random, request: SimulatedRequest
+    ) -> None:
+        if self.organisations:
+            request.organisation = rng.choices(
+                list(self.organisations), list(self.organisations.values())
+            )[0]
+        if self.impatient_fraction:
+            request.is_impatient = rng.random() < self.impatient_fraction
+        request.token = rng.random()
+
     def _rate_at(self, now: float) -> float:
         factors = (
             burst.factor
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -7,13 +7,16 @@
 
 import attrs
 
+from cranecart.load_shedding import LoadExchange
 from cranecart.mesh import (
+    Beat,
     LocalState,
     Mesh,
     MeshCallbacks,
     MeshMessage,
     PeerNode,
     Stopped,
+    Summary,
     decode_mesh_message,
     encode_mesh_message,
 )
@@ -167,6 +170,7 @@
     limits: list[LimitUpdate]
     leaving: set[str]
     cluster: SimulatedCluster
+    exchange: LoadExchange
 
     @classmethod
     def in_cluster(
@@ -182,6 +186,8 @@
         broken: set[str] = set()
         limits: list[LimitUpdate] = []
         leaving: set[str] = set()
+        exchange = LoadExchange(domain)
+        local = LocalState(name, name, domain)
         callbacks = MeshCallbacks(
             lambda message: stopped.add(message.replica),
             _ignore_suspect,
@@ -193,13 +199,13 @@
             lambda: in_flight,
             lambda: configs[-1] if configs else None,
             configs.append,
-            lambda: None,
+            lambda: _update_offered(local, exchange, cluster.now),
             lambda message: broken.add(message.instance),
             lambda message: limits.extend(message.limits),
             lambda message: leaving.add(message.instance),
+            lambda message: _receive_offered(exchange, message, cluster.now),
         )
         transport = SimulatedTransport(cluster, name)
-        local = LocalState(name, name, domain)
         mesh = Mesh(local, transport, callbacks, lambda: cluster.now)
         return cls(
             mesh,
@@ -215,6 +221,7 @@
             limits,
             leaving,
             cluster,
+            exchange,
         )
 
     @property
@@ -239,3 +246,23 @@
 
 def _ignore(_update: object) -> None:
     """Ignore updates."""
+
+
+def _update_offered(
+    local: LocalState, exchange: LoadExchange, now: float
+) -> None:
+    local.offered = exchange.local_report(now)
+    local.domain_offered = exchange.domain_report(now)
+    local.remote_offered = exchange.take_unforwarded()
+
+
+def _receive_offered(
+    exchange: LoadExchange, message: Beat | Summary, now: float
+) -> None:
+    exchange.receive(
+        message.sender,
+        message.failure_domain,
+        message.offered,
+        now,
+        is_summary=isinstance(message, Summary),
+    )
--- a/tools/engine_loads.py
+++ b/tools/engine_loads.py
@@ -33,6 +33,17 @@
         steps_a_pass=5,
     ),
 )
+# The large model of the contended deployment.
+CONTENDED_MODEL = EngineModel('large', 16, 1.0, 0.5, 16, 1.6)
+CONTENDED_PROFILE = EngineProfile(
+    (CONTENDED_MODEL,),
+    15,
+    0.3,
+    4,
+    1,
+    6,
+    EngineTiming(0.00595, 0.0000445, 0, 50700, 0),
+)
 # Engine time per request at full load, from the timing and sizes below.
 RUN_SECONDS = MappingProxyType({'large': 0.09, 'small': 0.065})
 NODE_COUNT = 7
