--- a/src/cranecart/dispatch/_decision.py
+++ b/src/cranecart/dispatch/_decision.py
@@ -38,6 +38,8 @@
 # of its slots in use. The rest is for admitted requests, which would otherwise
 # wait for a slot: a stream keeps it for two seconds.
 _SPARE_SLOT_FRACTION = 0.75
+# Values of ``is_deferred`` and ``is_beyond_share``.
+_BEYOND_SHARE = (True, True)
 
 
 @attrs.frozen
@@ -53,6 +55,11 @@
     is_deferred: bool = False
     is_beyond_share: bool = False
 
+    @classmethod
+    def to_spare_slot(cls, name: str, forecast_seconds: float) -> 'Send':
+        """Send a request beyond its share, behind all others."""
+        return cls(name, forecast_seconds, *_BEYOND_SHARE)
+
 
 @attrs.frozen
 class Refuse:
@@ -110,9 +117,7 @@
     if free:
         best, seconds = _fastest(request, free, deferred=True)
         if seconds <= request.max_wait_seconds:
-            return Send(
-                best.name, seconds, is_deferred=True, is_beyond_share=True
-            )
+            return Send.to_spare_slot(best.name, seconds)
     return Refuse(0, is_beyond_share=True)
 
 
