Count waiting less urgent requests as passed, and size small organisations

An urgent request was forecast to pass all less urgent requests at a replica, though most of these hold slots. It passes that part of the queue.

Organisations that reports sum up were each taken to be as large as the smallest listed one, so that small ones were refused under their share. Their mean size follows from the number of configured ones.

--- a/src/cranecart/dispatch/_forecast.py
+++ b/src/cranecart/dispatch/_forecast.py
@@ -29,10 +29,11 @@
     prefill = timing.prompt_seconds(request.prompt_tokens)
     prefill += _FIRST_EVENT_PASSES * timing.pass_seconds(active)
     # A full replica completes one request per completion interval.
-    queued = max(0, ahead + 1 - slots)
+    queued = float(max(0, ahead + 1 - slots))
     if not deferred:
         # Engines admit more urgent ranks first, but in any case one request has
         # to be completed before this one is admitted.
-        queued = max(min(queued, 1), queued - replica.less_urgent)
+        passing = (1 - request.passed_fraction) * queued
+        queued = max(min(queued, 1), passing)
     waiting = queued * request.completion_interval
     return prefill * request.model.pace + waiting + replica.error_seconds
--- a/src/cranecart/dispatch/_inputs.py
+++ b/src/cranecart/dispatch/_inputs.py
@@ -32,8 +32,7 @@
     ``in_flight`` counts the requests of all nodes at the replica, ``deferred``
     those that this node has queued there behind all others. ``error_seconds``
     is by how much recent first events were later than forecast. ``is_local``
-    is whether the replica is in the node's failure domain. ``less_urgent``
-    counts those in flight that have a less urgent rank than the request.
+    is whether the replica is in the node's failure domain.
     """
 
     name: str
@@ -41,7 +40,6 @@
     deferred: int = 0
     error_seconds: float = 0
     is_local: bool = True
-    less_urgent: int = 0
 
 
 @attrs.frozen
@@ -52,7 +50,8 @@
     and ``was_refused`` is whether that attempt was refused. ``is_resumed``
     marks a stream that continues after another replica failed.
     ``completion_interval`` is the mean time between completed requests of the
-    model at a fully occupied replica.
+    model at a fully occupied replica. ``passed_fraction`` is the expected part
+    of the waiting requests that have a less urgent rank.
     """
 
     route: Route
@@ -65,6 +64,7 @@
     was_refused: bool = False
     is_resumed: bool = False
     admission: Admission = Admission.UNPLANNED
+    passed_fraction: float = 0
 
     @property
     def objective_seconds(self) -> float:
--- a/src/cranecart/load_shedding/_exchange.py
+++ b/src/cranecart/load_shedding/_exchange.py
@@ -199,7 +199,7 @@
         return taken
 
     def plan(
-        self, model: str, replicas: int, now: float
+        self, model: str, replicas: int, now: float, organisations: int = 0
     ) -> AdmissionPlan | None:
         """Return the plan for a model that is short, else None.
 
@@ -213,7 +213,8 @@
             or known[1] != replicas
             or now - known[0] >= _PLAN_SECONDS
         ):
-            known = (now, replicas, self._make_plan(name, replicas, now))
+            plan = self._make_plan(name, replicas, now, organisations)
+            known = (now, replicas, plan)
             self._plans[name] = known
         return known[2]
 
@@ -225,7 +226,7 @@
         return plan.fraction(key.rank, key.organisation)
 
     def _make_plan(
-        self, model: str, replicas: int, now: float
+        self, model: str, replicas: int, now: float, organisations: int
     ) -> AdmissionPlan | None:
         if model not in self._short_models(now):
             return None
@@ -236,7 +237,8 @@
         }
         if len(offered) < 2 or sum(offered.values()) <= replicas:
             return None
-        return plan_admission(offered, _PLANNED_UTILIZATION * replicas)
+        capacity = _PLANNED_UTILIZATION * replicas
+        return plan_admission(offered, capacity, organisations)
 
     def _is_due(self, now: float, *, is_summary: bool) -> bool:
         sent_at = self._sent_at.get(is_summary, float('-inf'))
--- a/src/cranecart/load_shedding/_plan.py
+++ b/src/cranecart/load_shedding/_plan.py
@@ -63,7 +63,10 @@
 
 @attrs.frozen
 class _Demand:
-    """The load of an organisation; ``size`` is that of each of several."""
+    """The load of an organisation, or of several together (``OTHERS``).
+
+    The sizes of the latter are taken to be spread evenly up to ``size``.
+    """
 
     organisation: str
     load: float
@@ -71,16 +74,23 @@
 
     def fraction(self, share: float, floor: float) -> float:
         """Return the admitted fraction if each organisation gets a share."""
-        return max(floor, min(1, share / self.size))
+        part = min(1, share / self.size)
+        if self.organisation == OTHERS:
+            part *= 2 - part
+        return max(floor, part)
 
 
 def plan_admission(
-    offered: Mapping[OfferedLoad, float], capacity: float
+    offered: Mapping[OfferedLoad, float],
+    capacity: float,
+    organisations: int = 0,
 ) -> AdmissionPlan:
     """Divide a model's capacity among the offered loads.
 
     More urgent ranks come first; within a rank, organisations get max-min fair
     shares. ``capacity`` is in replicas, the loads in replica-seconds a second.
+    ``organisations`` is how many are configured, from which follows how large
+    those are whose load is not listed on its own.
     """
     ranks = _by_rank(offered)
     granted = _divide_by_rank(
@@ -90,7 +100,7 @@
         (rank, organisation): fraction
         for rank, loads in ranks.items()
         for organisation, fraction in _fair_fractions(
-            loads, granted[rank]
+            loads, granted[rank], organisations
         ).items()
     }
     rank_fractions = {
@@ -129,19 +139,15 @@
 
 
 def _fair_fractions(
-    loads: Mapping[str, float], granted: float
+    loads: Mapping[str, float], granted: float, organisations: int
 ) -> dict[str, float]:
-    """Return the admitted fraction of each organisation's load.
-
-    ``OTHERS`` stands for organisations that each offer at most as much as the
-    smallest listed one.
-    """
+    """Return the admitted fraction of each organisation's load."""
     total = sum(loads.values())
     if granted >= total:
         return dict.fromkeys(loads, 1)
-    listed = [load for name, load in loads.items() if name != OTHERS]
+    largest_other = _largest_other(loads, organisations)
     demands = tuple(
-        _Demand(name, load, min((load, *listed)) if name == OTHERS else load)
+        _Demand(name, load, largest_other if name == OTHERS else load)
         for name, load in loads.items()
     )
     floor = _ORGANISATION_FLOOR_FRACTION * granted / total
@@ -151,6 +157,18 @@
     }
 
 
+def _largest_other(loads: Mapping[str, float], organisations: int) -> float:
+    """Return the size of the largest organisation that is not listed.
+
+    It is at most the smallest listed one, and twice the mean if the sizes are
+    spread evenly.
+    """
+    listed = [load for name, load in loads.items() if name != OTHERS]
+    others = loads.get(OTHERS, 0)
+    count = max(1, organisations - len(listed))
+    return min((2 * others / count, others, *listed))
+
+
 def _fair_share(
     demands: Sequence[_Demand], floor: float, granted: float
 ) -> float:
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -33,7 +33,6 @@
 from cranecart.routing._in_flight import InFlightCounts, Target
 from cranecart.routing._request import RoutingRequest
 from cranecart.routing._shortage import (
-    PlannedAdmission,
     ShortageControl,
     choice_reason,
     overloaded_error,
@@ -248,10 +247,10 @@
             request.was_refused,
             request.is_resumed,
             planned.admission,
+            planned.passed_fraction(request.rank),
         )
         states = [
-            self._replica_state(target, request, planned)
-            for target in heads.values()
+            self._replica_state(target, request) for target in heads.values()
         ]
         choice = decide(dispatch_request, states)
         self.shortage.record(request, choice, self._clock())
@@ -292,19 +291,14 @@
         return _eligible(heads, request)
 
     def _replica_state(
-        self,
-        head: ServingHead,
-        request: RoutingRequest,
-        planned: PlannedAdmission,
+        self, head: ServingHead, request: RoutingRequest
     ) -> ReplicaState:
-        load = self.load(head.id)
         return ReplicaState(
             head.id,
-            load,
+            self.load(head.id),
             self._in_flight.deferred[head.id],
             self._forecast_error(head.incarnation, request.model),
             head.head.failure_domain == self._failure_domain,
-            planned.less_urgent(request.rank, load),
         )
 
     def _forecast_error(self, incarnation: Incarnation, model: str) -> float:
--- a/src/cranecart/routing/_shortage.py
+++ b/src/cranecart/routing/_shortage.py
@@ -26,11 +26,9 @@
     plan: AdmissionPlan | None = None
     fraction: float = 1
 
-    def less_urgent(self, rank: int, in_flight: int) -> int:
-        """Return how many of the requests in flight have a less urgent rank."""
-        if self.plan is None:
-            return 0
-        return int(self.plan.less_urgent_fraction(rank) * in_flight)
+    def passed_fraction(self, rank: int) -> float:
+        """Return the part of the waiting requests that a rank passes."""
+        return 0 if self.plan is None else self.plan.less_urgent_fraction(rank)
 
     def describe(self, request: RoutingRequest) -> str:
         """Return the inputs of the decision, for the request's log line."""
@@ -67,7 +65,8 @@
         """Return what the plan says of a request."""
         if not request.config.divides_capacity(request.service):
             return PlannedAdmission(Admission.UNPLANNED)
-        plan = self.exchange.plan(request.model, replicas, now)
+        organisations = len(request.config.holders or ())
+        plan = self.exchange.plan(request.model, replicas, now, organisations)
         if plan is None:
             return PlannedAdmission(Admission.UNPLANNED)
         fraction = self.exchange.fraction(
--- a/src/cranecart/simulation/_admission.py
+++ b/src/cranecart/simulation/_admission.py
@@ -72,6 +72,7 @@
     """Forecasts that do not count less urgent requests as being ahead."""
 
     _relay: ReportRelay
+    _organisations: int = 0
     _exchange: LoadExchange = attrs.field(factory=LoadExchange, init=False)
     _event_counts: EventCounts = attrs.field(factory=EventCounts, init=False)
     _plan: AdmissionPlan | None = attrs.field(default=None, init=False)
@@ -92,7 +93,9 @@
         if not request.refusals and request.first_event_at is None:
             self._record_arrival(request, engines[0], now)
         self._relay.exchange_reports(now)
-        self._plan = self._exchange.plan(request.model.name, len(engines), now)
+        self._plan = self._exchange.plan(
+            request.model.name, len(engines), now, self._organisations
+        )
         decision = super().choose(request, engines, in_flight, deferred, now)
         if isinstance(decision, Refuse) or decision.is_deferred:
             self._exchange.record_shortage(request.model.name, now)
@@ -125,11 +128,17 @@
             now,
         )
 
-    def _less_urgent(self, request: SimulatedRequest, in_flight: int) -> int:
+    def _dispatch_request(
+        self,
+        request: SimulatedRequest,
+        engines: Sequence[Engine],
+        now: float,
+    ) -> DispatchRequest:
+        plain = super()._dispatch_request(request, engines, now)
         if self._plan is None:
-            return 0
+            return plain
         fraction = self._plan.less_urgent_fraction(request.route.rank)
-        return int(fraction * in_flight)
+        return attrs.evolve(plain, passed_fraction=fraction)
 
 
 @attrs.define
--- a/src/cranecart/simulation/_policies.py
+++ b/src/cranecart/simulation/_policies.py
@@ -122,9 +122,6 @@
                 in_flight.get(engine.name, 0),
                 deferred.get(engine.name, 0),
                 self._errors.expected(engine.name, request.model.name, now),
-                less_urgent=self._less_urgent(
-                    request, in_flight.get(engine.name, 0)
-                ),
             )
             for engine in engines
         ]
@@ -162,10 +159,6 @@
             )
         )
 
-    def _less_urgent(self, request: SimulatedRequest, in_flight: int) -> int:
-        """Return how many requests at a replica this one passes."""
-        return 0
-
     def _dispatch_request(
         self,
         request: SimulatedRequest,
--- a/tests/unit/test_shortage.py
+++ b/tests/unit/test_shortage.py
@@ -87,8 +87,8 @@
         """An urgent request was deferred for the queue that it passes."""
         queue = ReplicaState('full', 22)
         self.assertTrue(decide(_REQUEST, [queue]).is_deferred)  # type: ignore[union-attr]
-        passed = attrs.evolve(queue, less_urgent=12)
-        self.assertFalse(decide(_REQUEST, [passed]).is_deferred)  # type: ignore[union-attr]
+        passing = attrs.evolve(_REQUEST, passed_fraction=0.9)
+        self.assertFalse(decide(passing, [queue]).is_deferred)  # type: ignore[union-attr]
 
 
 class RouterTest(unittest.TestCase):
--- a/tools/shortage_loads.py
+++ b/tools/shortage_loads.py
@@ -41,6 +41,7 @@
 _ZIPF_EXPONENT = 1.2
 _URGENT_SURGE = 1.8
 _OTHER_SURGE = 2.3
+_SWELLING = 5
 # Above them are the largest three tenths, and the largest tenth.
 _QUANTILES = (0.7, 0.9)
 _SERVED = frozenset((Outcome.IN_TIME, Outcome.LATE))
@@ -51,13 +52,13 @@
     {
         'forecast': lambda rng, _relay: ForecastPolicy(rng, _RUN_SECONDS),
         'forecast by rank': lambda rng, relay: ForecastByRank(
-            rng, _RUN_SECONDS, relay
+            rng, _RUN_SECONDS, relay, _ORGANISATION_COUNT
         ),
         'occupancy levels': lambda rng, _relay: OccupancyLevels(
             rng, _RUN_SECONDS
         ),
         'planned': lambda rng, relay: PlannedAdmission(
-            rng, _RUN_SECONDS, relay
+            rng, _RUN_SECONDS, relay, _ORGANISATION_COUNT
         ),
     }
 )
@@ -81,6 +82,7 @@
     {
         'calm': Scenario(10),
         'half fits': Scenario(3),
+        'one organisation swollen': Scenario(4, swollen=_SWELLING),
         'surges': Scenario(7, _URGENT_SURGE, _OTHER_SURGE),
     }
 )
