--- a/src/cranecart/dispatch/_inputs.py
+++ b/src/cranecart/dispatch/_inputs.py
@@ -1,5 +1,7 @@
 """Inputs of the dispatch decision: a request and its candidate replicas."""
 
+import enum
+
 import attrs
 
 from cranecart.models import EngineModel, EngineProfile, Route
@@ -12,6 +14,17 @@
 _WAIT_PAUSES = 8.0
 
 
+class Admission(enum.Enum):
+    """What the admission plan of a model that is short says of a request."""
+
+    # The model is not short.
+    UNPLANNED = 'unplanned'
+    ADMITTED = 'admitted'
+    # Beyond the share of its rank or organisation: served only by a slot that
+    # nobody else waits for.
+    BEYOND_SHARE = 'beyond share'
+
+
 @attrs.frozen
 class ReplicaState:
     """The estimated state of one replica.
@@ -37,7 +50,8 @@
     and ``was_refused`` is whether that attempt was refused. ``is_resumed``
     marks a stream that continues after another replica failed.
     ``completion_interval`` is the mean time between completed requests of the
-    model at a fully occupied replica.
+    model at a fully occupied replica. ``passed_fraction`` is the expected part
+    of the waiting requests that have a less urgent rank.
     """
 
     route: Route
@@ -49,6 +63,8 @@
     completion_interval: float
     was_refused: bool = False
     is_resumed: bool = False
+    admission: Admission = Admission.UNPLANNED
+    passed_fraction: float = 0
 
     @property
     def objective_seconds(self) -> float:
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -37,7 +37,9 @@
     work. ``demand`` is the work that its clients ask for, by model.
     ``recent_stops`` repeats recent notices for nodes that missed them. A beat
     ``via_relays`` is not sent to all nodes. ``evacuations`` has what the node
-    knows of failure domains that are or were evacuated.
+    knows of failure domains that are or were evacuated. ``offered`` is the load
+    that arrives at the node, only while a model is short
+    (``cranecart.load_shedding``).
     """
 
     sender: str
@@ -53,6 +55,7 @@
     recent_stops: list[Stopped] = []
     via_relays: bool = False
     evacuations: list[Evacuation] = []
+    offered: dict[str, float] = {}
 
 
 class Summary(msgspec.Struct, tag='summary', array_like=True):
@@ -77,6 +80,7 @@
     demand: dict[str, float] = {}
     recent_stops: list[Stopped] = []
     evacuations: list[Evacuation] = []
+    offered: dict[str, float] = {}
 
 
 class Digest(msgspec.Struct, tag='digest', array_like=True):
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -66,6 +66,7 @@
             self._state.stop_notices.to_repeat(),
             self._state.roster.uses_relays,
             local.evacuations if is_complete or self._has_news() else [],
+            local.offered,
         )
 
     def send_beat(self, *, include_silent: bool) -> None:
@@ -164,6 +165,7 @@
 
     def _build_digest(self, beats: list[Beat], summary: Summary) -> Digest:
         now = self._state.clock()
+        remote_offered = self._state.local.remote_offered
         remote_summaries = [
             received
             for domain, received in self._state.peer_state.summaries().items()
@@ -175,7 +177,13 @@
             [beat.sender for beat in beats],
             [round(now - received.made_at, 3) for received in remote_summaries],
             [
-                _without_evacuations(received.summary)
+                msgspec.structs.replace(
+                    received.summary,
+                    evacuations=[],
+                    offered=remote_offered.get(
+                        received.summary.failure_domain, {}
+                    ),
+                )
                 for received in remote_summaries
             ],
         )
@@ -214,6 +222,7 @@
             dict(totals.demand),
             own_beat.recent_stops,
             own_beat.evacuations,
+            self._state.local.domain_offered,
         )
 
 
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -6,7 +6,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import SourceUpdate
-from cranecart.mesh._messages import Stopped, Suspect
+from cranecart.mesh._messages import Beat, Stopped, Summary, Suspect
 from cranecart.mesh._peer_state import PeerState
 from cranecart.mesh._roster import Roster
 from cranecart.mesh._stop_notices import StopNotices
@@ -20,6 +20,10 @@
 from cranecart.ports import ListedInstance, Row
 
 
+def _ignore_offered(_message: Beat | Summary) -> None:
+    """Ignore the load of other nodes, where capacity is not planned."""
+
+
 @attrs.define
 class LocalState:
     """The state of this node that each beat announces.
@@ -28,6 +32,9 @@
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
     that clients ask for, by model. ``evacuations`` are all that it knows.
+    ``offered`` is the load that arrives here, ``domain_offered`` that of the
+    failure domain, and ``remote_offered`` what was heard of other failure
+    domains since the last beat.
     """
 
     node_id: str
@@ -39,6 +46,9 @@
     source_versions: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
     evacuations: list[Evacuation] = attrs.field(factory=list)
+    offered: dict[str, float] = attrs.field(factory=dict)
+    domain_offered: dict[str, float] = attrs.field(factory=dict)
+    remote_offered: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
 
 def _ignore_evacuations(
@@ -70,6 +80,7 @@
     on_evacuations: Callable[[Sequence[Evacuation], str], object] = (
         _ignore_evacuations
     )
+    on_offered: Callable[[Beat | Summary], None] = _ignore_offered
 
 
 @attrs.define
--- a/src/cranecart/simulation/_policies.py
+++ b/src/cranecart/simulation/_policies.py
@@ -115,20 +115,7 @@
         now: float,
     ) -> Send | Refuse:
         """Return the gateway's decision."""
-        remaining = request.route.timeout_seconds - (
-            now - request.first_sent_at
-        )
-        dispatch_request = DispatchRequest(
-            request.route,
-            engines[0].profile,
-            request.model,
-            request.prompt_tokens,
-            now - request.first_sent_at,
-            remaining,
-            self._service_seconds[request.model.name],
-            request.is_retry,
-            request.first_event_at is not None,
-        )
+        dispatch_request = self._dispatch_request(request, engines, now)
         states = [
             ReplicaState(
                 engine.name,
@@ -141,10 +128,7 @@
         self._random.shuffle(states)
         decision = decide(dispatch_request, states)
         if isinstance(decision, Refuse):
-            drawn = self._random.random()
-            return Refuse(
-                spread_retry_after(decision.excess_seconds, remaining, drawn)
-            )
+            return self._refusal(request, decision, now)
         return decision
 
     def record_first_event(
@@ -162,3 +146,33 @@
         self._errors.record(
             name, model, seconds - decision.forecast_seconds + expected, now
         )
+
+    def _refusal(
+        self, request: SimulatedRequest, refusal: Refuse, now: float
+    ) -> Refuse:
+        """Return a refusal with the retry time of the client."""
+        return Refuse(
+            spread_retry_after(
+                refusal.excess_seconds,
+                request.remaining_seconds(now),
+                self._random.random(),
+            )
+        )
+
+    def _dispatch_request(
+        self,
+        request: SimulatedRequest,
+        engines: Sequence[Engine],
+        now: float,
+    ) -> DispatchRequest:
+        return DispatchRequest(
+            request.route,
+            engines[0].profile,
+            request.model,
+            request.prompt_tokens,
+            now - request.first_sent_at,
+            request.remaining_seconds(now),
+            self._service_seconds[request.model.name],
+            request.is_retry,
+            request.first_event_at is not None,
+        )
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -8,13 +8,16 @@
 import attrs
 
 from cranecart.fleet import Evacuations
+from cranecart.load_shedding import LoadExchange
 from cranecart.mesh import (
+    Beat,
     LocalState,
     Mesh,
     MeshCallbacks,
     MeshMessage,
     PeerNode,
     Stopped,
+    Summary,
     decode_mesh_message,
     encode_mesh_message,
 )
@@ -169,6 +172,7 @@
     leaving: set[str]
     evacuations: Evacuations
     cluster: SimulatedCluster
+    exchange: LoadExchange
 
     @classmethod
     def in_cluster(
@@ -185,10 +189,12 @@
         limits: list[LimitUpdate] = []
         leaving: set[str] = set()
         evacuations = Evacuations()
+        exchange = LoadExchange(domain)
         local = LocalState(name, name, domain)
 
         def refresh_local_state() -> None:  # noqa: WPS430
             local.evacuations = list(evacuations.known())
+            _update_offered(local, exchange, cluster.now)
 
         callbacks = MeshCallbacks(
             lambda message: stopped.add(message.replica),
@@ -206,6 +212,7 @@
             lambda message: limits.extend(message.limits),
             lambda message: leaving.add(message.instance),
             evacuations.merge,
+            lambda message: _receive_offered(exchange, message, cluster.now),
         )
         transport = SimulatedTransport(cluster, name)
         mesh = Mesh(local, transport, callbacks, lambda: cluster.now)
@@ -224,6 +231,7 @@
             leaving,
             evacuations,
             cluster,
+            exchange,
         )
 
     @property
@@ -248,3 +256,23 @@
 
 def _ignore(_update: object) -> None:
     """Ignore updates."""
+
+
+def _update_offered(
+    local: LocalState, exchange: LoadExchange, now: float
+) -> None:
+    local.offered = exchange.local_report(now)
+    local.domain_offered = exchange.domain_report(now)
+    local.remote_offered = exchange.take_unforwarded()
+
+
+def _receive_offered(
+    exchange: LoadExchange, message: Beat | Summary, now: float
+) -> None:
+    exchange.receive(
+        message.sender,
+        message.failure_domain,
+        message.offered,
+        now,
+        is_summary=isinstance(message, Summary),
+    )
