Measure the pace of replicas and tell other nodes

A replica is as slow as its slowest member, and each of many nodes sees too few first events to learn that. With the setting learns_pace, nodes measure the gaps between events against the declared pass, report slow replicas in beats and summaries (six entries each), multiply forecasts by the pace, and let a slow replica take part in decisions by chance in proportion to its pace.

Tried first: the pace from first events.

--- a/src/cranecart/dispatch/__init__.py
+++ b/src/cranecart/dispatch/__init__.py
@@ -11,14 +11,19 @@
 from cranecart.dispatch._decision import Refuse, Send, decide
 from cranecart.dispatch._forecast_errors import ForecastErrors
 from cranecart.dispatch._inputs import DispatchRequest, ReplicaState
+from cranecart.dispatch._pace import GapSample, PaceRegistry
+from cranecart.dispatch._slow_replicas import draw_by_pace
 
 __all__ = (
     'DispatchRequest',
     'ForecastErrors',
+    'GapSample',
+    'PaceRegistry',
     'Refuse',
     'ClientRetryDetector',
     'Send',
     'ReplicaState',
     'decide',
+    'draw_by_pace',
     'spread_retry_after',
 )
--- a/src/cranecart/dispatch/_forecast.py
+++ b/src/cranecart/dispatch/_forecast.py
@@ -31,4 +31,5 @@
     # A full replica completes one request per completion interval.
     queued = max(0, ahead + 1 - slots)
     waiting = queued * request.completion_interval
-    return prefill * request.model.pace + waiting + replica.error_seconds
+    engine_seconds = prefill * request.model.pace + waiting
+    return engine_seconds * replica.pace + replica.error_seconds
--- a/src/cranecart/dispatch/_forecast_errors.py
+++ b/src/cranecart/dispatch/_forecast_errors.py
@@ -56,6 +56,10 @@
             return self._models[model]
         return known[0]
 
+    def expected_of_model(self, model: str) -> float:
+        """Return the expected forecast error at any replica, in seconds."""
+        return self._models[model]
+
     def prune(self, names: Collection[Hashable]) -> None:
         """Drop all replicas but the named ones."""
         for name in self._replicas.keys() - set(names):
--- a/src/cranecart/dispatch/_inputs.py
+++ b/src/cranecart/dispatch/_inputs.py
@@ -19,7 +19,8 @@
     ``in_flight`` counts the requests of all nodes at the replica, ``deferred``
     those that this node has queued there behind all others. ``error_seconds``
     is by how much recent first events were later than forecast. ``is_local``
-    is whether the replica is in the node's failure domain.
+    is whether the replica is in the node's failure domain. ``pace`` is the
+    factor by which the replica is slower than declared.
     """
 
     name: str
@@ -27,6 +28,7 @@
     deferred: int = 0
     error_seconds: float = 0
     is_local: bool = True
+    pace: float = 1
 
 
 @attrs.frozen
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -143,6 +143,7 @@
             why=target.reason,
             forecast=round(target.forecast_seconds, 3),
             learned=round(target.error_seconds, 3),
+            pace=round(target.pace, 2),
             returned=round(call.retrying_for_seconds, 3),
             passed_over=target.throttled,
             tried=list(self.tried),
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -8,7 +8,7 @@
 from cranecart.forwarding._sender import Sender, SilenceLimits, TargetAnswer
 from cranecart.forwarding._sse import EventSplitter
 from cranecart.http import Responder, Response
-from cranecart.routing import StreamActivity, Target
+from cranecart.routing import StreamActivity, StreamPace, Target
 
 # A stream moves to another target after this silence if the replica was not
 # found to have stopped earlier. With too few replicas live engines were silent
@@ -91,8 +91,16 @@
                 self._sender.translator.response_headers(answer.head),
             )
         incarnation = target.instance.incarnation
-        with self._sender.router.stalls.track_stream(incarnation) as activity:
-            await self._relay_events(target, answer, activity)
+        router = self._sender.router
+        call = self._attempts.call
+        pace = router.paces.track_stream(
+            incarnation,
+            call.config.engine(call.service),
+            call.facts.model,
+            router.load,
+        )
+        with router.stalls.track_stream(incarnation) as activity:
+            await self._relay_events(target, answer, activity, pace)
         if not self.splitter.is_between_events:
             raise TargetDisconnectedError(
                 f'{target.instance.id} ended its stream within an event',
@@ -103,6 +111,7 @@
         target: Target,
         answer: TargetAnswer,
         activity: StreamActivity,
+        pace: StreamPace,
     ) -> None:
         limits = self._first_event_limits()
         while chunk := await self._sender.read_with_limits(
@@ -116,7 +125,9 @@
             activity.record_event()
             complete = self.splitter.feed(chunk)
             if complete:
+                pace.record_event()
                 await self._responder.write(complete)
+                pace.record_sent()
                 self._record_gap(self.timing.record_event())
 
     def _record_gap(self, gap: float | None) -> None:
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -145,6 +145,8 @@
         peer = PeerNode(beat.address, beat.failure_domain)
         self._state.roster.add(beat.sender, peer)
         self._state.peer_state.record_beat(beat)
+        if not beat.via_relays:
+            self._callbacks.on_slow_targets(beat.sender, beat.slow_targets)
 
     def _handle_digest(self, digest: Digest, now: float) -> None:
         domain = digest.summary.failure_domain
@@ -154,6 +156,7 @@
             self._state.last_digest_at = now
             self._state.roster.record_relay_coverage(digest)
             self._state.peer_state.record_digest(digest)
+            self._callbacks.on_slow_targets(domain, digest.summary.slow_targets)
             for name, address in digest.summary.relays.items():
                 self._add_relay(name, PeerNode(address, domain))
         self._handle_repeated_stops(digest.summary.recent_stops)
@@ -170,6 +173,9 @@
         self._state.roster.enable_relays()
         if summary.failure_domain != self._state.local.failure_domain:
             self._state.peer_state.record_summary(summary, made_at)
+            self._callbacks.on_slow_targets(
+                summary.failure_domain, summary.slow_targets
+            )
         self._handle_repeated_stops(summary.recent_stops)
 
     def _handle_repeated_stops(self, stops: list[Stopped]) -> None:
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -36,7 +36,8 @@
     for each source that the node reads from the store over a path known to
     work. ``demand`` is the work that its clients ask for, by model.
     ``recent_stops`` repeats recent notices for nodes that missed them. A beat
-    ``via_relays`` is not sent to all nodes.
+    ``via_relays`` is not sent to all nodes. ``slow_targets`` has the paces of
+    some slow targets in hundredths, by instance id.
     """
 
     sender: str
@@ -51,6 +52,7 @@
     demand: dict[str, float] = {}
     recent_stops: list[Stopped] = []
     via_relays: bool = False
+    slow_targets: dict[str, int] = {}
 
 
 class Summary(msgspec.Struct, tag='summary', array_like=True):
@@ -73,6 +75,7 @@
     source_readers: dict[str, tuple[str, int]] = {}
     demand: dict[str, float] = {}
     recent_stops: list[Stopped] = []
+    slow_targets: dict[str, int] = {}
 
 
 class Digest(msgspec.Struct, tag='digest', array_like=True):
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -10,6 +10,7 @@
     Summary,
 )
 from cranecart.mesh._peer_state import Totals
+from cranecart.mesh._slow_targets import SlowTargetReports
 from cranecart.mesh._state import MeshCallbacks, MeshState
 from cranecart.transport import PeerTransport
 
@@ -28,6 +29,9 @@
     _transport: PeerTransport[MeshMessage]
     _callbacks: MeshCallbacks
     _behind_since: float | None = attrs.field(default=None, init=False)
+    _slow_targets: SlowTargetReports = attrs.field(
+        factory=SlowTargetReports, init=False
+    )
 
     def build_beat(self) -> Beat:
         """Return a beat with the current state of this node."""
@@ -51,6 +55,7 @@
             local.demand,
             self._state.stop_notices.to_repeat(),
             self._state.roster.uses_relays,
+            slow_targets=local.slow_targets,
         )
 
     def send_beat(self, *, include_silent: bool) -> None:
@@ -126,6 +131,9 @@
         roster = self._state.roster
         beats = [own_beat, *self._state.peer_state.valid_domain_beats()]
         summary = self._build_summary(beats)
+        self._callbacks.on_slow_targets(
+            summary.failure_domain, summary.slow_targets
+        )
         domain_addresses = roster.domain_addresses(
             include_silent=include_silent
         )
@@ -185,4 +193,7 @@
             },
             dict(totals.demand),
             own_beat.recent_stops,
+            slow_targets=self._slow_targets.merge(
+                beat.slow_targets for beat in beats
+            ),
         )
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -20,6 +20,10 @@
 from cranecart.ports import ListedInstance, Row
 
 
+def _ignore_slow_targets(_sender: str, _paces: Mapping[str, int]) -> None:
+    """Ignore slow targets, at a node that has none."""
+
+
 @attrs.define
 class LocalState:
     """The state of this node that each beat announces.
@@ -27,7 +31,8 @@
     ``requests`` counts those received since the start; ``placer_domain`` is the
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
-    that clients ask for, by model.
+    that clients ask for, by model. ``slow_targets`` has paces in hundredths by
+    instance id.
     """
 
     node_id: str
@@ -38,6 +43,7 @@
     stopping: bool = False
     source_versions: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
+    slow_targets: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -45,7 +51,8 @@
     """Functions through which the mesh reads and updates the node.
 
     ``on_cases`` returns whether anything was new; ``refresh_local_state``
-    updates the local state before a beat is built from it.
+    updates the local state before a beat is built from it. ``on_slow_targets``
+    gets the paces that a node or the relay of a failure domain reports.
     """
 
     on_stopped: Callable[[Stopped], object]
@@ -60,6 +67,9 @@
     on_broken: Callable[[Broken], None]
     on_limits: Callable[[TargetLimits], None]
     on_leaving: Callable[[Leaving], object]
+    on_slow_targets: Callable[[str, Mapping[str, int]], None] = (
+        _ignore_slow_targets
+    )
 
 
 @attrs.define
--- a/src/cranecart/routing/__init__.py
+++ b/src/cranecart/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._in_flight import Target
+from cranecart.routing._paces import StreamPace, TargetPaces
 from cranecart.routing._request import RoutingRequest
 from cranecart.routing._router import TargetRouter
 from cranecart.routing._stalls import StreamActivity
@@ -10,6 +11,8 @@
     'OutlierEjection',
     'TargetRouter',
     'StreamActivity',
+    'StreamPace',
     'Target',
+    'TargetPaces',
     'RoutingRequest',
 )
--- a/src/cranecart/routing/_in_flight.py
+++ b/src/cranecart/routing/_in_flight.py
@@ -16,7 +16,8 @@
     nodes had there. ``error_seconds`` is the part of ``forecast_seconds`` that
     was learned from earlier first events. A request that ``is_deferred`` will
     miss its objective and lets others pass. ``throttled`` counts the targets
-    that were left out as their own limits allow no request now.
+    that were left out as their own limits allow no request now. ``pace`` is the
+    factor by which the target was known to be slower than declared.
     """
 
     instance: ListedInstance
@@ -28,6 +29,7 @@
     error_seconds: float = 0
     is_deferred: bool = False
     throttled: int = 0
+    pace: float = 1
 
 
 @attrs.define
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -16,6 +16,7 @@
     Refuse,
     ReplicaState,
     decide,
+    draw_by_pace,
     spread_retry_after,
 )
 from cranecart.exceptions import NoReplicaError, OverloadedError
@@ -31,6 +32,7 @@
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
 from cranecart.routing._in_flight import InFlightCounts, Target
+from cranecart.routing._paces import TargetPaces
 from cranecart.routing._request import RoutingRequest
 from cranecart.routing._stalls import StallDetector
 from cranecart.throttling import TargetThrottle
@@ -74,6 +76,7 @@
         default=_ignore_report
     )
     throttle: TargetThrottle = attrs.field(factory=TargetThrottle)
+    paces: TargetPaces = attrs.field(factory=TargetPaces)
     gaps: EventGapTracker = attrs.field(factory=EventGapTracker, init=False)
     stalls: StallDetector = attrs.field(init=False)
     forecast_errors: ForecastErrors = attrs.field(
@@ -237,7 +240,7 @@
         states = [
             self._replica_state(target, request) for target in heads.values()
         ]
-        choice = decide(dispatch_request, states)
+        choice = decide(dispatch_request, draw_by_pace(self._random, states))
         if isinstance(choice, Refuse):
             raise OverloadedError(
                 f'a slot is expected {choice.excess_seconds:.2f} s after '
@@ -260,6 +263,7 @@
             self._forecast_error(head.incarnation, request.model),
             choice.is_deferred,
             throttled,
+            self.paces.pace(head.incarnation, request.model),
         )
 
     def _without_unhealthy(
@@ -291,9 +295,13 @@
             self._in_flight.deferred[head.id],
             self._forecast_error(head.incarnation, request.model),
             head.head.failure_domain == self._failure_domain,
+            self.paces.pace(head.incarnation, request.model),
         )
 
     def _forecast_error(self, incarnation: Incarnation, model: str) -> float:
+        if self.paces.is_enabled:
+            # The pace explains how a replica differs from the others.
+            return self.forecast_errors.expected_of_model(model)
         return self.forecast_errors.expected(incarnation, model, self._clock())
 
     def _no_replica(self, request: RoutingRequest) -> NoReplicaError:
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -92,6 +92,7 @@
                 settings.node_id, self._fleet, lambda: self._mesh
             ),
         )
+        self._router.paces.is_enabled = settings.learns_pace
         self._mesh = self._make_mesh()
         self._quarantine = NodeQuarantine.for_node(
             settings.node_id,
@@ -193,6 +194,7 @@
             lambda message: mark_leaving(
                 self._fleet, message.incarnation, message.sender
             ),
+            on_slow_targets=self._router.paces.merge,
         )
         return make_mesh(self._live_settings.current, callbacks)
 
@@ -252,6 +254,7 @@
             await self._target_connections.close_expired(listed_incarnations)
             self._router.forecast_errors.prune(listed_incarnations)
             self._router.throttle.refresh(listed_incarnations)
+            self._router.paces.refresh(listed_incarnations)
             await self._quarantine.refresh()
             if self._registration.needs_registration:
                 await curio.spawn(self._registration.register, daemon=True)
@@ -270,6 +273,7 @@
             model: round(replicas, 3)
             for model, replicas in self._demand_meter.by_model().items()
         }
+        self._mesh.local.slow_targets = self._router.paces.report()
 
     def _reload(self) -> None:
         if self._live_settings.reload('requested by a signal'):
@@ -321,6 +325,7 @@
             'log_lines_dropped': self._log_queue.dropped,
             'liveness_checks': self._placer_host.liveness_check_count,
             **self._router.throttle.counts(),
+            **self._router.paces.counts(),
         }
 
     def _is_informed(self) -> bool:
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -56,6 +56,8 @@
     requests, ``stop_grace_seconds`` the time a process has to stop.
     ``max_descriptors`` is how many files and connections it may have open.
     ``log_successes`` is the share of successful requests that are logged.
+    With ``learns_pace`` nodes measure which replicas are slow and tell each
+    other.
     Values are in the units that platforms use, so that the template of the
     settings file converts nothing.
     """
@@ -84,6 +86,7 @@
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
+    learns_pace: bool = False
 
     @classmethod
     def from_file(cls, file: Path) -> Self:
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -167,6 +167,7 @@
     limits: list[LimitUpdate]
     leaving: set[str]
     cluster: SimulatedCluster
+    slow_targets: dict[str, int]
 
     @classmethod
     def in_cluster(
@@ -182,6 +183,7 @@
         broken: set[str] = set()
         limits: list[LimitUpdate] = []
         leaving: set[str] = set()
+        slow_targets: dict[str, int] = {}
         callbacks = MeshCallbacks(
             lambda message: stopped.add(message.replica),
             _ignore_suspect,
@@ -197,6 +199,7 @@
             lambda message: broken.add(message.instance),
             lambda message: limits.extend(message.limits),
             lambda message: leaving.add(message.instance),
+            lambda _sender, slow: slow_targets.update(slow),
         )
         transport = SimulatedTransport(cluster, name)
         local = LocalState(name, name, domain)
@@ -215,6 +218,7 @@
             limits,
             leaving,
             cluster,
+            slow_targets,
         )
 
     @property
--- /dev/null
+++ b/tests/unit/test_pace.py
@@ -0,0 +1,133 @@
+"""Slow targets: learned by the gaps of streams, told to other nodes."""
+
+import random
+import unittest
+
+from cranecart.dispatch import PaceRegistry, ReplicaState, draw_by_pace
+from cranecart.dispatch._pace import GapSample
+from cranecart.mesh._slow_targets import SlowTargetReports
+from cranecart.ports import Incarnation
+from tests.lib.simulated_cluster import SimulatedCluster
+
+_SLOW = Incarnation('slow')
+_TARGETS = tuple(Incarnation(f'i-{number:010}') for number in range(40))
+_PASS_SECONDS = 0.03
+_PACE = 6
+
+
+class PaceRegistryTest(unittest.TestCase):
+    """What one node learns, and what it takes over from others."""
+
+    def setUp(self) -> None:
+        """Let a node measure targets that are as declared."""
+        self.registry = PaceRegistry()
+        for target in _TARGETS:
+            self._record(target, 1, 10)
+
+    def test_one_measurement_shows_a_slow_target(self) -> None:
+        """Many nodes send it so little that ten measurements take too long."""
+        self._record(_SLOW, _PACE, 10)
+        self.assertGreater(self.registry.pace(_SLOW, 'm', 10), 3)
+        self.assertEqual(self.registry.slow(10), {'slow': 600})
+        self.assertEqual(self.registry.pace(_TARGETS[0], 'm', 10), 1)
+
+    def test_a_slow_target_is_tried_again_by_degrees(self) -> None:
+        """Its share grows while nothing is measured, so that few try first."""
+        self._record(_SLOW, _PACE, 10)
+        paces = [
+            self.registry.pace(_SLOW, 'm', at) for at in (10, 12, 13.5, 14)
+        ]
+        self.assertEqual(paces, sorted(paces, reverse=True))
+        self.assertEqual(paces[-1], 1)
+        self.assertFalse(self.registry.slow(14))
+
+    def test_a_slow_model_or_node_is_no_slow_target(self) -> None:
+        """What slows all targets alike is not blamed on any of them."""
+        for _round in range(2):
+            for target in _TARGETS[:10]:
+                self._record(target, _PACE, 11)
+        self.assertFalse(self.registry.slow(11))
+        self._record(_TARGETS[11], _PACE, 11)
+        self.assertEqual(self.registry.pace(_TARGETS[11], 'm', 11), 1)
+
+    def test_a_node_that_just_became_slow_reports_nothing(self) -> None:
+        """Its measurements before that are no comparison yet."""
+        for target in _TARGETS[:4]:
+            self._record(target, _PACE, 11)
+        self.assertFalse(self.registry.slow(11))
+
+    def test_a_report_counts_until_it_expires(self) -> None:
+        """A node that sent nothing there knows it, also after lost reports."""
+        self.registry.merge('other', {'slow': 600}, 10)
+        self.assertGreater(self.registry.pace(_SLOW, 'm', 10), 3)
+        self.assertEqual(self.registry.slow(10), {})
+        self.registry.prune(_TARGETS, 12)
+        self.assertEqual(self.registry.pace(_SLOW, 'm', 12), 1)
+
+    def test_a_usual_measurement_contradicts_a_report(self) -> None:
+        """So a target is not avoided for long after it has recovered."""
+        self.registry.merge('other', {'slow': 600}, 10)
+        before = self.registry.pace(_SLOW, 'm', 10)
+        self._record(_SLOW, 1, 10)
+        self.assertLess(self.registry.pace(_SLOW, 'm', 10), before - 1)
+        self.assertEqual(self.registry.slow(10), {'slow': 100})
+
+    def test_a_malformed_report_has_bounded_effect(self) -> None:
+        """Other versions may report zero or a huge number."""
+        self.registry.merge('other', {'slow': 0, 'i-0000000000': 10**9}, 10)
+        self.assertEqual(self.registry.pace(_SLOW, 'm', 10), 1)
+        self.assertLess(self.registry.pace(_TARGETS[0], 'm', 10), 16)
+
+    def _record(self, target: Incarnation, pace: float, now: float) -> None:
+        self.registry.record(
+            target, 'm', _PASS_SECONDS, pace * _PASS_SECONDS, now
+        )
+
+
+class MeasurementTest(unittest.TestCase):
+    """How gaps become measurements and paces become shares."""
+
+    def test_prompts_of_others_do_not_lengthen_the_typical_gap(self) -> None:
+        """Nor does an event that arrived together with the one before."""
+        sample = GapSample()
+        self.assertIsNone(sample.add(0.2))
+        self.assertIsNone(sample.add(0))
+        self.assertIsNone(sample.add(0.09))
+        self.assertEqual(sample.add(0.03), 0.03)
+
+    def test_share_is_in_proportion_to_pace(self) -> None:
+        """A target at a fifth of its pace takes part in a fifth."""
+        source = random.Random(1)
+        states = [ReplicaState('slow', 0, pace=5), ReplicaState('ok', 0)]
+        drawn = [draw_by_pace(source, states) for _number in range(1000)]
+        self.assertAlmostEqual(
+            sum(len(chosen) == 2 for chosen in drawn) / 1000, 0.2, delta=0.04
+        )
+        self.assertEqual(draw_by_pace(source, states[:1]), states[:1])
+
+
+class SlowTargetExchangeTest(unittest.TestCase):
+    """Reports reach all nodes, directly and through relays."""
+
+    def test_report_of_one_node_reaches_all(self) -> None:
+        """It does so in small and in relayed deployments."""
+        for count in (9, 30):
+            cluster = SimulatedCluster.of(count)
+            cluster.run(1.5)
+            cluster.nodes['node-008'].mesh.local.slow_targets = {'slow': 600}
+            cluster.run(1)
+            hearing = [
+                name
+                for name, node in cluster.nodes.items()
+                if 600 in node.slow_targets.values()
+            ]
+            self.assertGreaterEqual(len(hearing), count - 1)
+
+    def test_summaries_are_bounded_and_complete_in_turn(self) -> None:
+        """Targets that do not fit into one summary are in the next ones."""
+        reports = SlowTargetReports()
+        beats = [{target.id: 300} for target in _TARGETS]
+        summaries = [reports.merge(beats) for _turn in range(7)]
+        self.assertLessEqual(max(map(len, summaries)), 6)
+        self.assertEqual(len(set().union(*summaries)), len(_TARGETS))
+        self.assertEqual(reports.merge([{'a': 900}, {'a': 100}]), {'a': 300})
