--- a/src/cranecart/dispatch/__init__.py
+++ b/src/cranecart/dispatch/__init__.py
@@ -15,15 +15,20 @@
     DispatchRequest,
     ReplicaState,
 )
+from cranecart.dispatch._pace import GapSample, PaceRegistry
+from cranecart.dispatch._slow_replicas import draw_by_pace
 
 __all__ = (
     'Admission',
     'DispatchRequest',
     'ForecastErrors',
+    'GapSample',
+    'PaceRegistry',
     'Refuse',
     'ClientRetryDetector',
     'Send',
     'ReplicaState',
     'decide',
+    'draw_by_pace',
     'spread_retry_after',
 )
--- a/src/cranecart/dispatch/_forecast.py
+++ b/src/cranecart/dispatch/_forecast.py
@@ -36,4 +36,5 @@
         passing = (1 - request.passed_fraction) * queued
         queued = max(min(queued, 1), passing)
     waiting = queued * request.completion_interval
-    return prefill * request.model.pace + waiting + replica.error_seconds
+    engine_seconds = prefill * request.model.pace + waiting
+    return engine_seconds * replica.pace + replica.error_seconds
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -150,6 +150,8 @@
         self._state.peer_state.record_beat(beat)
         if beat.offered:
             self._callbacks.on_offered(beat)
+        if not beat.via_relays:
+            self._callbacks.on_slow_targets(beat.sender, beat.slow_targets)
 
     def _handle_digest(self, digest: Digest, now: float) -> None:
         domain = digest.summary.failure_domain
@@ -159,6 +161,7 @@
             self._state.last_digest_at = now
             self._state.roster.record_relay_coverage(digest)
             self._state.peer_state.record_digest(digest)
+            self._callbacks.on_slow_targets(domain, digest.summary.slow_targets)
             for name, address in digest.summary.relays.items():
                 self._add_relay(name, PeerNode(address, domain))
             if digest.summary.offered:
@@ -180,6 +183,9 @@
             self._state.peer_state.record_summary(summary, made_at)
             if summary.offered:
                 self._callbacks.on_offered(summary)
+            self._callbacks.on_slow_targets(
+                summary.failure_domain, summary.slow_targets
+            )
         self._handle_repeated_stops(summary.recent_stops)
         self._handle_evacuations(summary)
 
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -39,7 +39,8 @@
     ``via_relays`` is not sent to all nodes. ``evacuations`` has what the node
     knows of failure domains that are or were evacuated. ``offered`` is the load
     that arrives at the node, only while a model is short
-    (``cranecart.load_shedding``).
+    (``cranecart.load_shedding``). ``slow_targets`` has the paces
+    of some slow targets in hundredths, by instance id.
     """
 
     sender: str
@@ -56,6 +57,7 @@
     via_relays: bool = False
     evacuations: list[Evacuation] = []
     offered: dict[str, float] = {}
+    slow_targets: dict[str, int] = {}
 
 
 class Summary(msgspec.Struct, tag='summary', array_like=True):
@@ -81,6 +83,7 @@
     recent_stops: list[Stopped] = []
     evacuations: list[Evacuation] = []
     offered: dict[str, float] = {}
+    slow_targets: dict[str, int] = {}
 
 
 class Digest(msgspec.Struct, tag='digest', array_like=True):
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -11,6 +11,7 @@
     Summary,
 )
 from cranecart.mesh._peer_state import Totals
+from cranecart.mesh._slow_targets import SlowTargetReports
 from cranecart.mesh._state import MeshCallbacks, MeshState
 from cranecart.models import Evacuation
 from cranecart.transport import PeerTransport
@@ -38,6 +39,9 @@
     _evacuations_changed_at: float = attrs.field(
         default=float('-inf'), init=False
     )
+    _slow_targets: SlowTargetReports = attrs.field(
+        factory=SlowTargetReports, init=False
+    )
 
     def build_beat(self, *, is_complete: bool = True) -> Beat:
         """Return a beat with the current state of this node.
@@ -67,6 +71,7 @@
             self._state.roster.uses_relays,
             local.evacuations if is_complete or self._has_news() else [],
             local.offered,
+            slow_targets=local.slow_targets,
         )
 
     def send_beat(self, *, include_silent: bool) -> None:
@@ -152,6 +157,9 @@
         roster = self._state.roster
         beats = [own_beat, *self._state.peer_state.valid_domain_beats()]
         summary = self._build_summary(beats)
+        self._callbacks.on_slow_targets(
+            summary.failure_domain, summary.slow_targets
+        )
         domain_addresses = roster.domain_addresses(
             include_silent=include_silent
         )
@@ -223,6 +231,9 @@
             own_beat.recent_stops,
             own_beat.evacuations,
             self._state.local.domain_offered,
+            slow_targets=self._slow_targets.merge(
+                beat.slow_targets for beat in beats
+            ),
         )
 
 
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -24,6 +24,10 @@
     """Ignore the load of other nodes, where capacity is not planned."""
 
 
+def _ignore_slow_targets(_sender: str, _paces: Mapping[str, int]) -> None:
+    """Ignore slow targets, at a node that has none."""
+
+
 @attrs.define
 class LocalState:
     """The state of this node that each beat announces.
@@ -34,7 +38,8 @@
     that clients ask for, by model. ``evacuations`` are all that it knows.
     ``offered`` is the load that arrives here, ``domain_offered`` that of the
     failure domain, and ``remote_offered`` what was heard of other failure
-    domains since the last beat.
+    domains since the last beat. ``slow_targets`` has paces in hundredths by
+    instance id.
     """
 
     node_id: str
@@ -49,6 +54,7 @@
     offered: dict[str, float] = attrs.field(factory=dict)
     domain_offered: dict[str, float] = attrs.field(factory=dict)
     remote_offered: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    slow_targets: dict[str, int] = attrs.field(factory=dict)
 
 
 def _ignore_evacuations(
@@ -62,7 +68,8 @@
     """Functions through which the mesh reads and updates the node.
 
     ``on_cases`` returns whether anything was new; ``refresh_local_state``
-    updates the local state before a beat is built from it.
+    updates the local state before a beat is built from it. ``on_slow_targets``
+    gets the paces that a node or the relay of a failure domain reports.
     """
 
     on_stopped: Callable[[Stopped], object]
@@ -81,6 +88,9 @@
         _ignore_evacuations
     )
     on_offered: Callable[[Beat | Summary], None] = _ignore_offered
+    on_slow_targets: Callable[[str, Mapping[str, int]], None] = (
+        _ignore_slow_targets
+    )
 
 
 @attrs.define
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -93,6 +93,7 @@
             ),
         )
         self._node_demand = NodeDemand(self._router.shortage.exchange)
+        self._router.paces.is_enabled = settings.learns_pace
         self._mesh = self._make_mesh()
         self._quarantine = NodeQuarantine.for_node(
             settings.node_id,
@@ -196,6 +197,7 @@
             ),
             self._fleet.evacuations.merge,
             self._node_demand.receive,
+            on_slow_targets=self._router.paces.merge,
         )
         return make_mesh(self._live_settings.current, callbacks)
 
@@ -239,6 +241,7 @@
             await self._target_connections.close_expired(listed_incarnations)
             self._router.forecast_errors.prune(listed_incarnations)
             self._router.throttle.refresh(listed_incarnations)
+            self._router.paces.refresh(listed_incarnations)
             await self._quarantine.refresh()
             if self._registration.needs_registration:
                 await curio.spawn(self._registration.register, daemon=True)
@@ -256,6 +259,7 @@
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
         self._node_demand.update(self._mesh.local)
+        self._mesh.local.slow_targets = self._router.paces.report()
 
     def _reload(self) -> None:
         if self._live_settings.reload('requested by a signal'):
@@ -313,6 +317,7 @@
             'evacuation_changes': self._fleet.evacuations.changes,
             'evacuated_choices': self._fleet.evacuations.withdrawn,
             **self._router.shortage.counts(),
+            **self._router.paces.counts(),
         }
 
     def _is_informed(self) -> bool:
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -59,6 +59,8 @@
     ``platform_features`` are the platform's own names of the optional features
     that it has.
     ``log_successes`` is the share of successful requests that are logged.
+    With ``learns_pace`` nodes measure which replicas are slow and tell each
+    other.
     Values are in the units that platforms use, so that the template of the
     settings file converts nothing.
     """
@@ -89,6 +91,7 @@
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
+    learns_pace: bool = False
 
     @classmethod
     def from_file(cls, file: Path) -> Self:
--- a/src/cranecart/simulation/__init__.py
+++ b/src/cranecart/simulation/__init__.py
@@ -15,12 +15,18 @@
 from cranecart.simulation._policies import (
     FewestInFlight,
     ForecastPolicy,
+    PacePolicy,
     Policy,
     TwoChoices,
 )
 from cranecart.simulation._result import Outcome, Result
 from cranecart.simulation._simulation import Simulation, simulate
-from cranecart.simulation._workload import Burst, ReplicaCrash, Workload
+from cranecart.simulation._workload import (
+    Burst,
+    ReplicaCrash,
+    Slowdown,
+    Workload,
+)
 
 __all__ = (
     'Burst',
@@ -30,6 +36,7 @@
     'ForecastPolicy',
     'OccupancyLevels',
     'Outcome',
+    'PacePolicy',
     'PlannedAdmission',
     'Policy',
     'ReplicaCrash',
@@ -37,6 +44,7 @@
     'Result',
     'SimulatedRequest',
     'Simulation',
+    'Slowdown',
     'TwoChoices',
     'Workload',
     'simulate',
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -173,6 +173,7 @@
     evacuations: Evacuations
     cluster: SimulatedCluster
     exchange: LoadExchange
+    slow_targets: dict[str, int]
 
     @classmethod
     def in_cluster(
@@ -190,6 +191,7 @@
         leaving: set[str] = set()
         evacuations = Evacuations()
         exchange = LoadExchange(domain)
+        slow_targets: dict[str, int] = {}
         local = LocalState(name, name, domain)
 
         def refresh_local_state() -> None:  # noqa: WPS430
@@ -213,6 +215,7 @@
             lambda message: leaving.add(message.instance),
             evacuations.merge,
             lambda message: _receive_offered(exchange, message, cluster.now),
+            lambda _sender, slow: slow_targets.update(slow),
         )
         transport = SimulatedTransport(cluster, name)
         mesh = Mesh(local, transport, callbacks, lambda: cluster.now)
@@ -232,6 +235,7 @@
             evacuations,
             cluster,
             exchange,
+            slow_targets,
         )
 
     @property
