Divide the rate of loads among placers that may load; test a frozen node

The rate of the weight store was divided by all failure domains, also while the placers of evacuated ones load nothing; the others now compensate sooner.

--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -73,6 +73,7 @@
             orders,
             scope.failure_domains,
             environment.has_traffic,
+            evacuated=fleet.evacuations.active,
         )
         inventory = Inventory(
             scope.failure_domain,
--- a/src/cranecart/grouping/_stager.py
+++ b/src/cranecart/grouping/_stager.py
@@ -1,6 +1,6 @@
 """Copy models to the hosts of instances, and limit all loads."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 import curio
@@ -24,13 +24,18 @@
 
 @attrs.define
 class Stager:
-    """Sends staging orders within the rate of the weight store."""
+    """Sends staging orders within the rate of the weight store.
+
+    The placers of evacuated failure domains load nothing, so that the others
+    divide the rate among them.
+    """
 
     _lease: Lease
     _orders: Orders
     _placers: int
     _has_traffic: Callable[[], bool]
     _clock: Callable[[], float] = since_boot
+    _evacuated: Callable[[], Collection[str]] = frozenset
     _load_budget: LoadBudget = attrs.field(factory=LoadBudget, init=False)
     _ordered_at: dict[tuple[Incarnation, str], float] = attrs.field(
         factory=dict,
@@ -77,7 +82,9 @@
         if in_progress and in_progress + count > engine.loads_at_once - reserve:
             return False
         return self._load_budget.take(
-            count, engine.loads_per_second, self._placers
+            count,
+            engine.loads_per_second,
+            self._placers - len(self._evacuated()),
         )
 
     async def stage(
--- a/tests/functional/test_node_start.py
+++ b/tests/functional/test_node_start.py
@@ -25,6 +25,7 @@
     Request,
     Responder,
     Response,
+    exchange,
 )
 from cranecart.listening import ADDRESS_VARIABLE
 from tests.lib.fake_targets import Exchange, FakeTarget
@@ -38,6 +39,8 @@
 _NODES = 6
 # Latency of a slow store, by the users' load sheets.
 _STORE_DELAY_SECONDS = 0.25
+# Longer than pauses after which a node sends at once.
+_FREEZE_SECONDS = 3.5
 
 
 class _SlowStore(StandinStore):
@@ -96,13 +99,14 @@
         name: str,
     ) -> None:
         self.client = addresses.take()
+        self.metrics = addresses.take()
         settings = {
             'node_id': name,
             'failure_domain': 'east',
             'client_address': str(self.client),
             'ready_address': str(addresses.take()),
             'peer_address': str(addresses.take()),
-            'metrics_address': str(addresses.take()),
+            'metrics_address': str(self.metrics),
             'platform_address': str(platform),
             'log_successes': 1,
         }
@@ -203,6 +207,46 @@
         """The process exits within a second and closes the connection."""
         curio.run(self._stop_a_starting_node)
 
+    def test_start_during_evacuation(self) -> None:
+        """The first request is not sent to the evacuated target."""
+        curio.run(self._start_evacuated)
+
+    def test_evacuation_while_frozen(self) -> None:
+        """A request that waits in the socket is handled after the news."""
+        curio.run(self._evacuate_frozen_node)
+
+    async def _start_evacuated(self) -> None:
+        target = FakeTarget(_TARGET, _answer)
+        store = _add_config_and_target(StandinStore(), target)
+        store.put('op', '', 'evacuate/east', {})
+        task, platform = await start(store)
+        node = self._start(platform)
+        _connected_at, status = await _connect_and_request(node)
+        self.assertEqual((status, target.received), (503, []))
+        metrics = await exchange(node.metrics, Request('GET', '/metrics'), 5)
+        self.assertIn(b'evacuated{failure_domain="east"} 1', metrics.body)
+        await task.cancel()
+
+    async def _evacuate_frozen_node(self) -> None:
+        target = FakeTarget(_TARGET, _answer)
+        serving = await curio.spawn(target.run)
+        store = _add_config_and_target(StandinStore(), target)
+        task, platform = await start(store)
+        node = self._start(platform)
+        connection = await _connect(node.client)
+        response = await _send_request(connection)
+        self.assertEqual(response.status, 200)
+        connection.reset()
+        node.process.send_signal(signal.SIGSTOP)
+        asking = await curio.spawn(_send_request, connection)
+        store.put('op', '', 'evacuate/east', {})
+        await curio.sleep(_FREEZE_SECONDS)
+        node.process.send_signal(signal.SIGCONT)
+        response = await asking.join()
+        self.assertEqual((response.status, len(target.received)), (503, 1))
+        await task.cancel()
+        await serving.cancel()
+
     async def _request_from_starting_nodes(
         self,
         store: StandinStore,
--- a/tests/unit/test_evacuated_placement.py
+++ b/tests/unit/test_evacuated_placement.py
@@ -1,5 +1,6 @@
 """Placement while a failure domain is evacuated, with engines in memory."""
 
+import itertools
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -9,6 +10,7 @@
 
 from cranecart.fleet import RecordState, ReplicaRecord
 from cranecart.grouping._formation import ReplicaFormation
+from cranecart.grouping._load_budget import LoadBudget
 from cranecart.models import EngineModel, Evacuation
 from cranecart.ports import MemberPhase, Membership
 from tests.lib.fake_engines import (
@@ -64,6 +66,21 @@
         self._evacuate(_OTHER)
         self.assertEqual((loads, inventory.loads_in_progress()), (8, 0))
 
+    def test_rate_of_loads(self) -> None:
+        """The rate of the weight store is divided among the other placers."""
+        now = itertools.count(10).__next__
+        placer = self.testbed.make_placer('two', domains=3)
+        stager = placer._executor._stager
+        stager._load_budget = LoadBudget(now)
+        self.testbed.has_traffic = True
+        assert PROFILE.engine is not None
+        engine = attrs.evolve(PROFILE.engine, loads_at_once=9)
+        # At 4.5 loads/s the placer's share is 1.2, that of a sole one 3.6.
+        self.assertTrue(stager.may_load(engine, 3, 0))
+        self.assertFalse(stager.may_load(engine, 3, 0))
+        self._evacuate(_OTHER, 'south')
+        self.assertTrue(stager.may_load(engine, 3, 0))
+
     def test_first_plan(self) -> None:
         """Before traffic each placer plans all domains, but evacuated ones."""
         instance = attrs.evolve(
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -52,10 +52,10 @@
             True,
         )
 
-    def make_placer(self, node_id: str) -> GroupPlacer:
+    def make_placer(self, node_id: str, domains: int = 1) -> GroupPlacer:
         """Return a placer of the failure domain."""
         return GroupPlacer(
-            PlacerScope(DOMAIN, 1, _STALL_SECONDS),
+            PlacerScope(DOMAIN, domains, _STALL_SECONDS),
             Lease(f'lease/{DOMAIN}', node_id, self.table, _TIMES),
             self.table,
             self.engines,
