Read the end of an evacuation beside an invalid configuration

A full read shows an end only by the missing row. With an invalid configuration and no row of an evacuation it failed, so that an evacuation whose end the feed could not tell (lost history, restored store) lasted until the configuration was corrected.

--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -1,7 +1,7 @@
 """The operator's rows: the configuration and evacuations, decoded."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -43,22 +43,28 @@
 OperatorRow = RouteConfig | Evacuation
 
 
-@attrs.frozen
+@attrs.define
 class PlatformConfigSource:
     """The operator's configuration and evacuations as a source to follow.
 
     An evacuation is the row ``evacuate/ZONE``, whatever its value. If the row
     was deleted, its item is an evacuation that is not active. The first page of
     a read starts at the configuration, whose key comes before theirs.
+
+    An invalid configuration must not delay the start or end of an evacuation.
+    Once one was read, an invalid configuration is left out; the feed shows
+    when it is written again. Until then reading it raises
+    ``PlatformUnavailableError``.
     """
 
     _store: StoreClient
+    _has_read_evacuations: bool = attrs.field(default=False, init=False)
 
     async def snapshot(self) -> Snapshot[OperatorRow]:
         """Read the configuration, if there is one yet, and evacuations."""
         rows = await self._store.read_part(_TABLE, '', _KEY)
         return Snapshot(
-            rows.schema_version, _decode_rows(rows.rows, rows.schema_version)
+            rows.schema_version, self._decode(rows.rows, rows.schema_version)
         )
 
     async def changes(
@@ -70,32 +76,33 @@
         changed = await self._store.feed(_TABLE, since, wait_seconds)
         return Changes(
             changed.schema_version,
-            _decode_rows(changed.rows, changed.schema_version),
+            self._decode(changed.rows, changed.schema_version),
         )
 
-
-def _decode_rows(
-    rows: Iterable[WireRow], table_version: int
-) -> dict[str, OperatorRow]:
-    """Decode the rows; leave out those of any other kind."""
-    read = list(rows)
-    evacuations = {
-        row.key_file: _decode_evacuation(row, table_version)
-        for row in read
-        if _EVACUATION_KEY.fullmatch(row.key_file) and not row.part
-    }
-    configs = [row for row in read if row.key_file == _KEY and not row.deleted]
-    return {**evacuations, **_decode_configs(configs, bool(evacuations))}
+    def _decode(
+        self, rows: Collection[WireRow], table_version: int
+    ) -> dict[str, OperatorRow]:
+        """Decode the rows; leave out those of any other kind."""
+        evacuations = {
+            row.key_file: _decode_evacuation(row, table_version)
+            for row in rows
+            if _EVACUATION_KEY.fullmatch(row.key_file) and not row.part
+        }
+        # A full read may show the end of evacuations by having no rows of them.
+        self._has_read_evacuations |= bool(evacuations)
+        configs = [
+            row for row in rows if row.key_file == _KEY and not row.deleted
+        ]
+        return {
+            **evacuations,
+            **_decode_configs(configs, self._has_read_evacuations),
+        }
 
 
 def _decode_configs(
     rows: Iterable[WireRow], may_omit: bool
 ) -> dict[str, RouteConfig]:
-    """Decode the configuration, if it is among the rows.
-
-    An invalid one must not delay the evacuations beside it, so with
-    ``may_omit`` it is left out. The feed shows when it is written again.
-    """
+    """Decode the configuration; with ``may_omit``, leave out an invalid one."""
     try:
         return {row.key_file: decode_config(row) for row in rows}
     except PlatformUnavailableError as error:
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -100,6 +100,10 @@
         """An evacuation is in force even beside an invalid configuration."""
         self._run_scenario(self._break_configuration)
 
+    def test_end_is_read_beside_invalid_configuration(self) -> None:
+        """A full read without rows of evacuations ends them nevertheless."""
+        self._run_scenario(self._lose_history_of_end)
+
     def _run_scenario(
         self, scenario: Callable[[StoreTestbed], Awaitable[None]]
     ) -> None:
@@ -203,6 +207,15 @@
         await until(lambda: testbed.all_have_version(11))
         await self._evacuate(testbed)
 
+    async def _lose_history_of_end(self, testbed: StoreTestbed) -> None:
+        await self._evacuate(testbed, 'd0')
+        testbed.store.feeds_are_stalled = True
+        testbed.store.put('op', '', 'config', {'version': 'seven'})
+        change = await curio.spawn(self._evacuate, testbed)
+        await curio.sleep(0.1)
+        testbed.store.discard_history()
+        await change.join()
+
     async def _assert_holds(
         self, testbed: StoreTestbed, seconds: float
     ) -> None:
