Do not count a stream that its target cut off as unread as a failure

A target cuts off a response that stays unread for some seconds. Three clients that paused that long ejected their healthy target for a second or more, for the requests of all other clients.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -56,6 +56,7 @@
     _guard: RequestGuard
     tried: list[str] = attrs.field(factory=list, init=False)
     has_begun: bool = attrs.field(default=False, init=False)
+    _is_paused_by_client: bool = attrs.field(default=False, init=False)
     _sent_count: int = attrs.field(default=0, init=False)
     _unreachable_count: int = attrs.field(default=0, init=False)
     _last_error: TargetError | None = attrs.field(default=None, init=False)
@@ -99,11 +100,16 @@
         if self._progress is not None:
             self._progress.record_begun()
 
+    def record_client_pause(self) -> None:
+        """Record that the client left the current target's stream unread."""
+        self._is_paused_by_client = True
+
     async def _succeeds(
         self,
         attempt: Callable[[Target], Awaitable[None]],
         target: Target,
     ) -> bool:
+        self._is_paused_by_client = False
         watching_context = self._guard.watch(self._identity, target.instance)
         try:
             async with watching_context as progress:
@@ -189,10 +195,12 @@
             # Not a failure: nothing was sent, as the target asked for a pause
             # or was evacuated.
             return
-        if (
-            isinstance(error, TargetDisconnectedError)
-            and not target.replica_epoch
-        ):
+        is_disconnected = isinstance(error, TargetDisconnectedError)
+        if is_disconnected and self._is_paused_by_client:
+            # Targets cut off responses that stay unread. Three such streams
+            # would eject a healthy target.
+            return
+        if is_disconnected and not target.replica_epoch:
             self._router.record_broken_connection(incarnation)
             return
         is_reached = not isinstance(error, TargetUnreachableError)
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -18,6 +18,10 @@
 # Fraction of the objective after which a missing first event is reported. It
 # takes longer than later ones, as the engine reads this prompt and others first.
 _FIRST_EVENT_SUSPECT_FRACTION = 0.8
+# A client that accepts nothing for this long leaves the target's stream unread.
+# Targets cut off responses that were unread for some seconds; shorter pauses do
+# not explain a broken connection.
+_CLIENT_PAUSE_SECONDS = 1.0
 
 
 @attrs.define
@@ -104,10 +108,9 @@
         answer: TargetAnswer,
         activity: StreamActivity,
     ) -> None:
-        call = self._attempts.call
         limits = self._first_event_limits()
         while chunk := await self._sender.read_with_limits(
-            call,
+            self._attempts.call,
             target,
             limits,
             answer.connection.read_chunk,
@@ -118,9 +121,15 @@
             complete = self.splitter.feed(chunk)
             if complete:
                 with activity.exclude():
-                    await self._responder.write(complete, call.seconds_left)
+                    await self._write(complete)
                 self._record_gap(self.timing.record_event())
 
+    async def _write(self, events: bytes) -> None:
+        started = since_boot()
+        await self._responder.write(events, self._attempts.call.seconds_left)
+        if since_boot() - started > _CLIENT_PAUSE_SECONDS:
+            self._attempts.record_client_pause()
+
     def _record_gap(self, gap: float | None) -> None:
         if gap is not None:
             model = self._attempts.call.facts.model
--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import itertools
+import socket
 import time
 import unittest
 
 import curio
 
+from cranecart.exceptions import HttpError
 from cranecart.http import HttpConnection, ServerLimits
 from cranecart.ports import Incarnation
 from cranecart.routing import OutlierEjection, RoutingRequest
@@ -24,6 +26,10 @@
 # Clearly longer than the silence that is tolerated by default.
 _STALL_SECONDS = 0.3
 _USUAL_SECONDS = 0.1
+# How long a response may be unread before the target cuts it off.
+_CUT_SECONDS = 1.5
+# Consecutive failures after which a target is ejected.
+_EJECTION_FAILURES = 3
 _REQUEST = RoutingRequest(CONFIG, CONFIG.routes[0], ENGINES, MODEL, 500, 5)
 
 
@@ -136,6 +142,34 @@
         await client.close()
 
 
+class CutUnreadStreamsTest(unittest.TestCase):
+    """A target that cuts off streams which stay unread."""
+
+    def test_target_is_not_ejected(self) -> None:
+        """Otherwise clients that pause take a healthy target out of use."""
+        curio.run(GatewayTestbed(_cut_when_unread).run, self._pause)
+
+    async def _pause(self, testbed: GatewayTestbed) -> None:
+        clients = [
+            await HttpConnection.open(testbed.server.address)
+            for _ in range(_EJECTION_FAILURES)
+        ]
+        for number, client in enumerate(clients):
+            request = client_request(
+                '/stream/', request_id=f'r{number}', deadline_ms=6000
+            )
+            await client.send(request)
+        target = testbed.targets[0]
+        await until(lambda: target.closed == len(clients))
+        for client in clients:
+            with contextlib.suppress(HttpError):
+                await _read_on(client)
+            await client.close()
+        await until(lambda: not testbed.router.load(target.name))
+        ejection = testbed.router._ejection
+        self.assertFalse(ejection.is_ejected(Incarnation(target.name)))
+
+
 class UnreachableTargetTest(unittest.TestCase):
     """A failure domain is cut off while its targets are still listed."""
 
@@ -159,5 +193,24 @@
         await exchange.chunk(b'id: %d\ndata: %b\n\n' % (number, bytes(8000)))
 
 
+async def _cut_when_unread(exchange: Exchange) -> None:
+    sock = exchange.sock
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+    await exchange.start_stream()
+    for number in itertools.count(1):
+        event = b'id: %d\ndata: %b\n\n' % (number, bytes(60_000))
+        try:
+            await curio.timeout_after(_CUT_SECONDS, exchange.chunk, event)
+        except curio.TaskTimeout as error:
+            raise BrokenPipeError from error
+
+
+async def _read_on(client: HttpConnection) -> None:
+    head = await client.read_head()
+    assert head.is_success
+    while await client.read_chunk():
+        """Discard it."""
+
+
 async def _never_called(_exchange: Exchange) -> None:
     """Serve as a target that receives no request."""
