--- a/src/cranecart/http/_unread.py
+++ b/src/cranecart/http/_unread.py
@@ -66,11 +66,11 @@
     responses that stay unread anyway.
     """
     longest_first = sorted(responses, key=lambda response: response.since)
-    excess = sum(response.held_bytes for response in longest_first)
+    remaining_bytes = sum(response.held_bytes for response in longest_first)
     for response in longest_first:
-        if excess <= limit_bytes:
+        if remaining_bytes <= limit_bytes:
             return
-        excess -= response.held_bytes
+        remaining_bytes -= response.held_bytes
         yield response
 
 
