Let an evacuation that a restored store lacks end at every node

Three cases kept one in force at all nodes for good: - a node that had only been told of it read the restored store for the first time, and no other node was left that read it once more; - the history was lost within two seconds of the restore, and a row written since had been deleted: the second complete read was no longer due; - a node that was cut off announced a later evacuation of a domain whose earlier end was known, although a complete read after it did not contain it.

--- a/src/cranecart/fleet/_evacuations.py
+++ b/src/cranecart/fleet/_evacuations.py
@@ -66,13 +66,12 @@
     def merge(self, evacuations: Iterable[Evacuation], sender: str) -> bool:
         """Apply what another node knows; return whether this is a change.
 
-        A node that was cut off may still announce an evacuation that this node
-        never knew, as it had ended before this node's first read.
+        A node that was cut off may still announce an evacuation that had ended
+        before this node's last complete read, which did not contain it.
         """
         changes_before = self.changes
         for evacuation in evacuations:
-            is_unknown = evacuation.failure_domain not in self._known
-            if is_unknown and self._has_ended(evacuation):
+            if self._is_newer(evacuation) and self._has_ended(evacuation):
                 self._end(evacuation.failure_domain, 'store')
             else:
                 self._record(evacuation, sender)
@@ -115,6 +114,10 @@
             and (is_same_era or self._is_confirmed)
         )
 
+    def _is_newer(self, evacuation: Evacuation) -> bool:
+        known = self._known.get(evacuation.failure_domain)
+        return known is None or known.version < evacuation.version
+
     def _end(self, failure_domain: str, source: str) -> None:
         self._record(
             Evacuation(failure_domain, self._complete_version, False), source
@@ -122,8 +125,7 @@
 
     def _record(self, evacuation: Evacuation, source: str) -> None:
         domain = evacuation.failure_domain
-        known = self._known.get(domain)
-        if known is not None and known.version >= evacuation.version:
+        if not self._is_newer(evacuation):
             return
         self._known[domain] = evacuation
         if evacuation.is_active == self.is_evacuated(domain):
--- a/src/cranecart/fleet/_source_follower.py
+++ b/src/cranecart/fleet/_source_follower.py
@@ -66,11 +66,6 @@
 _REPOPULATION_SECONDS = 2.0
 
 
-def _always() -> bool:
-    """Return ``True``: what a restored store lacks can be anywhere in it."""
-    return True
-
-
 @attrs.define
 class SourceFollower(Generic[Item]):
     """Keeps a consumer up to date with one source.
@@ -79,8 +74,9 @@
     combines changes in quick succession. ``apply_restored`` is called with the
     contents of a store that was restored from a backup. Items that are missing
     there are assumed to exist until they had time to be written again; then
-    the source is read completely once more, unless ``needs_reread`` tells then
-    that nothing is missing.
+    the source is read completely once more. With ``lacks_items`` it is read
+    once more only while that returns true, but then also without a restoration
+    of its own: a node may know of lost items from other nodes only.
     """
 
     name: str
@@ -92,7 +88,7 @@
     _clock: Callable[[], float] = since_boot
     _reachability: StoreReachability = attrs.field(factory=StoreReachability)
     _apply_restored: RestoredItemsConsumer[Item] | None = None
-    _needs_reread: Callable[[], bool] = _always
+    _lacks_items: Callable[[], bool] | None = None
     _version: int = attrs.field(default=-1, init=False)
     _last_change_version: int = attrs.field(default=-1, init=False)
     _has_snapshot: bool = attrs.field(default=False, init=False)
@@ -229,7 +225,8 @@
         self._has_snapshot = True
         self._cache.replace(items)
         if 0 <= earlier and era_of(earlier) < era_of(version):
-            if self._apply_restored is not None:
+            self._resync_at = float('inf')
+            if self._apply_restored is not None and self._lacks_items is None:
                 self._resync_at = self._clock() + _REPOPULATION_SECONDS
             log_decision(
                 'source_restored',
@@ -246,8 +243,6 @@
             self._apply(items, False)
         else:
             self._apply_restored(items)
-            if not self._needs_reread():
-                self._resync_at = float('inf')
 
     async def _read_changes(self) -> None:
         since = self._version
@@ -299,6 +294,12 @@
         self._is_unreachable = False
         self._reachability.mark_reachable()
         self._read_at = self._clock()
+        if (
+            self._resync_at == float('inf')
+            and self._lacks_items is not None
+            and self._lacks_items()
+        ):
+            self._resync_at = self._read_at + _REPOPULATION_SECONDS
         self._retry_seconds = _MIN_RETRY_SECONDS
         remaining = self._min_interval(started) - (self._clock() - started)
         if remaining > 0:
--- a/src/cranecart/serving/_followers.py
+++ b/src/cranecart/serving/_followers.py
@@ -232,7 +232,7 @@
         _CONFIG_MIN_INTERVAL_SECONDS,
         reachability=reachability,
         apply_restored=lambda items: apply(items, False),
-        needs_reread=lambda: dispatcher.evacuations.lacks_restored_rows,
+        lacks_items=lambda: dispatcher.evacuations.lacks_restored_rows,
     )
     return follower
 
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -88,6 +88,14 @@
         """It is in force again until the operator deletes the row again."""
         self._run_scenario(self._restore_deleted_row)
 
+    def test_restored_store_and_node_without_earlier_read(self) -> None:
+        """What it was told ends by its second read; nobody else may know."""
+        self._run_scenario(self._read_restored_store_first)
+
+    def test_history_lost_after_restore(self) -> None:
+        """An end that only the second complete read shows is not missed."""
+        self._run_scenario(self._lose_history_after_restore)
+
     def test_unavailable_store(self) -> None:
         """It stays in force."""
         self._run_scenario(self._lose_store)
@@ -175,6 +183,33 @@
         await self._assert_holds(testbed, _REWRITE_SECONDS)
         await until(testbed.all_have_evacuated, _REREAD_SECONDS)
 
+    async def _read_restored_store_first(self, testbed: StoreTestbed) -> None:
+        backup = testbed.store.backup()
+        await self._evacuate(testbed, 'd0')
+        informed = list(testbed.nodes)
+        node = await testbed.start('node-07')
+        node.client.is_partitioned = True
+        await until(lambda: testbed.all_have_evacuated('d0'), _BEATS_SECONDS)
+        for name in informed:
+            await testbed.kill(name)
+        testbed.store.restore(backup)
+        node.client.is_partitioned = False
+        await until(lambda: node.followers.is_informed)
+        self.assertTrue(testbed.all_have_evacuated('d0'))
+        await until(testbed.all_have_evacuated, _REREAD_SECONDS)
+
+    async def _lose_history_after_restore(self, testbed: StoreTestbed) -> None:
+        store = testbed.store
+        await self._restore_without_row(testbed)
+        store.put('op', '', 'evacuate/d1', {})
+        await until(lambda: testbed.all_have_evacuated('d0', 'd1'))
+        store.feeds_are_stalled = True
+        store.put('op', '', 'evacuate/d0', {})
+        store.drop('op', '', 'evacuate/d1')
+        await curio.sleep(0.1)
+        store.discard_history()
+        await until(lambda: testbed.all_have_evacuated('d0'), _REREAD_SECONDS)
+
     async def _restore_deleted_row(self, testbed: StoreTestbed) -> None:
         await self._evacuate(testbed, 'd0')
         backup = testbed.store.backup()
--- a/tests/unit/test_evacuations.py
+++ b/tests/unit/test_evacuations.py
@@ -58,6 +58,15 @@
         self.assertEqual(self.evacuations.known(), (Evacuation('a', 5, False),))
         self.assertTrue(self._merge(Evacuation('b', 6, True)))
 
+    def test_a_node_announces_a_repeated_evacuation_that_has_ended(
+        self,
+    ) -> None:
+        """The same for a domain whose earlier evacuation and end are known."""
+        self._apply(2, Evacuation('a', 2, False))
+        self._apply(5, is_complete=True)
+        self.assertFalse(self._merge(Evacuation('a', 3, True)))
+        self.assertEqual(self.evacuations.known(), (Evacuation('a', 5, False),))
+
     def test_first_read_of_a_restored_store(self) -> None:
         """Rows of an earlier era end only with the second complete read."""
         self._apply(make_version(1, 2), is_complete=True)
