--- a/src/cranecart/rollout/_evacuation_table.py
+++ b/src/cranecart/rollout/_evacuation_table.py
@@ -1,7 +1,5 @@
 """Evacuations of a native deployment, stored in the table."""
 
-from collections.abc import Iterable
-
 import attrs
 import msgspec
 
@@ -42,8 +40,6 @@
     async def change(self, failure_domain: str, is_active: bool) -> Evacuation:
         """Start or end an evacuation; return its new or unchanged state.
 
-        If the table was restored from an earlier copy, the nodes keep newer
-        states than the row has. These count here, and are written again.
         After a conflict or a lost answer the row shows what has happened. Raise
         ``WriteUnknownError`` if that does not become clear.
         """
@@ -51,21 +47,19 @@
             row = (await self._table.read_keys([EVACUATIONS_KEY])).get(
                 EVACUATIONS_KEY
             )
-            # Also fails if the row is unreadable, so as not to overwrite it.
-            stored = _by_domain(_decode(row))
-            self._evacuations.merge(stored.values(), 'store')
-            newest = _by_domain(self._evacuations.known())
-            unchanged = Evacuation(failure_domain, 0, False)
-            current = newest.get(failure_domain, unchanged)
-            is_stored = stored.get(failure_domain, unchanged) == current
-            if is_stored and current.is_active == is_active:
+            stored = {item.failure_domain: item for item in _decode(row)}
+            current = stored.get(
+                failure_domain, Evacuation(failure_domain, 0, False)
+            )
+            if current.is_active == is_active:
+                self.apply(row)
                 return current
             changed = Evacuation(
-                failure_domain, _next_version(newest.values()), is_active
+                failure_domain, self._next_version(stored), is_active
             )
-            newest[failure_domain] = changed
+            stored[failure_domain] = changed
             try:
-                await self._table.commit(_transaction(row, newest))
+                await self._table.commit(_transaction(row, stored))
             except (WriteConflictError, WriteUnknownError):
                 continue
             self._evacuations.merge([changed], 'operator')
@@ -74,13 +68,9 @@
             f'the evacuation of {failure_domain} may or may not be changed'
         )
 
-
-def _by_domain(evacuations: Iterable[Evacuation]) -> dict[str, Evacuation]:
-    return {item.failure_domain: item for item in evacuations}
-
-
-def _next_version(evacuations: Iterable[Evacuation]) -> int:
-    return 1 + max((item.version for item in evacuations), default=0)
+    def _next_version(self, stored: dict[str, Evacuation]) -> int:
+        known = (*stored.values(), *self._evacuations.known())
+        return 1 + max((item.version for item in known), default=0)
 
 
 def _transaction(
