--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -1,7 +1,7 @@
 """Send this node's beats and, on a relay, digests and summaries."""
 
 import attrs
-import msgspec
+from msgspec import structs
 
 from cranecart.mesh._messages import (
     Beat,
@@ -180,12 +180,13 @@
             if domain != summary.failure_domain
         ]
         return Digest(
-            beats[0],
+            # The summary includes the slow targets of this beat.
+            structs.replace(beats[0], slow_targets={}),
             _without_evacuations(summary),
             [beat.sender for beat in beats],
             [round(now - received.made_at, 3) for received in remote_summaries],
             [
-                msgspec.structs.replace(
+                structs.replace(
                     received.summary,
                     evacuations=[],
                     offered=remote_offered.get(
@@ -242,4 +243,4 @@
 
     With a copy in each summary, one evacuation cost each of 139 nodes 1.3 KB/s.
     """
-    return msgspec.structs.replace(summary, evacuations=[])
+    return structs.replace(summary, evacuations=[])
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import functools
-import operator
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Generator, Sequence
@@ -57,6 +56,11 @@
 _BUSY_SECONDS = 0.2
 
 
+def _incarnation_of(target: ServingHead | ListedInstance) -> Incarnation:
+    """Return the incarnation, as ids are reused."""
+    return target.incarnation
+
+
 def _ignore_report(_incarnation: Incarnation) -> None:
     """Ignore a report, where there are no other nodes."""
 
@@ -101,9 +105,7 @@
         init=False,
     )
     _ejection: OutlierEjection = attrs.field(
-        factory=functools.partial(
-            OutlierEjection, key=operator.attrgetter('incarnation')
-        ),
+        factory=functools.partial(OutlierEjection, key=_incarnation_of),
         init=False,
     )
     _in_flight: InFlightCounts = attrs.field(factory=InFlightCounts, init=False)
