Keep spare slots for admitted requests, and reports under 0.5 KB/s a node

A request beyond its share got any slot below 0.75 of a replica's, so that admitted ones waited.

At 139 nodes, reports of the offered load took 519 bytes a second of a node.

--- a/src/cranecart/dispatch/_decision.py
+++ b/src/cranecart/dispatch/_decision.py
@@ -36,8 +36,11 @@
 _REFUSED_MAX_WAIT_FRACTION = 1.0
 # A request beyond its share is sent only to a replica with fewer than this part
 # of its slots in use. The rest is for admitted requests, which would otherwise
-# wait for a slot: a stream keeps it for two seconds.
-_SPARE_SLOT_FRACTION = 0.75
+# wait for a slot: a stream keeps it for two seconds. Users require that none is
+# refused below 0.5. In simulation with twice the load that fits, 0.26 of the
+# more urgent class were in time with 0.75 and 0.31 with 0.5; with surges, 0.79
+# and 0.75 of it were served.
+_SPARE_SLOT_FRACTION = 0.6
 # Values of ``is_deferred`` and ``is_beyond_share``.
 _BEYOND_SHARE = (True, True)
 
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -148,7 +148,8 @@
             if domain != summary.failure_domain
         ]
         return Digest(
-            beats[0],
+            # The summary has the relay's own offered load, too.
+            msgspec.structs.replace(beats[0], offered={}),
             summary,
             [beat.sender for beat in beats],
             [round(now - received.made_at, 3) for received in remote_summaries],
--- a/tests/unit/test_load_shedding.py
+++ b/tests/unit/test_load_shedding.py
@@ -163,14 +163,30 @@
     """Nodes in three failure domains, with relays."""
 
     def setUp(self) -> None:
-        """Start nodes that are offered twice what nine replicas do."""
+        """Start the nodes of the smaller deployment."""
         self.random = random.Random(1)
-        self.cluster = SimulatedCluster.of(85)
-        self.cluster.run(2)
+        self._start(85)
 
     def test_nodes_agree(self) -> None:
         """All plan alike within seconds, also a node that has just started."""
-        self.cluster.start('node-100')
+        for count in (85, 139):
+            with self.subTest(nodes=count):
+                self._start(count)
+                self.cluster.start('node-200')
+                self._check_plans()
+
+    def test_a_cut_off_node_admits_by_its_own_load(self) -> None:
+        """It refuses nobody for the load of nodes that it does not hear."""
+        self.cluster.partitions['node-007'] = 1
+        self._ask(3)
+        lonely = self.cluster.nodes['node-007'].exchange
+        self.assertEqual(self._fraction(lonely), 1)
+
+    def _start(self, count: int) -> None:
+        self.cluster = SimulatedCluster.of(count)
+        self.cluster.run(2)
+
+    def _check_plans(self) -> None:
         before = sum(self.cluster.sent_bytes.values())
         self._ask(_RAMP_SECONDS)
         sent = sum(self.cluster.sent_bytes.values()) - before
@@ -184,26 +200,20 @@
         self.cluster.run(_RAMP_SECONDS)
         quiet = sum(self.cluster.sent_bytes.values()) - quiet_before
         # Half a kilobyte a second at each node.
-
         self.assertLess(
             (sent - quiet) / _RAMP_SECONDS / len(self.cluster.nodes), 500
         )
 
-    def test_a_cut_off_node_admits_by_its_own_load(self) -> None:
-        """It refuses nobody for the load of nodes that it does not hear."""
-        self.cluster.partitions['node-007'] = 1
-        self._ask(3)
-        lonely = self.cluster.nodes['node-007'].exchange
-        self.assertEqual(self._fraction(lonely), 1)
-
     def _ask(self, seconds: float) -> None:
+        # Twice what nine replicas do, in four requests a second a node.
+        share = 18 / len(self.cluster.nodes) / 4
         for _quarter in range(round(seconds * 4)):
             for node in self.cluster.alive:
                 rank = self.random.choice((1, 2))
                 organisation = self.random.choices(
                     list(_ZIPF), list(_ZIPF.values())
                 )[0]
-                work = (self.random.random(), 18 / 85 / 4, self.cluster.now)
+                work = (self.random.random(), share, self.cluster.now)
                 node.exchange.record_arrival(_MODEL, rank, organisation, *work)
                 if not self.random.randrange(10):
                     node.exchange.record_shortage(_MODEL, self.cluster.now)
