--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -180,8 +180,8 @@
             if domain != summary.failure_domain
         ]
         return Digest(
-            # The summary includes the slow targets of this beat.
-            structs.replace(beats[0], slow_targets={}),
+            # The summary has the relay's own slow targets and offered load, too.
+            structs.replace(beats[0], slow_targets={}, offered={}),
             _without_evacuations(summary),
             [beat.sender for beat in beats],
             [round(now - received.made_at, 3) for received in remote_summaries],
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -154,11 +154,12 @@
         return self._holders_by_digest.get(hash_key(key))
 
     def divides_capacity(self, service: str) -> bool:
-        """Return whether a service's requests differ in rank or organisation.
+        """Return whether the routes of a service have different ranks.
 
-        Only then has a shortage to be divided between them.
+        Only then does an operator ask that a shortage be divided. Organisations
+        alone do not ask for it: nearly every configuration has them.
         """
-        return bool(self.holders) or len(self._ranks[service]) > 1
+        return len(self._ranks[service]) > 1
 
     @functools.cached_property
     def _ranks(self) -> Mapping[str, set[int]]:
