--- a/src/cranecart/dispatch/_inputs.py
+++ b/src/cranecart/dispatch/_inputs.py
@@ -1,5 +1,7 @@
 """Inputs of the dispatch decision: a request and its candidate replicas."""
 
+import enum
+
 import attrs
 
 from cranecart.models import EngineModel, EngineProfile, Route
@@ -12,6 +14,17 @@
 _WAIT_PAUSES = 8.0
 
 
+class Admission(enum.Enum):
+    """What the admission plan of a model that is short says of a request."""
+
+    # The model is not short.
+    UNPLANNED = 'unplanned'
+    ADMITTED = 'admitted'
+    # Beyond the share of its rank or organisation: served only by a slot that
+    # nobody else waits for.
+    BEYOND_SHARE = 'beyond share'
+
+
 @attrs.frozen
 class ReplicaState:
     """The estimated state of one replica.
@@ -19,7 +32,8 @@
     ``in_flight`` counts the requests of all nodes at the replica, ``deferred``
     those that this node has queued there behind all others. ``error_seconds``
     is by how much recent first events were later than forecast. ``is_local``
-    is whether the replica is in the node's failure domain.
+    is whether the replica is in the node's failure domain. ``pace`` is the
+    factor by which the replica is slower than declared.
     """
 
     name: str
@@ -27,6 +41,7 @@
     deferred: int = 0
     error_seconds: float = 0
     is_local: bool = True
+    pace: float = 1
 
 
 @attrs.frozen
@@ -37,7 +52,8 @@
     and ``was_refused`` is whether that attempt was refused. ``is_resumed``
     marks a stream that continues after another replica failed.
     ``completion_interval`` is the mean time between completed requests of the
-    model at a fully occupied replica.
+    model at a fully occupied replica. ``passed_fraction`` is the expected part
+    of the waiting requests that have a less urgent rank.
     """
 
     route: Route
@@ -49,12 +65,23 @@
     completion_interval: float
     was_refused: bool = False
     is_resumed: bool = False
+    admission: Admission = Admission.UNPLANNED
+    passed_fraction: float = 0
 
     @property
     def objective_seconds(self) -> float:
         """Return what is left of the latency objective."""
         return self.route.objective_seconds - self.elapsed_seconds
 
+    @property
+    def was_asked_back(self) -> bool:
+        """Return whether a plan told the client when it will be served.
+
+        A plan asks back few of the clients it refuses, so that these can be
+        served before requests that are late as well.
+        """
+        return self.was_refused and self.admission is Admission.ADMITTED
+
     @property
     def max_wait_seconds(self) -> float:
         """Return how long the client waits for the first event."""
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import zlib
 from collections.abc import Callable
 
 import attrs
@@ -16,7 +15,7 @@
     OutcomeUnknownError,
     RequestError,
 )
-from cranecart.forwarding._admit import admit
+from cranecart.forwarding._admit import admit, find_route
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._buffered import BufferedExchange
 from cranecart.forwarding._call import RoutedCall
@@ -24,8 +23,9 @@
 from cranecart.forwarding._startup import StartupGate
 from cranecart.forwarding._stream import StreamingExchange
 from cranecart.http import Request, Responder
-from cranecart.logs import RequestTrace
+from cranecart.logs import RequestTrace, sampling_position
 from cranecart.models import RouteConfig
+from cranecart.ports import RequestInfo
 from cranecart.quarantine import RequestGuard
 from cranecart.retries import SharedRetryBudget
 
@@ -33,7 +33,6 @@
 Observer = Callable[[str, float | None], None]
 
 _LOG = logging.getLogger(__name__)
-_CRC_RANGE = 1 << 32  # noqa: WPS432
 _MILLISECONDS = 1000
 
 
@@ -96,7 +95,10 @@
         try:
             facts = self._sender.translator.read_request(request)
             trace.request_id = facts.request_id
-            await self._startup_gate.wait(facts.deadline_seconds)
+            await self._startup_gate.wait(
+                facts.deadline_seconds,
+                lambda: self._is_late(request, facts, started),
+            )
             call = self._with_retry_time(
                 admit(
                     request,
@@ -115,8 +117,7 @@
             outcome = client_error.code
             await self._refuse(trace, client_error, responder, started)
         except (curio.CancelledError, ConnectionBrokenError):
-            outcome = 'client_left'
-            trace.add('client_left', after=_elapsed_since(started))
+            outcome = _trace_departure(trace, responder, started)
             raise
         except Exception as error:
             _LOG.exception('unexpected error while handling a request')
@@ -127,6 +128,17 @@
             self._observe(outcome, responder.seconds_to_first_byte(started))
             self._write_trace(trace, outcome)
 
+    def _is_late(
+        self, request: Request, facts: RequestInfo, started: float
+    ) -> bool:
+        """Return whether a request has missed its objective already."""
+        config = self._current_config()
+        if config is None:
+            return False
+        route = find_route(request, facts, config)
+        elapsed = since_boot() - started
+        return route is not None and elapsed > route.objective_seconds
+
     def _with_retry_time(self, call: RoutedCall) -> RoutedCall:
         """Add how long the client has been retrying a refused request."""
         retrying_for = self._returns.elapsed_seconds(
@@ -138,8 +150,8 @@
 
     def _write_trace(self, trace: RequestTrace, outcome: str) -> None:
         """Log a request, but only a fraction of the unremarkable ones."""
-        hash_fraction = zlib.crc32(trace.request_id.encode()) / _CRC_RANGE
-        is_sampled = hash_fraction < self._success_log_fraction()
+        position = sampling_position(trace.request_id)
+        is_sampled = position < self._success_log_fraction()
         if is_sampled or trace.is_notable or outcome != 'answered':
             trace.write()
 
@@ -236,6 +248,19 @@
             raise
 
 
+def _trace_departure(
+    trace: RequestTrace, responder: Responder, started: float
+) -> str:
+    """Log that the client left or was cut off; return the outcome."""
+    after = _elapsed_since(started)
+    if responder.unread_seconds is None:
+        trace.add('client_left', after=after)
+        return 'client_left'
+    unread_for = round(responder.unread_seconds, 3)
+    trace.add('unread_cut', after=after, unread_for=unread_for)
+    return 'unread_cut'
+
+
 def _log_admitted(call: RoutedCall) -> None:
     call.trace.add(
         'admitted',
@@ -247,6 +272,7 @@
         left=round(call.seconds_left, 3),
         objective=call.route.objective_seconds,
         pause=call.route.pause_seconds,
+        rank=call.rank,
     )
 
 
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -8,7 +8,7 @@
 from cranecart.forwarding._sender import Sender, SilenceLimits, TargetAnswer
 from cranecart.forwarding._sse import EventSplitter
 from cranecart.http import Responder, Response
-from cranecart.routing import StreamActivity, Target
+from cranecart.routing import StreamActivity, StreamPace, Target
 
 # A stream moves to another target after this silence if the replica was not
 # found to have stopped earlier. With too few replicas live engines were silent
@@ -18,6 +18,10 @@
 # Fraction of the objective after which a missing first event is reported. It
 # takes longer than later ones, as the engine reads this prompt and others first.
 _FIRST_EVENT_SUSPECT_FRACTION = 0.8
+# A client that accepts nothing for this long leaves the target's stream unread.
+# Targets cut off responses that were unread for some seconds; shorter pauses do
+# not explain a broken connection.
+_CLIENT_PAUSE_SECONDS = 1.0
 
 
 @attrs.define
@@ -91,8 +95,16 @@
                 self._sender.translator.response_headers(answer.head),
             )
         incarnation = target.instance.incarnation
-        with self._sender.router.stalls.track_stream(incarnation) as activity:
-            await self._relay_events(target, answer, activity)
+        router = self._sender.router
+        call = self._attempts.call
+        pace = router.paces.track_stream(
+            incarnation,
+            call.config.engine(call.service),
+            call.facts.model,
+            router.load,
+        )
+        with router.stalls.track_stream(incarnation) as activity:
+            await self._relay_events(target, answer, activity, pace)
         if not self.splitter.is_between_events:
             raise TargetDisconnectedError(
                 f'{target.instance.id} ended its stream within an event',
@@ -103,6 +115,7 @@
         target: Target,
         answer: TargetAnswer,
         activity: StreamActivity,
+        pace: StreamPace,
     ) -> None:
         limits = self._first_event_limits()
         while chunk := await self._sender.read_with_limits(
@@ -116,9 +129,18 @@
             activity.record_event()
             complete = self.splitter.feed(chunk)
             if complete:
-                await self._responder.write(complete)
+                pace.record_event()
+                with activity.exclude():
+                    await self._write(complete)
+                pace.record_sent()
                 self._record_gap(self.timing.record_event())
 
+    async def _write(self, events: bytes) -> None:
+        started = since_boot()
+        await self._responder.write(events, self._attempts.call.seconds_left)
+        if since_boot() - started > _CLIENT_PAUSE_SECONDS:
+            self._attempts.record_client_pause()
+
     def _record_gap(self, gap: float | None) -> None:
         if gap is not None:
             model = self._attempts.call.facts.model
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -134,10 +134,13 @@
 
     def _handle_beat(self, beat: Beat) -> None:
         self._handle_repeated_stops(beat.recent_stops)
+        self._handle_evacuations(beat)
         if beat.stopping:
             self._state.peer_state.forget_node(beat.sender)
             self._state.roster.remove_relay(beat.sender)
             return
+        if not self._state.peer_state.was_seen_recently(beat.sender):
+            self._state.last_met_at = self._state.clock()
         if not self._state.peer_state.has_sent_beat(beat.sender):
             log_decision('peer_met', peer=beat.sender, address=beat.address)
         if beat.via_relays:
@@ -145,6 +148,10 @@
         peer = PeerNode(beat.address, beat.failure_domain)
         self._state.roster.add(beat.sender, peer)
         self._state.peer_state.record_beat(beat)
+        if beat.offered:
+            self._callbacks.on_offered(beat)
+        if not beat.via_relays:
+            self._callbacks.on_slow_targets(beat.sender, beat.slow_targets)
 
     def _handle_digest(self, digest: Digest, now: float) -> None:
         domain = digest.summary.failure_domain
@@ -154,9 +161,13 @@
             self._state.last_digest_at = now
             self._state.roster.record_relay_coverage(digest)
             self._state.peer_state.record_digest(digest)
+            self._callbacks.on_slow_targets(domain, digest.summary.slow_targets)
             for name, address in digest.summary.relays.items():
                 self._add_relay(name, PeerNode(address, domain))
+            if digest.summary.offered:
+                self._callbacks.on_offered(digest.summary)
         self._handle_repeated_stops(digest.summary.recent_stops)
+        self._handle_evacuations(digest.summary)
         for age, summary in zip(
             digest.summary_ages, digest.other_summaries, strict=False
         ):
@@ -170,7 +181,17 @@
         self._state.roster.enable_relays()
         if summary.failure_domain != self._state.local.failure_domain:
             self._state.peer_state.record_summary(summary, made_at)
+            if summary.offered:
+                self._callbacks.on_offered(summary)
+            self._callbacks.on_slow_targets(
+                summary.failure_domain, summary.slow_targets
+            )
         self._handle_repeated_stops(summary.recent_stops)
+        self._handle_evacuations(summary)
+
+    def _handle_evacuations(self, message: Beat | Summary) -> None:
+        if message.evacuations:
+            self._callbacks.on_evacuations(message.evacuations, message.sender)
 
     def _handle_repeated_stops(self, stops: list[Stopped]) -> None:
         for message in stops:
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -1,12 +1,12 @@
 """State and callbacks shared by the parts of the mesh."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import attrs
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import SourceUpdate
-from cranecart.mesh._messages import Stopped, Suspect
+from cranecart.mesh._messages import Beat, Stopped, Summary, Suspect
 from cranecart.mesh._peer_state import PeerState
 from cranecart.mesh._roster import Roster
 from cranecart.mesh._stop_notices import StopNotices
@@ -16,10 +16,18 @@
     RequestCases,
     TargetLimits,
 )
-from cranecart.models import RouteConfig
+from cranecart.models import Evacuation, RouteConfig
 from cranecart.ports import ListedInstance, Row
 
 
+def _ignore_offered(_message: Beat | Summary) -> None:
+    """Ignore the load of other nodes, where capacity is not planned."""
+
+
+def _ignore_slow_targets(_sender: str, _paces: Mapping[str, int]) -> None:
+    """Ignore slow targets, at a node that has none."""
+
+
 @attrs.define
 class LocalState:
     """The state of this node that each beat announces.
@@ -27,7 +35,11 @@
     ``requests`` counts those received since the start; ``placer_domain`` is the
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
-    that clients ask for, by model.
+    that clients ask for, by model. ``evacuations`` are all that it knows.
+    ``offered`` is the load that arrives here, ``domain_offered`` that of the
+    failure domain, and ``remote_offered`` what was heard of other failure
+    domains since the last beat. ``slow_targets`` has paces in hundredths by
+    instance id.
     """
 
     node_id: str
@@ -38,6 +50,17 @@
     stopping: bool = False
     source_versions: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
+    offered: dict[str, float] = attrs.field(factory=dict)
+    domain_offered: dict[str, float] = attrs.field(factory=dict)
+    remote_offered: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    slow_targets: dict[str, int] = attrs.field(factory=dict)
+
+
+def _ignore_evacuations(
+    _evacuations: Sequence[Evacuation], _sender: str
+) -> None:
+    """Ignore evacuations, where nothing is sent to targets."""
 
 
 @attrs.frozen
@@ -45,7 +68,8 @@
     """Functions through which the mesh reads and updates the node.
 
     ``on_cases`` returns whether anything was new; ``refresh_local_state``
-    updates the local state before a beat is built from it.
+    updates the local state before a beat is built from it. ``on_slow_targets``
+    gets the paces that a node or the relay of a failure domain reports.
     """
 
     on_stopped: Callable[[Stopped], object]
@@ -60,6 +84,13 @@
     on_broken: Callable[[Broken], None]
     on_limits: Callable[[TargetLimits], None]
     on_leaving: Callable[[Leaving], object]
+    on_evacuations: Callable[[Sequence[Evacuation], str], object] = (
+        _ignore_evacuations
+    )
+    on_offered: Callable[[Beat | Summary], None] = _ignore_offered
+    on_slow_targets: Callable[[str, Mapping[str, int]], None] = (
+        _ignore_slow_targets
+    )
 
 
 @attrs.define
@@ -67,7 +98,7 @@
     """State of this node and of its peers.
 
     ``last_digest_at`` is when a relay of the local failure domain last sent a
-    digest.
+    digest, ``last_met_at`` when a beat came from a node that was silent before.
     """
 
     local: LocalState
@@ -76,6 +107,7 @@
     roster: Roster = attrs.field(init=False)
     stop_notices: StopNotices = attrs.field(init=False)
     last_digest_at: float | None = attrs.field(default=None, init=False)
+    last_met_at: float = attrs.field(default=float('-inf'), init=False)
 
     @peer_state.default
     def _make_peer_state(self) -> PeerState:
--- a/src/cranecart/metrics.py
+++ b/src/cranecart/metrics.py
@@ -14,6 +14,8 @@
     NumberDataPoint,
 )
 
+from cranecart.models import Evacuation
+
 _MILLISECONDS = 1000
 _Point = NumberDataPoint | HistogramDataPoint
 
@@ -49,6 +51,11 @@
             description='messages and bytes to and from peers, and calls of '
             'the platform, since the start',
         )
+        self.evacuated = meter.create_gauge(
+            'cranecart_evacuated',
+            description='1 for a failure domain to whose targets this node '
+            'sends nothing, 0 once the evacuation has ended',
+        )
         self.config_version = meter.create_gauge(
             'cranecart_config_version',
             description='version of the configuration in force',
@@ -75,6 +82,14 @@
         for seconds in first_bytes:
             self.first_token_ms.record(seconds * _MILLISECONDS)
 
+    def set_evacuations(self, evacuations: Iterable[Evacuation]) -> None:
+        """Set what is known of failure domains that are or were evacuated."""
+        for evacuation in evacuations:
+            self.evacuated.set(
+                int(evacuation.is_active),
+                {'failure_domain': evacuation.failure_domain},
+            )
+
     def text(self) -> bytes:
         """Collect all metrics; return them in the text exposition format."""
         collected = self._reader.get_metrics_data()
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+from collections import defaultdict
 from collections.abc import Mapping
 
 import attrs
@@ -152,6 +153,22 @@
         """Return the organisation to which a key belongs, if any."""
         return self._holders_by_digest.get(hash_key(key))
 
+    def divides_capacity(self, service: str) -> bool:
+        """Return whether the routes of a service have different ranks.
+
+        Only then does an operator ask that a shortage be divided. Organisations
+        alone do not ask for it: nearly every configuration has them.
+        """
+        return len(self._ranks[service]) > 1
+
+    @functools.cached_property
+    def _ranks(self) -> Mapping[str, set[int]]:
+        ranks: dict[str, set[int]] = defaultdict(set)
+        for route in self.routes:
+            for share in route.shares:
+                ranks[share.service].add(route.rank)
+        return ranks
+
     @functools.cached_property
     def _routes_by_host_and_prefix(self) -> Mapping[tuple[str, str], Route]:
         return {
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import functools
-import operator
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Generator, Sequence
@@ -16,10 +15,11 @@
     Refuse,
     ReplicaState,
     decide,
+    draw_by_pace,
     spread_retry_after,
 )
 from cranecart.exceptions import NoReplicaError, OverloadedError
-from cranecart.fleet import Fleet, ServingHead
+from cranecart.fleet import Evacuations, Fleet, ServingHead
 from cranecart.logs import log_decision
 from cranecart.models import EngineProfile, RouteConfig
 from cranecart.ports import Incarnation, ListedInstance
@@ -31,7 +31,13 @@
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
 from cranecart.routing._in_flight import InFlightCounts, Target
+from cranecart.routing._paces import TargetPaces
 from cranecart.routing._request import RoutingRequest
+from cranecart.routing._shortage import (
+    ShortageControl,
+    choice_reason,
+    overloaded_error,
+)
 from cranecart.routing._stalls import StallDetector
 from cranecart.throttling import TargetThrottle
 
@@ -50,6 +56,11 @@
 _BUSY_SECONDS = 0.2
 
 
+def _incarnation_of(target: ServingHead | ListedInstance) -> Incarnation:
+    """Return the incarnation, as ids are reused."""
+    return target.incarnation
+
+
 def _ignore_report(_incarnation: Incarnation) -> None:
     """Ignore a report, where there are no other nodes."""
 
@@ -74,17 +85,29 @@
         default=_ignore_report
     )
     throttle: TargetThrottle = attrs.field(factory=TargetThrottle)
+    evacuations: Evacuations = attrs.field(
+        default=attrs.Factory(
+            lambda router: router._fleet.evacuations, takes_self=True
+        ),
+        init=False,
+    )
+    paces: TargetPaces = attrs.field(factory=TargetPaces)
     gaps: EventGapTracker = attrs.field(factory=EventGapTracker, init=False)
     stalls: StallDetector = attrs.field(init=False)
     forecast_errors: ForecastErrors = attrs.field(
         factory=ForecastErrors, init=False
     )
-    _ejection: OutlierEjection = attrs.field(
-        factory=functools.partial(
-            OutlierEjection, key=operator.attrgetter('incarnation')
+    shortage: ShortageControl = attrs.field(
+        default=attrs.Factory(
+            lambda router: ShortageControl(router._failure_domain),
+            takes_self=True,
         ),
         init=False,
     )
+    _ejection: OutlierEjection = attrs.field(
+        factory=functools.partial(OutlierEjection, key=_incarnation_of),
+        init=False,
+    )
     _in_flight: InFlightCounts = attrs.field(factory=InFlightCounts, init=False)
 
     def choose(self, request: RoutingRequest) -> Target:
@@ -223,6 +246,7 @@
             head.id: head
             for head in self._without_unhealthy(available, request)
         }
+        planned = self.shortage.admission(request, len(eligible), self._clock())
         dispatch_request = DispatchRequest(
             request.route,
             engine,
@@ -233,33 +257,31 @@
             self._completion_interval(request.model),
             request.was_refused,
             request.is_resumed,
+            planned.admission,
+            planned.passed_fraction(request.rank),
         )
         states = [
             self._replica_state(target, request) for target in heads.values()
         ]
-        choice = decide(dispatch_request, states)
+        choice = decide(
+            dispatch_request, draw_by_pace(self._random, states, engine.slots)
+        )
+        self.shortage.record(request, choice, self._clock())
         if isinstance(choice, Refuse):
-            raise OverloadedError(
-                f'a slot is expected {choice.excess_seconds:.2f} s after '
-                'the client gives up',
-                retry_after=_retry_after(
-                    self._random, request, choice.excess_seconds
-                ),
-            )
+            raise overloaded_error(request, choice, planned, self._random)
         head = heads[choice.name]
         self.throttle.record_sent(head.incarnation)
         return Target(
             head.head,
             head.replica_epoch,
             self.load(head.id),
-            'deferred: too late for its objective'
-            if choice.is_deferred
-            else 'in time',
+            choice_reason(request, choice, planned),
             self._clock(),
             choice.forecast_seconds,
             self._forecast_error(head.incarnation, request.model),
             choice.is_deferred,
             throttled,
+            self.paces.pace(head.incarnation, request.model),
         )
 
     def _without_unhealthy(
@@ -291,20 +313,26 @@
             self._in_flight.deferred[head.id],
             self._forecast_error(head.incarnation, request.model),
             head.head.failure_domain == self._failure_domain,
+            self.paces.pace(head.incarnation, request.model),
         )
 
     def _forecast_error(self, incarnation: Incarnation, model: str) -> float:
+        if self.paces.is_enabled:
+            # The pace explains how a replica differs from the others.
+            return self.forecast_errors.expected_of_model(model)
         return self.forecast_errors.expected(incarnation, model, self._clock())
 
     def _no_replica(self, request: RoutingRequest) -> NoReplicaError:
+        evacuated = self.evacuations.active()
         is_forming = self._fleet.replica_records.is_starting(
-            request.service, request.model
+            request.service, request.model, evacuated
         )
         expected_seconds = (
             _FORMING_SECONDS if is_forming else _NO_REPLICA_SECONDS
         )
         return NoReplicaError(
-            f'no complete replica of {request.model!r} is serving',
+            f'no complete replica of {request.model!r} is serving'
+            f'{_evacuated_text(evacuated)}',
             retry_after=_retry_after(self._random, request, expected_seconds),
         )
 
@@ -312,7 +340,8 @@
         eligible = _eligible(self._fleet.available(request.service), request)
         if not eligible:
             raise NoReplicaError(
-                f'no instance of {request.service!r} is serving',
+                f'no instance of {request.service!r} is serving'
+                f'{_evacuated_text(self.evacuations.active())}',
                 retry_after=_NO_REPLICA_SECONDS,
             )
         instances = available_targets(
@@ -346,6 +375,10 @@
         return self.load(target.id), self._random.random()
 
 
+def _evacuated_text(evacuated: Collection[str]) -> str:
+    return f' outside of evacuated {sorted(evacuated)}' if evacuated else ''
+
+
 def _sample(
     source: random.Random,
     failure_domain: str,
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from cranecart.fleet import Fleet, mark_leaving
-from cranecart.http import Address, ServerLimits
+from cranecart.forwarding import ResumeGuard, TargetConnectionPool
+from cranecart.http import TARGET_RECEIVE_BYTES, Address, ServerLimits
 from cranecart.mesh import (
     Leaving,
     LocalState,
@@ -16,6 +17,7 @@
     sharing_node_count,
 )
 from cranecart.models import ClientLimits
+from cranecart.platform import has_evacuations, has_slow_readers
 from cranecart.ports import Incarnation
 from cranecart.retries import RetryLimits
 from cranecart.settings import ServingSettings
@@ -28,6 +30,10 @@
 _RESERVED_DESCRIPTORS = 200
 _CLIENT_FRACTION = 0.6
 _MIN_CONNECTIONS = 16
+# Fraction of a node's memory that may be held for clients that do not read. The
+# state of a large deployment takes up to 128 MB of the smallest nodes' 152 MB.
+_UNREAD_FRACTION = 0.125
+_MEGABYTE = 1_000_000
 
 
 def make_mesh(settings: ServingSettings, callbacks: MeshCallbacks) -> Mesh:
@@ -64,9 +70,34 @@
         connections=max(
             _MIN_CONNECTIONS, int(available_descriptors * _CLIENT_FRACTION)
         ),
+        unread_bytes=_unread_bytes(settings),
     )
 
 
+def make_resume_guard(settings: ServingSettings) -> ResumeGuard:
+    """Return the guard against sending by what was known before a freeze."""
+    return ResumeGuard(has_evacuations(settings.platform_features))
+
+
+def make_target_connections(settings: ServingSettings) -> TargetConnectionPool:
+    """Return the pool of connections to targets.
+
+    What they receive while a client does not read counts against the memory.
+    """
+    return TargetConnectionPool(
+        receive_bytes=(
+            None if _unread_bytes(settings) is None else TARGET_RECEIVE_BYTES
+        )
+    )
+
+
+def _unread_bytes(settings: ServingSettings) -> float | None:
+    """Return the bound on memory for unread responses, if there is one."""
+    if settings.memory_mb and has_slow_readers(settings.platform_features):
+        return settings.memory_mb * _MEGABYTE * _UNREAD_FRACTION
+    return None
+
+
 def retry_limits(settings: ServingSettings) -> RetryLimits:
     """Return the limits on retries."""
     return RetryLimits(
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -5,14 +5,11 @@
 import curio
 
 from cranecart.clocks import SuspensionWatch, since_boot
-from cranecart.demand import DemandMeter
 from cranecart.fleet import Fleet, ReplicaRecord, mark_leaving
 from cranecart.forwarding import (
-    RoutedCall,
     RoutedGateway,
     Sender,
     StartupGate,
-    TargetConnectionPool,
 )
 from cranecart.http import (
     Address,
@@ -33,11 +30,14 @@
 )
 from cranecart.serving._factories import (
     make_mesh,
+    make_resume_guard,
+    make_target_connections,
     make_throttle,
     retry_limits,
     server_limits,
 )
 from cranecart.serving._followers import PlatformFollowers, RowDispatcher
+from cranecart.serving._node_demand import NodeDemand
 from cranecart.serving._node_registration import NodeRegistration
 from cranecart.serving._placer_host import PlacerDependencies, PlacerHost
 from cranecart.serving._platform_adapters import PlatformAdapters
@@ -70,11 +70,11 @@
         self._live_settings = live_settings
         self._is_stopping = False
         self._suspension_watch = SuspensionWatch()
+        self._resume_guard = make_resume_guard(settings)
         self._request_statistics = RequestStatistics()
         self._random_source = random.Random()
         self._active_config = ActiveRouteConfig()
         self._fleet = Fleet()
-        self._demand_meter = DemandMeter()
         self._platform_adapters = PlatformAdapters.from_settings(settings)
         self._registration = NodeRegistration(
             settings, self._platform_adapters.table
@@ -83,7 +83,7 @@
             self._fleet,
             self._random_source,
             lambda name: self._mesh.in_flight_elsewhere(name),
-            self._demand_meter.mean_seconds,
+            lambda model: self._node_demand.mean_seconds(model),
             settings.failure_domain,
             report_broken=lambda incarnation: self._mesh.publish(
                 Broken(settings.node_id, incarnation.id, incarnation.born),
@@ -92,6 +92,8 @@
                 settings.node_id, self._fleet, lambda: self._mesh
             ),
         )
+        self._node_demand = NodeDemand(self._router.shortage.exchange)
+        self._router.paces.is_enabled = settings.learns_pace
         self._mesh = self._make_mesh()
         self._quarantine = NodeQuarantine.for_node(
             settings.node_id,
@@ -122,7 +124,7 @@
                 self._report_stopped,
             ),
         )
-        self._target_connections = TargetConnectionPool()
+        self._target_connections = make_target_connections(settings)
         self._retry_budget = SharedRetryBudget(
             retry_limits(settings),
             self._mesh.live_node_count,
@@ -193,6 +195,9 @@
             lambda message: mark_leaving(
                 self._fleet, message.incarnation, message.sender
             ),
+            self._fleet.evacuations.merge,
+            self._node_demand.receive,
+            on_slow_targets=self._router.paces.merge,
         )
         return make_mesh(self._live_settings.current, callbacks)
 
@@ -203,6 +208,7 @@
             self._target_connections,
             self._fleet.is_stopped,
             self._report_suspect,
+            self._resume_guard,
         )
         return RoutedGateway(
             self._active_config.current,
@@ -212,8 +218,8 @@
             self._random_source,
             self._request_statistics.observe_request,
             lambda: self._live_settings.current.log_successes,
-            self._record_demand,
-            self._record_work,
+            self._node_demand.record_request,
+            self._node_demand.record_work,
             StartupGate(self._is_informed),
         )
 
@@ -221,23 +227,6 @@
         self._mesh.local.requests += 1
         await self._gateway.handle(request, responder)
 
-    def _record_demand(self, call: RoutedCall) -> None:
-        if call.facts.model:
-            self._demand_meter.record_request(call.facts.model)
-
-    def _record_work(self, call: RoutedCall, events: int) -> None:
-        facts = call.facts
-        engine = call.config.engine(call.service)
-        model = None if engine is None else engine.model(facts.model)
-        if engine is None or model is None:
-            return
-        work = engine.timing.work_seconds(
-            events,
-            facts.prompt_tokens,
-            engine.slots,
-        )
-        self._demand_meter.record_work(facts.model, work * model.pace)
-
     async def _run_housekeeping(self) -> None:
         iteration = 0
         while True:
@@ -252,6 +241,7 @@
             await self._target_connections.close_expired(listed_incarnations)
             self._router.forecast_errors.prune(listed_incarnations)
             self._router.throttle.refresh(listed_incarnations)
+            self._router.paces.refresh(listed_incarnations)
             await self._quarantine.refresh()
             if self._registration.needs_registration:
                 await curio.spawn(self._registration.register, daemon=True)
@@ -264,12 +254,12 @@
             log_decision(
                 'node_was_suspended', seconds=round(suspended_seconds, 3)
             )
+        self._resume_guard.record_awake(since_boot())
+        self._mesh.local.evacuations = list(self._fleet.evacuations.known())
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
-        self._mesh.local.demand = {
-            model: round(replicas, 3)
-            for model, replicas in self._demand_meter.by_model().items()
-        }
+        self._node_demand.update(self._mesh.local)
+        self._mesh.local.slow_targets = self._router.paces.report()
 
     def _reload(self) -> None:
         if self._live_settings.reload('requested by a signal'):
@@ -315,12 +305,19 @@
             **self._platform_adapters.store_call_counts,
             **self._quarantine.guard.counts(),
             'requests': self._gateway.received_count,
+            'unread_responses_cut': self._client_server.unread.cut_count,
+            'unread_bytes': self._client_server.unread.held_bytes,
             'target_connections': self._target_connections.opened,
             'uneven_connections': self._target_connections.desynchronized,
             'log_bytes': self._log_queue.written_bytes,
             'log_lines_dropped': self._log_queue.dropped,
             'liveness_checks': self._placer_host.liveness_check_count,
             **self._router.throttle.counts(),
+            'evacuated_domains': len(self._fleet.evacuations.active()),
+            'evacuation_changes': self._fleet.evacuations.changes,
+            'evacuated_choices': self._fleet.evacuations.withdrawn,
+            **self._router.shortage.counts(),
+            **self._router.paces.counts(),
         }
 
     def _is_informed(self) -> bool:
--- a/src/cranecart/simulation/_simulation.py
+++ b/src/cranecart/simulation/_simulation.py
@@ -10,10 +10,15 @@
 import attrs
 
 from cranecart.dispatch import Refuse, Send
+from cranecart.mesh import SlowTargetReports
 from cranecart.simulation._engine import Engine, SimulatedRequest
 from cranecart.simulation._policies import Policy
 from cranecart.simulation._result import Outcome, Result
-from cranecart.simulation._workload import ReplicaCrash, Workload
+from cranecart.simulation._workload import (
+    ReplicaCrash,
+    Slowdown,
+    Workload,
+)
 
 # Time from sending a request to its first event, without the engine's passes.
 _NETWORK_SECONDS = 0.12
@@ -21,10 +26,18 @@
 _HEARTBEAT_SECONDS = 0.25
 # Streams of a crashed replica are resumed on another one after this time.
 _FAILOVER_SECONDS = 0.15
+# Up to this many nodes exchange reports directly, more by relays.
+_FULL_MESH_NODES = 16
+_DOMAINS = 3
 _DEFERRED_RANK = 5
 _MIN_CLIENT_TIMEOUT_SECONDS = 2.0
 # Retry time for clients while a model has no replica.
 _NO_REPLICA_RETRY_SECONDS = 0.6
+# Clients honour a retry time of up to a third of their remaining time, and give
+# up if it is longer.
+_MAX_RETRY_FRACTION = 1 / 3
+_IMPATIENT_RETRIES = 3
+_IMPATIENT_RETRY_SECONDS = 0.02
 
 # Time, sequence number for events at the same time, and callback.
 _Event = tuple[float, int, Callable[[], None]]
@@ -72,6 +85,8 @@
         self._engines = list(engines)
         self._nodes = [_Node(policy) for policy in policies]
         self._shares_counts = shares_counts
+        self._shared_counts = Counter[str]()
+        self._relays = [SlowTargetReports() for _domain in range(_DOMAINS)]
         self._assignments: dict[SimulatedRequest, _Assignment] = {}
         self._now = float(0)
         self._numbers = itertools.count()
@@ -80,15 +95,15 @@
     def run(
         self,
         requests: Sequence[SimulatedRequest],
-        crashes: Sequence[ReplicaCrash],
+        faults: Sequence[ReplicaCrash | Slowdown],
     ) -> Result:
         """Run until all requests have ended."""
         for request in requests:
             self._schedule(
                 request.arrived_at, functools.partial(self._arrive, request)
             )
-        for crash in crashes:
-            self._schedule(crash.at, functools.partial(self._crash, crash))
+        for fault in faults:
+            self._schedule_fault(fault)
         if self._shares_counts:
             self._schedule(0, self._exchange_counts)
         self._remaining = len(requests)
@@ -101,11 +116,45 @@
     def _schedule(self, when: float, callback: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._numbers), callback))
 
+    def _schedule_fault(self, fault: ReplicaCrash | Slowdown) -> None:
+        match fault:
+            case ReplicaCrash():
+                self._schedule(fault.at, functools.partial(self._crash, fault))
+            case Slowdown():
+                slow_down = functools.partial(self._slow_down, fault.engine)
+                self._schedule(
+                    fault.at, functools.partial(slow_down, fault.factor)
+                )
+                self._schedule(
+                    fault.at + fault.seconds, functools.partial(slow_down, 1)
+                )
+
     def _exchange_counts(self) -> None:
+        self._shared_counts = Counter()
         for node in self._nodes:
             node.shared_counts = node.in_flight.copy()
+            self._shared_counts.update(node.shared_counts)
+        self._exchange_reports()
         self._schedule(self._now + _HEARTBEAT_SECONDS, self._exchange_counts)
 
+    def _slow_down(self, number: int, factor: float) -> None:
+        self._engines[number].slowness = factor
+
+    def _exchange_reports(self) -> None:
+        """Exchange reports directly, or as sums of the failure domains."""
+        reports = [node.policy.report(self._now) for node in self._nodes]
+        is_relayed = len(reports) > _FULL_MESH_NODES
+        if is_relayed:
+            reports = [
+                relay.merge(reports[number :: len(self._relays)])
+                for number, relay in enumerate(self._relays)
+            ]
+        for (sender, report), (number, node) in itertools.product(
+            enumerate(reports), enumerate(self._nodes)
+        ):
+            if is_relayed or number != sender:
+                node.policy.merge(str(sender), report, self._now)
+
     def _arrive(self, request: SimulatedRequest) -> None:
         node = self._nodes[request.node]
         engines = [
@@ -138,19 +187,16 @@
     def _known_in_flight(self, node: _Node) -> Counter[str]:
         """Return the in-flight counts that a node has received or made."""
         in_flight = node.in_flight.copy()
-        if self._shares_counts:
-            for other in self._nodes:
-                if other is not node:
-                    in_flight.update(other.shared_counts)
+        in_flight.update(self._shared_counts)
+        in_flight.subtract(node.shared_counts)
         return in_flight
 
     def _send(self, request: SimulatedRequest, assignment: _Assignment) -> None:
         self._assignments[request] = assignment
         assignment.counter()[assignment.engine.name] += 1
-        assignment.engine.enqueue(
-            request,
-            _DEFERRED_RANK if assignment.log_decision.is_deferred else 0,
-        )
+        is_deferred = assignment.log_decision.is_deferred
+        penalty = _DEFERRED_RANK if is_deferred else 0
+        assignment.engine.enqueue(request, request.route.rank + penalty)
         self._begin_pass(assignment.engine)
         if request.first_event_at is None:
             timeout = max(
@@ -162,7 +208,20 @@
             )
 
     def _refuse(self, request: SimulatedRequest, seconds: float) -> None:
-        if request.is_retry or request.first_event_at is not None:
+        request.refusals += 1
+        if request.is_impatient and request.refusals <= _IMPATIENT_RETRIES:
+            self._schedule(
+                self._now + _IMPATIENT_RETRY_SECONDS,
+                lambda: self._arrive(request),
+            )
+            return
+        remaining = request.remaining_seconds(self._now)
+        if (
+            request.is_retry
+            or request.is_impatient
+            or request.first_event_at is not None
+            or seconds > _MAX_RETRY_FRACTION * remaining
+        ):
             self._finish(request, Outcome.REFUSED)
             return
         request.is_retry = True
@@ -191,6 +250,7 @@
             return
         for request in engine.active:
             self._record_first_event(request)
+            self._record_gap(request)
         for request in engine.end_pass(self._now + _NETWORK_SECONDS):
             self.result.record_answered(request)
             self._remove(request)
@@ -207,6 +267,14 @@
                 request, assignment.log_decision, seconds, self._now
             )
 
+    def _record_gap(self, request: SimulatedRequest) -> None:
+        assignment = self._assignments.get(request)
+        if assignment is not None and request.first_event_at is not None:
+            gap = self._now + _NETWORK_SECONDS - request.last_event_at
+            assignment.node.policy.record_gap(
+                request, assignment.engine, gap, self._now
+            )
+
     def _crash(self, crash: ReplicaCrash) -> None:
         engine = self._engines[crash.engine]
         if engine.is_dead:
@@ -245,7 +313,7 @@
     workloads: Sequence[Workload],
     seconds: float,
     rng: random.Random,
-    crashes: Sequence[ReplicaCrash] = (),
+    faults: Sequence[ReplicaCrash | Slowdown] = (),
 ) -> Result:
     """Generate the requests of the workloads and simulate them."""
     requests = [
@@ -253,4 +321,4 @@
         for workload in workloads
         for request in workload.arrivals(rng, seconds, len(policies))
     ]
-    return Simulation(engines, policies).run(requests, crashes)
+    return Simulation(engines, policies).run(requests, faults)
--- a/src/cranecart/simulation/_workload.py
+++ b/src/cranecart/simulation/_workload.py
@@ -1,8 +1,8 @@
-"""Simulated workloads: request rates, sizes, bursts and crashes."""
+"""Simulated workloads: request rates, sizes, bursts and faults."""
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import attrs
 
@@ -32,9 +32,23 @@
     seconds: float
 
 
+@attrs.frozen
+class Slowdown:
+    """A replica that is slower by ``factor`` for some seconds."""
+
+    at: float
+    engine: int
+    seconds: float
+    factor: float
+
+
 @attrs.frozen
 class Workload:
-    """Requests of one kind: rate per second, mean sizes, and bursts."""
+    """Requests of one kind: rate per second, mean sizes, and bursts.
+
+    ``organisations`` has the weight of each organisation's requests, and
+    ``impatient_fraction`` is the part of the clients that retry at once.
+    """
 
     route: Route
     model: EngineModel
@@ -42,6 +56,8 @@
     prompt_tokens: float
     events: float
     bursts: tuple[Burst, ...] = ()
+    organisations: Mapping[str, float] = attrs.field(factory=dict)
+    impatient_fraction: float = 0
 
     def arrivals(
         self,
@@ -56,7 +72,7 @@
         now = rng.expovariate(peak_rate)
         while now < seconds:
             if rng.random() * peak_rate < self._rate_at(now):
-                yield SimulatedRequest(
+                request = SimulatedRequest(
                     self.route,
                     self.model,
                     rng.randrange(nodes),
@@ -65,8 +81,21 @@
                     _draw_size(rng, self.prompt_tokens),
                     _draw_size(rng, self.events),
                 )
+                self._draw_client(rng, request)
+                yield request
             now += rng.expovariate(peak_rate)
 
+    def _draw_client(
+        self, rng: random.Random, request: SimulatedRequest
+    ) -> None:
+        if self.organisations:
+            request.organisation = rng.choices(
+                list(self.organisations), list(self.organisations.values())
+            )[0]
+        if self.impatient_fraction:
+            request.is_impatient = rng.random() < self.impatient_fraction
+        request.token = rng.random()
+
     def _rate_at(self, now: float) -> float:
         factors = (
             burst.factor
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -7,13 +7,17 @@
 
 import attrs
 
+from cranecart.fleet import Evacuations
+from cranecart.load_shedding import LoadExchange
 from cranecart.mesh import (
+    Beat,
     LocalState,
     Mesh,
     MeshCallbacks,
     MeshMessage,
     PeerNode,
     Stopped,
+    Summary,
     decode_mesh_message,
     encode_mesh_message,
 )
@@ -166,7 +170,10 @@
     broken: set[str]
     limits: list[LimitUpdate]
     leaving: set[str]
+    evacuations: Evacuations
     cluster: SimulatedCluster
+    exchange: LoadExchange
+    slow_targets: dict[str, int]
 
     @classmethod
     def in_cluster(
@@ -182,6 +189,15 @@
         broken: set[str] = set()
         limits: list[LimitUpdate] = []
         leaving: set[str] = set()
+        evacuations = Evacuations()
+        exchange = LoadExchange(domain)
+        slow_targets: dict[str, int] = {}
+        local = LocalState(name, name, domain)
+
+        def refresh_local_state() -> None:  # noqa: WPS430
+            local.evacuations = list(evacuations.known())
+            _update_offered(local, exchange, cluster.now)
+
         callbacks = MeshCallbacks(
             lambda message: stopped.add(message.replica),
             _ignore_suspect,
@@ -193,13 +209,15 @@
             lambda: in_flight,
             lambda: configs[-1] if configs else None,
             configs.append,
-            lambda: None,
+            refresh_local_state,
             lambda message: broken.add(message.instance),
             lambda message: limits.extend(message.limits),
             lambda message: leaving.add(message.instance),
+            evacuations.merge,
+            lambda message: _receive_offered(exchange, message, cluster.now),
+            lambda _sender, slow: slow_targets.update(slow),
         )
         transport = SimulatedTransport(cluster, name)
-        local = LocalState(name, name, domain)
         mesh = Mesh(local, transport, callbacks, lambda: cluster.now)
         return cls(
             mesh,
@@ -214,7 +232,10 @@
             broken,
             limits,
             leaving,
+            evacuations,
             cluster,
+            exchange,
+            slow_targets,
         )
 
     @property
@@ -239,3 +260,23 @@
 
 def _ignore(_update: object) -> None:
     """Ignore updates."""
+
+
+def _update_offered(
+    local: LocalState, exchange: LoadExchange, now: float
+) -> None:
+    local.offered = exchange.local_report(now)
+    local.domain_offered = exchange.domain_report(now)
+    local.remote_offered = exchange.take_unforwarded()
+
+
+def _receive_offered(
+    exchange: LoadExchange, message: Beat | Summary, now: float
+) -> None:
+    exchange.receive(
+        message.sender,
+        message.failure_domain,
+        message.offered,
+        now,
+        is_summary=isinstance(message, Summary),
+    )
--- a/tools/engine_loads.py
+++ b/tools/engine_loads.py
@@ -4,15 +4,19 @@
 from collections.abc import Callable, Sequence
 from types import MappingProxyType
 
+import attrs
+
 from cranecart.models import EngineModel, EngineProfile, EngineTiming, Route
 from cranecart.simulation import (
     Burst,
     Engine,
     FewestInFlight,
     ForecastPolicy,
+    PacePolicy,
     Policy,
     ReplicaCrash,
     Result,
+    Slowdown,
     Workload,
     simulate,
 )
@@ -33,6 +37,17 @@
         steps_a_pass=5,
     ),
 )
+# The large model of the contended deployment.
+CONTENDED_MODEL = EngineModel('large', 16, 1.0, 0.5, 16, 1.6)
+CONTENDED_PROFILE = EngineProfile(
+    (CONTENDED_MODEL,),
+    15,
+    0.3,
+    4,
+    1,
+    6,
+    EngineTiming(0.00595, 0.0000445, 0, 50700, 0),
+)
 # Engine time per request at full load, from the timing and sizes below.
 RUN_SECONDS = MappingProxyType({'large': 0.09, 'small': 0.065})
 NODE_COUNT = 7
@@ -55,6 +70,11 @@
     return ForecastPolicy(random_source, RUN_SECONDS)
 
 
+def make_pace(random_source: random.Random) -> Policy:
+    """Return the policy of the router where nodes learn paces."""
+    return PacePolicy(random_source, RUN_SECONDS)
+
+
 def route(objective: float = 0.3, pause: float = 0.2) -> Route:
     """Return a route with resumable streams."""
     return Route(
@@ -117,3 +137,29 @@
         random_source,
         crashes,
     )
+
+
+def simulate_slow_third(
+    make_policy: PolicyFactory, node_count: int, seed: int, demand: float = 1
+) -> Result:
+    """Simulate a peak while a third of the replicas is six times slower.
+
+    The peak is 1.55 times the mean demand, that of the deployment with uneven
+    load. ``demand`` multiplies the rates of all workloads.
+    """
+    random_source = random.Random(seed)
+    replicas = engines(9, 12)
+    slowdowns = [
+        Slowdown(5, number, 9, 6) for number in range(0, len(replicas), 3)
+    ]
+    return simulate(
+        replicas,
+        [make_policy(random_source) for _node in range(node_count)],
+        [
+            attrs.evolve(workload, rate=demand * workload.rate)
+            for workload in workloads(Burst(4, 11, 1.55))
+        ],
+        SIMULATED_SECONDS,
+        random_source,
+        slowdowns,
+    )
