Say why paused formations do not count as loads

A paused formation may last as long as the evacuation, so counting its loads would keep all other placers from loading. Only the comment changes.

--- a/src/cranecart/grouping/_inventory.py
+++ b/src/cranecart/grouping/_inventory.py
@@ -75,7 +75,7 @@
 
         Loads of members are counted from the records of all placers; stagings
         are known only to the placer that ordered them. Formations in evacuated
-        failure domains pause, so that their loads end unnoticed.
+        failure domains pause and are not counted, as they may last for long.
         """
         joining = sum(
             record.loads
