Send cold targets no more than they can handle

A target that has just started takes a few requests a second, has the fewest requests in flight, and so gets those of all nodes at once. Cold times are now read from the configuration, list entries and responses, and each node keeps to its share of a cold target's rate: the requests of a window are dealt to the nodes that the store lists, so that the bound holds for nodes that do not hear each other. Placement counts a cold replica as less, and refusals name the time at which a cold target accepts requests again. Nothing changes without coldPerS.

Sharing by live nodes was not kept: each side of a cut takes the whole limit.

--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -202,9 +202,11 @@
         connection: HttpConnection,
         resume_after: str,
     ) -> None:
-        if not self.router.throttle.may_send(target.instance.incarnation):
-            # Another response asked for a pause while this attempt waited for
-            # a connection.
+        if not self.router.throttle.may_send(
+            target.instance.incarnation, target.sent_at
+        ):
+            # Another response asked for a pause, or the target turned out to be
+            # cold, while this attempt waited for a connection.
             raise TargetWithdrawnError(
                 f'{target.instance.id} accepts no requests at the moment',
             )
--- a/src/cranecart/grouping/_inventory.py
+++ b/src/cranecart/grouping/_inventory.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._environment import is_warm
 from cranecart.grouping._failure_detector import FailureDetector
 from cranecart.grouping._member_selection import discount
 from cranecart.grouping._orphans import OrphanedReplicas
@@ -13,7 +14,7 @@
 from cranecart.grouping._preemption import DRAIN_SECONDS
 from cranecart.grouping._stager import Stager
 from cranecart.models import ServiceProfile
-from cranecart.ports import ListedInstance
+from cranecart.ports import Incarnation, ListedInstance
 
 # Before the first request, loads take this fraction of their usual time.
 _STARTUP_LOAD_TIME_FACTOR = 0.1
@@ -31,6 +32,7 @@
     _demand: Callable[[], Mapping[str, float]]
     _has_traffic: Callable[[], bool]
     _stall_seconds: float
+    _cold_seconds: Callable[[Incarnation], float] = is_warm
 
     def plan_input(self, profile: ServiceProfile) -> PlanInput:
         """Return the input for planning a service."""
@@ -97,10 +99,13 @@
     def _discounted(
         self, profile: ServiceProfile, record: ReplicaRecord
     ) -> float:
-        """Return the weight of a replica: less than 1 while it is loading."""
+        """Return a replica's weight: less than 1 while it is loading or cold."""
         engine = profile.engine
         model = None if engine is None else engine.model(record.model)
-        if model is None or not record.loads or self._fleet.is_open(record):
+        head = self._fleet.find_instance(record.head)
+        if head is not None and self._fleet.is_open(record):
+            return discount(self._cold_seconds(head.incarnation))
+        if model is None or not record.loads:
             return 1
         return discount(model.load_seconds)
 
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -83,6 +83,7 @@
             environment.demand,
             environment.has_traffic,
             scope.stall_seconds,
+            environment.cold_seconds,
         )
         self._executor = PlanExecutor(
             fleet,
--- a/src/cranecart/mesh/__init__.py
+++ b/src/cranecart/mesh/__init__.py
@@ -19,7 +19,7 @@
     decode_mesh_message,
     encode_mesh_message,
 )
-from cranecart.mesh._rendezvous import sharing_node_count
+from cranecart.mesh._rendezvous import dealt_requests, sharing_node_count
 from cranecart.mesh._roster import PeerNode
 from cranecart.mesh._state import LocalState, MeshCallbacks
 from cranecart.mesh._target_messages import (
@@ -51,5 +51,6 @@
     'TargetLimits',
     'decode_mesh_message',
     'encode_mesh_message',
+    'dealt_requests',
     'sharing_node_count',
 )
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -91,13 +91,24 @@
         """Discard the coverage of a node that is no longer a relay."""
         self._relay_coverage.pop(name, None)
 
+    def is_live(self, name: str) -> bool:
+        """Return whether a known peer is alive."""
+        if self._peer_state.was_seen_recently(name):
+            return True
+        # Once the node has sent a beat, only beats and digests show that it is
+        # alive; a recent addition does not.
+        is_recently_added = (
+            self._clock() - self._added_at[name] < _NEW_PEER_GRACE_SECONDS
+        )
+        return is_recently_added and not self._peer_state.has_sent_beat(name)
+
     def live_count(self) -> int:
         """Return the number of live peers, including those just added."""
-        return sum(map(self._is_live, self.peers))
+        return sum(map(self.is_live, self.peers))
 
     def relays(self) -> list[str]:
         """Return the relay and its standby in the local failure domain."""
-        live = [name for name in self._domain_peers() if self._is_live(name)]
+        live = [name for name in self._domain_peers() if self.is_live(name)]
         return sorted((*live, self._node_id))[:_RELAYS_PER_DOMAIN]
 
     def is_active_relay(self) -> bool:
@@ -117,7 +128,7 @@
     def is_isolated(self) -> bool:
         """Return whether this failure domain has peers but none is alive."""
         domain_peers = list(self._domain_peers())
-        return bool(domain_peers) and not any(map(self._is_live, domain_peers))
+        return bool(domain_peers) and not any(map(self.is_live, domain_peers))
 
     def takeover_rank(self) -> int:
         """Return the rank at which this node takes over a shared task.
@@ -144,14 +155,14 @@
 
     def live_domain_nodes(self) -> list[str]:
         """Return the live nodes of the local domain, including this one."""
-        return [self._node_id, *filter(self._is_live, self._domain_peers())]
+        return [self._node_id, *filter(self.is_live, self._domain_peers())]
 
     def live_domains(self) -> set[str]:
         """Return the failure domains with any live node."""
         live_peer_domains = {
             peer.failure_domain
             for name, peer in self.peers.items()
-            if self._is_live(name)
+            if self.is_live(name)
         }
         return {
             self._failure_domain,
@@ -221,15 +232,5 @@
         return [
             self.peers[name].address
             for name in names
-            if include_silent or self._is_live(name)
+            if include_silent or self.is_live(name)
         ]
-
-    def _is_live(self, name: str) -> bool:
-        if self._peer_state.was_seen_recently(name):
-            return True
-        # Once the node has sent a beat, only beats and digests show that it is
-        # alive; a recent addition does not.
-        is_recently_added = (
-            self._clock() - self._added_at[name] < _NEW_PEER_GRACE_SECONDS
-        )
-        return is_recently_added and not self._peer_state.has_sent_beat(name)
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -27,7 +27,8 @@
     ``requests`` counts those received since the start; ``placer_domain`` is the
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
-    that clients ask for, by model.
+    that clients ask for, by model. ``is_established`` is whether all other
+    nodes know of this one, also those that were cut off when it started.
     """
 
     node_id: str
@@ -38,6 +39,7 @@
     stopping: bool = False
     source_versions: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
+    is_established: bool = True
 
 
 @attrs.frozen
--- a/src/cranecart/mesh/_target_messages.py
+++ b/src/cranecart/mesh/_target_messages.py
@@ -4,7 +4,7 @@
 
 from cranecart.ports import Incarnation
 from cranecart.quarantine import CaseUpdate
-from cranecart.throttling import LimitUpdate
+from cranecart.throttling import ColdUpdate, LimitUpdate
 
 
 class _AboutIncarnation(msgspec.Struct, array_like=True):
@@ -39,7 +39,11 @@
 
 
 class TargetLimits(msgspec.Struct, tag='limits', array_like=True):
-    """The rate limits that targets announced to the sender."""
+    """The rate limits that targets announced to the sender.
+
+    ``cold`` are the targets that announced that they are cold.
+    """
 
     sender: str
     limits: list[LimitUpdate]
+    cold: list[ColdUpdate] = []
--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -2,6 +2,7 @@
 
 from cranecart.models._routes import (
     ClientLimits,
+    ColdStart,
     EngineModel,
     EngineProfile,
     KeyHolder,
@@ -15,6 +16,7 @@
 
 __all__ = (
     'ClientLimits',
+    'ColdStart',
     'EngineModel',
     'EngineProfile',
     'EngineTiming',
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -87,12 +87,28 @@
         )
 
 
+@attrs.frozen
+class ColdStart:
+    """How a service's targets are loaded while they are cold.
+
+    A target that has started is cold for ``seconds`` unless it says otherwise,
+    and handles ``per_second`` requests of all nodes together.
+    """
+
+    seconds: float
+    per_second: float
+
+
 @attrs.frozen
 class ServiceProfile:
-    """A service that routes refer to; ``engine`` is set if replicas serve it."""
+    """A service that routes refer to; ``engine`` is set if replicas serve it.
+
+    ``cold`` is ``None`` if targets take their full load from the start.
+    """
 
     name: str
     engine: EngineProfile | None = None
+    cold: ColdStart | None = None
 
 
 @attrs.frozen
@@ -148,6 +164,11 @@
         profile = self.services.get(service)
         return None if profile is None else profile.engine
 
+    def cold_start(self, service: str) -> ColdStart | None:
+        """Return how cold targets of a service are loaded, if it says so."""
+        profile = self.services.get(service)
+        return None if profile is None else profile.cold
+
     def holder(self, key: str) -> KeyHolder | None:
         """Return the organisation to which a key belongs, if any."""
         return self._holders_by_digest.get(hash_key(key))
--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -4,6 +4,7 @@
 
 from cranecart.models import (
     ClientLimits,
+    ColdStart,
     EngineModel,
     EngineProfile,
     KeyHolder,
@@ -107,8 +108,9 @@
 
 def _decode_service(wire: WireService) -> ServiceProfile:
     runtime = wire.runtime
+    cold = _decode_cold_start(wire)
     if runtime is None or not runtime.models:
-        return ServiceProfile(wire.name)
+        return ServiceProfile(wire.name, cold=cold)
     return ServiceProfile(
         wire.name,
         EngineProfile(
@@ -120,9 +122,16 @@
             whole_number(runtime.loads_at_once, 1),
             runtime.timing(),
         ),
+        cold,
     )
 
 
+def _decode_cold_start(wire: WireService) -> ColdStart | None:
+    if wire.cold_per_s <= 0:
+        return None
+    return ColdStart(max(0, wire.cold_start_s), wire.cold_per_s)
+
+
 def _decode_model(wire: WireModel) -> EngineModel:
     return EngineModel(
         wire.name,
--- a/src/cranecart/platform/_load_headers.py
+++ b/src/cranecart/platform/_load_headers.py
@@ -1,4 +1,7 @@
-"""Headers by which targets announce limits, back-offs and their leaving."""
+"""Headers by which targets announce their limits and their state.
+
+These are limits, back-offs, how long they stay cold, and their leaving.
+"""
 
 import re
 
@@ -10,6 +13,7 @@
 _LIMIT = 'server-limit'
 _LEAVING = 'server-leaving'
 _RETRY_AFTER = 'retry-after'
+_COLD = 'cold-ms'
 _IS_LEAVING = '1'
 # An overloaded target answers with this status, and may ask for a back-off.
 _UNAVAILABLE = 503
@@ -20,21 +24,36 @@
 # The maximum back-off. Without it, a single wrong value would exclude a target
 # for good.
 _MAX_BACKOFF_SECONDS = 3600.0
+# The longest that a target may stay cold, as one wrong value would limit it for
+# good. Targets are cold for some seconds.
+MAX_COLD_SECONDS = 300.0
+_MILLISECONDS = 1000
 # How much of an unreadable header value is logged.
 _MAX_LOGGED_CHARACTERS = 40
 
 
 def with_load_headers(facts: ResponseInfo, head: ResponseHead) -> ResponseInfo:
-    """Add a target's limit, back-off and leaving from its answer."""
+    """Add a target's limit, back-off, cold time and leaving."""
     if _LIMIT in head.headers:
         facts = _with_limit(facts, head)
     if head.status == _UNAVAILABLE and _RETRY_AFTER in head.headers:
         facts = _with_backoff(facts, head)
+    if _COLD in head.headers:
+        facts = _with_cold_time(facts, head)
     if _LEAVING in head.headers:
         facts = _with_leaving(facts, head)
     return facts
 
 
+def _with_cold_time(facts: ResponseInfo, head: ResponseHead) -> ResponseInfo:
+    milliseconds = _decimal_value(head, _COLD)
+    if milliseconds is None:
+        return _with_unreadable(facts, head, _COLD)
+    return attrs.evolve(
+        facts, cold_seconds=min(milliseconds / _MILLISECONDS, MAX_COLD_SECONDS)
+    )
+
+
 def _with_backoff(facts: ResponseInfo, head: ResponseHead) -> ResponseInfo:
     backoff = _decimal_value(head, _RETRY_AFTER)
     if backoff is None:
--- a/src/cranecart/platform/_targets.py
+++ b/src/cranecart/platform/_targets.py
@@ -9,6 +9,7 @@
 from cranecart.exceptions import PlatformUnavailableError
 from cranecart.http import Address
 from cranecart.logs import UnreadableRowLog
+from cranecart.platform._load_headers import MAX_COLD_SECONDS
 from cranecart.platform._store import StoreClient, WireRow, decode_row
 from cranecart.platform._wire_config import whole_number
 from cranecart.ports import (
@@ -22,6 +23,7 @@
 _TABLE = 'servers'
 _LEAVING = 'draining'
 _MAX_PORT = 65535
+_MILLISECONDS = 1000
 # Other writers may use further states; instances in those get no requests.
 _KNOWN_STATES = frozenset(('ready', _LEAVING))
 
@@ -46,6 +48,7 @@
 
     ``zone`` is its failure domain and ``domain`` its fabric domain. ``born`` is
     its start time in ms, which distinguishes incarnations with the same id.
+    ``coldRemainingMs`` is how long it stays cold from when it wrote the entry.
     """
 
     address: str
@@ -58,6 +61,9 @@
     models: list[WireModel] = []
     staged: list[str] = []
     group: WireGroup | None = None
+    cold_remaining_ms: float | None = msgspec.field(
+        default=None, name='coldRemainingMs'
+    )
 
 
 @attrs.frozen
@@ -127,9 +133,16 @@
         tuple(wire.staged),
         _decode_membership(wire.group),
         whole_number(wire.born),
+        _decode_cold_seconds(wire.cold_remaining_ms),
     )
 
 
+def _decode_cold_seconds(milliseconds: float | None) -> float | None:
+    if milliseconds is None:
+        return None
+    return min(max(0, milliseconds / _MILLISECONDS), MAX_COLD_SECONDS)
+
+
 def _decode_address(text: str) -> Address:
     address = Address.from_text(text)
     ipaddress.ip_address(address.host)
--- a/src/cranecart/platform/_wire_config.py
+++ b/src/cranecart/platform/_wire_config.py
@@ -18,6 +18,8 @@
 # connections.
 _DEFAULT_TIMEOUT_MS = 60000
 _DEFAULT_PRIORITY = 5
+# Applies where a service states a rate for cold targets and no duration.
+_DEFAULT_COLD_START_S = 3
 
 
 def whole_number(number: float, minimum: int = 0) -> int:
@@ -117,11 +119,17 @@
         )
 
 
-class WireService(msgspec.Struct):
-    """A service; only services with models have a ``runtime``."""
+class WireService(msgspec.Struct, rename='camel'):
+    """A service; only services with models have a ``runtime``.
+
+    Its targets are cold for ``coldStartS`` after a start and then take
+    ``coldPerS`` requests a second from all nodes together; 0 is no limit.
+    """
 
     name: str = ''
     runtime: WireRuntime | None = None
+    cold_start_s: float = _DEFAULT_COLD_START_S
+    cold_per_s: float = 0
 
 
 class WireLimits(msgspec.Struct, rename='camel'):
--- a/src/cranecart/ports/_calls.py
+++ b/src/cranecart/ports/_calls.py
@@ -45,7 +45,8 @@
     ``limit`` is how many requests per second it accepts from all nodes
     together, ``backoff_seconds`` how long this node should send none, and
     ``is_leaving`` whether it is shutting down. ``unreadable`` contains those of
-    these values that could not be parsed.
+    these values that could not be parsed. ``cold_seconds`` is how long it stays
+    cold.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     backoff_seconds: float | None = None
     is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
+    cold_seconds: float | None = None
 
 
 class CallTranslator(Protocol):
--- a/src/cranecart/ports/_listed.py
+++ b/src/cranecart/ports/_listed.py
@@ -61,7 +61,8 @@
 
     ``loaded`` names the models in accelerator memory; that of the last
     membership stays loaded. ``staged`` names those cached in host memory, which
-    load faster.
+    load faster. ``cold_seconds`` is how long it stays cold from when the entry
+    was read, ``None`` if it does not say so.
     """
 
     id: str
@@ -75,6 +76,7 @@
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
     born: int = 0
+    cold_seconds: float | None = None
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/cranecart/routing/_availability.py
+++ b/src/cranecart/routing/_availability.py
@@ -65,6 +65,24 @@
     )
 
 
+def seconds_until_any_accepts(
+    targets: Sequence[TargetT], throttle: TargetThrottle, rank: int
+) -> float:
+    """Return when the first target accepts that does not accept now.
+
+    It is infinite if all targets accept requests of the rank now.
+    """
+    accepting = {target.id for target in _accepting(targets, throttle, rank)}
+    return min(
+        (
+            throttle.seconds_until_accepted(target.incarnation)
+            for target in targets
+            if target.id not in accepting
+        ),
+        default=float('inf'),
+    )
+
+
 def _accepting(
     targets: Sequence[TargetT],
     throttle: TargetThrottle,
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -27,6 +27,7 @@
     TargetT,
     available_targets,
     draw_available,
+    seconds_until_any_accepts,
 )
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
@@ -239,12 +240,18 @@
         ]
         choice = decide(dispatch_request, states)
         if isinstance(choice, Refuse):
+            # One that accepts nothing at the moment, as it is cold, may accept
+            # requests before the others have a slot.
+            seconds = min(
+                choice.excess_seconds,
+                seconds_until_any_accepts(
+                    eligible if throttled else (), self.throttle, request.rank
+                ),
+            )
             raise OverloadedError(
                 f'a slot is expected {choice.excess_seconds:.2f} s after '
                 'the client gives up',
-                retry_after=_retry_after(
-                    self._random, request, choice.excess_seconds
-                ),
+                retry_after=_retry_after(self._random, request, seconds),
             )
         head = heads[choice.name]
         self.throttle.record_sent(head.incarnation)
--- a/src/cranecart/serving/_active_config.py
+++ b/src/cranecart/serving/_active_config.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cranecart.logs import log_decision
-from cranecart.models import RouteConfig
+from cranecart.models import ColdStart, RouteConfig
 
 
 @attrs.define
@@ -22,6 +22,12 @@
         """Return the active configuration, if there is one yet."""
         return self._config
 
+    def cold_start(self, service: str) -> ColdStart | None:
+        """Return how cold targets of a service are loaded, if it says so."""
+        return (
+            None if self._config is None else self._config.cold_start(service)
+        )
+
     def subscribe(self, callback: Callable[[RouteConfig], None]) -> None:
         """Register a callback for each new configuration."""
         self._subscribers.append(callback)
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -11,15 +11,22 @@
     MeshCallbacks,
     MeshMessage,
     TargetLimits,
+    dealt_requests,
     decode_mesh_message,
     encode_mesh_message,
     sharing_node_count,
 )
-from cranecart.models import ClientLimits
+from cranecart.models import ClientLimits, ColdStart
 from cranecart.ports import Incarnation
 from cranecart.retries import RetryLimits
+from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.settings import ServingSettings
-from cranecart.throttling import TargetThrottle
+from cranecart.throttling import (
+    ColdEntries,
+    ColdRule,
+    ColdSharing,
+    TargetThrottle,
+)
 from cranecart.transport import PeerTransport
 
 # File descriptors reserved for files, and the fraction of the others that clients
@@ -41,6 +48,7 @@
         settings.node_id,
         settings.peer_address,
         settings.failure_domain,
+        is_established=False,
     )
     return Mesh(local_state, transport, callbacks)
 
@@ -77,11 +85,13 @@
 
 
 def make_throttle(
-    node_id: str,
+    settings: ServingSettings,
     fleet: Fleet,
     get_mesh: Callable[[], Mesh],
+    find_cold_start: Callable[[str], ColdStart | None],
 ) -> TargetThrottle:
     """Build the throttle that shares targets' limits with other nodes."""
+    node_id = settings.node_id
 
     def report_leaving(incarnation: Incarnation) -> None:  # noqa: WPS430
         if mark_leaving(fleet, incarnation, 'an answer'):
@@ -102,4 +112,30 @@
         ),
         report_leaving,
         fleet.instance_list.is_leaving,
+        cold_sharing=ColdSharing(
+            find_cold_start,
+            lambda domain, name, total: dealt_requests(
+                get_mesh().state, domain, name, total
+            ),
+            lambda updates: get_mesh().publish(
+                TargetLimits(node_id, [], list(updates))
+            ),
+            _cold_rule(settings),
+        ),
     )
+
+
+def make_cold_entries(
+    throttle: TargetThrottle, config: ActiveRouteConfig, mesh: Mesh
+) -> ColdEntries:
+    """Build what finds cold targets in the instance list."""
+    entries = ColdEntries(throttle, config.cold_start, mesh.has_traffic)
+    config.subscribe(lambda _config: entries.apply_config())
+    return entries
+
+
+def _cold_rule(settings: ServingSettings) -> ColdRule:
+    """Return the rule for the platform's bound, or for the usual one."""
+    if settings.cold_overshoot:
+        return ColdRule(settings.cold_overshoot, settings.cold_slack)
+    return ColdRule()
--- a/src/cranecart/serving/_followers.py
+++ b/src/cranecart/serving/_followers.py
@@ -33,6 +33,7 @@
 )
 from cranecart.serving._platform_adapters import PlatformAdapters
 from cranecart.signals import raise_first_error
+from cranecart.throttling import ColdEntries
 
 Item = TypeVar('Item')
 
@@ -161,6 +162,22 @@
     fleet: Fleet
     held: HeldRows
     registration: NodeRegistration | None = None
+    cold_entries: ColdEntries | None = None
+
+    def apply_instances(
+        self,
+        items: Mapping[str, ListedInstance | None],
+        is_complete: bool,
+        grace_until: float,
+    ) -> None:
+        """Apply changed entries of the platform's instance list."""
+        self.fleet.apply_instances(items, is_complete, grace_until)
+        self._find_cold(items)
+
+    def restore_instances(self, items: Mapping[str, ListedInstance]) -> None:
+        """Apply the instance list of a store restored from a backup."""
+        self.fleet.apply_restored_instances(items)
+        self._find_cold(items)
 
     def restore(self, items: Mapping[str, Row]) -> None:
         """Apply the rows of a table that was restored from a backup.
@@ -182,6 +199,19 @@
         self.fleet.apply_records(_decode_records(items), is_complete, era)
         self.held.apply(items, is_complete)
 
+    def _find_cold(self, items: Mapping[str, ListedInstance | None]) -> None:
+        """Find the cold incarnations among the entries that were accepted."""
+        if self.cold_entries is not None:
+            self.cold_entries.apply(
+                item
+                for item in items.values()
+                if item is not None and self._is_current(item)
+            )
+
+    def _is_current(self, item: ListedInstance) -> bool:
+        known = self.fleet.instances.get(item.id)
+        return known is not None and known.incarnation == item.incarnation
+
 
 def _list_follower(
     dispatcher: RowDispatcher,
@@ -196,9 +226,7 @@
         items: Mapping[str, ListedInstance | None],
         is_complete: bool,
     ) -> None:
-        dispatcher.fleet.apply_instances(
-            items, is_complete, follower.repopulated_at
-        )
+        dispatcher.apply_instances(items, is_complete, follower.repopulated_at)
 
     follower = SourceFollower(
         _LIST,
@@ -214,7 +242,7 @@
             ),
         ),
         reachability=reachability,
-        apply_restored=dispatcher.fleet.apply_restored_instances,
+        apply_restored=dispatcher.restore_instances,
     )
     return follower
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -32,6 +32,7 @@
     RequestStatistics,
 )
 from cranecart.serving._factories import (
+    make_cold_entries,
     make_mesh,
     make_throttle,
     retry_limits,
@@ -77,7 +78,9 @@
         self._demand_meter = DemandMeter()
         self._platform_adapters = PlatformAdapters.from_settings(settings)
         self._registration = NodeRegistration(
-            settings, self._platform_adapters.table
+            settings,
+            self._platform_adapters.table,
+            bool(settings.cold_overshoot),
         )
         self._router = TargetRouter(
             self._fleet,
@@ -89,7 +92,10 @@
                 Broken(settings.node_id, incarnation.id, incarnation.born),
             ),
             throttle=make_throttle(
-                settings.node_id, self._fleet, lambda: self._mesh
+                settings,
+                self._fleet,
+                lambda: self._mesh,
+                self._active_config.cold_start,
             ),
         )
         self._mesh = self._make_mesh()
@@ -107,6 +113,9 @@
                 self._fleet,
                 self._quarantine.rows,
                 self._registration,
+                make_cold_entries(
+                    self._router.throttle, self._active_config, self._mesh
+                ),
             ),
             self._random_source,
             settings.leaving_ms / _MILLISECONDS,
@@ -120,6 +129,7 @@
                 self._active_config,
                 self._followers,
                 self._report_stopped,
+                self._router.throttle.cold_seconds,
             ),
         )
         self._target_connections = TargetConnectionPool()
@@ -188,7 +198,7 @@
             self._update_local_state,
             lambda message: self._router.eject_reported(message.incarnation),
             lambda message: self._router.throttle.merge_updates(
-                message.limits, message.sender
+                message.limits, message.sender, message.cold
             ),
             lambda message: mark_leaving(
                 self._fleet, message.incarnation, message.sender
@@ -266,6 +276,7 @@
             )
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
+        self._mesh.local.is_established = self._registration.is_established
         self._mesh.local.demand = {
             model: round(replicas, 3)
             for model, replicas in self._demand_meter.by_model().items()
--- a/src/cranecart/serving/_node_registration.py
+++ b/src/cranecart/serving/_node_registration.py
@@ -6,27 +6,48 @@
 import curio
 import msgspec
 
-from cranecart.exceptions import PlatformError
+from cranecart.clocks import since_boot
+from cranecart.exceptions import PlatformError, WriteConflictError
 from cranecart.fleet import node_key
 from cranecart.http import Address
 from cranecart.logs import UnreadableRowLog, log_decision
 from cranecart.mesh import PeerNode
-from cranecart.ports import Put, Row, Table, Transaction
+from cranecart.ports import Check, Put, Row, Table, Transaction
 from cranecart.settings import ServingSettings
 
 _RETRY_SECONDS = 0.5
+# Longer than failure domains are cut off (6 s) and news take after that.
+_ESTABLISHED_SECONDS = 10.0
 _UNREADABLE_ROWS = UnreadableRowLog('node_row_unreadable')
 
 
 @attrs.define
 class NodeRegistration:
-    """Writes this node's row at the start and deletes it at a planned stop."""
+    """Writes this node's row at the start and deletes it at a planned stop.
+
+    ``finds_earlier_row`` is whether it finds out at the start if the row exists
+    already, which only the sharing of cold targets needs.
+    """
 
     _settings: ServingSettings
     _table: Table
+    _finds_earlier_row: bool = False
     _is_written: bool = attrs.field(default=False, init=False)
     _is_writing: bool = attrs.field(default=False, init=False)
     _is_withdrawn: bool = attrs.field(default=False, init=False)
+    _was_registered: bool = attrs.field(default=False, init=False)
+    _written_at: float = attrs.field(default=float('inf'), init=False)
+
+    @property
+    def is_established(self) -> bool:
+        """Return whether all other nodes know of this one.
+
+        That takes some seconds after it was registered, as nodes may be cut
+        off, unless its row is older than the process or all nodes start anew.
+        """
+        if self._settings.first_start or self._was_registered:
+            return True
+        return since_boot() - self._written_at >= _ESTABLISHED_SECONDS
 
     @property
     def needs_registration(self) -> bool:
@@ -60,14 +81,23 @@
             self._settings.failure_domain,
         )
         put = Put(self._key, msgspec.json.encode(peer).decode())
+        checks: tuple[Check, ...] = ()
+        if self._finds_earlier_row:
+            checks = (Check(self._key),)
         while not self._is_written and not self._is_withdrawn:
             try:
-                await self._table.commit(Transaction((), (put,)))
+                await self._table.commit(Transaction(checks, (put,)))
+            except WriteConflictError:
+                self._was_registered = True
+                checks = ()
             except PlatformError as error:
                 log_decision('node_not_registered', why=str(error))
+                # The row that the next attempt finds may be this process's.
+                checks = ()
                 await curio.sleep(_RETRY_SECONDS)
             else:
                 self._is_written = True
+                self._written_at = min(self._written_at, since_boot())
 
     @property
     def _key(self) -> str:
--- a/src/cranecart/serving/_placement.py
+++ b/src/cranecart/serving/_placement.py
@@ -33,6 +33,7 @@
         dependencies.report_stopped,
         mesh.state.roster.is_isolated,
         lambda: dependencies.followers.reachability.is_unreachable,
+        dependencies.cold_seconds,
     )
     table = dependencies.platform_adapters.table
     return GroupPlacer(
--- a/src/cranecart/serving/_placer_host.py
+++ b/src/cranecart/serving/_placer_host.py
@@ -11,6 +11,7 @@
 from cranecart.fleet import Fleet, ReplicaRecord
 from cranecart.logs import log_decision
 from cranecart.mesh import Mesh
+from cranecart.ports import Incarnation
 from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.serving._followers import PlatformFollowers
 from cranecart.serving._platform_adapters import PlatformAdapters
@@ -36,6 +37,7 @@
     config: ActiveRouteConfig
     followers: PlatformFollowers
     report_stopped: Callable[[ReplicaRecord, str, bool], None]
+    cold_seconds: Callable[[Incarnation], float]
 
 
 @attrs.define
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -19,6 +19,8 @@
 _RETRY_RATIO = 0.1
 # Enough successful requests are logged to compare a failed one with them.
 _LOGGED_SUCCESS_SHARE = 0.05
+# What a cold target may receive in a second beyond its rate times the overshoot.
+_COLD_SLACK = 5.0
 _NON_NEGATIVE = attrs.validators.ge(float(0))
 
 
@@ -55,6 +57,8 @@
     breaks, ``leaving_ms`` how long a leaving instance may still be sent
     requests, ``stop_grace_seconds`` the time a process has to stop.
     ``max_descriptors`` is how many files and connections it may have open.
+    In any second a cold target is sent its rate times ``cold_overshoot`` and
+    ``cold_slack`` requests at most; an overshoot of 0 is none stated.
     ``log_successes`` is the share of successful requests that are logged.
     Values are in the units that platforms use, so that the template of the
     settings file converts nothing.
@@ -84,6 +88,8 @@
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
+    cold_overshoot: float = _non_negative_field(0)
+    cold_slack: float = _non_negative_field(_COLD_SLACK)
 
     @classmethod
     def from_file(cls, file: Path) -> Self:
--- a/src/cranecart/throttling/_throttle.py
+++ b/src/cranecart/throttling/_throttle.py
@@ -11,24 +11,20 @@
 import attrs
 
 from cranecart.clocks import since_boot
-from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance, ResponseInfo
+from cranecart.throttling._allotments import AllotmentTable
 from cranecart.throttling._backoffs import BackoffRegistry
-from cranecart.throttling._bucket import TokenBucket
+from cranecart.throttling._cold import ColdNews, ColdUpdate
+from cranecart.throttling._cold_throttle import ColdSharing, ColdThrottle
 from cranecart.throttling._limits import LimitRegistry, LimitUpdate
 from cranecart.throttling._shares import FewestNodes, Share, ShareRule
 
 # A node that takes over sending from another waits this long first: nodes
 # learn of each other within that time, and both would send until then.
 _HANDOVER_SECONDS = 1.0
-# How long the result of the check whether this node may send is reused.
-_SHARING_CHECK_SECONDS = 0.25
 # How often limits are published again, for nodes that have started since or
 # missed them.
 _REPUBLISH_SECONDS = 2.0
-# How long a token is reserved for urgent requests after one was rejected.
-_RESERVATION_SECONDS = 1.0
-
 # Returns how many nodes share a target if this node is one of them, else 0.
 # Arguments: the target's failure domain, its unique name, and the maximum
 # number of nodes.
@@ -57,34 +53,6 @@
     """Publish nothing, for a node without others."""
 
 
-@attrs.define
-class _Allotment:
-    """This node's share of one limit; ``nodes`` is 0 if it has none."""
-
-    limit: float
-    nodes: int
-    bucket: TokenBucket
-    checked_at: float
-    # The most urgent rank that was rejected recently, and when.
-    rejected_rank: int = 0
-    rejected_at: float = float('-inf')
-
-    def tokens_required(self, rank: int, now: float) -> int:
-        """Return how many tokens a request of a rank needs in the bucket.
-
-        The last token is reserved for more urgent requests that were rejected,
-        which are retried within about that time.
-        """
-        is_reserved = now - self.rejected_at < _RESERVATION_SECONDS
-        return 2 if is_reserved and rank > self.rejected_rank else 1
-
-    def record_rejection(self, rank: int, now: float) -> None:
-        """Record that a request of a rank was rejected."""
-        if self.tokens_required(rank, now) == 1:
-            self.rejected_rank = rank
-            self.rejected_at = now
-
-
 @attrs.define
 class TargetThrottle:
     """Decides what this node may send to targets, by what they announced.
@@ -110,18 +78,18 @@
     )
     _clock: Callable[[], float] = since_boot
     _rule: ShareRule = attrs.field(factory=FewestNodes)
+    _cold_sharing: ColdSharing = attrs.field(factory=ColdSharing)
     _limits: LimitRegistry = attrs.field(init=False)
     _backoffs: BackoffRegistry = attrs.field(init=False)
-    _allotments: dict[Incarnation, _Allotment] = attrs.field(
-        factory=dict, init=False
-    )
+    _cold: ColdThrottle = attrs.field(init=False)
+    _limit_shares: AllotmentTable = attrs.field(init=False)
     _republished_at: float = attrs.field(default=0, init=False)
     _rejections: int = attrs.field(default=0, init=False)
 
     @property
     def is_unrestricted(self) -> bool:
         """Return whether no limit or back-off of any target is known."""
-        return not self._allotments and not self._backoffs
+        return not (self._limit_shares or self._backoffs or self._cold)
 
     def record_response(
         self,
@@ -137,18 +105,50 @@
             self._backoffs.record(incarnation, facts.backoff_seconds)
         if facts.is_leaving:
             self._mark_leaving(incarnation)
+        if facts.cold_seconds is not None:
+            self._cold.record_response(incarnation, facts.cold_seconds)
         update = self._limits.record_response(incarnation, facts, sent_at)
         if update is not None:
             self._apply(update)
             self._publish((update,))
 
     def merge_updates(
-        self, updates: Iterable[LimitUpdate], sender: str
+        self,
+        updates: Iterable[LimitUpdate],
+        sender: str,
+        cold_updates: Iterable[ColdUpdate] = (),
     ) -> None:
-        """Merge the limits that another node published."""
+        """Merge limits and cold targets that another node published."""
         for update in updates:
             if self._limits.merge(update, sender):
                 self._apply(update)
+        self._cold.merge(cold_updates, sender)
+
+    def set_cold(  # noqa: WPS615
+        self,
+        incarnation: Incarnation,
+        per_second: float,
+        seconds: float,
+        source: str,
+        *,
+        is_new: bool = False,
+        is_assumed: bool = False,
+    ) -> None:
+        """Record that a target is cold for so long from now on.
+
+        It takes ``per_second`` requests from all nodes together; 0 is no limit.
+        ``is_new`` is true if this node has not sent to it before,
+        ``is_assumed`` if nobody told how long it stays cold.
+        """
+        if per_second > 0:
+            update = ColdUpdate(
+                incarnation.id, incarnation.born, per_second, seconds
+            )
+            self._cold.record(ColdNews(update, source, is_new, is_assumed))
+
+    def cold_seconds(self, incarnation: Incarnation) -> float:
+        """Return how many seconds a target stays cold, 0 if it is not."""
+        return self._cold.remaining_seconds(incarnation)
 
     def accepts(self, incarnation: Incarnation, rank: int = 0) -> bool:
         """Return whether a target accepts a request from this node now.
@@ -158,47 +158,42 @@
         """
         if self._backoffs and self._backoffs.remaining_seconds(incarnation):
             return False
-        allotment = self._allotments.get(incarnation)
-        if allotment is None:
-            return True
         now = self._clock()
-        self._check_sharing(incarnation, allotment, now)
-        required = allotment.tokens_required(rank, now)
-        return allotment.nodes > 0 and allotment.bucket.has_tokens(
-            required, now
-        )
+        return self._limit_shares.accepts(
+            incarnation, rank, now
+        ) and self._cold.accepts(incarnation, rank, now)
 
-    def may_send(self, incarnation: Incarnation) -> bool:
-        """Return whether a request may still be sent to its chosen target."""
-        return not (
-            self._backoffs.remaining_seconds(incarnation)
-            or self._is_leaving(incarnation)
-        )
+    def may_send(
+        self, incarnation: Incarnation, chosen_at: float | None = None
+    ) -> bool:
+        """Return whether a request may still be sent to its chosen target.
+
+        ``chosen_at`` is when the target was chosen, if that was before now.
+        """
+        if self._backoffs.remaining_seconds(incarnation):
+            return False
+        if self._is_leaving(incarnation):
+            return False
+        return chosen_at is None or self._cold.may_send(incarnation, chosen_at)
 
     def record_sent(self, incarnation: Incarnation) -> None:
         """Count a request that is sent to a target."""
-        allotment = self._allotments.get(incarnation)
-        if allotment is not None:
-            allotment.bucket.take(self._clock())
+        now = self._clock()
+        self._limit_shares.take(incarnation, now)
+        self._cold.record_sent(incarnation, now)
 
     def seconds_until_accepted(self, incarnation: Incarnation) -> float:
         """Return the seconds until a target should accept a request again."""
-        backoff = self._backoffs.remaining_seconds(incarnation)
-        allotment = self._allotments.get(incarnation)
-        if allotment is None:
-            return backoff
-        if allotment.nodes:
-            return max(
-                backoff, allotment.bucket.seconds_to_token(self._clock())
-            )
-        return max(backoff, 1 / self._rule.share(allotment.limit, 1).per_second)
+        now = self._clock()
+        return max(
+            self._backoffs.remaining_seconds(incarnation),
+            self._limit_shares.seconds_until_accepted(incarnation, now),
+            self._cold.seconds_until_accepted(incarnation, now),
+        )
 
     def share_of(self, incarnation: Incarnation) -> Share | None:
         """Return this node's share of a target's limit, if it has one."""
-        allotment = self._allotments.get(incarnation)
-        if allotment is None or not allotment.nodes:
-            return None
-        return self._rule.share(allotment.limit, allotment.nodes)
+        return self._limit_shares.share_of(incarnation)
 
     def record_rejection(
         self, incarnations: Iterable[Incarnation], rank: int
@@ -207,41 +202,32 @@
         self._rejections += 1
         now = self._clock()
         for incarnation in incarnations:
-            allotment = self._allotments.get(incarnation)
-            if allotment is not None:
-                allotment.record_rejection(rank, now)
+            self._limit_shares.record_rejection(incarnation, rank, now)
+            self._cold.record_rejection(incarnation, rank, now)
 
     def refresh(self, listed: Collection[Incarnation]) -> None:
         """Drop expired limits, update shares, and publish limits again."""
         now = self._clock()
         self._backoffs.prune()
-        for incarnation, allotment in self._allotments.items():
-            self._check_sharing(incarnation, allotment, now)
-        sending_to = {
-            incarnation
-            for incarnation, allotment in self._allotments.items()
-            if allotment.nodes
-        }
+        self._cold.refresh(listed, now)
+        self._limit_shares.refresh(now)
+        sending_to = self._limit_shares.shared()
         self._limits.prune(listed, sending_to)
-        self._allotments = {
-            incarnation: allotment
-            for incarnation, allotment in self._allotments.items()
-            if self._limits.limit(incarnation) is not None
-        }
+        self._limit_shares.keep_only(
+            lambda incarnation: self._limits.limit(incarnation) is not None
+        )
         if now - self._republished_at >= _REPUBLISH_SECONDS:
             self._republished_at = now
-            updates = self._limits.updates_to_republish(
-                sending_to, 2 * _REPUBLISH_SECONDS
-            )
-            if updates:
-                self._publish(updates)
+            self._republish(sending_to)
 
     def counts(self) -> dict[str, int]:
         """Return metrics by name."""
         return {
-            'targets_with_limit': len(self._allotments),
+            'targets_with_limit': len(self._limit_shares),
             'targets_at_rest': len(self._backoffs),
             'turned_away_by_targets_words': self._rejections,
+            'targets_cold': len(self._cold),
+            'sent_to_cold_targets': self._cold.sent_count,
         }
 
     @_backoffs.default
@@ -252,73 +238,36 @@
     def _make_limits(self) -> LimitRegistry:
         return LimitRegistry(self._clock)
 
+    @_cold.default
+    def _make_cold(self) -> ColdThrottle:
+        return ColdThrottle(
+            self._cold_sharing, self._find_instance, self._clock
+        )
+
+    @_limit_shares.default
+    def _make_limit_shares(self) -> AllotmentTable:
+        return AllotmentTable(
+            self._rule, self._count_nodes, 'target_share', _HANDOVER_SECONDS
+        )
+
     def _apply(self, update: LimitUpdate) -> None:
         if update.per_second is None:
-            self._allotments.pop(update.incarnation, None)
-            return
-        now = self._clock()
-        allotment = self._allotments.get(update.incarnation)
-        if allotment is None:
-            self._allotments[update.incarnation] = self._new_allotment(
-                update, now
-            )
+            self._limit_shares.drop(update.incarnation)
         else:
-            allotment.limit = update.per_second
-            self._reallocate(
-                allotment,
-                self._count_nodes(update.incarnation, allotment.limit),
-                now,
+            self._limit_shares.set_limit(
+                update.incarnation, update.per_second, self._clock()
             )
-        self._log_share(update.incarnation)
-
-    def _new_allotment(self, update: LimitUpdate, now: float) -> _Allotment:
-        limit = update.per_second or 0
-        nodes = self._count_nodes(update.incarnation, limit)
-        share = self._rule.share(limit, max(1, nodes))
-        bucket = TokenBucket(share.per_second, share.burst, now)
-        return _Allotment(limit, nodes, bucket, now)
-
-    def _check_sharing(
-        self, incarnation: Incarnation, allotment: _Allotment, now: float
-    ) -> None:
-        """Update the share of a target's limit if the last check is too old."""
-        if now - allotment.checked_at < _SHARING_CHECK_SECONDS:
-            return
-        allotment.checked_at = now
-        nodes = self._count_nodes(incarnation, allotment.limit)
-        if nodes != allotment.nodes:
-            self._reallocate(allotment, nodes, now)
-            self._log_share(incarnation)
-
-    def _log_share(self, incarnation: Incarnation) -> None:
-        share = self.share_of(incarnation)
-        log_decision(
-            'target_share',
-            instance=incarnation.id,
-            born=incarnation.born,
-            per_second=share and share.per_second,
-            nodes=self._allotments[incarnation].nodes,
-        )
 
-    def _reallocate(
-        self, allotment: _Allotment, nodes: int, now: float
-    ) -> None:
-        share = self._rule.share(allotment.limit, max(1, nodes))
-        if nodes and not allotment.nodes:
-            starts_at = now + _HANDOVER_SECONDS
-            allotment.bucket = TokenBucket(
-                share.per_second,
-                share.burst,
-                starts_at,
-            )
-        else:
-            allotment.bucket.set_rate(share.per_second, share.burst, now)
-        allotment.nodes = nodes
+    def _republish(self, sending_to: Collection[Incarnation]) -> None:
+        seconds = 2 * _REPUBLISH_SECONDS
+        updates = self._limits.updates_to_republish(sending_to, seconds)
+        if updates:
+            self._publish(updates)
+        self._cold.publish_again(seconds)
 
-    def _count_nodes(self, incarnation: Incarnation, limit: float) -> int:
+    def _count_nodes(self, incarnation: Incarnation, max_nodes: int) -> int:
         instance = self._find_instance(incarnation.id)
         failure_domain = '' if instance is None else instance.failure_domain
-        max_nodes = self._rule.max_nodes(limit)
         return self._count_sharing_nodes(
             failure_domain, f'{incarnation.id} {incarnation.born}', max_nodes
         )
--- a/tests/unit/test_initial_allocation.py
+++ b/tests/unit/test_initial_allocation.py
@@ -23,6 +23,7 @@
 from cranecart.grouping._stager import Stager
 from cranecart.http import Address
 from cranecart.models import EngineModel, EngineProfile, ServiceProfile
+from cranecart.ports import MemberPhase, Membership
 from tests.lib.fake_engines import SERVICE, listed_instance
 
 _LARGE = EngineModel('large', 4, 1.0, 0.5, 16, 1.6)
@@ -105,6 +106,26 @@
                 _record(fleet, domain, new)
             self.assertEqual(_own_part(fleet, domain), [])
 
+    def test_a_cold_replica_counts_as_less(self) -> None:
+        """Its model lacks capacity while its head takes few requests."""
+        fleet = _fleet()
+        new = _own_part(fleet, 'east')[0]
+        _record(fleet, 'east', new)
+        record = next(iter(fleet.records.values()))
+        head = fleet.instances[record.head]
+        membership = Membership(record.name, record.epoch, 0, MemberPhase.OPEN)
+        fleet.apply_instances(
+            {head.id: attrs.evolve(head, membership=membership)}, False
+        )
+        inventory = _inventory(fleet, 'east')
+        cold = attrs.evolve(inventory, cold_seconds=lambda _head: float(3))
+        weights = [
+            candidate.plan_input(_PROFILE).replica_counts[new.model]
+            for candidate in (inventory, cold)
+        ]
+        self.assertEqual(weights[0], 1)
+        self.assertLess(weights[1], 0.7)
+
     def _check_same(
         self,
         fleet: Fleet,
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -281,7 +281,7 @@
     ),
     Mutation(
         'target-limits-not-enforced',
-        'throttling/_throttle.py',
+        'throttling/_allotments.py',
         'return allotment.nodes > 0 and allotment.bucket.has_tokens(\n'
         '            required, now\n'
         '        )',
@@ -290,16 +290,16 @@
     ),
     Mutation(
         'node-count-of-limited-targets-unbounded',
-        'throttling/_throttle.py',
-        'max_nodes = self._rule.max_nodes(limit)',
-        'max_nodes = len(instance.id) * 100 if instance else 1000',
+        'throttling/_allotments.py',
+        'self._rule.max_nodes(limit)',
+        '1000',
         _LIMIT_SHARES,
     ),
     Mutation(
         'limit-handover-without-delay',
-        'throttling/_throttle.py',
-        'starts_at = now + _HANDOVER_SECONDS',
-        'starts_at = now - _HANDOVER_SECONDS',
+        'throttling/_allotments.py',
+        'starts_at = now + self._handover_seconds',
+        'starts_at = now - self._handover_seconds',
         _LIMIT_SHARES,
     ),
     Mutation(
@@ -312,15 +312,15 @@
     Mutation(
         'target-backoffs-not-honoured',
         'throttling/_throttle.py',
-        'self._backoffs.remaining_seconds(incarnation)\n            or ',
-        '',
+        'if self._backoffs.remaining_seconds(incarnation):',
+        'if not incarnation.id:',
         'tests.unit.test_target_throttle',
     ),
     Mutation(
         'throttle-not-checked-before-sending',
         'forwarding/_sender.py',
-        'if not self.router.throttle.may_send(target.instance.incarnation):',
-        'if not target:',
+        'if not self.router.throttle.may_send(',
+        'if not self and self.router.throttle.may_send(',
         'tests.unit.test_target_throttle',
     ),
     Mutation(
