Test which list entries make a target cold, and say what is left

The test goes from the entries that the fleet accepts to the throttle, with a configuration that arrives after them.

--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -9,15 +9,19 @@
 import msgspec
 
 from cranecart.exceptions import OverloadedError
+from cranecart.fleet import Fleet
 from cranecart.http import Address
 from cranecart.mesh import (
     TargetLimits,
     decode_mesh_message,
     encode_mesh_message,
 )
-from cranecart.models import ColdStart
+from cranecart.models import ColdStart, ServiceProfile
 from cranecart.ports import Incarnation, ListedInstance, ResponseInfo
 from cranecart.routing import RoutingRequest
+from cranecart.serving._active_config import ActiveRouteConfig
+from cranecart.serving._factories import make_cold_entries
+from cranecart.serving._followers import RowDispatcher
 from cranecart.serving._node_registration import NodeRegistration
 from cranecart.throttling import (
     ColdEntries,
@@ -266,6 +270,34 @@
         )
 
 
+class ListedColdTest(unittest.TestCase):
+    """What a node reads from the instance list, as it is built to serve."""
+
+    def test_entries_that_the_fleet_accepts(self) -> None:
+        """A delayed write of an ended incarnation says nothing any more."""
+        fleet = Fleet()
+        throttle = TargetThrottle()
+        config = ActiveRouteConfig()
+        mesh: Any = SimpleNamespace(has_traffic=lambda: True)
+        nothing: Any = None
+        dispatcher = RowDispatcher(
+            mesh,
+            fleet,
+            nothing,
+            cold_entries=make_cold_entries(throttle, config, mesh),
+        )
+        dispatcher.apply_instances({'i1': _ENTRY}, True, 0)
+        restarted = attrs.evolve(_ENTRY, born=9, cold_seconds=20)
+        late = attrs.evolve(_ENTRY, cold_seconds=20)
+        for entry in (restarted, late):
+            dispatcher.apply_instances({'i1': entry}, False, 0)
+        profile = ServiceProfile(ENGINES, cold=_COLD)
+        services = {**CONFIG.services, ENGINES: profile}
+        config.apply_from_peer(attrs.evolve(CONFIG, services=services))
+        self.assertGreater(throttle.cold_seconds(restarted.incarnation), 15)
+        self.assertEqual(throttle.cold_seconds(late.incarnation), 0)
+
+
 class ColdMessagesTest(unittest.TestCase):
     """Messages between nodes of this version and of the earlier one."""
 
