--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -3,6 +3,7 @@
 from cranecart.models._evacuation import Evacuation
 from cranecart.models._routes import (
     ClientLimits,
+    ColdStart,
     EngineModel,
     EngineProfile,
     KeyHolder,
@@ -16,6 +17,7 @@
 
 __all__ = (
     'ClientLimits',
+    'ColdStart',
     'EngineModel',
     'EngineProfile',
     'EngineTiming',
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -27,6 +27,7 @@
     TargetT,
     available_targets,
     draw_available,
+    seconds_until_any_accepts,
 )
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
@@ -268,7 +269,14 @@
         )
         self.shortage.record(request, choice, self._clock())
         if isinstance(choice, Refuse):
-            raise overloaded_error(request, choice, planned, self._random)
+            # One that accepts nothing at the moment, as it is cold, may accept
+            # requests before the others have a slot.
+            accepted_in = seconds_until_any_accepts(
+                eligible if throttled else (), self.throttle, request.rank
+            )
+            raise overloaded_error(
+                request, choice, planned, accepted_in, self._random
+            )
         head = heads[choice.name]
         self.throttle.record_sent(head.incarnation)
         return Target(
--- a/src/cranecart/routing/_shortage.py
+++ b/src/cranecart/routing/_shortage.py
@@ -101,10 +101,12 @@
     request: RoutingRequest,
     refusal: Refuse,
     planned: PlannedAdmission,
+    accepted_in: float,
     random_source: random.Random,
 ) -> OverloadedError:
     """Return the error of a refused request, with a retry time.
 
+    ``accepted_in`` is when a target accepts requests that does not do so now.
     Beyond its share, a client is asked back in time only if it will be served
     then. Any other is told that no slot is free before its deadline.
     """
@@ -114,7 +116,9 @@
             f'a slot is expected {refusal.excess_seconds:.2f} s after the '
             'client gives up',
             retry_after=spread_retry_after(
-                refusal.excess_seconds, request.remaining_seconds, drawn
+                min(refusal.excess_seconds, accepted_in),
+                request.remaining_seconds,
+                drawn,
             ),
         )
     return OverloadedError(
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -29,6 +29,7 @@
     RequestStatistics,
 )
 from cranecart.serving._factories import (
+    make_cold_entries,
     make_mesh,
     make_resume_guard,
     make_target_connections,
@@ -77,7 +78,9 @@
         self._fleet = Fleet()
         self._platform_adapters = PlatformAdapters.from_settings(settings)
         self._registration = NodeRegistration(
-            settings, self._platform_adapters.table
+            settings,
+            self._platform_adapters.table,
+            bool(settings.cold_overshoot),
         )
         self._router = TargetRouter(
             self._fleet,
@@ -89,7 +92,10 @@
                 Broken(settings.node_id, incarnation.id, incarnation.born),
             ),
             throttle=make_throttle(
-                settings.node_id, self._fleet, lambda: self._mesh
+                settings,
+                self._fleet,
+                lambda: self._mesh,
+                self._active_config.cold_start,
             ),
         )
         self._node_demand = NodeDemand(self._router.shortage.exchange)
@@ -109,6 +115,9 @@
                 self._fleet,
                 self._quarantine.rows,
                 self._registration,
+                make_cold_entries(
+                    self._router.throttle, self._active_config, self._mesh
+                ),
             ),
             self._random_source,
             settings.leaving_ms / _MILLISECONDS,
@@ -122,6 +131,7 @@
                 self._active_config,
                 self._followers,
                 self._report_stopped,
+                self._router.throttle.cold_seconds,
             ),
         )
         self._target_connections = make_target_connections(settings)
@@ -190,7 +200,7 @@
             self._update_local_state,
             lambda message: self._router.eject_reported(message.incarnation),
             lambda message: self._router.throttle.merge_updates(
-                message.limits, message.sender
+                message.limits, message.sender, message.cold
             ),
             lambda message: mark_leaving(
                 self._fleet, message.incarnation, message.sender
@@ -258,6 +268,7 @@
         self._mesh.local.evacuations = list(self._fleet.evacuations.known())
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
+        self._mesh.local.is_established = self._registration.is_established
         self._node_demand.update(self._mesh.local)
         self._mesh.local.slow_targets = self._router.paces.report()
 
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -19,6 +19,8 @@
 _RETRY_RATIO = 0.1
 # Enough successful requests are logged to compare a failed one with them.
 _LOGGED_SUCCESS_SHARE = 0.05
+# What a cold target may receive in a second beyond its rate times the overshoot.
+_COLD_SLACK = 5.0
 _NON_NEGATIVE = attrs.validators.ge(float(0))
 
 
@@ -58,6 +60,8 @@
     ``memory_mb`` how much memory it may use; 0 means that it is not told.
     ``platform_features`` are the platform's own names of the optional features
     that it has.
+    In any second a cold target is sent its rate times ``cold_overshoot`` and
+    ``cold_slack`` requests at most; an overshoot of 0 is none stated.
     ``log_successes`` is the share of successful requests that are logged.
     With ``learns_pace`` nodes measure which replicas are slow and tell each
     other.
@@ -92,6 +96,8 @@
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
     learns_pace: bool = False
+    cold_overshoot: float = _non_negative_field(0)
+    cold_slack: float = _non_negative_field(_COLD_SLACK)
 
     @classmethod
     def from_file(cls, file: Path) -> Self:
