Bound the cold rate and duration that a configuration states

A rate of 1e308 a second overflowed when a node computed its share, on the path of each request to a cold target, and a long duration limited targets for good. Both have the maximum that the values in responses have. The test of the settings template also draws the two bounds for cold targets.

--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -14,6 +14,7 @@
     Share,
     hash_key,
 )
+from cranecart.platform._load_headers import MAX_COLD_SECONDS, MAX_PER_SECOND
 from cranecart.platform._store import StoreClient, WireRow, decode_row
 from cranecart.platform._wire_config import (
     WireConfig,
@@ -129,7 +130,10 @@
 def _decode_cold_start(wire: WireService) -> ColdStart | None:
     if wire.cold_per_s <= 0:
         return None
-    return ColdStart(max(0, wire.cold_start_s), wire.cold_per_s)
+    return ColdStart(
+        min(max(0, wire.cold_start_s), MAX_COLD_SECONDS),
+        min(wire.cold_per_s, MAX_PER_SECOND),
+    )
 
 
 def _decode_model(wire: WireModel) -> EngineModel:
--- a/src/cranecart/platform/_load_headers.py
+++ b/src/cranecart/platform/_load_headers.py
@@ -20,7 +20,7 @@
 # Numbers with more digits cannot be intended.
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,20})?', re.ASCII)
 # No target accepts a higher rate, and results computed from it stay finite.
-_MAX_PER_SECOND = 1_000_000.0
+MAX_PER_SECOND = 1_000_000.0
 # The maximum back-off. Without it, a single wrong value would exclude a target
 # for good.
 _MAX_BACKOFF_SECONDS = 3600.0
@@ -75,7 +75,7 @@
     limit = _decimal_value(head, _LIMIT)
     if limit is None:
         return _with_unreadable(facts, head, _LIMIT)
-    return attrs.evolve(facts, limit=min(limit, _MAX_PER_SECOND))
+    return attrs.evolve(facts, limit=min(limit, MAX_PER_SECOND))
 
 
 def _decimal_value(head: ResponseHead, name: str) -> float | None:
--- a/tests/platform/test_cold_fields.py
+++ b/tests/platform/test_cold_fields.py
@@ -12,6 +12,7 @@
     PlatformConfigSource,
     PlatformTargetList,
 )
+from cranecart.throttling import ColdRule
 from tests.platform._fixed_rows import FixedRowsClient
 
 
@@ -33,6 +34,16 @@
             [ColdStart(2.5, 14), None, None, None],
         )
 
+    def test_excessive_values_of_services(self) -> None:
+        """Shares of the rate can be computed, and targets become warm."""
+        service = {'name': 'a', 'coldStartS': 1e300, 'coldPerS': 1e308}
+        row = json.dumps({'version': 1, 'services': [service]}).encode()
+        source = PlatformConfigSource(FixedRowsClient({'config': row}))
+        config = curio.run(source.snapshot).items['config']
+        cold = config.cold_start('a')
+        self.assertEqual(cold.seconds, 300)
+        self.assertGreater(ColdRule().max_nodes(cold.per_second), 0)
+
     def test_entries(self) -> None:
         """Milliseconds, or nothing told; a wrong value does not last for good."""
         told = {'a': 1500, 'b': 0, 'c': None, 'd': -1, 'e': 1e12}
--- a/tests/unit/test_deploy_template.py
+++ b/tests/unit/test_deploy_template.py
@@ -38,6 +38,8 @@
         'retry_window_seconds': 'retryWindowS',
         'stall_ms': 'stallMs',
         'stop_grace_seconds': 'graceS',
+        'cold_overshoot': 'coldOvershoot',
+        'cold_slack': 'coldSlack',
     },
 )
 _NUMBERS = st.one_of(
