Recognise a later cold period that an entry states like the earlier one

An entry that stated two seconds, then nothing, then two seconds again was taken for one that is read repeatedly, and its target got all requests. A rate that is configured while a target is cold let a node send its whole share within the second in which it had sent without a limit; it now waits for that second to pass.

--- a/src/cranecart/throttling/_cold_entries.py
+++ b/src/cranecart/throttling/_cold_entries.py
@@ -49,7 +49,8 @@
         """Apply entries that were just read."""
         for entry in entries:
             known = self._statements.get(entry.incarnation)
-            if known is None or _is_told_anew(known, entry):
+            # An entry may be read repeatedly.
+            if known is None or entry.cold_seconds != known.cold_seconds:
                 statement = _Statement(
                     entry.service, self._clock(), entry.cold_seconds, not known
                 )
@@ -64,7 +65,10 @@
         """Apply what was read before a configuration with other rates."""
         for incarnation, statement in self._statements.items():
             if statement.cold_seconds is not None:
-                self._apply_statement(incarnation, statement)
+                # Since then this node may have sent requests without a limit.
+                self._apply_statement(
+                    incarnation, attrs.evolve(statement, is_new=False)
+                )
 
     def _apply_statement(
         self, incarnation: Incarnation, statement: _Statement
@@ -90,11 +94,3 @@
                 is_new=True,
                 is_assumed=True,
             )
-
-
-def _is_told_anew(known: _Statement, entry: ListedInstance) -> bool:
-    """Return whether an entry says something new; it may be read repeatedly."""
-    return (
-        entry.cold_seconds is not None
-        and entry.cold_seconds != known.cold_seconds
-    )
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -162,6 +162,26 @@
         self.assertLessEqual(sum(sent), _FIRST_SECOND)
         self.assertTrue(self.throttle.may_send(_INCARNATION, self.now - 0.05))
 
+    def test_a_target_says_the_same_of_a_later_period(self) -> None:
+        """Its entry says nothing of it in between."""
+        told = attrs.evolve(_ENTRY, cold_seconds=2)
+        self._read(told)
+        self.now = 13
+        self._read(_ENTRY)
+        self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 0)
+        self._read(told)
+        self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 2)
+
+    def test_a_rate_is_configured_while_a_target_is_cold(self) -> None:
+        """What was sent without a limit counts for a second."""
+        self.services.clear()
+        self._read(attrs.evolve(_ENTRY, cold_seconds=9))
+        self.now = 12
+        self.services[ENGINES] = _COLD
+        self.entries.apply_config()
+        self.assertEqual(self._send_for(1), 0)
+        self.assertGreater(self._send_for(1), 0)
+
     def _read(self, entry: ListedInstance) -> None:
         self.entries.apply((entry,))
 
