Delay each increase of a share of a cold target

A share that grew twice within the delay took the second increase when only the first one was due, and a longer period or another rate ended the delay, so that a node sent 16 requests within a second of those of the nodes that had stopped. An increase is now delayed in both cases.

--- a/src/cranecart/throttling/_allotments.py
+++ b/src/cranecart/throttling/_allotments.py
@@ -36,8 +36,10 @@
     # The most urgent rank that was rejected recently, and when.
     rejected_rank: int = 0
     rejected_at: float = float('-inf')
-    # When an increase of the share takes effect that is being delayed.
+    # When an increase of the share takes effect that is being delayed, and the
+    # minimum of what the share has been since.
     increases_at: float | None = None
+    delayed_nodes: int = 0
 
     def tokens_required(self, rank: int, now: float) -> int:
         """Return how many tokens a request of a rank needs in the bucket.
@@ -51,14 +53,24 @@
             return 1
         return 2 if is_reserved and rank > self.rejected_rank else 1
 
-    def is_delayed(self, nodes: int, now: float, seconds: float) -> bool:
-        """Return whether an increased share does not take effect yet."""
+    def with_delayed_increase(
+        self, nodes: int, now: float, seconds: float
+    ) -> int:
+        """Return what is in force of a new share; an increase is delayed.
+
+        A further increase during the delay is delayed after it.
+        """
         if nodes <= self.nodes:
             self.increases_at = None
-            return False
+            return nodes
         if self.increases_at is None:
             self.increases_at = now + seconds
-        return now < self.increases_at
+            self.delayed_nodes = nodes
+        self.delayed_nodes = min(nodes, self.delayed_nodes)
+        if now < self.increases_at:
+            return self.nodes
+        self.increases_at = None
+        return self.delayed_nodes
 
     def record_rejection(self, rank: int, now: float) -> None:
         """Record that a request of a rank was rejected."""
@@ -116,7 +128,7 @@
             )
         else:
             allotment.limit = limit
-            nodes = self._count_nodes(incarnation, limit)
+            nodes = self._nodes_in_force(incarnation, allotment, now)
             self._reallocate(allotment, nodes, now)
         self._log_share(incarnation)
 
@@ -207,11 +219,7 @@
         if now - allotment.checked_at < _SHARING_CHECK_SECONDS:
             return
         allotment.checked_at = now
-        nodes = self._count_nodes(incarnation, allotment.limit)
-        if self._delays_increases and allotment.is_delayed(
-            nodes, now, self._handover_seconds
-        ):
-            return
+        nodes = self._nodes_in_force(incarnation, allotment, now)
         if nodes != allotment.nodes:
             self._reallocate(allotment, nodes, now)
             self._log_share(incarnation)
@@ -237,5 +245,15 @@
             allotment.bucket.set_rate(share.per_second, share.burst, now)
         allotment.nodes = nodes
 
+    def _nodes_in_force(
+        self, incarnation: Incarnation, allotment: Allotment, now: float
+    ) -> int:
+        nodes = self._count_nodes(incarnation, allotment.limit)
+        if not self._delays_increases:
+            return nodes
+        return allotment.with_delayed_increase(
+            nodes, now, self._handover_seconds
+        )
+
     def _count_nodes(self, incarnation: Incarnation, limit: float) -> int:
         return self._count_parts(incarnation, self._rule.max_nodes(limit))
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -195,6 +195,47 @@
         return sent
 
 
+class IncreasedShareTest(unittest.TestCase):
+    """A share that grows as other nodes stop, which may just have sent."""
+
+    def setUp(self) -> None:
+        """Use up a share of two requests."""
+        self.now = float(0)
+        self.dealt = 2
+        self.throttle = TargetThrottle(
+            clock=lambda: self.now,
+            cold_sharing=ColdSharing(deal=lambda *_target: self.dealt),
+        )
+        self.now = 10
+        self.throttle.set_cold(_INCARNATION, 14, 30, 'a test', is_new=True)
+        self.assertEqual(self._send_all(), 2)
+
+    def test_each_increase_is_delayed(self) -> None:
+        """A second one does not take effect when the first one does."""
+        sent = []
+        for now, dealt in ((11.2, 3), (12.2, 16), (12.5, 16), (12.8, 16)):
+            self.now = now
+            self.dealt = dealt
+            sent.append(self._send_all())
+        self.assertEqual(sent, [2, 0, 3, 0])
+        self.now = 14
+        self.assertEqual(self._send_all(), 16)
+
+    def test_a_longer_period_does_not_end_the_delay(self) -> None:
+        """The share is found anew when a target says more of its period."""
+        self.dealt = 16
+        self.now = 11.2
+        self.throttle.set_cold(_INCARNATION, 14, 40, 'a test')
+        self.assertEqual(self._send_all(), 2)
+
+    def _send_all(self) -> int:
+        sent = 0
+        while self.throttle.accepts(_INCARNATION):
+            self.throttle.record_sent(_INCARNATION)
+            sent += 1
+        return sent
+
+
 class ColdRoutingTest(unittest.TestCase):
     """Requests for a model with two replicas."""
 
