Keep the retry times of refusals that announced limits do not cause

Where targets were full and another one was at its announced limit, clients were asked to retry when that limit allowed a request (0.23 s in the test) instead of when a slot is expected. Only cold targets shorten it now.

--- a/src/cranecart/routing/_availability.py
+++ b/src/cranecart/routing/_availability.py
@@ -65,19 +65,20 @@
     )
 
 
-def seconds_until_any_accepts(
+def seconds_until_cold_accepts(
     targets: Sequence[TargetT], throttle: TargetThrottle, rank: int
 ) -> float:
-    """Return when the first target accepts that does not accept now.
+    """Return when the first cold target accepts that does not accept now.
 
-    It is infinite if all targets accept requests of the rank now.
+    It is infinite if there is none. Targets that only announced a limit do not
+    count, as a service without cold targets keeps its retry times.
     """
-    accepting = {target.id for target in _accepting(targets, throttle, rank)}
     return min(
         (
             throttle.seconds_until_accepted(target.incarnation)
             for target in targets
-            if target.id not in accepting
+            if throttle.cold_seconds(target.incarnation)
+            and not throttle.accepts(target.incarnation, rank)
         ),
         default=float('inf'),
     )
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -27,7 +27,7 @@
     TargetT,
     available_targets,
     draw_available,
-    seconds_until_any_accepts,
+    seconds_until_cold_accepts,
 )
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
@@ -240,11 +240,11 @@
         ]
         choice = decide(dispatch_request, states)
         if isinstance(choice, Refuse):
-            # One that accepts nothing at the moment, as it is cold, may accept
-            # requests before the others have a slot.
+            # A cold target that has had its share may accept requests before
+            # the others have a slot.
             seconds = min(
                 choice.excess_seconds,
-                seconds_until_any_accepts(
+                seconds_until_cold_accepts(
                     eligible if throttled else (), self.throttle, request.rank
                 ),
             )
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -273,6 +273,23 @@
                 self.router.choose(self.request)
         self.assertLess(caught.exception.retry_after or 9, _MAX_RETRY_SECONDS)
 
+    def test_announced_limits_do_not_change_retry_times(self) -> None:
+        """Without cold targets these follow the wait for a slot alone."""
+        retry_times = []
+        for limits in ((), ('i0',)):
+            self.router._random.seed(1)
+            self.router._remote_in_flight = lambda _name: 200
+            for name in limits:
+                self.router.throttle.record_response(
+                    Incarnation(name),
+                    ResponseInfo('r', True, False, limit=9),
+                    9,
+                )
+            with self.assertRaises(OverloadedError) as caught:
+                self.router.choose(self.request)
+            retry_times.append(caught.exception.retry_after)
+        self.assertAlmostEqual(retry_times[1] or 0, retry_times[0] or 9, 2)
+
     def test_all_targets_are_cold(self) -> None:
         """The excess is refused with the time at which a target accepts."""
         for name in ('i0', 'i1'):
