--- a/src/cranecart/grouping/_environment.py
+++ b/src/cranecart/grouping/_environment.py
@@ -9,8 +9,8 @@
 from cranecart.ports import Incarnation
 
 
-def is_warm(_incarnation: Incarnation) -> float:
-    """Treat no instance as cold."""
+def never_cold(_incarnation: Incarnation) -> float:
+    """Return how long an instance stays cold where none is."""
     return 0
 
 
@@ -25,8 +25,8 @@
     ``is_isolated`` returns whether this node has peers but receives nothing
     from them, ``is_store_unreachable`` whether its readers cannot reach the
     store. ``announce_stopped`` announces to all nodes that a replica accepts no
-    more requests, why, and whether it completes the running ones. ``cold_seconds`` returns how long an
-    instance stays cold.
+    more requests, why, and whether it completes the running ones.
+    ``cold_seconds`` returns how long an instance stays cold.
     """
 
     config: Callable[[], RouteConfig | None]
@@ -37,7 +37,7 @@
     announce_stopped: Callable[[ReplicaRecord, str, bool], None]
     is_isolated: Callable[[], bool] = bool
     is_store_unreachable: Callable[[], bool] = bool
-    cold_seconds: Callable[[Incarnation], float] = is_warm
+    cold_seconds: Callable[[Incarnation], float] = never_cold
 
 
 @attrs.frozen
--- a/src/cranecart/grouping/_inventory.py
+++ b/src/cranecart/grouping/_inventory.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
-from cranecart.grouping._environment import is_warm
+from cranecart.grouping._environment import never_cold
 from cranecart.grouping._failure_detector import FailureDetector
 from cranecart.grouping._member_selection import discount
 from cranecart.grouping._orphans import OrphanedReplicas
@@ -32,7 +32,7 @@
     _demand: Callable[[], Mapping[str, float]]
     _has_traffic: Callable[[], bool]
     _stall_seconds: float
-    _cold_seconds: Callable[[Incarnation], float] = is_warm
+    _cold_seconds: Callable[[Incarnation], float] = never_cold
 
     def plan_input(self, profile: ServiceProfile) -> PlanInput:
         """Return the input for planning a service."""
