Remember running incarnations when many others have restarted

After 4,096 incarnations, about an hour of restarts, the oldest ones were forgotten, which were still running. Their entries were then taken for those of new incarnations, and the next full read limited all of them for three seconds. Now only those are forgotten that a later one of the same instance has replaced.

--- a/src/cranecart/throttling/_cold_entries.py
+++ b/src/cranecart/throttling/_cold_entries.py
@@ -57,8 +57,8 @@
                 self._statements.pop(entry.incarnation, None)
                 self._statements[entry.incarnation] = statement
                 self._apply_statement(entry.incarnation, statement)
-        for oldest in list(self._statements)[:-_MAX_INCARNATIONS]:
-            self._statements.pop(oldest)
+        if len(self._statements) > _MAX_INCARNATIONS:
+            self._forget_replaced()
         self._is_informed = True
 
     def apply_config(self) -> None:
@@ -70,6 +70,17 @@
                     incarnation, attrs.evolve(statement, is_new=False)
                 )
 
+    def _forget_replaced(self) -> None:
+        """Forget incarnations, but not the last one of each instance.
+
+        One that is running would be taken for a new one if it was forgotten.
+        """
+        last = {incarnation.id: incarnation for incarnation in self._statements}
+        self._statements = {
+            incarnation: self._statements[incarnation]
+            for incarnation in list(last.values())[-_MAX_INCARNATIONS:]
+        }
+
     def _apply_statement(
         self, incarnation: Incarnation, statement: _Statement
     ) -> None:
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -172,6 +172,16 @@
         self._read(told)
         self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 2)
 
+    def test_many_restarts_of_other_instances(self) -> None:
+        """A target that has run for hours is not taken for a new one."""
+        self._read(_ENTRY)
+        other = attrs.evolve(_ENTRY, id='i2')
+        for born in range(5000):
+            self._read(attrs.evolve(other, born=born))
+        self._read(_ENTRY)
+        self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 0)
+        self.assertLess(len(self.entries._statements), 5000)
+
     def test_a_rate_is_configured_while_a_target_is_cold(self) -> None:
         """What was sent without a limit counts for a second."""
         self.services.clear()
