--- a/src/cranecart/throttling/_cold_entries.py
+++ b/src/cranecart/throttling/_cold_entries.py
@@ -49,22 +49,37 @@
         """Apply entries that were just read."""
         for entry in entries:
             known = self._statements.get(entry.incarnation)
-            if known is None or _is_told_anew(known, entry):
+            # An entry may be read repeatedly.
+            if known is None or entry.cold_seconds != known.cold_seconds:
                 statement = _Statement(
                     entry.service, self._clock(), entry.cold_seconds, not known
                 )
                 self._statements.pop(entry.incarnation, None)
                 self._statements[entry.incarnation] = statement
                 self._apply_statement(entry.incarnation, statement)
-        for oldest in list(self._statements)[:-_MAX_INCARNATIONS]:
-            self._statements.pop(oldest)
+        if len(self._statements) > _MAX_INCARNATIONS:
+            self._forget_replaced()
         self._is_informed = True
 
     def apply_config(self) -> None:
         """Apply what was read before a configuration with other rates."""
         for incarnation, statement in self._statements.items():
             if statement.cold_seconds is not None:
-                self._apply_statement(incarnation, statement)
+                # Since then this node may have sent requests without a limit.
+                self._apply_statement(
+                    incarnation, attrs.evolve(statement, is_new=False)
+                )
+
+    def _forget_replaced(self) -> None:
+        """Forget incarnations, but not the last one of each instance.
+
+        One that is running would be taken for a new one if it was forgotten.
+        """
+        last = {incarnation.id: incarnation for incarnation in self._statements}
+        self._statements = {
+            incarnation: self._statements[incarnation]
+            for incarnation in list(last.values())[-_MAX_INCARNATIONS:]
+        }
 
     def _apply_statement(
         self, incarnation: Incarnation, statement: _Statement
@@ -90,11 +105,3 @@
                 is_new=True,
                 is_assumed=True,
             )
-
-
-def _is_told_anew(known: _Statement, entry: ListedInstance) -> bool:
-    """Return whether an entry says something new; it may be read repeatedly."""
-    return (
-        entry.cold_seconds is not None
-        and entry.cold_seconds != known.cold_seconds
-    )
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -203,6 +203,36 @@
         self.assertLessEqual(sum(sent), _FIRST_SECOND)
         self.assertTrue(self.throttle.may_send(_INCARNATION, self.now - 0.05))
 
+    def test_a_target_says_the_same_of_a_later_period(self) -> None:
+        """Its entry says nothing of it in between."""
+        told = attrs.evolve(_ENTRY, cold_seconds=2)
+        self._read(told)
+        self.now = 13
+        self._read(_ENTRY)
+        self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 0)
+        self._read(told)
+        self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 2)
+
+    def test_many_restarts_of_other_instances(self) -> None:
+        """A target that has run for hours is not taken for a new one."""
+        self._read(_ENTRY)
+        other = attrs.evolve(_ENTRY, id='i2')
+        for born in range(5000):
+            self._read(attrs.evolve(other, born=born))
+        self._read(_ENTRY)
+        self.assertEqual(self.throttle.cold_seconds(_INCARNATION), 0)
+        self.assertLess(len(self.entries._statements), 5000)
+
+    def test_a_rate_is_configured_while_a_target_is_cold(self) -> None:
+        """What was sent without a limit counts for a second."""
+        self.services.clear()
+        self._read(attrs.evolve(_ENTRY, cold_seconds=9))
+        self.now = 12
+        self.services[ENGINES] = _COLD
+        self.entries.apply_config()
+        self.assertEqual(self._send_for(1), 0)
+        self.assertGreater(self._send_for(1), 0)
+
     def _read(self, entry: ListedInstance) -> None:
         self.entries.apply((entry,))
 
@@ -218,6 +248,47 @@
         return sent
 
 
+class IncreasedShareTest(unittest.TestCase):
+    """A share that grows as other nodes stop, which may just have sent."""
+
+    def setUp(self) -> None:
+        """Use up a share of two requests."""
+        self.now = float(0)
+        self.dealt = 2
+        self.throttle = TargetThrottle(
+            clock=lambda: self.now,
+            cold_sharing=ColdSharing(deal=lambda *_target: self.dealt),
+        )
+        self.now = 10
+        self.throttle.set_cold(_INCARNATION, 14, 30, 'a test', is_new=True)
+        self.assertEqual(self._send_all(), 2)
+
+    def test_each_increase_is_delayed(self) -> None:
+        """A second one does not take effect when the first one does."""
+        sent = []
+        for now, dealt in ((11.2, 3), (12.2, 16), (12.5, 16), (12.8, 16)):
+            self.now = now
+            self.dealt = dealt
+            sent.append(self._send_all())
+        self.assertEqual(sent, [2, 0, 3, 0])
+        self.now = 14
+        self.assertEqual(self._send_all(), 16)
+
+    def test_a_longer_period_does_not_end_the_delay(self) -> None:
+        """The share is found anew when a target says more of its period."""
+        self.dealt = 16
+        self.now = 11.2
+        self.throttle.set_cold(_INCARNATION, 14, 40, 'a test')
+        self.assertEqual(self._send_all(), 2)
+
+    def _send_all(self) -> int:
+        sent = 0
+        while self.throttle.accepts(_INCARNATION):
+            self.throttle.record_sent(_INCARNATION)
+            sent += 1
+        return sent
+
+
 class ColdRoutingTest(unittest.TestCase):
     """Requests for a model with two replicas."""
 
@@ -255,6 +326,23 @@
                 self.router.choose(self.request)
         self.assertLess(caught.exception.retry_after or 9, _MAX_RETRY_SECONDS)
 
+    def test_announced_limits_do_not_change_retry_times(self) -> None:
+        """Without cold targets these follow the wait for a slot alone."""
+        retry_times = []
+        for limits in ((), ('i0',)):
+            self.router._random.seed(1)
+            self.router._remote_in_flight = lambda _name: 200
+            for name in limits:
+                self.router.throttle.record_response(
+                    Incarnation(name),
+                    ResponseInfo('r', True, False, limit=9),
+                    9,
+                )
+            with self.assertRaises(OverloadedError) as caught:
+                self.router.choose(self.request)
+            retry_times.append(caught.exception.retry_after)
+        self.assertAlmostEqual(retry_times[1] or 0, retry_times[0] or 9, 2)
+
     def test_all_targets_are_cold(self) -> None:
         """The excess is refused with the time at which a target accepts."""
         for name in ('i0', 'i1'):
