--- a/src/cranecart/grouping/_environment.py
+++ b/src/cranecart/grouping/_environment.py
@@ -6,6 +6,12 @@
 
 from cranecart.fleet import ReplicaRecord
 from cranecart.models import RouteConfig
+from cranecart.ports import Incarnation
+
+
+def never_cold(_incarnation: Incarnation) -> float:
+    """Return how long an instance stays cold where none is."""
+    return 0
 
 
 @attrs.frozen
@@ -20,6 +26,7 @@
     from them, ``is_store_unreachable`` whether its readers cannot reach the
     store. ``announce_stopped`` announces to all nodes that a replica accepts no
     more requests, why, and whether it completes the running ones.
+    ``cold_seconds`` returns how long an instance stays cold.
     """
 
     config: Callable[[], RouteConfig | None]
@@ -30,6 +37,7 @@
     announce_stopped: Callable[[ReplicaRecord, str, bool], None]
     is_isolated: Callable[[], bool] = bool
     is_store_unreachable: Callable[[], bool] = bool
+    cold_seconds: Callable[[Incarnation], float] = never_cold
 
 
 @attrs.frozen
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -39,7 +39,8 @@
     ``offered`` is the load that arrives here, ``domain_offered`` that of the
     failure domain, and ``remote_offered`` what was heard of other failure
     domains since the last beat. ``slow_targets`` has paces in hundredths by
-    instance id.
+    instance id. ``is_established`` is whether all other nodes know of this
+    one, also those that were cut off when it started.
     """
 
     node_id: str
@@ -55,6 +56,7 @@
     domain_offered: dict[str, float] = attrs.field(factory=dict)
     remote_offered: dict[str, dict[str, float]] = attrs.field(factory=dict)
     slow_targets: dict[str, int] = attrs.field(factory=dict)
+    is_established: bool = True
 
 
 def _ignore_evacuations(
--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -9,6 +9,7 @@
 from cranecart.logs import log_decision
 from cranecart.models import (
     ClientLimits,
+    ColdStart,
     EngineModel,
     EngineProfile,
     Evacuation,
@@ -19,6 +20,7 @@
     Share,
     hash_key,
 )
+from cranecart.platform._load_headers import MAX_COLD_SECONDS, MAX_PER_SECOND
 from cranecart.platform._store import StoreClient, WireRow, decode_row
 from cranecart.platform._wire_config import (
     WireConfig,
@@ -162,8 +164,9 @@
 
 def _decode_service(wire: WireService) -> ServiceProfile:
     runtime = wire.runtime
+    cold = _decode_cold_start(wire)
     if runtime is None or not runtime.models:
-        return ServiceProfile(wire.name)
+        return ServiceProfile(wire.name, cold=cold)
     return ServiceProfile(
         wire.name,
         EngineProfile(
@@ -175,6 +178,16 @@
             whole_number(runtime.loads_at_once, 1),
             runtime.timing(),
         ),
+        cold,
+    )
+
+
+def _decode_cold_start(wire: WireService) -> ColdStart | None:
+    if wire.cold_per_s <= 0:
+        return None
+    return ColdStart(
+        min(max(0, wire.cold_start_s), MAX_COLD_SECONDS),
+        min(wire.cold_per_s, MAX_PER_SECOND),
     )
 
 
--- a/src/cranecart/routing/_availability.py
+++ b/src/cranecart/routing/_availability.py
@@ -65,6 +65,25 @@
     )
 
 
+def seconds_until_cold_accepts(
+    targets: Sequence[TargetT], throttle: TargetThrottle, rank: int
+) -> float:
+    """Return when the first cold target accepts that does not accept now.
+
+    It is infinite if there is none. Targets that only announced a limit do not
+    count, as a service without cold targets keeps its retry times.
+    """
+    return min(
+        (
+            throttle.seconds_until_accepted(target.incarnation)
+            for target in targets
+            if throttle.cold_seconds(target.incarnation)
+            and not throttle.accepts(target.incarnation, rank)
+        ),
+        default=float('inf'),
+    )
+
+
 def _accepting(
     targets: Sequence[TargetT],
     throttle: TargetThrottle,
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -21,12 +21,13 @@
 from cranecart.exceptions import NoReplicaError, OverloadedError
 from cranecart.fleet import Evacuations, Fleet, ServingHead
 from cranecart.logs import log_decision
-from cranecart.models import EngineProfile, RouteConfig
+from cranecart.models import EngineModel, EngineProfile, RouteConfig
 from cranecart.ports import Incarnation, ListedInstance
 from cranecart.routing._availability import (
     TargetT,
     available_targets,
     draw_available,
+    seconds_until_cold_accepts,
 )
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
@@ -34,6 +35,7 @@
 from cranecart.routing._paces import TargetPaces
 from cranecart.routing._request import RoutingRequest
 from cranecart.routing._shortage import (
+    PlannedAdmission,
     ShortageControl,
     choice_reason,
     overloaded_error,
@@ -247,28 +249,23 @@
             for head in self._without_unhealthy(available, request)
         }
         planned = self.shortage.admission(request, len(eligible), self._clock())
-        dispatch_request = DispatchRequest(
-            request.route,
-            engine,
-            model,
-            request.prompt_tokens,
-            request.elapsed_seconds,
-            request.remaining_seconds,
-            self._completion_interval(request.model),
-            request.was_refused,
-            request.is_resumed,
-            planned.admission,
-            planned.passed_fraction(request.rank),
-        )
         states = [
             self._replica_state(target, request) for target in heads.values()
         ]
         choice = decide(
-            dispatch_request, draw_by_pace(self._random, states, engine.slots)
+            self._dispatch_request(request, engine, model, planned),
+            draw_by_pace(self._random, states, engine.slots),
         )
         self.shortage.record(request, choice, self._clock())
         if isinstance(choice, Refuse):
-            raise overloaded_error(request, choice, planned, self._random)
+            # A cold target that has had its share may accept requests before
+            # the others have a slot.
+            accepted_in = seconds_until_cold_accepts(
+                eligible if throttled else (), self.throttle, request.rank
+            )
+            raise overloaded_error(
+                request, choice, planned, accepted_in, self._random
+            )
         head = heads[choice.name]
         self.throttle.record_sent(head.incarnation)
         return Target(
@@ -284,6 +281,27 @@
             self.paces.pace(head.incarnation, request.model),
         )
 
+    def _dispatch_request(
+        self,
+        request: RoutingRequest,
+        engine: EngineProfile,
+        model: EngineModel,
+        planned: PlannedAdmission,
+    ) -> DispatchRequest:
+        return DispatchRequest(
+            request.route,
+            engine,
+            model,
+            request.prompt_tokens,
+            request.elapsed_seconds,
+            request.remaining_seconds,
+            self._completion_interval(request.model),
+            request.was_refused,
+            request.is_resumed,
+            planned.admission,
+            planned.passed_fraction(request.rank),
+        )
+
     def _without_unhealthy(
         self,
         drawn: Sequence[ServingHead],
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -40,6 +40,7 @@
 )
 _SURPLUS_RESPONSES = 'tests.unit.test_surplus_responses.SurplusResponseTest'
 _LIMIT_SHARES = 'tests.unit.test_limit_shares'
+_COLD_TARGETS = 'tests.unit.test_cold_targets'
 _RESTORED_STORE = 'tests.platform.test_restored_store.RestoredStoreTest'
 _RESTORED_RECORDS = 'tests.unit.test_restored_records.RestoredRecordsTest'
 _ROW_VERSIONS = 'tests.platform.test_row_versions.RowVersionsTest'
@@ -281,7 +282,7 @@
     ),
     Mutation(
         'target-limits-not-enforced',
-        'throttling/_throttle.py',
+        'throttling/_allotments.py',
         'return allotment.nodes > 0 and allotment.bucket.has_tokens(\n'
         '            required, now\n'
         '        )',
@@ -290,18 +291,39 @@
     ),
     Mutation(
         'node-count-of-limited-targets-unbounded',
-        'throttling/_throttle.py',
-        'max_nodes = self._rule.max_nodes(limit)',
-        'max_nodes = len(instance.id) * 100 if instance else 1000',
+        'throttling/_allotments.py',
+        'self._rule.max_nodes(limit)',
+        '1000',
         _LIMIT_SHARES,
     ),
     Mutation(
         'limit-handover-without-delay',
-        'throttling/_throttle.py',
-        'starts_at = now + _HANDOVER_SECONDS',
-        'starts_at = now - _HANDOVER_SECONDS',
+        'throttling/_allotments.py',
+        'starts_at = now + self._handover_seconds',
+        'starts_at = now - self._handover_seconds',
         _LIMIT_SHARES,
     ),
+    Mutation(
+        'increased-shares-of-cold-targets-used-at-once',
+        'throttling/_cold_throttle.py',
+        'delays_increases=True',
+        'delays_increases=False',
+        _COLD_TARGETS,
+    ),
+    Mutation(
+        'restarted-nodes-send-to-cold-targets-at-once',
+        'throttling/_cold.py',
+        'max(now, last_sent_at + WINDOW_SECONDS + JITTER_SECONDS)',
+        'now',
+        _COLD_TARGETS,
+    ),
+    Mutation(
+        'new-nodes-send-to-cold-targets-at-once',
+        'mesh/_rendezvous.py',
+        'if local.stopping or not local.is_established:',
+        'if local.stopping:',
+        'tests.unit.test_rendezvous',
+    ),
     Mutation(
         'stale-responses-lift-limits',
         'throttling/_limits.py',
@@ -312,15 +334,15 @@
     Mutation(
         'target-backoffs-not-honoured',
         'throttling/_throttle.py',
-        'self._backoffs.remaining_seconds(incarnation)\n            or ',
-        '',
+        'if self._backoffs.remaining_seconds(incarnation):',
+        'if not incarnation.id:',
         'tests.unit.test_target_throttle',
     ),
     Mutation(
         'throttle-not-checked-before-sending',
         'forwarding/_sender.py',
-        'if not self.router.throttle.may_send(target.instance.incarnation):',
-        'if not target:',
+        'if not self.router.throttle.may_send(',
+        'if not self and self.router.throttle.may_send(',
         'tests.unit.test_target_throttle',
     ),
     Mutation(
