--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -253,7 +253,13 @@
             self._replica_state(target, request) for target in heads.values()
         ]
         choice = decide(
-            self._dispatch_request(request, engine, model, planned),
+            _dispatch_request(
+                request,
+                engine,
+                model,
+                planned,
+                self._completion_interval(request.model),
+            ),
             draw_by_pace(self._random, states, engine.slots),
         )
         self.shortage.record(request, choice, self._clock())
@@ -281,27 +287,6 @@
             self.paces.pace(head.incarnation, request.model),
         )
 
-    def _dispatch_request(
-        self,
-        request: RoutingRequest,
-        engine: EngineProfile,
-        model: EngineModel,
-        planned: PlannedAdmission,
-    ) -> DispatchRequest:
-        return DispatchRequest(
-            request.route,
-            engine,
-            model,
-            request.prompt_tokens,
-            request.elapsed_seconds,
-            request.remaining_seconds,
-            self._completion_interval(request.model),
-            request.was_refused,
-            request.is_resumed,
-            planned.admission,
-            planned.passed_fraction(request.rank),
-        )
-
     def _without_unhealthy(
         self,
         drawn: Sequence[ServingHead],
@@ -397,6 +382,28 @@
     return f' outside of evacuated {sorted(evacuated)}' if evacuated else ''
 
 
+def _dispatch_request(
+    request: RoutingRequest,
+    engine: EngineProfile,
+    model: EngineModel,
+    planned: PlannedAdmission,
+    completion_interval: float,
+) -> DispatchRequest:
+    return DispatchRequest(
+        request.route,
+        engine,
+        model,
+        request.prompt_tokens,
+        request.elapsed_seconds,
+        request.remaining_seconds,
+        completion_interval,
+        request.was_refused,
+        request.is_resumed,
+        planned.admission,
+        planned.passed_fraction(request.rank),
+    )
+
+
 def _sample(
     source: random.Random,
     failure_domain: str,
