Log which failure domains' targets a node loses its paths to

A node whose connections to all targets fail wrote one line for each failed attempt and none that says so; doubts at a placer did not name their source. TargetPaths judges by the connections that requests open: two targets of a failure domain failed with no success there between. Nothing is decided by it yet.

--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -11,11 +11,15 @@
 from cranecart.http import HttpConnection, ResponseHead
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
+from cranecart.reachability import TargetPaths
 
 # A live target accepts a connection within a few milliseconds. The kernel
 # resends a lost SYN after one second, which is too late for objectives that
 # start at 0.1 to 0.3 s, so a request moves on to another target before that.
 _CONNECT_TIMEOUT_SECONDS = 0.08
+# A connection attempt that overruns by more than this was delayed by this
+# process, so its failure says nothing about the network path.
+_MAX_SCHEDULING_DELAY_SECONDS = 0.03
 # How long before the target's own idle timeout a connection is closed.
 _KEEP_ALIVE_MARGIN_SECONDS = 1.0
 # Idle timeout for targets that send no Keep-Alive header.
@@ -47,7 +51,8 @@
 
     ``opened`` counts the connections that were opened, ``desynchronized`` those
     that carried more responses than requests. ``_receive_bytes`` bounds what
-    the kernel receives on each before it is read.
+    the kernel receives on each before it is read. ``paths`` records which
+    connections could be opened.
     """
 
     _clock: Callable[[], float] = since_boot
@@ -64,6 +69,7 @@
         factory=dict, init=False
     )
     _receive_bytes: int | None = None
+    paths: TargetPaths = attrs.field(factory=TargetPaths)
 
     async def acquire(
         self,
@@ -96,16 +102,7 @@
             ):
                 return idle.connection
             await idle.connection.close()
-        try:
-            connection = await HttpConnection.open(
-                instance.address,
-                _CONNECT_TIMEOUT_SECONDS,
-                receive_bytes=self._receive_bytes,
-            )
-        except ConnectFailedError as error:
-            raise TargetUnreachableError(str(error)) from error
-        self.opened += 1
-        return connection
+        return await self._open(instance)
 
     def record_keep_alive(
         self, instance: ListedInstance, head: ResponseHead
@@ -190,6 +187,23 @@
             if now < expires_at
         }
 
+    async def _open(self, instance: ListedInstance) -> HttpConnection:
+        started = self._clock()
+        try:
+            connection = await HttpConnection.open(
+                instance.address,
+                _CONNECT_TIMEOUT_SECONDS,
+                receive_bytes=self._receive_bytes,
+            )
+        except ConnectFailedError as error:
+            delay = self._clock() - started - _CONNECT_TIMEOUT_SECONDS
+            if delay < _MAX_SCHEDULING_DELAY_SECONDS:
+                self.paths.record_failed(instance, str(error))
+            raise TargetUnreachableError(str(error)) from error
+        self.paths.record_connected(instance)
+        self.opened += 1
+        return connection
+
     def _is_unreliable(self, instance: ListedInstance) -> bool:
         return self._clock() < self._unreliable_until.get(
             instance.incarnation, 0
--- a/src/cranecart/grouping/_failure_detector.py
+++ b/src/cranecart/grouping/_failure_detector.py
@@ -34,8 +34,16 @@
     _suspected: dict[str, ReplicaRecord] = attrs.field(factory=dict, init=False)
     _checked_at: dict[str, float] = attrs.field(factory=dict, init=False)
 
-    def suspect(self, record: ReplicaRecord, evidence: str) -> None:
-        """Schedule a check of a replica's members."""
+    def suspect(
+        self,
+        record: ReplicaRecord,
+        evidence: str,
+        reporter: str = 'this node',
+    ) -> None:
+        """Schedule a check of a replica's members.
+
+        ``reporter`` is the node that has the evidence.
+        """
         if record.name not in self._suspected:
             self._suspected[record.name] = record
             log_decision(
@@ -43,6 +51,7 @@
                 replica=record.name,
                 epoch=record.epoch,
                 evidence=evidence,
+                by=reporter,
             )
 
     def report_lost(self, name: str, why: str) -> None:
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -142,14 +142,20 @@
         await self.lease.release()
 
     async def suspect(
-        self, replica_epoch: tuple[str, int], evidence: str
+        self,
+        replica_epoch: tuple[str, int],
+        evidence: str,
+        reporter: str = 'this node',
     ) -> None:
-        """Check a replica for lost members if this node holds the lease."""
+        """Check a replica for lost members if this node holds the lease.
+
+        ``reporter`` names the node that has the evidence.
+        """
         if not self._may_act():
             return
         for record in self._record_store.records():
             if (record.name, record.epoch) == replica_epoch:
-                self.failure_detector.suspect(record, evidence)
+                self.failure_detector.suspect(record, evidence, reporter)
                 await self.failure_detector.check((record,))
 
     async def _tick(self) -> None:
--- /dev/null
+++ b/src/cranecart/reachability/__init__.py
@@ -0,0 +1,5 @@
+"""Which targets a node reaches over its own network paths."""
+
+from cranecart.reachability._paths import TargetPaths
+
+__all__ = ('TargetPaths',)
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -20,6 +20,7 @@
 from cranecart.models import ClientLimits, ColdStart
 from cranecart.platform import has_evacuations, has_slow_readers
 from cranecart.ports import Incarnation
+from cranecart.reachability import TargetPaths
 from cranecart.retries import RetryLimits
 from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.settings import ServingSettings
@@ -87,7 +88,9 @@
     return ResumeGuard(has_evacuations(settings.platform_features))
 
 
-def make_target_connections(settings: ServingSettings) -> TargetConnectionPool:
+def make_target_connections(
+    settings: ServingSettings, paths: TargetPaths
+) -> TargetConnectionPool:
     """Return the pool of connections to targets.
 
     What they receive while a client does not read counts against the memory.
@@ -95,7 +98,21 @@
     return TargetConnectionPool(
         receive_bytes=(
             None if _unread_bytes(settings) is None else TARGET_RECEIVE_BYTES
-        )
+        ),
+        paths=paths,
+    )
+
+
+def make_target_paths(
+    fleet: Fleet, get_mesh: Callable[[], Mesh]
+) -> TargetPaths:
+    """Return the record of which targets this node reaches."""
+    return TargetPaths(
+        lambda domain: sum(
+            instance.failure_domain == domain
+            for instance in fleet.instances.values()
+        ),
+        lambda name: get_mesh().in_flight_elsewhere(name),
     )
 
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -33,6 +33,7 @@
     make_mesh,
     make_resume_guard,
     make_target_connections,
+    make_target_paths,
     make_throttle,
     retry_limits,
     server_limits,
@@ -134,7 +135,10 @@
                 self._router.throttle.cold_seconds,
             ),
         )
-        self._target_connections = make_target_connections(settings)
+        self._target_paths = make_target_paths(self._fleet, lambda: self._mesh)
+        self._target_connections = make_target_connections(
+            settings, self._target_paths
+        )
         self._retry_budget = SharedRetryBudget(
             retry_limits(settings),
             self._mesh.live_node_count,
@@ -319,6 +323,7 @@
             'unread_responses_cut': self._client_server.unread.cut_count,
             'unread_bytes': self._client_server.unread.held_bytes,
             'target_connections': self._target_connections.opened,
+            **self._target_paths.counts(),
             'uneven_connections': self._target_connections.desynchronized,
             'log_bytes': self._log_queue.written_bytes,
             'log_lines_dropped': self._log_queue.dropped,
@@ -373,7 +378,7 @@
                 self._live_settings.current.node_id, *replica_epoch, evidence
             ),
         )
-        await self._placer_host.suspect(replica_epoch, evidence)
+        await self._placer_host.suspect(replica_epoch, evidence, 'this node')
 
     def _apply_stopped(self, message: Stopped) -> bool:
         replica_epoch = (message.replica, message.epoch)
@@ -383,4 +388,6 @@
 
     async def _apply_suspect(self, message: Suspect) -> None:
         replica_epoch = (message.replica, message.epoch)
-        await self._placer_host.suspect(replica_epoch, message.evidence)
+        await self._placer_host.suspect(
+            replica_epoch, message.evidence, message.sender
+        )
--- a/src/cranecart/serving/_placer_host.py
+++ b/src/cranecart/serving/_placer_host.py
@@ -91,11 +91,11 @@
             await self._placer.hand_over()
 
     async def suspect(
-        self, replica_epoch: tuple[str, int], evidence: str
+        self, replica_epoch: tuple[str, int], evidence: str, reporter: str
     ) -> None:
         """Check a replica for a stall at once, if this node is the placer."""
         if self._placer is not None:
-            await self._placer.suspect(replica_epoch, evidence)
+            await self._placer.suspect(replica_epoch, evidence, reporter)
 
     async def _wait_until_informed(self) -> None:
         deadline = since_boot() + _MAX_WAIT_SECONDS
