Red test: nodes without paths to targets serve none of their clients

tests/lib/cut_paths.py has a proxy between each node and target; the node's process connects through it (tests/lib/redirected_node.py).

--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import unittest
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from tools.processes import Addresses
 
 _KEY = 'secret'
+_REDIRECTED_NODE = 'tests.lib.redirected_node'
 _TARGET = 't-1'
 
 
@@ -75,9 +77,13 @@
         addresses: Addresses,
         platform: Address,
         name: str,
+        redirects: Mapping[str, str] | None = None,
         **settings: Any,
     ) -> None:
-        """Start it, with these settings besides the necessary ones."""
+        """Start it, with these settings besides the necessary ones.
+
+        With ``redirects`` it connects to other addresses than those listed.
+        """
         self.client = addresses.take()
         self.metrics = addresses.take()
         all_settings = {
@@ -95,7 +101,12 @@
         file.write_text(json.dumps(all_settings))
         self._log = folder / f'{name}.log'
         variables = {**os.environ, ADDRESS_VARIABLE: str(self.client)}
-        command = (sys.executable, '-m', 'cranecart', 'serve', str(file))
+        program = ('cranecart', 'serve', str(file))
+        if redirects is not None:
+            redirects_file = folder / f'{name}-redirects.json'
+            redirects_file.write_text(json.dumps(redirects))
+            program = (_REDIRECTED_NODE, str(file), str(redirects_file))
+        command = (sys.executable, '-m', *program)
         with self._log.open('wb') as log:
             self.process = subprocess.Popen(
                 command,
