--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -126,6 +126,25 @@
     """The target did not answer before the request's deadline."""
 
 
+@final
+class PeerUnreachableError(TargetError):
+    """The request was not sent to the node that was to pass it on."""
+
+    execution = Execution.NOT_RUN
+
+
+@final
+class PeerUnableError(TargetError):
+    """The node that was to pass the request on cannot do so at present."""
+
+    execution = Execution.NOT_RUN
+
+
+@final
+class PeerBrokenError(TargetError):
+    """The node that passed the request on failed before its answer's end."""
+
+
 class OrderError(CranecartError):
     """Base class of errors of an order to an engine instance."""
 
@@ -296,6 +315,33 @@
     retry_after = 1.0
 
 
+class TargetsOutOfReachError(RequestError):
+    """This node reaches no target, and no node passes the request on."""
+
+    status = 503
+    code = 'out_of_reach'
+    retry_after = 1.0
+
+
+class PeerAnsweredError(RequestError):
+    """The node that the request was passed on to has given it up."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        code: str,
+        execution: Execution,
+        retry_after: float | None,
+    ) -> None:
+        """Store what that node would have answered its own client."""
+        super().__init__(message, retry_after=retry_after)
+        self.status = status
+        self.code = code
+        self.execution = execution
+
+
 class InternalFaultError(RequestError):
     """An unexpected error occurred in this node before sending."""
 
--- a/src/cranecart/forwarding/__init__.py
+++ b/src/cranecart/forwarding/__init__.py
@@ -2,13 +2,19 @@
 
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnectionPool
+from cranecart.forwarding._forwarder import CallForwarder
 from cranecart.forwarding._gateway import RoutedGateway
+from cranecart.forwarding._peer_gateway import PeerGateway
+from cranecart.forwarding._peer_requests import PeersOfCall
 from cranecart.forwarding._resume_guard import ResumeGuard
 from cranecart.forwarding._sender import Sender, SuspicionReporter
 from cranecart.forwarding._sse import EventSplitter
 from cranecart.forwarding._startup import StartupGate
 
 __all__ = (
+    'CallForwarder',
+    'PeerGateway',
+    'PeersOfCall',
     'EventSplitter',
     'SuspicionReporter',
     'ResumeGuard',
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -1,6 +1,6 @@
 """Retry a request at other targets where the route and budget allow it."""
 
-from collections.abc import Awaitable, Callable
+from typing import Protocol, Self
 
 import attrs
 
@@ -10,16 +10,27 @@
     NoReplicaError,
     OutcomeUnknownError,
     OverloadedError,
+    PeerAnsweredError,
     QuarantinedRequestError,
     RequestError,
     RequestTimeoutError,
     TargetDisconnectedError,
     TargetError,
+    TargetsOutOfReachError,
     TargetTimeoutError,
     TargetUnreachableError,
     TargetWithdrawnError,
 )
+from cranecart.forwarding._attempt_log import (
+    trace_disconnect,
+    trace_failure,
+    trace_passing_on,
+    trace_routing,
+)
 from cranecart.forwarding._call import RoutedCall, routing_request
+from cranecart.forwarding._failures import AttemptFailures
+from cranecart.forwarding._peer_requests import PeersOfCall
+from cranecart.peer_calls import Peer, PeerCall, PeerClient, PeerRequest
 from cranecart.quarantine import AttemptProgress, RequestGuard
 from cranecart.retries import SharedRetryBudget
 from cranecart.routing import RoutingRequest, Target, TargetRouter
@@ -33,52 +44,90 @@
 # Unreachable targets do not count towards the route's limit of attempts, so
 # they need a limit of their own.
 _MAX_UNREACHABLE_TARGETS = 3
-_NOT_SENT_ERRORS = (TargetUnreachableError, TargetWithdrawnError)
+# Failed connections after which the request is passed on to another node, which
+# may reach the targets that are left.
+_FAILED_BEFORE_PEER = 2
 _NO_TARGET_ERRORS = (
     QuarantinedRequestError,
     NoReplicaError,
+    TargetsOutOfReachError,
     AllTargetsRefusedError,
     OverloadedError,
 )
 
 
+class Exchange(Protocol):
+    """How a response is passed on to the client; errors are ``TargetError``."""
+
+    async def attempt(self, target: Target) -> None:
+        """Try to have the request answered by a target."""
+
+    async def attempt_through(self, client: PeerClient, call: PeerCall) -> None:
+        """Try to have it answered through a peer.
+
+        Raise ``PeerAnsweredError`` if the peer has given the request up.
+        """
+
+
 @attrs.define
 class RoutedAttempts:
     """The attempts at one request, each at another target.
 
     ``tried`` lists the instances that were chosen so far, ``has_begun`` is
-    whether any of them has sent an event of a stream.
+    whether any of them has sent an event of a stream. ``has_started`` is
+    whether any attempt was made. ``_peers`` are the nodes that it may be passed
+    on to, none if it comes from one.
     """
 
     call: RoutedCall
     _router: TargetRouter
     _budget: SharedRetryBudget
     _guard: RequestGuard
+    _peers: PeersOfCall | None = None
     tried: list[str] = attrs.field(factory=list, init=False)
     has_begun: bool = attrs.field(default=False, init=False)
+    failures: AttemptFailures = attrs.field(factory=AttemptFailures, init=False)
+    has_started: bool = attrs.field(default=False, init=False)
+    # The targets that this node does not reach, while others may.
+    _unreached: set[str] = attrs.field(factory=set, init=False)
     _is_paused_by_client: bool = attrs.field(default=False, init=False)
-    _sent_count: int = attrs.field(default=0, init=False)
-    _unreachable_count: int = attrs.field(default=0, init=False)
-    _last_error: TargetError | None = attrs.field(default=None, init=False)
     _progress: AttemptProgress | None = attrs.field(default=None, init=False)
 
-    async def run(self, attempt: Callable[[Target], Awaitable[None]]) -> None:
+    @classmethod
+    def of_peer(
+        cls,
+        call: RoutedCall,
+        message: PeerRequest,
+        router: TargetRouter,
+        budget: SharedRetryBudget,
+        guard: RequestGuard,
+    ) -> Self:
+        """Return the attempts that follow those of a peer."""
+        attempts = cls(call, router, budget, guard)
+        attempts.tried.extend(message.tried)
+        attempts.has_begun = message.has_begun
+        attempts.failures.sent_count = max(
+            0, call.route.attempts - message.attempts_left
+        )
+        return attempts
+
+    async def run(self, exchange: Exchange) -> None:
         """Repeat until an attempt succeeds.
 
         Raise the ``RequestError`` that the client gets if none does.
         """
-        self._budget.record_request(self.call.service)
-        while not await self._succeeds(attempt, self._choose()):
+        while not await self._succeeds(exchange, self._choose()):
             if not self._may_retry():
                 raise self._final_error()
 
     def may_try_another(self) -> bool:
         """Return whether an untried target exists and may still be tried.
 
-        The current attempt is not in ``_sent_count`` until it has ended.
+        The current attempt is not in ``sent_count`` until it has ended.
         """
         call = self.call
-        if not call.may_repeat or self._sent_count + 1 >= call.route.attempts:
+        is_last = self.failures.sent_count + 1 >= call.route.attempts
+        if not call.may_repeat or is_last:
             return False
         return self._router.has_untried_target(
             call.config,
@@ -105,17 +154,44 @@
         self._is_paused_by_client = True
 
     async def _succeeds(
-        self,
-        attempt: Callable[[Target], Awaitable[None]],
-        target: Target,
+        self, exchange: Exchange, choice: Target | Peer
     ) -> bool:
+        self.has_started = True
+        match choice:
+            case Peer():
+                return await self._succeeds_through(exchange, choice)
+            case Target():
+                return await self._succeeds_at(exchange, choice)
+
+    async def _succeeds_through(self, exchange: Exchange, peer: Peer) -> bool:
+        assert self._peers is not None
+        call = self._peers.call_through(
+            peer,
+            self.call,
+            [name for name in self.tried if name not in self._unreached],
+            self.call.route.attempts - self.failures.sent_count,
+            has_begun=self.has_begun,
+        )
+        try:
+            await exchange.attempt_through(self._peers.client, call)
+        except TargetError as error:
+            self.failures.record(error)
+            trace_failure(self.call, peer.name, error)
+            return False
+        except PeerAnsweredError as error:
+            if not self.failures.may_have_run:
+                raise
+            raise self._final_error() from error
+        return True
+
+    async def _succeeds_at(self, exchange: Exchange, target: Target) -> bool:
         self._is_paused_by_client = False
         watching_context = self._guard.watch(self._identity, target.instance)
         try:
             async with watching_context as progress:
                 self._progress = progress
-                with self._router.track_in_flight(target):
-                    await attempt(target)
+                with self._router.in_flight.track(target):
+                    await exchange.attempt(target)
         except TargetError as error:
             self._record_failure(target, error)
             return False
@@ -130,32 +206,63 @@
             has_begun=self.has_begun,
         )
 
-    def _choose(self) -> Target:
-        call = self.call
+    def _choose(self) -> Target | Peer:
         try:
             self._check_time_left()
-            target = self._router.choose(self._routing_request())
+            choice = self._choose_reached(self._routing_request())
         except _NO_TARGET_ERRORS as error:
             if isinstance(error, QuarantinedRequestError):
-                call.trace.add('held', identity=call.identity)
-            if self._last_error is None or not self._outweighs(error):
+                self.call.trace.add('held', identity=self.call.identity)
+            if not self.failures.outweigh(error):
                 raise
             raise self._final_error() from error
-        call.trace.add(
-            'routed',
-            instance=target.instance.id,
-            replica=target.replica_epoch,
-            load=target.load,
-            why=target.reason,
-            forecast=round(target.forecast_seconds, 3),
-            learned=round(target.error_seconds, 3),
-            pace=round(target.pace, 2),
-            returned=round(call.retrying_for_seconds, 3),
-            passed_over=target.throttled,
-            tried=list(self.tried),
+        match choice:
+            case Peer():
+                trace_passing_on(
+                    self.call,
+                    choice,
+                    self.tried,
+                    self.failures.connects_failed,
+                )
+            case Target():
+                trace_routing(self.call, choice, self.tried)
+                self.tried.append(choice.instance.id)
+        return choice
+
+    def _choose_reached(self, request: RoutingRequest) -> Target | Peer:
+        """Return a target, or a peer if this node seems to reach none."""
+        if self.failures.connects_failed >= _FAILED_BEFORE_PEER:
+            peer = self._next_peer()
+            if peer is not None:
+                return peer
+        try:
+            return self._router.choose(request)
+        except TargetsOutOfReachError:
+            return self._next_peer() or self._choose_unreached(request)
+
+    def _choose_unreached(self, request: RoutingRequest) -> Target:
+        """Return a target that may be reached though a connection failed."""
+        try:
+            return self._router.choose(
+                attrs.evolve(request, tries_unreached=True)
+            )
+        except TargetsOutOfReachError as error:
+            raise self._out_of_reach(error) from error
+
+    def _next_peer(self) -> Peer | None:
+        if self._peers is None:
+            return None
+        return self._peers.choose(self.call.service)
+
+    def _out_of_reach(
+        self, error: TargetsOutOfReachError
+    ) -> TargetsOutOfReachError:
+        if self._peers is None:
+            return error
+        return TargetsOutOfReachError(
+            f'{error}, and no other node takes the request',
+            retry_after=self._peers.retry_after_seconds(),
         )
-        self.tried.append(target.instance.id)
-        return target
 
     def _check_time_left(self) -> None:
         min_seconds = min(
@@ -169,29 +276,23 @@
             )
 
     def _record_failure(self, target: Target, error: TargetError) -> None:
-        if isinstance(error, _NOT_SENT_ERRORS):
-            self._unreachable_count += 1
-        else:
-            self._sent_count += 1
-        is_disconnected = isinstance(error, TargetDisconnectedError)
         self._report_failure(target, error)
-        # Once an attempt may have run, a later refusal by another target must
-        # not turn the outcome into 'not run'.
-        if not self._may_have_run:
-            self._last_error = error
-        self.call.trace.is_notable = True
-        self.call.trace.add(
-            'attempt_failed',
-            instance=target.instance.id,
-            execution=error.execution.value,
-            why=str(error),
-            left=round(self.call.seconds_left, 3),
-        )
-        if is_disconnected:
-            self._log_disconnect(target)
+        self.failures.record(error)
+        trace_failure(self.call, target.instance.id, error)
+        if isinstance(error, TargetDisconnectedError):
+            trace_disconnect(
+                self.call,
+                target,
+                self._progress,
+                self._router.load(target.instance.id),
+            )
 
     def _report_failure(self, target: Target, error: TargetError) -> None:
         incarnation = target.instance.incarnation
+        if isinstance(error, TargetUnreachableError):
+            # The dialer knows which targets are not reached.
+            self._unreached.add(target.instance.id)
+            return
         if isinstance(error, TargetWithdrawnError):
             # Not a failure: nothing was sent, as the target asked for a pause
             # or was evacuated.
@@ -202,62 +303,31 @@
             # would eject a healthy target.
             return
         if is_disconnected and not target.replica_epoch:
-            self._router.record_broken_connection(incarnation)
+            self._router.broken.record(incarnation)
             return
-        is_reached = not isinstance(error, TargetUnreachableError)
-        self._router.record_failure(incarnation, reached=is_reached)
-
-    def _log_disconnect(self, target: Target) -> None:
-        """Log data that may show whether the request crashed its target."""
-        progress = self._progress
-        self.call.trace.add(
-            'target_disconnected',
-            instance=target.instance.id,
-            born=target.instance.born,
-            identity=self.call.identity,
-            begun=progress is not None and progress.has_begun,
-            progress_for=progress and round(progress.progress_seconds, 3),
-            beside=self._router.load(target.instance.id),
-        )
+        self._router.record_failure(incarnation)
 
     def _identity(self) -> str:
         return self.call.identity
 
-    def _outweighs(self, error: RequestError) -> bool:
-        """Return whether the earlier outcome takes precedence over an error.
-
-        ``QuarantinedRequestError`` is reported unless the request may have run.
-        """
-        return self._may_have_run or not isinstance(
-            error, QuarantinedRequestError
-        )
-
-    @property
-    def _may_have_run(self) -> bool:
-        """Return whether a target may have run the request."""
-        last_error = self._last_error
-        return (
-            last_error is not None
-            and last_error.execution is not Execution.NOT_RUN
-        )
-
     def _may_retry(self) -> bool:
         call = self.call
         if (
             call.seconds_left <= 0
-            or self._unreachable_count > _MAX_UNREACHABLE_TARGETS
+            or self.failures.unreachable_count > _MAX_UNREACHABLE_TARGETS
         ):
             return False
-        if self._sent_count >= call.route.attempts:
+        if self.failures.sent_count >= call.route.attempts:
             return False
-        if not call.may_repeat and self._may_have_run:
+        if not call.may_repeat and self.failures.may_have_run:
             return False
         # Only retries after a request was sent are charged to the budget:
         # attempts that reached no target put no load on any.
-        return not self._sent_count or self._budget.withdraw(call.service)
+        was_sent = self.failures.was_sent
+        return not was_sent or self._budget.withdraw(call.service)
 
     def _final_error(self) -> RequestError:
-        last_error = self._last_error
+        last_error = self.failures.decisive_error
         if last_error is not None and last_error.execution is Execution.NOT_RUN:
             request_for_retry = routing_request(
                 self.call, (), has_begun=self.has_begun
--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -5,8 +5,10 @@
 from cranecart.clocks import since_boot
 from cranecart.exceptions import TargetFailedError
 from cranecart.forwarding._attempts import RoutedAttempts
-from cranecart.forwarding._sender import Sender, SilenceLimits, TargetAnswer
-from cranecart.http import Response
+from cranecart.forwarding._peer_requests import check_outcome
+from cranecart.forwarding._sender import Sender, SilenceLimits
+from cranecart.http import Response, ResponseHead
+from cranecart.peer_calls import PeerCall, PeerClient, without_outcome
 from cranecart.routing import Target
 
 _FIRST_SERVER_ERROR_STATUS = 500
@@ -36,14 +38,21 @@
                 limits,
                 answer.connection.read_body,
             )
-            self.response = self._build_response(answer, body)
+            self.response = self._build_response(answer.head, body)
             elapsed = since_boot() - started
             self._sender.router.gaps.record(call.service, elapsed)
-        if self._should_try_another(answer):
+        if self._should_try_another(answer.head):
             raise TargetFailedError(
                 f'{target.instance.id} failed with status {answer.head.status}',
             )
 
+    async def attempt_through(self, client: PeerClient, call: PeerCall) -> None:
+        """Fetch the response that a peer receives."""
+        async with client.start(call) as answer:
+            check_outcome(client, call, answer.outcome)
+            body = await client.read(call, answer.connection.read_body)
+            self.response = self._build_response(answer.head, body)
+
     def _silence_limits(self) -> SilenceLimits:
         """Leave half of the objective for another target.
 
@@ -59,13 +68,15 @@
         half_objective = call.route.objective_seconds / 2
         return SilenceLimits(float('inf'), max(half_objective, usual_seconds))
 
-    def _should_try_another(self, answer: TargetAnswer) -> bool:
-        failed = answer.head.status >= _FIRST_SERVER_ERROR_STATUS
+    def _should_try_another(self, head: ResponseHead) -> bool:
+        failed = head.status >= _FIRST_SERVER_ERROR_STATUS
         return failed and self._attempts.may_try_another()
 
-    def _build_response(self, answer: TargetAnswer, body: bytes) -> Response:
+    def _build_response(self, head: ResponseHead, body: bytes) -> Response:
         return Response(
-            answer.head.status,
+            head.status,
             body=body,
-            header_lines=self._sender.translator.response_headers(answer.head),
+            header_lines=without_outcome(
+                self._sender.translator.response_headers(head)
+            ),
         )
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -61,6 +61,11 @@
         """Return the time left until the client's or the route's deadline."""
         return self.ends_at - since_boot()
 
+    @property
+    def elapsed_seconds(self) -> float:
+        """Return the time since the client's attempt arrived."""
+        return since_boot() - self.started_at
+
     @property
     def may_repeat(self) -> bool:
         """Return whether the request may run more than once."""
@@ -75,7 +80,6 @@
     has_begun: bool,
 ) -> RoutingRequest:
     """Return the router's input for a call at this moment."""
-    elapsed = since_boot() - call.started_at
     return RoutingRequest(
         call.config,
         call.route,
@@ -83,7 +87,7 @@
         call.facts.model,
         call.facts.prompt_tokens,
         call.seconds_left,
-        call.retrying_for_seconds + elapsed,
+        call.retrying_for_seconds + call.elapsed_seconds,
         bool(call.retrying_for_seconds),
         has_begun,
         tried,
--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -11,15 +11,8 @@
 from cranecart.http import HttpConnection, ResponseHead
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
-from cranecart.reachability import TargetPaths
-
-# A live target accepts a connection within a few milliseconds. The kernel
-# resends a lost SYN after one second, which is too late for objectives that
-# start at 0.1 to 0.3 s, so a request moves on to another target before that.
-_CONNECT_TIMEOUT_SECONDS = 0.08
-# A connection attempt that overruns by more than this was delayed by this
-# process, so its failure says nothing about the network path.
-_MAX_SCHEDULING_DELAY_SECONDS = 0.03
+from cranecart.reachability import TargetDialer
+
 # How long before the target's own idle timeout a connection is closed.
 _KEEP_ALIVE_MARGIN_SECONDS = 1.0
 # Idle timeout for targets that send no Keep-Alive header.
@@ -51,8 +44,7 @@
 
     ``opened`` counts the connections that were opened, ``desynchronized`` those
     that carried more responses than requests. ``_receive_bytes`` bounds what
-    the kernel receives on each before it is read. ``paths`` records which
-    connections could be opened.
+    the kernel receives on each before it is read. ``dialer`` opens them.
     """
 
     _clock: Callable[[], float] = since_boot
@@ -69,7 +61,7 @@
         factory=dict, init=False
     )
     _receive_bytes: int | None = None
-    paths: TargetPaths = attrs.field(factory=TargetPaths)
+    dialer: TargetDialer = attrs.field(factory=TargetDialer)
 
     async def acquire(
         self,
@@ -188,19 +180,10 @@
         }
 
     async def _open(self, instance: ListedInstance) -> HttpConnection:
-        started = self._clock()
         try:
-            connection = await HttpConnection.open(
-                instance.address,
-                _CONNECT_TIMEOUT_SECONDS,
-                receive_bytes=self._receive_bytes,
-            )
+            connection = await self.dialer.open(instance, self._receive_bytes)
         except ConnectFailedError as error:
-            delay = self._clock() - started - _CONNECT_TIMEOUT_SECONDS
-            if delay < _MAX_SCHEDULING_DELAY_SECONDS:
-                self.paths.record_failed(instance, str(error))
             raise TargetUnreachableError(str(error)) from error
-        self.paths.record_connected(instance)
         self.opened += 1
         return connection
 
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -12,16 +12,14 @@
 from cranecart.exceptions import (
     ConnectionBrokenError,
     InternalFaultError,
-    OutcomeUnknownError,
     RequestError,
 )
 from cranecart.forwarding._admit import admit, find_route
 from cranecart.forwarding._attempts import RoutedAttempts
-from cranecart.forwarding._buffered import BufferedExchange
 from cranecart.forwarding._call import RoutedCall
-from cranecart.forwarding._sender import Sender
+from cranecart.forwarding._forwarder import CallForwarder, cancel_on_disconnect
+from cranecart.forwarding._peer_requests import PeersOfCall
 from cranecart.forwarding._startup import StartupGate
-from cranecart.forwarding._stream import StreamingExchange
 from cranecart.http import Request, Responder
 from cranecart.logs import RequestTrace, sampling_position
 from cranecart.models import RouteConfig
@@ -33,7 +31,6 @@
 Observer = Callable[[str, float | None], None]
 
 _LOG = logging.getLogger(__name__)
-_MILLISECONDS = 1000
 
 
 @attrs.define
@@ -43,11 +40,12 @@
     ``_current_config`` returns the configuration in force and
     ``_success_log_fraction`` the fraction of successful requests to log.
     ``in_flight`` is the number of requests being handled, ``received_count``
-    that of all requests so far.
+    that of all requests so far. ``_find_peers`` returns the nodes that a
+    request may be passed on to.
     """
 
     _current_config: Callable[[], RouteConfig | None]
-    _sender: Sender
+    _forwarder: CallForwarder
     _budget: SharedRetryBudget
     _guard: RequestGuard
     _random: random.Random
@@ -57,6 +55,7 @@
     # Called for each completed stream with its number of events.
     _on_streamed: Callable[[RoutedCall, int], None]
     _startup_gate: StartupGate = attrs.field(factory=StartupGate)
+    _find_peers: Callable[[], PeersOfCall] | None = None
     _returns: ClientRetryDetector = attrs.field(
         factory=ClientRetryDetector, init=False
     )
@@ -67,33 +66,18 @@
         """Handle one request; it is cancelled if the client disconnects."""
         self.in_flight += 1
         self.received_count += 1
-        request_task = await curio.current_task()
-        disconnect_watcher = await curio.spawn(
-            self._cancel_on_disconnect,
-            responder,
-            request_task,
-            daemon=True,
-        )
         try:
-            await self._answer(request, responder)
+            async with cancel_on_disconnect(responder):
+                await self._answer(request, responder)
         finally:
             self.in_flight -= 1
-            await disconnect_watcher.cancel()
-
-    async def _cancel_on_disconnect(
-        self,
-        responder: Responder,
-        request_task: curio.Task,
-    ) -> None:
-        await responder.wait_for_disconnect()
-        await request_task.cancel(blocking=False)
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         started = since_boot()
         trace = RequestTrace('')
         outcome = 'answered'
         try:
-            facts = self._sender.translator.read_request(request)
+            facts = self._forwarder.sender.translator.read_request(request)
             trace.request_id = facts.request_id
             await self._startup_gate.wait(
                 facts.deadline_seconds,
@@ -156,53 +140,22 @@
             trace.write()
 
     async def _forward(self, call: RoutedCall, responder: Responder) -> None:
+        self._budget.record_request(call.service)
         attempts = RoutedAttempts(
             call,
-            self._sender.router,
+            self._forwarder.sender.router,
             self._budget,
             self._guard,
+            None if self._find_peers is None else self._find_peers(),
         )
         try:
-            await self._attempt(call, attempts, responder)
+            events = await self._forwarder.forward(attempts, responder)
         except RequestError as error:
             if error.retry_after is not None:
                 self._returns.record_refusal(call.route.name, since_boot())
             raise
-        except ConnectionBrokenError:
-            raise
-        except Exception as error:
-            if not attempts.tried:
-                raise
-            # A target may have run the request, so it must not be reported as
-            # not run.
-            _LOG.exception('unexpected error while forwarding a request')
-            raise OutcomeUnknownError(repr(error)) from error
-
-    async def _attempt(
-        self,
-        call: RoutedCall,
-        attempts: RoutedAttempts,
-        responder: Responder,
-    ) -> None:
-        if call.route.streaming:
-            stream = StreamingExchange(self._sender, attempts, responder)
-            await attempts.run(stream.attempt)
-            response = stream.response
-            if response is None:
-                self._on_streamed(call, stream.splitter.event_count)
-                _log_stream(call, attempts, stream)
-        else:
-            buffered = BufferedExchange(self._sender, attempts)
-            await _run_buffered(attempts, buffered)
-            response = buffered.response
-        if response is not None:
-            await responder.send(response)
-            call.trace.add(
-                'answered',
-                status=response.status,
-                after=_elapsed_since(call.started_at),
-                tried=attempts.tried,
-            )
+        if events is not None:
+            self._on_streamed(call, events)
 
     async def _refuse(
         self,
@@ -226,7 +179,7 @@
                 'response aborted after it had started',
             ) from error
         await responder.send(
-            self._sender.translator.error_response(
+            self._forwarder.sender.translator.error_response(
                 trace.request_id,
                 error.status,
                 error.code,
@@ -236,18 +189,6 @@
         )
 
 
-async def _run_buffered(
-    attempts: RoutedAttempts,
-    buffered: BufferedExchange,
-) -> None:
-    """Run the attempts; a target's error response is kept if all fail."""
-    try:
-        await attempts.run(buffered.attempt)
-    except RequestError:
-        if buffered.response is None:
-            raise
-
-
 def _trace_departure(
     trace: RequestTrace, responder: Responder, started: float
 ) -> str:
@@ -276,22 +217,5 @@
     )
 
 
-def _log_stream(
-    call: RoutedCall,
-    attempts: RoutedAttempts,
-    stream: StreamingExchange,
-) -> None:
-    timing = stream.timing
-    call.trace.add(
-        'streamed',
-        model=call.facts.model,
-        prompt=call.facts.prompt_tokens,
-        events=stream.splitter.event_count,
-        first_ms=round(timing.first_event_seconds * _MILLISECONDS),
-        gap_ms=round(timing.longest_gap_seconds * _MILLISECONDS),
-        tried=attempts.tried,
-    )
-
-
 def _elapsed_since(started: float) -> float:
     return round(since_boot() - started, 3)
--- /dev/null
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -0,0 +1,104 @@
+"""Handle the requests that other nodes pass on."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from cranecart.clocks import since_boot
+from cranecart.exceptions import ConnectionBrokenError, RequestError
+from cranecart.forwarding._attempts import RoutedAttempts
+from cranecart.forwarding._failures import AttemptFailures
+from cranecart.forwarding._forwarder import CallForwarder, cancel_on_disconnect
+from cranecart.forwarding._peer_requests import (
+    admit_from_peer,
+    outcome_for_peer,
+)
+from cranecart.http import Responder, Response
+from cranecart.logs import RequestTrace
+from cranecart.models import RouteConfig
+from cranecart.peer_calls import PeerOutcome, PeerRequest
+from cranecart.quarantine import RequestGuard
+from cranecart.retries import SharedRetryBudget
+
+
+@attrs.define
+class PeerGateway:
+    """Handles requests of other nodes' clients as those of its own.
+
+    They are never passed on again, and only the node that received them counts
+    them as demand and as requests. ``in_flight`` is the number being handled.
+    """
+
+    _current_config: Callable[[], RouteConfig | None]
+    _forwarder: CallForwarder
+    _budget: SharedRetryBudget
+    _guard: RequestGuard
+    _random: random.Random
+    in_flight: int = attrs.field(default=0, init=False)
+
+    async def handle(self, message: PeerRequest, responder: Responder) -> None:
+        """Handle one request; it is cancelled if the peer disconnects."""
+        self.in_flight += 1
+        try:
+            async with cancel_on_disconnect(responder):
+                await self._answer(message, responder)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(self, message: PeerRequest, responder: Responder) -> None:
+        trace = RequestTrace('')
+        failures = AttemptFailures()
+        responder.extra_headers = (PeerOutcome(from_target=True).to_header(),)
+        try:
+            attempts = self._admit(message, trace)
+            failures = attempts.failures
+            await self._forwarder.forward(
+                attempts, responder, message.resume_after
+            )
+        except RequestError as error:
+            outcome = outcome_for_peer(error, failures)
+            await _refuse(trace, outcome, responder)
+        finally:
+            trace.write()
+
+    def _admit(
+        self, message: PeerRequest, trace: RequestTrace
+    ) -> RoutedAttempts:
+        translator = self._forwarder.sender.translator
+        facts = translator.read_request(message.to_request())
+        trace.request_id = facts.request_id
+        trace.add(
+            'received_from_peer', peer=message.sender, tried=message.tried
+        )
+        call = admit_from_peer(
+            message,
+            facts,
+            self._current_config(),
+            self._random,
+            trace,
+            since_boot(),
+        )
+        return RoutedAttempts.of_peer(
+            call,
+            message,
+            self._forwarder.sender.router,
+            self._budget,
+            self._guard,
+        )
+
+
+async def _refuse(
+    trace: RequestTrace, outcome: PeerOutcome, responder: Responder
+) -> None:
+    trace.add(
+        'refused_to_peer',
+        code=outcome.code,
+        execution=outcome.execution.value,
+        why=outcome.message,
+        begun=responder.has_started,
+    )
+    if responder.has_started:
+        raise ConnectionBrokenError('response aborted after it had started')
+    responder.extra_headers = (outcome.to_header(),)
+    await responder.send(Response(outcome.status))
--- /dev/null
+++ b/src/cranecart/forwarding/_peer_requests.py
@@ -0,0 +1,172 @@
+"""Pass a request on to another node, and take over one from another node."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from cranecart.exceptions import (
+    NotConfiguredError,
+    NotFoundError,
+    PeerAnsweredError,
+    PeerUnableError,
+    ReplicasUnknownError,
+    RequestError,
+    TargetsOutOfReachError,
+    TargetUnreachableError,
+    UnauthorizedError,
+)
+from cranecart.forwarding._admit import admit
+from cranecart.forwarding._call import RoutedCall
+from cranecart.forwarding._failures import AttemptFailures
+from cranecart.logs import RequestTrace
+from cranecart.models import RouteConfig
+from cranecart.peer_calls import (
+    Peer,
+    PeerCall,
+    PeerClient,
+    PeerOutcome,
+    PeerRequest,
+)
+from cranecart.ports import RequestInfo
+
+# Another node may be able to handle a request that ended here with one of
+# these: it has other paths, or another version of the configuration.
+_UNABLE_ERRORS = (
+    TargetsOutOfReachError,
+    NotConfiguredError,
+    ReplicasUnknownError,
+    NotFoundError,
+    UnauthorizedError,
+)
+
+
+# Peers that are asked for one request. Each that cannot handle it says so at
+# once, and is not asked again for some time.
+_MAX_PEERS = 4
+# How long a peer that reaches no targets itself is not asked again.
+_UNABLE_SECONDS = 1.0
+# When peers may be able again that were found to be unable.
+_RETRY_AFTER_SECONDS = 0.5
+
+
+@attrs.define
+class PeersOfCall:
+    """The peers that one request may be passed on to, each once."""
+
+    client: PeerClient
+    _node_id: str
+    _asked: list[str] = attrs.field(factory=list, init=False)
+
+    def choose(self, service: str) -> Peer | None:
+        """Return the next peer to ask, if any is left."""
+        if len(self._asked) >= _MAX_PEERS:
+            return None
+        peer = self.client.choice.choose(service, self._asked)
+        if peer is not None:
+            self._asked.append(peer.name)
+        return peer
+
+    def retry_after_seconds(self) -> float:
+        """Return when a client should retry that no peer can help."""
+        return self.client.choice.seconds_until_able(_RETRY_AFTER_SECONDS)
+
+    def call_through(
+        self,
+        peer: Peer,
+        call: RoutedCall,
+        tried: Sequence[str],
+        attempts_left: int,
+        *,
+        has_begun: bool,
+    ) -> PeerCall:
+        """Return the call with which a peer is asked to handle a request."""
+        request = call.request
+        message = PeerRequest(
+            self._node_id,
+            request.method,
+            request.target,
+            request.header_lines,
+            request.body,
+            call.service,
+            call.seconds_left,
+            call.elapsed_seconds,
+            call.retrying_for_seconds,
+            attempts_left,
+            list(tried),
+            has_begun=has_begun,
+        )
+        return PeerCall(
+            peer, message, call.may_repeat, lambda: call.seconds_left
+        )
+
+
+def admit_from_peer(
+    message: PeerRequest,
+    facts: RequestInfo,
+    config: RouteConfig | None,
+    random_source: random.Random,
+    trace: RequestTrace,
+    now: float,
+) -> RoutedCall:
+    """Admit a request of a peer's client as one of this node's own clients.
+
+    Route, key and organisation follow from the client's request, so that a
+    sender could claim nothing that a client could not have. Raise the errors of
+    ``admit``.
+    """
+    call = admit(message.to_request(), facts, config, random_source, trace, now)
+    services = {share.service for share in call.route.shares}
+    return attrs.evolve(
+        call,
+        service=message.service
+        if message.service in services
+        else call.service,
+        started_at=now - message.elapsed_seconds,
+        ends_at=min(call.ends_at, now + message.seconds_left),
+        retrying_for_seconds=message.retrying_seconds,
+    )
+
+
+def outcome_for_peer(
+    error: RequestError, failures: AttemptFailures
+) -> PeerOutcome:
+    """Return what a peer is told of a request that this node gave up."""
+    reached_none = isinstance(failures.decisive_error, TargetUnreachableError)
+    is_unable = reached_none or isinstance(error, _UNABLE_ERRORS)
+    return PeerOutcome(
+        from_target=False,
+        status=error.status,
+        code=error.code,
+        message=str(error),
+        execution=error.execution,
+        unable=is_unable and not failures.may_have_run,
+        retry_after=error.retry_after,
+    )
+
+
+def check_outcome(
+    client: PeerClient, call: PeerCall, outcome: PeerOutcome
+) -> None:
+    """Return if the peer passes a target's response on.
+
+    Raise ``PeerUnableError`` if another peer is to be asked, else
+    ``PeerAnsweredError``.
+    """
+    if outcome.from_target:
+        return
+    text = f'{call.peer.name}: {outcome.message}'
+    if outcome.unable:
+        client.choice.record_unable(
+            call.peer,
+            outcome.retry_after or _UNABLE_SECONDS,
+            '' if outcome.is_general else call.request.service,
+        )
+        raise PeerUnableError(text)
+    raise PeerAnsweredError(
+        text,
+        status=outcome.status,
+        code=outcome.code,
+        execution=outcome.execution,
+        retry_after=outcome.retry_after,
+    )
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -3,11 +3,22 @@
 import attrs
 
 from cranecart.clocks import since_boot
-from cranecart.exceptions import TargetDisconnectedError, TargetFailedError
+from cranecart.exceptions import (
+    PeerBrokenError,
+    TargetDisconnectedError,
+    TargetFailedError,
+)
 from cranecart.forwarding._attempts import RoutedAttempts
+from cranecart.forwarding._peer_requests import check_outcome
 from cranecart.forwarding._sender import Sender, SilenceLimits, TargetAnswer
 from cranecart.forwarding._sse import EventSplitter
-from cranecart.http import Responder, Response
+from cranecart.http import Responder, Response, ResponseHead
+from cranecart.peer_calls import (
+    PeerAnswer,
+    PeerCall,
+    PeerClient,
+    without_outcome,
+)
 from cranecart.routing import StreamActivity, StreamPace, Target
 
 # A stream moves to another target after this silence if the replica was not
@@ -88,12 +99,43 @@
             await self._relay(target, answer)
         await self._responder.end()
 
-    async def _relay(self, target: Target, answer: TargetAnswer) -> None:
-        if not self._responder.has_started:
-            await self._responder.start(
-                answer.head.status,
-                self._sender.translator.response_headers(answer.head),
+    async def attempt_through(self, client: PeerClient, call: PeerCall) -> None:
+        """Relay the stream that a peer receives."""
+        self.splitter.restart()
+        call.request.resume_after = self.splitter.last_id
+        async with client.start(call) as answer:
+            check_outcome(client, call, answer.outcome)
+            if answer.head.is_success:
+                await self._relay_from_peer(client, call, answer)
+            else:
+                # The peer has made the attempts that were left.
+                body = await client.read(call, answer.connection.read_body)
+                self._keep_failure(answer.head, body, call.peer.name)
+                return
+        await self._responder.end()
+
+    async def _relay_from_peer(
+        self, client: PeerClient, call: PeerCall, answer: PeerAnswer
+    ) -> None:
+        await self._start_response(answer.head)
+        while chunk := await client.read(call, answer.connection.read_chunk):
+            self._attempts.has_begun = True
+            complete = self.splitter.feed(chunk)
+            if complete:
+                await self._write(complete)
+                self.timing.record_event()
+        if not self.splitter.is_between_events:
+            raise PeerBrokenError(
+                f'{call.peer.name} ended its stream within an event'
             )
+
+    async def _start_response(self, head: ResponseHead) -> None:
+        if not self._responder.has_started:
+            headers = self._sender.translator.response_headers(head)
+            await self._responder.start(head.status, without_outcome(headers))
+
+    async def _relay(self, target: Target, answer: TargetAnswer) -> None:
+        await self._start_response(answer.head)
         incarnation = target.instance.incarnation
         router = self._sender.router
         call = self._attempts.call
@@ -157,15 +199,27 @@
             SilenceLimits(float('inf'), float('inf')),
             answer.connection.read_body,
         )
-        failure = (
-            f'{target.instance.id} failed with status {answer.head.status}'
-        )
-        if self._responder.has_started or self._attempts.may_try_another():
-            raise TargetFailedError(failure)
+        name = target.instance.id
+        if self._attempts.may_try_another():
+            raise TargetFailedError(
+                f'{name} failed with status {answer.head.status}'
+            )
+        self._keep_failure(answer.head, body, name)
+
+    def _keep_failure(
+        self, head: ResponseHead, body: bytes, sender: str
+    ) -> None:
+        """Keep an error response for the client; raise if it is too late."""
+        if self._responder.has_started:
+            raise TargetFailedError(
+                f'{sender} failed with status {head.status}'
+            )
         self.response = Response(
-            answer.head.status,
+            head.status,
             body=body,
-            header_lines=self._sender.translator.response_headers(answer.head),
+            header_lines=without_outcome(
+                self._sender.translator.response_headers(head)
+            ),
         )
 
     def _silence_limits(self) -> SilenceLimits:
--- a/src/cranecart/http/_pool.py
+++ b/src/cranecart/http/_pool.py
@@ -22,21 +22,25 @@
     """
 
     _tcp_keepalive: bool = False
+    _connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
     _idle: dict[Address, list[HttpConnection]] = attrs.field(
         factory=lambda: defaultdict(list),
         init=False,
     )
 
-    async def acquire(self, address: Address) -> HttpConnection:
+    async def acquire(
+        self, address: Address, *, require_new: bool = False
+    ) -> HttpConnection:
         """Return an idle connection or open a new one."""
         idle = self._idle.get(address)
-        while idle:
+        while idle and not require_new:
             connection = idle.pop()
             if connection.has_no_pending_input():
                 return connection
             await connection.close()
         return await HttpConnection.open(
             address,
+            self._connect_timeout_seconds,
             tcp_keepalive=self._tcp_keepalive,
         )
 
@@ -54,6 +58,11 @@
         for connection in self._idle.pop(address, ()):
             await connection.close()
 
+    async def close_all_idle(self) -> None:
+        """Close the idle connections to all addresses."""
+        for address in list(self._idle):
+            await self.close_idle(address)
+
 
 def _no_check() -> None:
     """Let the request be sent."""
--- a/src/cranecart/http/_responder.py
+++ b/src/cranecart/http/_responder.py
@@ -24,7 +24,7 @@
 
     While ``is_closing`` returns true, responses carry "Connection: close".
     ``unread_seconds`` is set if the response was cut off because the client had
-    not read it for this long.
+    not read it for this long. ``extra_headers`` are added to its head.
     """
 
     def __init__(
@@ -42,6 +42,7 @@
         self._is_closing = is_closing
         self._unread = unread
         self.unread_seconds: float | None = None
+        self.extra_headers: HeaderLines = ()
         self._first_byte_at: float | None = None
 
     @property
@@ -123,7 +124,9 @@
             status_code=status,
             headers=[
                 *encode_headers(headers),
-                *encode_headers((*extra_headers, *connection_headers)),
+                *encode_headers(
+                    (*extra_headers, *self.extra_headers, *connection_headers)
+                ),
             ],
         )
 
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -25,10 +25,15 @@
 
 @attrs.frozen
 class PeerNode:
-    """Another node, as its row in the store describes it."""
+    """Another node, as its row in the store describes it.
+
+    ``request_address`` is where it takes over requests of other nodes, empty if
+    it does not or if only its heartbeats are known.
+    """
 
     address: str
     failure_domain: str
+    request_address: str = ''
 
 
 @attrs.define
@@ -70,6 +75,9 @@
 
     def add(self, name: str, peer: PeerNode) -> None:
         """Add or update a peer that the store lists or that sent a beat."""
+        known = self.peers.get(name)
+        if known is not None and not peer.request_address:
+            peer = attrs.evolve(peer, request_address=known.request_address)
         self.peers[name] = peer
         self._added_at.setdefault(name, self._clock())
 
--- /dev/null
+++ b/src/cranecart/peer_calls/_endpoint.py
@@ -0,0 +1,103 @@
+"""Accept the requests that other nodes pass on."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+import curio
+import msgspec
+
+from cranecart.clocks import awake_seconds
+from cranecart.http import Request, Responder, Response
+from cranecart.peer_calls._admission import RETRY_AFTER_SECONDS, PeerAdmission
+from cranecart.peer_calls._messages import (
+    PATH,
+    PeerOutcome,
+    PeerRequest,
+    decode_peer_request,
+)
+
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_MEASURE_SECONDS = 0.01
+
+HandleRequest = Callable[[PeerRequest, Responder], Awaitable[None]]
+
+
+@attrs.define
+class PeerEndpoint:
+    """Passes admitted requests of peers on to a handler.
+
+    ``_is_able`` returns whether this node can handle any at present.
+    ``received`` and ``refused`` count them since the start.
+    """
+
+    _handle: HandleRequest
+    _is_able: Callable[[], bool]
+    admission: PeerAdmission = attrs.field(factory=PeerAdmission)
+    received: int = attrs.field(default=0, init=False)
+    refused: int = attrs.field(default=0, init=False)
+    _is_measuring: bool = attrs.field(default=False, init=False)
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Handle one request of a peer."""
+        if request.path != PATH:
+            await responder.send(Response(_NOT_FOUND))
+            return
+        try:
+            message = decode_peer_request(request)
+        except msgspec.MsgspecError:
+            await responder.send(Response(_BAD_REQUEST))
+            return
+        refusal = self._refusal()
+        if refusal is not None:
+            self.refused += 1
+            responder.extra_headers = (refusal.to_header(),)
+            await responder.send(Response(_UNAVAILABLE))
+            return
+        await self._handle_admitted(message, responder)
+
+    async def _handle_admitted(
+        self, message: PeerRequest, responder: Responder
+    ) -> None:
+        self.received += 1
+        self.admission.in_flight += 1
+        try:
+            if not self._is_measuring:
+                self._is_measuring = True
+                await curio.spawn(self._measure_delays, daemon=True)
+            await self._handle(message, responder)
+        finally:
+            self.admission.in_flight -= 1
+
+    def _refusal(self) -> PeerOutcome | None:
+        if not self._is_able():
+            return _refused('unable', 'this node starts or stops')
+        if not self.admission.admits():
+            return _refused(
+                'busy', 'this node has no room for requests of peers'
+            )
+        return None
+
+    async def _measure_delays(self) -> None:
+        """Measure how late timers run while there are requests of peers."""
+        try:
+            while self.admission.in_flight:
+                due_at = awake_seconds() + _MEASURE_SECONDS
+                await curio.sleep(_MEASURE_SECONDS)
+                self.admission.record_delay(awake_seconds() - due_at)
+        finally:
+            self._is_measuring = False
+            self.admission.delay_seconds = 0
+
+
+def _refused(code: str, message: str) -> PeerOutcome:
+    return PeerOutcome(
+        from_target=False,
+        status=_UNAVAILABLE,
+        code=code,
+        message=message,
+        unable=True,
+        is_general=True,
+        retry_after=RETRY_AFTER_SECONDS,
+    )
--- a/src/cranecart/routing/_availability.py
+++ b/src/cranecart/routing/_availability.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-from cranecart.exceptions import OverloadedError
+from cranecart.exceptions import OverloadedError, TargetsOutOfReachError
 from cranecart.fleet import ServingHead
 from cranecart.ports import ListedInstance
+from cranecart.reachability import TargetPaths
+from cranecart.routing._request import RoutingRequest
 from cranecart.throttling import TargetThrottle
 
 TargetT = TypeVar('TargetT', ServingHead, ListedInstance)
@@ -13,6 +15,29 @@
 Draw = Callable[[Sequence[ServingHead]], Sequence[ServingHead]]
 
 
+def reached_targets(
+    targets: Sequence[TargetT], paths: TargetPaths, request: RoutingRequest
+) -> Sequence[TargetT]:
+    """Return the targets that this node reaches over its own paths.
+
+    Raise ``TargetsOutOfReachError`` if it reaches none.
+    """
+    if not paths.is_impaired:
+        return targets
+    instances = map(_instance_of, targets)
+    reached = [
+        target
+        for target, instance in zip(targets, instances, strict=True)
+        if not paths.is_unreached(instance)
+        or (request.tries_unreached and not paths.is_lost(instance))
+    ]
+    if not reached:
+        raise TargetsOutOfReachError(
+            f'this node reaches none of {len(targets)} targets',
+        )
+    return reached
+
+
 def draw_available(
     heads: Sequence[ServingHead],
     throttle: TargetThrottle,
@@ -84,6 +109,11 @@
     )
 
 
+def _instance_of(target: ServingHead | ListedInstance) -> ListedInstance:
+    """Return the instance that the requests of a target are sent to."""
+    return target.head if isinstance(target, ServingHead) else target
+
+
 def _accepting(
     targets: Sequence[TargetT],
     throttle: TargetThrottle,
--- a/src/cranecart/routing/_in_flight.py
+++ b/src/cranecart/routing/_in_flight.py
@@ -1,6 +1,8 @@
 """This node's requests at targets, counted by instance."""
 
+import contextlib
 from collections import Counter
+from collections.abc import Generator
 
 import attrs
 
@@ -44,6 +46,15 @@
     deferred: Counter[str] = attrs.field(factory=Counter, init=False)
     _started: set[Target] = attrs.field(factory=set, init=False)
 
+    @contextlib.contextmanager
+    def track(self, target: Target) -> Generator[None, None, None]:
+        """Count a request while the context lasts."""
+        self.add(target)
+        try:
+            yield
+        finally:
+            self.remove(target)
+
     def add(self, target: Target) -> None:
         """Count a request."""
         self._counter_of(target)[target.instance.id] += 1
--- a/src/cranecart/routing/_request.py
+++ b/src/cranecart/routing/_request.py
@@ -16,7 +16,8 @@
     stream that continues after its replica failed. ``tried`` targets are
     excluded; those that are ``avoided`` are used only if there are no others.
     Smaller ranks are more urgent. ``token`` decides whether the request is
-    among those of its organisation that a model that is short admits.
+    among those of its organisation that a model that is short admits. It
+    ``tries_unreached`` targets if no other node can send it.
     """
 
     config: RouteConfig
@@ -33,6 +34,7 @@
     rank: int = 0
     organisation: str = ''
     token: float = 0
+    tries_unreached: bool = False
 
     @property
     def engine(self) -> EngineProfile | None:
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -1,10 +1,9 @@
 """Choose the replica, or the instance of a plain service, for a request."""
 
-import contextlib
 import functools
 import random
 from collections import Counter
-from collections.abc import Callable, Collection, Generator, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -20,15 +19,17 @@
 )
 from cranecart.exceptions import NoReplicaError, OverloadedError
 from cranecart.fleet import Evacuations, Fleet, ServingHead
-from cranecart.logs import log_decision
 from cranecart.models import EngineModel, EngineProfile, RouteConfig
 from cranecart.ports import Incarnation, ListedInstance
+from cranecart.reachability import TargetPaths
 from cranecart.routing._availability import (
     TargetT,
     available_targets,
     draw_available,
+    reached_targets,
     seconds_until_cold_accepts,
 )
+from cranecart.routing._broken import BrokenInstances
 from cranecart.routing._ejection import OutlierEjection
 from cranecart.routing._event_gaps import EventGapTracker
 from cranecart.routing._in_flight import InFlightCounts, Target
@@ -87,6 +88,7 @@
         default=_ignore_report
     )
     throttle: TargetThrottle = attrs.field(factory=TargetThrottle)
+    paths: TargetPaths = attrs.field(factory=TargetPaths)
     evacuations: Evacuations = attrs.field(
         default=attrs.Factory(
             lambda router: router._fleet.evacuations, takes_self=True
@@ -110,13 +112,23 @@
         factory=functools.partial(OutlierEjection, key=_incarnation_of),
         init=False,
     )
-    _in_flight: InFlightCounts = attrs.field(factory=InFlightCounts, init=False)
+    broken: BrokenInstances = attrs.field(
+        default=attrs.Factory(
+            lambda router: BrokenInstances(
+                router._ejection, router._report_broken
+            ),
+            takes_self=True,
+        ),
+        init=False,
+    )
+    in_flight: InFlightCounts = attrs.field(factory=InFlightCounts, init=False)
 
     def choose(self, request: RoutingRequest) -> Target:
         """Return the target to send to.
 
-        Raise ``NoReplicaError`` if there is none, and ``OverloadedError`` if
-        all targets are full for longer than the client waits.
+        Raise ``NoReplicaError`` if there is none, ``TargetsOutOfReachError`` if
+        this node reaches none, and ``OverloadedError`` if all targets are full
+        for longer than the client waits.
         """
         engine = request.engine
         if engine is None:
@@ -161,22 +173,13 @@
             for target in _targets(self._fleet, config, service, model)
         )
 
-    @contextlib.contextmanager
-    def track_in_flight(self, target: Target) -> Generator[None, None, None]:
-        """Count a request at a target while the context lasts."""
-        self._in_flight.add(target)
-        try:
-            yield
-        finally:
-            self._in_flight.remove(target)
-
     def in_flight_counts(self) -> Counter[str]:
         """Return this node's requests in flight by instance."""
-        return self._in_flight.in_flight
+        return self.in_flight.in_flight
 
     def record_first_event(self, target: Target, model: str) -> None:
         """Record that a stream's first event arrived."""
-        if self._in_flight.record_first_event(target):
+        if self.in_flight.record_first_event(target):
             seconds = self._clock() - target.sent_at
             error = seconds - target.forecast_seconds + target.error_seconds
             incarnation = target.instance.incarnation
@@ -190,30 +193,6 @@
         """Count a failure that the instance caused."""
         self._ejection.record_failure(incarnation, reached=reached)
 
-    def record_broken_connection(self, incarnation: Incarnation) -> None:
-        """Eject an instance of a plain service that broke a connection.
-
-        The instance may be restarting repeatedly, and each of many nodes sends
-        it too few requests to detect that alone, so all nodes eject it for a
-        while. Under random faults 13 of 1,000 calls fail this way, against 28
-        where each node waits for three failures of its own.
-        """
-        is_new = not self._ejection.is_ejected(incarnation)
-        self._ejection.record_failure(incarnation, reached=False)
-        if is_new:
-            log_decision(
-                'target_passed_over', instance=incarnation.id, by='this node'
-            )
-            self._report_broken(incarnation)
-
-    def eject_reported(self, incarnation: Incarnation) -> None:
-        """Eject an instance that broke another node's connection."""
-        if not self._ejection.is_ejected(incarnation):
-            log_decision(
-                'target_passed_over', instance=incarnation.id, by='another node'
-            )
-        self._ejection.eject_reported(incarnation)
-
     def record_success(self, incarnation: Incarnation) -> None:
         """Reset an instance's failures."""
         self._ejection.record_success(incarnation)
@@ -224,7 +203,7 @@
 
     def load(self, name: str) -> int:
         """Return the requests in flight at an instance over all nodes."""
-        return self._in_flight.in_flight[name] + self._remote_in_flight(name)
+        return self.in_flight.in_flight[name] + self._remote_in_flight(name)
 
     @stalls.default
     def _make_stalls(self) -> StallDetector:
@@ -237,6 +216,7 @@
         eligible = self._eligible_heads(request)
         if not eligible or model is None:
             raise self._no_replica(request)
+        eligible = reached_targets(eligible, self.paths, request)
         available, throttled = draw_available(
             eligible,
             self.throttle,
@@ -313,7 +293,7 @@
         return ReplicaState(
             head.id,
             self.load(head.id),
-            self._in_flight.deferred[head.id],
+            self.in_flight.deferred[head.id],
             self._forecast_error(head.incarnation, request.model),
             head.head.failure_domain == self._failure_domain,
             self.paces.pace(head.incarnation, request.model),
@@ -340,13 +320,14 @@
         )
 
     def _choose_instance(self, request: RoutingRequest) -> Target:
-        eligible = _eligible(self._fleet.available(request.service), request)
-        if not eligible:
+        available = _eligible(self._fleet.available(request.service), request)
+        if not available:
             raise NoReplicaError(
                 f'no instance of {request.service!r} is serving'
                 f'{_evacuated_text(self.evacuations.active())}',
                 retry_after=_NO_REPLICA_SECONDS,
             )
+        eligible = reached_targets(available, self.paths, request)
         instances = available_targets(
             eligible,
             self.throttle,
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from cranecart.fleet import Fleet, mark_leaving
 from cranecart.forwarding import ResumeGuard, TargetConnectionPool
 from cranecart.http import TARGET_RECEIVE_BYTES, Address, ServerLimits
@@ -20,8 +22,8 @@
 from cranecart.models import ClientLimits, ColdStart
 from cranecart.platform import has_evacuations, has_slow_readers
 from cranecart.ports import Incarnation
-from cranecart.reachability import TargetPaths
-from cranecart.retries import RetryLimits
+from cranecart.reachability import TargetDialer, TargetPaths
+from cranecart.retries import RetryLimits, SharedRetryBudget
 from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.settings import ServingSettings
 from cranecart.throttling import (
@@ -42,6 +44,11 @@
 # state of a large deployment takes up to 128 MB of the smallest nodes' 152 MB.
 _UNREAD_FRACTION = 0.125
 _MEGABYTE = 1_000_000
+# Upper bounds for requests that other nodes pass on: what is said about one
+# besides the client's request, and the connections for them.
+_MAX_PASSED_ON_BYTES = 16384
+_MAX_PEER_CONNECTIONS = 256
+_PEER_IDLE_SECONDS = 10.0
 
 
 def make_mesh(settings: ServingSettings, callbacks: MeshCallbacks) -> Mesh:
@@ -83,13 +90,28 @@
     )
 
 
+def peer_server_limits(
+    settings: ServingSettings, limits: ClientLimits
+) -> ServerLimits:
+    """Return the limits on the requests that other nodes pass on.
+
+    Each has a client's request and what has become of it so far.
+    """
+    return attrs.evolve(
+        server_limits(settings, limits),
+        body_bytes=limits.head_bytes + limits.body_bytes + _MAX_PASSED_ON_BYTES,
+        idle_seconds=_PEER_IDLE_SECONDS,
+        connections=_MAX_PEER_CONNECTIONS,
+    )
+
+
 def make_resume_guard(settings: ServingSettings) -> ResumeGuard:
     """Return the guard against sending by what was known before a freeze."""
     return ResumeGuard(has_evacuations(settings.platform_features))
 
 
 def make_target_connections(
-    settings: ServingSettings, paths: TargetPaths
+    settings: ServingSettings, dialer: TargetDialer
 ) -> TargetConnectionPool:
     """Return the pool of connections to targets.
 
@@ -99,20 +121,17 @@
         receive_bytes=(
             None if _unread_bytes(settings) is None else TARGET_RECEIVE_BYTES
         ),
-        paths=paths,
+        dialer=dialer,
     )
 
 
-def make_target_paths(
-    fleet: Fleet, get_mesh: Callable[[], Mesh]
-) -> TargetPaths:
-    """Return the record of which targets this node reaches."""
-    return TargetPaths(
-        lambda domain: sum(
-            instance.failure_domain == domain
-            for instance in fleet.instances.values()
-        ),
-        lambda name: get_mesh().in_flight_elsewhere(name),
+def make_dialer(fleet: Fleet, get_mesh: Callable[[], Mesh]) -> TargetDialer:
+    """Return what opens connections to targets and knows which are reached."""
+    return TargetDialer(
+        TargetPaths(
+            lambda: fleet.instances.values(),
+            lambda name: get_mesh().in_flight_elsewhere(name),
+        )
     )
 
 
@@ -132,6 +151,13 @@
     )
 
 
+def make_retry_budget(
+    settings: ServingSettings, mesh: Mesh
+) -> SharedRetryBudget:
+    """Return this node's part of the retry budget."""
+    return SharedRetryBudget(retry_limits(settings), mesh.live_node_count)
+
+
 def make_throttle(
     settings: ServingSettings,
     fleet: Fleet,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -7,6 +7,8 @@
 from cranecart.clocks import SuspensionWatch, since_boot
 from cranecart.fleet import Fleet, ReplicaRecord, mark_leaving
 from cranecart.forwarding import (
+    CallForwarder,
+    PeerGateway,
     RoutedGateway,
     Sender,
     StartupGate,
@@ -20,7 +22,6 @@
 from cranecart.logs import LogQueue, log_decision, set_log_level
 from cranecart.mesh import Broken, Mesh, MeshCallbacks, Stopped, Suspect
 from cranecart.models import ClientLimits, RouteConfig
-from cranecart.retries import SharedRetryBudget
 from cranecart.routing import TargetRouter
 from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.serving._endpoints import (
@@ -30,10 +31,11 @@
 )
 from cranecart.serving._factories import (
     make_cold_entries,
+    make_dialer,
     make_mesh,
     make_resume_guard,
+    make_retry_budget,
     make_target_connections,
-    make_target_paths,
     make_throttle,
     retry_limits,
     server_limits,
@@ -41,6 +43,7 @@
 from cranecart.serving._followers import PlatformFollowers, RowDispatcher
 from cranecart.serving._node_demand import NodeDemand
 from cranecart.serving._node_registration import NodeRegistration
+from cranecart.serving._peer_requests import PeerRequests
 from cranecart.serving._placer_host import PlacerDependencies, PlacerHost
 from cranecart.serving._platform_adapters import PlatformAdapters
 from cranecart.serving._quarantine import NodeQuarantine
@@ -83,6 +86,7 @@
             self._platform_adapters.table,
             bool(settings.cold_overshoot),
         )
+        self._dialer = make_dialer(self._fleet, lambda: self._mesh)
         self._router = TargetRouter(
             self._fleet,
             self._random_source,
@@ -98,6 +102,7 @@
                 lambda: self._mesh,
                 self._active_config.cold_start,
             ),
+            paths=self._dialer.paths,
         )
         self._node_demand = NodeDemand(self._router.shortage.exchange)
         self._router.paces.is_enabled = settings.learns_pace
@@ -135,15 +140,25 @@
                 self._router.throttle.cold_seconds,
             ),
         )
-        self._target_paths = make_target_paths(self._fleet, lambda: self._mesh)
         self._target_connections = make_target_connections(
-            settings, self._target_paths
+            settings, self._dialer
         )
-        self._retry_budget = SharedRetryBudget(
-            retry_limits(settings),
-            self._mesh.live_node_count,
+        self._retry_budget = make_retry_budget(settings, self._mesh)
+        forwarder = self._make_forwarder()
+        self._peer_requests = PeerRequests.for_node(
+            settings,
+            self._mesh,
+            PeerGateway(
+                self._active_config.current,
+                forwarder,
+                self._retry_budget,
+                self._quarantine.guard,
+                self._random_source,
+            ),
+            self._random_source,
+            lambda: self._is_informed() and not self._is_stopping,
         )
-        self._gateway = self._make_gateway()
+        self._gateway = self._make_gateway(forwarder)
         self._client_server = HttpServer(
             Address.from_text(settings.client_address),
             self._serve,
@@ -178,6 +193,7 @@
                 self._client_server.run,
                 self._ready_server.run,
                 self._metrics_server.run,
+                self._peer_requests.run,
                 self._mesh.run,
                 self._followers.run,
                 self._placer_host.run,
@@ -202,7 +218,9 @@
             self._active_config.current,
             self._active_config.apply_from_peer,
             self._update_local_state,
-            lambda message: self._router.eject_reported(message.incarnation),
+            lambda message: self._router.broken.apply_report(
+                message.incarnation
+            ),
             lambda message: self._router.throttle.merge_updates(
                 message.limits, message.sender, message.cold
             ),
@@ -215,18 +233,22 @@
         )
         return make_mesh(self._live_settings.current, callbacks)
 
-    def _make_gateway(self) -> RoutedGateway:
-        sender = Sender(
-            self._platform_adapters.call_form,
-            self._router,
-            self._target_connections,
-            self._fleet.is_stopped,
-            self._report_suspect,
-            self._resume_guard,
+    def _make_forwarder(self) -> CallForwarder:
+        return CallForwarder(
+            Sender(
+                self._platform_adapters.call_form,
+                self._router,
+                self._target_connections,
+                self._fleet.is_stopped,
+                self._report_suspect,
+                self._resume_guard,
+            )
         )
+
+    def _make_gateway(self, forwarder: CallForwarder) -> RoutedGateway:
         return RoutedGateway(
             self._active_config.current,
-            sender,
+            forwarder,
             self._retry_budget,
             self._quarantine.guard,
             self._random_source,
@@ -235,6 +257,7 @@
             self._node_demand.record_request,
             self._node_demand.record_work,
             StartupGate(self._is_informed),
+            self._peer_requests.peers_of_call,
         )
 
     async def _serve(self, request: Request, responder: Responder) -> None:
@@ -256,6 +279,7 @@
             self._router.forecast_errors.prune(listed_incarnations)
             self._router.throttle.refresh(listed_incarnations)
             self._router.paces.refresh(listed_incarnations)
+            self._dialer.paths.prune(listed_incarnations)
             await self._quarantine.refresh()
             if self._registration.needs_registration:
                 await curio.spawn(self._registration.register, daemon=True)
@@ -290,7 +314,7 @@
         stopping_since = since_boot()
         self._is_stopping = True
         self._mesh.local.stopping = True
-        log_decision('node_stopping', in_flight=self._gateway.in_flight)
+        log_decision('node_stopping', in_flight=self._in_flight())
         self._client_server.disable_keep_alive()
         await self._placer_host.hand_over()
         self._mesh.broadcast(self._mesh.message_sender.build_beat())
@@ -310,9 +334,13 @@
             # them; requests that arrive from now on could not be finished.
             await self._client_server.stop_listening()
             await self._client_server.close_idle()
-            if not self._gateway.in_flight:
+            await self._peer_requests.stop()
+            if not self._in_flight():
                 return
-        log_decision('stopped_with_requests', in_flight=self._gateway.in_flight)
+        log_decision('stopped_with_requests', in_flight=self._in_flight())
+
+    def _in_flight(self) -> int:
+        return self._gateway.in_flight + self._peer_requests.in_flight
 
     def _counters(self) -> dict[str, int]:
         return {
@@ -323,7 +351,8 @@
             'unread_responses_cut': self._client_server.unread.cut_count,
             'unread_bytes': self._client_server.unread.held_bytes,
             'target_connections': self._target_connections.opened,
-            **self._target_paths.counts(),
+            **self._dialer.paths.counts(),
+            **self._peer_requests.counts(),
             'uneven_connections': self._target_connections.desynchronized,
             'log_bytes': self._log_queue.written_bytes,
             'log_lines_dropped': self._log_queue.dropped,
@@ -349,6 +378,9 @@
         self._client_server.limits = server_limits(
             self._live_settings.current, config.limits
         )
+        self._peer_requests.apply_client_limits(
+            self._live_settings.current, config
+        )
         self._mesh.send_beat_now()
 
     def _report_stopped(
--- a/src/cranecart/serving/_node_registration.py
+++ b/src/cranecart/serving/_node_registration.py
@@ -86,6 +86,7 @@
         peer = PeerNode(
             self._settings.peer_address,
             self._settings.failure_domain,
+            self._settings.peer_request_address,
         )
         put = Put(self._key, msgspec.json.encode(peer).decode())
         checks: tuple[Check, ...] = ()
@@ -135,6 +136,8 @@
     try:
         peer = msgspec.json.decode(row.value, type=PeerNode)
         Address.from_text(peer.address)
+        if peer.request_address:
+            Address.from_text(peer.request_address)
     except (ValueError, RecursionError, msgspec.MsgspecError) as error:
         _UNREADABLE_ROWS.report(row.key, str(error))
         return None
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -35,6 +35,15 @@
         raise ValueError(f'{attribute.name}: {error}') from error
 
 
+def _check_optional_address(
+    instance: object,
+    attribute: 'attrs.Attribute[str]',
+    text: str,
+) -> None:
+    if text:
+        _check_address(instance, attribute, text)
+
+
 def _address_field() -> str:
     field: str = attrs.field(validator=_check_address)
     return field
@@ -62,6 +71,8 @@
     that it has.
     In any second a cold target is sent its rate times ``cold_overshoot`` and
     ``cold_slack`` requests at most; an overshoot of 0 is none stated.
+    At ``peer_request_address`` a node takes over requests of nodes that reach
+    no targets; without it, it takes none.
     ``log_successes`` is the share of successful requests that are logged.
     With ``learns_pace`` nodes measure which replicas are slow and tell each
     other.
@@ -76,6 +87,9 @@
     ready_address: str = _address_field()
     peer_address: str = _address_field()
     metrics_address: str = _address_field()
+    peer_request_address: str = attrs.field(
+        default='', validator=_check_optional_address
+    )
     platform_address: str = _address_field()
     first_start: bool = False
     retry_ratio: float = _non_negative_field(_RETRY_RATIO)
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -18,6 +18,7 @@
     mark_leaving,
 )
 from cranecart.forwarding import (
+    CallForwarder,
     ResumeGuard,
     RoutedGateway,
     Sender,
@@ -43,6 +44,7 @@
 from cranecart.platform import PlatformCallTranslator
 from cranecart.ports import Incarnation, ListedInstance, MemberPhase, Membership
 from cranecart.quarantine import CaseUpdate, RequestGuard
+from cranecart.reachability import TargetDialer, TargetPaths
 from cranecart.retries import RetryLimits, SharedRetryBudget
 from cranecart.routing import TargetRouter
 from cranecart.throttling import CountSharingNodes, LimitUpdate, TargetThrottle
@@ -290,6 +292,7 @@
             **(other_targets or {}),
         }
         self.config: RouteConfig | None = CONFIG
+        self.service = service
         self.fleet = Fleet()
         self.evidence: list[str] = []
         instances = {
@@ -332,8 +335,11 @@
                 incarnation.id
             ),
             throttle=self._make_throttle(),
+            paths=TargetPaths(lambda: self.fleet.instances.values()),
+        )
+        self.connections = TargetConnectionPool(
+            dialer=TargetDialer(self.router.paths)
         )
-        self.connections = TargetConnectionPool()
         self.resume_guard = ResumeGuard()
         # Called with updates on requests that crash targets.
         self.publish_cases: Callable[[Sequence[CaseUpdate]], None] = (
@@ -344,19 +350,22 @@
             lambda cases: self.publish_cases(cases),
             has_terminated=self._has_ended,
         )
+        self.budget = SharedRetryBudget(
+            RetryLimits(retries / 500, retries, 10), lambda: 1
+        )
         self.gateway = RoutedGateway(
             lambda: self.config,
-            Sender(
-                PlatformCallTranslator(),
-                self.router,
-                self.connections,
-                self.fleet.is_stopped,
-                self._record_evidence,
-                self.resume_guard,
-            ),
-            SharedRetryBudget(
-                RetryLimits(retries / 500, retries, 10), lambda: 1
+            CallForwarder(
+                Sender(
+                    PlatformCallTranslator(),
+                    self.router,
+                    self.connections,
+                    self.fleet.is_stopped,
+                    self._record_evidence,
+                    self.resume_guard,
+                )
             ),
+            self.budget,
             self.guard,
             source,
             lambda _outcome, _seconds: None,
--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -92,6 +92,7 @@
             'client_address': str(self.client),
             'ready_address': str(addresses.take()),
             'peer_address': str(addresses.take()),
+            'peer_request_address': str(addresses.take()),
             'metrics_address': str(self.metrics),
             'platform_address': str(platform),
             'log_successes': 1,
--- a/tests/unit/test_broken_plain_instances.py
+++ b/tests/unit/test_broken_plain_instances.py
@@ -43,7 +43,9 @@
     def test_an_instance_reported_by_another_node_is_avoided(self) -> None:
         """No call fails at an instance that another node reported."""
         testbed = GatewayTestbed(_succeed, _break, service=PLAIN)
-        testbed.router.eject_reported(testbed.fleet.instances['i1'].incarnation)
+        testbed.router.broken.apply_report(
+            testbed.fleet.instances['i1'].incarnation
+        )
         curio.run(testbed.run, self._write)
         self.assertEqual(set(self.statuses), {200})
 
@@ -51,7 +53,7 @@
         """The call is sent to it instead of being refused."""
         testbed = GatewayTestbed(_succeed, _succeed, service=PLAIN)
         first, second = testbed.fleet.available(PLAIN)
-        testbed.router.eject_reported(second.incarnation)
+        testbed.router.broken.apply_report(second.incarnation)
         request = RoutingRequest(CONFIG, CONFIG.routes[0], PLAIN, '', 0, 2)
         for _number in range(first.slots * 3):
             self.assertIs(testbed.router.choose(request).instance, first)
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -408,6 +408,7 @@
         settings: Any = SimpleNamespace(
             node_id='n0',
             peer_address='10.0.0.1:1',
+            peer_request_address='',
             failure_domain='east',
             first_start=False,
         )
--- a/tests/unit/test_requests_without_target.py
+++ b/tests/unit/test_requests_without_target.py
@@ -183,7 +183,7 @@
         """Fail when choosing a target, or after sending."""
         super().__init__(_serve, service=PLAIN)
         faulty_member = 'gaps' if after_sending else 'choose'
-        sender: Any = self.gateway._sender
+        sender: Any = self.gateway._forwarder.sender
         sender.router = FaultyRouter(self.router, faulty_member)
 
 
--- a/tests/unit/test_restored_rows.py
+++ b/tests/unit/test_restored_rows.py
@@ -72,6 +72,7 @@
         settings: Any = SimpleNamespace(
             node_id='n0',
             peer_address='10.0.0.1:1',
+            peer_request_address='',
             failure_domain='east',
         )
         table = FakePlatform()
--- a/tests/unit/test_target_throttle.py
+++ b/tests/unit/test_target_throttle.py
@@ -171,7 +171,7 @@
         self.assertEqual(chosen, {'i0'})
 
     async def _ask(self, testbed: GatewayTestbed) -> None:
-        sender = testbed.gateway._sender
+        sender = testbed.gateway._forwarder.sender
         sender.connections = SlowConnections(throttle=testbed.router.throttle)
         for _number in range(6):
             answer = await testbed.ask('/stream/x')
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -84,15 +84,15 @@
     ),
     Mechanism(
         'short connect timeout',
-        'forwarding/_connections.py',
-        '_CONNECT_TIMEOUT_SECONDS = 0.08',
-        '_CONNECT_TIMEOUT_SECONDS = 0.25',
+        'reachability/_dialer.py',
+        'CONNECT_TIMEOUT_SECONDS = 0.08',
+        'CONNECT_TIMEOUT_SECONDS = 0.25',
     ),
     Mechanism(
-        'unreachable targets ejected at once',
-        'routing/_ejection.py',
-        'if not reached:',
-        'if reached is None:',
+        'unreached targets left out',
+        'routing/_availability.py',
+        'if not paths.is_impaired:',
+        'if paths is not None:',
     ),
     Mechanism(
         'late requests deferred',
@@ -121,8 +121,8 @@
     Mechanism(
         'in-flight counts of other nodes',
         'routing/_router.py',
-        'return self._in_flight.in_flight[name] + self._remote_in_flight(name)',
-        'return self._in_flight.in_flight[name]',
+        'return self.in_flight.in_flight[name] + self._remote_in_flight(name)',
+        'return self.in_flight.in_flight[name]',
     ),
     Mechanism(
         'client retries recognized',
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -158,7 +158,7 @@
     Mutation(
         'requests-with-unknown-outcome-retried',
         'forwarding/_attempts.py',
-        'if not call.may_repeat and self._may_have_run:',
+        'if not call.may_repeat and self.failures.may_have_run:',
         'if call is None:',
         f'{_BUFFERED_RESPONSES}.test_unknown_outcome_is_not_repeated',
     ),
@@ -274,8 +274,8 @@
     ),
     Mutation(
         'broken-targets-not-reported',
-        'routing/_router.py',
-        'self._report_broken(incarnation)',
+        'routing/_broken.py',
+        'self._report(incarnation)',
         'return',
         'tests.unit.test_broken_plain_instances.BrokenPlainInstanceTest'
         '.test_a_broken_connection_ejects_at_once',
