Move silent streams at once when the path to their target is lost

What callers saw: streams under way as a node lost its paths paused for 0.8 s (1.2 s before the first event) before they went on; some clients left.

Cause: a stream left a silent target only after a fixed silence, however sure the node was by then that it reaches none.

Change: a silence that is reported as evidence also has the path checked by two connections, unless other targets of the group have sent events meanwhile; a suspect target whose group is out of reach is left at once if another attempt is allowed.

--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -12,6 +12,8 @@
 from cranecart.routing import Target
 
 _FIRST_SERVER_ERROR_STATUS = 500
+# Fraction of the longest silence after which the path to the target is checked.
+_SUSPECT_FRACTION = 0.5
 
 
 @attrs.define
@@ -61,12 +63,12 @@
         are slow, the response times measured so far raise the limit, up to the
         longest silence that is considered normal.
         """
-        if not self._attempts.may_try_another():
-            return SilenceLimits(float('inf'), float('inf'))
         call = self._attempts.call
         usual_seconds = self._sender.router.gaps.stall_seconds(call.service)
-        half_objective = call.route.objective_seconds / 2
-        return SilenceLimits(float('inf'), max(half_objective, usual_seconds))
+        give_up_after = max(call.route.objective_seconds / 2, usual_seconds)
+        if not self._attempts.may_try_another():
+            return SilenceLimits(give_up_after, float('inf'))
+        return SilenceLimits(_SUSPECT_FRACTION * give_up_after, give_up_after)
 
     def _should_try_another(self, head: ResponseHead) -> bool:
         failed = head.status >= _FIRST_SERVER_ERROR_STATUS
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -63,8 +63,9 @@
 
     After ``suspect_after`` the silence is reported as evidence. The attempt
     fails after ``give_up_after``, after ``stalled_after`` if the target's other
-    streams receive nothing either, and at once if the replica is found to have
-    stopped, unless ``is_final_attempt``: then there is no other target to try.
+    streams receive nothing either, as soon as it is suspect and out of reach,
+    and at once if the replica is found to have stopped, unless
+    ``is_final_attempt``: then there is no other target to try.
     """
 
     suspect_after: float
@@ -72,6 +73,11 @@
     stalled_after: float = float('inf')
     is_final_attempt: bool = False
 
+    @property
+    def may_give_up(self) -> bool:
+        """Return whether another target may be tried instead."""
+        return self.give_up_after < float('inf')
+
 
 @attrs.define
 class Sender:
@@ -146,8 +152,8 @@
                 raise TargetDisconnectedError(str(error)) from error
             if silence >= limits.suspect_after and not is_reported:
                 is_reported = True
-                await self.report_suspicion(
-                    target, f'silent for {silence:.3f} s'
+                await curio.spawn(
+                    self._check_silent_target, target, silence, daemon=True
                 )
 
     async def report_suspicion(self, target: Target, evidence: str) -> None:
@@ -155,6 +161,15 @@
         if target.replica_epoch is not None:
             await self._report_suspicion(target.replica_epoch, evidence)
 
+    async def _check_silent_target(
+        self, target: Target, silence: float
+    ) -> None:
+        """Report a target, and find out if this node still reaches it."""
+        await self.report_suspicion(target, f'silent for {silence:.3f} s')
+        heard_since = since_boot() - silence
+        if not self.router.has_heard_near(target.instance, heard_since):
+            await self.connections.dialer.is_own_path_sound(target.instance)
+
     def _check_silence(
         self,
         call: RoutedCall,
@@ -168,17 +183,28 @@
         is_stopped = epoch is not None and self._has_stopped(epoch)
         if is_stopped and not limits.is_final_attempt:
             raise TargetFailedError(f'{target.instance.id} has stopped')
-        model = call.facts.model
+        reason = self._reason_to_give_up(call, target, limits, silence)
+        if reason:
+            raise TargetFailedError(f'{target.instance.id} {reason}')
+
+    def _reason_to_give_up(
+        self,
+        call: RoutedCall,
+        target: Target,
+        limits: SilenceLimits,
+        silence: float,
+    ) -> str:
+        """Return why a silent target is given up, or an empty string."""
         if silence > limits.stalled_after and self.router.is_stalled(
-            target, model
+            target, call.facts.model
         ):
-            raise TargetFailedError(
-                f'{target.instance.id} sends no events on any of its streams',
-            )
+            return 'sends no events on any of its streams'
+        is_suspect = silence >= limits.suspect_after and limits.may_give_up
+        if is_suspect and self.router.paths.is_lost(target.instance):
+            return f'was silent for {silence:.3f} s and is out of reach'
         if silence > limits.give_up_after:
-            raise TargetFailedError(
-                f'{target.instance.id} was silent for {silence:.3f} s',
-            )
+            return f'was silent for {silence:.3f} s'
+        return ''
 
     async def _connect(
         self,
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -201,10 +201,29 @@
         """Return whether a replica has stopped sending on all its streams."""
         return self.stalls.is_stalled(target.instance.incarnation, model)
 
+    def has_heard_near(self, instance: ListedInstance, since: float) -> bool:
+        """Return whether other targets of its group have sent events since."""
+        return self.stalls.has_events_since(
+            since,
+            lambda other: (
+                other != instance.incarnation and self._is_near(other, instance)
+            ),
+        )
+
     def load(self, name: str) -> int:
         """Return the requests in flight at an instance over all nodes."""
         return self.in_flight.in_flight[name] + self._remote_in_flight(name)
 
+    def _is_near(self, incarnation: object, instance: ListedInstance) -> bool:
+        if not isinstance(incarnation, Incarnation):
+            return False
+        other = self._fleet.find_instance(incarnation.id)
+        return (
+            other is not None
+            and other.service == instance.service
+            and other.failure_domain == instance.failure_domain
+        )
+
     @stalls.default
     def _make_stalls(self) -> StallDetector:
         return StallDetector(self.gaps.stall_seconds)
--- a/src/cranecart/routing/_stalls.py
+++ b/src/cranecart/routing/_stalls.py
@@ -63,6 +63,15 @@
         silence = self._clock() - self._last_event_at[key]
         return silence > _STALL_FACTOR * self._stall_seconds(model)
 
+    def has_events_since(
+        self, since: float, is_relevant: Callable[[Hashable], bool]
+    ) -> bool:
+        """Return whether any relevant replica has sent an event since."""
+        return any(
+            at >= since and is_relevant(key)
+            for key, at in self._last_event_at.items()
+        )
+
     def remove_stream(self, key: Hashable) -> None:
         """Record that a begun stream has ended or is not read at present."""
         self._active_streams[key] -= 1
--- a/tests/lib/path_testbed.py
+++ b/tests/lib/path_testbed.py
@@ -1,5 +1,7 @@
 """Processes of nodes whose paths to each target can be cut."""
 
+import itertools
+import time
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import Any, Self
@@ -20,6 +22,8 @@
 SERVICE = 'crew'
 START_SECONDS = 15
 _OK = 200
+# Many more retries than a test needs.
+_RETRY_SLACK = 300
 _ROUTE = MappingProxyType(
     {
         'host': HOST,
@@ -33,12 +37,16 @@
 
 @attrs.frozen
 class PathAnswer:
-    """What a client got: status 0 if the connection broke before an answer."""
+    """What a client got: status 0 if the connection broke before an answer.
+
+    ``longest_pause`` is that between two parts of the body, in seconds.
+    """
 
     status: int
     body: bytes = b''
     headers: Mapping[str, str] = MappingProxyType({})
     is_complete: bool = False
+    longest_pause: float = 0
 
     @property
     def is_served(self) -> bool:
@@ -124,6 +132,7 @@
             redirects=paths.redirects(),
             failure_domain=domain,
             failure_domains=['east', 'west'],
+            retry_slack=_RETRY_SLACK,
             **self._settings,
         )
         self.nodes[name] = PathNode(process, paths)
@@ -192,6 +201,7 @@
 ) -> PathAnswer:
     body = bytearray()
     status = 0
+    received_at: list[float] = []
     headers: Mapping[str, str] = {}
     try:
         head = await connection.send_and_read_head(request)
@@ -199,6 +209,12 @@
         headers = head.headers
         while chunk := await connection.read_chunk():
             body += chunk
+            received_at.append(time.monotonic())
     except HttpError:
         return PathAnswer(status, bytes(body), headers)
-    return PathAnswer(status, bytes(body), headers, is_complete=True)
+    pauses = (
+        later - earlier for earlier, later in itertools.pairwise(received_at)
+    )
+    return PathAnswer(
+        status, bytes(body), headers, True, max(pauses, default=0)
+    )
