Suspect replicas only over paths that work

Cause: a node took the failure of its own connection for evidence about the target, and told the placer.

Change: evidence is reported once another target of the group was reached at the same time: by a connection of the last quarter of a second, by events on other streams, or by two connections made for it.

Measured: test_lost_path_taken_for_stopped_replicas reported each failed connection before, nothing now; a replica that alone is not reached is still reported within 0.3 s.

--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -164,11 +164,20 @@
     async def _check_silent_target(
         self, target: Target, silence: float
     ) -> None:
-        """Report a target, and find out if this node still reaches it."""
-        await self.report_suspicion(target, f'silent for {silence:.3f} s')
+        """Report a silent target, unless this node has lost its path to it."""
         heard_since = since_boot() - silence
-        if not self.router.has_heard_near(target.instance, heard_since):
-            await self.connections.dialer.is_own_path_sound(target.instance)
+        is_sound = self.router.has_heard_near(
+            target.instance, heard_since
+        ) or await self.connections.dialer.is_own_path_sound(target.instance)
+        if is_sound:
+            await self.report_suspicion(target, f'silent for {silence:.3f} s')
+
+    async def _check_unreached_target(
+        self, target: Target, evidence: str
+    ) -> None:
+        """Report a target, unless this node has lost its path to it."""
+        if await self.connections.dialer.is_own_path_sound(target.instance):
+            await self.report_suspicion(target, evidence)
 
     def _check_silence(
         self,
@@ -220,7 +229,9 @@
                 require_new=not call.request_id,
             )
         except TargetUnreachableError as error:
-            await self.report_suspicion(target, str(error))
+            await curio.spawn(
+                self._check_unreached_target, target, str(error), daemon=True
+            )
             raise
 
     async def _send(
