--- a/tests/unit/test_path_evidence.py
+++ b/tests/unit/test_path_evidence.py
@@ -11,7 +11,7 @@
 _PAUSE_SECONDS = 1.2
 # Within this time evidence is reported, if it is.
 _REPORT_SECONDS = 0.3
-_REQUESTS = 12
+_FAILURES_TO_EJECT = 3
 _EVENTS = b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n'
 
 Scenario = Callable[[GatewayTestbed], Awaitable[None]]
@@ -71,9 +71,11 @@
         self.assertEqual(testbed.evidence, [])
 
     async def _check_one_unreached(self, testbed: GatewayTestbed) -> None:
-        for _ in range(_REQUESTS):
-            answer = await testbed.ask('/once/x')
-            self.assertEqual(answer.status, 200)
+        sound = testbed.fleet.instances['i1'].incarnation
+        for _ in range(_FAILURES_TO_EJECT):
+            testbed.router.record_failure(sound)
+        answer = await testbed.ask('/once/x')
+        self.assertEqual(answer.status, 200)
         await until(lambda: testbed.evidence, _REPORT_SECONDS)
         self.assertIn('cannot be reached', testbed.evidence[0])
 
