Count broken connections against targets only over sound paths

Cause: a broken connection was the target's failure, whatever became of the others; one of a plain service is told to all nodes.

Change: a broken connection counts once a connection to its group has succeeded since, for which two targets are tried; a failure over a path that is lost does not count at all. So nothing learned during a loss outlasts it.

Measured: test_own_reset_connections_eject_plain_targets_everywhere and ..._eject_replicas: i0, i1 and i2 ejected before, none now.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     AllTargetsRefusedError,
     Execution,
@@ -193,7 +194,7 @@
                 with self._router.in_flight.track(target):
                     await exchange.attempt(target)
         except TargetError as error:
-            self._record_failure(target, error)
+            await self._record_failure(target, error)
             return False
         self._router.record_success(target.instance.incarnation)
         return True
@@ -275,8 +276,8 @@
                 retry_after=_NO_TIME_RETRY_AFTER_SECONDS,
             )
 
-    def _record_failure(self, target: Target, error: TargetError) -> None:
-        self._report_failure(target, error)
+    async def _record_failure(self, target: Target, error: TargetError) -> None:
+        await self._report_failure(target, error)
         self.failures.record(error)
         trace_failure(self.call, target.instance.id, error)
         if isinstance(error, TargetDisconnectedError):
@@ -287,7 +288,7 @@
                 self._router.load(target.instance.id),
             )
 
-    def _report_failure(self, target: Target, error: TargetError) -> None:
+    async def _report_failure(self, target: Target, error: TargetError) -> None:
         incarnation = target.instance.incarnation
         if isinstance(error, TargetUnreachableError):
             # The dialer knows which targets are not reached.
@@ -302,6 +303,8 @@
             # Targets cut off responses that stay unread. Three such streams
             # would eject a healthy target.
             return
+        if not await _is_path_sound(self._router, target, error):
+            return
         if is_disconnected and not target.replica_epoch:
             self._router.broken.record(incarnation)
             return
@@ -339,3 +342,14 @@
         if isinstance(last_error, TargetTimeoutError):
             return RequestTimeoutError(str(last_error))
         return OutcomeUnknownError(str(last_error))
+
+
+async def _is_path_sound(
+    router: TargetRouter, target: Target, error: TargetError
+) -> bool:
+    """Return whether a failure says anything about its target."""
+    if isinstance(error, TargetDisconnectedError):
+        return await router.dialer.is_own_path_sound(
+            target.instance, since_boot()
+        )
+    return not router.paths.is_lost(target.instance)
--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -64,10 +64,11 @@
         longest silence that is considered normal.
         """
         call = self._attempts.call
-        usual_seconds = self._sender.router.gaps.stall_seconds(call.service)
-        give_up_after = max(call.route.objective_seconds / 2, usual_seconds)
+        half_objective = call.route.objective_seconds / 2
         if not self._attempts.may_try_another():
-            return SilenceLimits(give_up_after, float('inf'))
+            return SilenceLimits(half_objective, float('inf'))
+        usual_seconds = self._sender.router.gaps.stall_seconds(call.service)
+        give_up_after = max(half_objective, usual_seconds)
         return SilenceLimits(_SUSPECT_FRACTION * give_up_after, give_up_after)
 
     def _should_try_another(self, head: ResponseHead) -> bool:
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -165,18 +165,21 @@
         self, target: Target, silence: float
     ) -> None:
         """Report a silent target, unless this node has lost its path to it."""
-        heard_since = since_boot() - silence
+        instance = target.instance
+        silent_since = since_boot() - silence
         is_sound = self.router.has_heard_near(
-            target.instance, heard_since
-        ) or await self.connections.dialer.is_own_path_sound(target.instance)
+            instance, silent_since
+        ) or await self.router.dialer.is_own_path_sound(instance, silent_since)
         if is_sound:
             await self.report_suspicion(target, f'silent for {silence:.3f} s')
 
     async def _check_unreached_target(
-        self, target: Target, evidence: str
+        self, target: Target, evidence: str, failing_since: float
     ) -> None:
         """Report a target, unless this node has lost its path to it."""
-        if await self.connections.dialer.is_own_path_sound(target.instance):
+        if await self.router.dialer.is_own_path_sound(
+            target.instance, failing_since
+        ):
             await self.report_suspicion(target, evidence)
 
     def _check_silence(
@@ -220,6 +223,7 @@
         call: RoutedCall,
         target: Target,
     ) -> HttpConnection:
+        started = since_boot()
         try:
             return await self.connections.acquire(
                 target.instance,
@@ -230,7 +234,11 @@
             )
         except TargetUnreachableError as error:
             await curio.spawn(
-                self._check_unreached_target, target, str(error), daemon=True
+                self._check_unreached_target,
+                target,
+                str(error),
+                started,
+                daemon=True,
             )
             raise
 
--- a/src/cranecart/reachability/_dialer.py
+++ b/src/cranecart/reachability/_dialer.py
@@ -60,16 +60,18 @@
         self.paths.record_connected(instance)
         return connection
 
-    async def is_own_path_sound(self, instance: ListedInstance) -> bool:
+    async def is_own_path_sound(
+        self, instance: ListedInstance, failing_since: float
+    ) -> bool:
         """Return whether a failure at an instance is not this node's own.
 
-        If no connection to its group has succeeded just now, some other
-        instances are tried.
+        If no connection to its group has succeeded since it began to fail, some
+        other instances are tried.
         """
         async with self._lock:
             if self.paths.is_lost(instance):
                 return False
-            if self.paths.has_connected(instance):
+            if self.paths.has_connected(instance, failing_since):
                 return True
             references = self.paths.references(instance)
             return not references or await self._check(references)
--- a/src/cranecart/reachability/_paths.py
+++ b/src/cranecart/reachability/_paths.py
@@ -27,8 +27,6 @@
 _DISTINCT_SECONDS = 0.05
 # Other targets to which connections are opened in one check of a group.
 _REFERENCE_COUNT = 2
-# How long a connection that succeeded shows that the paths work.
-_CONNECTED_SECONDS = 0.25
 
 
 @attrs.frozen
@@ -142,12 +140,10 @@
             for service in services
         )
 
-    def has_connected(self, instance: ListedInstance) -> bool:
-        """Return whether a connection to its group has just succeeded."""
+    def has_connected(self, instance: ListedInstance, since: float) -> bool:
+        """Return whether a connection to its group has succeeded since."""
         paths = self._groups.get(PathGroup.of(instance))
-        if paths is None:
-            return False
-        return self._clock() - paths.connected_at < _CONNECTED_SECONDS
+        return paths is not None and paths.connected_at >= since
 
     def record_failed(self, instance: ListedInstance, reason: str) -> None:
         """Record a connection that could not be opened."""
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -21,7 +21,7 @@
 from cranecart.fleet import Evacuations, Fleet, ServingHead
 from cranecart.models import EngineModel, EngineProfile, RouteConfig
 from cranecart.ports import Incarnation, ListedInstance
-from cranecart.reachability import TargetPaths
+from cranecart.reachability import TargetDialer, TargetPaths
 from cranecart.routing._availability import (
     TargetT,
     available_targets,
@@ -88,7 +88,7 @@
         default=_ignore_report
     )
     throttle: TargetThrottle = attrs.field(factory=TargetThrottle)
-    paths: TargetPaths = attrs.field(factory=TargetPaths)
+    dialer: TargetDialer = attrs.field(factory=TargetDialer)
     evacuations: Evacuations = attrs.field(
         default=attrs.Factory(
             lambda router: router._fleet.evacuations, takes_self=True
@@ -123,6 +123,11 @@
     )
     in_flight: InFlightCounts = attrs.field(factory=InFlightCounts, init=False)
 
+    @property
+    def paths(self) -> TargetPaths:
+        """Return which targets this node reaches."""
+        return self.dialer.paths
+
     def choose(self, request: RoutingRequest) -> Target:
         """Return the target to send to.
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -102,7 +102,7 @@
                 lambda: self._mesh,
                 self._active_config.cold_start,
             ),
-            paths=self._dialer.paths,
+            dialer=self._dialer,
         )
         self._node_demand = NodeDemand(self._router.shortage.exchange)
         self._router.paces.is_enabled = settings.learns_pace
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -335,11 +335,11 @@
                 incarnation.id
             ),
             throttle=self._make_throttle(),
-            paths=TargetPaths(lambda: self.fleet.instances.values()),
-        )
-        self.connections = TargetConnectionPool(
-            dialer=TargetDialer(self.router.paths)
+            dialer=TargetDialer(
+                TargetPaths(lambda: self.fleet.instances.values())
+            ),
         )
+        self.connections = TargetConnectionPool(dialer=self.router.dialer)
         self.resume_guard = ResumeGuard()
         # Called with updates on requests that crash targets.
         self.publish_cases: Callable[[Sequence[CaseUpdate]], None] = (
--- a/tests/unit/test_path_evidence.py
+++ b/tests/unit/test_path_evidence.py
@@ -1,17 +1,21 @@
 """What a node concludes from failures that may be those of its own paths."""
 
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 
 import curio
 
-from tests.lib.fake_targets import Exchange, GatewayTestbed
+from tests.lib.fake_targets import PLAIN, Exchange, GatewayTestbed
 from tests.lib.waiting import until
 
 _PAUSE_SECONDS = 1.2
 # Within this time evidence is reported, if it is.
 _REPORT_SECONDS = 0.3
 _FAILURES_TO_EJECT = 3
+_REQUESTS = 12
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _EVENTS = b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n'
 
 Scenario = Callable[[GatewayTestbed], Awaitable[None]]
@@ -33,6 +37,10 @@
     await exchange.end_stream()
 
 
+async def _sleep(_exchange: Exchange) -> None:
+    await curio.sleep(30)
+
+
 class SilentTargetTest(unittest.TestCase):
     """Sound targets that fall silent for a second, and go on."""
 
@@ -80,5 +88,56 @@
         self.assertIn('cannot be reached', testbed.evidence[0])
 
 
+class BrokenConnectionsTest(unittest.TestCase):
+    """Connections that are reset while no new ones can be opened."""
+
+    def test_own_reset_connections_eject_plain_targets_everywhere(self) -> None:
+        """No node passes over instances for the sake of one node's paths."""
+        testbed = GatewayTestbed(_sleep, _sleep, _sleep, service=PLAIN)
+        curio.run(testbed.run, self._check_plain)
+
+    def test_own_reset_connections_eject_replicas(self) -> None:
+        """Replicas are used again as soon as the paths are back."""
+        testbed = GatewayTestbed(_sleep, _sleep, _sleep)
+        curio.run(testbed.run, self._check_replicas)
+
+    async def _check_plain(self, testbed: GatewayTestbed) -> None:
+        await _reset_all(testbed, '/unsafe/x')
+        self.assertEqual(testbed.reported_broken, [])
+        self._check_none_ejected(testbed)
+
+    async def _check_replicas(self, testbed: GatewayTestbed) -> None:
+        await _reset_all(testbed, '/once/x')
+        self._check_none_ejected(testbed)
+
+    def _check_none_ejected(self, testbed: GatewayTestbed) -> None:
+        ejected = [
+            name
+            for name, item in testbed.fleet.instances.items()
+            if testbed.router._ejection.is_ejected(item.incarnation)
+        ]
+        self.assertEqual(ejected, [])
+
+
+async def _reset_all(testbed: GatewayTestbed, path: str) -> None:
+    """Reset many requests' connections while new ones are refused."""
+    asking = [
+        await curio.spawn(testbed.ask(path, request_id=f'r{number}'))
+        for number in range(_REQUESTS)
+    ]
+    await until(
+        lambda: sum(len(item.received) for item in testbed.targets) == _REQUESTS
+    )
+    for target in testbed.targets:
+        testbed.make_unreachable(target.name)
+        for exchange in target.received:
+            exchange.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            await exchange.sock.close()
+    for task in asking:
+        await task.join()
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -71,10 +71,8 @@
     Mechanism(
         'liveness check on first silence',
         'forwarding/_sender.py',
-        """await self.report_suspicion(
-                    target, f'silent for {silence:.3f} s'
-                )""",
-        'continue',
+        "await self.report_suspicion(target, f'silent for {silence:.3f} s')",
+        'return',
     ),
     Mechanism(
         'stalled replicas abandoned',
