Judge members by listening instances, not by refused connections

With refused connections a placer without paths finds all members of each replica that it checks dead, tells all nodes at once that the replicas have stopped, and ends them.

Cause: a refused connection counted as an answer of the instance's machine, so that a check in which all were refused was conclusive.

--- a/src/cranecart/grouping/_liveness.py
+++ b/src/cranecart/grouping/_liveness.py
@@ -76,25 +76,26 @@
         members: Sequence[ListedInstance],
         reference_instances: Sequence[ListedInstance] = (),
     ) -> LivenessResult:
-        """Probe all members at once; if none answers, probe others as well.
+        """Probe all members at once; if none listens, probe others as well.
 
-        If the reference instances do not answer either, this node's own link
-        may be saturated or cut, so the result is inconclusive. The instance
-        list shows later which members have died.
+        If no reference instance listens either, this node's own link may be
+        saturated or cut, so the result is inconclusive. A refused connection
+        does not show that the path works: it may be refused on the way. The
+        instance list shows later which members have died.
         """
         self.checks += 1
         started = self._clock()
         answers = await self._probe_all(members)
-        has_answer = _any_answered(answers)
+        is_path_sound = any(answers.values())
         elapsed = self._clock() - started
-        if not has_answer:
+        if not is_path_sound:
             # Members are probed again too, because time has passed.
             started = self._clock()
             all_answers = await self._probe_all(
                 (*members, *reference_instances)
             )
             answers = {instance: all_answers[instance] for instance in members}
-            has_answer = _any_answered(all_answers)
+            is_path_sound = any(all_answers.values())
             elapsed = self._clock() - started
         outcome = LivenessResult(
             frozenset(
@@ -107,7 +108,7 @@
                 for instance, answer in answers.items()
                 if answer is False
             ),
-            has_answer
+            is_path_sound
             and elapsed
             < _CONNECT_TIMEOUT_SECONDS + _MAX_SCHEDULING_DELAY_SECONDS,
         )
@@ -131,10 +132,6 @@
         return dict(zip(instances, tasks.results, strict=True))
 
 
-def _any_answered(answers: Mapping[ListedInstance, bool | None]) -> bool:
-    return any(answer is not None for answer in answers.values())
-
-
 async def _probe_after(instance: ListedInstance, wait: float) -> bool | None:
     """Connect once, after a delay; all attempts share one deadline.
 
