Confirm that a target ended by others that are reached

A node whose connections are reset while new ones are refused counted each request that had just begun anywhere as one that ended its target; with the same request at three targets it would be held at all nodes for minutes.

Cause: a refused connection was proof that nothing listens at the target, though it may be refused on the way.

Change: a refusal is proof only if another target near it was reached since; otherwise the break is kept until the list shows whether the target ended, as for ports that still answer.

Measured: test_refusals_on_lost_paths_taken_for_terminations; a probe that was refused was True whatever the paths before (the test could not be run against the old signature), now False on lost paths.

--- a/src/cranecart/quarantine/_probe.py
+++ b/src/cranecart/quarantine/_probe.py
@@ -27,17 +27,25 @@
     await connection.close()
 
 
+async def _trust_path(_runner: Runner, _since: float) -> bool:
+    """Treat refused connections as refused by the target's machine."""
+    return True
+
+
 @attrs.define
 class TerminationProbe:
     """Probes the port of an incarnation once for all broken connections.
 
-    A refused connection proves that nothing listens there any more. An
+    A refused connection proves that nothing listens there any more, unless
+    other targets are not reached either: then it may be refused on the way. An
     accepted connection or a missing answer proves nothing, as connections may
     be reset and network paths may fail while the target keeps running.
     """
 
     _connect: Callable[[Address], Awaitable[None]] = connect_once
     _clock: Callable[[], float] = since_boot
+    # Returns whether other targets near a runner were reached since a time.
+    _is_path_sound: Callable[[Runner, float], Awaitable[bool]] = _trust_path
     _probed: dict[Incarnation, tuple[bool, float]] = attrs.field(
         factory=dict,
         init=False,
@@ -52,7 +60,7 @@
         async with self._locks.setdefault(incarnation, curio.Lock()):
             has_terminated = self._cached(incarnation)
             if has_terminated is None:
-                has_terminated = await self._probe(runner.address)
+                has_terminated = await self._probe(runner)
                 self._probed[incarnation] = (has_terminated, self._clock())
         return has_terminated
 
@@ -78,11 +86,12 @@
         )
         return has_terminated if self._clock() - at < max_age else None
 
-    async def _probe(self, address: Address) -> bool:
+    async def _probe(self, runner: Runner) -> bool:
+        started = self._clock()
         try:
-            await self._connect(address)
+            await self._connect(runner.address)
         except ConnectRefusedError:
-            return True
+            return await self._is_path_sound(runner, started)
         except ConnectFailedError:
             return False
         return False
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -112,6 +112,7 @@
             self._platform_adapters.table,
             self._fleet,
             lambda: self._mesh,
+            self._dialer,
         )
         self._followers = PlatformFollowers.from_adapters(
             self._platform_adapters,
--- a/src/cranecart/serving/_quarantine.py
+++ b/src/cranecart/serving/_quarantine.py
@@ -9,7 +9,14 @@
 from cranecart.fleet import Fleet
 from cranecart.mesh import Mesh, RequestCases
 from cranecart.ports import Incarnation, Table
-from cranecart.quarantine import CaseUpdate, HeldRows, RequestGuard, Runner
+from cranecart.quarantine import (
+    CaseUpdate,
+    HeldRows,
+    RequestGuard,
+    Runner,
+    TerminationProbe,
+)
+from cranecart.reachability import TargetDialer
 
 
 @attrs.frozen
@@ -27,6 +34,7 @@
         table: Table,
         fleet: Fleet,
         mesh: Callable[[], Mesh],
+        dialer: TargetDialer,
     ) -> Self:
         """Build the quarantine of a node; no request is known yet."""
 
@@ -46,8 +54,19 @@
             # Its entry was removed: a termination, unless it was leaving.
             return not instance.leaving
 
+        async def is_path_sound(  # noqa: WPS430
+            runner: Runner, since: float
+        ) -> bool:
+            instance = fleet.find_instance(runner.id)
+            return instance is None or await dialer.is_own_path_sound(
+                instance, since
+            )
+
         guard = RequestGuard(
-            is_expected, publish, has_terminated=has_terminated
+            is_expected,
+            publish,
+            probe=TerminationProbe(is_path_sound=is_path_sound),
+            has_terminated=has_terminated,
         )
         return cls(guard, HeldRows(node_id, table, guard.cases), fleet)
 
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -22,6 +22,7 @@
     CaseUpdate,
     HeldRows,
     RequestGuard,
+    Runner,
     Termination,
     TerminationProbe,
     Verdict,
@@ -214,6 +215,15 @@
                 )
                 self.assertIs(has_terminated, ended)
 
+    def test_refusals_on_lost_paths_taken_for_terminations(self) -> None:
+        """A connection refused on the way does not show that a target ended."""
+        probe = TerminationProbe(
+            _Port(ConnectRefusedError('nothing listens')),
+            is_path_sound=_is_path_lost,
+        )
+        has_terminated = curio.run(probe.has_terminated, _listed_instance(0))
+        self.assertFalse(has_terminated)
+
     def test_concurrent_probes_connect_once(self) -> None:
         """Thirty simultaneous probes open one connection."""
         port = _Port(ConnectRefusedError('nothing listens'))
@@ -454,6 +464,10 @@
             raise self.error
 
 
+async def _is_path_lost(_runner: Runner, _since: float) -> bool:
+    return False
+
+
 def _guard(
     port: _Port,
     clock: _Clock | None = None,
