Give the placement duty up at a node that reaches no engine

Cause: a placer held its duty whatever became of its orders.

A check of members that nobody answers has the paths checked, so that a placer without requests of its own knows too. If no node of the failure domain reaches its engines, nobody holds the duty: replicas serve on as they are.

--- a/src/cranecart/grouping/_environment.py
+++ b/src/cranecart/grouping/_environment.py
@@ -1,12 +1,12 @@
 """The interface between a placer and the rest of its node."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 
 from cranecart.fleet import ReplicaRecord
 from cranecart.models import RouteConfig
-from cranecart.ports import Incarnation
+from cranecart.ports import Incarnation, ListedInstance
 
 
 def never_cold(_incarnation: Incarnation) -> float:
@@ -14,6 +14,15 @@
     return 0
 
 
+def reach_all() -> bool:
+    """Return whether instances are reached where all are."""
+    return True
+
+
+async def check_nothing(_instance: ListedInstance) -> None:
+    """Check no path where none can be lost."""
+
+
 @attrs.frozen
 class PlacerEnvironment:
     """Callbacks through which a placer reads and informs its node.
@@ -27,6 +36,8 @@
     store. ``announce_stopped`` announces to all nodes that a replica accepts no
     more requests, why, and whether it completes the running ones.
     ``cold_seconds`` returns how long an instance stays cold.
+    ``reaches_targets`` returns whether this node reaches any of the instances
+    that it would place replicas on, and ``check_path`` finds that out again.
     """
 
     config: Callable[[], RouteConfig | None]
@@ -38,6 +49,8 @@
     is_isolated: Callable[[], bool] = bool
     is_store_unreachable: Callable[[], bool] = bool
     cold_seconds: Callable[[Incarnation], float] = never_cold
+    reaches_targets: Callable[[], bool] = reach_all
+    check_path: Callable[[ListedInstance], Awaitable[object]] = check_nothing
 
 
 @attrs.frozen
--- a/src/cranecart/grouping/_failure_detector.py
+++ b/src/cranecart/grouping/_failure_detector.py
@@ -7,6 +7,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._environment import check_nothing
 from cranecart.grouping._liveness import LivenessCheck
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
@@ -28,6 +29,8 @@
     _fleet: Fleet
     # Called at once for a replica that has lost a member.
     _on_loss: Callable[[ReplicaRecord], Awaitable[None]]
+    # Finds out whether this node reaches the instances near one.
+    _check_path: Callable[[ListedInstance], Awaitable[object]] = check_nothing
     _clock: Callable[[], float] = since_boot
     liveness: LivenessCheck = attrs.field(factory=LivenessCheck, init=False)
     _lost_at: dict[Incarnation, float] = attrs.field(factory=dict, init=False)
@@ -102,10 +105,12 @@
 
     async def _check(self, record: ReplicaRecord) -> None:
         members = [self._fleet.find_instance(name) for name in record.members]
+        known = [member for member in members if member is not None]
         outcome = await self.liveness.check(
-            [member for member in members if member is not None],
-            self._reference_instances(record),
+            known, self._reference_instances(record)
         )
+        if not outcome.is_conclusive and known:
+            await self._check_path(known[0])
         if outcome.is_conclusive:
             for name in outcome.lost:
                 self.report_lost(name, 'no answer to connection attempts')
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -59,7 +59,9 @@
     ) -> None:
         """Build the parts; nothing runs until ``run``."""
         self.lease = lease
-        self.failure_detector = FailureDetector(fleet, self._announce_loss)
+        self.failure_detector = FailureDetector(
+            fleet, self._announce_loss, environment.check_path
+        )
         self._wake = curio.Event()
         self._scope = scope
         self._fleet = fleet
@@ -196,6 +198,9 @@
         now = since_boot()
         was_stalled = now - self._ticked_at > _STALL_SECONDS
         self._ticked_at = now
+        if not self._environment.reaches_targets():
+            await self._leave_duty()
+            return
         if self.lease.is_held:
             is_due = now - self._lease_checked_at > self._renew_seconds()
             if was_stalled or is_due or self._needs_reread(now):
@@ -220,6 +225,12 @@
             await self._read_records()
             self._is_failing = False
 
+    async def _leave_duty(self) -> None:
+        """Let a node that reaches the instances take the duty over at once."""
+        if self.lease.is_held:
+            log_decision('duty_left', duty=self.lease.duty, why='no paths')
+            await self.lease.release()
+
     def _needs_reread(self, now: float) -> bool:
         """Return whether to read again because the table was restored."""
         if now - self._lease_checked_at < _REREAD_SECONDS:
--- a/src/cranecart/reachability/_paths.py
+++ b/src/cranecart/reachability/_paths.py
@@ -22,6 +22,8 @@
 # Interval of the checks of single targets; it doubles with each failure.
 _MIN_CHECK_SECONDS = 0.1
 _MAX_CHECK_SECONDS = 1.0
+# A loss that has lasted this long was confirmed by other targets of the group.
+_CONFIRMED_SECONDS = 0.25
 # Connections that are attempted at once, as in a burst of requests, fail within
 # this time of each other and prove no more than one of them.
 _DISTINCT_SECONDS = 0.05
@@ -128,16 +130,28 @@
             paths.lost_at is not None or instance.incarnation in paths.unreached
         )
 
-    def reaches_domain(self, failure_domain: str) -> bool:
-        """Return whether any target of a failure domain is reached."""
-        services = {
+    def is_domain_lost(
+        self, failure_domain: str, is_relevant: Callable[[str], bool]
+    ) -> bool:
+        """Return whether no target of a failure domain's services is reached.
+
+        Only services that are relevant count, and only losses that checks have
+        confirmed.
+        """
+        confirmed = {
+            group.service
+            for group, paths in self._impaired.items()
+            if group.failure_domain == failure_domain
+            and self._is_confirmed(paths)
+        }
+        # Without this, each call would go through all instances.
+        if not confirmed:
+            return False
+        return confirmed.issuperset(
             instance.service
             for instance in self._listed()
             if instance.failure_domain == failure_domain
-        }
-        return not services or not all(
-            self._is_lost(PathGroup(service, failure_domain))
-            for service in services
+            and is_relevant(instance.service)
         )
 
     def has_connected(self, instance: ListedInstance, since: float) -> bool:
@@ -244,6 +258,11 @@
         paths = self._impaired.get(group)
         return paths is not None and paths.lost_at is not None
 
+    def _is_confirmed(self, paths: _GroupPaths) -> bool:
+        if paths.lost_at is None:
+            return False
+        return self._clock() - paths.lost_at >= _CONFIRMED_SECONDS
+
     def _has_lost(self, group: PathGroup, paths: _GroupPaths) -> bool:
         if len(paths.failed) >= _MIN_FAILED_TARGETS:
             return True
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -139,6 +139,7 @@
                 self._followers,
                 self._report_stopped,
                 self._router.throttle.cold_seconds,
+                self._dialer,
             ),
         )
         self._target_connections = make_target_connections(
--- a/src/cranecart/serving/_placement.py
+++ b/src/cranecart/serving/_placement.py
@@ -1,5 +1,6 @@
 """Build this node's placer. Importing this module loads the placement code."""
 
+from cranecart.clocks import since_boot
 from cranecart.fleet import placement_duty
 from cranecart.grouping import GroupPlacer, PlacerEnvironment, PlacerScope
 from cranecart.leases import Lease, LeaseTimeouts
@@ -34,6 +35,10 @@
         mesh.state.roster.is_isolated,
         lambda: dependencies.followers.reachability.is_unreachable,
         dependencies.cold_seconds,
+        lambda: _reaches_targets(dependencies),
+        lambda instance: dependencies.dialer.is_own_path_sound(
+            instance, since_boot()
+        ),
     )
     table = dependencies.platform_adapters.table
     return GroupPlacer(
@@ -46,6 +51,15 @@
     )
 
 
+def _reaches_targets(dependencies: PlacerDependencies) -> bool:
+    """Return whether this node reaches any engine of its failure domain."""
+    config = dependencies.config.current()
+    return config is None or not dependencies.dialer.paths.is_domain_lost(
+        dependencies.settings.failure_domain,
+        lambda service: config.engine(service) is not None,
+    )
+
+
 def _lease(settings: ServingSettings, table: Table) -> Lease:
     return Lease(
         placement_duty(settings.failure_domain),
--- a/src/cranecart/serving/_placer_host.py
+++ b/src/cranecart/serving/_placer_host.py
@@ -12,6 +12,7 @@
 from cranecart.logs import log_decision
 from cranecart.mesh import Mesh
 from cranecart.ports import Incarnation
+from cranecart.reachability import TargetDialer
 from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.serving._followers import PlatformFollowers
 from cranecart.serving._platform_adapters import PlatformAdapters
@@ -38,6 +39,7 @@
     followers: PlatformFollowers
     report_stopped: Callable[[ReplicaRecord, str, bool], None]
     cold_seconds: Callable[[Incarnation], float]
+    dialer: TargetDialer
 
 
 @attrs.define
