Take a refused order for unknown where other instances refuse as well

With refused connections a placer took each instance that it ordered to join or open for one that had stopped listening, counted it as lost and formed others.

Cause: a refused connection was the instance's own refusal.

Change: it is, if another instance near it was reached since the order began; else the outcome is unknown, as without an answer.

Measured: test_refusal_on_lost_paths_taken_for_a_stopped_instance (new argument, so it cannot run on the old code, which raised TargetNotListeningError for each refusal).

--- a/src/cranecart/platform/_orders.py
+++ b/src/cranecart/platform/_orders.py
@@ -7,6 +7,7 @@
 import msgspec
 from curio.errors import TaskTimeout
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     ConnectFailedError,
     HttpError,
@@ -25,16 +26,24 @@
 _ACCEPTED_STATUSES = frozenset((200, 202))
 _MISDIRECTED = 421
 _FENCED = 412
+IsPathSound = Callable[[ListedInstance, float], Awaitable[bool]]
 _SendOrder = Callable[[ListedInstance, Request], Awaitable[int]]
 
 
+async def _trust_path(_instance: ListedInstance, _since: float) -> bool:
+    """Treat refused connections as refused by the instance's machine."""
+    return True
+
+
 @attrs.define
 class PlatformOrders:
     """Sends orders on persistent connections, one at a time per instance.
 
-    ``sent`` counts the orders, including failed ones.
+    ``_is_path_sound`` returns whether other instances near one were reached
+    since a time. ``sent`` counts the orders, including failed ones.
     """
 
+    _is_path_sound: IsPathSound = _trust_path
     sent: int = attrs.field(default=0, init=False)
     _pool: HttpConnectionPool = attrs.field(
         factory=HttpConnectionPool, init=False
@@ -122,6 +131,7 @@
         send: _SendOrder | None = None,
     ) -> None:
         self.sent += 1
+        started = since_boot()
         request = Request(
             'POST',
             '/order',
@@ -139,7 +149,10 @@
                 request,
             )
         except ConnectFailedError as error:
-            raise _connect_error(instance, error) from error
+            is_path_sound = await self._is_path_sound(instance, started)
+            raise _connect_error(
+                instance, error, is_path_sound=is_path_sound
+            ) from error
         except (HttpError, TaskTimeout) as error:
             raise OrderUnknownError(f'{instance.id}: {error!r}') from error
         _check_status(instance, status)
@@ -176,8 +189,11 @@
 def _connect_error(
     instance: ListedInstance,
     error: ConnectFailedError,
+    *,
+    is_path_sound: bool,
 ) -> OrderUnknownError | TargetNotListeningError:
-    if isinstance(error.__cause__, ConnectionRefusedError):
+    is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+    if is_refused and is_path_sound:
         return TargetNotListeningError(f'{instance.id}: connection refused')
     return OrderUnknownError(f'{instance.id}: {error}')
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -80,13 +80,15 @@
         self._random_source = random.Random()
         self._active_config = ActiveRouteConfig()
         self._fleet = Fleet()
-        self._platform_adapters = PlatformAdapters.from_settings(settings)
+        self._dialer = make_dialer(self._fleet, lambda: self._mesh)
+        self._platform_adapters = PlatformAdapters.from_settings(
+            settings, self._dialer
+        )
         self._registration = NodeRegistration(
             settings,
             self._platform_adapters.table,
             bool(settings.cold_overshoot),
         )
-        self._dialer = make_dialer(self._fleet, lambda: self._mesh)
         self._router = TargetRouter(
             self._fleet,
             self._random_source,
--- a/src/cranecart/serving/_platform_adapters.py
+++ b/src/cranecart/serving/_platform_adapters.py
@@ -25,6 +25,7 @@
     Source,
     Table,
 )
+from cranecart.reachability import TargetDialer
 from cranecart.settings import ServingSettings
 
 
@@ -44,7 +45,9 @@
     store_call_counts: Counter[str]
 
     @classmethod
-    def from_settings(cls, settings: ServingSettings) -> Self:
+    def from_settings(
+        cls, settings: ServingSettings, dialer: TargetDialer
+    ) -> Self:
         """Build the adapters for the platform address in the settings."""
         store = StoreClient(Address.from_text(settings.platform_address))
         return cls(
@@ -56,7 +59,7 @@
                 RECORDS_TABLE,
                 (RECORDS_PART,),
             ),
-            PlatformOrders(),
+            PlatformOrders(dialer.is_own_path_sound),
             PlatformCallTranslator(),
             store.counts,
         )
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -15,6 +15,7 @@
 )
 from cranecart.http import Address
 from cranecart.platform import PlatformOrders
+from cranecart.ports import ListedInstance
 from cranecart.standins import (
     NamedRequest,
     ResponseStyle,
@@ -78,6 +79,12 @@
         error = curio.run(self._order, Address('127.0.0.1', 1))
         self.assertIsInstance(error, TargetNotListeningError)
 
+    def test_refusal_on_lost_paths_taken_for_a_stopped_instance(self) -> None:
+        """It may be refused on the way, so the outcome is unknown."""
+        orders = PlatformOrders(_lost_path)
+        error = curio.run(self._order, Address('127.0.0.1', 1), orders)
+        self.assertIsInstance(error, OrderUnknownError)
+
     def test_late_answer_confirms_no_leave(self) -> None:
         """A late answer to another order does not confirm a leave.
 
@@ -105,15 +112,22 @@
         finally:
             await task.cancel()
 
-    async def _order(self, address: Address) -> OrderError | None:
+    async def _order(
+        self, address: Address, orders: PlatformOrders | None = None
+    ) -> OrderError | None:
         instance = attrs.evolve(listed_instance('i', address))
+        sender = orders or PlatformOrders()
         try:
-            await PlatformOrders().join(instance, 'r', 7, 'm', ['i', 'j'], 3)
+            await sender.join(instance, 'r', 7, 'm', ['i', 'j'], 3)
         except OrderError as error:
             return error
         return None
 
 
+async def _lost_path(_instance: ListedInstance, _since: float) -> bool:
+    return False
+
+
 async def _close_then_leave(engine: ScriptedService) -> None:
     serving = await curio.spawn(engine.run)
     orders = PlatformOrders()
