--- a/tests/lib/path_testbed.py
+++ b/tests/lib/path_testbed.py
@@ -81,12 +81,18 @@
 class PathTestbed:
     """A store, targets and nodes; ``failure_domains`` are by node and target."""
 
-    def __init__(self, test: NodeProcessTestCase, **settings: Any) -> None:
-        """Create the store with its configuration; nothing runs yet."""
+    def __init__(
+        self, test: NodeProcessTestCase, prefix: str = '', **settings: Any
+    ) -> None:
+        """Create the store with its configuration; nothing runs yet.
+
+        The ``prefix`` tells the files of several testbeds of a test apart.
+        """
         self.store = StandinStore()
         self.targets: dict[str, FakeTarget] = {}
         self.nodes: dict[str, PathNode] = {}
         self._test = test
+        self._prefix = prefix
         self._settings = settings
         self._tasks: list[curio.Task] = []
         self._platform: Address | None = None
@@ -128,7 +134,7 @@
         self._tasks.append(await curio.spawn(paths.run))
         process = self._test.start_node(
             self._platform,
-            name,
+            f'{self._prefix}{name}',
             redirects=paths.redirects(),
             failure_domain=domain,
             failure_domains=['east', 'west'],
