Check all groups after a loss, and leave the balancer without targets and peers

After the first lost group two targets of each other group are tried once.

A node that reaches neither targets nor other nodes can only refuse; it fails its health check until either is back. With other nodes alive it stays ready, as requests are passed on, or no node is better. Idle connections to peers are closed once all targets are reached.

test_other_groups_are_checked_after_a_loss and test_ready_without_targets_and_peers failed before.

--- a/src/cranecart/peer_calls/_choice.py
+++ b/src/cranecart/peer_calls/_choice.py
@@ -101,6 +101,10 @@
             peer.failure_domain, self._clock() + seconds
         )
 
+    def has_live_peers(self) -> bool:
+        """Return whether any other node is alive."""
+        return any(True for _peer in self._live_peers())
+
     def is_live(self, peer: Peer) -> bool:
         """Return whether a peer is still alive."""
         return any(other.name == peer.name for other in self._live_peers())
--- a/src/cranecart/reachability/_paths.py
+++ b/src/cranecart/reachability/_paths.py
@@ -107,6 +107,8 @@
     _groups: dict[PathGroup, _GroupPaths] = attrs.field(
         factory=dict, init=False
     )
+    # The groups to which paths may be lost, as others are.
+    _suspects: set[PathGroup] = attrs.field(factory=set, init=False)
     # The groups with targets that were not reached.
     _impaired: dict[PathGroup, _GroupPaths] = attrs.field(
         factory=dict, init=False
@@ -154,6 +156,12 @@
             and is_relevant(instance.service)
         )
 
+    def is_everything_lost(self) -> bool:
+        """Return whether no target at all is reached, as checks confirmed."""
+        if not all(map(self._is_confirmed, self._impaired.values())):
+            return False
+        return bool(self._impaired) and all(map(self.is_lost, self._listed()))
+
     def has_connected(self, instance: ListedInstance, since: float) -> bool:
         """Return whether a connection to its group has succeeded since."""
         paths = self._groups.get(PathGroup.of(instance))
@@ -217,7 +225,12 @@
         single targets that were not reached for some time.
         """
         now = self._clock()
-        due: dict[str, ListedInstance] = {}
+        due = {
+            member.id: member
+            for group in self._suspects
+            for member in self._sample(self._members(group))
+        }
+        self._suspects.clear()
         for group, paths in self._impaired.items():
             members = self._members(group)
             if paths.failed and paths.check_at <= now:
@@ -299,6 +312,11 @@
         now = self._clock()
         paths.lost_at = now
         self.losses += 1
+        self._suspects = {
+            PathGroup.of(instance)
+            for instance in self._listed()
+            if not instance.leaving
+        }.difference(self._impaired)
         failing_since = min(
             paths.unreached[incarnation].since for incarnation in paths.failed
         )
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -284,6 +284,8 @@
             self._router.throttle.refresh(listed_incarnations)
             self._router.paces.refresh(listed_incarnations)
             self._dialer.paths.prune(listed_incarnations)
+            if not self._dialer.paths.is_impaired:
+                await self._peer_requests.client.close_idle()
             await self._quarantine.refresh()
             if self._registration.needs_registration:
                 await curio.spawn(self._registration.register, daemon=True)
@@ -376,7 +378,12 @@
 
     def _is_ready(self) -> bool:
         has_room = not self._client_server.is_full
-        return self._is_informed() and has_room and not self._is_stopping
+        return (
+            self._is_informed()
+            and has_room
+            and not self._is_stopping
+            and not self._peer_requests.is_cut_off(self._dialer.paths)
+        )
 
     def _apply_client_limits(self, config: RouteConfig) -> None:
         self._client_server.limits = server_limits(
--- a/src/cranecart/serving/_peer_requests.py
+++ b/src/cranecart/serving/_peer_requests.py
@@ -12,6 +12,7 @@
 from cranecart.mesh import Mesh
 from cranecart.models import ClientLimits, RouteConfig
 from cranecart.peer_calls import Peer, PeerChoice, PeerClient, PeerEndpoint
+from cranecart.reachability import TargetPaths
 from cranecart.serving._factories import peer_server_limits
 from cranecart.settings import ServingSettings
 
@@ -59,6 +60,16 @@
         """Return how many requests of other nodes are being handled."""
         return self._gateway.in_flight
 
+    def is_cut_off(self, paths: TargetPaths) -> bool:
+        """Return whether this node reaches neither targets nor other nodes.
+
+        With other nodes, requests are passed on, or there is no better node.
+        """
+        return (
+            paths.is_everything_lost()
+            and not self.client.choice.has_live_peers()
+        )
+
     def peers_of_call(self) -> PeersOfCall:
         """Return the peers that a client's request may be passed on to."""
         return PeersOfCall(self.client, self._node_id)
--- a/tests/functional/test_lost_paths.py
+++ b/tests/functional/test_lost_paths.py
@@ -11,6 +11,7 @@
 from tests.lib.fake_targets import Exchange, Script
 from tests.lib.node_processes import NodeProcessTestCase
 from tests.lib.path_testbed import PathAnswer, PathNode, PathTestbed
+from tests.lib.waiting import until
 
 _REQUESTS = 40
 _PAUSE_SECONDS = 0.02
@@ -71,6 +72,10 @@
         """They are refused at once as not run, with a time to come back."""
         curio.run(self._cut_all)
 
+    def test_ready_without_targets_and_peers(self) -> None:
+        """A node that can serve nobody is left out; with peers it is not."""
+        curio.run(self._cut_off_alone)
+
     def test_streams_cut_by_a_helper(self) -> None:
         """Streams go on if the node that passes them on is killed or hangs.
 
@@ -98,6 +103,7 @@
             await testbed.cut(list(testbed.nodes), Cut.HANG)
             node = testbed.nodes['n1']
             await node.served('/safe/', _REQUESTS, _PAUSE_SECONDS)
+            await node.wait_until_ready(is_ready=True)
             for path in ('/safe/', '/unsafe/', '/stream/'):
                 started = time.monotonic()
                 answer = await node.ask(path)
@@ -106,6 +112,18 @@
                 self.assertGreater(float(answer.headers['retry-after']), 0)
                 self.assertLess(elapsed, _REFUSAL_SECONDS)
 
+    async def _cut_off_alone(self) -> None:
+        async with PathTestbed(self) as testbed:
+            for number, domain in enumerate(_DOMAINS):
+                await testbed.add_target(f't-{number}', domain, _answer)
+            node = await testbed.add_node('n1', 'east')
+            await testbed.wait_until_serving()
+            await node.paths.cut(Cut.HANG)
+            await node.served('/safe/', 2, 0)
+            await node.wait_until_ready(is_ready=False)
+            await node.paths.cut(Cut.NONE)
+            await node.wait_until_ready(is_ready=True)
+
     async def _stop_helper(self, number: signal.Signals) -> None:
         async with PathTestbed(self, prefix=number.name) as testbed:
             await _start_four(testbed, _stream_slowly)
@@ -119,8 +137,8 @@
             await curio.sleep(_EVENTS * _EVENT_SECONDS / 3)
             helper.process.process.send_signal(number)
             answers = [await stream.join() for stream in streams]
-            passed_on = cut.process.events('passed_on')
-        self.assertTrue(passed_on)
+            # The lines of a request are written when it has ended.
+            await until(lambda: bool(cut.process.events('passed_on')))
         for answer in answers:
             self.assertEqual(_event_ids(answer), list(range(1, _EVENTS + 1)))
 
--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -86,11 +86,12 @@
         """
         self.client = addresses.take()
         self.metrics = addresses.take()
+        self.ready = addresses.take()
         all_settings = {
             'node_id': name,
             'failure_domain': 'east',
             'client_address': str(self.client),
-            'ready_address': str(addresses.take()),
+            'ready_address': str(self.ready),
             'peer_address': str(addresses.take()),
             'peer_request_address': str(addresses.take()),
             'metrics_address': str(self.metrics),
--- a/tests/lib/path_testbed.py
+++ b/tests/lib/path_testbed.py
@@ -10,7 +10,7 @@
 import curio
 
 from cranecart.exceptions import HttpError
-from cranecart.http import Address, HttpConnection, Request
+from cranecart.http import Address, HttpConnection, Request, exchange
 from tests.lib.cut_paths import Cut, CuttablePaths
 from tests.lib.fake_targets import FakeTarget, Script
 from tests.lib.node_processes import NodeProcess, NodeProcessTestCase
@@ -22,6 +22,10 @@
 SERVICE = 'crew'
 START_SECONDS = 15
 _OK = 200
+_UNAVAILABLE = 503
+# Health checks within three seconds.
+_POLL_SECONDS = 0.05
+_READY_POLLS = 60
 # Many more retries than a test needs.
 _RETRY_SLACK = 300
 _ROUTE = MappingProxyType(
@@ -69,6 +73,20 @@
         finally:
             await connection.close()
 
+    async def wait_until_ready(self, *, is_ready: bool) -> None:
+        """Return once the load balancer's health check gets this answer."""
+        expected = _OK if is_ready else _UNAVAILABLE
+        status = 0
+        for _ in range(_READY_POLLS):
+            response = await exchange(
+                self.process.ready, Request('GET', '/'), 1
+            )
+            status = response.status
+            if status == expected:
+                return
+            await curio.sleep(_POLL_SECONDS)
+        raise AssertionError(f'the health check was answered with {status}')
+
     async def served(self, path: str, count: int, pause: float) -> list[bool]:
         """Return which of several requests were served at the first try."""
         tasks = []
--- a/tests/unit/test_target_paths.py
+++ b/tests/unit/test_target_paths.py
@@ -88,6 +88,19 @@
         self.paths.record_connected(_EAST[3])
         self.assertFalse(self._is_east_lost())
 
+    def test_everything_lost(self) -> None:
+        """Only if no target of any service or domain is reached."""
+        for instance in (*_EAST, *_WEST):
+            self.paths.record_failed(instance, 'timeout')
+        self.now += 0.3
+        self.assertFalse(self.paths.is_everything_lost())
+        self.paths.record_failed(_CREW, 'timeout')
+        self.now += 0.1
+        self.paths.record_failed(_CREW, 'timeout')
+        self.assertFalse(self.paths.is_everything_lost())
+        self.now += 0.3
+        self.assertTrue(self.paths.is_everything_lost())
+
     def test_restored_paths_forget_all_failures(self) -> None:
         """Failures during a loss say nothing about their targets."""
         self._lose_east()
@@ -117,6 +130,14 @@
         self.assertLess(set(due), set(_EAST))
         self.assertEqual(self.paths.due_checks(), [])
 
+    def test_other_groups_are_checked_after_a_loss(self) -> None:
+        """A node that lost all paths knows so before requests need them."""
+        self._lose_east()
+        due = set(self.paths.due_checks())
+        self.assertLessEqual({*_WEST, _CREW}, due)
+        self.assertFalse(self.paths.is_unreached(_CREW))
+        self.assertEqual(self.paths.due_checks(), [])
+
     def test_lost_paths_are_checked_until_restored(self) -> None:
         """A lost group is tried again within a fifth of a second."""
         self._lose_east()
