Count terminations of targets against requests given up there

What callers saw: a request that crashes its targets later than an attempt waits there was never held. Each of its tries crashed up to as many targets as its route allows, along with all other streams on them. Beside load even quick crashes came later than attempts wait, so that the hold came targets late: test_plain_calls and test_crashes_before_any_answer failed at times ('2 not less than or equal to 0', '... 1', '7 not less than or equal to 6').

Cause: a termination was learned only from the error of an attempt that still waited (RequestGuard.watch). An attempt that had ended by its deadline, by moving to another target or with its client told nothing about its target any more, though the target went on with the request.

Without load, with targets that crash 0.3 s after the begin and one try at a time, the new tests fail on: 8 targets end where 3 (client left) and 4 (deadline) may, 8 where 6 may (moved); the native path likewise.

Change: the guard remembers an attempt that was sent and given up for 2 s, and watches its target by one connection, without a request. If the target ends meanwhile, the termination counts as for an attempt that still waits: a broken connection is checked by the same probe, and one that proves nothing is left to the instance list. A request that is served elsewhere is forgotten. Suspects and ordinary requests avoid targets that may still run an abandoned suspect. At most 64 targets are watched at once.

Why it works: what a termination says about a request does not depend on whether anybody still waits for the answer; 2 s is longer than a target takes to notice a closed connection and to crash after a begin.

--- a/src/cranecart/client_api/_gateway.py
+++ b/src/cranecart/client_api/_gateway.py
@@ -172,6 +172,7 @@
                     lambda: call.identity,
                     runner,
                 ) as progress:
+                    progress.record_sent()
                     answer = await self._engines.start_completion(replica, call)
                     progress.record_begun()
                     return await _read_response(call, answer)
@@ -188,7 +189,8 @@
             runner = NamedRunner(instance.id, incarnation, instance.address)
             watching_context = self._guard.watch(lambda: call.identity, runner)
             with self._router.track_in_flight(instance.id):
-                async with watching_context:
+                async with watching_context as progress:
+                    progress.record_sent()
                     return await self._services.call(instance, call)
 
         return await self._attempts(call).run(attempt)
--- a/src/cranecart/client_api/_relay.py
+++ b/src/cranecart/client_api/_relay.py
@@ -96,6 +96,7 @@
         self, replica: ServingReplica, progress: AttemptProgress
     ) -> None:
         self._event_counter.restart()
+        progress.record_sent()
         answer = await self._engines.start_completion(
             replica,
             self._call,
--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -121,6 +121,11 @@
     """The connection closed mid-response; the target may have crashed."""
 
 
+@final
+class TargetAbandonedError(TargetFailedError):
+    """The target was given up while it may still run the request."""
+
+
 @final
 class TargetTimeoutError(TargetError):
     """The target did not answer before the request's deadline."""
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -76,7 +76,7 @@
 
     ``tried`` lists the instances that were chosen so far, ``has_begun`` is
     whether any of them has sent an event of a stream. ``has_started`` is
-    whether any attempt was made. ``_peers`` are the nodes that it may be passed
+    whether any attempt was made, ``progress`` that of the current one. ``_peers`` are the nodes that it may be passed
     on to, none if it comes from one.
     """
 
@@ -89,10 +89,12 @@
     has_begun: bool = attrs.field(default=False, init=False)
     failures: AttemptFailures = attrs.field(factory=AttemptFailures, init=False)
     has_started: bool = attrs.field(default=False, init=False)
+    progress: AttemptProgress = attrs.field(
+        factory=lambda: AttemptProgress(since_boot), init=False
+    )
     # The targets that this node does not reach, while others may.
     _unreached: set[str] = attrs.field(factory=set, init=False)
     _is_paused_by_client: bool = attrs.field(default=False, init=False)
-    _progress: AttemptProgress | None = attrs.field(default=None, init=False)
 
     @classmethod
     def of_peer(
@@ -139,17 +141,11 @@
 
     def record_progress(self, target: Target) -> None:
         """Record that an event arrived from the current target."""
-        if self._progress is not None:
-            self._progress.record_progress()
+        self.progress.record_progress()
         if not self.has_begun:
             self._router.record_first_event(target, self.call.facts.model)
         self.has_begun = True
 
-    def record_answer_started(self) -> None:
-        """Record that the current target has started to answer."""
-        if self._progress is not None:
-            self._progress.record_begun()
-
     def record_client_pause(self) -> None:
         """Record that the client left the current target's stream unread."""
         self._is_paused_by_client = True
@@ -190,7 +186,7 @@
         watching_context = self._guard.watch(self._identity, target.instance)
         try:
             async with watching_context as progress:
-                self._progress = progress
+                self.progress = progress
                 with self._router.in_flight.track(target):
                     await exchange.attempt(target)
         except TargetError as error:
@@ -284,7 +280,7 @@
             trace_disconnect(
                 self.call,
                 target,
-                self._progress,
+                self.progress,
                 self._router.load(target.instance.id),
             )
 
--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -33,7 +33,10 @@
         call = self._attempts.call
         started = since_boot()
         limits = self._silence_limits()
-        async with self._sender.start_attempt(call, target, limits) as answer:
+        attempt_context = self._sender.start_attempt(
+            call, target, limits, on_send=self._attempts.progress.record_sent
+        )
+        async with attempt_context as answer:
             body = await self._sender.read_with_limits(
                 call,
                 target,
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -11,6 +11,7 @@
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     HttpError,
+    TargetAbandonedError,
     TargetDisconnectedError,
     TargetFailedError,
     TargetRefusedError,
@@ -100,15 +101,19 @@
         target: Target,
         limits: SilenceLimits,
         resume_after: str = '',
+        *,
+        on_send: Callable[[], None],
     ) -> AsyncGenerator[TargetAnswer, None]:
         """Send an attempt and yield its response; raise ``TargetError``.
 
-        The connection is reused later only if the response was read to its end
-        within the context.
+        ``on_send`` is called before anything is sent. The connection is reused
+        later only if the response was read to its end within the context.
         """
         connection = await self._connect(call, target)
         try:
             sent_at = since_boot()
+            await self._wait_to_send(target)
+            on_send()
             await self._send(call, target, connection, resume_after)
             reader = OwnResponseReader(self.translator, call, connection)
             head = await self.read_with_limits(
@@ -194,10 +199,10 @@
         epoch = target.replica_epoch
         is_stopped = epoch is not None and self._has_stopped(epoch)
         if is_stopped and not limits.is_final_attempt:
-            raise TargetFailedError(f'{target.instance.id} has stopped')
+            raise TargetAbandonedError(f'{target.instance.id} has stopped')
         reason = self._reason_to_give_up(call, target, limits, silence)
         if reason:
-            raise TargetFailedError(f'{target.instance.id} {reason}')
+            raise TargetAbandonedError(f'{target.instance.id} {reason}')
 
     def _reason_to_give_up(
         self,
@@ -242,13 +247,8 @@
             )
             raise
 
-    async def _send(
-        self,
-        call: RoutedCall,
-        target: Target,
-        connection: HttpConnection,
-        resume_after: str,
-    ) -> None:
+    async def _wait_to_send(self, target: Target) -> None:
+        """Raise ``TargetError`` if the target takes no requests any more."""
         seconds = self._resume_guard.seconds_to_wait(since_boot())
         if seconds:
             await curio.sleep(seconds)
@@ -263,6 +263,14 @@
             raise TargetWithdrawnError(
                 f'{target.instance.id} accepts no requests at the moment',
             )
+
+    async def _send(
+        self,
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        resume_after: str,
+    ) -> None:
         rank_penalty = _LATE_RANK_PENALTY if target.is_deferred else 0
         dispatch = Dispatch(
             target.instance.id,
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -84,9 +84,10 @@
             target,
             self._first_event_limits(),
             self.splitter.last_id,
+            on_send=self._attempts.progress.record_sent,
         )
         async with attempt_context as answer:
-            self._attempts.record_answer_started()
+            self._attempts.progress.record_begun()
             if not answer.head.is_success:
                 await self._handle_failure(target, answer)
                 return
--- a/src/cranecart/quarantine/__init__.py
+++ b/src/cranecart/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Detect requests that crash their targets, and hold them back."""
 
+from cranecart.quarantine._abandoned import AbandonedAttempts
 from cranecart.quarantine._cases import (
     CaseRegistry,
     CaseUpdate,
@@ -13,6 +14,7 @@
 from cranecart.quarantine._runner import NamedRunner, Runner
 
 __all__ = (
+    'AbandonedAttempts',
     'CaseRegistry',
     'CaseUpdate',
     'Termination',
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import (
     AsyncGenerator,
+    Awaitable,
     Callable,
     Collection,
     Generator,
@@ -11,14 +12,22 @@
 )
 
 import attrs
+import curio
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     QuarantinedRequestError,
+    TargetAbandonedError,
     TargetDisconnectedError,
+    TargetError,
+    TargetTimeoutError,
 )
+from cranecart.http import Address
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation
+from cranecart.quarantine._abandoned import (
+    AbandonedAttempts,
+)
 from cranecart.quarantine._cases import (
     CaseRegistry,
     CaseUpdate,
@@ -26,7 +35,7 @@
     Verdict,
 )
 from cranecart.quarantine._pending import PendingTerminations
-from cranecart.quarantine._probe import TerminationProbe
+from cranecart.quarantine._probe import TerminationProbe, wait_for_break
 from cranecart.quarantine._runner import Runner
 
 # A request that crashes its target does so as it begins there: within 0.04 to
@@ -36,14 +45,21 @@
 # Three rounds of housekeeping: a dead connection between nodes is detected
 # after 1.5 s.
 _REPUBLISH_SECONDS = 2.0
+_ABANDONED_ERRORS = (TargetAbandonedError, TargetTimeoutError)
 _SUSPECT_VERDICTS = frozenset((Verdict.SUSPECT, Verdict.ISOLATED))
+_ISOLATED_VERDICTS = frozenset((Verdict.ISOLATED,))
+# Targets of abandoned attempts that are watched at once, each by a connection.
+# More are given up only in an outage of many targets, whose terminations other
+# requests and the list still show.
+_MAX_WATCHED = 64
 
 
 @attrs.define
 class AttemptProgress:
-    """Whether an attempt has begun, and when its answer began to arrive."""
+    """Whether an attempt was sent and begun, and since when it is answered."""
 
     _clock: Callable[[], float]
+    was_sent: bool = attrs.field(default=False, init=False)
     has_begun: bool = attrs.field(default=False, init=False)
     _progress_since: float | None = attrs.field(default=None, init=False)
 
@@ -56,6 +72,10 @@
             else self._clock() - self._progress_since
         )
 
+    def record_sent(self) -> None:
+        """Record that the request is being sent, so that it may run."""
+        self.was_sent = True
+
     def record_begun(self) -> None:
         """Record that the target has begun to answer."""
         self.has_begun = True
@@ -91,7 +111,13 @@
     )
     refusals: int = attrs.field(default=0, init=False)
     terminations: int = attrs.field(default=0, init=False)
+    _wait_for_break: Callable[
+        [Address, Callable[[], float]], Awaitable[bool]
+    ] = wait_for_break
     _pending: PendingTerminations = attrs.field(init=False)
+    _abandoned: AbandonedAttempts = attrs.field(init=False)
+    # The incarnations whose terminations are being watched for.
+    _watched: set[Incarnation] = attrs.field(factory=set, init=False)
     _published_at: dict[str, float] = attrs.field(factory=dict, init=False)
     # This node's suspects in flight by instance, and the isolated ones among
     # them.
@@ -104,6 +130,7 @@
             **self.cases.counts(),
             'held_refusals': self.refusals,
             'targets_ended_under_requests': self.terminations,
+            'attempts_abandoned': len(self._abandoned),
         }
 
     def instances_to_avoid(
@@ -121,8 +148,9 @@
         if verdict is Verdict.HELD:
             self.refusals += 1
             raise QuarantinedRequestError(self._hold_reason(digest))
-        is_suspect = verdict in _SUSPECT_VERDICTS
-        return (self._suspects if is_suspect else self._isolated).keys()
+        if verdict in _SUSPECT_VERDICTS:
+            return self._suspects.keys() | self._abandoned_at(_SUSPECT_VERDICTS)
+        return self._isolated.keys() | self._abandoned_at(_ISOLATED_VERDICTS)
 
     @contextlib.asynccontextmanager
     async def watch(
@@ -132,12 +160,22 @@
     ) -> AsyncGenerator['AttemptProgress', None]:
         """Watch an attempt; it succeeds if the context raises no error."""
         progress = AttemptProgress(self._clock)
+        may_still_run = True
         try:
             with self.track_running(identity, runner):
                 yield progress
+            may_still_run = False
         except TargetDisconnectedError:
+            may_still_run = False
             await self._check_termination(identity(), runner, progress)
             raise
+        except TargetError as error:
+            may_still_run = isinstance(error, _ABANDONED_ERRORS)
+            raise
+        finally:
+            # Also if the client has left, which cancels the attempt.
+            if may_still_run and progress.was_sent:
+                await self._remember_abandoned(identity(), runner, progress)
         self.record_served(identity)
 
     @contextlib.contextmanager
@@ -154,7 +192,7 @@
             count
             for count, verdicts in (
                 (self._suspects, _SUSPECT_VERDICTS),
-                (self._isolated, frozenset((Verdict.ISOLATED,))),
+                (self._isolated, _ISOLATED_VERDICTS),
             )
             if verdict in verdicts
         ]
@@ -168,6 +206,8 @@
 
     def record_served(self, identity: Callable[[], str]) -> None:
         """Record that a request was answered completely, which clears it."""
+        if self._abandoned:
+            self._abandoned.forget(identity())
         if self.cases.is_empty:
             return
         update = self.cases.clearing_update(identity())
@@ -196,12 +236,20 @@
         self.probe.prune(listed)
         for update in self._pending.pop_terminated(self._has_terminated):
             self._record_termination(update, 'seen here, confirmed later')
+        self._abandoned.drop_expired()
+        for incarnation in list(self._abandoned.incarnations()):
+            if self._has_terminated(incarnation):
+                self._count_abandoned(incarnation)
         self._republish()
 
     @_pending.default
     def _make_pending(self) -> PendingTerminations:
         return PendingTerminations(self._clock)
 
+    @_abandoned.default
+    def _make_abandoned(self) -> AbandonedAttempts:
+        return AbandonedAttempts(self._clock)
+
     def _republish(self) -> None:
         """Publish recent updates again, as some may have been lost."""
         oldest = self._clock() - _REPUBLISH_SECONDS
@@ -232,11 +280,69 @@
             self._record_termination(
                 CaseUpdate(identity, (termination,)), 'seen here'
             )
+            self._count_abandoned(runner.incarnation)
         else:
             self._pending.record_break(
                 runner.incarnation, identity, begun=progress.has_begun
             )
 
+    async def _remember_abandoned(
+        self,
+        identity: str,
+        runner: Runner,
+        progress: AttemptProgress,
+    ) -> None:
+        """Remember an attempt whose target may still run the request."""
+        was_there_by_chance = progress.progress_seconds > _STARTUP_SECONDS
+        if was_there_by_chance or self._is_expected(runner):
+            return
+        self._abandoned.record(identity, runner, begun=progress.has_begun)
+        incarnation = runner.incarnation
+        if incarnation not in self._watched and (
+            len(self._watched) < _MAX_WATCHED
+        ):
+            self._watched.add(incarnation)
+            await curio.spawn(self._watch_abandoned, runner, daemon=True)
+
+    async def _watch_abandoned(self, runner: Runner) -> None:
+        """Watch a target until its abandoned attempts expire."""
+        incarnation = runner.incarnation
+        try:
+            is_broken = await self._wait_for_break(
+                runner.address,
+                lambda: self._abandoned.seconds_left(incarnation),
+            )
+            if is_broken and not self._is_expected(runner):
+                await self._check_abandoned(runner)
+        finally:
+            self._watched.discard(incarnation)
+
+    async def _check_abandoned(self, runner: Runner) -> None:
+        """Check whether the target of abandoned attempts has terminated."""
+        if await self.probe.has_terminated(runner):
+            self._count_abandoned(runner.incarnation)
+            return
+        for attempt in self._abandoned.pop(runner.incarnation):
+            self._pending.record_break(
+                runner.incarnation, attempt.identity, begun=attempt.begun
+            )
+
+    def _count_abandoned(self, incarnation: Incarnation) -> None:
+        for attempt in self._abandoned.pop(incarnation):
+            termination = Termination(incarnation, attempt.begun)
+            self._record_termination(
+                CaseUpdate(attempt.identity, (termination,)),
+                f'{self._clock() - attempt.at:.3f} s after it was given up',
+            )
+
+    def _abandoned_at(self, verdicts: Collection[Verdict]) -> set[str]:
+        """Return where abandoned requests with these verdicts may run."""
+        return {
+            attempt.runner.id
+            for attempt in self._abandoned
+            if self.cases.verdict(attempt.identity) in verdicts
+        }
+
     def _record_termination(self, update: CaseUpdate, source: str) -> None:
         if self.cases.merge(update, is_own=True):
             self.terminations += 1
--- a/src/cranecart/quarantine/_probe.py
+++ b/src/cranecart/quarantine/_probe.py
@@ -4,6 +4,7 @@
 
 import attrs
 import curio
+from curio.errors import TaskTimeout
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError, ConnectRefusedError
@@ -27,6 +28,39 @@
     await connection.close()
 
 
+async def wait_for_break(
+    address: Address, seconds_left: Callable[[], float]
+) -> bool:
+    """Return whether a connection breaks or fails before the time has passed.
+
+    ``seconds_left`` is asked again whenever it has passed, as it may grow.
+    """
+    try:
+        connection = await HttpConnection.open(
+            address, _CONNECT_TIMEOUT_SECONDS
+        )
+    except ConnectFailedError:
+        return True
+    try:
+        return await _wait_closed(connection, seconds_left)
+    finally:
+        await connection.close()
+
+
+async def _wait_closed(
+    connection: HttpConnection, seconds_left: Callable[[], float]
+) -> bool:
+    seconds = seconds_left()
+    while seconds > 0:
+        try:
+            await curio.timeout_after(seconds, connection.wait_closed)
+        except TaskTimeout:
+            seconds = seconds_left()
+        else:
+            return True
+    return False
+
+
 async def _trust_path(_runner: Runner, _since: float) -> bool:
     """Treat refused connections as refused by the target's machine."""
     return True
--- a/tests/lib/crash_simulation.py
+++ b/tests/lib/crash_simulation.py
@@ -16,8 +16,16 @@
 
 import attrs
 
+from cranecart.http import Address
 from cranecart.ports import Incarnation
-from cranecart.quarantine import CaseRegistry, CaseUpdate, Termination, Verdict
+from cranecart.quarantine import (
+    AbandonedAttempts,
+    CaseRegistry,
+    CaseUpdate,
+    NamedRunner,
+    Termination,
+    Verdict,
+)
 
 _DAY_SECONDS = 60.0
 # Streams as specified: some tenths of a second of waiting, a second of
@@ -31,8 +39,13 @@
 # Time from the start of the culprit at a target to the crash of the target.
 _CRASH_DELAY_SECONDS = 0.08
 _CULPRIT_INTERVAL_SECONDS = 0.3
+# How long an attempt waits that is given up.
+_MAX_PATIENCE_SECONDS = 0.8
 
 
+# Nothing connects to it.
+_ADDRESS = Address('127.0.0.1', 1)
+
 # When an event is due, a number that orders simultaneous ones, and its action.
 _Event = tuple[float, int, Callable[[], None]]
 
@@ -69,6 +82,8 @@
     has_culprit: bool
     # Whether terminations show only once their targets have restarted.
     reported_late: bool = False
+    # Fraction of the attempts that move to another target after a while.
+    abandoned_fraction: float = 0
     wrongly_held: int = 0
     requests: int = 0
     culprit_terminations: int = 0
@@ -76,6 +91,7 @@
     _now: float = 0
     _random: random.Random = attrs.field(init=False)
     _cases: CaseRegistry = attrs.field(init=False)
+    _abandoned: AbandonedAttempts = attrs.field(init=False)
     _targets: list[Target] = attrs.field(init=False)
     _events: list[_Event] = attrs.field(
         factory=list,
@@ -90,6 +106,7 @@
         """Create the registry and the targets."""
         self._random = random.Random(self.seed)
         self._cases = CaseRegistry(lambda: self._now)
+        self._abandoned = AbandonedAttempts(lambda: self._now)
         self._targets = [Target(number) for number in range(self.replicas)]
 
     def run(self) -> 'CrashSimulation':
@@ -150,6 +167,24 @@
             self._random.uniform(0, 2 * _WAIT_SECONDS),
             lambda: self._begin(request, visit, target),
         )
+        if self._random.random() < self.abandoned_fraction:
+            self._schedule(
+                self._random.uniform(0, _MAX_PATIENCE_SECONDS),
+                lambda: self._abandon(request, visit, target),
+            )
+
+    def _abandon(self, request: Request, visit: int, target: Target) -> None:
+        if request.visit != visit or request not in target.requests_there:
+            return
+        target.requests_there.remove(request)
+        if self._run_seconds(request) <= _STARTUP_SECONDS:
+            runner = NamedRunner(
+                f'i{target.number}', _incarnation(target), _ADDRESS
+            )
+            self._abandoned.record(
+                request.name, runner, begun=request.begun_at is not None
+            )
+        self._send(request)
 
     def _choose(self, verdict: Verdict) -> Target | None:
         up = [target for target in self._targets if target.is_up]
@@ -197,6 +232,7 @@
         if request.visit != visit or request not in target.requests_there:
             return
         target.requests_there.remove(request)
+        self._abandoned.forget(request.name)
         update = self._cases.clearing_update(request.name)
         if update is not None:
             self._cases.merge(update, is_own=True)
@@ -204,8 +240,10 @@
     def _terminate(self, target: Target) -> None:
         requests_there = target.requests_there
         target.requests_there = []
-        incarnation = Incarnation(f'i{target.number}', target.incarnation)
+        incarnation = _incarnation(target)
         target.is_up = False
+        for attempt in self._abandoned.pop(incarnation):
+            self._merge_later(attempt.identity, incarnation, attempt.begun)
         self._schedule(_RESTART_SECONDS, lambda: self._restart(target))
         for request in requests_there:
             self._report(request, incarnation)
@@ -213,16 +251,19 @@
             self._send(request)
 
     def _report(self, request: Request, incarnation: Incarnation) -> None:
-        begun = request.begun_at is not None
-        run_seconds = (
-            0 if request.begun_at is None else self._now - request.begun_at
-        )
-        if run_seconds <= _STARTUP_SECONDS:
-            update = CaseUpdate(
-                request.name, (Termination(incarnation, begun),)
-            )
-            seconds = _RESTART_SECONDS if self.reported_late else 0
-            self._schedule(seconds, lambda: self._merge(update))
+        if self._run_seconds(request) <= _STARTUP_SECONDS:
+            begun = request.begun_at is not None
+            self._merge_later(request.name, incarnation, begun)
+
+    def _run_seconds(self, request: Request) -> float:
+        return 0 if request.begun_at is None else self._now - request.begun_at
+
+    def _merge_later(
+        self, name: str, incarnation: Incarnation, begun: bool
+    ) -> None:
+        update = CaseUpdate(name, (Termination(incarnation, begun),))
+        seconds = _RESTART_SECONDS if self.reported_late else 0
+        self._schedule(seconds, lambda: self._merge(update))
 
     def _merge(self, update: CaseUpdate) -> None:
         self._cases.merge(update, is_own=True)
@@ -232,14 +273,18 @@
         target.is_up = True
 
 
+def _incarnation(target: Target) -> Incarnation:
+    return Incarnation(f'i{target.number}', target.incarnation)
+
+
 def main(days: int) -> None:
     """Print the results of many days."""
-    kinds = itertools.product((100, 8), (False, True), (False, True))
-    for replicas, has_culprit, reported_late in kinds:
+    kinds = itertools.product((100, 8), (False, True), (False, True), (0, 0.3))
+    for replicas, has_culprit, reported_late, abandoned in kinds:
         rate = 1.0 if replicas > 8 else 0.4
         simulations = [
             CrashSimulation(
-                replicas, seed, rate, has_culprit, reported_late
+                replicas, seed, rate, has_culprit, reported_late, abandoned
             ).run()
             for seed in range(days)
         ]
@@ -248,7 +293,8 @@
         ]
         sys.stdout.write(
             f'{replicas} replicas, culprit {has_culprit}, terminations '
-            f'reported late {reported_late}: wrongly held '
+            f'reported late {reported_late}, abandoned attempts {abandoned}: '
+            'wrongly held '
             f'{sum(simulation.wrongly_held for simulation in simulations)} of '
             f'{sum(simulation.requests for simulation in simulations)} requests '
             f'in {days} days; '
--- a/tests/lib/crashing_targets.py
+++ b/tests/lib/crashing_targets.py
@@ -130,9 +130,7 @@
         if not (is_marked and self._mute):
             await exchange.start_stream()
         if is_marked:
-            await curio.sleep(_CRASH_DELAY_SECONDS)
-            self.end()
-            await curio.sleep(30)
+            await self._crash()
         first = int(exchange.headers.get('last-event-id', '0')) + 1
         for number in range(first, _EVENTS):
             await exchange.events(number, number)
@@ -140,12 +138,16 @@
         await exchange.end_stream()
 
     async def _serve_whole(self, exchange: Exchange, is_marked: bool) -> None:
-        await curio.sleep(_CRASH_DELAY_SECONDS)
         if is_marked:
-            self.end()
-            await curio.sleep(30)
+            await self._crash()
+        await curio.sleep(_CRASH_DELAY_SECONDS)
         await exchange.answer(b'fine')
 
+    async def _crash(self) -> None:
+        await curio.sleep(self._deployment.crash_delay_seconds)
+        self.end()
+        await curio.sleep(30)
+
 
 async def _accept_and_close(listener: curio.io.Socket) -> None:
     while True:
@@ -165,7 +167,8 @@
     """Several nodes with the same targets, in one event loop.
 
     Crashed targets restart under another id if they are ``renamed``, else under
-    the same id with a later birth. ``kind`` holds further arguments of
+    the same id with a later birth. A marked request crashes its target
+    ``crash_delay_seconds`` after its begin. ``kind`` holds further arguments of
     ``CrashingTarget``.
     """
 
@@ -180,6 +183,7 @@
         **kind: bool,
     ) -> None:
         """Create everything; nothing runs until ``run``."""
+        self.crash_delay_seconds = _CRASH_DELAY_SECONDS
         self.restart_seconds = restart_seconds
         self.terminations: list[float] = []
         # Nodes that get no updates from the others.
--- a/tests/unit/test_crash_simulation.py
+++ b/tests/unit/test_crash_simulation.py
@@ -35,6 +35,19 @@
                 ).run()
                 self.assertEqual(day.wrongly_held, 0)
 
+    def test_abandoned_attempts(self) -> None:
+        """Those at targets that terminate later are held no more often."""
+        for seed in range(_DAYS):
+            with self.subTest(seed=seed):
+                day = CrashSimulation(
+                    8,
+                    seed,
+                    0.4,
+                    has_culprit=bool(seed % 2),
+                    abandoned_fraction=0.3,
+                ).run()
+                self.assertEqual(day.wrongly_held, 0)
+
     def test_with_a_culprit(self) -> None:
         """It is held after a few terminations, and no other request is."""
         days = [
--- a/tests/unit/test_crashing_requests.py
+++ b/tests/unit/test_crashing_requests.py
@@ -11,6 +11,7 @@
 
 import contextlib
 import functools
+import itertools
 import time
 import unittest
 from collections.abc import Iterable, Sequence
@@ -71,6 +72,27 @@
         curio.run(deployment.run, self._send_load)
         self.assertLessEqual(len(deployment.terminations), _MAX_TERMINATIONS)
 
+    def test_crashes_after_the_request_moved(self) -> None:
+        """An attempt that was given up for another target counts as well."""
+        deployment = Deployment(2, 16, service=PLAIN, renamed=False)
+        deployment.crash_delay_seconds = 0.3
+        curio.run(deployment.run, self._send_slowly)
+        self.assertLessEqual(len(deployment.terminations), _MAX_TERMINATIONS)
+
+    def test_crashes_after_the_deadline(self) -> None:
+        """What is learned about a request does not end with its deadline."""
+        deployment = Deployment(2, 10, mute=True)
+        deployment.crash_delay_seconds = 0.3
+        curio.run(deployment.run, self._send_with_short_deadline)
+        self.assertEqual(len(deployment.terminations), _MUTE_HOLD_THRESHOLD)
+
+    def test_crashes_after_the_client_left(self) -> None:
+        """The same for clients that close their connections."""
+        deployment = Deployment(2, 10)
+        deployment.crash_delay_seconds = 0.3
+        curio.run(deployment.run, self._send_and_leave)
+        self.assertEqual(len(deployment.terminations), _HOLD_THRESHOLD)
+
     def test_concurrent_copies(self) -> None:
         """Nine nodes get a copy at once; no further ones are sent."""
         deployment = Deployment(9, 12)
@@ -122,6 +144,24 @@
                     await task.join()
             await curio.sleep(0.3)
 
+    async def _send_slowly(self, deployment: Deployment) -> None:
+        for node in itertools.islice(itertools.cycle(deployment.nodes), 8):
+            await node.ask('/safe/x', body=CRASH_MARK)
+            await curio.sleep(0.3)
+
+    async def _send_with_short_deadline(self, deployment: Deployment) -> None:
+        for node in itertools.islice(itertools.cycle(deployment.nodes), 8):
+            await node.ask('/stream/x', body=CRASH_MARK, deadline_ms=150)
+            await curio.sleep(0.3)
+
+    async def _send_and_leave(self, deployment: Deployment) -> None:
+        for node in itertools.islice(itertools.cycle(deployment.nodes), 8):
+            await curio.ignore_after(
+                0.15,
+                functools.partial(node.ask, '/stream/x', body=CRASH_MARK),
+            )
+            await curio.sleep(0.3)
+
     async def _send_in_turn(self, deployment: Deployment) -> None:
         self.responses = []
         for number in range(8):
--- a/tests/unit/test_native_crashing_requests.py
+++ b/tests/unit/test_native_crashing_requests.py
@@ -39,6 +39,17 @@
         )
         self.assertIsInstance(errors[-1], QuarantinedRequestError)
 
+    def test_crashes_after_the_deadline(self) -> None:
+        """What is learned about a call does not end with its deadline."""
+        targets = [
+            _Target(f's{number}', crash_delay_seconds=0.2)
+            for number in range(_TARGETS)
+        ]
+        curio.run(_send_calls, targets, [_gateway(targets)], 0.1)
+        self.assertEqual(
+            sum(target.has_terminated for target in targets), _MAX_TERMINATIONS
+        )
+
     def test_calls_at_several_nodes(self) -> None:
         """The nodes add up their observations."""
         targets = [_Target(f's{number}') for number in range(_TARGETS)]
@@ -60,6 +71,7 @@
 
     name: str
     has_terminated: bool = False
+    crash_delay_seconds: float = 0
     listener: socket.socket = attrs.field(
         factory=lambda: socket.create_server(('127.0.0.1', 0)),
     )
@@ -85,6 +97,7 @@
             sock, _address = await listener.accept()
             async with sock:
                 await sock.recv(65536)
+                await curio.sleep(self.crash_delay_seconds)
                 self.has_terminated = True
 
 
@@ -125,12 +138,12 @@
     )
 
 
-def _call(number: int) -> Call:
+def _call(number: int, seconds: float) -> Call:
     return ServiceCall(
         request_id=f'r{number}',
         organisation='org',
         body=b'ends what runs it',
-        deadline=time.monotonic() + 5,
+        deadline=time.monotonic() + seconds,
         service='crew',
         path='/x',
         method='POST',
@@ -138,18 +151,23 @@
 
 
 async def _send_calls(
-    targets: Iterable[_Target],
+    targets: Sequence[_Target],
     nodes: Sequence[Gateway],
+    seconds: float = 5,
 ) -> list[RequestError]:
     tasks = [await curio.spawn(target.run) for target in targets]
     errors = []
     for number in range(_CALLS):
-        call = _call(number)
+        call = _call(number, seconds)
         assert isinstance(call, ServiceCall)
         try:
             await nodes[number % len(nodes)]._forward_service_call(call)
         except RequestError as error:
             errors.append(error)
+        # Targets that crash late do so before the next call.
+        await curio.sleep(
+            2 * max(target.crash_delay_seconds for target in targets)
+        )
     for task in tasks:
         await task.cancel()
     return errors
