Leave pauses of a node's process out of how long others were silent

What callers felt: the store's rate limit, just when the store is back.

Cause: beats, summaries, relays, the lag of an announced version and the age of a reader's last answer were judged by the time since boot. What others had sent meanwhile was still unread.

Change: RunningClock counts only the time in which the event loop turns; the mesh ticks it and judges by it, and so do the followers' waits for a shared reader. A reader that was paused for up to 3 s still announces itself. Leases and deadlines keep the time since boot: others may have acted meanwhile.

Why it works: after a pause messages of that time are read within some turns of the loop, long before a beat expires by the new clock. True silence is found as soon as without a pause, counted from its end (test_reader_that_is_gone).

--- a/src/cranecart/clocks.py
+++ b/src/cranecart/clocks.py
@@ -6,14 +6,22 @@
 relate to other processes (deadlines, leases, ages of reported data, idle
 connections, budget windows) use ``since_boot``. The wall clock may jump and is
 used for display only.
+
+A process may also get no processor for a while. How long others have been
+silent is judged by ``RunningClock``: their messages of that time are unread.
+What others may have done meanwhile, such as taking over a lease, is not.
 """
 
 import time
 
 import attrs
+import curio
 
 # A smaller difference comes from reading the two clocks one after the other.
 _MIN_SUSPENSION_SECONDS = 0.05
+_TICK_SECONDS = 0.1
+# Longer gaps between two ticks are pauses of this process.
+_MAX_GAP_SECONDS = 0.2
 
 
 def since_boot() -> float:
@@ -40,3 +48,36 @@
             return 0
         self._offset = offset
         return slept
+
+
+@attrs.define
+class RunningClock:
+    """Counts the seconds in which this process runs, from any origin.
+
+    Times at which it was paused or suspended, or its event loop was blocked,
+    are left out while ``run`` runs; without that all time counts.
+    """
+
+    _last: float = attrs.field(factory=since_boot, init=False)
+    _paused_seconds: float = attrs.field(default=0, init=False)
+    _is_ticking: bool = attrs.field(default=False, init=False)
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        now = since_boot()
+        gap = now - self._last
+        if self._is_ticking and gap > _MAX_GAP_SECONDS:
+            self._paused_seconds += gap - _TICK_SECONDS
+        self._last = now
+        return now - self._paused_seconds
+
+    async def run(self) -> None:
+        """Note that the process runs until cancelled."""
+        self()
+        self._is_ticking = True
+        try:
+            while True:
+                self()
+                await curio.sleep(_TICK_SECONDS)
+        finally:
+            self._is_ticking = False
--- a/src/cranecart/fleet/_source_follower.py
+++ b/src/cranecart/fleet/_source_follower.py
@@ -19,6 +19,11 @@
     ReadAbandonedError,
 )
 from cranecart.fleet._item_cache import ItemCache
+from cranecart.fleet._shared_reader import (
+    CHECK_INTERVAL_SECONDS,
+    ConditionTimer,
+    await_shared_reader,
+)
 from cranecart.fleet._store_reachability import StoreReachability
 from cranecart.fleet._updates import (
     Extent,
@@ -42,9 +47,8 @@
 # Length of the poll that shows whether the store is reachable again.
 _PROBE_POLL_SECONDS = 0.25
 _JITTER = 0.25
-# How often a node checks what others have announced. Heartbeats are less
-# frequent, and each check wakes up an idle node.
-_CHECK_INTERVAL_SECONDS = 0.1
+# After a longer pause of this process, other nodes have taken over.
+_MAX_PAUSE_SECONDS = 3.0
 # While a deployment starts, all nodes read and the list grows entry by entry.
 # The interval has to be shorter than the quiet period after which placers take
 # the list for complete.
@@ -93,6 +97,7 @@
     _last_change_version: int = attrs.field(default=-1, init=False)
     _has_snapshot: bool = attrs.field(default=False, init=False)
     _read_at: float = attrs.field(default=float('-inf'), init=False)
+    _running_read_at: float = attrs.field(default=float('-inf'), init=False)
     _retry_seconds: float = attrs.field(default=_MIN_RETRY_SECONDS, init=False)
     _is_unreachable: bool = attrs.field(default=False, init=False)
     _is_stalled: bool = attrs.field(default=False, init=False)
@@ -111,7 +116,13 @@
     def has_recent_read(self) -> bool:
         """Return whether the last read is recent enough to rely on."""
         window = _RECENT_READ_POLLS * self._poll_seconds
-        return self._clock() - self._read_at < window
+        if self._sharing is None:
+            return self._clock() - self._read_at < window
+        # A pause of this process says nothing about the store.
+        return (
+            self._sharing.clock() - self._running_read_at < window
+            and self._clock() - self._read_at < max(window, _MAX_PAUSE_SECONDS)
+        )
 
     @property
     def last_change_version(self) -> int:
@@ -294,6 +305,8 @@
         self._is_unreachable = False
         self._reachability.mark_reachable()
         self._read_at = self._clock()
+        if self._sharing is not None:
+            self._running_read_at = self._sharing.clock()
         if (
             self._resync_at == float('inf')
             and self._lacks_items is not None
@@ -329,50 +342,53 @@
     ) -> None:
         """Wait while another node reads, or may be about to start."""
         if self._started_at == started:
-            await self._await_shared_reader(_DISCOVERY_SECONDS)
+            await await_shared_reader(sharing, _DISCOVERY_SECONDS)
         had_shared_reader = False
-        while await self._follow_shared_reader():
+        while await self._follow_shared_reader(sharing):
             had_shared_reader = True
-            await self._await_shared_reader(
-                _TAKEOVER_STEP_SECONDS * sharing.takeover_rank()
+            await await_shared_reader(
+                sharing, _TAKEOVER_STEP_SECONDS * sharing.takeover_rank()
             )
         if had_shared_reader:
             # Other nodes rely on this one from now on.
             await self._reachability.restart_reads()
 
-    async def _await_shared_reader(self, seconds: float) -> None:
-        """Wait up to ``seconds`` for another node to announce that it reads."""
-        until = self._clock() + seconds
-        while self._announced_version() is None and self._clock() < until:
-            await curio.sleep(_CHECK_INTERVAL_SECONDS)
-
-    async def _follow_shared_reader(self) -> bool:
+    async def _follow_shared_reader(self, sharing: UpdateSharing[Item]) -> bool:
         """Wait while another node shares what it reads.
 
         Return whether there was a shared reader that no longer announces
         anything. Otherwise this node has to read for itself at once.
         """
         had_shared_reader = False
-        behind_since: float | None = None
-        announced_version = self._announced_version()
+        behind = ConditionTimer(sharing.clock)
+        overdue = ConditionTimer(sharing.clock)
+        announced_version = sharing.announced_version()
         while announced_version is not None:
             had_shared_reader = True
             self._note_contact()
-            if self._clock() > self._resync_at + _MAX_LAG_SECONDS:
+            is_overdue = self._clock() > self._resync_at
+            if overdue.seconds(holds=is_overdue) > _MAX_LAG_SECONDS:
+                self._log_own_read('restored store not read', announced_version)
                 return False
-            if announced_version <= self._version:
-                behind_since = None
-            elif behind_since is None:
-                behind_since = self._clock()
-            elif self._clock() - behind_since > _MAX_LAG_SECONDS:
+            is_behind = announced_version > self._version
+            if behind.seconds(holds=is_behind) > _MAX_LAG_SECONDS:
+                self._log_own_read('update missed', announced_version)
                 return False
-            await curio.sleep(_CHECK_INTERVAL_SECONDS)
-            announced_version = self._announced_version()
+            await curio.sleep(CHECK_INTERVAL_SECONDS)
+            announced_version = sharing.announced_version()
+        if had_shared_reader:
+            self._log_own_read('no reader announced', None)
         return had_shared_reader
 
-    def _announced_version(self) -> int | None:
-        return (
-            None if self._sharing is None else self._sharing.announced_version()
+    def _log_own_read(self, reason: str, announced_version: int | None) -> None:
+        """Log why this node stops relying on the shared reader."""
+        log_decision(
+            'shared_reader_lost',
+            source=self.name,
+            why=reason,
+            version=self._version,
+            announced=announced_version,
+            read_age=round(self._clock() - self._read_at, 3),
         )
 
     def _note_contact(self) -> None:
--- a/src/cranecart/fleet/_updates.py
+++ b/src/cranecart/fleet/_updates.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cranecart.clocks import since_boot
+
 Item = TypeVar('Item')
 
 # Length of a long poll of a node that other nodes rely on: every answer shows
@@ -58,6 +60,7 @@
     waits up to ``poll_seconds`` for changes. ``min_interval_seconds`` returns
     the current minimum time between two reads, ``takeover_rank`` the position
     of this node in the order in which nodes replace a reader that has stopped.
+    ``clock`` measures how long the reader has been silent.
     """
 
     announced_version: Callable[[], int | None]
@@ -65,3 +68,4 @@
     poll_seconds: float = SHARED_POLL_SECONDS
     min_interval_seconds: Callable[[], float] = float
     takeover_rank: Callable[[], int] = int
+    clock: Callable[[], float] = since_boot
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from cranecart.clocks import since_boot
+from cranecart.clocks import RunningClock
 from cranecart.mesh._handler import MessageHandler
 from cranecart.mesh._messages import MeshMessage, SourceUpdateMessage, Stopped
 from cranecart.mesh._roster import PeerNode
@@ -47,11 +47,13 @@
         local: LocalState,
         transport: PeerTransport[MeshMessage],
         callbacks: MeshCallbacks,
-        clock: Callable[[], float] = since_boot,
+        clock: Callable[[], float] | None = None,
     ) -> None:
         """Start without peers; beats are sent only in ``run``."""
         self.local = local
-        self.state = MeshState(local, clock)
+        # After a pause of this process all other nodes would seem silent.
+        self.running_clock = RunningClock()
+        self.state = MeshState(local, clock or self.running_clock)
         self.message_sender = MessageSender(self.state, transport, callbacks)
         self.message_handler = MessageHandler(self.state, transport, callbacks)
         self._transport = transport
@@ -61,9 +63,11 @@
     async def run(self) -> None:
         """Receive messages and send beats until cancelled."""
         receiving = await curio.spawn(self._receive, daemon=True)
+        ticking = await curio.spawn(self.running_clock.run, daemon=True)
         try:
             await self._send_beats()
         finally:
+            await ticking.cancel()
             await receiving.cancel()
 
     def close(self) -> None:
--- a/src/cranecart/serving/_followers.py
+++ b/src/cranecart/serving/_followers.py
@@ -311,6 +311,7 @@
         lambda update: mesh.publish_update(message(mesh.local.node_id, update)),
         LONG_POLL_SECONDS,
         takeover_rank=mesh.state.roster.takeover_rank,
+        clock=mesh.state.clock,
     )
 
 
--- a/tests/lib/store_testbed.py
+++ b/tests/lib/store_testbed.py
@@ -211,6 +211,7 @@
         """Follow the store and send heartbeats until cancelled."""
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self.followers.run)
+            await tasks.spawn(self.mesh.running_clock.run)
             await tasks.spawn(self._send_heartbeats)
 
     async def receive(self, encoded: bytes) -> None:
