--- a/src/cranecart/fleet/_source_follower.py
+++ b/src/cranecart/fleet/_source_follower.py
@@ -54,6 +54,8 @@
 # the list for complete.
 _STARTUP_MIN_INTERVAL_SECONDS = 0.15
 _STARTUP_SECONDS = 2.0
+# Callers may already wait for the changes that a lost history held back.
+_SNAPSHOT_POLL_SECONDS = 0.02
 # An announced update that has not arrived after this time is read instead.
 _MAX_LAG_SECONDS = 0.3
 # When the reader stops, each node waits this long per rank, until a heartbeat
@@ -153,6 +155,7 @@
             except HistoryLostError as error:
                 self._has_snapshot = False
                 log_decision('history_lost', source=self.name, why=str(error))
+                await self._await_shared_snapshot()
             except PlatformUnavailableError as error:
                 await self._wait_after_failure(error)
             except ReadAbandonedError:
@@ -163,7 +166,7 @@
     def apply_update(self, update: SourceUpdate[Item]) -> None:
         """Apply an update of another node, unless one before it is missing."""
         self._note_contact()
-        if not self._has_snapshot or update.version < self._version:
+        if not self.is_informed or update.version < self._version:
             return
         if update.extent is not Extent.CHANGES:
             # The first reads of the nodes may have different versions with no
@@ -174,6 +177,7 @@
                 self._apply_snapshot(update.version, items, update.extent)
         elif update.since <= self._version < update.version:
             self._version = update.version
+            self._has_snapshot = True
             self._apply_changes(update.version, update.items)
 
     @property
@@ -335,6 +339,15 @@
             else min_interval
         )
 
+    async def _await_shared_snapshot(self) -> None:
+        """Let nodes of lower rank read after a lost history, and share it."""
+        if self._sharing is None or not self.is_informed:
+            return
+        clock = self._sharing.clock
+        until = clock() + _TAKEOVER_STEP_SECONDS * self._sharing.takeover_rank()
+        while not self._has_snapshot and clock() < until:
+            await curio.sleep(_SNAPSHOT_POLL_SECONDS)
+
     async def _defer_to_shared_reader(
         self,
         sharing: UpdateSharing[Item],
--- a/tests/platform/test_reads_after_restore.py
+++ b/tests/platform/test_reads_after_restore.py
@@ -18,6 +18,8 @@
 _READS_AFTER_RESTORE = 3
 _UPDATE_SECONDS = 1.5
 _WITHHELD_SECONDS = 1.0
+# By then no node announces that it reads, and all wait for changes.
+_READER_SILENT_SECONDS = 2.5
 _OUTAGE_SECONDS = 2.5
 _INSTANCES = 60
 _SETTLE_SECONDS = 3.0
@@ -35,6 +37,10 @@
         """
         run_scenario(9, _INSTANCES, _SETTLE_SECONDS, self._lose_history)
 
+    def test_history_lost_while_all_nodes_wait(self) -> None:
+        """The same where the store was silent and no node reads for others."""
+        run_scenario(9, _INSTANCES, _SETTLE_SECONDS, self._lose_silent_history)
+
     def test_nine_nodes_read_a_restored_store(self) -> None:
         """Few nodes read the instance list and the records."""
         run_scenario(9, _INSTANCES, _SETTLE_SECONDS, self._restore)
@@ -59,6 +65,17 @@
         await curio.sleep(1)
         self._check_reads(testbed, _READS_AFTER_LOST_HISTORY)
 
+    async def _lose_silent_history(self, testbed: StoreTestbed) -> None:
+        store = testbed.store
+        store.feeds_are_stalled = True
+        await curio.sleep(_READER_SILENT_SECONDS)
+        store.calls.clear()
+        store.put('servers', '', 'i-1', entry_row('draining', born=2))
+        store.discard_history()
+        await until(lambda: testbed.none_uses('i-1'), 1)
+        await curio.sleep(1)
+        self._check_reads(testbed, _READS_AFTER_LOST_HISTORY)
+
     async def _restore(self, testbed: StoreTestbed) -> None:
         store = testbed.store
         store.calls.clear()
