Let processes start before what they need, and repeat changes not run

What operators saw: a native deployment whose path to the platform came up late was never ready: its plain services were gone, and 'cranecart apply' failed though nothing had been changed. In tests: 'not within 30 s' in the set-up of test_rollout_with_a_slow_platform.

Cause: an instance registered with the platform once, took a refused connection for its end and exited; a refusal by status was not even looked at. The operators' client did not send a change again that was known not to have run, and took one that could not be sent for one of unknown outcome.

Change: registering is repeated until the platform accepts it, which is harmless; a change is submitted again under its id for up to 10 s while it is known not to have run. Read calls still fail at once.

Why it works: nothing depends on the order of starts any more; a change id is accepted once.

--- a/src/cranecart/cli/_standin.py
+++ b/src/cranecart/cli/_standin.py
@@ -6,12 +6,11 @@
 from collections.abc import Awaitable, Callable
 
 import curio
-import msgspec
 from absl import flags
 
 from cranecart.cli import _common
 from cranecart.exit_codes import ExitCode
-from cranecart.http import Address, Request, exchange
+from cranecart.http import Address
 from cranecart.log_setup import set_up_logging
 from cranecart.signals import raise_first_error, stop_signal
 from cranecart.standins import (
@@ -19,14 +18,14 @@
     EngineStandin,
     EventRecord,
     FaultProxy,
+    ListEntry,
     PlatformOptions,
     PlatformStandin,
     ServiceOptions,
     ServiceStandin,
+    register,
 )
 
-_CALL_SECONDS = 5.0
-
 
 def declare_flags(flag_values: flags.FlagValues) -> None:
     """Declare the flags of all stand-ins."""
@@ -117,14 +116,14 @@
     )
     record = EventRecord.from_path(flag_values.instance, flag_values.record)
     engine = EngineStandin(address, options, record)
-    return _RegisteredInstance(flag_values, address, engine.run, 'engine').run
+    return _registered(flag_values, address, engine.run, 'engine')
 
 
 def _service(flag_values: flags.FlagValues, address: Address) -> _Runner:
     options = ServiceOptions(flag_values.instance, flag_values.delay_ms)
     record = EventRecord.from_path(flag_values.instance, flag_values.record)
     service = ServiceStandin(address, options, record)
-    return _RegisteredInstance(flag_values, address, service.run, 'service').run
+    return _registered(flag_values, address, service.run, 'service')
 
 
 def _proxy(flag_values: flags.FlagValues, address: Address) -> _Runner:
@@ -135,37 +134,29 @@
     ).run
 
 
-class _RegisteredInstance:
-    """Registers a stand-in instance with the stand-in platform."""
-
-    def __init__(
-        self,
-        flag_values: flags.FlagValues,
-        address: Address,
-        runner: _Runner,
-        kind: str,
-    ) -> None:
-        listed = address
-        if flag_values.listed_address:
-            listed = Address.from_text(flag_values.listed_address)
-        self._platform = Address.from_text(flag_values.platform)
-        self._runner = runner
-        self._entry = {
-            'id': flag_values.instance,
-            'kind': kind,
-            'host': listed.host,
-            'port': listed.port,
-            'failure_domain': flag_values.failure_domain,
-            'fabric_domain': flag_values.fabric_domain,
-            'service': flag_values.service,
-        }
-
-    async def run(self) -> None:
-        """Register the instance and run it."""
-        request = Request(
-            'POST',
-            '/standin/instances',
-            body=msgspec.json.encode(self._entry),
-        )
-        await exchange(self._platform, request, _CALL_SECONDS)
-        await self._runner()
+def _registered(
+    flag_values: flags.FlagValues,
+    address: Address,
+    runner: _Runner,
+    kind: str,
+) -> _Runner:
+    """Return a runner that registers an instance before it runs it."""
+    listed = address
+    if flag_values.listed_address:
+        listed = Address.from_text(flag_values.listed_address)
+    platform = Address.from_text(flag_values.platform)
+    entry = ListEntry(
+        flag_values.instance,
+        kind,
+        listed.host,
+        listed.port,
+        flag_values.failure_domain,
+        flag_values.fabric_domain,
+        flag_values.service,
+    )
+
+    async def run() -> None:  # noqa: WPS430
+        await register(platform, entry)
+        await runner()
+
+    return run
--- a/src/cranecart/operators/_client.py
+++ b/src/cranecart/operators/_client.py
@@ -5,10 +5,13 @@
 from typing import Any, TypeVar
 
 import attrs
+import curio
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.declarations import Declarations, compiled_to_json
 from cranecart.exceptions import (
+    ConnectFailedError,
     HttpError,
     OperatorError,
     PlatformUnavailableError,
@@ -28,6 +31,12 @@
 
 _CALL_SECONDS = 15.0
 _READ_BACK_ATTEMPTS = 3
+# A node that starts, or that just lost its platform, takes changes again within
+# some seconds.
+_REPEAT_SECONDS = 10.0
+_REPEAT_PAUSE_SECONDS = 0.5
+# Raised where nothing was written, so that the call may be repeated.
+_NOT_RUN_ERRORS = (ConnectFailedError, PlatformUnavailableError)
 
 
 @attrs.frozen
@@ -40,10 +49,15 @@
 
 @attrs.define
 class OperatorClient:
-    """Calls one node's admin interface with an operator key."""
+    """Calls one node's admin interface with an operator key.
+
+    A change that is known not to have run is sent again for
+    ``_repeat_seconds``.
+    """
 
     address: Address
     _key: str
+    _repeat_seconds: float = _REPEAT_SECONDS
 
     async def status(self) -> NodeStatus:
         """Return the node's status."""
@@ -80,6 +94,8 @@
     ) -> Change:
         """Submit a change; read back its outcome if the response is lost.
 
+        Raise ``ConnectFailedError`` or ``PlatformUnavailableError`` if it was
+        not run however often it was sent.
         Raise ``WriteConflictError`` if another change came first and
         ``WriteUnknownError``, with the change's id, if the outcome is unknown.
         """
@@ -98,10 +114,23 @@
             msgspec.json.encode(message),
         )
         try:
-            return _decode(await self._exchange(request), Change)
+            return await self._submit(request)
+        except _NOT_RUN_ERRORS:
+            raise
         except (WriteUnknownError, HttpError):
             return await self._read_back_change(change_id)
 
+    async def _submit(self, request: Request) -> Change:
+        """Send a change until it may have run."""
+        ends_at = since_boot() + self._repeat_seconds
+        while True:
+            try:
+                return _decode(await self._exchange(request), Change)
+            except _NOT_RUN_ERRORS:
+                if since_boot() > ends_at:
+                    raise
+            await curio.sleep(_REPEAT_PAUSE_SECONDS)
+
     async def _read_back_change(self, change_id: str) -> Change:
         for _attempt in range(_READ_BACK_ATTEMPTS):
             try:
--- a/src/cranecart/standins/__init__.py
+++ b/src/cranecart/standins/__init__.py
@@ -5,6 +5,7 @@
 from cranecart.standins._platform import PlatformOptions, PlatformStandin
 from cranecart.standins._proxy import FaultProxy, LinkFaults
 from cranecart.standins._record import EventRecord, read_record
+from cranecart.standins._registration import ListEntry, register
 from cranecart.standins._service import ServiceOptions, ServiceStandin
 from cranecart.standins._surplus_responses import (
     NamedRequest,
@@ -24,6 +25,7 @@
     'SurplusResponse',
     'FaultProxy',
     'LinkFaults',
+    'ListEntry',
     'SurplusTiming',
     'NamedRequest',
     'PlatformOptions',
@@ -36,5 +38,6 @@
     'expected_text',
     'expected_body',
     'read_record',
+    'register',
     'token_text',
 )
