Send copies of isolated requests one after the other

What callers saw: beside load a request that crashes its targets ended one or two more than the copies under way explain, each with all other streams on it.

Cause: under two terminations a request is isolated from others, but further copies of it were sent at once, though copies sent shortly before might just be crashing their targets; the deciding termination shows only once the connection breaks and the port is probed.

Change: an isolated request waits until 0.25 s after the last known termination and after the last copy that its node sent. Other requests never wait, nor do suspects with one termination.

Why it works: a request crashes its target within half of that time, so that most copies are judged before the next one is sent. Nodes still send one copy each at the same time; with four nodes that makes six terminations at most.

--- a/src/cranecart/client_api/_attempts.py
+++ b/src/cranecart/client_api/_attempts.py
@@ -45,6 +45,9 @@
         """
         while self._may_retry():
             self._attempt_count += 1
+            await self._guard.wait_until_settled(
+                self._identity, self._seconds_left
+            )
             try:
                 self._guard.instances_to_avoid(self._identity)
                 return await attempt()
@@ -61,6 +64,9 @@
     def _identity(self) -> str:
         return self._call.identity
 
+    def _seconds_left(self) -> float:
+        return self._call.seconds_left
+
     def _record_failure(self, error: TargetError) -> None:
         # Once an attempt may have run, a later refusal by another target must
         # not turn the outcome into 'not run'.
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -119,7 +119,7 @@
 
         Raise the ``RequestError`` that the client gets if none does.
         """
-        while not await self._succeeds(exchange, self._choose()):
+        while not await self._attempt(exchange):
             if not self._may_retry():
                 raise self._final_error()
 
@@ -150,6 +150,13 @@
         """Record that the client left the current target's stream unread."""
         self._is_paused_by_client = True
 
+    async def _attempt(self, exchange: Exchange) -> bool:
+        """Make the next attempt; return whether it succeeded."""
+        await self._guard.wait_until_settled(
+            self._identity, lambda: self.call.seconds_left
+        )
+        return await self._succeeds(exchange, self._choose())
+
     async def _succeeds(
         self, exchange: Exchange, choice: Target | Peer
     ) -> bool:
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -37,6 +37,7 @@
 from cranecart.quarantine._pending import PendingTerminations
 from cranecart.quarantine._probe import TerminationProbe, wait_for_break
 from cranecart.quarantine._runner import Runner
+from cranecart.quarantine._settling import IsolatedSends
 
 # A request that crashes its target does so as it begins there: within 0.04 to
 # 0.13 s in the observed cases, doubled here for busy nodes. A request whose
@@ -114,11 +115,28 @@
     _wait_for_break: Callable[
         [Address, Callable[[], float]], Awaitable[bool]
     ] = wait_for_break
-    _pending: PendingTerminations = attrs.field(init=False)
-    _abandoned: AbandonedAttempts = attrs.field(init=False)
+    _pending: PendingTerminations = attrs.field(
+        default=attrs.Factory(
+            lambda guard: PendingTerminations(guard._clock), takes_self=True
+        ),
+        init=False,
+    )
+    _abandoned: AbandonedAttempts = attrs.field(
+        default=attrs.Factory(
+            lambda guard: AbandonedAttempts(guard._clock), takes_self=True
+        ),
+        init=False,
+    )
     # The incarnations whose terminations are being watched for.
     _watched: set[Incarnation] = attrs.field(factory=set, init=False)
     _published_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _isolated_sends: IsolatedSends = attrs.field(
+        default=attrs.Factory(
+            lambda guard: IsolatedSends(guard.cases, guard._clock),
+            takes_self=True,
+        ),
+        init=False,
+    )
     # This node's suspects in flight by instance, and the isolated ones among
     # them.
     _suspects: Counter[str] = attrs.field(factory=Counter, init=False)
@@ -152,6 +170,17 @@
             return self._suspects.keys() | self._abandoned_at(_SUSPECT_VERDICTS)
         return self._isolated.keys() | self._abandoned_at(_ISOLATED_VERDICTS)
 
+    async def wait_until_settled(
+        self,
+        identity: Callable[[], str],
+        seconds_left: Callable[[], float],
+    ) -> None:
+        """Wait until an isolated request may be sent, if there is time left."""
+        seconds = self._isolated_sends.seconds_to_wait(identity)
+        while seconds > 0 and seconds_left() > 0:
+            await curio.sleep(min(seconds, seconds_left()))
+            seconds = self._isolated_sends.seconds_to_wait(identity)
+
     @contextlib.asynccontextmanager
     async def watch(
         self,
@@ -188,6 +217,8 @@
         verdict = Verdict.FREE
         if not self.cases.is_empty:
             verdict = self.cases.verdict(identity())
+        if verdict is Verdict.ISOLATED:
+            self._isolated_sends.record_sent(identity())
         counts = [
             count
             for count, verdicts in (
@@ -236,20 +267,13 @@
         self.probe.prune(listed)
         for update in self._pending.pop_terminated(self._has_terminated):
             self._record_termination(update, 'seen here, confirmed later')
+        self._isolated_sends.drop_expired()
         self._abandoned.drop_expired()
         for incarnation in list(self._abandoned.incarnations()):
             if self._has_terminated(incarnation):
                 self._count_abandoned(incarnation)
         self._republish()
 
-    @_pending.default
-    def _make_pending(self) -> PendingTerminations:
-        return PendingTerminations(self._clock)
-
-    @_abandoned.default
-    def _make_abandoned(self) -> AbandonedAttempts:
-        return AbandonedAttempts(self._clock)
-
     def _republish(self) -> None:
         """Publish recent updates again, as some may have been lost."""
         oldest = self._clock() - _REPUBLISH_SECONDS
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -54,6 +54,7 @@
 MODEL = 'm'
 HOST = 'a.example'
 KEY = 'secret'
+ORGANISATION = 'org'
 
 _READ_BYTES = 65536
 
@@ -264,7 +265,7 @@
             EngineProfile((EngineModel(MODEL, 1, 1, 1, 1, 1),), 13, 0.3, 1, 1),
         ),
     },
-    (KeyHolder('org', (hash_key(KEY),)),),
+    (KeyHolder(ORGANISATION, (hash_key(KEY),)),),
 )
 
 
--- a/tests/unit/test_crashing_requests.py
+++ b/tests/unit/test_crashing_requests.py
@@ -18,10 +18,22 @@
 
 import curio
 
-from cranecart.quarantine import CaseUpdate, HeldRows
+from cranecart.ports import Incarnation
+from cranecart.quarantine import (
+    CaseUpdate,
+    HeldRows,
+    Termination,
+    request_identity,
+)
 from tests.lib.crashing_targets import CRASH_MARK, Deployment, ask_in_turn
 from tests.lib.fake_platform import FakePlatform
-from tests.lib.fake_targets import PLAIN, ClientAnswer, GatewayTestbed
+from tests.lib.fake_targets import (
+    HOST,
+    ORGANISATION,
+    PLAIN,
+    ClientAnswer,
+    GatewayTestbed,
+)
 
 # Time after the third termination within which all nodes hold the request; the
 # acceptance rule allows three seconds.
@@ -93,6 +105,12 @@
         curio.run(deployment.run, self._send_and_leave)
         self.assertEqual(len(deployment.terminations), _HOLD_THRESHOLD)
 
+    def test_copies_of_an_isolated_request(self) -> None:
+        """They are sent one after the other, so that one more is the last."""
+        deployment = Deployment(2, 10)
+        curio.run(deployment.run, self._send_isolated_copies)
+        self.assertEqual(len(deployment.terminations), 1)
+
     def test_concurrent_copies(self) -> None:
         """Nine nodes get a copy at once; no further ones are sent."""
         deployment = Deployment(9, 12)
@@ -133,15 +151,7 @@
 
     async def _send_copies(self, deployment: Deployment) -> None:
         for _round in range(4):
-            tasks = [
-                await curio.spawn(
-                    functools.partial(node.ask, '/stream/x', body=CRASH_MARK),
-                )
-                for node in deployment.nodes
-            ]
-            for task in tasks:
-                with contextlib.suppress(curio.TaskError):
-                    await task.join()
+            await _ask_together(deployment.nodes)
             await curio.sleep(0.3)
 
     async def _send_slowly(self, deployment: Deployment) -> None:
@@ -162,6 +172,18 @@
             )
             await curio.sleep(0.3)
 
+    async def _send_isolated_copies(self, deployment: Deployment) -> None:
+        node = deployment.nodes[0]
+        identity = request_identity(
+            ORGANISATION, HOST, 'POST', '/stream/x', CRASH_MARK
+        )
+        ends = tuple(
+            Termination(Incarnation(f'earlier-{number}', 1), begun=True)
+            for number in range(2)
+        )
+        node.guard.merge_remote(CaseUpdate(identity, ends), 'another node')
+        await _ask_together(itertools.repeat(node, 4))
+
     async def _send_in_turn(self, deployment: Deployment) -> None:
         self.responses = []
         for number in range(8):
@@ -248,6 +270,19 @@
         )
 
 
+async def _ask_together(nodes: Iterable[GatewayTestbed]) -> None:
+    """Send a marked request to each node at the same time."""
+    tasks = [
+        await curio.spawn(
+            functools.partial(node.ask, '/stream/x', body=CRASH_MARK),
+        )
+        for node in nodes
+    ]
+    for task in tasks:
+        with contextlib.suppress(curio.TaskError):
+            await task.join()
+
+
 def _rows(node: GatewayTestbed, table: FakePlatform) -> HeldRows:
     return HeldRows('a node', table, node.guard.cases)
 
