Refuse deadlines of thousands of digits instead of failing

What callers saw: 500 instead of 400 for an x-deadline-ms of more than 4,300 digits. Cause: Python converts no longer text, and the ValueError was not expected. test_deadline_of_thousands_of_digits fails before (ValueError).

--- a/src/cranecart/client_api/_request_parsing.py
+++ b/src/cranecart/client_api/_request_parsing.py
@@ -24,6 +24,8 @@
 MAX_DEADLINE_MS = 600000
 _DEFAULT_DEADLINE_MS = 60000
 _MILLISECONDS = 1000
+_MAX_DEADLINE_DIGITS = 20
+_MAX_SHOWN_CHARS = 40
 _PROMPT_PREFIX_CHARS = 48
 _MAX_IDEMPOTENCY_KEY_CHARS = 255
 _MAX_TOKENS_LIMIT = 32768
@@ -108,9 +110,12 @@
 
 def _deadline_seconds(headers: Mapping[str, str]) -> float:
     text = headers.get('x-deadline-ms', str(_DEFAULT_DEADLINE_MS))
-    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    # Python converts no text of thousands of digits.
+    is_number = text.isdecimal() and len(text) <= _MAX_DEADLINE_DIGITS
+    if not is_number or not 0 < int(text) <= MAX_DEADLINE_MS:
         raise InvalidRequestError(
-            f'x-deadline-ms must be from 1 to {MAX_DEADLINE_MS}, not {text!r}',
+            f'x-deadline-ms must be from 1 to {MAX_DEADLINE_MS}, not '
+            f'{text[:_MAX_SHOWN_CHARS]!r}',
         )
     return int(text) / _MILLISECONDS
 
