Report scalars that are not JSON as findings with their line

What operators saw: a settings file with such a value ended the node's task at a reload, where an invalid file should change nothing. Cause: the syntax tree accepts more than the decoder of its leaves, whose error was not turned into a finding. test_scalars_that_are_not_json fails before (DecodeError).

--- a/src/cranecart/documents/_source.py
+++ b/src/cranecart/documents/_source.py
@@ -134,7 +134,7 @@
                     self.read(child, (*path, index))
                     for index, child in enumerate(_content(node))
                 ]
-        return _scalar(node)
+        return self._read_scalar(node)
 
     def _read_object(
         self,
@@ -144,7 +144,7 @@
         members: dict[str, object] = {}
         for pair in _content(node):
             key_node, value_node = _content(pair)
-            key = str(_scalar(key_node))
+            key = str(self._read_scalar(key_node))
             if key in members:
                 self.findings.append(
                     Finding(
@@ -156,9 +156,16 @@
             members[key] = self.read(value_node, (*path, key))
         return members
 
-
-def _scalar(node: tree_sitter.Node) -> object:
-    return msgspec.json.decode(node.text or b'null')
+    def _read_scalar(self, node: tree_sitter.Node) -> object:
+        # The parser accepts more than JSON does, such as numbers that end in a point.
+        try:
+            return msgspec.json.decode(node.text or b'null')
+        except msgspec.DecodeError as error:
+            line = node.start_point.row + 1
+            self.findings.append(
+                Finding(self.file, line, f'is not valid JSON: {error}')
+            )
+            return None
 
 
 def suggest(name: str, known: Iterable[str]) -> str:
--- a/tests/unit/test_malformed_input.py
+++ b/tests/unit/test_malformed_input.py
@@ -1,8 +1,11 @@
 """Malformed input is reported, and ends neither a call nor a task."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
 from cranecart.client_api._request_parsing import _deadline_seconds
+from cranecart.documents import FindingsError, read_document
 from cranecart.exceptions import InvalidRequestError
 
 _DAY = 86400
@@ -17,6 +20,18 @@
             _deadline_seconds({'x-deadline-ms': '9' * 5000})
         self.assertLess(len(str(caught.exception)), 200)
 
+    def test_scalars_that_are_not_json(self) -> None:
+        """They are findings with their lines."""
+        for text in ('1.', r'"\ud800"', '"\t"', '[true,\n1.]'):
+            with self.subTest(text=text), tempfile.TemporaryDirectory() as name:
+                file = Path(name) / 'settings.json'
+                file.write_text(text, 'utf-8')
+                with self.assertRaises(FindingsError) as caught:
+                    read_document(file)
+                self.assertEqual(
+                    caught.exception.findings[0].line, 1 + text.count('\n')
+                )
+
 
 if __name__ == '__main__':
     unittest.main()
