--- a/src/cranecart/limits/_rates.py
+++ b/src/cranecart/limits/_rates.py
@@ -9,6 +9,8 @@
 from cranecart.exceptions import OverLimitError
 
 _BURST_SECONDS = 4.0
+# Sent while a limit, or this node's share of it, is zero.
+_NO_RATE_RETRY_AFTER_SECONDS = 1.0
 
 
 @attrs.define
@@ -34,6 +36,11 @@
         now = self._clock()
         name = organisation.name
         rate = organisation.limits.tokens_per_second * self._share(name)
+        if rate <= 0:
+            raise OverLimitError(
+                f'{name} may use no tokens at present',
+                retry_after=_NO_RATE_RETRY_AFTER_SECONDS,
+            )
         burst = rate * _BURST_SECONDS
         bucket = self._buckets.setdefault(name, _Bucket(burst, now))
         accrued = (now - bucket.refilled_at) * rate
--- a/tests/unit/test_malformed_input.py
+++ b/tests/unit/test_malformed_input.py
@@ -5,8 +5,10 @@
 from pathlib import Path
 
 from cranecart.client_api._request_parsing import _deadline_seconds
+from cranecart.declarations import LimitsSpec, OrganisationSpec
 from cranecart.documents import FindingsError, read_document
-from cranecart.exceptions import InvalidRequestError
+from cranecart.exceptions import InvalidRequestError, OverLimitError
+from cranecart.limits._rates import TokenRateLimiter
 
 _DAY = 86400
 
@@ -32,6 +34,15 @@
                     caught.exception.findings[0].line, 1 + text.count('\n')
                 )
 
+    def test_limit_of_zero_tokens(self) -> None:
+        """It admits no call."""
+        limiter = TokenRateLimiter(lambda _name: 1)
+        limits = LimitsSpec(concurrent_requests=1, tokens_per_second=0)
+        organisation = OrganisationSpec('o', (), limits)
+        for _attempt in range(2):
+            with self.assertRaises(OverLimitError):
+                limiter.take(organisation, 10)
+
 
 if __name__ == '__main__':
     unittest.main()
