Go on sweeping past claim rows that cannot be decoded

What operators saw: one unreadable row ended the sweeper's task and its node. Cause: the errors of decoding a claim and the cursor were not handled. The claim is kept, as it may have been made again since; its index entry goes. test_claim and test_cursor fail before (DecodeError, ValueError).

--- a/src/cranecart/claims/_sweeper.py
+++ b/src/cranecart/claims/_sweeper.py
@@ -7,6 +7,7 @@
 
 import attrs
 import curio
+import msgspec
 
 from cranecart.claims._rows import (
     RETENTION_SECONDS,
@@ -59,11 +60,9 @@
             _CURSOR_KEY
         )
         newest_expired = bucket_of(self._wall_clock() - RETENTION_SECONDS) - 1
-        bucket = (
-            int(cursor.value) + 1
-            if cursor
-            else newest_expired - _MAX_LOOKBACK_BUCKETS
-        )
+        bucket = _bucket_after(cursor)
+        if bucket is None:
+            bucket = newest_expired - _MAX_LOOKBACK_BUCKETS
         if bucket > newest_expired:
             return False
         index = await self._platform.read_prefix(bucket_prefix(bucket))
@@ -85,9 +84,7 @@
         claims = await self._platform.read_keys([row.value for row in index])
         oldest_kept = self._wall_clock() - RETENTION_SECONDS
         expired = [
-            claim
-            for claim in claims.values()
-            if claim_from_row(claim).made_at < oldest_kept
+            claim for claim in claims.values() if _made_at(claim) < oldest_kept
         ]
         await self._platform.commit(
             Transaction(
@@ -104,6 +101,26 @@
         )
 
 
+def _bucket_after(cursor: Row | None) -> int | None:
+    """Return the bucket to sweep next, or None if that is not known."""
+    if cursor is None:
+        return None
+    try:
+        return int(cursor.value) + 1
+    except ValueError as error:
+        log_decision('claim_cursor_unreadable', why=str(error))
+        return None
+
+
+def _made_at(row: Row) -> float:
+    """Return when a claim was made; one that is unreadable is kept."""
+    try:
+        return claim_from_row(row).made_at
+    except msgspec.MsgspecError as error:
+        log_decision('claim_unreadable', row=row.key, why=str(error))
+        return float('inf')
+
+
 def _batches(rows: Sequence[Row]) -> Iterator[Sequence[Row]]:
     source = iter(rows)
     while batch := list(itertools.islice(source, _BATCH_SIZE)):
