--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -76,8 +76,9 @@
 
     ``tried`` lists the instances that were chosen so far, ``has_begun`` is
     whether any of them has sent an event of a stream. ``has_started`` is
-    whether any attempt was made, ``progress`` that of the current one. ``_peers`` are the nodes that it may be passed
-    on to, none if it comes from one.
+    whether any attempt was made, ``progress`` belongs to the latest one.
+    ``_peers`` are the nodes that it may be passed on to, none if it comes from
+    one.
     """
 
     call: RoutedCall
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -25,9 +25,7 @@
 from cranecart.http import Address
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation
-from cranecart.quarantine._abandoned import (
-    AbandonedAttempts,
-)
+from cranecart.quarantine._abandoned import AbandonedAttempts
 from cranecart.quarantine._cases import (
     CaseRegistry,
     CaseUpdate,
@@ -50,8 +48,7 @@
 _SUSPECT_VERDICTS = frozenset((Verdict.SUSPECT, Verdict.ISOLATED))
 _ISOLATED_VERDICTS = frozenset((Verdict.ISOLATED,))
 # Targets of abandoned attempts that are watched at once, each by a connection.
-# More are given up only in an outage of many targets, whose terminations other
-# requests and the list still show.
+# In an outage of more targets, other requests and the list show terminations.
 _MAX_WATCHED = 64
 
 
@@ -322,9 +319,8 @@
             return
         self._abandoned.record(identity, runner, begun=progress.has_begun)
         incarnation = runner.incarnation
-        if incarnation not in self._watched and (
-            len(self._watched) < _MAX_WATCHED
-        ):
+        has_room = len(self._watched) < _MAX_WATCHED
+        if has_room and incarnation not in self._watched:
             self._watched.add(incarnation)
             await curio.spawn(self._watch_abandoned, runner, daemon=True)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -223,6 +223,30 @@
         'not unexplained and begun',
         'tests.unit.test_crashing_requests.CrashingRequestTest.test_streams',
     ),
+    Mutation(
+        'abandoned-attempts-forgotten',
+        'quarantine/_guard.py',
+        'if may_still_run and progress.was_sent:',
+        'if may_still_run and not progress:',
+        'tests.unit.test_crashing_requests.CrashingRequestTest'
+        '.test_crashes_after_the_deadline',
+    ),
+    Mutation(
+        'isolated-copies-sent-together',
+        'quarantine/_settling.py',
+        'return max(0, settled_at - self._clock())',
+        'return 0 * settled_at',
+        'tests.unit.test_crashing_requests.CrashingRequestTest'
+        '.test_copies_of_an_isolated_request',
+    ),
+    Mutation(
+        'pauses-count-as-silence',
+        'clocks.py',
+        'if self._is_ticking and gap > _MAX_GAP_SECONDS:',
+        'if self._is_ticking and gap < 0:',
+        'tests.platform.test_paused_nodes.PausedNodesTest'
+        '.test_nodes_still_know_each_other',
+    ),
     Mutation(
         'failed-connections-count-as-termination',
         'quarantine/_probe.py',
