Spread the copies of an isolated request over the nodes

Cause: each node waited exactly 0.25 s after the last known termination, which all nodes learn at the same moment, so that four copies were sent within 5 ms.

Change: each node adds a time of its own of up to 0.75 s, drawn from the request and the termination.

--- a/src/cranecart/quarantine/_settling.py
+++ b/src/cranecart/quarantine/_settling.py
@@ -1,9 +1,11 @@
 """Space the copies of isolated requests in time; no I/O.
 
 A copy that was sent shortly before may just be crashing another target, which
-shows only once the connection to that target breaks.
+shows only once the connection to that target breaks. Nodes learn of a
+termination at the same moment, so that each adds a drawn time of its own.
 """
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +15,7 @@
 
 # Twice the time in which a request crashes its target as it begins there.
 _SETTLE_SECONDS = 0.25
+_SPREAD_SECONDS = 0.75
 
 
 @attrs.define
@@ -21,6 +24,8 @@
 
     _cases: CaseRegistry
     _clock: Callable[[], float] = since_boot
+    # Differs between nodes.
+    _seed: float = attrs.field(factory=random.random)
     _sent_at: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def record_sent(self, identity: str) -> None:
@@ -39,12 +44,16 @@
         if case is None or self._cases.verdict(digest) is not Verdict.ISOLATED:
             return 0
         sent_at = self._sent_at.get(digest, case.changed_at)
-        settled_at = max(sent_at, case.changed_at) + _SETTLE_SECONDS
+        since = max(sent_at, case.changed_at)
+        # The same time is drawn whenever it is asked for.
+        source = random.Random(f'{self._seed} {digest} {since}')
+        settled_at = since + _SETTLE_SECONDS
+        settled_at += source.uniform(0, _SPREAD_SECONDS)
         return max(0, settled_at - self._clock())
 
     def drop_expired(self) -> None:
         """Drop the sends that delay no copy any more."""
-        oldest = self._clock() - _SETTLE_SECONDS
+        oldest = self._clock() - _SETTLE_SECONDS - _SPREAD_SECONDS
         self._sent_at = {
             identity: at
             for identity, at in self._sent_at.items()
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -1,6 +1,7 @@
 """Detecting requests that crash their targets, and holding them."""
 
 import contextlib
+import functools
 import unittest
 from collections.abc import Sequence
 
@@ -31,12 +32,16 @@
     request_identity,
 )
 from cranecart.quarantine._pending import PendingTerminations
+from cranecart.quarantine._settling import IsolatedSends
 from tests.lib.fake_platform import (
     LOST_RESPONSE,
     REFUSED,
     FakePlatform,
 )
 
+_TRIALS = 100
+# A request crashes its target within this time of its begin there.
+_CRASH_SECONDS = 0.13
 _INCARNATIONS = tuple(Incarnation(f'i{number}', number) for number in range(12))
 _TERMINATIONS = st.builds(
     Termination, st.sampled_from(_INCARNATIONS), st.booleans()
@@ -312,6 +317,35 @@
         self.assertEqual(len(updates), 4)
 
 
+class IsolatedSendsTest(unittest.TestCase):
+    """When nodes send their copies of an isolated request."""
+
+    def test_nodes_do_not_send_together(self) -> None:
+        """Most copies go after the first one had time to crash its target."""
+        early_copies = 0
+        for trial in range(_TRIALS):
+            identity = functools.partial(str, trial)
+            waits = sorted(
+                _isolated_sends(str(trial)).seconds_to_wait(identity)
+                for _node in range(4)
+            )
+            self.assertGreaterEqual(waits[0], 0.25)
+            early_copies += sum(
+                seconds - waits[0] < _CRASH_SECONDS for seconds in waits[1:]
+            )
+        self.assertLess(early_copies, _TRIALS)
+
+    def test_the_wait_ends(self) -> None:
+        """Also if it is asked for again and again."""
+        clock = _Clock()
+        sends = _isolated_sends('a', clock)
+        seconds = sends.seconds_to_wait(lambda: 'a')
+        clock.now += seconds / 2
+        self.assertAlmostEqual(sends.seconds_to_wait(lambda: 'a'), seconds / 2)
+        clock.now += seconds / 2
+        self.assertLess(sends.seconds_to_wait(lambda: 'a'), 0.001)
+
+
 class PendingTerminationsTest(unittest.TestCase):
     """Terminations that show only after a connection broke."""
 
@@ -468,6 +502,17 @@
     return False
 
 
+def _isolated_sends(
+    identity: str, clock: _Clock | None = None
+) -> IsolatedSends:
+    """Return what a node knows that has just learned of two terminations."""
+    clock = clock or _Clock()
+    cases = CaseRegistry(clock)
+    update = attrs.evolve(_begun_at(0, 1), identity=identity)
+    cases.merge(update, is_own=False)
+    return IsolatedSends(cases, clock)
+
+
 def _guard(
     port: _Port,
     clock: _Clock | None = None,
