--- a/tests/unit/test_sweeper.py
+++ b/tests/unit/test_sweeper.py
@@ -14,6 +14,7 @@
 )
 from cranecart.http import Response
 from cranecart.leases import Lease
+from cranecart.ports import Put, Transaction
 from tests.lib.calls import non_repeatable_call
 from tests.lib.fake_platform import FakePlatform
 from tests.lib.synchronous import run_synchronously
@@ -70,7 +71,28 @@
         self._sweep()
         self.assertIn(key, self.platform.rows)
 
+    def test_unreadable_claim(self) -> None:
+        """It is kept, as it may have been made again; sweeping goes on."""
+        made_at = int(self.now - _DAY - 120)
+        index_key = f'claim-made/{made_at // 60:010}/claim/o/x'
+        self._put('claim/o/x', '{')
+        self._put(index_key, 'claim/o/x')
+        self._sweep()
+        self.assertIn('claim/o/x', self.platform.rows)
+        self.assertNotIn(index_key, self.platform.rows)
+
+    def test_unreadable_cursor(self) -> None:
+        """Sweeping starts anew."""
+        self._put('claim-swept', 'x')
+        self._sweep()
+        int(self.platform.rows['claim-swept'].value)
+
     def _sweep(self) -> None:
         swept = True
         while swept:
             swept = run_synchronously(self.sweeper.sweep_next_bucket())
+
+    def _put(self, key: str, text: str) -> None:
+        run_synchronously(
+            self.platform.commit(Transaction((), (Put(key, text),)))
+        )
