Renew all polls once a lost history is known

After a lost history several nodes read the records at once, which callers feel as the store's rate limit.

The reader and the nodes of rank 1 kept their long polls of the records, up to 28 s, and knew nothing. The six nodes of rank 2 had just taken over, were refused at once, waited 0.5 s for a reader that did not know, and then read together. Ruled out: a slow read of the reader (its list was read within 25 ms).

A node that learns of a lost history now renews its other polls, so that the node with the lowest rank reads the records together with the list.

test_lost_history_ends_the_polls_of_all_tables failed before (no read of the records within 1 s).

--- a/src/cranecart/fleet/_source_follower.py
+++ b/src/cranecart/fleet/_source_follower.py
@@ -155,6 +155,8 @@
             except HistoryLostError as error:
                 self._has_snapshot = False
                 log_decision('history_lost', source=self.name, why=str(error))
+                # The store does not end polls for tables without changes.
+                await self._reachability.restart_reads()
                 await self._await_shared_snapshot()
             except PlatformUnavailableError as error:
                 await self._wait_after_failure(error)
--- a/tests/platform/test_reads_after_restore.py
+++ b/tests/platform/test_reads_after_restore.py
@@ -41,6 +41,13 @@
         """The same where the store was silent and no node reads for others."""
         run_scenario(9, _INSTANCES, _SETTLE_SECONDS, self._lose_silent_history)
 
+    def test_lost_history_ends_the_polls_of_all_tables(self) -> None:
+        """Records are shared before other nodes read, each for itself.
+
+        Only the polled table with a change told the reader.
+        """
+        run_scenario(9, _INSTANCES, _SETTLE_SECONDS, self._lose_list_history)
+
     def test_nine_nodes_read_a_restored_store(self) -> None:
         """Few nodes read the instance list and the records."""
         run_scenario(9, _INSTANCES, _SETTLE_SECONDS, self._restore)
@@ -76,6 +83,15 @@
         await curio.sleep(1)
         self._check_reads(testbed, _READS_AFTER_LOST_HISTORY)
 
+    async def _lose_list_history(self, testbed: StoreTestbed) -> None:
+        store = testbed.store
+        store.calls.clear()
+        store.put('servers', '', 'i-1', entry_row('draining', born=2))
+        store.discard_history()
+        await until(lambda: store.calls['/rows-get', 'placement'] > 0, 1)
+        await curio.sleep(1)
+        self._check_reads(testbed, _READS_AFTER_LOST_HISTORY)
+
     async def _restore(self, testbed: StoreTestbed) -> None:
         store = testbed.store
         store.calls.clear()
