Announce the copies of isolated requests to other nodes

Callers lost up to four targets more, each with all other streams on it, to one request that crashes its targets: test_crashes_before_any_answer was red beside load, by one termination too many or four sends after the third one.

Cause, from traces of four red runs of 64 (14 busy processes, 8 at once, the test unchanged): after two or three terminations an isolated request waits, each node for a drawn time of 0.25 to 1 s after the last known termination. Nodes did not know of each other's copies, and in all four runs three or four nodes sent within 0.04 to 0.15 s. Beside load a crash shows only 0.1 to 0.2 s after the send. With four nodes and 0.18 s that is 4.5 % of runs, which is what was seen. So it was not the counting of arrivals that I had suspected.

A node that sends an isolated copy now counts it in the request's case and publishes the case, and the wait starts again at all nodes, each with a newly drawn time. The highest count wins, so that repeated and late messages do no harm. An own list of sends per node is not needed any more.

test_nodes_know_of_each_others_copies fails before (4 targets end, 1 now). Mutation isolated-copies-not-announced.

--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -71,12 +71,14 @@
     """What is known about one request, identified by its digest.
 
     ``ends`` are the terminations while it was there. The terminations of
-    ``cleared`` incarnations had another cause.
+    ``cleared`` incarnations had another cause. ``isolated_sends`` is the number
+    of its copies that were sent while it was isolated, as far as known.
     """
 
     identity: str
     ends: tuple[Termination, ...] = ()
     cleared: tuple[Incarnation, ...] = ()
+    isolated_sends: int = 0
 
 
 @attrs.define
@@ -91,6 +93,7 @@
     ends: dict[Incarnation, bool] = attrs.field(factory=dict)
     # In order of arrival.
     cleared: dict[Incarnation, None] = attrs.field(factory=dict)
+    isolated_sends: int = 0
 
     @property
     def begun_count(self) -> int:
@@ -104,7 +107,9 @@
             Termination(incarnation, begun)
             for incarnation, begun in self.ends.items()
         )
-        return CaseUpdate(self.identity, ends, tuple(self.cleared))
+        return CaseUpdate(
+            self.identity, ends, tuple(self.cleared), self.isolated_sends
+        )
 
     def verdict(self, explained: Container[Incarnation] = ()) -> Verdict:
         """Return the verdict, ignoring terminations that others explain."""
@@ -131,7 +136,7 @@
 
     def merge(self, update: CaseUpdate) -> bool:
         """Merge an update; return whether it changed anything."""
-        before = (dict(self.ends), set(self.cleared))
+        before = (dict(self.ends), set(self.cleared), self.isolated_sends)
         self.cleared.update(dict.fromkeys(update.cleared))
         for incarnation in update.cleared:
             self.ends.pop(incarnation, None)
@@ -139,7 +144,8 @@
             self._add(termination)
         for oldest in list(self.cleared)[:-_MAX_CLEARED]:
             self.cleared.pop(oldest)
-        return before != (self.ends, set(self.cleared))
+        self.isolated_sends = max(self.isolated_sends, update.isolated_sends)
+        return before != (self.ends, set(self.cleared), self.isolated_sends)
 
     def _add(self, termination: Termination) -> None:
         if termination.life in self.cleared:
@@ -234,6 +240,16 @@
             return None
         return CaseUpdate(identity, cleared=tuple(case.ends))
 
+    def sending_update(self, identity: str) -> CaseUpdate | None:
+        """Return an update that counts one more copy that is being sent.
+
+        Return ``None`` if the request is not isolated.
+        """
+        case = self.find(identity)
+        if case is None or self._judge(case) is not Verdict.ISOLATED:
+            return None
+        return CaseUpdate(identity, isolated_sends=case.isolated_sends + 1)
+
     def _judge(self, case: Case) -> Verdict:
         """Judge a case by comparison with the others.
 
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -215,7 +215,7 @@
         if not self.cases.is_empty:
             verdict = self.cases.verdict(identity())
         if verdict is Verdict.ISOLATED:
-            self._isolated_sends.record_sent(identity())
+            self._announce_send(identity())
         counts = [
             count
             for count, verdicts in (
@@ -264,7 +264,6 @@
         self.probe.prune(listed)
         for update in self._pending.pop_terminated(self._has_terminated):
             self._record_termination(update, 'seen here, confirmed later')
-        self._isolated_sends.drop_expired()
         self._abandoned.drop_expired()
         for incarnation in list(self._abandoned.incarnations()):
             if self._has_terminated(incarnation):
@@ -369,6 +368,13 @@
             self._log_termination(update.identity, update.ends[0].life, source)
             self._publish_case(update.identity)
 
+    def _announce_send(self, identity: str) -> None:
+        """Let other copies of an isolated request wait for this one."""
+        update = self.cases.sending_update(identity)
+        if update is not None:
+            self.cases.merge(update, is_own=True)
+            self._publish_case(identity)
+
     def _publish_case(self, identity: str) -> None:
         case = self.cases.find(identity)
         if case is not None:
--- a/tests/unit/test_crashing_requests.py
+++ b/tests/unit/test_crashing_requests.py
@@ -46,6 +46,8 @@
 _MUTE_HOLD_THRESHOLD = 4
 # The required bound, including copies that are in flight.
 _MAX_TERMINATIONS = 6
+# Within this time of the last termination all nodes may send a copy.
+_MAX_SETTLE_SECONDS = 1.1
 # Of eight targets six may be down for a second of the four.
 _MIN_SERVED_FRACTION = 0.8
 _OK = 200
@@ -111,6 +113,12 @@
         curio.run(deployment.run, self._send_isolated_copies)
         self.assertEqual(len(deployment.terminations), 1)
 
+    def test_nodes_know_of_each_others_copies(self) -> None:
+        """A node does not send while a copy of another one is under way."""
+        deployment = Deployment(4, 10)
+        curio.run(deployment.run, self._send_settled_copies)
+        self.assertEqual(len(deployment.terminations), 1)
+
     def test_concurrent_copies(self) -> None:
         """Nine nodes get a copy at once; no further ones are sent."""
         deployment = Deployment(9, 12)
@@ -174,16 +182,15 @@
 
     async def _send_isolated_copies(self, deployment: Deployment) -> None:
         node = deployment.nodes[0]
-        identity = request_identity(
-            ORGANISATION, HOST, 'POST', '/stream/x', CRASH_MARK
-        )
-        ends = tuple(
-            Termination(Incarnation(f'earlier-{number}', 1), begun=True)
-            for number in range(2)
-        )
-        node.guard.merge_remote(CaseUpdate(identity, ends), 'another node')
+        _isolate_marked(node)
         await _ask_together(itertools.repeat(node, 4))
 
+    async def _send_settled_copies(self, deployment: Deployment) -> None:
+        for node in deployment.nodes:
+            _isolate_marked(node)
+        await curio.sleep(_MAX_SETTLE_SECONDS)
+        await _ask_together(deployment.nodes)
+
     async def _send_in_turn(self, deployment: Deployment) -> None:
         self.responses = []
         for number in range(8):
@@ -283,6 +290,18 @@
             await task.join()
 
 
+def _isolate_marked(node: GatewayTestbed) -> None:
+    """Tell a node of two targets that the marked request has crashed."""
+    identity = request_identity(
+        ORGANISATION, HOST, 'POST', '/stream/x', CRASH_MARK
+    )
+    ends = tuple(
+        Termination(Incarnation(f'earlier-{number}', 1), begun=True)
+        for number in range(2)
+    )
+    node.guard.merge_remote(CaseUpdate(identity, ends), 'another node')
+
+
 def _rows(node: GatewayTestbed, table: FakePlatform) -> HeldRows:
     return HeldRows('a node', table, node.guard.cases)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -239,6 +239,14 @@
         'tests.unit.test_crashing_requests.CrashingRequestTest'
         '.test_copies_of_an_isolated_request',
     ),
+    Mutation(
+        'isolated-copies-not-announced',
+        'quarantine/_guard.py',
+        'if verdict is Verdict.ISOLATED:',
+        'if verdict is None:',
+        'tests.unit.test_crashing_requests.CrashingRequestTest'
+        '.test_nodes_know_of_each_others_copies',
+    ),
     Mutation(
         'pauses-count-as-silence',
         'clocks.py',
