--- a/tests/unit/test_passed_on_requests.py
+++ b/tests/unit/test_passed_on_requests.py
@@ -73,7 +73,7 @@
     """Use the processor."""
     ends_at = time.process_time() + seconds
     while time.process_time() < ends_at:
-        continue
+        pass
 
 
 async def _disturb(
