--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -179,7 +179,7 @@
         After a pause of this process it waits for as long again: the end of
         another copy's target has not been noticed meanwhile.
         """
-        paused = 0.0
+        paused: float = 0
         seconds = self._isolated_sends.seconds_to_wait(identity)
         while seconds > 0 and seconds_left() > 0:
             step = min(seconds, seconds_left(), _SETTLE_STEP_SECONDS)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -348,7 +348,6 @@
         clock.now += seconds / 2
         self.assertLess(sends.seconds_to_wait(lambda: 'a'), 0.001)
 
-
     def test_pauses_of_the_process_do_not_count(self) -> None:
         """What became of the last copy is noticed only after a pause."""
         self.assertGreater(curio.run(_wait_over_pause), _CRASH_SECONDS)
