--- a/tests/unit/test_abandoned_attempts.py
+++ b/tests/unit/test_abandoned_attempts.py
@@ -25,6 +25,7 @@
     Verdict,
 )
 from cranecart.quarantine._probe import wait_for_break
+from tests.lib.fake_clock import FakeClock
 
 _ADDRESS = Address('127.0.0.1', 1)
 _RUNNERS = tuple(
@@ -34,19 +35,11 @@
 _RETENTION_SECONDS = 2.0
 
 
-@attrs.define
-class _Clock:
-    now: float = 100
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @attrs.define
 class _Rig:
     """A guard whose targets terminate when the test says so."""
 
-    clock: _Clock = attrs.field(factory=_Clock)
+    clock: FakeClock = attrs.field(factory=FakeClock)
     is_leaving: bool = False
     has_open_port: bool = False
     # Incarnations that the instance list shows as terminated.
--- a/tests/unit/test_connection_reuse.py
+++ b/tests/unit/test_connection_reuse.py
@@ -29,6 +29,7 @@
     expected_body,
 )
 from cranecart.targets import CompletionCall, EngineClient, ServingReplica
+from tests.lib.fake_clock import FakeClock
 from tests.lib.fake_targets import (
     PLAIN,
     ClientAnswer,
@@ -44,14 +45,6 @@
 _SURPLUS_RESPONSE = ScriptedResponse((SurplusResponse(),))
 
 
-@attrs.define
-class _Clock:
-    now: float = 100
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @attrs.define
 class _PoolClient:
     """Sends requests to a target one after the other, over a pool."""
@@ -254,7 +247,7 @@
 
 
 async def _call_until_reliable_again(target: ScriptedService) -> None:
-    clock = _Clock()
+    clock = FakeClock()
     client = _PoolClient(TargetConnectionPool(clock), target)
     await client.ask(require_recent=False)
     clock.now += 11
--- a/tests/unit/test_crash_simulation.py
+++ b/tests/unit/test_crash_simulation.py
@@ -2,6 +2,7 @@
 
 import statistics
 import unittest
+from typing import Any
 
 from tests.lib.crash_simulation import CrashSimulation
 
@@ -24,29 +25,11 @@
 
     def test_terminations_reported_late(self) -> None:
         """No request is wrongly held, with or without a culprit."""
-        for seed in range(_DAYS):
-            with self.subTest(seed=seed):
-                day = CrashSimulation(
-                    8,
-                    seed,
-                    0.4,
-                    has_culprit=bool(seed % 2),
-                    reported_late=True,
-                ).run()
-                self.assertEqual(day.wrongly_held, 0)
+        self._check_days(reported_late=True)
 
     def test_abandoned_attempts(self) -> None:
         """Those at targets that terminate later are held no more often."""
-        for seed in range(_DAYS):
-            with self.subTest(seed=seed):
-                day = CrashSimulation(
-                    8,
-                    seed,
-                    0.4,
-                    has_culprit=bool(seed % 2),
-                    abandoned_fraction=0.3,
-                ).run()
-                self.assertEqual(day.wrongly_held, 0)
+        self._check_days(abandoned_fraction=0.3)
 
     def test_with_a_culprit(self) -> None:
         """It is held after a few terminations, and no other request is."""
@@ -60,6 +43,15 @@
         self.assertEqual(sum(day.wrongly_held for day in days), 0)
         self.assertTrue(all(day.refused_culprit for day in days))
 
+    def _check_days(self, **options: Any) -> None:
+        """Check drawn days, every other one with a culprit."""
+        for seed in range(_DAYS):
+            with self.subTest(seed=seed):
+                day = CrashSimulation(
+                    8, seed, 0.4, has_culprit=bool(seed % 2), **options
+                ).run()
+                self.assertEqual(day.wrongly_held, 0)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -22,6 +22,7 @@
     decode_message,
     encode_message,
 )
+from tests.lib.fake_clock import FakeClock
 
 _KEYS = tuple(EntryKey(Topic.REPORT, f'e{number}', 'n') for number in range(4))
 
@@ -92,20 +93,12 @@
         self.assertEqual(receiver_store.digest, origin_store.digest)
 
 
-@attrs.define
-class _Clock:
-    now: float = 10
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class MembersTest(unittest.TestCase):
     """Suspicion, its time-out, and refutation by a new incarnation."""
 
     def setUp(self) -> None:
         """Create a node with one other node in its store."""
-        self.clock = _Clock()
+        self.clock = FakeClock()
         self.store = EntryStore()
         self.members = Members(
             'a',
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
 from cranecart.exceptions import LeaseLostError, PlatformError
 from cranecart.leases import Lease, LeaseTimeouts
+from tests.lib.fake_clock import FakeClock
 from tests.lib.fake_platform import FAULTS, FakePlatform
 from tests.lib.synchronous import run_synchronously
 
@@ -16,15 +16,7 @@
 _RESTORE = 'restore'
 
 
-@attrs.define
-class _Clock:
-    now: float = 1000
-
-    def __call__(self) -> float:
-        return self.now
-
-
-def _leases(platform: FakePlatform, clock: _Clock) -> dict[str, Lease]:
+def _leases(platform: FakePlatform, clock: FakeClock) -> dict[str, Lease]:
     return {
         name: Lease('placer/x', name, platform, clock=clock) for name in _NODES
     }
@@ -54,7 +46,7 @@
     ) -> None:
         """At most one lease is valid, despite pauses and lost responses."""
         platform = FakePlatform(faults=iter(faults))
-        clock = _Clock()
+        clock = FakeClock()
         leases = _leases(platform, clock)
         fencings: list[tuple[int, str]] = []
         for name, wait in steps:
@@ -86,7 +78,7 @@
     ) -> None:
         """A restored table may lack the holder's row, or have another holder's."""
         platform = FakePlatform()
-        clock = _Clock()
+        clock = FakeClock()
         leases = _leases(platform, clock)
         backups = [platform.snapshot_rows()]
         # A node that has never read the row acquires a missing one at once.
@@ -109,7 +101,7 @@
     def test_holder_renews_after_a_restore(self) -> None:
         """A holder that is running renews its lease without a wait."""
         platform = FakePlatform()
-        lease = _leases(platform, _Clock())['a']
+        lease = _leases(platform, FakeClock())['a']
         backup = platform.snapshot_rows()
         _try_acquire(lease)
         platform.restore(backup)
@@ -121,7 +113,7 @@
     def test_holder_yields_to_one_of_the_new_era(self) -> None:
         """A fencing token of the new era shows that another node acquired it."""
         platform = FakePlatform()
-        clock = _Clock()
+        clock = FakeClock()
         leases = _leases(platform, clock)
         _try_acquire(leases['a'])
         platform.restore((0, {}))
@@ -131,7 +123,7 @@
 
     def test_paused_holder_detects_the_loss(self) -> None:
         """It gets an error instead of a check for its transactions."""
-        clock = _Clock()
+        clock = FakeClock()
         lease = _leases(FakePlatform(), clock)['a']
         self.assertTrue(_try_acquire(lease))
         lease.check()
@@ -141,7 +133,7 @@
 
     def test_resumed_holder_cannot_write(self) -> None:
         """Its check fails even if it does not read its clock."""
-        clock = _Clock()
+        clock = FakeClock()
         platform = FakePlatform()
         leases = _leases(platform, clock)
         _try_acquire(leases['a'])
@@ -162,7 +154,7 @@
         wait for longer. All others wait for 1.2 s, because the replicas of a
         dead holder are not repaired meanwhile.
         """
-        clock = _Clock()
+        clock = FakeClock()
         platform = FakePlatform()
         times = LeaseTimeouts(6, 1.2, 4)
         holder, isolated, other = (
@@ -184,7 +176,7 @@
 
     def test_released_lease_needs_no_wait(self) -> None:
         """The next node acquires a released lease at once."""
-        leases = _leases(FakePlatform(), _Clock())
+        leases = _leases(FakePlatform(), FakeClock())
         _try_acquire(leases['a'])
         run_synchronously(leases['a'].release())
         self.assertTrue(_try_acquire(leases['b']))
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -3,7 +3,6 @@
 import itertools
 import unittest
 
-import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,6 +10,7 @@
 from cranecart.exceptions import OverLimitError, OverloadedError
 from cranecart.limits import Admission, Capacity, LimitShares, TokenRateLimiter
 from cranecart.retries import RetryBudget
+from tests.lib.fake_clock import FakeClock
 
 _NAME = 'o'
 _ORGANISATION = OrganisationSpec(_NAME, (), LimitsSpec(10, 100))
@@ -19,20 +19,12 @@
 _MAX_TOTAL_SHARE = 1.000001
 
 
-@attrs.define
-class _Clock:
-    now: float = 10
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class _Nodes:
     """Nodes that receive each other's demand with a delay of a second."""
 
     def __init__(self, limit: int = 0) -> None:
         self.limit = limit
-        self.clock = _Clock()
+        self.clock = FakeClock()
         self.nodes = [LimitShares(self.clock) for _ in range(_NODES)]
         self.demands = list(itertools.repeat(0, _NODES))
         for one, other in itertools.permutations(range(_NODES), 2):
@@ -120,7 +112,7 @@
 
     def setUp(self) -> None:
         """Create the admission control of a single node."""
-        self.clock = _Clock()
+        self.clock = FakeClock()
         self.shares = LimitShares(self.clock)
         rates = TokenRateLimiter(self.shares.share, self.clock)
         self.admission = Admission(Capacity(calls=8), self.shares, rates)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -34,6 +34,7 @@
 )
 from cranecart.quarantine._pending import PendingTerminations
 from cranecart.quarantine._settling import IsolatedSends
+from tests.lib.fake_clock import FakeClock
 from tests.lib.fake_platform import (
     LOST_RESPONSE,
     REFUSED,
@@ -57,14 +58,6 @@
 )
 
 
-@attrs.define
-class _Clock:
-    now: float = 100
-
-    def __call__(self) -> float:
-        return self.now
-
-
 def _begun_at(*numbers: int) -> CaseUpdate:
     return CaseUpdate(
         'a',
@@ -196,7 +189,7 @@
 
     def test_suspects_expire(self) -> None:
         """Suspects are dropped after an hour; held requests stay."""
-        clock = _Clock()
+        clock = FakeClock()
         cases = CaseRegistry(clock)
         cases.merge(_begun_at(0, 1, 2), is_own=True)
         cases.merge(attrs.evolve(_begun_at(0), identity='old'), is_own=True)
@@ -240,7 +233,7 @@
 
     def test_old_results_are_pruned(self) -> None:
         """Results for incarnations that are not listed use no memory."""
-        clock = _Clock()
+        clock = FakeClock()
         port = _Port(ConnectRefusedError('nothing listens'))
         probe = TerminationProbe(port, clock)
         curio.run(probe.has_terminated, _listed_instance(0))
@@ -262,7 +255,7 @@
             with self.subTest(
                 seconds=seconds, is_leaving=is_leaving, error=error
             ):
-                clock = _Clock()
+                clock = FakeClock()
                 guard = _guard(_Port(error), clock, is_leaving=is_leaving)
                 for number in range(5):
                     curio.run(_terminate_during, guard, number, clock, seconds)
@@ -304,7 +297,7 @@
 
     def test_updates_are_republished(self) -> None:
         """Updates may be lost: they are repeated for two seconds."""
-        clock = _Clock()
+        clock = FakeClock()
         updates: list[Sequence[CaseUpdate]] = []
         guard = RequestGuard(
             lambda _one: False,
@@ -340,7 +333,7 @@
 
     def test_the_wait_ends(self) -> None:
         """Also if it is asked for again and again."""
-        clock = _Clock()
+        clock = FakeClock()
         sends = _isolated_sends('a', clock)
         seconds = sends.seconds_to_wait(lambda: 'a')
         clock.now += seconds / 2
@@ -358,7 +351,7 @@
 
     def setUp(self) -> None:
         """Start without broken connections."""
-        self.clock = _Clock()
+        self.clock = FakeClock()
         self.pending = PendingTerminations(self.clock)
         self.ended: set[Incarnation] = set()
 
@@ -430,7 +423,7 @@
 
     def test_another_node_writes_if_the_finder_fails(self) -> None:
         """It waits for two seconds first."""
-        clock = _Clock()
+        clock = FakeClock()
         table, cases = FakePlatform(), CaseRegistry(clock)
         rows = HeldRows('n1', table, cases, clock)
         cases.merge(_begun_at(0, 1, 2), is_own=False)
@@ -524,10 +517,10 @@
 
 
 def _isolated_sends(
-    identity: str, clock: _Clock | None = None
+    identity: str, clock: FakeClock | None = None
 ) -> IsolatedSends:
     """Return what a node knows that has just learned of two terminations."""
-    clock = clock or _Clock()
+    clock = clock or FakeClock()
     cases = CaseRegistry(clock)
     update = attrs.evolve(_begun_at(0, 1), identity=identity)
     cases.merge(update, is_own=False)
@@ -536,14 +529,14 @@
 
 def _guard(
     port: _Port,
-    clock: _Clock | None = None,
+    clock: FakeClock | None = None,
     *,
     is_leaving: bool = False,
 ) -> RequestGuard:
     return RequestGuard(
         lambda _one: is_leaving,
         lambda _cases: None,
-        clock=clock or _Clock(),
+        clock=clock or FakeClock(),
         probe=TerminationProbe(port),
     )
 
@@ -551,7 +544,7 @@
 async def _terminate_during(
     guard: RequestGuard,
     number: int,
-    clock: _Clock | None = None,
+    clock: FakeClock | None = None,
     progress_seconds: float = 0,
 ) -> None:
     """Break an attempt off ``progress_seconds`` after its answer began."""
--- a/tests/unit/test_restored_rows.py
+++ b/tests/unit/test_restored_rows.py
@@ -8,8 +8,9 @@
 
 from cranecart.quarantine import CaseRegistry, HeldRows, Verdict
 from cranecart.serving._node_registration import NodeRegistration
+from tests.lib.fake_clock import FakeClock
 from tests.lib.fake_platform import FakePlatform
-from tests.unit.test_quarantine import _begun_at, _Clock
+from tests.unit.test_quarantine import _begun_at
 
 
 class RestoredHeldRowsTest(unittest.TestCase):
@@ -17,7 +18,7 @@
 
     def setUp(self) -> None:
         """Prepare an empty copy of the table."""
-        self.clock = _Clock()
+        self.clock = FakeClock()
         self.table = FakePlatform()
         self.cases = CaseRegistry(self.clock)
         self.empty = self.table.snapshot_rows()
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -4,7 +4,6 @@
 import unittest
 from collections import Counter
 
-import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,6 +12,7 @@
 from cranecart.selection import POLICIES, policy_from_name
 from cranecart.selection._policies import choose
 from cranecart.targets import ServingReplica
+from tests.lib.fake_clock import FakeClock
 
 _RNG = random.Random(1)
 _LOADS = st.lists(st.integers(0, 40), min_size=1, max_size=9)
@@ -88,20 +88,12 @@
         self.assertEqual(len(set(map(policy_from_name, POLICIES))), 3)
 
 
-@attrs.define
-class _Clock:
-    now: float = 0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class OutlierEjectionTest(unittest.TestCase):
     """Failing targets are ejected for a while."""
 
     def setUp(self) -> None:
         """Create two replicas, one of which will fail."""
-        self.clock = _Clock()
+        self.clock = FakeClock()
         self.ejection = OutlierEjection(self.clock)
         self.replicas = _replicas([0, 0])
 
