Judge an isolated request once where its send is announced

The only caller had just asked for the verdict. Behaviour is the same: the tests of crashing requests and the quarantine (64) and both mutations of isolated copies pass, the whole script was not run.

--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -241,12 +241,12 @@
         return CaseUpdate(identity, cleared=tuple(case.ends))
 
     def sending_update(self, identity: str) -> CaseUpdate | None:
-        """Return an update that counts one more copy that is being sent.
+        """Return an update that counts one more copy of an isolated request.
 
-        Return ``None`` if the request is not isolated.
+        Return ``None`` if there is no such case.
         """
         case = self.find(identity)
-        if case is None or self._judge(case) is not Verdict.ISOLATED:
+        if case is None:
             return None
         return CaseUpdate(identity, isolated_sends=case.isolated_sends + 1)
 
--- a/src/cranecart/quarantine/_settling.py
+++ b/src/cranecart/quarantine/_settling.py
@@ -33,7 +33,7 @@
     ) -> float:
         """Return for how long a request must not be sent yet.
 
-        ``paused_seconds`` of the time since the last news do not count. The
+        ``paused_seconds`` in which this process did not run are added. The
         identity is computed only if there are any cases.
         """
         if self._cases.is_empty:
