--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -6,7 +6,16 @@
 from hypothesis import strategies as st
 
 from cranecart.fleet import SourceUpdate
-from cranecart.mesh import Broken, ConfigAsk, ListNews, RequestCases, Stopped
+from cranecart.mesh import (
+    Broken,
+    ConfigAsk,
+    Leaving,
+    ListNews,
+    MeshMessage,
+    RequestCases,
+    Stopped,
+    TargetLimits,
+)
 from cranecart.mesh._stop_notices import StopNotices
 from cranecart.models import RouteConfig
 from cranecart.ports import Incarnation, ListedInstance
@@ -464,6 +473,37 @@
         )
 
 
+class SimultaneousRelaysTest(unittest.TestCase):
+    """Several active relays in a failure domain, as right after the start."""
+
+    def test_notices_circulate_between_relays(self) -> None:
+        """Each relay forwards a notice of another domain at most once.
+
+        Relays forwarded each other's copies without end, until the nodes of the
+        failure domain had neither processor time nor link left.
+        """
+        name = 'node-004'
+        update = CaseUpdate('a', (Termination(Incarnation('i1', 1), True),))
+        for notice in (
+            Broken(name, 'i1', 7),
+            Leaving(name, 'i1', 7),
+            TargetLimits(name, []),
+            Stopped(name, 'r1', 1, 'lost'),
+            RequestCases(name, [update]),
+        ):
+            with self.subTest(notice=type(notice).__name__):
+                self._check_copies(name, notice)
+
+    def _check_copies(self, name: str, notice: MeshMessage) -> None:
+        cluster = SimulatedCluster.of(_LARGE_COUNT)
+        cluster.nodes[name].message_sender.publish(notice, include_silent=True)
+        cluster.deliver()
+        per_domain = _LARGE_COUNT // 3
+        self.assertLessEqual(
+            cluster.sent.total(), _LARGE_COUNT + _LARGE_COUNT * per_domain
+        )
+
+
 class ConfigExchangeTest(unittest.TestCase):
     """A configuration that one node has read is soon in force on all."""
 
