Forward a notice of another failure domain only once

Cause: a relay forwards notices of other failure domains to its own, the other relay among them. Where both are active, each forwards what the other has forwarded, and with three the copies multiply. Broken, Leaving and TargetLimits had nothing that ended this; source updates, stops and cases were recognized on their return.

A forwarded message now travels in an envelope and is never forwarded again, whatever its type. test_notices_circulate_between_relays failed before (20000 deliveries did not suffice for one notice among 30 nodes, 330 are allowed) and passes.

--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -9,6 +9,8 @@
     ConfigAsk,
     ConfigGive,
     Digest,
+    ForwardableMessage,
+    Forwarded,
     ListNews,
     MeshMessage,
     RecordNews,
@@ -55,68 +57,70 @@
                 self._handle_digest(message, now)
             case Summary():
                 self._handle_summary(message, now)
-            case Stopped():
-                self._handle_stopped(message)
             case Suspect():
                 await self._callbacks.on_suspect(message)
-            case Broken() | Leaving() | RequestCases() | TargetLimits():
-                self._handle_target_message(message)
-            case ListNews() | RecordNews():
-                self._handle_source_update(message)
             case ConfigAsk() | ConfigGive():
                 self._handle_config_message(message)
+            case Forwarded():
+                self._handle_forwardable(message.message, is_forwarded=True)
+            case _:
+                self._handle_forwardable(message, is_forwarded=False)
+
+    def _handle_forwardable(
+        self, message: ForwardableMessage, *, is_forwarded: bool
+    ) -> None:
+        """Handle a message; forward it if it comes from its first sender."""
+        forward = _ignore if is_forwarded else self._forward_to_domain
+        match message:
+            case Stopped():
+                if self._state.stop_notices.add(message):
+                    forward(message, include_silent=True)
+                self._callbacks.on_stopped(message)
+            case RequestCases():
+                if self._callbacks.on_cases(message):
+                    forward(message, include_silent=True)
+            case ListNews() | RecordNews():
+                if not is_forwarded and self._is_new_version(message):
+                    forward(message, include_silent=False)
+                self._handle_source_update(message)
+            case Broken() | Leaving() | TargetLimits():
+                forward(message, include_silent=False)
+                self._handle_target_message(message)
 
     def _handle_target_message(
-        self,
-        message: Broken | Leaving | RequestCases | TargetLimits,
+        self, message: Broken | Leaving | TargetLimits
     ) -> None:
         match message:
             case Broken():
-                self._forward_to_domain(message, include_silent=False)
                 self._callbacks.on_broken(message)
             case Leaving():
-                self._forward_to_domain(message, include_silent=False)
                 self._callbacks.on_leaving(message)
-            case RequestCases():
-                if self._callbacks.on_cases(message):
-                    self._forward_to_domain(message, include_silent=True)
             case TargetLimits():
-                self._forward_to_domain(message, include_silent=False)
                 self._callbacks.on_limits(message)
 
     def _handle_source_update(self, message: SourceUpdateMessage) -> None:
-        kind = (type(message), message.update.extent)
-        # Two relays that are active at once forward to each other as well, so
-        # the version check stops the message from circulating between them.
-        if message.update.version > self._forwarded_versions.get(kind, -1):
-            if self._forward_to_domain(message, include_silent=False):
-                self._forwarded_versions[kind] = message.update.version
         match message:
             case ListNews():
                 self._callbacks.on_list_update(message.update)
             case RecordNews():
                 self._callbacks.on_record_update(message.update)
 
-    def _handle_stopped(self, message: Stopped) -> None:
-        if self._state.stop_notices.add(message):
-            self._forward_to_domain(message, include_silent=True)
-        self._callbacks.on_stopped(message)
+    def _is_new_version(self, message: SourceUpdateMessage) -> bool:
+        """Return whether no update to this version was forwarded before.
 
-    def _forward_to_domain(
-        self,
-        message: SourceUpdateMessage
-        | Stopped
-        | Broken
-        | Leaving
-        | RequestCases
-        | TargetLimits,
-        *,
-        include_silent: bool,
-    ) -> bool:
-        """Forward a message of another failure domain, if this node relays.
-
-        Return whether it was forwarded to the nodes of the local domain.
+        Several nodes may read the same changes when a reader is replaced.
         """
+        kind = (type(message), message.update.extent)
+        version = message.update.version
+        if version <= self._forwarded_versions.get(kind, -1):
+            return False
+        self._forwarded_versions[kind] = version
+        return True
+
+    def _forward_to_domain(
+        self, message: ForwardableMessage, *, include_silent: bool
+    ) -> None:
+        """Forward a message of another failure domain, if this node relays."""
         roster = self._state.roster
         sender = roster.peers.get(message.sender)
         if (
@@ -124,13 +128,13 @@
             or not roster.uses_relays
             or not roster.is_active_relay()
         ):
-            return False
+            return
         if sender.failure_domain == self._state.local.failure_domain:
-            return False
+            return
         self._transport.send_all(
-            roster.domain_addresses(include_silent=include_silent), message
+            roster.domain_addresses(include_silent=include_silent),
+            Forwarded(message),
         )
-        return True
 
     def _handle_beat(self, beat: Beat) -> None:
         self._handle_repeated_stops(beat.recent_stops)
@@ -210,3 +214,11 @@
         if config is not None and config.version > request.version:
             response = ConfigGive(self._state.local.node_id, config)
             self._transport.send(request.address, response)
+
+
+def _ignore(
+    _message: ForwardableMessage,
+    *,
+    include_silent: bool,  # noqa: ARG001
+) -> None:
+    """Do not forward a message that a relay has forwarded."""
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -141,6 +141,27 @@
 
 SourceUpdateMessage = ListNews | RecordNews
 
+# What relays forward to the nodes of their failure domain.
+ForwardableMessage = (
+    SourceUpdateMessage
+    | Stopped
+    | Broken
+    | Leaving
+    | RequestCases
+    | TargetLimits
+)
+
+
+class Forwarded(msgspec.Struct, tag='forwarded', array_like=True):
+    """A message of another failure domain, forwarded by a relay.
+
+    It is not forwarded again. Several relays of a failure domain may be active
+    at once, and would otherwise send each other the same message without end.
+    """
+
+    message: ForwardableMessage
+
+
 MeshMessage = (
     Beat
     | Summary
@@ -155,6 +176,7 @@
     | ConfigGive
     | ListNews
     | RecordNews
+    | Forwarded
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
