--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -14,7 +14,6 @@
     ListNews,
     MeshMessage,
     RecordNews,
-    SourceUpdateMessage,
     Stopped,
     Summary,
     Suspect,
@@ -70,21 +69,16 @@
         self, message: ForwardableMessage, *, is_forwarded: bool
     ) -> None:
         """Handle a message; forward it if it comes from its first sender."""
-        forward = _ignore if is_forwarded else self._forward_to_domain
+        if self._is_new(message) and not is_forwarded:
+            self._forward_to_domain(message)
         match message:
             case Stopped():
-                if self._state.stop_notices.add(message):
-                    forward(message, include_silent=True)
                 self._callbacks.on_stopped(message)
-            case RequestCases():
-                if self._callbacks.on_cases(message):
-                    forward(message, include_silent=True)
-            case ListNews() | RecordNews():
-                if not is_forwarded and self._is_new_version(message):
-                    forward(message, include_silent=False)
-                self._handle_source_update(message)
+            case ListNews():
+                self._callbacks.on_list_update(message.update)
+            case RecordNews():
+                self._callbacks.on_record_update(message.update)
             case Broken() | Leaving() | TargetLimits():
-                forward(message, include_silent=False)
                 self._handle_target_message(message)
 
     def _handle_target_message(
@@ -98,29 +92,20 @@
             case TargetLimits():
                 self._callbacks.on_limits(message)
 
-    def _handle_source_update(self, message: SourceUpdateMessage) -> None:
+    def _is_new(self, message: ForwardableMessage) -> bool:
+        """Record a message; return whether it may contain anything new."""
         match message:
-            case ListNews():
-                self._callbacks.on_list_update(message.update)
-            case RecordNews():
-                self._callbacks.on_record_update(message.update)
+            case Stopped():
+                return self._state.stop_notices.add(message)
+            case RequestCases():
+                return self._callbacks.on_cases(message)
+        return True
 
-    def _is_new_version(self, message: SourceUpdateMessage) -> bool:
-        """Return whether no update to this version was forwarded before.
+    def _forward_to_domain(self, message: ForwardableMessage) -> None:
+        """Forward a message of another failure domain, if this node relays.
 
-        Several nodes may read the same changes when a reader is replaced.
+        Nodes that seem to be silent get only what nothing else tells them.
         """
-        kind = (type(message), message.update.extent)
-        version = message.update.version
-        if version <= self._forwarded_versions.get(kind, -1):
-            return False
-        self._forwarded_versions[kind] = version
-        return True
-
-    def _forward_to_domain(
-        self, message: ForwardableMessage, *, include_silent: bool
-    ) -> None:
-        """Forward a message of another failure domain, if this node relays."""
         roster = self._state.roster
         sender = roster.peers.get(message.sender)
         if (
@@ -129,13 +114,29 @@
             or not roster.is_active_relay()
         ):
             return
-        if sender.failure_domain == self._state.local.failure_domain:
+        is_local = sender.failure_domain == self._state.local.failure_domain
+        if is_local or self._has_forwarded(message):
             return
+        include_silent = isinstance(message, Stopped | RequestCases)
         self._transport.send_all(
             roster.domain_addresses(include_silent=include_silent),
             Forwarded(message),
         )
 
+    def _has_forwarded(self, message: ForwardableMessage) -> bool:
+        """Record a source's version; return whether it was forwarded before.
+
+        Several nodes may read the same changes when a reader is replaced.
+        """
+        if not isinstance(message, ListNews | RecordNews):
+            return False
+        kind = (type(message), message.update.extent)
+        version = message.update.version
+        if version <= self._forwarded_versions.get(kind, -1):
+            return True
+        self._forwarded_versions[kind] = version
+        return False
+
     def _handle_beat(self, beat: Beat) -> None:
         self._handle_repeated_stops(beat.recent_stops)
         self._handle_evacuations(beat)
@@ -214,11 +215,3 @@
         if config is not None and config.version > request.version:
             response = ConfigGive(self._state.local.node_id, config)
             self._transport.send(request.address, response)
-
-
-def _ignore(
-    _message: ForwardableMessage,
-    *,
-    include_silent: bool,  # noqa: ARG001
-) -> None:
-    """Do not forward a message that a relay has forwarded."""
