Let nodes with large links relay for their failure domain

Callers got 404 for a route that a configuration acknowledged seconds before has: the store answered no call of that node for 29 s, as its link of 10 Mbit/s was full of what it sent as a relay (1.1 to 1.9 MB/s).

Cause: the relay and its standby were the nodes with the first names. A relay sends digests and changes of the list to 33 to 43 nodes. Where the first relay is late, the standby becomes active, whatever its link.

The row of a node states its link's bandwidth; relays and readers are chosen by it first, then by name. test_relays_on_small_links and test_relay_with_a_large_link_dies failed before (a small node sent 49 messages a second where 8 are allowed) and pass.

--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -156,15 +156,16 @@
         """Return the version of a source's last change, as other nodes read it.
 
         Return None if this node has to read the source itself: no other node
-        reads it, or this node has the first name of its readers.
+        reads it, or this node ranks first among its readers.
         """
         is_local_reader = source in self.local.source_versions
+        rank = self._roster.rank
         versions = [
             version
             for name, version in self._peer_state.totals().source_readers.get(
                 source, ()
             )
-            if not is_local_reader or name < self.local.node_id
+            if not is_local_reader or rank(name) < rank(self.local.node_id)
         ]
         return max(versions, default=None)
 
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -64,8 +64,8 @@
     """The beats of the nodes of a failure domain, summed up by a relay.
 
     ``relays`` are the addresses of the nodes that receive the summaries of
-    other domains, by name. ``source_readers`` has, for each source, the first
-    name among its readers and the version of the last change. ``evacuations``
+    other domains, by name. ``source_readers`` has, for each source, the reader
+    that ranks first and the version of the last change. ``evacuations``
     are those that the relay knows, as it learns them from the beats.
     """
 
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -28,27 +28,32 @@
     """Another node, as its row in the store describes it.
 
     ``request_address`` is where it takes over requests of other nodes, empty if
-    it does not or if only its heartbeats are known.
+    it does not or if only its heartbeats are known. ``link_mbps`` is the
+    bandwidth of its link in Mbit/s, 0 if it is not known.
     """
 
     address: str
     failure_domain: str
     request_address: str = ''
+    link_mbps: float = 0
 
 
 @attrs.define
 class Roster:
     """The known peers by name, and which nodes act as relays.
 
-    The live node with the first name in a failure domain is its relay, so no
-    election is needed. Where nodes disagree on which are alive, several relays
-    may be active at once.
+    The live node with the largest link in a failure domain is its relay, and of
+    those with equal links the one with the first name, so no election is
+    needed. A relay sends to all nodes of its failure domain, which would
+    saturate a small link. Where nodes disagree on which are alive, several
+    relays may be active at once.
     """
 
     _node_id: str
     _failure_domain: str
     _peer_state: PeerState
     _clock: Callable[[], float] = since_boot
+    _link_mbps: float = 0
     peers: dict[str, PeerNode] = attrs.field(factory=dict, init=False)
     _added_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _relay_coverage: dict[str, RelayCoverage] = attrs.field(
@@ -77,7 +82,12 @@
         """Add or update a peer that the store lists or that sent a beat."""
         known = self.peers.get(name)
         if known is not None and not peer.request_address:
-            peer = attrs.evolve(peer, request_address=known.request_address)
+            # Heartbeats show neither.
+            peer = attrs.evolve(
+                peer,
+                request_address=known.request_address,
+                link_mbps=peer.link_mbps or known.link_mbps,
+            )
         self.peers[name] = peer
         self._added_at.setdefault(name, self._clock())
 
@@ -117,12 +127,21 @@
     def relays(self) -> list[str]:
         """Return the relay and its standby in the local failure domain."""
         live = [name for name in self._domain_peers() if self.is_live(name)]
-        return sorted((*live, self._node_id))[:_RELAYS_PER_DOMAIN]
+        return sorted((*live, self._node_id), key=self.rank)[
+            :_RELAYS_PER_DOMAIN
+        ]
+
+    def rank(self, name: str) -> tuple[float, str]:
+        """Return the order in which nodes take duties that serve all nodes."""
+        if name == self._node_id:
+            return -self._link_mbps, name
+        peer = self.peers.get(name)
+        return 0 if peer is None else -peer.link_mbps, name
 
     def is_active_relay(self) -> bool:
         """Return whether this node has to act as a relay now.
 
-        It does if no node with an earlier name does, or if those that do miss a
+        It does if no node of an earlier rank does, or if those that do miss a
         node whose beats arrive here.
         """
         covered_nodes = self._nodes_covered_by_others()
@@ -153,13 +172,13 @@
 
     def domain_addresses(self, *, include_silent: bool) -> list[str]:
         """Return the addresses of the peers in the local failure domain."""
-        return self._addresses(
-            self._domain_peers(), include_silent=include_silent
+        return _addresses(
+            self, self._domain_peers(), include_silent=include_silent
         )
 
     def all_addresses(self, *, include_silent: bool) -> list[str]:
         """Return the addresses of all peers."""
-        return self._addresses(iter(self.peers), include_silent=include_silent)
+        return _addresses(self, iter(self.peers), include_silent=include_silent)
 
     def live_domain_nodes(self) -> list[str]:
         """Return the live nodes of the local domain, including this one."""
@@ -206,13 +225,13 @@
         )
         return [
             *known_relays,
-            *self._addresses(
-                peers_without_relay, include_silent=include_silent
+            *_addresses(
+                self, peers_without_relay, include_silent=include_silent
             ),
         ]
 
     def _nodes_covered_by_others(self) -> frozenset[str] | None:
-        """Return the nodes covered by active relays with earlier names.
+        """Return the nodes covered by active relays of earlier ranks.
 
         Return None if there is no such relay.
         """
@@ -220,7 +239,8 @@
         covered_sets = [
             names
             for sender, (reported_at, names) in self._relay_coverage.items()
-            if sender < self._node_id and reported_at > earliest
+            if reported_at > earliest
+            and self.rank(sender) < self.rank(self._node_id)
         ]
         return frozenset().union(*covered_sets) if covered_sets else None
 
@@ -231,14 +251,12 @@
             if peer.failure_domain == self._failure_domain
         )
 
-    def _addresses(
-        self,
-        names: Iterator[str],
-        *,
-        include_silent: bool,
-    ) -> list[str]:
-        return [
-            self.peers[name].address
-            for name in names
-            if include_silent or self.is_live(name)
-        ]
+
+def _addresses(
+    roster: Roster, names: Iterator[str], *, include_silent: bool
+) -> list[str]:
+    return [
+        roster.peers[name].address
+        for name in names
+        if include_silent or roster.is_live(name)
+    ]
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -1,5 +1,7 @@
 """Send this node's beats and, on a relay, digests and summaries."""
 
+from collections.abc import Callable
+
 import attrs
 from msgspec import structs
 
@@ -10,7 +12,7 @@
     MeshMessage,
     Summary,
 )
-from cranecart.mesh._peer_state import Totals
+from cranecart.mesh._peer_state import SourceReader, Totals
 from cranecart.mesh._slow_targets import SlowTargetReports
 from cranecart.mesh._state import MeshCallbacks, MeshState
 from cranecart.models import Evacuation
@@ -142,6 +144,16 @@
         else:
             self._transport.send_all(roster.domain_relay_addresses(), beat)
 
+    def _relay_addresses(self) -> dict[str, str]:
+        local = self._state.local
+        roster = self._state.roster
+        return {
+            name: local.address
+            if name == local.node_id
+            else roster.peers[name].address
+            for name in roster.relays()
+        }
+
     def _has_news(self) -> bool:
         """Return whether some nodes may not know the evacuations yet."""
         now = self._state.clock()
@@ -210,22 +222,14 @@
             own_beat.sender,
             own_beat.failure_domain,
             totals.node_count,
-            {
-                name: own_beat.address
-                if name == own_beat.sender
-                else roster.peers[name].address
-                for name in roster.relays()
-            },
+            self._relay_addresses(),
             version,
             address,
             own_beat.requests > 0 or self._state.peer_state.has_traffic,
             dict(totals.in_flight),
             totals.placer_addresses.get(own_beat.failure_domain, ''),
             {
-                source: (
-                    min(readers)[0],
-                    max(version for _name, version in readers),
-                )
+                source: _sum_up_readers(readers, roster.rank)
                 for source, readers in totals.source_readers.items()
             },
             dict(totals.demand),
@@ -244,3 +248,13 @@
     With a copy in each summary, one evacuation cost each of 139 nodes 1.3 KB/s.
     """
     return structs.replace(summary, evacuations=[])
+
+
+def _sum_up_readers(
+    readers: list[SourceReader], rank: Callable[[str], tuple[float, str]]
+) -> SourceReader:
+    """Return the first reader and the last version that any of them read."""
+    return (
+        min((name for name, _version in readers), key=rank),
+        max(version for _name, version in readers),
+    )
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -32,6 +32,7 @@
 class LocalState:
     """The state of this node that each beat announces.
 
+    ``link_mbps`` is the bandwidth of its link, 0 if it is not known.
     ``requests`` counts those received since the start; ``placer_domain`` is the
     failure domain whose placer this node is, if any. ``source_versions`` are
     the last changes read from the store, by source, and ``demand`` the work
@@ -46,6 +47,7 @@
     node_id: str
     address: str
     failure_domain: str
+    link_mbps: float = 0
     requests: int = 0
     placer_domain: str = ''
     stopping: bool = False
@@ -126,6 +128,7 @@
             self.local.failure_domain,
             self.peer_state,
             self.clock,
+            self.local.link_mbps,
         )
 
     @stop_notices.default
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -62,6 +62,7 @@
         settings.node_id,
         settings.peer_address,
         settings.failure_domain,
+        settings.link_mbps,
         is_established=False,
     )
     return Mesh(local_state, transport, callbacks)
--- a/src/cranecart/serving/_node_registration.py
+++ b/src/cranecart/serving/_node_registration.py
@@ -87,6 +87,7 @@
             self._settings.peer_address,
             self._settings.failure_domain,
             self._settings.peer_request_address,
+            self._settings.link_mbps,
         )
         put = Put(self._key, msgspec.json.encode(peer).decode())
         checks: tuple[Check, ...] = ()
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -67,6 +67,8 @@
     requests, ``stop_grace_seconds`` the time a process has to stop.
     ``max_descriptors`` is how many files and connections it may have open,
     ``memory_mb`` how much memory it may use; 0 means that it is not told.
+    ``link_mbps`` is the bandwidth of the machine's link in Mbit/s; 0 means that
+    it is not told.
     ``platform_features`` are the platform's own names of the optional features
     that it has.
     In any second a cold target is sent its rate times ``cold_overshoot`` and
@@ -100,6 +102,7 @@
     stop_grace_seconds: float = _non_negative_field(_STOP_GRACE_SECONDS)
     max_descriptors: float = _non_negative_field(_MAX_DESCRIPTORS)
     memory_mb: float = _non_negative_field(0)
+    link_mbps: float = _non_negative_field(0)
     platform_features: tuple[str, ...] = ()
     log_successes: float = attrs.field(
         default=_LOGGED_SUCCESS_SHARE,
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -1,9 +1,11 @@
 """Simulation of a cluster of mesh nodes, without sockets, on a fake clock."""
 
 import contextlib
+import heapq
+import itertools
 import random
-from collections import Counter
-from collections.abc import Iterable
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
@@ -61,11 +63,27 @@
         """Do nothing, as there is no socket."""
 
 
+@attrs.frozen(order=True)
+class _Delivery:
+    """A message in transit, ordered by arrival and then by sending."""
+
+    at: float
+    number: int
+    sender: str
+    address: str
+    encoded: bytes
+
+
 @attrs.define
 class SimulatedCluster:
-    """Nodes by name, the messages in transit, and the injected faults."""
+    """Nodes by name, the messages in transit, and the injected faults.
+
+    A message arrives once the links of both nodes have carried it, each way
+    ``link_bytes_per_second``, behind the messages before it.
+    """
 
     now: float = 100
+    link_bytes_per_second: float = float('inf')
     nodes: dict[str, 'SimulatedNode'] = attrs.field(factory=dict, init=False)
     sent: Counter[str] = attrs.field(factory=Counter, init=False)
     sent_bytes: Counter[str] = attrs.field(factory=Counter, init=False)
@@ -75,9 +93,18 @@
     partitions: dict[str, int] = attrs.field(factory=dict, init=False)
     # Pairs of sender and receiver between which all messages are lost.
     lost_paths: set[tuple[str, str]] = attrs.field(factory=set, init=False)
+    # In Mbit/s by node, as each node's row states it.
+    links: dict[str, float] = attrs.field(factory=dict, init=False)
     drops_stop_messages: bool = attrs.field(default=False, init=False)
-    _in_transit: list[tuple[str, str, bytes]] = attrs.field(
-        factory=list, init=False
+    # A heap by time of arrival, then in the order of sending.
+    _in_transit: list[_Delivery] = attrs.field(factory=list, init=False)
+    _sequence: Iterator[int] = attrs.field(factory=itertools.count, init=False)
+    # When the links of senders and receivers have carried all messages so far.
+    _sending_until: defaultdict[str, float] = attrs.field(
+        factory=lambda: defaultdict(float), init=False
+    )
+    _receiving_until: defaultdict[str, float] = attrs.field(
+        factory=lambda: defaultdict(float), init=False
     )
     _random: random.Random = attrs.field(
         factory=lambda: random.Random(1),
@@ -85,9 +112,12 @@
     )
 
     @classmethod
-    def of(cls, count: int) -> 'SimulatedCluster':
+    def of(
+        cls, count: int, links: Mapping[str, float] | None = None
+    ) -> 'SimulatedCluster':
         """Start ``count`` nodes, each with all others as listed peers."""
         cluster = cls()
+        cluster.links = dict(links or {})
         for number in range(count):
             cluster.start(f'node-{number:03}')
         return cluster
@@ -104,7 +134,11 @@
         self.dead.discard(name)
         self.nodes[name] = SimulatedNode.in_cluster(self, name)
         peers = {
-            peer_name: PeerNode(node.state.local.address, node.domain)
+            peer_name: PeerNode(
+                node.state.local.address,
+                node.domain,
+                link_mbps=node.state.local.link_mbps,
+            )
             for peer_name, node in self.nodes.items()
         }
         for node in self.alive:
@@ -112,7 +146,11 @@
 
     def enqueue(self, sender: str, address: str, encoded: bytes) -> None:
         """Put a message in transit and count it."""
-        self._in_transit.append((sender, address, encoded))
+        arrival = self._arrival(sender, address, len(encoded))
+        heapq.heappush(
+            self._in_transit,
+            _Delivery(arrival, next(self._sequence), sender, address, encoded),
+        )
         self.sent[sender] += 1
         self.sent_bytes[sender] += len(encoded)
         if self.nodes[address].domain != self.nodes[sender].domain:
@@ -130,13 +168,16 @@
                 self.deliver()
 
     def deliver(self) -> None:
-        """Deliver all messages in transit to nodes that can be reached."""
-        for _number in range(_MAX_DELIVERIES):
-            if not self._in_transit:
+        """Deliver the messages that have arrived to nodes in reach."""
+        for _delivery in range(_MAX_DELIVERIES):
+            if not self._in_transit or self._in_transit[0].at > self.now:
                 return
-            sender, address, encoded = self._in_transit.pop(0)
-            if address not in self.dead and self._can_reach(sender, address):
-                self.nodes[address].receive(encoded)
+            delivery = heapq.heappop(self._in_transit)
+            address = delivery.address
+            if address not in self.dead and self._can_reach(
+                delivery.sender, address
+            ):
+                self.nodes[address].receive(delivery.encoded)
         raise AssertionError(
             f'messages are still in transit after {_MAX_DELIVERIES} deliveries'
         )
@@ -148,6 +189,14 @@
         node.mesh.publish_stopped(Stopped(sender, name, 1, 'lost'))
         self.deliver()
 
+    def _arrival(self, sender: str, address: str, size: int) -> float:
+        seconds = size / self.link_bytes_per_second
+        sent_at = max(self.now, self._sending_until[sender]) + seconds
+        self._sending_until[sender] = sent_at
+        arrival = max(sent_at, self._receiving_until[address] + seconds)
+        self._receiving_until[address] = arrival
+        return arrival
+
     def _can_reach(self, sender: str, address: str) -> bool:
         if (sender, address) in self.lost_paths:
             return False
@@ -192,7 +241,7 @@
         evacuations = Evacuations()
         exchange = LoadExchange(domain)
         slow_targets: dict[str, int] = {}
-        local = LocalState(name, name, domain)
+        local = LocalState(name, name, domain, cluster.links.get(name, 0))
 
         def refresh_local_state() -> None:  # noqa: WPS430
             local.evacuations = list(evacuations.known())
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -406,6 +406,7 @@
         """Its row was in the store before, so that others know of it."""
         table = FakePlatform()
         settings: Any = SimpleNamespace(
+            link_mbps=0,
             node_id='n0',
             peer_address='10.0.0.1:1',
             peer_request_address='',
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -473,6 +473,51 @@
         )
 
 
+class RelayChoiceTest(unittest.TestCase):
+    """Relays send to all nodes of their failure domain, so links matter."""
+
+    def setUp(self) -> None:
+        """Start nodes, two in each failure domain with large links."""
+        large = {f'node-{number:03}': 100.0 for number in range(15, 21)}
+        small = {f'node-{number:03}': 10.0 for number in range(_LARGE_COUNT)}
+        self.large = set(large)
+        self.cluster = SimulatedCluster.of(_LARGE_COUNT, {**small, **large})
+        self.cluster.run(_REDISCOVERY_SECONDS)
+
+    def test_relays_on_small_links(self) -> None:
+        """Only nodes with large links are relays.
+
+        A node with 10 Mbit/s was the second relay of its failure domain by its
+        name. Once it was active, its calls of the store were lost.
+        """
+        self.assertEqual(self._relays(), self.large)
+        self._check_small_nodes_send_little()
+
+    def test_relay_with_a_large_link_dies(self) -> None:
+        """The other node with a large link takes over."""
+        for name in ('node-015', 'node-016', 'node-017'):
+            self.cluster.dead.add(name)
+        self.cluster.run(_REDISCOVERY_SECONDS)
+        self._check_small_nodes_send_little()
+        counts = {node.mesh.live_node_count() for node in self.cluster.alive}
+        self.assertEqual(counts, {_LARGE_COUNT - 3})
+
+    def _relays(self) -> set[str]:
+        return {
+            name
+            for node in self.cluster.alive
+            for name in node.state.roster.relays()
+        }
+
+    def _check_small_nodes_send_little(self) -> None:
+        """Check that the small nodes send nothing but their heartbeats."""
+        self.cluster.sent.clear()
+        self.cluster.run(1)
+        sent = self.cluster.sent
+        most = max(sent[name] for name in sent if name not in self.large)
+        self.assertLessEqual(most, 4 * 2)
+
+
 class SimultaneousRelaysTest(unittest.TestCase):
     """Several active relays in a failure domain, as right after the start."""
 
--- a/tests/unit/test_restored_rows.py
+++ b/tests/unit/test_restored_rows.py
@@ -71,6 +71,7 @@
     def test_a_node_row_missing_from_the_copy(self) -> None:
         """It is written again, but not once the node has stopped."""
         settings: Any = SimpleNamespace(
+            link_mbps=0,
             node_id='n0',
             peer_address='10.0.0.1:1',
             peer_request_address='',
