Keep an answer of the store that is arriving

What callers would meet: a node that starts, or comes back from an outage of the store, on a slow link never gets a large configuration (1400 routes, 450 KB): seven reads in 12 s, each thrown away.

Cause: the limit of 1.5 s on a call counts the time in which the answer arrives like silence. Reads that are restarted after a lost history, or after another call's timeout, threw away an answer that was arriving too.

The limit is now on the head of an answer and on each further part of 16 KB; the whole may take 10 s. A silent store is left after 1.5 s as before. What has arrived while the process did not run is read before it counts as late.

--- a/src/cranecart/fleet/_source_follower.py
+++ b/src/cranecart/fleet/_source_follower.py
@@ -270,6 +270,7 @@
                 self._source.changes,
                 since,
                 seconds,
+                lambda: self._source.is_receiving_changes,
             )
         except HistoryLostError:
             # Another node may have read and shared a snapshot meanwhile.
--- a/src/cranecart/fleet/_store_reachability.py
+++ b/src/cranecart/fleet/_store_reachability.py
@@ -73,16 +73,22 @@
         call: Callable[[int, float], Awaitable[Answer]],
         since: int,
         seconds: float,
+        is_arriving: Callable[[], bool] = bool,
     ) -> Answer:
         """Return the changes of a source, waiting up to ``seconds`` for any.
 
         Raise ``PlatformError`` if the call fails, and ``ReadAbandonedError`` if
-        ``restart_reads`` was called meanwhile.
+        ``restart_reads`` was called meanwhile, unless the answer
+        ``is_arriving``: it would have to be sent again from its first byte.
         """
-        async with curio.TaskGroup(wait=any) as tasks:
-            reading = await tasks.spawn(_read_or_error, call, since, seconds)
-            await tasks.spawn(self._restart_requested.wait)
-        if tasks.completed is not reading:
+        reading = await curio.spawn(_read_or_error, call, since, seconds)
+        try:
+            await self._wait_for_answer(reading)
+            if is_arriving():
+                await reading.wait()
+        finally:
+            await reading.cancel()
+        if reading.cancelled:
             raise ReadAbandonedError(
                 'the read was restarted to use a new connection'
             )
@@ -106,6 +112,12 @@
             await curio.sleep(_CHECK_INTERVAL_SECONDS)
             waited += 1
 
+    async def _wait_for_answer(self, reading: curio.Task) -> None:
+        """Wait until a read has ended or a restart is requested."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(reading.wait)
+            await tasks.spawn(self._restart_requested.wait)
+
     async def _pause(self, seconds: float) -> None:
         """Wait, but stop early once another node turns out to be reading."""
         had_shared_reader = self._has_shared_reader()
--- /dev/null
+++ b/src/cranecart/platform/_answers.py
@@ -0,0 +1,91 @@
+"""Wait for answers of the store for as long as they make progress."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import attrs
+import curio
+from curio.errors import TaskTimeout
+
+from cranecart.clocks import since_boot
+from cranecart.exceptions import BadMessageError
+from cranecart.http import HttpConnection, Request, Response
+
+Result = TypeVar('Result')
+
+# How long a part of an answer may take. The answer to a request may take this
+# long as well, in addition to the time that it asks the store to wait.
+PROGRESS_SECONDS = 1.5
+# A slower answer counts as a stalled one: its node would be better served by
+# another connection or by other nodes.
+_MIN_PART_BYTES = 16384
+# An answer that takes longer is older than what other nodes know by then.
+_MAX_ANSWER_SECONDS = 10.0
+_MAX_ANSWER_BYTES = 67108864
+
+
+@attrs.define
+class AnswerReader:
+    """Sends a request and reads its answer part by part.
+
+    A limit on the whole exchange would discard a large answer that is arriving
+    over a slow link, and request it again from its first byte.
+    """
+
+    _connection: HttpConnection
+    _body: bytearray = attrs.field(factory=bytearray, init=False)
+
+    async def exchange(
+        self,
+        request: Request,
+        head_seconds: float,
+        on_head: Callable[[], object],
+    ) -> Response:
+        """Return the answer, whose head arrives within ``head_seconds``.
+
+        ``on_head`` is called once the answer has begun to arrive. Raise
+        ``TaskTimeout`` if the answer makes no progress, or ``HttpError``.
+        """
+        connection = self._connection
+        await self._in_time(head_seconds, connection.start_sending, request)
+        head = await self._in_time(head_seconds, connection.read_head)
+        on_head()
+        started = since_boot()
+        is_complete = False
+        while not is_complete:
+            if since_boot() - started > _MAX_ANSWER_SECONDS:
+                raise TaskTimeout('the answer took too long')
+            is_complete = await self._in_time(PROGRESS_SECONDS, self._read_part)
+        return Response(head.status, head.headers, bytes(self._body))
+
+    async def _read_part(self) -> bool:
+        """Read some more of the body; return whether it is complete.
+
+        What was read is kept if this is interrupted.
+        """
+        target_size = len(self._body) + _MIN_PART_BYTES
+        while len(self._body) < target_size:
+            chunk = await self._connection.read_chunk()
+            if not chunk:
+                return True
+            self._body += chunk
+            if len(self._body) > _MAX_ANSWER_BYTES:
+                raise BadMessageError(
+                    'the store sent an answer of more than '
+                    f'{_MAX_ANSWER_BYTES} bytes'
+                )
+        return False
+
+    async def _in_time(
+        self,
+        seconds: float,
+        step: Callable[..., Awaitable[Result]],
+        *arguments: object,
+    ) -> Result:
+        try:
+            return await curio.timeout_after(seconds, step, *arguments)
+        except TaskTimeout:
+            if self._connection.has_no_pending_input():
+                raise
+        # It has arrived while this process did not run.
+        return await curio.timeout_after(seconds, step, *arguments)
--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -62,6 +62,11 @@
     _store: StoreClient
     _has_read_evacuations: bool = attrs.field(default=False, init=False)
 
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Return whether the changes waited for have begun to arrive."""
+        return self._store.is_receiving_changes(_TABLE)
+
     async def snapshot(self) -> Snapshot[OperatorRow]:
         """Read the configuration, if there is one yet, and evacuations."""
         rows = await self._store.read_part(_TABLE, '', _KEY)
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -8,7 +8,6 @@
 from urllib.parse import urlencode
 
 import attrs
-import curio
 import msgspec
 from curio.errors import TaskTimeout
 
@@ -22,17 +21,19 @@
     WriteUnknownError,
 )
 from cranecart.http import Address, HttpConnectionPool, Request, Response
+from cranecart.platform._answers import AnswerReader
 from cranecart.platform._era import StoreEra
 from cranecart.ports import era_of, make_version, store_number_of
 
 Message = TypeVar('Message')
 
-# Well above the response times of a slow store. A store that takes longer counts
-# as unreachable.
+# Well above the response times of a slow store. A store that takes longer to
+# begin an answer counts as unreachable.
 CALL_TIMEOUT_SECONDS = 1.5
 # How much longer than the requested wait a long poll may take.
 _POLL_MARGIN_SECONDS = 1.5
 _PAGE_ROWS = 500
+_FEED_PATH = '/rows-feed'
 _OK = 200
 _CONFLICT = 412
 _GONE = 410
@@ -91,6 +92,7 @@
 class StoreClient:
     """Calls a store on persistent connections, with a timeout per call.
 
+    An answer that has begun to arrive may take longer while it makes progress.
     ``counts`` holds the numbers of calls by kind and the store's era.
     """
 
@@ -102,11 +104,18 @@
         init=False,
     )
 
+    # The tables whose changes are being received.
+    _arriving: set[str] = attrs.field(factory=set, init=False)
+
     @property
     def era(self) -> int:
         """Return the highest era of the store's answers."""
         return self._era.current
 
+    def is_receiving_changes(self, table: str) -> bool:
+        """Return whether the answer to a long poll is being received."""
+        return table in self._arriving
+
     async def read_part(
         self,
         table: str,
@@ -146,7 +155,7 @@
             'waitMs': round(wait_seconds * _MILLISECONDS),
         }
         timeout_seconds = wait_seconds + _POLL_MARGIN_SECONDS
-        rows = await self._get('/rows-feed', query, timeout_seconds)
+        rows = await self._get(_FEED_PATH, query, timeout_seconds)
         if era_of(rows.schema_version) != era_of(since):
             raise HistoryLostError(_RESTORED_STORE)
         return rows
@@ -233,27 +242,29 @@
         self, request: Request, timeout_seconds: float
     ) -> Response:
         try:
-            return await curio.timeout_after(
-                timeout_seconds, self._send, request
-            )
+            return await self._send(request, timeout_seconds)
         except TaskTimeout:
             # The other persistent connections may be dead for the same reason,
             # and each of them would cost another call its full timeout.
             await self._pool.close_idle(self._address)
             raise
 
-    async def _send(self, request: Request) -> Response:
+    async def _send(self, request: Request, head_seconds: float) -> Response:
         connection = await self._pool.acquire(self._address)
+        feed = request.query['tableName'] if request.path == _FEED_PATH else ''
         try:
-            head = await connection.send_and_read_head(request)
-            body = await connection.read_body()
+            response = await AnswerReader(connection).exchange(
+                request, head_seconds, lambda: self._arriving.add(feed)
+            )
         except BaseException:
             await connection.close()
             raise
+        finally:
+            self._arriving.discard(feed)
         await self._pool.release(connection)
-        self._era.record(head.headers)
+        self._era.record(response.headers)
         self.counts['store_era'] = self._era.current
-        return Response(head.status, head.headers, body)
+        return response
 
 
 def _check_write_status(status: int) -> None:
--- a/src/cranecart/platform/_tables.py
+++ b/src/cranecart/platform/_tables.py
@@ -82,6 +82,11 @@
     _table: str
     _parts: tuple[str, ...]
 
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Return whether the changes waited for have begun to arrive."""
+        return self._store.is_receiving_changes(self._table)
+
     async def snapshot(self) -> Snapshot[Row]:
         """Read all parts; return them with the lowest of their versions."""
         versions = []
--- a/src/cranecart/platform/_targets.py
+++ b/src/cranecart/platform/_targets.py
@@ -75,6 +75,11 @@
         factory=functools.partial(UnreadableRowLog, 'list_entry_unreadable'),
     )
 
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Return whether the changes waited for have begun to arrive."""
+        return self._store.is_receiving_changes(_TABLE)
+
     async def snapshot(self) -> Snapshot[ListedInstance]:
         """Read the complete list."""
         rows = await self._store.read_part(_TABLE, '')
--- a/src/cranecart/ports/_listed.py
+++ b/src/cranecart/ports/_listed.py
@@ -124,6 +124,10 @@
     ) -> 'Changes[Item]':
         """Wait for changes after a version; return none on timeout."""
 
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Return whether the changes waited for have begun to arrive."""
+
 
 class Orders(Protocol):
     """Orders to engine instances.
--- a/tests/platform/test_unresponsive_connections.py
+++ b/tests/platform/test_unresponsive_connections.py
@@ -114,7 +114,7 @@
         self._assert_call_fails(Calls.follow, PlatformUnavailableError)
 
     def test_slow_answer(self) -> None:
-        """The timeout applies to the complete answer, not to each part."""
+        """A few bytes at a time do not renew the timeout."""
         self.store.answers_slowly = True
         self._assert_call_fails(Calls.read, PlatformUnavailableError)
 
--- a/tests/unit/test_leaving_targets.py
+++ b/tests/unit/test_leaving_targets.py
@@ -36,6 +36,11 @@
     repeats: bool = False
     calls: int = 0
 
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Return false, as changes arrive at once."""
+        return False
+
     async def snapshot(self) -> Snapshot[ListedInstance]:
         """Read everything."""
         self._record_call()
--- a/tests/unit/test_source_follower.py
+++ b/tests/unit/test_source_follower.py
@@ -37,6 +37,11 @@
         else:
             self.items[key] = text
 
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Return false, as changes arrive at once."""
+        return False
+
     async def snapshot(self) -> Snapshot[str]:
         """Read everything."""
         self._count_read()
