Spread copies of the configuration over the nodes that have it

What callers would meet: nodes cut off from the store, or behind, use an old configuration for up to 45 s, and the node that all of them ask has no link left for its clients.

Cause: a node that is behind asks the one address that a summary names, and again each second. At 195 nodes one node sent 194 copies of 290 KB; nothing bounded how many it had under way.

Relays name up to eight drawn nodes that have a new version, and nodes draw whom they ask. A node sends at most 0.5 s of copies at 500 KB/s and leaves other requests unanswered; they are sent again to a node drawn anew.

--- a/src/cranecart/mesh/__init__.py
+++ b/src/cranecart/mesh/__init__.py
@@ -7,7 +7,7 @@
 from cranecart.mesh._messages import (
     Beat,
     ConfigAsk,
-    ConfigGive,
+    ConfigCopy,
     Digest,
     ListNews,
     MeshMessage,
@@ -34,7 +34,7 @@
     'Beat',
     'Broken',
     'ConfigAsk',
-    'ConfigGive',
+    'ConfigCopy',
     'Digest',
     'Leaving',
     'ListNews',
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -2,12 +2,14 @@
 
 import attrs
 
+from cranecart.exceptions import CorruptObjectError
 from cranecart.fleet import Extent
 from cranecart.logs import log_decision
+from cranecart.mesh._config_copies import ConfigCopies, unpack_config
 from cranecart.mesh._messages import (
     Beat,
     ConfigAsk,
-    ConfigGive,
+    ConfigCopy,
     Digest,
     ForwardableMessage,
     Forwarded,
@@ -45,6 +47,12 @@
         factory=dict,
         init=False,
     )
+    _copies: ConfigCopies = attrs.field(
+        default=attrs.Factory(
+            lambda handler: ConfigCopies(handler._state.clock), takes_self=True
+        ),
+        init=False,
+    )
 
     async def handle(self, message: MeshMessage) -> None:
         """Handle one message."""
@@ -58,8 +66,10 @@
                 self._handle_summary(message, now)
             case Suspect():
                 await self._callbacks.on_suspect(message)
-            case ConfigAsk() | ConfigGive():
-                self._handle_config_message(message)
+            case ConfigAsk():
+                self._send_config(message)
+            case ConfigCopy():
+                self._receive_config(message)
             case Forwarded():
                 self._handle_forwardable(message.message, is_forwarded=True)
             case _:
@@ -203,15 +213,25 @@
             if self._state.stop_notices.add(message):
                 self._callbacks.on_stopped(message)
 
-    def _handle_config_message(self, message: ConfigAsk | ConfigGive) -> None:
-        match message:
-            case ConfigAsk():
-                self._send_config(message)
-            case ConfigGive():
-                self._callbacks.on_config(message.config)
-
     def _send_config(self, request: ConfigAsk) -> None:
         config = self._callbacks.read_config()
-        if config is not None and config.version > request.version:
-            response = ConfigGive(self._state.local.node_id, config)
-            self._transport.send(request.address, response)
+        if config is None or config.version <= request.version:
+            return
+        packed = self._copies.packed_for_peer(config)
+        if packed is not None:
+            copy = ConfigCopy(self._state.local.node_id, config.version, packed)
+            self._transport.send(request.address, copy)
+
+    def _receive_config(self, copy: ConfigCopy) -> None:
+        config = self._callbacks.read_config()
+        if config is not None and config.version >= copy.version:
+            return
+        try:
+            self._callbacks.on_config(unpack_config(copy.packed))
+        except CorruptObjectError as error:
+            log_decision(
+                'config_refused',
+                sender=copy.sender,
+                version=copy.version,
+                why=str(error),
+            )
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -9,7 +9,7 @@
     RequestCases,
     TargetLimits,
 )
-from cranecart.models import Evacuation, RouteConfig
+from cranecart.models import Evacuation
 from cranecart.ports import ListedInstance, Row
 
 
@@ -64,8 +64,9 @@
     """The beats of the nodes of a failure domain, summed up by a relay.
 
     ``relays`` are the addresses of the nodes that receive the summaries of
-    other domains, by name. ``source_readers`` has, for each source, the reader
-    that ranks first and the version of the last change. ``evacuations``
+    other domains, by name. ``config_addresses`` are those of some nodes that
+    have the newest configuration. ``source_readers`` has, for each source, the
+    reader that ranks first and the version of the last change. ``evacuations``
     are those that the relay knows, as it learns them from the beats.
     """
 
@@ -74,7 +75,7 @@
     node_count: int
     relays: dict[str, str]
     config_version: int
-    config_address: str
+    config_addresses: list[str]
     has_traffic: bool
     in_flight: dict[str, int]
     placer_address: str = ''
@@ -118,11 +119,16 @@
     version: int
 
 
-class ConfigGive(msgspec.Struct, tag='config_give', array_like=True):
-    """The configuration in force at the sender, in reply to ``ConfigAsk``."""
+class ConfigCopy(msgspec.Struct, tag='config_copy', array_like=True):
+    """The configuration in force at the sender, in reply to ``ConfigAsk``.
+
+    It is ``packed`` by ``pack_config``, so that a node that has it meanwhile
+    need not decode it.
+    """
 
     sender: str
-    config: RouteConfig
+    version: int
+    packed: bytes
 
 
 class ListNews(msgspec.Struct, tag='list_news', array_like=True):
@@ -173,7 +179,7 @@
     | RequestCases
     | TargetLimits
     | ConfigAsk
-    | ConfigGive
+    | ConfigCopy
     | ListNews
     | RecordNews
     | Forwarded
--- a/src/cranecart/mesh/_peer_state.py
+++ b/src/cranecart/mesh/_peer_state.py
@@ -81,14 +81,16 @@
 class Totals:
     """Totals of the valid beats and summaries of other nodes.
 
-    ``newest_config`` is the version of the newest configuration and the address
-    of a node that has it; ``placer_addresses`` are by failure domain. The
-    totals are valid until the first of the messages expires.
+    ``config_version`` is that of the newest configuration, and
+    ``config_addresses`` are those of nodes that have it; ``placer_addresses``
+    are by failure domain. The totals are valid until the first of the messages
+    expires.
     """
 
     valid_until: float = float('inf')
     node_count: int = 0
-    newest_config: tuple[int, str] = (0, '')
+    config_version: int = 0
+    config_addresses: list[str] = attrs.field(factory=list)
     in_flight: Counter[str] = attrs.field(factory=Counter)
     demand: Counter[str] = attrs.field(factory=Counter)
     placer_addresses: dict[str, str] = attrs.field(factory=dict)
@@ -99,7 +101,7 @@
         self.node_count += 1
         self.in_flight.update(beat.in_flight)
         self.demand.update(beat.demand)
-        self._keep_newest_config(beat.config_version, beat.address)
+        self._add_config(beat.config_version, [beat.address])
         if beat.placer_domain:
             self.placer_addresses[beat.placer_domain] = beat.address
         for source, version in beat.source_versions.items():
@@ -110,7 +112,7 @@
         """Add the state of a failure domain, except for its node count."""
         self.in_flight.update(summary.in_flight)
         self.demand.update(summary.demand)
-        self._keep_newest_config(summary.config_version, summary.config_address)
+        self._add_config(summary.config_version, summary.config_addresses)
         for source, reader in summary.source_readers.items():
             self.source_readers.setdefault(source, []).append(reader)
 
@@ -119,14 +121,13 @@
         self.in_flight.subtract(beat.in_flight)
         self.demand.subtract(beat.demand)
 
-    def _keep_newest_config(self, version: int, address: str) -> None:
-        """Record a configuration if it is newer than the recorded one.
-
-        Of several nodes with the same version the first one added is kept.
-        Otherwise all nodes would request the configuration from the same one.
-        """
-        if version > self.newest_config[0]:
-            self.newest_config = (version, address)
+    def _add_config(self, version: int, addresses: list[str]) -> None:
+        """Record which nodes have a configuration, unless a newer is known."""
+        if version > self.config_version:
+            self.config_version = version
+            self.config_addresses = []
+        if version == self.config_version:
+            self.config_addresses.extend(addresses)
 
 
 @attrs.define
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -1,5 +1,6 @@
 """Send this node's beats and, on a relay, digests and summaries."""
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -23,6 +24,10 @@
 # each beat, a configuration of half a megabyte was sent four times a second.
 _CONFIG_LAG_SECONDS = 0.3
 _CONFIG_REQUEST_INTERVAL_SECONDS = 1.0
+# How long a relay names several nodes that have a new configuration. Always
+# naming them would cost each node several KB/s.
+_CONFIG_NEWS_SECONDS = 5.0
+_NEWS_ADDRESSES = 8
 # How long each beat has the evacuations after they have changed or a node was
 # met; later only beats to silent nodes have them, every two seconds. In each
 # beat, one evacuation cost each of 139 nodes 0.6 KB/s.
@@ -44,6 +49,9 @@
     _slow_targets: SlowTargetReports = attrs.field(
         factory=SlowTargetReports, init=False
     )
+    _random: random.Random = attrs.field(factory=random.Random, init=False)
+    _announced_config: int = attrs.field(default=0, init=False)
+    _config_changed_at: float = attrs.field(default=float('-inf'), init=False)
 
     def build_beat(self, *, is_complete: bool = True) -> Beat:
         """Return a beat with the current state of this node.
@@ -115,8 +123,8 @@
         """Request a newer configuration from a peer if the store lags."""
         config = self._callbacks.read_config()
         version = config.version if config else 0
-        newest_version, address = self._state.peer_state.totals().newest_config
-        if newest_version <= version:
+        totals = self._state.peer_state.totals()
+        if totals.config_version <= version or not totals.config_addresses:
             self._behind_since = None
             return
         now = self._state.clock()
@@ -125,6 +133,8 @@
         elif now - self._behind_since >= _CONFIG_LAG_SECONDS:
             local = self._state.local
             request = ConfigAsk(local.node_id, local.address, version)
+            # Drawn, as all nodes that are behind would ask the same one.
+            address = self._random.choice(totals.config_addresses)
             self._transport.send(address, request)
             self._behind_since = (
                 now + _CONFIG_REQUEST_INTERVAL_SECONDS - _CONFIG_LAG_SECONDS
@@ -154,6 +164,20 @@
             for name in roster.relays()
         }
 
+    def _config_addresses(self, totals: Totals) -> list[str]:
+        """Return the addresses of some nodes with the newest configuration.
+
+        One is enough once other nodes have had time to get it.
+        """
+        now = self._state.clock()
+        if totals.config_version != self._announced_config:
+            self._announced_config = totals.config_version
+            self._config_changed_at = now
+        is_new = now - self._config_changed_at < _CONFIG_NEWS_SECONDS
+        addresses = totals.config_addresses
+        count = min(len(addresses), _NEWS_ADDRESSES if is_new else 1)
+        return self._random.sample(addresses, count)
+
     def _has_news(self) -> bool:
         """Return whether some nodes may not know the evacuations yet."""
         now = self._state.clock()
@@ -213,18 +237,15 @@
         own_beat = beats[0]
         roster = self._state.roster
         totals = Totals()
-        # Reversed, so that of nodes with the same configuration the relay, which
-        # comes first, is the last to be chosen for requests.
-        for beat in reversed(beats):
+        for beat in beats:
             totals.add_beat(beat)
-        version, address = totals.newest_config
         return Summary(
             own_beat.sender,
             own_beat.failure_domain,
             totals.node_count,
             self._relay_addresses(),
-            version,
-            address,
+            totals.config_version,
+            self._config_addresses(totals),
             own_beat.requests > 0 or self._state.peer_state.has_traffic,
             dict(totals.in_flight),
             totals.placer_addresses.get(own_beat.failure_domain, ''),
