--- a/tests/lib/crashing_targets.py
+++ b/tests/lib/crashing_targets.py
@@ -122,7 +122,11 @@
             self._tasks.append(task)
 
     async def _serve_or_crash(self, exchange: Exchange) -> None:
-        is_marked = CRASH_MARK in exchange.body
+        segments = exchange.headers.get('prefix-hash', '').split(',')[:-1]
+        is_marked = CRASH_MARK in exchange.body or any(
+            segment.partition(':')[0] in self._deployment.crash_segments
+            for segment in segments
+        )
         self._deployment.record_arrival(self, is_marked)
         if self._deployment.is_plain:
             await self._serve_whole(exchange, is_marked)
@@ -184,6 +188,8 @@
     ) -> None:
         """Create everything; nothing runs until ``run``."""
         self.crash_delay_seconds = _CRASH_DELAY_SECONDS
+        # Segments of prompts that crash the target as well.
+        self.crash_segments: set[str] = set()
         self.restart_seconds = restart_seconds
         self.terminations: list[float] = []
         # Nodes that get no updates from the others.
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -401,10 +401,15 @@
         body: bytes = b'abc',
         deadline_ms: int = 3000,
         request_id: str = 'r1',
+        segments: Sequence[str] = (),
     ) -> ClientAnswer:
         """Send a request to the gateway as a client does."""
         connection = await HttpConnection.open(self.server.address)
         request = client_request(path, key, body, deadline_ms, request_id)
+        if segments:
+            listed = ','.join(f'{segment}:100' for segment in segments)
+            headers = {**request.headers, 'prefix-hash': listed}
+            request = attrs.evolve(request, headers=headers)
         try:
             return await _read_answer(connection, request)
         finally:
--- /dev/null
+++ b/tests/unit/test_crashing_segments.py
@@ -0,0 +1,136 @@
+"""A segment of prompts that crashes its targets is held, whatever else is sent.
+
+No two of the requests with such a segment are alike, so that what was counted
+by request never came to three. 41 replicas ended under requests that shared one
+segment, each at up to two of them.
+"""
+
+import itertools
+import time
+import unittest
+from collections.abc import Callable
+
+import attrs
+import curio
+
+from cranecart.exceptions import HttpError
+from tests.lib.crashing_targets import Deployment
+from tests.lib.fake_targets import ClientAnswer, GatewayTestbed
+
+# What the acceptance rules allow: three requests later than this after the
+# fifth termination, and half of the sound ones served from twice this time on.
+_CONTACT_SECONDS = 3.0
+_TERMINATIONS = 5
+_MAX_LATE_SENDS = 3
+_MIN_SERVED_FRACTION = 0.5
+_LOAD_SECONDS = 10.0
+_BAD_PER_SECOND = 7
+_SOUND_PER_SECOND = 50
+_PATH = '/stream/x'
+_OK = 200
+
+# Returns the segments of a request, given its number.
+Segments = Callable[[int], tuple[str, ...]]
+
+
+@attrs.define
+class SoundAnswer:
+    """The answer to a sound request, and when that was sent."""
+
+    sent_at: float
+    answer: ClientAnswer | None
+
+    @property
+    def is_served(self) -> bool:
+        """Return whether the request was answered completely."""
+        return (
+            self.answer is not None
+            and self.answer.is_complete
+            and self.answer.status == _OK
+        )
+
+
+class CrashingSegmentTest(unittest.TestCase):
+    """Requests with a segment that crashes targets, beside sound ones."""
+
+    def test_second_segment_crashes(self) -> None:
+        """The sound requests share the first segment."""
+        self._check_load(
+            {'bad'},
+            lambda number: ('head', 'bad', f'own-{number}'),
+            lambda number: ('head', f'page-{number % 5}', f'own-{number}'),
+        )
+
+    def _check_load(
+        self,
+        crashing: set[str],
+        bad: Segments,
+        sound: Segments,
+        allowed: int = _MAX_LATE_SENDS,
+    ) -> None:
+        deployment = Deployment(4, 16)
+        deployment.crash_segments = crashing
+        answers: list[SoundAnswer] = []
+
+        async def send(deployment: Deployment) -> None:  # noqa: WPS430
+            tasks = [
+                await curio.spawn(
+                    _send, deployment.nodes, bad, _BAD_PER_SECOND
+                ),
+                await curio.spawn(
+                    _send, deployment.nodes, sound, _SOUND_PER_SECOND
+                ),
+            ]
+            await tasks[0].join()
+            answers.extend(await tasks[1].join())
+
+        curio.run(deployment.run, send)
+        self.assertLessEqual(
+            deployment.marked_after(_TERMINATIONS, _CONTACT_SECONDS), allowed
+        )
+        self._check_sound(deployment, answers)
+
+    def _check_sound(
+        self, deployment: Deployment, answers: list[SoundAnswer]
+    ) -> None:
+        last_counted = min(len(deployment.terminations), _TERMINATIONS) - 1
+        since = deployment.terminations[last_counted] + 2 * _CONTACT_SECONDS
+        counted = [answer for answer in answers if answer.sent_at > since]
+        served = sum(answer.is_served for answer in counted)
+        self.assertGreater(len(counted), 20)
+        self.assertGreaterEqual(served, _MIN_SERVED_FRACTION * len(counted))
+
+
+async def _send(
+    nodes: list[GatewayTestbed],
+    segments: Segments,
+    per_second: float,
+    seconds: float = _LOAD_SECONDS,
+) -> list[SoundAnswer]:
+    """Send requests, no two alike, to the nodes in turn; return the answers."""
+    ends_at = time.monotonic() + seconds
+    tasks = []
+    for number, node in enumerate(itertools.cycle(nodes)):
+        if time.monotonic() > ends_at:
+            break
+        tasks.append(
+            await curio.spawn(_ask, node, segments(number), daemon=True)
+        )
+        await curio.sleep(1 / per_second)
+    return [await task.join() for task in tasks]
+
+
+async def _ask(node: GatewayTestbed, segments: tuple[str, ...]) -> SoundAnswer:
+    sent_at = time.monotonic()
+    own = '-'.join(segments)
+    try:
+        answer = await node.ask(
+            _PATH, body=own.encode(), request_id=own, segments=segments
+        )
+    except HttpError:
+        return SoundAnswer(sent_at, None)
+    return SoundAnswer(sent_at, answer)
+
+
+if __name__ == '__main__':
+    unittest.main()
