Hold segments of prompts that crash targets

Callers met a route whose model had no replica for seconds: 41 and 33 replicas ended under requests that share one segment of their prompts.

Cause: evidence was counted by the digest of the whole request, and no two of these requests are alike. The segments were passed on and never read.

Each segment but the last, which is a request's own, has a case like that of a request: the incarnations that ended soon after they had begun to answer on it. An answer that outlives its begin clears those known when it began, so that segments which sound requests share are free within half a second. Three ends at separate moments hold a segment, unless another case explains all of them; then requests without that one are sent one at a time and show which it is. Ends at one moment, as of a rack, count once. A held segment is tried by one request after 60 s, then after four times as long.

--- a/src/cranecart/client_api/_attempts.py
+++ b/src/cranecart/client_api/_attempts.py
@@ -46,10 +46,12 @@
         while self._may_retry():
             self._attempt_count += 1
             await self._guard.wait_until_settled(
-                self._identity, self._seconds_left
+                self._identity, self._seconds_left, self._call.segments
             )
             try:
-                self._guard.instances_to_avoid(self._identity)
+                self._guard.instances_to_avoid(
+                    self._identity, self._call.segments
+                )
                 return await attempt()
             except TargetError as error:
                 self._record_failure(error)
--- a/src/cranecart/client_api/_gateway.py
+++ b/src/cranecart/client_api/_gateway.py
@@ -171,6 +171,7 @@
                 async with self._guard.watch(
                     lambda: call.identity,
                     runner,
+                    call.segments,
                 ) as progress:
                     progress.record_sent()
                     answer = await self._engines.start_completion(replica, call)
--- a/src/cranecart/client_api/_relay.py
+++ b/src/cranecart/client_api/_relay.py
@@ -66,7 +66,7 @@
         self._tried.append(replica.id)
         runner = leader_runner(replica)
         watching_context = self._guard.watch(
-            lambda: self._call.identity, runner
+            lambda: self._call.identity, runner, self._call.segments
         )
         with self._router.track_in_flight(replica.id):
             async with watching_context as progress:
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -154,7 +154,9 @@
     async def _attempt(self, exchange: Exchange) -> bool:
         """Make the next attempt; return whether it succeeded."""
         await self._guard.wait_until_settled(
-            self._identity, lambda: self.call.seconds_left
+            self._identity,
+            lambda: self.call.seconds_left,
+            self.call.facts.shared_segments,
         )
         return await self._succeeds(exchange, self._choose())
 
@@ -191,7 +193,9 @@
 
     async def _succeeds_at(self, exchange: Exchange, target: Target) -> bool:
         self._is_paused_by_client = False
-        watching_context = self._guard.watch(self._identity, target.instance)
+        watching_context = self._guard.watch(
+            self._identity, target.instance, self.call.facts.shared_segments
+        )
         try:
             async with watching_context as progress:
                 self.progress = progress
@@ -207,7 +211,9 @@
         return routing_request(
             self.call,
             self.tried,
-            self._guard.instances_to_avoid(self._identity),
+            self._guard.instances_to_avoid(
+                self._identity, self.call.facts.shared_segments
+            ),
             has_begun=self.has_begun,
         )
 
--- a/src/cranecart/platform/_calls.py
+++ b/src/cranecart/platform/_calls.py
@@ -19,6 +19,7 @@
 _REQUEST_ID = 'request-id'
 _MODEL = 'model'
 _TOKEN_USAGE = 'token-usage'
+_PROMPT_PARTS = 'prefix-hash'
 _DEADLINE = 'deadline-ms'
 _LAST_EVENT_ID = 'last-event-id'
 _EXPECTED_INSTANCE = 'expect-replica'
@@ -76,6 +77,7 @@
             prompt_tokens,
             max_tokens,
             headers.get(_LAST_EVENT_ID, ''),
+            _shared_segments(headers.get(_PROMPT_PARTS, '')),
         )
 
     def request_for(self, request: Request, dispatch: Dispatch) -> Request:
@@ -171,6 +173,16 @@
         ) from None
 
 
+def _shared_segments(text: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but the last, each ``ID:TOKENS``.
+
+    The last part belongs to the request itself or to its session.
+    """
+    *shared, _own = text.split(',')
+    ids = (part.partition(':')[0].strip().lower() for part in shared)
+    return tuple(filter(None, ids))
+
+
 def _token_usage(text: str) -> tuple[int, int]:
     prompt_tokens, _, max_tokens = text.partition(',')
     return _parse_count(prompt_tokens), _parse_count(max_tokens)
--- a/src/cranecart/ports/_calls.py
+++ b/src/cranecart/ports/_calls.py
@@ -13,6 +13,8 @@
 
     ``deadline_seconds`` is how long the client waits, ``resume_after`` the
     id of the last event that it received of an earlier response.
+    ``shared_segments`` identify the parts of the prompt that other requests
+    have as well, in order.
     """
 
     request_id: str
@@ -23,6 +25,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     resume_after: str = ''
+    shared_segments: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/cranecart/quarantine/__init__.py
+++ b/src/cranecart/quarantine/__init__.py
@@ -8,7 +8,7 @@
     Verdict,
 )
 from cranecart.quarantine._guard import AttemptProgress, RequestGuard
-from cranecart.quarantine._identity import request_identity
+from cranecart.quarantine._identity import request_identity, segment_identity
 from cranecart.quarantine._probe import TerminationProbe
 from cranecart.quarantine._rows import HeldRows, held_from_rows, held_key
 from cranecart.quarantine._runner import NamedRunner, Runner
@@ -28,4 +28,5 @@
     'held_from_rows',
     'held_key',
     'request_identity',
+    'segment_identity',
 )
--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -10,15 +10,26 @@
 What is counted for a request is a set of incarnations. Nodes merge their sets,
 so that no agreement or leader is needed, and updates may arrive late,
 repeatedly and in any order. This module does no I/O.
+
+A segment of prompts may crash targets too, whatever else a request holds; it
+has a case of its own (``_segments``).
 """
 
 import enum
-from collections.abc import Callable, Container, Sequence
+import itertools
+from collections.abc import (
+    Callable,
+    Collection,
+    Container,
+    Mapping,
+    Sequence,
+)
 
 import attrs
 
 from cranecart.clocks import since_boot
 from cranecart.ports import Incarnation
+from cranecart.quarantine._identity import is_segment
 
 # Terminations shortly after the request had begun. One or two happen by
 # chance, as replica heads terminate every few seconds under heavy failures; a
@@ -31,8 +42,21 @@
 # From this many terminations on, the request is isolated from other requests,
 # so that it neither affects them nor is affected by them.
 _ISOLATION_THRESHOLD = 2
-# Further terminations do not change the verdict.
+# How many terminations at separate moments hold a segment.
+_HOLD_SEGMENT_THRESHOLD = 3
+# Terminations within this time count as one for a segment: a rack that fails
+# takes many replicas at once, and the requests of a route are at all of them.
+_SAME_MOMENT_SECONDS = 0.2
+# A held segment is tried again after this time, by one request: it may have been
+# held while no replica was left to answer on it, or its cause may be gone. Each
+# further trial takes this many times longer.
+_TRIAL_SECONDS = 60.0
+_TRIAL_FACTOR = 4
+_MAX_TRIALS = 5
+# Further terminations do not change the verdict. Those of a segment may come in
+# bursts, of which only some count.
 _MAX_TERMINATIONS = 8
+_MAX_SEGMENT_TERMINATIONS = 32
 _MAX_CLEARED = 32
 # Two thousand cases take 1 MB; each termination adds about ten cases.
 _MAX_CASES = 2048
@@ -54,6 +78,9 @@
     HELD = 'held'
 
 
+_SEVERITIES = tuple(Verdict)
+
+
 @attrs.frozen
 class Termination:
     """An incarnation that terminated while a request was there.
@@ -72,18 +99,20 @@
 
     ``ends`` are the terminations while it was there. The terminations of
     ``cleared`` incarnations had another cause. ``isolated_sends`` is the number
-    of its copies that were sent while it was isolated, as far as known.
+    of its copies that were sent while it was isolated, as far as known. A
+    segment ``is_held`` if a node has seen enough terminations to hold it.
     """
 
     identity: str
     ends: tuple[Termination, ...] = ()
     cleared: tuple[Incarnation, ...] = ()
     isolated_sends: int = 0
+    is_held: bool = False
 
 
 @attrs.define
 class Case:
-    """One request during which incarnations have terminated."""
+    """One request, or segment, during which incarnations have terminated."""
 
     identity: str
     changed_at: float
@@ -94,6 +123,12 @@
     # In order of arrival.
     cleared: dict[Incarnation, None] = attrs.field(factory=dict)
     isolated_sends: int = 0
+    # The terminations that show separate moments, and the last such moment.
+    _moments: set[Incarnation] = attrs.field(factory=set, init=False)
+    _last_moment_at: float = attrs.field(default=float('-inf'), init=False)
+    # Whether another node has seen enough of them.
+    _is_held_elsewhere: bool = attrs.field(default=False, init=False)
+    _trials: int = attrs.field(default=0, init=False)
 
     @property
     def begun_count(self) -> int:
@@ -108,9 +143,36 @@
             for incarnation, begun in self.ends.items()
         )
         return CaseUpdate(
-            self.identity, ends, tuple(self.cleared), self.isolated_sends
+            self.identity,
+            ends,
+            tuple(self.cleared),
+            self.isolated_sends,
+            self.is_segment and self.is_hold_candidate,
         )
 
+    @property
+    def is_segment(self) -> bool:
+        """Return whether this is the case of a segment."""
+        return is_segment(self.identity)
+
+    @property
+    def moments(self) -> int:
+        """Return how many separate moments its terminations show."""
+        return len(self._moments)
+
+    @property
+    def is_hold_candidate(self) -> bool:
+        """Return whether there are enough terminations to hold it.
+
+        Terminations that others explain count as well.
+        """
+        if self.is_segment:
+            return (
+                self._is_held_elsewhere
+                or self.moments >= _HOLD_SEGMENT_THRESHOLD
+            )
+        return self.verdict() is Verdict.HELD
+
     def verdict(self, explained: Container[Incarnation] = ()) -> Verdict:
         """Return the verdict, ignoring terminations that others explain."""
         unexplained = [
@@ -128,15 +190,23 @@
             return Verdict.ISOLATED
         return Verdict.SUSPECT if begun else Verdict.FREE
 
+    def is_trial_due(self, now: float) -> bool:
+        """Return whether one request may show if a held segment still crashes."""
+        seconds = _TRIAL_SECONDS * _TRIAL_FACTOR**self._trials
+        return now - self.changed_at >= seconds
+
     def mark_held(self, now: float, *, is_own: bool) -> None:
         """Record that there are enough terminations to hold the request."""
         if self.held_at is None:
             self.held_at = now
             self.is_own = is_own
 
-    def merge(self, update: CaseUpdate) -> bool:
+    def merge(self, update: CaseUpdate, now: float) -> bool:
         """Merge an update; return whether it changed anything."""
-        before = (dict(self.ends), set(self.cleared), self.isolated_sends)
+        before = self._state()
+        known = {
+            incarnation for incarnation, begun in self.ends.items() if begun
+        }
         self.cleared.update(dict.fromkeys(update.cleared))
         for incarnation in update.cleared:
             self.ends.pop(incarnation, None)
@@ -144,18 +214,78 @@
             self._add(termination)
         for oldest in list(self.cleared)[:-_MAX_CLEARED]:
             self.cleared.pop(oldest)
-        self.isolated_sends = max(self.isolated_sends, update.isolated_sends)
-        return before != (self.ends, set(self.cleared), self.isolated_sends)
+        if update.isolated_sends > self.isolated_sends:
+            self.isolated_sends = update.isolated_sends
+            if self.is_segment and self.is_hold_candidate:
+                self._trials = min(self._trials + 1, _MAX_TRIALS)
+        self._count_moment(known, now)
+        # What other nodes hold is of no account once it was cleared.
+        self._is_held_elsewhere = bool(self.ends) and (
+            self._is_held_elsewhere or update.is_held
+        )
+        return before != self._state()
+
+    def _state(self) -> object:
+        return (
+            dict(self.ends),
+            set(self.cleared),
+            self.isolated_sends,
+            self._is_held_elsewhere,
+        )
+
+    def _count_moment(self, known: Container[Incarnation], now: float) -> None:
+        """Count a moment if terminations were added well after the others.
+
+        It is when this node learned of them, as the clocks of nodes differ.
+        """
+        self._moments &= self.ends.keys()
+        added = [
+            incarnation
+            for incarnation, begun in self.ends.items()
+            if begun and incarnation not in known
+        ]
+        if added and now - self._last_moment_at >= _SAME_MOMENT_SECONDS:
+            self._moments.add(added[0])
+            self._last_moment_at = now
 
     def _add(self, termination: Termination) -> None:
         if termination.life in self.cleared:
             return
         had_begun = self.ends.get(termination.life)
-        if had_begun is None and len(self.ends) >= _MAX_TERMINATIONS:
+        max_ends = (
+            _MAX_SEGMENT_TERMINATIONS if self.is_segment else _MAX_TERMINATIONS
+        )
+        if had_begun is None and len(self.ends) >= max_ends:
             return
         self.ends[termination.life] = bool(had_begun) or termination.begun
 
 
+def judge_segment(case: Case, others: Sequence[Case], now: float) -> Verdict:
+    """Return how requests with a segment are treated.
+
+    ``others`` are cases that may explain its terminations, of none of these
+    requests. A segment is held unless another case was at all of its
+    terminations, or segments that are held as well. Then a request without
+    these shows whether the segment is a cause, and is isolated. The segment is
+    not suspected if another case was at more terminations besides.
+    """
+    ends = case.ends.keys()
+    covering = [other for other in others if ends <= other.ends.keys()]
+    held = [
+        other
+        for other in others
+        if other.is_segment and other.is_hold_candidate
+    ]
+    explained = set(itertools.chain.from_iterable(other.ends for other in held))
+    if case.is_hold_candidate and not covering and not ends <= explained:
+        return Verdict.ISOLATED if case.is_trial_due(now) else Verdict.HELD
+    if not case.is_hold_candidate and case.moments < _ISOLATION_THRESHOLD:
+        return Verdict.FREE
+    if any(ends < other.ends.keys() for other in covering):
+        return Verdict.FREE
+    return Verdict.ISOLATED
+
+
 @attrs.define
 class CaseRegistry:
     """The suspected and held requests, as known to one node.
@@ -170,6 +300,8 @@
     # By incarnation: the highest begun count of the hold candidates that were
     # there when it terminated.
     _max_begun: dict[Incarnation, int] = attrs.field(factory=dict, init=False)
+    # Cached until the next change.
+    _repeated_cases: list[Case] | None = attrs.field(default=None, init=False)
 
     @property
     def is_empty(self) -> bool:
@@ -182,10 +314,67 @@
         total = len(self._suspected) + len(self._hold_candidates)
         return {'requests_suspected': total - held, 'requests_held': held}
 
-    def verdict(self, identity: str) -> Verdict:
-        """Return how a request is treated now."""
-        case = self.find(identity)
-        return Verdict.FREE if case is None else self._judge(case)
+    def verdict(self, identity: str, segments: Collection[str] = ()) -> Verdict:
+        """Return how a request is treated now, also for its segments."""
+        return max(
+            (
+                self._judge(case, {identity, *segments})
+                for case in filter(None, map(self.find, (identity, *segments)))
+            ),
+            key=_SEVERITIES.index,
+            default=Verdict.FREE,
+        )
+
+    def isolating_cases(
+        self, identity: str, segments: Collection[str] = ()
+    ) -> list[Case]:
+        """Return the cases for which a request is isolated."""
+        identities = (identity, *segments)
+        return [
+            case
+            for case in filter(None, map(self.find, identities))
+            if self._judge(case, set(identities)) is Verdict.ISOLATED
+        ]
+
+    def reason_to_hold(
+        self, identity: str, segments: Collection[str] = ()
+    ) -> Case | None:
+        """Return the case for which a request is held, if it is."""
+        identities = (identity, *segments)
+        cases = filter(None, map(self.find, identities))
+        return next(
+            (
+                case
+                for case in cases
+                if self._judge(case, set(identities)) is Verdict.HELD
+            ),
+            None,
+        )
+
+    def ends_of(
+        self, segments: Collection[str]
+    ) -> dict[str, tuple[Incarnation, ...]]:
+        """Return the terminations known of each segment that has any."""
+        cases = filter(None, map(self.find, segments))
+        return {case.identity: tuple(case.ends) for case in cases if case.ends}
+
+    def clear(
+        self, ends: Mapping[str, Collection[Incarnation]]
+    ) -> list[CaseUpdate]:
+        """Return updates that clear those of the terminations still known."""
+        known = self.ends_of(ends)
+        updates = [
+            CaseUpdate(
+                identity,
+                cleared=tuple(
+                    incarnation
+                    for incarnation in ends[identity]
+                    if incarnation in incarnations
+                ),
+            )
+            for identity, incarnations in known.items()
+        ]
+        return [update for update in updates if update.cleared]
 
     def find(self, identity: str) -> Case | None:
         """Return the case of a request, if there is one."""
@@ -205,21 +394,22 @@
         return [
             case
             for case in self._hold_candidates.values()
-            if self._judge(case) is Verdict.HELD
+            if self._holds_requests(case)
         ]
 
     def merge(self, update: CaseUpdate, *, is_own: bool) -> bool:
         """Merge this node's or another's update; return whether it was new."""
         now = self._clock()
         case = self.find(update.identity) or Case(update.identity, now)
-        if not case.merge(update):
+        if not case.merge(update, now):
             return False
         case.changed_at = now
+        self._repeated_cases = None
         self._suspected.pop(case.identity, None)
         was_candidate = (
             self._hold_candidates.pop(case.identity, None) is not None
         )
-        if case.verdict() is Verdict.HELD:
+        if case.is_hold_candidate:
             case.mark_held(now, is_own=is_own)
             self._hold_candidates[case.identity] = case
         else:
@@ -250,13 +440,19 @@
             return None
         return CaseUpdate(identity, isolated_sends=case.isolated_sends + 1)
 
-    def _judge(self, case: Case) -> Verdict:
+    def _judge(self, case: Case, own: Container[str]) -> Verdict:
         """Judge a case by comparison with the others.
 
-        A termination is explained by another hold candidate that was there too
+        ``own`` are the identities of the request and its segments. A
+        termination is explained by another hold candidate that was there too
         and had begun at more terminated incarnations than this request. All
         nodes reach the same verdict from the same sets.
         """
+        if case.is_segment:
+            others = [
+                other for other in self._repeated() if other.identity not in own
+            ]
+            return judge_segment(case, others, self._clock())
         begun = case.begun_count
         return case.verdict(
             {
@@ -266,6 +462,31 @@
             },
         )
 
+    def _holds_requests(self, case: Case) -> bool:
+        """Return whether requests may be held for a hold candidate.
+
+        Segments with the same terminations hold the requests that have all.
+        """
+        if case.is_segment:
+            return not any(
+                case.ends.keys() < other.ends.keys()
+                for other in self._repeated()
+            )
+        return self._judge(case, {case.identity}) is Verdict.HELD
+
+    def _repeated(self) -> Sequence[Case]:
+        """Return the cases that had begun at several terminations."""
+        if self._repeated_cases is None:
+            cases = itertools.chain(
+                self._suspected.values(), self._hold_candidates.values()
+            )
+            self._repeated_cases = [
+                case
+                for case in cases
+                if case.begun_count >= _ISOLATION_THRESHOLD
+            ]
+        return self._repeated_cases
+
     def _count_begun(self) -> None:
         self._max_begun = {}
         for case in self._hold_candidates.values():
@@ -278,6 +499,7 @@
 
     def _prune(self, now: float) -> None:
         """Drop the oldest cases that exceed the maximum number or age."""
+        self._repeated_cases = None
         while len(self._hold_candidates) > _MAX_HELD:
             self._hold_candidates.pop(next(iter(self._hold_candidates)))
         while len(self._suspected) > _MAX_CASES or self._has_expired(now):
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -32,10 +32,12 @@
     Termination,
     Verdict,
 )
+from cranecart.quarantine._identity import is_segment, segment_identity
 from cranecart.quarantine._pending import PendingTerminations
 from cranecart.quarantine._probe import TerminationProbe, wait_for_break
 from cranecart.quarantine._runner import Runner
 from cranecart.quarantine._settling import IsolatedSends
+from cranecart.quarantine._survival import SegmentSurvival
 
 # A request that crashes its target does so as it begins there: within 0.04 to
 # 0.13 s in the observed cases, doubled here for busy nodes. A request whose
@@ -59,6 +61,7 @@
     """Whether an attempt was sent and begun, and since when it is answered."""
 
     _clock: Callable[[], float]
+    _survival: SegmentSurvival | None = None
     was_sent: bool = attrs.field(default=False, init=False)
     has_begun: bool = attrs.field(default=False, init=False)
     _progress_since: float | None = attrs.field(default=None, init=False)
@@ -75,15 +78,21 @@
     def record_sent(self) -> None:
         """Record that the request is being sent, so that it may run."""
         self.was_sent = True
+        if self._survival is not None:
+            self._survival.record_begun()
 
     def record_begun(self) -> None:
         """Record that the target has begun to answer."""
         self.has_begun = True
+        if self._survival is not None:
+            self._survival.record_begun()
 
     def record_progress(self) -> None:
         """Record that a part of the answer arrived."""
         if self._progress_since is None:
             self._progress_since = self._clock()
+        if self._survival is not None:
+            self._survival.record_part()
 
 
 def _has_never_terminated(_incarnation: Incarnation) -> bool:
@@ -151,20 +160,22 @@
         }
 
     def instances_to_avoid(
-        self, identity: Callable[[], str]
+        self, identity: Callable[[], str], segments: Sequence[str] = ()
     ) -> Collection[str]:
         """Return the instances that a request should avoid.
 
-        Raise ``QuarantinedRequestError`` if the request is held. The identity
-        is computed only if there are any cases.
+        Raise ``QuarantinedRequestError`` if the request, or one of the segments
+        of its prompt, is held. The identity is computed only if there are any
+        cases.
         """
         if self.cases.is_empty:
             return ()
         digest = identity()
-        verdict = self.cases.verdict(digest)
+        keys = tuple(map(segment_identity, segments))
+        verdict = self.cases.verdict(digest, keys)
         if verdict is Verdict.HELD:
             self.refusals += 1
-            raise QuarantinedRequestError(self._hold_reason(digest))
+            raise QuarantinedRequestError(self._hold_reason(digest, keys))
         if verdict in _SUSPECT_VERDICTS:
             return self._suspects.keys() | self._abandoned_at(_SUSPECT_VERDICTS)
         return self._isolated.keys() | self._abandoned_at(_ISOLATED_VERDICTS)
@@ -173,6 +184,7 @@
         self,
         identity: Callable[[], str],
         seconds_left: Callable[[], float],
+        segments: Sequence[str] = (),
     ) -> None:
         """Wait until an isolated request may be sent, if there is time left.
 
@@ -180,30 +192,41 @@
         another copy's target has not been noticed meanwhile.
         """
         paused: float = 0
-        seconds = self._isolated_sends.seconds_to_wait(identity)
+        seconds = self._isolated_sends.seconds_to_wait(identity, 0, segments)
         while seconds > 0 and seconds_left() > 0:
             step = min(seconds, seconds_left(), _SETTLE_STEP_SECONDS)
             due_at = self._clock() + step
             await curio.sleep(step)
             paused += max(0, self._clock() - due_at)
-            seconds = self._isolated_sends.seconds_to_wait(identity, paused)
+            seconds = self._isolated_sends.seconds_to_wait(
+                identity, paused, segments
+            )
 
     @contextlib.asynccontextmanager
     async def watch(
         self,
         identity: Callable[[], str],
         runner: Runner,
+        segments: Sequence[str] = (),
     ) -> AsyncGenerator['AttemptProgress', None]:
-        """Watch an attempt; it succeeds if the context raises no error."""
-        progress = AttemptProgress(self._clock)
+        """Watch an attempt; it succeeds if the context raises no error.
+
+        ``segments`` are those of its prompt that other requests share.
+        """
+        survival = SegmentSurvival(
+            self.cases, segments, self._clock, self._clear
+        )
+        progress = AttemptProgress(self._clock, survival)
         may_still_run = True
         try:
-            with self.track_running(identity, runner):
+            with self.track_running(identity, runner, segments):
                 yield progress
             may_still_run = False
         except TargetDisconnectedError:
             may_still_run = False
-            await self._check_termination(identity(), runner, progress)
+            await self._check_termination(
+                identity(), runner, progress, segments
+            )
             raise
         except TargetError as error:
             may_still_run = isinstance(error, _ABANDONED_ERRORS)
@@ -211,7 +234,10 @@
         finally:
             # Also if the client has left, which cancels the attempt.
             if may_still_run and progress.was_sent:
-                await self._remember_abandoned(identity(), runner, progress)
+                await self._remember_abandoned(
+                    identity(), runner, progress, segments
+                )
+        survival.clear()
         self.record_served(identity)
 
     @contextlib.contextmanager
@@ -219,13 +245,15 @@
         self,
         identity: Callable[[], str],
         runner: Runner,
+        segments: Sequence[str] = (),
     ) -> Generator[None, None, None]:
         """Count a suspected request at an instance while the context lasts."""
         verdict = Verdict.FREE
         if not self.cases.is_empty:
-            verdict = self.cases.verdict(identity())
-        if verdict is Verdict.ISOLATED:
-            self._announce_send(identity())
+            keys = tuple(map(segment_identity, segments))
+            verdict = self.cases.verdict(identity(), keys)
+            if verdict is Verdict.ISOLATED:
+                self._announce_send(identity(), keys)
         counts = [
             count
             for count, verdicts in (
@@ -249,12 +277,8 @@
         if self.cases.is_empty:
             return
         update = self.cases.clearing_update(identity())
-        if update is None:
-            return
-        self.cases.merge(update, is_own=True)
-        self._publish_case(update.identity)
-        if len(update.cleared) > 1:
-            log_decision('request_cleared', identity=update.identity)
+        if update is not None:
+            self._clear(update)
 
     def merge_remote(self, update: CaseUpdate, sender: str) -> bool:
         """Merge another node's update; return whether it was new."""
@@ -280,6 +304,12 @@
                 self._count_abandoned(incarnation)
         self._republish()
 
+    def _clear(self, update: CaseUpdate) -> None:
+        self.cases.merge(update, is_own=True)
+        self._publish_case(update.identity)
+        if len(update.cleared) > 1:
+            log_decision('request_cleared', identity=update.identity)
+
     def _republish(self) -> None:
         """Publish recent updates again, as some may have been lost."""
         oldest = self._clock() - _REPUBLISH_SECONDS
@@ -298,6 +328,7 @@
         identity: str,
         runner: Runner,
         progress: AttemptProgress,
+        segments: Sequence[str],
     ) -> None:
         """Check whether the target of a broken attempt has terminated."""
         if self._is_expected(runner):
@@ -305,28 +336,33 @@
         if progress.progress_seconds > _STARTUP_SECONDS:
             self._pending.record_alive(runner.incarnation)
             return
+        identities = _suspected_identities(identity, segments, progress)
         if await self.probe.has_terminated(runner):
             termination = Termination(runner.incarnation, progress.has_begun)
-            self._record_termination(
-                CaseUpdate(identity, (termination,)), 'seen here'
-            )
+            for suspected in identities:
+                self._record_termination(
+                    CaseUpdate(suspected, (termination,)), 'seen here'
+                )
             self._count_abandoned(runner.incarnation)
         else:
-            self._pending.record_break(
-                runner.incarnation, identity, begun=progress.has_begun
-            )
+            for suspected in identities:
+                self._pending.record_break(
+                    runner.incarnation, suspected, begun=progress.has_begun
+                )
 
     async def _remember_abandoned(
         self,
         identity: str,
         runner: Runner,
         progress: AttemptProgress,
+        segments: Sequence[str],
     ) -> None:
         """Remember an attempt whose target may still run the request."""
         was_there_by_chance = progress.progress_seconds > _STARTUP_SECONDS
         if was_there_by_chance or self._is_expected(runner):
             return
-        self._abandoned.record(identity, runner, begun=progress.has_begun)
+        for suspected in _suspected_identities(identity, segments, progress):
+            self._abandoned.record(suspected, runner, begun=progress.has_begun)
         incarnation = runner.incarnation
         has_room = len(self._watched) < _MAX_WATCHED
         if has_room and incarnation not in self._watched:
@@ -374,16 +410,17 @@
 
     def _record_termination(self, update: CaseUpdate, source: str) -> None:
         if self.cases.merge(update, is_own=True):
-            self.terminations += 1
+            self.terminations += not is_segment(update.identity)
             self._log_termination(update.identity, update.ends[0].life, source)
             self._publish_case(update.identity)
 
-    def _announce_send(self, identity: str) -> None:
+    def _announce_send(self, identity: str, segments: Sequence[str]) -> None:
         """Let other copies of an isolated request wait for this one."""
-        update = self.cases.sending_update(identity)
-        if update is not None:
-            self.cases.merge(update, is_own=True)
-            self._publish_case(identity)
+        for case in self.cases.isolating_cases(identity, segments):
+            update = self.cases.sending_update(case.identity)
+            if update is not None:
+                self.cases.merge(update, is_own=True)
+                self._publish_case(case.identity)
 
     def _publish_case(self, identity: str) -> None:
         case = self.cases.find(identity)
@@ -391,14 +428,12 @@
             self._published_at[identity] = self._clock()
             self._publish((case.update,))
 
-    def _hold_reason(self, identity: str) -> str:
-        case = self.cases.find(identity)
-        instance_ids = (
-            []
-            if case is None
-            else [incarnation.id for incarnation in case.ends]
-        )
-        return f'request {identity} crashed {", ".join(instance_ids)}'
+    def _hold_reason(self, identity: str, segments: Sequence[str]) -> str:
+        case = self.cases.reason_to_hold(identity, segments)
+        ends = () if case is None else case.ends
+        name = identity if case is None else case.identity
+        instance_ids = ', '.join(incarnation.id for incarnation in ends)
+        return f'request {name} crashed {instance_ids}'
 
     def _log_termination(
         self, identity: str, incarnation: Incarnation | None, source: str
@@ -418,6 +453,18 @@
         )
 
 
+def _suspected_identities(
+    identity: str, segments: Sequence[str], progress: AttemptProgress
+) -> list[str]:
+    """Return what may have crashed the target of an attempt.
+
+    A segment does so only once the target has begun to answer.
+    """
+    if not progress.has_begun:
+        return [identity]
+    return [identity, *map(segment_identity, segments)]
+
+
 def _decrement(counts: Counter[str], name: str) -> None:
     counts[name] -= 1
     if counts[name] <= 0:
--- a/src/cranecart/quarantine/_identity.py
+++ b/src/cranecart/quarantine/_identity.py
@@ -1,5 +1,6 @@
-"""Identify the retries of one request; no I/O."""
+"""Identify the retries of one request, and the segments of prompts; no I/O."""
 
+import functools
 import hashlib
 
 # Collisions become likely only after 2**64 requests.
@@ -7,6 +8,9 @@
 # The length of each part is hashed before it, so that different lists of parts
 # never produce the same input.
 _LENGTH_BYTES = 8
+_SEGMENT_PREFIX = 'segment-'
+# Those of the requests in flight, several each.
+_CACHED_SEGMENTS = 4096
 
 
 def request_identity(
@@ -28,3 +32,18 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
     return digest.hexdigest()
+
+
+@functools.lru_cache(_CACHED_SEGMENTS)
+def segment_identity(segment: str) -> str:
+    """Return the identity of a prompt segment that requests share.
+
+    It is a digest, as segments are named by callers in any length.
+    """
+    digest = hashlib.blake2b(segment.encode(), digest_size=_DIGEST_BYTES)
+    return _SEGMENT_PREFIX + digest.hexdigest()
+
+
+def is_segment(identity: str) -> bool:
+    """Return whether an identity is that of a prompt segment."""
+    return identity.startswith(_SEGMENT_PREFIX)
--- a/src/cranecart/quarantine/_settling.py
+++ b/src/cranecart/quarantine/_settling.py
@@ -7,12 +7,13 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
 from cranecart.clocks import since_boot
-from cranecart.quarantine._cases import CaseRegistry, Verdict
+from cranecart.quarantine._cases import Case, CaseRegistry, Verdict
+from cranecart.quarantine._identity import segment_identity
 
 # Twice the time in which a request crashes its target as it begins there.
 _SETTLE_SECONDS = 0.25
@@ -29,7 +30,10 @@
     _seed: float = attrs.field(factory=random.random)
 
     def seconds_to_wait(
-        self, identity: Callable[[], str], paused_seconds: float = 0
+        self,
+        identity: Callable[[], str],
+        paused_seconds: float = 0,
+        segments: Collection[str] = (),
     ) -> float:
         """Return for how long a request must not be sent yet.
 
@@ -39,11 +43,17 @@
         if self._cases.is_empty:
             return 0
         digest = identity()
-        case = self._cases.find(digest)
-        if case is None or self._cases.verdict(digest) is not Verdict.ISOLATED:
+        keys = tuple(map(segment_identity, segments))
+        if self._cases.verdict(digest, keys) is not Verdict.ISOLATED:
             return 0
-        # The same time is drawn whenever it is asked for.
-        source = random.Random(f'{self._seed} {digest} {case.changed_at}')
-        settled_at = case.changed_at + _SETTLE_SECONDS + paused_seconds
-        settled_at += source.uniform(0, _SPREAD_SECONDS)
+        isolating = self._cases.isolating_cases(digest, keys)
+        settled_at = max(map(self._settled_at, isolating)) + paused_seconds
         return max(0, settled_at - self._clock())
+
+    def _settled_at(self, case: Case) -> float:
+        # The same time is drawn whenever it is asked for.
+        source = random.Random(
+            f'{self._seed} {case.identity} {case.changed_at}'
+        )
+        spread = source.uniform(0, _SPREAD_SECONDS)
+        return case.changed_at + _SETTLE_SECONDS + spread
--- a/src/cranecart/targets/_calls.py
+++ b/src/cranecart/targets/_calls.py
@@ -34,6 +34,11 @@
         """Return what the call addresses, as part of its identity."""
         return ''
 
+    @property
+    def segments(self) -> tuple[str, ...]:
+        """Return what identifies the parts of a prompt that calls share."""
+        return ()
+
     @functools.cached_property
     def identity(self) -> str:
         """Return a digest that is the same for all retries of this call."""
@@ -70,6 +75,11 @@
     prefix: str = ''
     max_tokens: int = 0
 
+    @property
+    def segments(self) -> tuple[str, ...]:
+        """Return the prefix, if there is one."""
+        return tuple(filter(None, (self.prefix,)))
+
 
 @attrs.frozen(kw_only=True)
 class ServiceCall(Call):
--- a/tests/lib/crash_simulation.py
+++ b/tests/lib/crash_simulation.py
@@ -150,7 +150,7 @@
         )
 
     def _send(self, request: Request) -> None:
-        verdict = self._cases.verdict(request.name)
+        verdict = self._verdict(request)
         if verdict is Verdict.HELD:
             self.wrongly_held += not request.is_culprit
             self.refused_culprit += request.is_culprit
@@ -173,13 +173,16 @@
                 lambda: self._abandon(request, visit, target),
             )
 
+    def _verdict(self, request: Request) -> Verdict:
+        return self._cases.verdict(request.name)
+
     def _abandon(self, request: Request, visit: int, target: Target) -> None:
         if request.visit != visit or request not in target.requests_there:
             return
         target.requests_there.remove(request)
         if self._run_seconds(request) <= _STARTUP_SECONDS:
             runner = NamedRunner(
-                f'i{target.number}', _incarnation(target), _ADDRESS
+                f'i{target.number}', incarnation_of(target), _ADDRESS
             )
             self._abandoned.record(
                 request.name, runner, begun=request.begun_at is not None
@@ -198,7 +201,7 @@
             target
             for target in up
             if not any(
-                self._cases.verdict(other.name) in avoided
+                self._verdict(other) in avoided
                 for other in target.requests_there
             )
         ]
@@ -240,7 +243,7 @@
     def _terminate(self, target: Target) -> None:
         requests_there = target.requests_there
         target.requests_there = []
-        incarnation = _incarnation(target)
+        incarnation = incarnation_of(target)
         target.is_up = False
         for attempt in self._abandoned.pop(incarnation):
             self._merge_later(attempt.identity, incarnation, attempt.begun)
@@ -273,7 +276,8 @@
         target.is_up = True
 
 
-def _incarnation(target: Target) -> Incarnation:
+def incarnation_of(target: Target) -> Incarnation:
+    """Return the current incarnation of a target."""
     return Incarnation(f'i{target.number}', target.incarnation)
 
 
--- a/tests/platform/test_call_headers.py
+++ b/tests/platform/test_call_headers.py
@@ -53,6 +53,20 @@
         self.assertEqual(info.deadline_seconds, 8)
         self.assertEqual((info.prompt_tokens, info.max_tokens), (1460, 80))
         self.assertEqual(info.resume_after, '3')
+        self.assertEqual(info.shared_segments, ('5c1e07a2',))
+
+    def test_segments_of_prompts(self) -> None:
+        """The last one is the request's own; odd ones are no error."""
+        for text, segments in (
+            ('', ()),
+            ('aa:1', ()),
+            ('AA:800, bb:20,cc:1', ('aa', 'bb')),
+            ('aa,:5,,bb:x:y,cc', ('aa', 'bb')),
+        ):
+            with self.subTest(text=text):
+                request = Request('POST', '/x', {'prefix-hash': text})
+                info = _CALL_TRANSLATOR.read_request(request)
+                self.assertEqual(info.shared_segments, segments)
 
     def test_huge_token_counts_are_ignored(self) -> None:
         """Token counts too long to parse are read as 0."""
--- a/tests/unit/test_crashing_segments.py
+++ b/tests/unit/test_crashing_segments.py
@@ -14,7 +14,9 @@
 import curio
 
 from cranecart.exceptions import HttpError
+from cranecart.quarantine import HeldRows
 from tests.lib.crashing_targets import Deployment
+from tests.lib.fake_platform import FakePlatform
 from tests.lib.fake_targets import ClientAnswer, GatewayTestbed
 
 # What the acceptance rules allow: three requests later than this after the
@@ -61,6 +63,29 @@
             lambda number: ('head', f'page-{number % 5}', f'own-{number}'),
         )
 
+    def test_first_segment_crashes(self) -> None:
+        """The sound requests share the second segment."""
+        self._check_load(
+            {'bad'},
+            lambda number: ('bad', 'tail', f'own-{number}'),
+            lambda number: (f'head-{number % 5}', 'tail', f'own-{number}'),
+        )
+
+    def test_two_segments_crash(self) -> None:
+        """Both are held, and what they share is not."""
+        self._check_load(
+            {'bad-0', 'bad-1'},
+            lambda number: ('head', f'bad-{number % 2}', f'own-{number}'),
+            lambda number: ('head', f'page-{number % 5}', f'own-{number}'),
+            allowed=2 * _MAX_LATE_SENDS,
+        )
+
+    def test_node_started_later(self) -> None:
+        """It reads the rows before it serves."""
+        deployment = Deployment(3, 12)
+        deployment.crash_segments = {'bad'}
+        curio.run(deployment.run, self._send_to_late_node)
+
     def _check_load(
         self,
         crashing: set[str],
@@ -100,6 +125,22 @@
         self.assertGreater(len(counted), 20)
         self.assertGreaterEqual(served, _MIN_SERVED_FRACTION * len(counted))
 
+    async def _send_to_late_node(self, deployment: Deployment) -> None:
+        def bad(number: int) -> tuple[str, ...]:  # noqa: WPS430
+            return 'head', 'bad', f'own-{number}'
+
+        await _send(deployment.nodes, bad, _BAD_PER_SECOND, 4)
+        table = FakePlatform()
+        for node in deployment.nodes:
+            await HeldRows('a node', table, node.guard.cases).write()
+        late = deployment.new_node()
+        HeldRows('late', table, late.guard.cases).apply(table.rows, True)
+        serving = await deployment.start(late)
+        arrived = len(deployment.arrivals)
+        await _send([late], bad, _BAD_PER_SECOND, 1)
+        self.assertEqual(len(deployment.arrivals), arrived)
+        await serving.cancel()
+
 
 async def _send(
     nodes: list[GatewayTestbed],
