Treat an unframed stream without events as broken off

What callers would meet: an empty stream that looks whole. A target may answer with neither a length nor chunks and end the answer with its connection; one that crashes before its first event ends it the same way.

Such a stream moves to another target, or is broken off. Streams that end inside an event did so before. test_ends_before_the_first_event failed before (an empty body, complete) and passes; the other five tests of such answers passed before.

--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -140,6 +140,7 @@
         incarnation = target.instance.incarnation
         router = self._sender.router
         call = self._attempts.call
+        earlier_events = self.splitter.event_count
         pace = router.paces.track_stream(
             incarnation,
             call.config.engine(call.service),
@@ -152,6 +153,12 @@
             raise TargetDisconnectedError(
                 f'{target.instance.id} ended its stream within an event',
             )
+        has_events = self.splitter.event_count > earlier_events
+        if not has_events and not answer.head.is_framed:
+            # The end of its connection is all that a crashed target sends.
+            raise TargetDisconnectedError(
+                f'{target.instance.id} closed before the first event'
+            )
 
     async def _relay_events(
         self,
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -68,6 +68,14 @@
     headers: Headers = attrs.field(factory=dict)
     header_lines: HeaderLines = ()
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the body's end differs from that of the connection."""
+        return (
+            'content-length' in self.headers
+            or 'transfer-encoding' in self.headers
+        )
+
     @property
     def is_success(self) -> bool:
         """Return whether the status is in the 2xx class."""
