--- a/src/cranecart/dispatch/_pace.py
+++ b/src/cranecart/dispatch/_pace.py
@@ -46,7 +46,7 @@
 # that a few gaps take at a replica that is sixteen times slower.
 _EXPIRY_SECONDS = 4.0
 # A report is repeated while its measurement is valid. It expires once it was
-# missing for several beats, more than reports of many replicas take in turn.
+# missing for several heartbeats, more than reports of many replicas take in turn.
 _REPORT_EXPIRY_SECONDS = 2.0
 # Measurements as usual are reported, against reports of others, only while they
 # are certain.
--- a/src/cranecart/fleet/_instance_list.py
+++ b/src/cranecart/fleet/_instance_list.py
@@ -13,7 +13,7 @@
 from cranecart.ports import Incarnation, ListedInstance
 
 # During a store outage instances cannot renew their entries, so many lapse at
-# once; those that are alive are listed again at most two seconds after the
+# once; those that are running are listed again at most two seconds after the
 # store recovers. Ordinary failures and shutdowns affect two or three instances
 # of a hundred at a time.
 _MASS_LAPSE_FRACTION = 0.1
--- a/src/cranecart/grouping/_failure_detector.py
+++ b/src/cranecart/grouping/_failure_detector.py
@@ -12,7 +12,7 @@
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
 
-# An instance that is still listed this long after it was found lost is alive:
+# An instance that is still listed this long after it was found lost is running:
 # the entry of a dead one lapses after three heartbeats.
 _LOST_TTL_SECONDS = 6.0
 # Instances that are probed if no member answers. Two of them may have failed
--- a/src/cranecart/grouping/_teardown.py
+++ b/src/cranecart/grouping/_teardown.py
@@ -29,7 +29,7 @@
 from cranecart.ports import ListedInstance, MemberPhase
 
 _RETRY_SECONDS = 0.1
-# Retry interval for a head that was found lost, in case it is alive and was
+# Retry interval for a head that was found lost, in case it is running and was
 # only unreachable. At half a second, a dead head was sent an order in every
 # interval until its teardown ended.
 _LOST_RETRY_SECONDS = 1.5
--- a/src/cranecart/load_shedding/_exchange.py
+++ b/src/cranecart/load_shedding/_exchange.py
@@ -18,7 +18,7 @@
 # How long a deferred or refused request counts as a sign of a shortage: as
 # long as the meter's window, so that a surge is measured once it is noticed.
 _SHORTAGE_SECONDS = 2.0
-# Reports are sent once a second, not with each beat, to stay under 0.5 KB/s a
+# Reports are sent once a second, not with each heartbeat, to stay under 0.5 KB/s a
 # node for the organisations in the summaries of three failure domains.
 _REPORT_SECONDS = 1.0
 # One report may be lost before a sender's load no longer counts.
@@ -177,7 +177,7 @@
         )
 
     def local_report(self, now: float) -> dict[str, float]:
-        """Return what a beat publishes now; mostly nothing."""
+        """Return what a heartbeat publishes now; mostly nothing."""
         if not self._is_due(now, is_summary=False):
             return {}
         rates = self._meter.rates(now)
--- a/src/cranecart/load_shedding/_meter.py
+++ b/src/cranecart/load_shedding/_meter.py
@@ -7,7 +7,7 @@
 
 from cranecart.load_shedding._offered import OfferedLoad
 
-# Covers about ten beats, so that all nodes report the same surge, and is a
+# Covers about ten heartbeats, so that all nodes report the same surge, and is a
 # third of the shortest surges (4 to 6 s).
 _WINDOW_SECONDS = 2.0
 _BUCKET_SECONDS = 0.25
--- a/src/cranecart/mesh/__init__.py
+++ b/src/cranecart/mesh/__init__.py
@@ -5,10 +5,10 @@
 
 from cranecart.mesh._mesh import Mesh
 from cranecart.mesh._messages import (
-    Beat,
     ConfigAsk,
     ConfigCopy,
     Digest,
+    Heartbeat,
     ListNews,
     MeshMessage,
     RecordNews,
@@ -31,7 +31,7 @@
 )
 
 __all__ = (
-    'Beat',
+    'Heartbeat',
     'Broken',
     'ConfigAsk',
     'ConfigCopy',
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -7,12 +7,12 @@
 from cranecart.logs import log_decision
 from cranecart.mesh._config_copies import ConfigCopies, unpack_config
 from cranecart.mesh._messages import (
-    Beat,
     ConfigAsk,
     ConfigCopy,
     Digest,
     ForwardableMessage,
     Forwarded,
+    Heartbeat,
     ListNews,
     MeshMessage,
     RecordNews,
@@ -58,8 +58,8 @@
         """Handle one message."""
         now = self._state.clock()
         match message:
-            case Beat():
-                self._handle_beat(message)
+            case Heartbeat():
+                self._handle_heartbeat(message)
             case Digest():
                 self._handle_digest(message, now)
             case Summary():
@@ -147,30 +147,34 @@
         self._forwarded_versions[kind] = version
         return False
 
-    def _handle_beat(self, beat: Beat) -> None:
-        self._handle_repeated_stops(beat.recent_stops)
-        self._handle_evacuations(beat)
-        if beat.stopping:
-            self._state.peer_state.forget_node(beat.sender)
-            self._state.roster.remove_relay(beat.sender)
+    def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._handle_repeated_stops(heartbeat.recent_stops)
+        self._handle_evacuations(heartbeat)
+        if heartbeat.stopping:
+            self._state.peer_state.forget_node(heartbeat.sender)
+            self._state.roster.remove_relay(heartbeat.sender)
             return
-        if not self._state.peer_state.was_seen_recently(beat.sender):
+        if not self._state.peer_state.was_seen_recently(heartbeat.sender):
             self._state.last_met_at = self._state.clock()
-        if not self._state.peer_state.has_sent_beat(beat.sender):
-            log_decision('peer_met', peer=beat.sender, address=beat.address)
-        if beat.via_relays:
+        if not self._state.peer_state.has_sent_heartbeat(heartbeat.sender):
+            log_decision(
+                'peer_met', peer=heartbeat.sender, address=heartbeat.address
+            )
+        if heartbeat.via_relays:
             self._state.roster.enable_relays()
-        peer = PeerNode(beat.address, beat.failure_domain)
-        self._state.roster.add(beat.sender, peer)
-        self._state.peer_state.record_beat(beat)
-        if beat.offered:
-            self._callbacks.on_offered(beat)
-        if not beat.via_relays:
-            self._callbacks.on_slow_targets(beat.sender, beat.slow_targets)
+        peer = PeerNode(heartbeat.address, heartbeat.failure_domain)
+        self._state.roster.add(heartbeat.sender, peer)
+        self._state.peer_state.record_heartbeat(heartbeat)
+        if heartbeat.offered:
+            self._callbacks.on_offered(heartbeat)
+        if not heartbeat.via_relays:
+            self._callbacks.on_slow_targets(
+                heartbeat.sender, heartbeat.slow_targets
+            )
 
     def _handle_digest(self, digest: Digest, now: float) -> None:
         domain = digest.summary.failure_domain
-        self._handle_beat(digest.beat)
+        self._handle_heartbeat(digest.heartbeat)
         self._state.roster.enable_relays()
         if domain == self._state.local.failure_domain:
             self._state.last_digest_at = now
@@ -204,7 +208,7 @@
         self._handle_repeated_stops(summary.recent_stops)
         self._handle_evacuations(summary)
 
-    def _handle_evacuations(self, message: Beat | Summary) -> None:
+    def _handle_evacuations(self, message: Heartbeat | Summary) -> None:
         if message.evacuations:
             self._callbacks.on_evacuations(message.evacuations, message.sender)
 
--- a/src/cranecart/mesh/_mesh.py
+++ b/src/cranecart/mesh/_mesh.py
@@ -1,10 +1,10 @@
 """Exchange state between all nodes, without the platform.
 
-Each node sends beats: periodic heartbeats that carry its state. In a small
+Each node periodically sends heartbeats that carry its state. In a small
 deployment they go to all other nodes. In a larger one they go to the relay of
 the failure domain, which sends a digest of them to all nodes there and a summary
 to the relays of the other failure domains (docs/design/platform.md). Urgent
-messages are sent at once, not with the beats.
+messages are sent at once, not with the heartbeats.
 """
 
 from collections import Counter
@@ -28,13 +28,13 @@
 
 # Bounds the age of the counts of requests in flight; a stream lasts about a
 # second in the deployments' specifications.
-_BEAT_SECONDS = 0.25
+_HEARTBEAT_SECONDS = 0.25
 # How long before the relay's next digest the nodes of its failure domain send
-# their beats to it, so that counts are hardly older than if sent directly. A
-# relay handles some thirty beats in a few milliseconds.
+# their heartbeats to it, so that counts are hardly older than if sent directly. A
+# relay handles some thirty heartbeats in a few milliseconds.
 _RELAY_LEAD_SECONDS = 0.04
-# Peers whose beats no longer arrive are sent only one in this many beats.
-_SILENT_PEER_BEATS = 8
+# Peers whose heartbeats no longer arrive are sent only one in this many heartbeats.
+_SILENT_PEER_HEARTBEATS = 8
 # Connections used only for urgent messages are closed after this time.
 _IDLE_CONNECTION_SECONDS = 10.0
 
@@ -49,7 +49,7 @@
         callbacks: MeshCallbacks,
         clock: Callable[[], float] | None = None,
     ) -> None:
-        """Start without peers; beats are sent only in ``run``."""
+        """Start without peers; heartbeats are sent only in ``run``."""
         self.local = local
         # After a pause of this process all other nodes would seem silent.
         self.running_clock = RunningClock()
@@ -61,11 +61,11 @@
         self._roster = self.state.roster
 
     async def run(self) -> None:
-        """Receive messages and send beats until cancelled."""
+        """Receive messages and send heartbeats until cancelled."""
         receiving = await curio.spawn(self._receive, daemon=True)
         ticking = await curio.spawn(self.running_clock.run, daemon=True)
         try:
-            await self._send_beats()
+            await self._send_heartbeats()
         finally:
             await ticking.cancel()
             await receiving.cancel()
@@ -101,7 +101,7 @@
     def publish_stopped(self, message: Stopped) -> None:
         """Notify all nodes that a replica has stopped.
 
-        Beats and summaries repeat the notice for nodes that it does not reach
+        Heartbeats and summaries repeat the notice for nodes that it does not reach
         through a relay. When it was sent directly to each of 195 nodes, every
         sender kept a connection to every other node, each with heartbeats.
         """
@@ -118,7 +118,7 @@
     def publish_update(self, message: SourceUpdateMessage) -> None:
         """Send changes read from a source to all live nodes.
 
-        A node that misses them sees a newer version announced in beats and
+        A node that misses them sees a newer version announced in heartbeats and
         reads the source itself.
         """
         self.message_sender.publish(message, include_silent=False)
@@ -140,9 +140,9 @@
         else:
             self._transport.send(address, message)
 
-    def send_beat_now(self) -> None:
-        """Send a beat at once, to announce a change of this node."""
-        self.message_sender.send_beat(include_silent=False)
+    def send_heartbeat_now(self) -> None:
+        """Send a heartbeat at once, to announce a change of this node."""
+        self.message_sender.send_heartbeat(include_silent=False)
 
     def in_flight_elsewhere(self, instance_id: str) -> int:
         """Return how many requests other nodes have in flight at an instance."""
@@ -177,12 +177,12 @@
         """Return the demand of the clients of all nodes, by model."""
         total = Counter(self.local.demand)
         # Negative values are dropped: they occur when the relay's summary
-        # includes an older beat of this node than the one subtracted from it.
+        # includes an older heartbeat of this node than the one subtracted from it.
         total.update(+self._peer_state.totals().demand)
         return total
 
     def live_node_count(self) -> int:
-        """Return how many nodes are alive, including this one.
+        """Return how many nodes are live, including this one.
 
         With relays, peers that were just added count as well. Otherwise a node
         that has just started and has no digest yet would take the whole retry
@@ -197,29 +197,29 @@
         """Return the counters of messages and bytes, by metric name."""
         return self._transport.counts()
 
-    async def _send_beats(self) -> None:
-        beat_number = 0
+    async def _send_heartbeats(self) -> None:
+        heartbeat_number = 0
         while True:
-            include_silent = beat_number % _SILENT_PEER_BEATS == 0
-            self.message_sender.send_beat(include_silent=include_silent)
+            include_silent = heartbeat_number % _SILENT_PEER_HEARTBEATS == 0
+            self.message_sender.send_heartbeat(include_silent=include_silent)
             self.message_sender.request_newer_config()
             if include_silent:
                 self._transport.close_idle(_IDLE_CONNECTION_SECONDS)
-            beat_number += 1
-            await curio.sleep(self._seconds_to_next_beat())
+            heartbeat_number += 1
+            await curio.sleep(self._seconds_to_next_heartbeat())
 
-    def _seconds_to_next_beat(self) -> float:
-        """Return the pause that puts the next beat just before the digest."""
+    def _seconds_to_next_heartbeat(self) -> float:
+        """Return the pause that puts the next heartbeat just before the digest."""
         last_digest_at = self.state.last_digest_at
         if last_digest_at is None:
-            return _BEAT_SECONDS
+            return _HEARTBEAT_SECONDS
         seconds_until_due = (
             last_digest_at - _RELAY_LEAD_SECONDS - self.state.clock()
         )
-        # Between half and one and a half beat intervals from now.
+        # Between half and one and a half heartbeat intervals from now.
         return (
-            _BEAT_SECONDS / 2
-            + (seconds_until_due - _BEAT_SECONDS / 2) % _BEAT_SECONDS
+            _HEARTBEAT_SECONDS / 2
+            + (seconds_until_due - _HEARTBEAT_SECONDS / 2) % _HEARTBEAT_SECONDS
         )
 
     async def _receive(self) -> None:
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -29,7 +29,7 @@
     finishes: bool = False
 
 
-class Beat(msgspec.Struct, tag='beat', array_like=True):
+class Heartbeat(msgspec.Struct, tag='beat', array_like=True):
     """The state that each node sends a few times a second.
 
     ``requests`` counts those received since the start, ``in_flight`` those in
@@ -37,7 +37,7 @@
     the node is, if any. ``source_versions`` has the version of the last change
     for each source that the node reads from the store over a path known to
     work. ``demand`` is the work that its clients ask for, by model.
-    ``recent_stops`` repeats recent notices for nodes that missed them. A beat
+    ``recent_stops`` repeats recent notices for nodes that missed them. A heartbeat
     ``via_relays`` is not sent to all nodes. ``evacuations`` has what the node
     knows of failure domains that are or were evacuated. ``offered`` is the load
     that arrives at the node, only while a model is short
@@ -63,13 +63,13 @@
 
 
 class Summary(msgspec.Struct, tag='summary', array_like=True):
-    """The beats of the nodes of a failure domain, summed up by a relay.
+    """The heartbeats of the nodes of a failure domain, summed up by a relay.
 
     ``relays`` are the addresses of the nodes that receive the summaries of
     other domains, by name. ``config_addresses`` are those of some nodes that
     have the newest configuration. ``source_readers`` has, for each source, the
     reader that ranks first and the version of the last change. ``evacuations``
-    are those that the relay knows, as it learns them from the beats.
+    are those that the relay knows, as it learns them from the heartbeats.
     """
 
     sender: str
@@ -92,12 +92,12 @@
 class Digest(msgspec.Struct, tag='digest', array_like=True):
     """What a relay sends to the nodes of its failure domain.
 
-    ``beat`` is the relay's own. ``summary`` is that of its failure domain and
+    ``heartbeat`` is the relay's own. ``summary`` is that of its failure domain and
     includes ``summarized_nodes``. ``other_summaries`` are those of the other
     failure domains, and ``summary_ages`` their ages in seconds.
     """
 
-    beat: Beat
+    heartbeat: Heartbeat
     summary: Summary
     summarized_nodes: list[str]
     summary_ages: list[float]
@@ -171,7 +171,7 @@
 
 
 MeshMessage = (
-    Beat
+    Heartbeat
     | Summary
     | Digest
     | Stopped
--- a/src/cranecart/mesh/_peer_state.py
+++ b/src/cranecart/mesh/_peer_state.py
@@ -1,4 +1,4 @@
-"""The last beats and summaries of other nodes, and their totals."""
+"""The last heartbeats and summaries of other nodes, and their totals."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -6,29 +6,29 @@
 import attrs
 
 from cranecart.clocks import since_boot
-from cranecart.mesh._messages import Beat, Digest, Summary
+from cranecart.mesh._messages import Digest, Heartbeat, Summary
 
-# Two beats may be lost before the state of a node counts as stale.
-_BEAT_VALID_SECONDS = 0.8
+# Two heartbeats may be lost before the state of a node counts as stale.
+_HEARTBEAT_VALID_SECONDS = 0.8
 # A summary stays valid until the next relay takes over.
 _SUMMARY_VALID_SECONDS = 1.0
 # When a relay dies, its summaries are missing until another relay takes over.
-# Meanwhile its nodes still count as alive, since otherwise each remaining node
+# Meanwhile its nodes still count as live, since otherwise each remaining node
 # would take too large a share of the retry budget.
-_NODES_ALIVE_SECONDS = 2.0
+_NODES_LIVE_SECONDS = 2.0
 
 
 @attrs.frozen
-class ReceivedBeat:
-    """A beat and the time it was received."""
+class ReceivedHeartbeat:
+    """A heartbeat and the time it was received."""
 
-    beat: Beat
+    heartbeat: Heartbeat
     received_at: float
 
     @property
     def valid_until(self) -> float:
-        """Return the time at which the beat expires."""
-        return self.received_at + _BEAT_VALID_SECONDS
+        """Return the time at which the heartbeat expires."""
+        return self.received_at + _HEARTBEAT_VALID_SECONDS
 
 
 @attrs.frozen
@@ -44,14 +44,14 @@
         return self.made_at + _SUMMARY_VALID_SECONDS
 
     @property
-    def nodes_alive_until(self) -> float:
-        """Return the time until which the summarized nodes count as alive."""
-        return self.made_at + _NODES_ALIVE_SECONDS
+    def nodes_live_until(self) -> float:
+        """Return the time until which the summarized nodes count as live."""
+        return self.made_at + _NODES_LIVE_SECONDS
 
     def as_replaceable(self, now: float) -> 'ReceivedSummary':
         """Return a copy that any other summary replaces.
 
-        It is too old to be used, but its nodes still count as alive.
+        It is too old to be used, but its nodes still count as live.
         """
         return attrs.evolve(
             self, made_at=min(self.made_at, now - _SUMMARY_VALID_SECONDS)
@@ -79,7 +79,7 @@
 
 @attrs.define
 class Totals:
-    """Totals of the valid beats and summaries of other nodes.
+    """Totals of the valid heartbeats and summaries of other nodes.
 
     ``config_version`` is that of the newest configuration, and
     ``config_addresses`` are those of nodes that have it; ``placer_addresses``
@@ -96,17 +96,17 @@
     placer_addresses: dict[str, str] = attrs.field(factory=dict)
     source_readers: dict[str, list[SourceReader]] = attrs.field(factory=dict)
 
-    def add_beat(self, beat: Beat) -> None:
+    def add_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Add the state of one node."""
         self.node_count += 1
-        self.in_flight.update(beat.in_flight)
-        self.demand.update(beat.demand)
-        self._add_config(beat.config_version, [beat.address])
-        if beat.placer_domain:
-            self.placer_addresses[beat.placer_domain] = beat.address
-        for source, version in beat.source_versions.items():
+        self.in_flight.update(heartbeat.in_flight)
+        self.demand.update(heartbeat.demand)
+        self._add_config(heartbeat.config_version, [heartbeat.address])
+        if heartbeat.placer_domain:
+            self.placer_addresses[heartbeat.placer_domain] = heartbeat.address
+        for source, version in heartbeat.source_versions.items():
             readers = self.source_readers.setdefault(source, [])
-            readers.append((beat.sender, version))
+            readers.append((heartbeat.sender, version))
 
     def add_summary(self, summary: Summary) -> None:
         """Add the state of a failure domain, except for its node count."""
@@ -116,10 +116,10 @@
         for source, reader in summary.source_readers.items():
             self.source_readers.setdefault(source, []).append(reader)
 
-    def subtract_beat(self, beat: Beat) -> None:
-        """Subtract this node's own beat, which a summary includes."""
-        self.in_flight.subtract(beat.in_flight)
-        self.demand.subtract(beat.demand)
+    def subtract_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Subtract this node's own heartbeat, which a summary includes."""
+        self.in_flight.subtract(heartbeat.in_flight)
+        self.demand.subtract(heartbeat.demand)
 
     def _add_config(self, version: int, addresses: list[str]) -> None:
         """Record which nodes have a configuration, unless a newer is known."""
@@ -132,9 +132,9 @@
 
 @attrs.define
 class PeerState:
-    """The last beats and summaries of other nodes; totals are cached.
+    """The last heartbeats and summaries of other nodes; totals are cached.
 
-    ``last_sent_beat`` is subtracted from the summary of the local failure
+    ``last_sent_heartbeat`` is subtracted from the summary of the local failure
     domain where that includes this node.
     """
 
@@ -142,8 +142,12 @@
     _failure_domain: str
     _clock: Callable[[], float] = since_boot
     has_traffic: bool = attrs.field(default=False, init=False)
-    last_sent_beat: Beat | None = attrs.field(default=None, init=False)
-    _beats: dict[str, ReceivedBeat] = attrs.field(factory=dict, init=False)
+    last_sent_heartbeat: Heartbeat | None = attrs.field(
+        default=None, init=False
+    )
+    _heartbeats: dict[str, ReceivedHeartbeat] = attrs.field(
+        factory=dict, init=False
+    )
     _summaries: dict[str, ReceivedSummary] = attrs.field(
         factory=dict, init=False
     )
@@ -153,10 +157,12 @@
     )
     _totals: Totals | None = attrs.field(default=None, init=False)
 
-    def record_beat(self, beat: Beat) -> None:
-        """Record a beat that was just received."""
-        self._beats[beat.sender] = ReceivedBeat(beat, self._clock())
-        self.has_traffic = self.has_traffic or beat.requests > 0
+    def record_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat that was just received."""
+        self._heartbeats[heartbeat.sender] = ReceivedHeartbeat(
+            heartbeat, self._clock()
+        )
+        self.has_traffic = self.has_traffic or heartbeat.requests > 0
         self._totals = None
 
     def record_summary(self, summary: Summary, made_at: float) -> bool:
@@ -189,18 +195,18 @@
         """
         self._summarized_nodes -= {node_id}
         self._totals = None
-        self._beats.pop(node_id, None)
+        self._heartbeats.pop(node_id, None)
         for domain, received in self._summaries.items():
             if received.summary.sender == node_id:
                 self._summaries[domain] = received.as_replaceable(self._clock())
 
-    def has_sent_beat(self, node_id: str) -> bool:
-        """Return whether a beat of a node was ever received here."""
-        return node_id in self._beats
+    def has_sent_heartbeat(self, node_id: str) -> bool:
+        """Return whether a heartbeat of a node was ever received here."""
+        return node_id in self._heartbeats
 
     def was_seen_recently(self, node_id: str) -> bool:
-        """Return whether a node's beats recently arrived here or at a relay."""
-        previous = self._beats.get(node_id)
+        """Return whether a node's heartbeats recently arrived here or at a relay."""
+        previous = self._heartbeats.get(node_id)
         now = self._clock()
         if previous is not None and previous.valid_until > now:
             return True
@@ -209,14 +215,14 @@
             and self._failure_domain in self.summaries()
         )
 
-    def valid_domain_beats(self) -> list[Beat]:
-        """Return the valid beats of the local failure domain's nodes."""
+    def valid_domain_heartbeats(self) -> list[Heartbeat]:
+        """Return the valid heartbeats of the local failure domain's nodes."""
         now = self._clock()
         return [
-            received.beat
-            for received in self._beats.values()
+            received.heartbeat
+            for received in self._heartbeats.values()
             if received.valid_until > now
-            and received.beat.failure_domain == self._failure_domain
+            and received.heartbeat.failure_domain == self._failure_domain
         ]
 
     def summaries(self) -> dict[str, ReceivedSummary]:
@@ -229,7 +235,7 @@
         }
 
     def totals(self) -> Totals:
-        """Return the totals of all valid beats and summaries."""
+        """Return the totals of all valid heartbeats and summaries."""
         now = self._clock()
         if self._totals is None or self._totals.valid_until <= now:
             self._totals = self._sum(now)
@@ -243,9 +249,9 @@
         for domain, received in self._summaries.items():
             if domain != self._failure_domain:
                 self._add_summary(totals, received, now)
-        for received_beat in self._beats.values():
-            if received_beat.valid_until > now:
-                self._add_beat(totals, received_beat, now)
+        for received_heartbeat in self._heartbeats.values():
+            if received_heartbeat.valid_until > now:
+                self._add_heartbeat(totals, received_heartbeat, now)
         return totals
 
     def _add_summary(
@@ -256,11 +262,11 @@
     ) -> None:
         summary = received.summary
         is_local = summary.failure_domain == self._failure_domain
-        if received.nodes_alive_until > now:
+        if received.nodes_live_until > now:
             is_summarized = is_local and self._node_id in self._summarized_nodes
             totals.node_count += summary.node_count - int(is_summarized)
             totals.valid_until = min(
-                totals.valid_until, received.nodes_alive_until
+                totals.valid_until, received.nodes_live_until
             )
         if received.valid_until > now:
             totals.add_summary(summary)
@@ -271,24 +277,24 @@
                 )
             if (
                 is_local
-                and self.last_sent_beat
+                and self.last_sent_heartbeat
                 and self._node_id in self._summarized_nodes
             ):
-                totals.subtract_beat(self.last_sent_beat)
+                totals.subtract_heartbeat(self.last_sent_heartbeat)
 
-    def _add_beat(
-        self, totals: Totals, received_beat: ReceivedBeat, now: float
+    def _add_heartbeat(
+        self, totals: Totals, received_heartbeat: ReceivedHeartbeat, now: float
     ) -> None:
-        """Add a beat, or only its placer where a summary includes the rest."""
-        beat = received_beat.beat
-        totals.valid_until = min(totals.valid_until, received_beat.valid_until)
-        if beat.placer_domain:
-            totals.placer_addresses[beat.placer_domain] = beat.address
-        received = self._summaries.get(beat.failure_domain)
-        is_summarized = (
-            received is not None and received.nodes_alive_until > now
+        """Add a heartbeat, or only its placer where a summary includes the rest."""
+        heartbeat = received_heartbeat.heartbeat
+        totals.valid_until = min(
+            totals.valid_until, received_heartbeat.valid_until
         )
-        if is_summarized and beat.failure_domain == self._failure_domain:
-            is_summarized = beat.sender in self._summarized_nodes
+        if heartbeat.placer_domain:
+            totals.placer_addresses[heartbeat.placer_domain] = heartbeat.address
+        received = self._summaries.get(heartbeat.failure_domain)
+        is_summarized = received is not None and received.nodes_live_until > now
+        if is_summarized and heartbeat.failure_domain == self._failure_domain:
+            is_summarized = heartbeat.sender in self._summarized_nodes
         if not is_summarized:
-            totals.add_beat(beat)
+            totals.add_heartbeat(heartbeat)
--- a/src/cranecart/mesh/_rendezvous.py
+++ b/src/cranecart/mesh/_rendezvous.py
@@ -28,7 +28,7 @@
 
     These are the first ``limit`` nodes of a ranking that is the same at all
     nodes. They are of the target's failure domain while any node there is
-    alive: traffic between failure domains costs money, and a node that is cut
+    live: traffic between failure domains costs money, and a node that is cut
     off from that domain cannot know which nodes send.
     """
     local = state.local
@@ -53,7 +53,7 @@
     """Return how many of a total of requests this node may send to a target.
 
     The bound of a cold target holds while nodes do not hear each other, so the
-    requests are dealt to the known nodes, alive or not. A part of them is
+    requests are dealt to the known nodes, live or not. A part of them is
     reserved for one other failure domain, whose nodes send while they hear
     less than half of the nodes of the target's own: these may have failed, or
     may send unheard.
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -11,11 +11,11 @@
 # Up to this size all nodes send to each other directly: sixty messages a second
 # cost a node about a hundredth of a core.
 _FULL_MESH_MAX_NODES = 16
-# One relay is active; the next receives the same beats and is its standby.
+# One relay is active; the next receives the same heartbeats and is its standby.
 _RELAYS_PER_DOMAIN = 2
 # Two digests may be lost before the standby relay takes over.
 _RELAY_TIMEOUT_SECONDS = 0.6
-# A peer that was just added counts as alive until it had time to send a beat.
+# A peer that was just added counts as live until it had time to send a heartbeat.
 _NEW_PEER_GRACE_SECONDS = 2.0
 
 
@@ -45,7 +45,7 @@
     The live node with the largest link in a failure domain is its relay, and of
     those with equal links the one with the first name, so no election is
     needed. A relay sends to all nodes of its failure domain, which would
-    saturate a small link. Where nodes disagree on which are alive, several
+    saturate a small link. Where nodes disagree on which are live, several
     relays may be active at once.
     """
 
@@ -67,7 +67,7 @@
         """Return whether the deployment is large enough to need relays.
 
         Once one node decides so, all nodes follow, since otherwise they would
-        miss the beats of nodes that send only to relays. The decision lasts
+        miss the heartbeats of nodes that send only to relays. The decision lasts
         until all of these nodes have stopped.
         """
         if len(self.peers) >= _FULL_MESH_MAX_NODES:
@@ -79,7 +79,7 @@
         self._uses_relays = True
 
     def add(self, name: str, peer: PeerNode) -> None:
-        """Add or update a peer that the store lists or that sent a beat."""
+        """Add or update a peer that the store lists or that sent a heartbeat."""
         known = self.peers.get(name)
         if known is not None and not peer.request_address:
             # Heartbeats show neither.
@@ -110,15 +110,17 @@
         self._relay_coverage.pop(name, None)
 
     def is_live(self, name: str) -> bool:
-        """Return whether a known peer is alive."""
+        """Return whether a known peer is live."""
         if self._peer_state.was_seen_recently(name):
             return True
-        # Once the node has sent a beat, only beats and digests show that it is
-        # alive; a recent addition does not.
+        # Once the node has sent a heartbeat, only heartbeats and digests show that it is
+        # live; a recent addition does not.
         is_recently_added = (
             self._clock() - self._added_at[name] < _NEW_PEER_GRACE_SECONDS
         )
-        return is_recently_added and not self._peer_state.has_sent_beat(name)
+        return is_recently_added and not self._peer_state.has_sent_heartbeat(
+            name
+        )
 
     def live_count(self) -> int:
         """Return the number of live peers, including those just added."""
@@ -142,18 +144,18 @@
         """Return whether this node has to act as a relay now.
 
         It does if no node of an earlier rank does, or if those that do miss a
-        node whose beats arrive here.
+        node whose heartbeats arrive here.
         """
         covered_nodes = self._nodes_covered_by_others()
         if covered_nodes is None:
             return self._node_id in self.relays()
         return any(
-            beat.sender not in covered_nodes
-            for beat in self._peer_state.valid_domain_beats()
+            heartbeat.sender not in covered_nodes
+            for heartbeat in self._peer_state.valid_domain_heartbeats()
         )
 
     def is_isolated(self) -> bool:
-        """Return whether this failure domain has peers but none is alive."""
+        """Return whether this failure domain has peers but none is live."""
         domain_peers = list(self._domain_peers())
         return bool(domain_peers) and not any(map(self.is_live, domain_peers))
 
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -1,4 +1,4 @@
-"""Send this node's beats and, on a relay, digests and summaries."""
+"""Send this node's heartbeats and, on a relay, digests and summaries."""
 
 import random
 from collections.abc import Callable
@@ -7,9 +7,9 @@
 from msgspec import structs
 
 from cranecart.mesh._messages import (
-    Beat,
     ConfigAsk,
     Digest,
+    Heartbeat,
     MeshMessage,
     Summary,
 )
@@ -21,16 +21,16 @@
 
 # How long a node may lag behind the newest announced configuration before it
 # requests it from a peer, and the interval of such requests. Requested with
-# each beat, a configuration of half a megabyte was sent four times a second.
+# each heartbeat, a configuration of half a megabyte was sent four times a second.
 _CONFIG_LAG_SECONDS = 0.3
 _CONFIG_REQUEST_INTERVAL_SECONDS = 1.0
 # How long a relay names several nodes that have a new configuration. Always
 # naming them would cost each node several KB/s.
 _CONFIG_NEWS_SECONDS = 5.0
 _NEWS_ADDRESSES = 8
-# How long each beat has the evacuations after they have changed or a node was
-# met; later only beats to silent nodes have them, every two seconds. In each
-# beat, one evacuation cost each of 139 nodes 0.6 KB/s.
+# How long each heartbeat has the evacuations after they have changed or a node was
+# met; later only heartbeats to silent nodes have them, every two seconds. In each
+# heartbeat, one evacuation cost each of 139 nodes 0.6 KB/s.
 _EVACUATION_NEWS_SECONDS = 2.0
 
 
@@ -53,8 +53,8 @@
     _announced_config: int = attrs.field(default=0, init=False)
     _config_changed_at: float = attrs.field(default=float('-inf'), init=False)
 
-    def build_beat(self, *, is_complete: bool = True) -> Beat:
-        """Return a beat with the current state of this node.
+    def build_heartbeat(self, *, is_complete: bool = True) -> Heartbeat:
+        """Return a heartbeat with the current state of this node.
 
         Unless it ``is_complete``, evacuations that other nodes should know
         already are left out.
@@ -62,7 +62,7 @@
         self._callbacks.refresh_local_state()
         local = self._state.local
         config = self._callbacks.read_config()
-        return Beat(
+        return Heartbeat(
             local.node_id,
             local.address,
             local.failure_domain,
@@ -84,19 +84,21 @@
             slow_targets=local.slow_targets,
         )
 
-    def send_beat(self, *, include_silent: bool) -> None:
-        """Send a beat to all nodes, or to relays; relays send a digest.
+    def send_heartbeat(self, *, include_silent: bool) -> None:
+        """Send a heartbeat to all nodes, or to relays; relays send a digest.
 
-        With ``include_silent`` it is also sent to peers that are not alive.
+        With ``include_silent`` it is also sent to peers that are not live.
         """
         roster = self._state.roster
-        beat = self.build_beat(is_complete=include_silent)
-        self._state.peer_state.last_sent_beat = beat
-        if beat.via_relays:
-            self._send_beat_by_relays(beat, include_silent=include_silent)
+        heartbeat = self.build_heartbeat(is_complete=include_silent)
+        self._state.peer_state.last_sent_heartbeat = heartbeat
+        if heartbeat.via_relays:
+            self._send_heartbeat_by_relays(
+                heartbeat, include_silent=include_silent
+            )
         else:
             all_addresses = roster.all_addresses(include_silent=include_silent)
-            self._transport.send_all(all_addresses, beat)
+            self._transport.send_all(all_addresses, heartbeat)
 
     def publish(self, message: MeshMessage, *, include_silent: bool) -> None:
         """Send a message to all nodes, directly or through relays.
@@ -140,19 +142,21 @@
                 now + _CONFIG_REQUEST_INTERVAL_SECONDS - _CONFIG_LAG_SECONDS
             )
 
-    def _send_beat_by_relays(self, beat: Beat, *, include_silent: bool) -> None:
+    def _send_heartbeat_by_relays(
+        self, heartbeat: Heartbeat, *, include_silent: bool
+    ) -> None:
         roster = self._state.roster
-        if roster.is_active_relay() and not beat.stopping:
-            self._send_as_relay(beat, include_silent=include_silent)
-        elif beat.placer_domain:
-            # Candidates for the placer's lease rely on beats that come from its
+        if roster.is_active_relay() and not heartbeat.stopping:
+            self._send_as_relay(heartbeat, include_silent=include_silent)
+        elif heartbeat.placer_domain:
+            # Candidates for the placer's lease rely on heartbeats that come from its
             # holder directly.
             domain_addresses = roster.domain_addresses(
                 include_silent=include_silent
             )
-            self._transport.send_all(domain_addresses, beat)
+            self._transport.send_all(domain_addresses, heartbeat)
         else:
-            self._transport.send_all(roster.domain_relay_addresses(), beat)
+            self._transport.send_all(roster.domain_relay_addresses(), heartbeat)
 
     def _relay_addresses(self) -> dict[str, str]:
         local = self._state.local
@@ -188,11 +192,16 @@
         news_at = max(self._evacuations_changed_at, self._state.last_met_at)
         return now - news_at < _EVACUATION_NEWS_SECONDS
 
-    def _send_as_relay(self, own_beat: Beat, *, include_silent: bool) -> None:
+    def _send_as_relay(
+        self, own_heartbeat: Heartbeat, *, include_silent: bool
+    ) -> None:
         """Send a digest to the local failure domain, a summary to the others."""
         roster = self._state.roster
-        beats = [own_beat, *self._state.peer_state.valid_domain_beats()]
-        summary = self._build_summary(beats)
+        heartbeats = [
+            own_heartbeat,
+            *self._state.peer_state.valid_domain_heartbeats(),
+        ]
+        summary = self._build_summary(heartbeats)
         self._callbacks.on_slow_targets(
             summary.failure_domain, summary.slow_targets
         )
@@ -200,14 +209,16 @@
             include_silent=include_silent
         )
         self._transport.send_all(
-            domain_addresses, self._build_digest(beats, summary)
+            domain_addresses, self._build_digest(heartbeats, summary)
         )
         remote_addresses = roster.remote_relay_addresses(
             include_silent=include_silent
         )
         self._transport.send_all(remote_addresses, summary)
 
-    def _build_digest(self, beats: list[Beat], summary: Summary) -> Digest:
+    def _build_digest(
+        self, heartbeats: list[Heartbeat], summary: Summary
+    ) -> Digest:
         now = self._state.clock()
         remote_offered = self._state.local.remote_offered
         remote_summaries = [
@@ -217,9 +228,9 @@
         ]
         return Digest(
             # The summary has the relay's own slow targets and offered load, too.
-            structs.replace(beats[0], slow_targets={}, offered={}),
+            structs.replace(heartbeats[0], slow_targets={}, offered={}),
             _without_evacuations(summary),
-            [beat.sender for beat in beats],
+            [heartbeat.sender for heartbeat in heartbeats],
             [round(now - received.made_at, 3) for received in remote_summaries],
             [
                 structs.replace(
@@ -233,38 +244,38 @@
             ],
         )
 
-    def _build_summary(self, beats: list[Beat]) -> Summary:
-        own_beat = beats[0]
+    def _build_summary(self, heartbeats: list[Heartbeat]) -> Summary:
+        own_heartbeat = heartbeats[0]
         roster = self._state.roster
         totals = Totals()
-        for beat in beats:
-            totals.add_beat(beat)
+        for heartbeat in heartbeats:
+            totals.add_heartbeat(heartbeat)
         return Summary(
-            own_beat.sender,
-            own_beat.failure_domain,
+            own_heartbeat.sender,
+            own_heartbeat.failure_domain,
             totals.node_count,
             self._relay_addresses(),
             totals.config_version,
             self._config_addresses(totals),
-            own_beat.requests > 0 or self._state.peer_state.has_traffic,
+            own_heartbeat.requests > 0 or self._state.peer_state.has_traffic,
             dict(totals.in_flight),
-            totals.placer_addresses.get(own_beat.failure_domain, ''),
+            totals.placer_addresses.get(own_heartbeat.failure_domain, ''),
             {
                 source: _sum_up_readers(readers, roster.rank)
                 for source, readers in totals.source_readers.items()
             },
             dict(totals.demand),
-            own_beat.recent_stops,
-            own_beat.evacuations,
+            own_heartbeat.recent_stops,
+            own_heartbeat.evacuations,
             self._state.local.domain_offered,
             slow_targets=self._slow_targets.merge(
-                beat.slow_targets for beat in beats
+                heartbeat.slow_targets for heartbeat in heartbeats
             ),
         )
 
 
 def _without_evacuations(summary: Summary) -> Summary:
-    """Return a summary for a digest, whose beat has all that the relay knows.
+    """Return a summary for a digest, whose heartbeat has all that the relay knows.
 
     With a copy in each summary, one evacuation cost each of 139 nodes 1.3 KB/s.
     """
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -6,7 +6,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import SourceUpdate
-from cranecart.mesh._messages import Beat, Stopped, Summary, Suspect
+from cranecart.mesh._messages import Heartbeat, Stopped, Summary, Suspect
 from cranecart.mesh._peer_state import PeerState
 from cranecart.mesh._roster import Roster
 from cranecart.mesh._stop_notices import StopNotices
@@ -20,7 +20,7 @@
 from cranecart.ports import ListedInstance, Row
 
 
-def _ignore_offered(_message: Beat | Summary) -> None:
+def _ignore_offered(_message: Heartbeat | Summary) -> None:
     """Ignore the load of other nodes, where capacity is not planned."""
 
 
@@ -30,7 +30,7 @@
 
 @attrs.define
 class LocalState:
-    """The state of this node that each beat announces.
+    """The state of this node that each heartbeat announces.
 
     ``link_mbps`` is the bandwidth of its link, 0 if it is not known.
     ``requests`` counts those received since the start; ``placer_domain`` is the
@@ -39,7 +39,7 @@
     that clients ask for, by model. ``evacuations`` are all that it knows.
     ``offered`` is the load that arrives here, ``domain_offered`` that of the
     failure domain, and ``remote_offered`` what was heard of other failure
-    domains since the last beat. ``slow_targets`` has paces in hundredths by
+    domains since the last heartbeat. ``slow_targets`` has paces in hundredths by
     instance id. ``is_established`` is whether all other nodes know of this
     one, also those that were cut off when it started.
     """
@@ -72,7 +72,7 @@
     """Functions through which the mesh reads and updates the node.
 
     ``on_cases`` returns whether anything was new; ``refresh_local_state``
-    updates the local state before a beat is built from it. ``on_slow_targets``
+    updates the local state before a heartbeat is built from it. ``on_slow_targets``
     gets the paces that a node or the relay of a failure domain reports.
     """
 
@@ -91,7 +91,7 @@
     on_evacuations: Callable[[Sequence[Evacuation], str], object] = (
         _ignore_evacuations
     )
-    on_offered: Callable[[Beat | Summary], None] = _ignore_offered
+    on_offered: Callable[[Heartbeat | Summary], None] = _ignore_offered
     on_slow_targets: Callable[[str, Mapping[str, int]], None] = (
         _ignore_slow_targets
     )
@@ -102,7 +102,7 @@
     """State of this node and of its peers.
 
     ``last_digest_at`` is when a relay of the local failure domain last sent a
-    digest, ``last_met_at`` when a beat came from a node that was silent before.
+    digest, ``last_met_at`` when a heartbeat came from a node that was silent before.
     """
 
     local: LocalState
--- a/src/cranecart/mesh/_stop_notices.py
+++ b/src/cranecart/mesh/_stop_notices.py
@@ -7,7 +7,7 @@
 from cranecart.clocks import since_boot
 from cranecart.mesh._messages import Stopped
 
-# Twelve beats, so that a notice lost with a relay, or on a connection that has
+# Twelve heartbeats, so that a notice lost with a relay, or on a connection that has
 # stopped delivering (detected after 1.5 s), arrives by another path.
 _REPEAT_SECONDS = 3.0
 # Well beyond the time of repetition, so that a notice repeated by another node
@@ -34,7 +34,7 @@
         return True
 
     def to_repeat(self) -> list[Stopped]:
-        """Return the notices to repeat in the next beat."""
+        """Return the notices to repeat in the next heartbeat."""
         if not self._received:
             return []
         now = self._clock()
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -323,7 +323,7 @@
         log_decision('node_stopping', in_flight=self._in_flight())
         self._client_server.disable_keep_alive()
         await self._placer_host.hand_over()
-        self._mesh.broadcast(self._mesh.message_sender.build_beat())
+        self._mesh.broadcast(self._mesh.message_sender.build_heartbeat())
         await self._registration.withdraw()
         await self._drain(stopping_since)
 
@@ -392,7 +392,7 @@
         self._peer_requests.apply_client_limits(
             self._live_settings.current, config
         )
-        self._mesh.send_beat_now()
+        self._mesh.send_heartbeat_now()
 
     def _report_stopped(
         self,
--- a/src/cranecart/serving/_node_demand.py
+++ b/src/cranecart/serving/_node_demand.py
@@ -8,7 +8,7 @@
 from cranecart.demand import DemandMeter
 from cranecart.forwarding import RoutedCall
 from cranecart.load_shedding import EventCounts, LoadExchange, request_token
-from cranecart.mesh import Beat, LocalState, Summary
+from cranecart.mesh import Heartbeat, LocalState, Summary
 
 
 @attrs.define
@@ -58,7 +58,7 @@
             self._meter.record_work(call.facts.model, work)
             self._event_counts.record(call.route.name, events)
 
-    def receive(self, message: Beat | Summary) -> None:
+    def receive(self, message: Heartbeat | Summary) -> None:
         """Keep the offered load that another node or a relay reports."""
         self._exchange.receive(
             message.sender,
--- a/src/cranecart/simulation/_admission.py
+++ b/src/cranecart/simulation/_admission.py
@@ -17,7 +17,7 @@
 from cranecart.simulation._engine import Engine, SimulatedRequest
 from cranecart.simulation._policies import ForecastPolicy
 
-_BEAT_SECONDS = 0.25
+_HEARTBEAT_SECONDS = 0.25
 # Occupancy of all slots from which requests are refused, for the rank 1 and
 # lower for each further rank.
 _FULL_OCCUPANCY = 1.2
@@ -26,15 +26,15 @@
 
 @attrs.define
 class ReportRelay:
-    """Passes on the reports of all nodes with each beat, as a relay does."""
+    """Passes on the reports of all nodes with each heartbeat, as a relay does."""
 
     exchanges: list[LoadExchange] = attrs.field(factory=list)
     _relay: LoadExchange = attrs.field(factory=LoadExchange, init=False)
     _sent_at: float = attrs.field(default=float('-inf'), init=False)
 
     def exchange_reports(self, now: float) -> None:
-        """Send the beats and the summary that are due."""
-        if now - self._sent_at < _BEAT_SECONDS:
+        """Send the heartbeats and the summary that are due."""
+        if now - self._sent_at < _HEARTBEAT_SECONDS:
             return
         self._sent_at = now
         for number, exchange in enumerate(self.exchanges):
--- a/tests/lib/simulated_cluster.py
+++ b/tests/lib/simulated_cluster.py
@@ -12,7 +12,7 @@
 from cranecart.fleet import Evacuations
 from cranecart.load_shedding import LoadExchange
 from cranecart.mesh import (
-    Beat,
+    Heartbeat,
     LocalState,
     Mesh,
     MeshCallbacks,
@@ -31,7 +31,7 @@
 from cranecart.throttling import LimitUpdate
 from cranecart.transport import PeerTransport
 
-BEAT_SECONDS = 0.25
+HEARTBEAT_SECONDS = 0.25
 _DOMAIN_COUNT = 3
 # A test fails after this many deliveries, as messages that trigger each other
 # endlessly would make it hang.
@@ -157,12 +157,12 @@
             self.cross_domain_bytes += len(encoded)
 
     def run(self, seconds: float) -> None:
-        """Advance the clock, with a beat of each node per interval."""
-        for beat_number in range(round(seconds / BEAT_SECONDS)):
+        """Advance the clock, with a heartbeat of each node per interval."""
+        for heartbeat_number in range(round(seconds / HEARTBEAT_SECONDS)):
             for node in self.alive:
-                self.now += BEAT_SECONDS / len(self.alive)
-                node.message_sender.send_beat(
-                    include_silent=beat_number % 8 == 0
+                self.now += HEARTBEAT_SECONDS / len(self.alive)
+                node.message_sender.send_heartbeat(
+                    include_silent=heartbeat_number % 8 == 0
                 )
                 node.message_sender.request_newer_config()
                 self.deliver()
@@ -320,7 +320,7 @@
 
 
 def _receive_offered(
-    exchange: LoadExchange, message: Beat | Summary, now: float
+    exchange: LoadExchange, message: Heartbeat | Summary, now: float
 ) -> None:
     exchange.receive(
         message.sender,
--- a/tests/lib/store_testbed.py
+++ b/tests/lib/store_testbed.py
@@ -221,7 +221,9 @@
     async def _send_heartbeats(self) -> None:
         tick = 0
         while True:
-            self.mesh.message_sender.send_beat(include_silent=tick % 8 == 0)
+            self.mesh.message_sender.send_heartbeat(
+                include_silent=tick % 8 == 0
+            )
             self.mesh.message_sender.request_newer_config()
             self.fleet.process_timeouts()
             tick += 1
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -21,8 +21,8 @@
 
 # In force at every node that reaches the store.
 _FORCE_SECONDS = 1.0
-# Three beats, as a node may have been told just before.
-_BEATS_SECONDS = 1.0
+# Three heartbeats, as a node may have been told just before.
+_HEARTBEATS_SECONDS = 1.0
 # Nodes read a restored store once more after two seconds.
 _REREAD_SECONDS = 4.0
 # When the operator writes its rows to a restored store again.
@@ -101,7 +101,7 @@
         self._run_scenario(self._lose_store)
 
     def test_nodes_without_the_store(self) -> None:
-        """A new node and one that is cut off learn both changes from beats."""
+        """A new node and one that is cut off learn both changes from heartbeats."""
         self._run_scenario(self._cut_off_nodes)
 
     def test_invalid_configuration(self) -> None:
@@ -172,7 +172,9 @@
         await self._restore_without_row(testbed)
         await self._assert_holds(testbed, 0.5)
         await testbed.start('node-07')
-        await until(lambda: testbed.all_have_evacuated('d0'), _BEATS_SECONDS)
+        await until(
+            lambda: testbed.all_have_evacuated('d0'), _HEARTBEATS_SECONDS
+        )
         await self._assert_holds(testbed, _REWRITE_SECONDS - 1)
         testbed.store.put('op', '', 'evacuate/d0', {})
         await self._assert_holds(testbed, _REREAD_SECONDS)
@@ -189,7 +191,9 @@
         informed = list(testbed.nodes)
         node = await testbed.start('node-07')
         node.client.is_partitioned = True
-        await until(lambda: testbed.all_have_evacuated('d0'), _BEATS_SECONDS)
+        await until(
+            lambda: testbed.all_have_evacuated('d0'), _HEARTBEATS_SECONDS
+        )
         for name in informed:
             await testbed.kill(name)
         testbed.store.restore(backup)
@@ -230,7 +234,9 @@
         await self._evacuate(testbed, 'd0')
         node = await testbed.start('node-07')
         node.client.is_partitioned = True
-        await until(lambda: testbed.all_have_evacuated('d0'), _BEATS_SECONDS)
+        await until(
+            lambda: testbed.all_have_evacuated('d0'), _HEARTBEATS_SECONDS
+        )
         self.assertFalse(node.followers.is_informed)
         await self._evacuate(testbed)
 
--- a/tests/platform/test_paused_nodes.py
+++ b/tests/platform/test_paused_nodes.py
@@ -1,7 +1,7 @@
 """Nodes whose process did not run take no other node for silent.
 
 A busy host may give the processes of a failure domain no processor for a
-while. All of them then missed the beats of that time, took themselves for the
+while. All of them then missed the heartbeats of that time, took themselves for the
 only node, and began to read the store.
 """
 
@@ -17,9 +17,9 @@
 _NODES = 9
 _INSTANCES = 10
 _SETTLE_SECONDS = 2.0
-# Longer than a beat is valid.
+# Longer than a heartbeat is valid.
 _PAUSE_SECONDS = 1.0
-# A beat is valid for 0.8 s, and the next node takes over within 0.5 s; the
+# A heartbeat is valid for 0.8 s, and the next node takes over within 0.5 s; the
 # change then arrives at once.
 _TAKEOVER_SECONDS = 1.5
 _LIST = 'list'
--- a/tests/unit/test_evacuations.py
+++ b/tests/unit/test_evacuations.py
@@ -88,7 +88,7 @@
 
 
 class SharedEvacuationsTest(TestCase):
-    """Nodes that learn of evacuations from beats, through relays or not."""
+    """Nodes that learn of evacuations from heartbeats, through relays or not."""
 
     def test_all_nodes_learn_from_one(self) -> None:
         """Nothing is sent without evacuations; then all nodes learn of it.
@@ -99,8 +99,10 @@
             with self.subTest(nodes=count):
                 cluster = SimulatedCluster.of(count)
                 cluster.run(1.5)
-                beat = cluster.nodes['node-004'].message_sender.build_beat()
-                self.assertEqual(beat.evacuations, [])
+                heartbeat = cluster.nodes[
+                    'node-004'
+                ].message_sender.build_heartbeat()
+                self.assertEqual(heartbeat.evacuations, [])
                 evacuation = Evacuation('domain-1', 3, True)
                 cluster.nodes['node-004'].evacuations.merge([evacuation], '')
                 cluster.run(1)
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -30,18 +30,18 @@
 _SMALL_COUNT = 9
 _LARGE_COUNT = 30
 _DOUBLE_COUNT = 60
-# Enough for the beats of all nodes, then the digests of the relays, and then
+# Enough for the heartbeats of all nodes, then the digests of the relays, and then
 # the summaries of the other failure domains.
 _CONVERGENCE_SECONDS = 1.5
-# Silent peers are sent a beat every two seconds.
+# Silent peers are sent a heartbeat every two seconds.
 _REDISCOVERY_SECONDS = 4.0
 
 
 class SmallMeshTest(unittest.TestCase):
-    """In a small deployment all nodes send beats to each other directly."""
+    """In a small deployment all nodes send heartbeats to each other directly."""
 
     def test_all_nodes_hear_all_others(self) -> None:
-        """Counts reach all nodes within one beat, without relays."""
+        """Counts reach all nodes within one heartbeat, without relays."""
         cluster = SimulatedCluster.of(_SMALL_COUNT)
         cluster.run(_CONVERGENCE_SECONDS)
         cluster.nodes['node-008'].in_flight['one'] = 3
@@ -53,7 +53,7 @@
         self.assertEqual(set(cluster.sent.values()), {_SMALL_COUNT - 1})
 
     def test_silent_node_is_not_counted(self) -> None:
-        """A node without beats for a second does not count as alive."""
+        """A node without heartbeats for a second does not count as alive."""
         cluster = SimulatedCluster.of(_SMALL_COUNT)
         cluster.run(_CONVERGENCE_SECONDS)
         cluster.dead.add('node-000')
@@ -65,7 +65,7 @@
 
 
 class RelayedMeshTest(unittest.TestCase):
-    """In a large deployment nodes send beats through relays."""
+    """In a large deployment nodes send heartbeats through relays."""
 
     def setUp(self) -> None:
         """Start a cluster and let all nodes discover each other."""
@@ -156,7 +156,7 @@
         self.assertEqual(sum(self.cluster.sent.values()), 0)
 
     def test_dead_placer_is_detected_without_relays(self) -> None:
-        """Nodes of the placer's domain get its beats directly, not from a relay.
+        """Nodes of the placer's domain get its heartbeats directly, not from a relay.
 
         So they detect its death within a second, as in a small deployment.
         """
@@ -199,7 +199,7 @@
     def test_lagging_node_requests_config_once_a_second(self) -> None:
         """A node whose requests get no reply repeats them once a second.
 
-        Requested with each beat, a large configuration was sent many times.
+        Requested with each heartbeat, a large configuration was sent many times.
         """
         lagging = self.nodes['node-004']
         self.nodes['node-005'].configs.append(RouteConfig(3, (), {}))
@@ -273,7 +273,7 @@
         self._expect_nodes(_LARGE_COUNT)
 
     def test_starting_node_counts_listed_peers(self) -> None:
-        """A node that just started counts peers before it gets their beats.
+        """A node that just started counts peers before it gets their heartbeats.
 
         Otherwise its share of the retry budget would be too large.
         """
@@ -286,7 +286,7 @@
         """A relay that stops is not counted, and its standby takes over."""
         relay = self.nodes['node-000'].mesh
         relay.local.stopping = True
-        relay.broadcast(relay.message_sender.build_beat())
+        relay.broadcast(relay.message_sender.build_heartbeat())
         self.cluster.deliver()
         self.cluster.run(1.5)
         other_nodes = [node.mesh for node in self.cluster.alive][1:]
@@ -321,7 +321,7 @@
     """Reports of an instance that broke a connection reach all nodes."""
 
     def test_report_reaches_all_nodes(self) -> None:
-        """They arrive within a beat, directly and through relays."""
+        """They arrive within a heartbeat, directly and through relays."""
         for size in (_SMALL_COUNT, _LARGE_COUNT):
             with self.subTest(nodes=size):
                 cluster = SimulatedCluster.of(size)
@@ -369,7 +369,7 @@
         cluster.stop_replica('node-004', 'one')
         cluster.run(6)
         repeated = [
-            node.mesh.message_sender.build_beat().recent_stops
+            node.mesh.message_sender.build_heartbeat().recent_stops
             for node in cluster.alive
         ]
         self.assertFalse(any(repeated))
@@ -398,7 +398,7 @@
     """Reports of requests that terminated targets reach all nodes at once."""
 
     def test_reports_of_three_nodes_are_added_up(self) -> None:
-        """Reports of three nodes are added up everywhere before a beat."""
+        """Reports of three nodes are added up everywhere before a heartbeat."""
         for count in (8, 60):
             with self.subTest(nodes=count):
                 cluster = SimulatedCluster.of(count)
@@ -600,7 +600,7 @@
                 encode_mesh_message(message)
             )
         )
-        relay.message_sender.send_beat(include_silent=False)
+        relay.message_sender.send_heartbeat(include_silent=False)
         return sent[:1]
 
 
--- a/tests/unit/test_pace.py
+++ b/tests/unit/test_pace.py
@@ -291,8 +291,8 @@
     def test_summaries_are_bounded_and_complete_in_turn(self) -> None:
         """Targets that do not fit into one summary are in the next ones."""
         reports = SlowTargetReports()
-        beats = [{target.id: 300} for target in _TARGETS]
-        summaries = [reports.merge(beats) for _turn in range(20)]
+        heartbeats = [{target.id: 300} for target in _TARGETS]
+        summaries = [reports.merge(heartbeats) for _turn in range(20)]
         self.assertLessEqual(max(map(len, summaries)), 2)
         self.assertEqual(len(set().union(*summaries)), len(_TARGETS))
         self.assertEqual(reports.merge([{'a': 900}, {'a': 100}]), {'a': 300})
--- a/tests/unit/test_suspension.py
+++ b/tests/unit/test_suspension.py
@@ -18,7 +18,7 @@
 from cranecart.exceptions import LeaseLostError
 from cranecart.forwarding import TargetConnectionPool
 from cranecart.leases import Lease, LeaseTimeouts
-from cranecart.mesh import Beat
+from cranecart.mesh import Heartbeat
 from cranecart.mesh._peer_state import PeerState
 from cranecart.retries import RetryLimits, SharedRetryBudget
 from cranecart.routing import OutlierEjection
@@ -95,9 +95,9 @@
             self.assertEqual(watch.slept_seconds(), 0)
 
     def test_ages_include_suspension(self) -> None:
-        """Ages of beats, connections, retries and failures include it."""
+        """Ages of heartbeats, connections, retries and failures include it."""
         peer_state = PeerState('n0', 'east')
-        peer_state.record_beat(Beat('n1', 'a', 'east', 1, 0, {}))
+        peer_state.record_heartbeat(Heartbeat('n1', 'a', 'east', 1, 0, {}))
         self.assertTrue(peer_state.was_seen_recently('n1'))
         clocks = (
             TargetConnectionPool()._clock,
--- a/tests/unit/test_transport.py
+++ b/tests/unit/test_transport.py
@@ -31,7 +31,7 @@
     def test_silent_connection_is_replaced(self) -> None:
         """Heartbeats detect the silent connection and it is replaced.
 
-        Otherwise the peer would never receive the node's beats again.
+        Otherwise the peer would never receive the node's heartbeats again.
         """
         curio.run(self._run)
         self.assertEqual(self.received[0], 1)
