--- a/tests/lib/crashing_targets.py
+++ b/tests/lib/crashing_targets.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 import attrs
 import curio
@@ -24,6 +25,8 @@
     instance,
 )
 
+Result = TypeVar('Result')
+
 CRASH_MARK = b'ends what runs it'
 # Observed terminations came 0.05 to 0.12 s after the begin.
 _CRASH_DELAY_SECONDS = 0.06
@@ -327,17 +330,31 @@
     per_second: float,
 ) -> list[ClientAnswer]:
     """Send requests to the nodes in turn at a rate; return the answers."""
+    answers = await send_in_turn(
+        nodes,
+        lambda node, number: _ask(node, path, body, f'{body[:3]!r}{number}'),
+        seconds=seconds,
+        per_second=per_second,
+    )
+    return [answer for answer in answers if answer is not None]
+
+
+async def send_in_turn(
+    nodes: Sequence[GatewayTestbed],
+    send: Callable[[GatewayTestbed, int], Awaitable[Result]],
+    *,
+    seconds: float,
+    per_second: float,
+) -> list[Result]:
+    """Send numbered requests to the nodes in turn; return the results."""
     ends_at = time.monotonic() + seconds
     tasks = []
     for number, node in enumerate(itertools.cycle(nodes)):
         if time.monotonic() > ends_at:
             break
-        tasks.append(
-            await curio.spawn(_ask, node, path, body, f'{body[:3]!r}{number}'),
-        )
+        tasks.append(await curio.spawn(send, node, number))
         await curio.sleep(1 / per_second)
-    answers = [await task.join() for task in tasks]
-    return [answer for answer in answers if answer is not None]
+    return [await task.join() for task in tasks]
 
 
 async def _ask(
--- a/tests/unit/test_config_copies.py
+++ b/tests/unit/test_config_copies.py
@@ -7,7 +7,8 @@
 import random
 import unittest
 
-from cranecart.models import Route, RouteConfig, Share
+from cranecart.models import Route, RouteConfig
+from tests.lib.fake_targets import route
 from tests.lib.simulated_cluster import SimulatedCluster
 
 _SIZES = (30, 100, 195)
@@ -75,18 +76,11 @@
 def _route(number: int) -> Route:
     # Drawn names, as similar ones would compress better than real ones.
     draw = random.Random(number)
-    return Route(
-        name=f'{draw.getrandbits(40):x}',
+    return route(
+        f'{draw.getrandbits(40):x}',
         host=f'{draw.getrandbits(32):x}.example',
         prefix=f'/{draw.getrandbits(40):x}/',
-        repeatable=False,
+        rank=number % 7,
         streaming=True,
         resumable=True,
-        timeout_seconds=8,
-        objective_seconds=0.3,
-        pause_seconds=0.2,
-        rank=number % 7,
-        attempts=2,
-        public=False,
-        shares=(Share(f'service-{number % 3}', 1),),
     )
--- a/tests/unit/test_crashing_segments.py
+++ b/tests/unit/test_crashing_segments.py
@@ -5,7 +5,6 @@
 segment, each at up to two of them.
 """
 
-import itertools
 import time
 import unittest
 from collections.abc import Callable
@@ -15,7 +14,7 @@
 
 from cranecart.exceptions import HttpError
 from cranecart.quarantine import HeldRows
-from tests.lib.crashing_targets import Deployment
+from tests.lib.crashing_targets import Deployment, send_in_turn
 from tests.lib.fake_platform import FakePlatform
 from tests.lib.fake_targets import ClientAnswer, GatewayTestbed
 
@@ -149,16 +148,12 @@
     seconds: float = _LOAD_SECONDS,
 ) -> list[SoundAnswer]:
     """Send requests, no two alike, to the nodes in turn; return the answers."""
-    ends_at = time.monotonic() + seconds
-    tasks = []
-    for number, node in enumerate(itertools.cycle(nodes)):
-        if time.monotonic() > ends_at:
-            break
-        tasks.append(
-            await curio.spawn(_ask, node, segments(number), daemon=True)
-        )
-        await curio.sleep(1 / per_second)
-    return [await task.join() for task in tasks]
+    return await send_in_turn(
+        nodes,
+        lambda node, number: _ask(node, segments(number)),
+        seconds=seconds,
+        per_second=per_second,
+    )
 
 
 async def _ask(node: GatewayTestbed, segments: tuple[str, ...]) -> SoundAnswer:
