Refuse copies of the configuration instead of leaving requests unanswered

A node whose request got no copy asked again after a second, as if the request were lost. Now it is told and asks another node with its next heartbeat.

--- a/src/cranecart/mesh/_config_copies.py
+++ b/src/cranecart/mesh/_config_copies.py
@@ -40,7 +40,7 @@
     """Packs copies for peers, within a share of this node's link.
 
     All nodes that are behind may ask at the same moment. Those that get no copy
-    ask again, by then one of the nodes that have got one.
+    ask another node, drawn among those that have got one by then.
     """
 
     _clock: Callable[[], float]
--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -8,6 +8,7 @@
 from cranecart.mesh._config_copies import ConfigCopies, unpack_config
 from cranecart.mesh._messages import (
     ConfigAsk,
+    ConfigBusy,
     ConfigCopy,
     Digest,
     ForwardableMessage,
@@ -70,6 +71,8 @@
                 self._send_config(message)
             case ConfigCopy():
                 self._receive_config(message)
+            case ConfigBusy():
+                self._state.is_config_refused = True
             case Forwarded():
                 self._handle_forwardable(message.message, is_forwarded=True)
             case _:
@@ -221,10 +224,12 @@
         config = self._callbacks.read_config()
         if config is None or config.version <= request.version:
             return
+        node_id = self._state.local.node_id
         packed = self._copies.packed_for_peer(config)
+        response: ConfigCopy | ConfigBusy = ConfigBusy(node_id)
         if packed is not None:
-            copy = ConfigCopy(self._state.local.node_id, config.version, packed)
-            self._transport.send(request.address, copy)
+            response = ConfigCopy(node_id, config.version, packed)
+        self._transport.send(request.address, response)
 
     def _receive_config(self, copy: ConfigCopy) -> None:
         config = self._callbacks.read_config()
--- a/src/cranecart/mesh/_messages.py
+++ b/src/cranecart/mesh/_messages.py
@@ -133,6 +133,12 @@
     packed: bytes
 
 
+class ConfigBusy(msgspec.Struct, tag='config_busy', array_like=True):
+    """Refusal of ``ConfigAsk``, as too many copies are on their way."""
+
+    sender: str
+
+
 class ListNews(msgspec.Struct, tag='list_news', array_like=True):
     """Changes of the platform's list of instances, as read by the sender."""
 
@@ -182,6 +188,7 @@
     | TargetLimits
     | ConfigAsk
     | ConfigCopy
+    | ConfigBusy
     | ListNews
     | RecordNews
     | Forwarded
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -132,7 +132,11 @@
         now = self._state.clock()
         if self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since >= _CONFIG_LAG_SECONDS:
+        elif (
+            now - self._behind_since >= _CONFIG_LAG_SECONDS
+            or self._state.is_config_refused
+        ):
+            self._state.is_config_refused = False
             local = self._state.local
             request = ConfigAsk(local.node_id, local.address, version)
             # Drawn, as all nodes that are behind would ask the same one.
--- a/src/cranecart/mesh/_state.py
+++ b/src/cranecart/mesh/_state.py
@@ -103,6 +103,8 @@
 
     ``last_digest_at`` is when a relay of the local failure domain last sent a
     digest, ``last_met_at`` when a heartbeat came from a node that was silent before.
+    ``is_config_refused`` is whether the node last asked for the configuration
+    had too many copies to send.
     """
 
     local: LocalState
@@ -112,6 +114,7 @@
     stop_notices: StopNotices = attrs.field(init=False)
     last_digest_at: float | None = attrs.field(default=None, init=False)
     last_met_at: float = attrs.field(default=float('-inf'), init=False)
+    is_config_refused: bool = attrs.field(default=False, init=False)
 
     @peer_state.default
     def _make_peer_state(self) -> PeerState:
