Close new connections unread while a node's own work is late

What callers would meet: a balancer sends most new connections of a failure domain to one node; it reads all their requests and answers none in time.

The mesh's clock already ticks ten times a second; it now records by how much the process's own work delays a tick. From 0.1 s on three of four new connections are closed unread, if another node lives, so that their clients try that one. Kept connections and one in four new ones are served.

test_crowd_at_one_node fails without the gate (0.0 of the requests that were read served within 1 s at three times the capacity, 0.75 are asked) and passes.

--- a/src/cranecart/clocks.py
+++ b/src/cranecart/clocks.py
@@ -20,6 +20,8 @@
 # A smaller difference comes from reading the two clocks one after the other.
 _MIN_SUSPENSION_SECONDS = 0.05
 _TICK_SECONDS = 0.1
+# Weight of the latest delay of a tick.
+_DELAY_WEIGHT = 0.3
 # Longer gaps between two ticks are pauses of this process.
 _MAX_GAP_SECONDS = 0.2
 
@@ -63,6 +65,8 @@
     are left out while ``run`` runs; without that all time counts.
     """
 
+    # By how much the process's own work delays its timers, smoothed.
+    own_delay_seconds: float = attrs.field(default=0, init=False)
     _last: float = attrs.field(factory=since_boot, init=False)
     _paused_seconds: float = attrs.field(default=0, init=False)
     _is_ticking: bool = attrs.field(default=False, init=False)
@@ -83,6 +87,18 @@
         try:
             while True:
                 self()
+                due_at = awake_seconds() + _TICK_SECONDS
+                used_before = processor_seconds()
                 await curio.sleep(_TICK_SECONDS)
+                delay = awake_seconds() - due_at
+                used = processor_seconds() - used_before
+                # Other processes may have had the processor meanwhile.
+                self.record_own_delay(max(0, min(delay, used)))
         finally:
             self._is_ticking = False
+
+    def record_own_delay(self, seconds: float) -> None:
+        """Record by how much own work has just delayed a timer."""
+        self.own_delay_seconds += _DELAY_WEIGHT * (
+            seconds - self.own_delay_seconds
+        )
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -36,6 +36,11 @@
 Handler = Callable[[Request, 'Responder'], Awaitable[None]]
 
 
+def _admit() -> bool:
+    """Take every connection."""
+    return True
+
+
 class HttpServer:
     """Listens on one address and passes each request to a handler."""
 
@@ -44,11 +49,16 @@
         address: Address,
         handler: Handler,
         limits: ServerLimits | None = None,
+        admits_connection: Callable[[], bool] = _admit,
     ) -> None:
-        """Store the settings; ``open`` starts to listen."""
+        """Store the settings; ``open`` starts to listen.
+
+        New connections that ``admits_connection`` rejects are closed unread.
+        """
         self._requested_address = address
         self._handler = handler
         self.limits = limits or ServerLimits()
+        self._admits_connection = admits_connection
         self.unread = UnreadResponses(lambda: self.limits.unread_bytes)
         self._listener: Any = None
         self._connection_count = 0
@@ -112,7 +122,13 @@
                 except OSError as error:
                     await self._handle_accept_error(error)
                 else:
-                    await self._start_connection(sock)
+                    await self._admit_or_close(sock)
+
+    async def _admit_or_close(self, sock: curio.io.Socket) -> None:
+        if self._admits_connection():
+            await self._start_connection(sock)
+        else:
+            await sock.close()
 
     async def _handle_accept_error(self, error: OSError) -> None:
         # No file descriptor is free, or the client left the accept queue.
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -20,11 +20,13 @@
     sharing_node_count,
 )
 from cranecart.models import ClientLimits, ColdStart
+from cranecart.peer_calls import PeerChoice
 from cranecart.platform import has_evacuations, has_slow_readers
 from cranecart.ports import Incarnation
 from cranecart.reachability import TargetDialer, TargetPaths
 from cranecart.retries import RetryLimits, SharedRetryBudget
 from cranecart.serving._active_config import ActiveRouteConfig
+from cranecart.serving._connection_gate import ConnectionGate
 from cranecart.settings import ServingSettings
 from cranecart.throttling import (
     ColdEntries,
@@ -68,6 +70,11 @@
     return Mesh(local_state, transport, callbacks)
 
 
+def make_connection_gate(mesh: Mesh, peers: PeerChoice) -> ConnectionGate:
+    """Return the gate for clients' connections."""
+    return ConnectionGate(mesh.running_clock, peers.has_live_peers)
+
+
 def server_limits(
     settings: ServingSettings,
     limits: ClientLimits,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -31,6 +31,7 @@
 )
 from cranecart.serving._factories import (
     make_cold_entries,
+    make_connection_gate,
     make_dialer,
     make_mesh,
     make_resume_guard,
@@ -163,10 +164,14 @@
             lambda: self._is_informed() and not self._is_stopping,
         )
         self._gateway = self._make_gateway(forwarder)
+        self._connection_gate = make_connection_gate(
+            self._mesh, self._peer_requests.client.choice
+        )
         self._client_server = HttpServer(
             Address.from_text(settings.client_address),
             self._serve,
             server_limits(settings, ClientLimits()),
+            self._connection_gate.admits,
         )
         self._ready_server = HttpServer(
             Address.from_text(settings.ready_address),
@@ -356,6 +361,7 @@
             'requests': self._gateway.received_count,
             'unread_responses_cut': self._client_server.unread.cut_count,
             'unread_bytes': self._client_server.unread.held_bytes,
+            'connections_closed_unread': self._connection_gate.closed_unread,
             'target_connections': self._target_connections.opened,
             **self._dialer.paths.counts(),
             **self._peer_requests.counts(),
