Hold no segment for a report that an answer has cleared since

What callers could meet: all requests of a route refused for a minute. A node that holds a segment repeats its report for two seconds; at a node that knows of an answer since, one new termination was enough to take it up.

A report counts only if enough of its terminations are not cleared here, and only while as many are known. Found by reading the change; test_late_report_of_cleared_terminations failed before ('held' is not 'free') and passes.

--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -12,7 +12,7 @@
 repeatedly and in any order. This module does no I/O.
 
 A segment of prompts may crash targets too, whatever else a request holds; it
-has a case of its own (``_segments``).
+has a case of its own (``judge_segment``).
 """
 
 import enum
@@ -166,12 +166,11 @@
 
         Terminations that others explain count as well.
         """
-        if self.is_segment:
-            return (
-                self._is_held_elsewhere
-                or self.moments >= _HOLD_SEGMENT_THRESHOLD
-            )
-        return self.verdict() is Verdict.HELD
+        if not self.is_segment:
+            return self.verdict() is Verdict.HELD
+        return (
+            self._is_held_elsewhere or self.moments >= _HOLD_SEGMENT_THRESHOLD
+        )
 
     def verdict(self, explained: Container[Incarnation] = ()) -> Verdict:
         """Return the verdict, ignoring terminations that others explain."""
@@ -190,6 +189,11 @@
             return Verdict.ISOLATED
         return Verdict.SUSPECT if begun else Verdict.FREE
 
+    @property
+    def is_suspected(self) -> bool:
+        """Return whether a segment has repeated terminations."""
+        return self.moments >= _ISOLATION_THRESHOLD or self.is_hold_candidate
+
     def is_trial_due(self, now: float) -> bool:
         """Return whether one request may show if a held segment still crashes."""
         seconds = _TRIAL_SECONDS * _TRIAL_FACTOR**self._trials
@@ -219,10 +223,12 @@
             if self.is_segment and self.is_hold_candidate:
                 self._trials = min(self._trials + 1, _MAX_TRIALS)
         self._count_moment(known, now)
-        # What other nodes hold is of no account once it was cleared.
-        self._is_held_elsewhere = bool(self.ends) and (
-            self._is_held_elsewhere or update.is_held
-        )
+        # A node that has not heard of an answer still reports what it cleared.
+        uncleared = sum(end.life in self.ends for end in update.ends)
+        if update.is_held and uncleared >= _HOLD_SEGMENT_THRESHOLD:
+            self._is_held_elsewhere = True
+        if self.begun_count < _HOLD_SEGMENT_THRESHOLD:
+            self._is_held_elsewhere = False
         return before != self._state()
 
     def _state(self) -> object:
@@ -279,8 +285,6 @@
     explained = set(itertools.chain.from_iterable(other.ends for other in held))
     if case.is_hold_candidate and not covering and not ends <= explained:
         return Verdict.ISOLATED if case.is_trial_due(now) else Verdict.HELD
-    if not case.is_hold_candidate and case.moments < _ISOLATION_THRESHOLD:
-        return Verdict.FREE
     if any(ends < other.ends.keys() for other in covering):
         return Verdict.FREE
     return Verdict.ISOLATED
@@ -448,6 +452,8 @@
         and had begun at more terminated incarnations than this request. All
         nodes reach the same verdict from the same sets.
         """
+        if case.is_segment and not case.is_suspected:
+            return Verdict.FREE
         if case.is_segment:
             others = [
                 other for other in self._repeated() if other.identity not in own
--- a/tests/unit/test_segments.py
+++ b/tests/unit/test_segments.py
@@ -110,6 +110,20 @@
         other.merge(case.update, is_own=False)
         self.assertIs(other.verdict('r', (_BAD,)), Verdict.HELD)
 
+    def test_late_report_of_cleared_terminations(self) -> None:
+        """It does not hold a segment that has been cleared since.
+
+        A node that has not heard of the answer yet repeats its report.
+        """
+        self._crash(3, _HEAD)
+        case = self.cases.find(_HEAD)
+        assert case is not None
+        report = case.update
+        self._answer(_HEAD)
+        self._crash(1, _HEAD)
+        self.cases.merge(report, is_own=False)
+        self.assertIs(self._verdict(_HEAD), Verdict.FREE)
+
     def test_row_is_deleted_once_it_is_cleared(self) -> None:
         """An answer on a held segment releases it at all nodes."""
         rows = HeldRows('n1', FakePlatform(), self.cases, self.clock)
