--- a/src/cranecart/platform/_calls.py
+++ b/src/cranecart/platform/_calls.py
@@ -176,7 +176,7 @@
 def _shared_segments(text: str) -> tuple[str, ...]:
     """Return the ids of a prompt's parts but the last, each ``ID:TOKENS``.
 
-    The last part belongs to the request itself or to its session.
+    The last one is left out, as other requests do not have it.
     """
     *shared, _own = text.split(',')
     ids = (part.partition(':')[0].strip().lower() for part in shared)
