Send only what has changed of a segment's case

Each node with a request at a crashed target reports the segments that all of them share, so that one termination is reported by up to a dozen nodes to all others. The whole case of a segment with 32 cleared incarnations was sent each time.

The change is sent first; the whole, with at most eight cleared ones, follows in the repetitions. Found by reading the change. No test of its own: the crashing segments' tests pass as before.

--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -58,6 +58,8 @@
 _MAX_TERMINATIONS = 8
 _MAX_SEGMENT_TERMINATIONS = 32
 _MAX_CLEARED = 32
+# Fewer, as each node with a request at a target sends the case of its segment.
+_MAX_SEGMENT_CLEARED = 8
 # Two thousand cases take 1 MB; each termination adds about ten cases.
 _MAX_CASES = 2048
 _MAX_HELD = 256
@@ -216,7 +218,8 @@
             self.ends.pop(incarnation, None)
         for termination in update.ends:
             self._add(termination)
-        for oldest in list(self.cleared)[:-_MAX_CLEARED]:
+        max_cleared = _MAX_SEGMENT_CLEARED if self.is_segment else _MAX_CLEARED
+        for oldest in list(self.cleared)[:-max_cleared]:
             self.cleared.pop(oldest)
         if update.isolated_sends > self.isolated_sends:
             self.isolated_sends = update.isolated_sends
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -306,7 +306,7 @@
 
     def _clear(self, update: CaseUpdate) -> None:
         self.cases.merge(update, is_own=True)
-        self._publish_case(update.identity)
+        self._publish_change(update)
         if len(update.cleared) > 1:
             log_decision('request_cleared', identity=update.identity)
 
@@ -412,7 +412,7 @@
         if self.cases.merge(update, is_own=True):
             self.terminations += not is_segment(update.identity)
             self._log_termination(update.identity, update.ends[0].life, source)
-            self._publish_case(update.identity)
+            self._publish_change(update)
 
     def _announce_send(self, identity: str, segments: Sequence[str]) -> None:
         """Let other copies of an isolated request wait for this one."""
@@ -420,12 +420,21 @@
             update = self.cases.sending_update(case.identity)
             if update is not None:
                 self.cases.merge(update, is_own=True)
-                self._publish_case(case.identity)
+                self._publish_change(update)
 
-    def _publish_case(self, identity: str) -> None:
-        case = self.cases.find(identity)
-        if case is not None:
-            self._published_at[identity] = self._clock()
+    def _publish_change(self, update: CaseUpdate) -> None:
+        """Publish a change; all that is known is repeated for a while.
+
+        Of a segment only the change is sent first: every node that had a
+        request at a terminated target reports the same ones.
+        """
+        case = self.cases.find(update.identity)
+        if case is None:
+            return
+        self._published_at[update.identity] = self._clock()
+        if case.is_segment and not case.is_hold_candidate:
+            self._publish((update,))
+        else:
             self._publish((case.update,))
 
     def _hold_reason(self, identity: str, segments: Sequence[str]) -> str:
