Clear segments by answers that have lasted, and try a held one soon

What callers could meet: a route refused for a minute after its model has lost all replicas within a second or two. A segment that all requests share then has ends at several moments and nothing left that could clear it.

An answer clears what is known once it has lasted for 0.5 s, not only what was known when it began, so that streams under way speak for their segments at once. A held segment is tried after 3 s, then after eight times as long.

--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -50,9 +50,9 @@
 # A held segment is tried again after this time, by one request: it may have been
 # held while no replica was left to answer on it, or its cause may be gone. Each
 # further trial takes this many times longer.
-_TRIAL_SECONDS = 60.0
-_TRIAL_FACTOR = 4
-_MAX_TRIALS = 5
+_TRIAL_SECONDS = 3.0
+_TRIAL_FACTOR = 8
+_MAX_TRIALS = 4
 # Further terminations do not change the verdict. Those of a segment may come in
 # bursts, of which only some count.
 _MAX_TERMINATIONS = 8
--- a/src/cranecart/quarantine/_survival.py
+++ b/src/cranecart/quarantine/_survival.py
@@ -24,8 +24,8 @@
 class SegmentSurvival:
     """The terminations that the answer to one attempt clears.
 
-    Only those known when the target began to answer: a segment may have turned
-    bad since. ``_publish`` gets each update that clears some of them.
+    Those known once it has lasted for a while, or else when it began: a segment
+    may have turned bad since. ``_publish`` gets each update that clears some.
     """
 
     _cases: CaseRegistry
@@ -37,22 +37,22 @@
     )
     _begun_at: float = attrs.field(default=float('inf'), init=False)
     _parts: int = attrs.field(default=0, init=False)
+    _has_lasted: bool = attrs.field(default=False, init=False)
 
     def record_begun(self) -> None:
         """Record that the target may begin to answer, or has begun."""
         self._begun_at = self._clock()
-        if self._segments and not self._cases.is_empty:
-            self._ends = self._cases.ends_of(
-                tuple(map(segment_identity, self._segments))
-            )
+        self._ends = self._known_ends()
 
     def record_part(self) -> None:
         """Record that a part of the answer arrived."""
-        if not self._ends:
+        if self._has_lasted:
             return
         self._parts += 1
         seconds = self._clock() - self._begun_at
         if self._parts >= _SURVIVAL_PARTS and seconds >= _SURVIVAL_SECONDS:
+            self._has_lasted = True
+            self._ends = self._known_ends()
             self.clear()
 
     def clear(self) -> None:
@@ -60,3 +60,8 @@
         for update in self._cases.clear(self._ends):
             self._publish(update)
         self._ends = {}
+
+    def _known_ends(self) -> Mapping[str, Sequence[Incarnation]]:
+        if not self._segments or self._cases.is_empty:
+            return {}
+        return self._cases.ends_of(tuple(map(segment_identity, self._segments)))
--- a/tests/lib/segment_simulation.py
+++ b/tests/lib/segment_simulation.py
@@ -116,6 +116,15 @@
         if request.is_culprit and verdict is not Verdict.HELD:
             self.bad_arrivals.append(self._now)
         super()._send(request)
+        if verdict is Verdict.ISOLATED:
+            self._announce(request)
+
+    def _announce(self, request: SegmentedRequest) -> None:
+        """Tell all nodes that an isolated request was sent."""
+        for case in self._cases.isolating_cases(request.name, request.segments):
+            update = self._cases.sending_update(case.identity)
+            if update is not None:
+                self._cases.merge(update, is_own=True)
 
     def _verdict(self, request: Request) -> Verdict:
         assert isinstance(request, SegmentedRequest)
@@ -135,6 +144,7 @@
         self, request: SegmentedRequest, visit: int, target: Target
     ) -> None:
         if request.visit == visit and request in target.requests_there:
+            request.known_ends = self._cases.ends_of(request.segments)
             self._clear_segments(request)
 
     def _finish(self, request: Request, visit: int, target: Target) -> None:
