--- a/src/cranecart/quarantine/__init__.py
+++ b/src/cranecart/quarantine/__init__.py
@@ -1,12 +1,8 @@
 """Detect requests that crash their targets, and hold them back."""
 
 from cranecart.quarantine._abandoned import AbandonedAttempts
-from cranecart.quarantine._cases import (
-    CaseRegistry,
-    CaseUpdate,
-    Termination,
-    Verdict,
-)
+from cranecart.quarantine._case import CaseUpdate, Termination, Verdict
+from cranecart.quarantine._cases import CaseRegistry
 from cranecart.quarantine._guard import AttemptProgress, RequestGuard
 from cranecart.quarantine._identity import request_identity, segment_identity
 from cranecart.quarantine._probe import TerminationProbe
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -26,12 +26,8 @@
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation
 from cranecart.quarantine._abandoned import AbandonedAttempts
-from cranecart.quarantine._cases import (
-    CaseRegistry,
-    CaseUpdate,
-    Termination,
-    Verdict,
-)
+from cranecart.quarantine._case import CaseUpdate, Termination, Verdict
+from cranecart.quarantine._cases import CaseRegistry
 from cranecart.quarantine._identity import is_segment, segment_identity
 from cranecart.quarantine._pending import PendingTerminations
 from cranecart.quarantine._probe import TerminationProbe, wait_for_break
--- a/src/cranecart/quarantine/_pending.py
+++ b/src/cranecart/quarantine/_pending.py
@@ -12,7 +12,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.ports import Incarnation
-from cranecart.quarantine._cases import CaseUpdate, Termination
+from cranecart.quarantine._case import CaseUpdate, Termination
 
 # A termination breaks all connections to the target within this time. A request
 # whose connection breaks later met a target that had already terminated, and
--- a/src/cranecart/quarantine/_rows.py
+++ b/src/cranecart/quarantine/_rows.py
@@ -11,7 +11,8 @@
 from cranecart.fleet import RECORDS_PART, RECORDS_TABLE
 from cranecart.logs import UnreadableRowLog, log_decision
 from cranecart.ports import Put, Row, Table, Transaction
-from cranecart.quarantine._cases import Case, CaseRegistry, CaseUpdate
+from cranecart.quarantine._case import Case, CaseUpdate
+from cranecart.quarantine._cases import CaseRegistry
 
 _PREFIX = f'{RECORDS_TABLE}/{RECORDS_PART}/held/'
 _UNREADABLE = UnreadableRowLog('held_row_unreadable')
--- a/src/cranecart/quarantine/_settling.py
+++ b/src/cranecart/quarantine/_settling.py
@@ -12,7 +12,8 @@
 import attrs
 
 from cranecart.clocks import since_boot
-from cranecart.quarantine._cases import Case, CaseRegistry, Verdict
+from cranecart.quarantine._case import Case, Verdict
+from cranecart.quarantine._cases import CaseRegistry
 from cranecart.quarantine._identity import segment_identity
 
 # Twice the time in which a request crashes its target as it begins there.
--- a/src/cranecart/quarantine/_survival.py
+++ b/src/cranecart/quarantine/_survival.py
@@ -10,7 +10,8 @@
 import attrs
 
 from cranecart.ports import Incarnation
-from cranecart.quarantine._cases import CaseRegistry, CaseUpdate
+from cranecart.quarantine._case import CaseUpdate
+from cranecart.quarantine._cases import CaseRegistry
 from cranecart.quarantine._identity import segment_identity
 
 # Twice the time in which a target counts as crashed by what it has begun.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -246,7 +246,7 @@
     ),
     Mutation(
         'crashing-segments-not-held',
-        'quarantine/_cases.py',
+        'quarantine/_case.py',
         'or self.moments >= _HOLD_SEGMENT_THRESHOLD',
         'or self.moments > _MAX_SEGMENT_TERMINATIONS',
         'tests.unit.test_segments.SegmentsTest',
@@ -267,9 +267,8 @@
     ),
     Mutation(
         'crashing-requests-not-held',
-        'quarantine/_cases.py',
-        'begun >= _HOLD_BEGUN_THRESHOLD\n'
-        '            or len(unexplained) >= _HOLD_THRESHOLD',
+        'quarantine/_case.py',
+        'begun >= HOLD_BEGUN_THRESHOLD or len(unexplained) >= _HOLD_THRESHOLD',
         'not unexplained and begun',
         'tests.unit.test_crashing_requests.CrashingRequestTest.test_streams',
     ),
