Find cases, segments and own delays in one place each

Three methods of the registry looked up and judged the same cases; five places made identities of segments; the mesh's clock measured own delays as the endpoint for peers does, which now share sleep_and_measure. A cache was reset twice in one merge.

--- a/src/cranecart/clocks.py
+++ b/src/cranecart/clocks.py
@@ -41,6 +41,20 @@
     return time.process_time()
 
 
+async def sleep_and_measure(seconds: float) -> float:
+    """Sleep; return by how many seconds own work has delayed the timer.
+
+    On a machine whose processors are busy with other processes, timers are late
+    although this process has little to do. That is left out.
+    """
+    due_at = awake_seconds() + seconds
+    used_before = processor_seconds()
+    await curio.sleep(seconds)
+    delay = awake_seconds() - due_at
+    used = processor_seconds() - used_before
+    return max(0, min(delay, used))
+
+
 @attrs.define
 class SuspensionWatch:
     """Detects suspensions of the machine by the drift between its clocks."""
@@ -87,13 +101,7 @@
         try:
             while True:
                 self()
-                due_at = awake_seconds() + _TICK_SECONDS
-                used_before = processor_seconds()
-                await curio.sleep(_TICK_SECONDS)
-                delay = awake_seconds() - due_at
-                used = processor_seconds() - used_before
-                # Other processes may have had the processor meanwhile.
-                self.record_own_delay(max(0, min(delay, used)))
+                self.record_own_delay(await sleep_and_measure(_TICK_SECONDS))
         finally:
             self._is_ticking = False
 
--- a/src/cranecart/http/_progress.py
+++ b/src/cranecart/http/_progress.py
@@ -15,7 +15,7 @@
 Result = TypeVar('Result')
 
 # How long a part of an answer may take.
-PROGRESS_SECONDS = 1.5
+_PROGRESS_SECONDS = 1.5
 # A slower answer counts as a stalled one: its node would be better served by
 # another connection or by other nodes.
 _MIN_PART_BYTES = 16384
@@ -55,7 +55,9 @@
         while not is_complete:
             if since_boot() - started > _MAX_ANSWER_SECONDS:
                 raise TaskTimeout('the answer took too long')
-            is_complete = await self._in_time(PROGRESS_SECONDS, self._read_part)
+            is_complete = await self._in_time(
+                _PROGRESS_SECONDS, self._read_part
+            )
         return Response(head.status, head.headers, bytes(self._body))
 
     async def _read_part(self) -> bool:
--- a/src/cranecart/peer_calls/_endpoint.py
+++ b/src/cranecart/peer_calls/_endpoint.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from cranecart.clocks import awake_seconds, processor_seconds
+from cranecart.clocks import sleep_and_measure
 from cranecart.http import Request, Responder, Response
 from cranecart.peer_calls._admission import RETRY_AFTER_SECONDS, PeerAdmission
 from cranecart.peer_calls._messages import (
@@ -82,18 +82,14 @@
     async def _measure_delays(self) -> None:
         """Measure how late timers run while there are requests of peers.
 
-        On a machine whose processors are busy with other processes, timers are
-        late although this node has little to do. Fewer requests would not make
-        them run earlier.
+        Only by the node's own work: fewer requests would not make timers run
+        earlier that other processes delay.
         """
         try:
             while self.admission.in_flight:
-                due_at = awake_seconds() + _MEASURE_SECONDS
-                used_before = processor_seconds()
-                await curio.sleep(_MEASURE_SECONDS)
-                delay = awake_seconds() - due_at
-                used = processor_seconds() - used_before
-                self.admission.record_delay(min(delay, used))
+                self.admission.record_delay(
+                    await sleep_and_measure(_MEASURE_SECONDS)
+                )
         finally:
             self._is_measuring = False
             self.admission.delay_seconds = 0
--- a/src/cranecart/quarantine/_cases.py
+++ b/src/cranecart/quarantine/_cases.py
@@ -16,6 +16,7 @@
     Callable,
     Collection,
     Container,
+    Iterator,
     Mapping,
     Sequence,
 )
@@ -74,10 +75,7 @@
     def verdict(self, identity: str, segments: Collection[str] = ()) -> Verdict:
         """Return how a request is treated now, also for its segments."""
         return max(
-            (
-                self._judge(case, {identity, *segments})
-                for case in filter(None, map(self.find, (identity, *segments)))
-            ),
+            (verdict for _case, verdict in self._judged(identity, segments)),
             key=_SEVERITIES.index,
             default=Verdict.FREE,
         )
@@ -86,24 +84,21 @@
         self, identity: str, segments: Collection[str] = ()
     ) -> list[Case]:
         """Return the cases for which a request is isolated."""
-        identities = (identity, *segments)
         return [
             case
-            for case in filter(None, map(self.find, identities))
-            if self._judge(case, set(identities)) is Verdict.ISOLATED
+            for case, verdict in self._judged(identity, segments)
+            if verdict is Verdict.ISOLATED
         ]
 
     def reason_to_hold(
         self, identity: str, segments: Collection[str] = ()
     ) -> Case | None:
         """Return the case for which a request is held, if it is."""
-        identities = (identity, *segments)
-        cases = filter(None, map(self.find, identities))
         return next(
             (
                 case
-                for case in cases
-                if self._judge(case, set(identities)) is Verdict.HELD
+                for case, verdict in self._judged(identity, segments)
+                if verdict is Verdict.HELD
             ),
             None,
         )
@@ -197,6 +192,14 @@
             return None
         return CaseUpdate(identity, isolated_sends=case.isolated_sends + 1)
 
+    def _judged(
+        self, identity: str, segments: Collection[str]
+    ) -> Iterator[tuple[Case, Verdict]]:
+        """Return the cases of a request and its segments with their verdicts."""
+        own = (identity, *segments)
+        cases = filter(None, map(self.find, own))
+        return ((case, self._judge(case, own)) for case in cases)
+
     def _judge(self, case: Case, own: Container[str]) -> Verdict:
         """Judge a case by comparison with the others.
 
@@ -258,7 +261,6 @@
 
     def _prune(self, now: float) -> None:
         """Drop the oldest cases that exceed the maximum number or age."""
-        self._repeated_cases = None
         while len(self._hold_candidates) > _MAX_HELD:
             self._hold_candidates.pop(next(iter(self._hold_candidates)))
         while len(self._suspected) > _MAX_CASES or self._has_expired(now):
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -28,7 +28,7 @@
 from cranecart.quarantine._abandoned import AbandonedAttempts
 from cranecart.quarantine._case import CaseUpdate, Termination, Verdict
 from cranecart.quarantine._cases import CaseRegistry
-from cranecart.quarantine._identity import is_segment, segment_identity
+from cranecart.quarantine._identity import is_segment, segment_identities
 from cranecart.quarantine._pending import PendingTerminations
 from cranecart.quarantine._probe import TerminationProbe, wait_for_break
 from cranecart.quarantine._runner import Runner
@@ -167,7 +167,7 @@
         if self.cases.is_empty:
             return ()
         digest = identity()
-        keys = tuple(map(segment_identity, segments))
+        keys = segment_identities(segments)
         verdict = self.cases.verdict(digest, keys)
         if verdict is Verdict.HELD:
             self.refusals += 1
@@ -246,7 +246,7 @@
         """Count a suspected request at an instance while the context lasts."""
         verdict = Verdict.FREE
         if not self.cases.is_empty:
-            keys = tuple(map(segment_identity, segments))
+            keys = segment_identities(segments)
             verdict = self.cases.verdict(identity(), keys)
             if verdict is Verdict.ISOLATED:
                 self._announce_send(identity(), keys)
@@ -467,7 +467,7 @@
     """
     if not progress.has_begun:
         return [identity]
-    return [identity, *map(segment_identity, segments)]
+    return [identity, *segment_identities(segments)]
 
 
 def _decrement(counts: Counter[str], name: str) -> None:
--- a/src/cranecart/quarantine/_identity.py
+++ b/src/cranecart/quarantine/_identity.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+from collections.abc import Iterable
 
 # Collisions become likely only after 2**64 requests.
 _DIGEST_BYTES = 16
@@ -44,6 +45,11 @@
     return _SEGMENT_PREFIX + digest.hexdigest()
 
 
+def segment_identities(segments: Iterable[str]) -> tuple[str, ...]:
+    """Return the identities of prompt segments, in order."""
+    return tuple(map(segment_identity, segments))
+
+
 def is_segment(identity: str) -> bool:
     """Return whether an identity is that of a prompt segment."""
     return identity.startswith(_SEGMENT_PREFIX)
--- a/src/cranecart/quarantine/_settling.py
+++ b/src/cranecart/quarantine/_settling.py
@@ -14,7 +14,7 @@
 from cranecart.clocks import since_boot
 from cranecart.quarantine._case import Case, Verdict
 from cranecart.quarantine._cases import CaseRegistry
-from cranecart.quarantine._identity import segment_identity
+from cranecart.quarantine._identity import segment_identities
 
 # Twice the time in which a request crashes its target as it begins there.
 _SETTLE_SECONDS = 0.25
@@ -44,7 +44,7 @@
         if self._cases.is_empty:
             return 0
         digest = identity()
-        keys = tuple(map(segment_identity, segments))
+        keys = segment_identities(segments)
         if self._cases.verdict(digest, keys) is not Verdict.ISOLATED:
             return 0
         isolating = self._cases.isolating_cases(digest, keys)
--- a/src/cranecart/quarantine/_survival.py
+++ b/src/cranecart/quarantine/_survival.py
@@ -12,7 +12,7 @@
 from cranecart.ports import Incarnation
 from cranecart.quarantine._case import CaseUpdate
 from cranecart.quarantine._cases import CaseRegistry
-from cranecart.quarantine._identity import segment_identity
+from cranecart.quarantine._identity import segment_identities
 
 # Twice the time in which a target counts as crashed by what it has begun.
 _SURVIVAL_SECONDS = 0.5
@@ -65,4 +65,4 @@
     def _known_ends(self) -> Mapping[str, Sequence[Incarnation]]:
         if not self._segments or self._cases.is_empty:
             return {}
-        return self._cases.ends_of(tuple(map(segment_identity, self._segments)))
+        return self._cases.ends_of(segment_identities(self._segments))
