--- a/tests/lib/silent_targets.py
+++ b/tests/lib/silent_targets.py
@@ -44,6 +44,12 @@
         elapsed = time.monotonic() - self._started
         return self.starts_at <= elapsed < self.starts_at + self.seconds
 
+    def has_begun_at(self, target: int) -> bool:
+        """Return whether this target is silent or has been."""
+        if self._started is None or target not in self.targets:
+            return False
+        return time.monotonic() - self._started >= self.starts_at
+
     def start_clock(self) -> None:
         """Count the time from now on, unless it is counted already."""
         if self._started is None:
@@ -59,11 +65,13 @@
 class SilentTargets:
     """Scripts of targets with one silence; ``begun`` lists what they began.
 
-    A stream has ``events`` events and goes on after its last event id.
+    A stream has ``events`` events and goes on after its last event id. With
+    ``die`` the silent targets end all streams and never go on.
     """
 
     silence: Silence
     events: int
+    die: bool = False
     begun: list[str] = attrs.field(factory=list, init=False)
 
     def script(self, target: int) -> Script:
@@ -71,18 +79,24 @@
 
         async def stream(exchange: Exchange) -> None:  # noqa: WPS430
             self.silence.start_clock()
-            await self.silence.wait(target)
+            await self._wait(target)
             self.begun.append(exchange.headers['request-id'])
             await exchange.start_stream()
             first = int(exchange.headers.get('last-event-id') or 0) + 1
             for number in range(first, self.events + 1):
-                await self.silence.wait(target)
+                await self._wait(target)
                 await exchange.events(number, number)
                 await curio.sleep(_EVENT_SECONDS)
             await exchange.end_stream()
 
         return stream
 
+    async def _wait(self, target: int) -> None:
+        if self.die and self.silence.has_begun_at(target):
+            raise ConnectionResetError(f'target {target} has died')
+        if not self.die:
+            await self.silence.wait(target)
+
 
 @attrs.frozen
 class StreamOutcomes:
@@ -100,12 +114,15 @@
 
 
 async def run_streams(
-    testbed: GatewayTestbed, targets: SilentTargets, count: int
+    testbed: GatewayTestbed,
+    targets: SilentTargets,
+    count: int,
+    deadline_seconds: float = DEADLINE_SECONDS,
 ) -> StreamOutcomes:
     """Send streams all at once; return what became of them."""
     async with curio.TaskGroup(wait=all) as clients:
         for number in range(count):
-            await clients.spawn(_ask, testbed, f's{number}')
+            await clients.spawn(_ask, testbed, f's{number}', deadline_seconds)
     answers: Sequence[ClientAnswer] = clients.results
     begun = [answer for answer in answers if answer.status == _OK]
     ids = [_event_ids(answer) for answer in begun]
@@ -122,11 +139,13 @@
     )
 
 
-async def _ask(testbed: GatewayTestbed, request_id: str) -> ClientAnswer:
+async def _ask(
+    testbed: GatewayTestbed, request_id: str, deadline_seconds: float
+) -> ClientAnswer:
     return await testbed.ask(
         '/stream/',
         body=request_id.encode(),
-        deadline_ms=round(1000 * DEADLINE_SECONDS),
+        deadline_ms=round(1000 * deadline_seconds),
         request_id=request_id,
     )
 
