--- /dev/null
+++ b/src/cranecart/forwarding/_attempt.py
@@ -0,0 +1,59 @@
+"""One attempt at a request."""
+
+import attrs
+import curio
+
+from cranecart.clocks import since_boot
+from cranecart.peer_calls import Peer
+from cranecart.quarantine import AttemptProgress
+from cranecart.routing import Target
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One attempt, at a target or through a peer.
+
+    ``is_charged`` is whether it was charged to the retry budget and ``has_ended``
+    whether nothing more of its response is read. ``task`` is the one that it runs
+    in, None for that of the request. ``progress`` is what is known of the target,
+    and the client ``is_paused`` if it has left the response unread for a while.
+    An attempt that ``is_cancelled`` lost to another one.
+    """
+
+    choice: Target | Peer
+    is_charged: bool = False
+    progress: AttemptProgress = attrs.field(
+        factory=lambda: AttemptProgress(since_boot)
+    )
+    is_paused: bool = attrs.field(default=False, init=False)
+    is_cancelled: bool = attrs.field(default=False, init=False)
+    task: curio.Task | None = attrs.field(default=None, init=False)
+    _ended: curio.Event = attrs.field(factory=curio.Event, init=False)
+
+    @property
+    def name(self) -> str:
+        """Return the name of the target or peer."""
+        match self.choice:
+            case Peer(name=name):
+                return name
+            case Target(instance=instance):
+                return instance.id
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether nothing more of its response is read."""
+        return self._ended.is_set()
+
+    async def end(self) -> None:
+        """Record that nothing more of its response is read."""
+        await self._ended.set()
+
+    async def wait_ended(self) -> None:
+        """Return once nothing more of its response is read."""
+        await self._ended.wait()
+
+    async def result(self) -> bool:
+        """Return whether it succeeded, once its task has ended."""
+        assert self.task is not None
+        await self.task.wait()
+        return bool(self.task.result)
--- a/src/cranecart/forwarding/_attempt_log.py
+++ b/src/cranecart/forwarding/_attempt_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from cranecart.exceptions import TargetError
+from cranecart.exceptions import RequestError, TargetError
 from cranecart.forwarding._call import RoutedCall
 from cranecart.peer_calls import Peer
 from cranecart.quarantine import AttemptProgress
@@ -42,7 +42,9 @@
     )
 
 
-def trace_failure(call: RoutedCall, name: str, error: TargetError) -> None:
+def trace_failure(
+    call: RoutedCall, name: str, error: TargetError | RequestError
+) -> None:
     """Log that an attempt at a target, or through a peer, has failed."""
     call.trace.is_notable = True
     call.trace.add(
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -1,53 +1,38 @@
 """Retry a request at other targets where the route and budget allow it."""
 
+import functools
 from typing import Protocol, Self
 
 import attrs
+import curio
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     AllTargetsRefusedError,
-    Execution,
     NoReplicaError,
-    OutcomeUnknownError,
     OverloadedError,
     PeerAnsweredError,
     QuarantinedRequestError,
     RequestError,
-    RequestTimeoutError,
     TargetDisconnectedError,
     TargetError,
     TargetsOutOfReachError,
-    TargetTimeoutError,
-    TargetUnreachableError,
-    TargetWithdrawnError,
 )
-from cranecart.forwarding._attempt_log import (
-    trace_disconnect,
-    trace_failure,
-    trace_passing_on,
-    trace_routing,
-)
-from cranecart.forwarding._call import RoutedCall, routing_request
+from cranecart.forwarding._attempt import Attempt
+from cranecart.forwarding._attempt_log import trace_disconnect, trace_failure
+from cranecart.forwarding._backoff import Backoff
+from cranecart.forwarding._call import RoutedCall
+from cranecart.forwarding._failure_reports import report_failure
 from cranecart.forwarding._failures import AttemptFailures
+from cranecart.forwarding._handover import Handover
 from cranecart.forwarding._peer_requests import PeersOfCall
+from cranecart.forwarding._replacement import Replacement
+from cranecart.forwarding._target_choice import TargetChoice
 from cranecart.peer_calls import Peer, PeerCall, PeerClient, PeerRequest
-from cranecart.quarantine import AttemptProgress, RequestGuard
+from cranecart.quarantine import RequestGuard
 from cranecart.retries import RequestRetries, SharedRetryBudget
-from cranecart.routing import RoutingRequest, Target, TargetRouter
-
-# Retry-after sent with requests that arrive with too little time left.
-_NO_TIME_RETRY_AFTER_SECONDS = 0.2
-# With less time left than this, a request would time out before any target
-# could answer. Operators configure objectives from 0.1 s upwards.
-_MIN_OBJECTIVE_FRACTION = 0.1
-_MIN_SECONDS_LEFT = 0.02
-# Unreachable targets do not count towards the route's limit of attempts, so
-# they need a limit of their own.
-_MAX_UNREACHABLE_TARGETS = 3
-# Failed connections after which the request is passed on to another node, which
-# may reach the targets that are left.
-_FAILED_BEFORE_PEER = 2
+from cranecart.routing import Target, TargetRouter
+
 _NO_TARGET_ERRORS = (
     QuarantinedRequestError,
     NoReplicaError,
@@ -60,10 +45,12 @@
 class Exchange(Protocol):
     """How a response is passed on to the client; errors are ``TargetError``."""
 
-    async def attempt(self, target: Target) -> None:
+    async def attempt(self, attempt: Attempt, target: Target) -> None:
         """Try to have the request answered by a target."""
 
-    async def attempt_through(self, client: PeerClient, call: PeerCall) -> None:
+    async def attempt_through(
+        self, attempt: Attempt, client: PeerClient, call: PeerCall
+    ) -> None:
         """Try to have it answered through a peer.
 
         Raise ``PeerAnsweredError`` if the peer has given the request up.
@@ -74,11 +61,10 @@
 class RoutedAttempts:
     """The attempts at one request, each at another target.
 
-    ``tried`` lists the instances that were chosen so far, ``has_begun`` is
-    whether any of them has sent an event of a stream. ``has_started`` is
-    whether any attempt was made, ``progress`` belongs to the latest one.
-    ``_peers`` are the nodes that it may be passed on to, none if it comes from
-    one.
+    ``has_begun`` is whether any of them has sent an event of a stream,
+    ``has_started`` whether any attempt was made. ``handover`` decides which of
+    them is passed on, ``choice`` where they go. ``_peers`` are the nodes that the
+    request may be passed on to, none if it comes from one.
     """
 
     call: RoutedCall
@@ -86,11 +72,29 @@
     _budget: SharedRetryBudget
     _guard: RequestGuard
     _peers: PeersOfCall | None = None
-    tried: list[str] = attrs.field(factory=list, init=False)
     has_begun: bool = attrs.field(default=False, init=False)
     failures: AttemptFailures = attrs.field(factory=AttemptFailures, init=False)
     has_started: bool = attrs.field(default=False, init=False)
-    retries: RequestRetries = attrs.field(
+    handover: Handover = attrs.field(
+        default=attrs.Factory(
+            lambda attempts: Handover(attempts.call.trace), takes_self=True
+        ),
+        init=False,
+    )
+    choice: TargetChoice = attrs.field(
+        default=attrs.Factory(
+            lambda attempts: TargetChoice(
+                attempts.call,
+                attempts._router,
+                attempts._guard,
+                attempts._peers,
+                attempts.failures,
+            ),
+            takes_self=True,
+        ),
+        init=False,
+    )
+    _retries: RequestRetries = attrs.field(
         default=attrs.Factory(
             lambda attempts: RequestRetries(
                 attempts._budget, attempts.call.service
@@ -99,12 +103,7 @@
         ),
         init=False,
     )
-    progress: AttemptProgress = attrs.field(
-        factory=lambda: AttemptProgress(since_boot), init=False
-    )
-    # The targets that this node does not reach, while others may.
-    _unreached: set[str] = attrs.field(factory=set, init=False)
-    _is_paused_by_client: bool = attrs.field(default=False, init=False)
+    _backoff: Backoff = attrs.field(factory=Backoff, init=False)
 
     @classmethod
     def of_peer(
@@ -117,7 +116,8 @@
     ) -> Self:
         """Return the attempts that follow those of a peer."""
         attempts = cls(call, router, budget, guard)
-        attempts.tried.extend(message.tried)
+        for instance_id in message.tried:
+            attempts.choice.exclude(instance_id)
         attempts.has_begun = message.has_begun
         attempts.failures.sent_count = max(
             0, call.route.attempts - message.attempts_left
@@ -129,70 +129,140 @@
 
         Raise the ``RequestError`` that the client gets if none does.
         """
-        while not await self._attempt(exchange):
-            if not self._may_retry():
-                raise self._final_error()
+        try:
+            succeeded = await self._attempt(exchange)
+            while not succeeded:
+                succeeded = await self._continue(exchange)
+        finally:
+            await self.handover.close()
 
     def may_try_another(self) -> bool:
         """Return whether an untried target exists and may still be tried.
 
-        The current attempt is not in ``sent_count`` until it has ended.
+        Attempts that run are not in ``sent_count`` until they have ended.
         """
-        call = self.call
-        is_last = self.failures.sent_count + 1 >= call.route.attempts
-        if not call.may_repeat or is_last:
+        used = self.failures.sent_count + self.handover.running_count
+        if not self.call.may_repeat or used >= self.call.route.attempts:
             return False
-        return self._router.has_untried_target(
-            call.config,
-            call.service,
-            call.facts.model,
-            self.tried,
+        return self.choice.has_untried_target()
+
+    def may_fail(self, attempt: Attempt) -> bool:
+        """Return whether an error response need not be passed on."""
+        return (
+            not self.handover.is_leading(attempt)
+            or self.handover.running_count > 1
+            or self.may_try_another()
         )
 
-    def record_progress(self, target: Target) -> None:
-        """Record that an event arrived from the current target."""
-        self.progress.record_progress()
-        if not self.has_begun:
-            self._router.record_first_event(target, self.call.facts.model)
-        self.has_begun = True
+    def replacement(self, exchange: Exchange, attempt: Attempt) -> Replacement:
+        """Return what takes over from an attempt whose target is silent."""
+        return Replacement(
+            self.handover,
+            attempt,
+            functools.partial(self._try_beside, exchange),
+        )
 
-    def record_client_pause(self) -> None:
-        """Record that the client left the current target's stream unread."""
-        self._is_paused_by_client = True
+    def record_progress(self, attempt: Attempt) -> None:
+        """Record that an event arrived from the target that leads."""
+        attempt.progress.record_progress()
+        choice = attempt.choice
+        if isinstance(choice, Target) and not self.has_begun:
+            self._router.record_first_event(choice, self.call.facts.model)
+        self.has_begun = True
 
-    async def _attempt(self, exchange: Exchange) -> bool:
+    async def _attempt(
+        self, exchange: Exchange, *, is_charged: bool = False
+    ) -> bool:
         """Make the next attempt; return whether it succeeded."""
         await self._guard.wait_until_settled(
-            self._identity,
+            self.call.identify,
             lambda: self.call.seconds_left,
             self.call.facts.shared_segments,
         )
-        return await self._succeeds(exchange, self._choose())
+        try:
+            choice = self.choice.choose(has_begun=self.has_begun)
+        except _NO_TARGET_ERRORS as error:
+            raise self._final_error(error) from error
+        attempt = Attempt(choice, is_charged)
+        self.handover.begin(attempt)
+        return await self._succeeds(exchange, attempt)
+
+    async def _continue(self, exchange: Exchange) -> bool:
+        """Go on after an attempt has failed; return whether one succeeded."""
+        successor = self.handover.successor()
+        if successor is not None:
+            return await successor.result()
+        # Only retries after a request was sent are charged to the budget:
+        # attempts that reached no target put no load on any.
+        is_charged = self.failures.any_sent
+        if self._may_retry():
+            if not is_charged or self._retries.take():
+                return await self._attempt(exchange, is_charged=is_charged)
+            self.call.trace.add('retry_refused', service=self.call.service)
+        raise self._final_error()
+
+    async def _try_beside(self, exchange: Exchange, reason: str) -> None:
+        """Start another attempt beside those that run, if one is allowed.
+
+        What runs may still succeed, while the next target may refuse and there
+        may be no retry left for it.
+        """
+        now = since_boot()
+        if not self._backoff.is_due(now) or not self._may_try_beside():
+            return
+        self._backoff.postpone(now)
+        try:
+            choice = self.choice.choose(has_begun=self.has_begun)
+        except _NO_TARGET_ERRORS:
+            return
+        self._retries.take()
+        self.call.trace.is_notable = True
+        self.call.trace.add('attempt_added', why=reason)
+        attempt = Attempt(choice, is_charged=True)
+        task = await curio.spawn(
+            self._run_beside, exchange, attempt, daemon=True
+        )
+        self.handover.add(attempt, task)
 
-    async def _succeeds(
-        self, exchange: Exchange, choice: Target | Peer
-    ) -> bool:
+    def _may_try_beside(self) -> bool:
+        if self.call.seconds_left <= 0 or not self.may_try_another():
+            return False
+        seconds = self._guard.isolated_sends.seconds_to_wait(
+            self.call.identify, segments=self.call.facts.shared_segments
+        )
+        return seconds <= 0 and self._retries.secure()
+
+    async def _run_beside(self, exchange: Exchange, attempt: Attempt) -> bool:
+        try:
+            return await self._succeeds(exchange, attempt)
+        except RequestError as error:
+            if self.handover.is_leading(attempt):
+                raise
+            trace_failure(self.call, attempt.name, error)
+            return False
+
+    async def _succeeds(self, exchange: Exchange, attempt: Attempt) -> bool:
         self.has_started = True
-        match choice:
-            case Peer():
-                return await self._succeeds_through(exchange, choice)
-            case Target():
-                return await self._succeeds_at(exchange, choice)
-
-    async def _succeeds_through(self, exchange: Exchange, peer: Peer) -> bool:
-        assert self._peers is not None
-        call = self._peers.call_through(
+        match attempt.choice:
+            case Peer() as peer:
+                return await self._succeeds_through(exchange, attempt, peer)
+            case Target() as target:
+                return await self._succeeds_at(exchange, attempt, target)
+
+    async def _succeeds_through(
+        self, exchange: Exchange, attempt: Attempt, peer: Peer
+    ) -> bool:
+        others = self.handover.running_count - 1
+        client, call = self.choice.call_through(
             peer,
-            self.call,
-            [name for name in self.tried if name not in self._unreached],
-            self.call.route.attempts - self.failures.sent_count,
+            self.call.route.attempts - self.failures.sent_count - others,
             has_begun=self.has_begun,
         )
         try:
-            await exchange.attempt_through(self._peers.client, call)
+            async with self.handover.running(attempt):
+                await exchange.attempt_through(attempt, client, call)
         except TargetError as error:
-            self.failures.record(error)
-            trace_failure(self.call, peer.name, error)
+            self._record(attempt, error)
             return False
         except PeerAnsweredError as error:
             if not self.failures.may_have_run:
@@ -200,179 +270,60 @@
             raise self._final_error() from error
         return True
 
-    async def _succeeds_at(self, exchange: Exchange, target: Target) -> bool:
-        self._is_paused_by_client = False
+    async def _succeeds_at(
+        self, exchange: Exchange, attempt: Attempt, target: Target
+    ) -> bool:
         watching_context = self._guard.watch(
-            self._identity, target.instance, self.call.facts.shared_segments
+            self.call.identify, target.instance, self.call.facts.shared_segments
         )
         try:
             async with watching_context as progress:
-                self.progress = progress
-                with self._router.in_flight.track(target):
-                    await exchange.attempt(target)
+                attempt.progress = progress
+                await self._run_at(exchange, attempt, target)
         except TargetError as error:
-            await self._record_failure(target, error)
+            await self._record_failure(attempt, target, error)
             return False
         self._router.record_success(target.instance.incarnation)
         return True
 
-    def _routing_request(self) -> RoutingRequest:
-        return routing_request(
-            self.call,
-            self.tried,
-            self._guard.instances_to_avoid(
-                self._identity, self.call.facts.shared_segments
-            ),
-            has_begun=self.has_begun,
-        )
-
-    def _choose(self) -> Target | Peer:
-        try:
-            self._check_time_left()
-            choice = self._choose_reached(self._routing_request())
-        except _NO_TARGET_ERRORS as error:
-            if isinstance(error, QuarantinedRequestError):
-                self.call.trace.add('held', identity=self.call.identity)
-            if not self.failures.outweigh(error):
-                raise
-            raise self._final_error() from error
-        match choice:
-            case Peer():
-                trace_passing_on(
-                    self.call,
-                    choice,
-                    self.tried,
-                    self.failures.connects_failed,
-                )
-            case Target():
-                trace_routing(self.call, choice, self.tried)
-                self.tried.append(choice.instance.id)
-        return choice
-
-    def _choose_reached(self, request: RoutingRequest) -> Target | Peer:
-        """Return a target, or a peer if this node seems to reach none."""
-        if self.failures.connects_failed >= _FAILED_BEFORE_PEER:
-            peer = self._next_peer()
-            if peer is not None:
-                return peer
-        try:
-            return self._router.choose(request)
-        except TargetsOutOfReachError:
-            return self._next_peer() or self._choose_unreached(request)
-
-    def _choose_unreached(self, request: RoutingRequest) -> Target:
-        """Return a target that may be reached though a connection failed."""
-        try:
-            return self._router.choose(
-                attrs.evolve(request, tries_unreached=True)
-            )
-        except TargetsOutOfReachError as error:
-            raise self._out_of_reach(error) from error
-
-    def _next_peer(self) -> Peer | None:
-        if self._peers is None:
-            return None
-        return self._peers.choose(self.call.service)
-
-    def _out_of_reach(
-        self, error: TargetsOutOfReachError
-    ) -> TargetsOutOfReachError:
-        if self._peers is None:
-            return error
-        return TargetsOutOfReachError(
-            f'{error}, and no other node takes the request',
-            retry_after=self._peers.retry_after_seconds(),
+    async def _run_at(
+        self, exchange: Exchange, attempt: Attempt, target: Target
+    ) -> None:
+        with self._router.in_flight.track(target):
+            async with self.handover.running(attempt):
+                await exchange.attempt(attempt, target)
+
+    async def _record_failure(
+        self, attempt: Attempt, target: Target, error: TargetError
+    ) -> None:
+        await report_failure(
+            self._router, target, error, is_client_paused=attempt.is_paused
         )
-
-    def _check_time_left(self) -> None:
-        min_seconds = min(
-            _MIN_OBJECTIVE_FRACTION * self.call.route.objective_seconds,
-            _MIN_SECONDS_LEFT,
-        )
-        if not self.has_begun and self.call.seconds_left <= min_seconds:
-            raise AllTargetsRefusedError(
-                'no time is left for any target',
-                retry_after=_NO_TIME_RETRY_AFTER_SECONDS,
-            )
-
-    async def _record_failure(self, target: Target, error: TargetError) -> None:
-        await self._report_failure(target, error)
-        self.failures.record(error)
-        trace_failure(self.call, target.instance.id, error)
+        self.choice.record_failure(target, error)
+        self._record(attempt, error)
         if isinstance(error, TargetDisconnectedError):
             trace_disconnect(
                 self.call,
                 target,
-                self.progress,
+                attempt.progress,
                 self._router.load(target.instance.id),
             )
 
-    async def _report_failure(self, target: Target, error: TargetError) -> None:
-        incarnation = target.instance.incarnation
-        if isinstance(error, TargetUnreachableError):
-            # The dialer knows which targets are not reached.
-            self._unreached.add(target.instance.id)
-            return
-        if isinstance(error, TargetWithdrawnError):
-            # Not a failure: nothing was sent, as the target asked for a pause
-            # or was evacuated.
-            return
-        is_disconnected = isinstance(error, TargetDisconnectedError)
-        if is_disconnected and self._is_paused_by_client:
-            # Targets cut off responses that stay unread. Three such streams
-            # would eject a healthy target.
-            return
-        if not await _is_path_sound(self._router, target, error):
-            return
-        if is_disconnected and not target.replica_epoch:
-            self._router.broken.record(incarnation)
-            return
-        self._router.record_failure(incarnation)
-
-    def _identity(self) -> str:
-        return self.call.identity
+    def _record(self, attempt: Attempt, error: TargetError) -> None:
+        self.failures.record(error)
+        if attempt.is_charged and not self.failures.was_sent:
+            self._retries.restore()
+        trace_failure(self.call, attempt.name, error)
 
     def _may_retry(self) -> bool:
-        call = self.call
-        if (
-            call.seconds_left <= 0
-            or self.failures.unreachable_count > _MAX_UNREACHABLE_TARGETS
-        ):
-            return False
-        if self.failures.sent_count >= call.route.attempts:
-            return False
-        if not call.may_repeat and self.failures.may_have_run:
-            return False
-        # Only retries after a request was sent are charged to the budget:
-        # attempts that reached no target put no load on any.
-        if not self.failures.was_sent:
-            return True
-        if self.retries.take():
-            return True
-        call.trace.add('retry_refused', service=call.service)
-        return False
-
-    def _final_error(self) -> RequestError:
-        last_error = self.failures.decisive_error
-        if last_error is not None and last_error.execution is Execution.NOT_RUN:
-            request_for_retry = routing_request(
-                self.call, (), has_begun=self.has_begun
-            )
-            return AllTargetsRefusedError(
-                str(last_error),
-                retry_after=self._router.retry_after_seconds(request_for_retry),
-            )
-        if isinstance(last_error, TargetTimeoutError):
-            return RequestTimeoutError(str(last_error))
-        return OutcomeUnknownError(str(last_error))
-
-
-async def _is_path_sound(
-    router: TargetRouter, target: Target, error: TargetError
-) -> bool:
-    """Return whether a failure says anything about its target."""
-    if isinstance(error, TargetDisconnectedError):
-        return await router.dialer.is_own_path_sound(
-            target.instance, since_boot()
+        return self.failures.allow_another(self.call)
+
+    def _final_error(self, error: RequestError | None = None) -> RequestError:
+        """Return what the client gets; ``error`` is why there is no target."""
+        if isinstance(error, QuarantinedRequestError):
+            self.call.trace.add('held', identity=self.call.identity)
+        if error is not None and not self.failures.outweigh(error):
+            return error
+        return self.failures.final_error(
+            lambda: self.choice.retry_after_seconds(has_begun=self.has_begun)
         )
-    return not router.paths.is_lost(target.instance)
--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -4,6 +4,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import TargetFailedError
+from cranecart.forwarding._attempt import Attempt
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._peer_requests import check_outcome
 from cranecart.forwarding._sender import Sender, SilenceLimits
@@ -28,13 +29,13 @@
     _attempts: RoutedAttempts
     response: Response | None = attrs.field(default=None, init=False)
 
-    async def attempt(self, target: Target) -> None:
+    async def attempt(self, attempt: Attempt, target: Target) -> None:
         """Fetch a response; raise ``TargetError`` to try another target."""
         call = self._attempts.call
         started = since_boot()
-        limits = self._silence_limits()
+        limits = self._silence_limits(attempt)
         attempt_context = self._sender.start_attempt(
-            call, target, limits, on_send=self._attempts.progress.record_sent
+            call, target, limits, on_send=attempt.progress.record_sent
         )
         async with attempt_context as answer:
             body = await self._sender.read_with_limits(
@@ -43,22 +44,28 @@
                 limits,
                 answer.connection.read_body,
             )
-            self.response = self._build_response(answer.head, body)
             elapsed = since_boot() - started
             self._sender.router.gaps.record(call.service, elapsed)
-        if self._should_try_another(answer.head):
+        response = self._build_response(answer.head, body)
+        if _has_failed(answer.head) and self._attempts.may_fail(attempt):
+            self.response = response
             raise TargetFailedError(
                 f'{target.instance.id} failed with status {answer.head.status}',
             )
+        await self._attempts.handover.lead(attempt)
+        self.response = response
 
-    async def attempt_through(self, client: PeerClient, call: PeerCall) -> None:
+    async def attempt_through(
+        self, attempt: Attempt, client: PeerClient, call: PeerCall
+    ) -> None:
         """Fetch the response that a peer receives."""
         async with client.start(call) as answer:
             check_outcome(client, call, answer.outcome)
             body = await client.read(call, answer.connection.read_body)
-            self.response = self._build_response(answer.head, body)
+        await self._attempts.handover.lead(attempt)
+        self.response = self._build_response(answer.head, body)
 
-    def _silence_limits(self) -> SilenceLimits:
+    def _silence_limits(self, attempt: Attempt) -> SilenceLimits:
         """Leave half of the objective for another target.
 
         Some targets accept requests and never answer although they appear
@@ -68,20 +75,16 @@
         """
         call = self._attempts.call
         half_objective = call.route.objective_seconds / 2
-        if not self._attempts.may_try_another():
+        if not call.may_repeat:
             return SilenceLimits(half_objective, float('inf'))
         usual_seconds = self._sender.router.gaps.stall_seconds(call.service)
         give_up_after = max(half_objective, usual_seconds)
         return SilenceLimits(
             _SUSPECT_FRACTION * give_up_after,
             give_up_after,
-            secure_retry=self._attempts.retries.secure,
+            replacement=self._attempts.replacement(self, attempt),
         )
 
-    def _should_try_another(self, head: ResponseHead) -> bool:
-        failed = head.status >= _FIRST_SERVER_ERROR_STATUS
-        return failed and self._attempts.may_try_another()
-
     def _build_response(self, head: ResponseHead, body: bytes) -> Response:
         return Response(
             head.status,
@@ -90,3 +93,7 @@
                 self._sender.translator.response_headers(head)
             ),
         )
+
+
+def _has_failed(head: ResponseHead) -> bool:
+    return head.status >= _FIRST_SERVER_ERROR_STATUS
--- a/src/cranecart/forwarding/_call.py
+++ b/src/cranecart/forwarding/_call.py
@@ -71,6 +71,10 @@
         """Return whether the request may run more than once."""
         return self.route.is_idempotent
 
+    def identify(self) -> str:
+        """Return the identity, which is computed on the first call."""
+        return self.identity
+
 
 def routing_request(
     call: RoutedCall,
--- a/src/cranecart/forwarding/_failures.py
+++ b/src/cranecart/forwarding/_failures.py
@@ -1,19 +1,29 @@
 """What the failed attempts at a request say about its outcome."""
 
+from collections.abc import Callable
+
 import attrs
 
 from cranecart.exceptions import (
+    AllTargetsRefusedError,
     Execution,
+    OutcomeUnknownError,
     PeerUnableError,
     PeerUnreachableError,
     QuarantinedRequestError,
     RequestError,
+    RequestTimeoutError,
     TargetError,
     TargetsOutOfReachError,
+    TargetTimeoutError,
     TargetUnreachableError,
     TargetWithdrawnError,
 )
+from cranecart.forwarding._call import RoutedCall
 
+# Unreachable targets do not count towards the route's limit of attempts, so
+# they need a limit of their own.
+_MAX_UNREACHABLE_TARGETS = 3
 _NOT_SENT_ERRORS = (
     TargetUnreachableError,
     TargetWithdrawnError,
@@ -28,13 +38,15 @@
     """The failures of the attempts at one request.
 
     ``sent_count`` is how many targets may have received it,
-    ``unreachable_count`` how many could not be sent it, ``connects_failed`` how
-    many of these for a connection that could not be opened, and ``was_sent`` is
-    whether the last attempt was sent. ``decisive_error`` is that of the attempt
+    ``unreachable_count`` how many targets could not be sent it,
+    ``connects_failed`` how many of these for a connection that could not be
+    opened. ``was_sent`` is whether the last attempt was sent, ``any_sent``
+    whether this node has sent any. ``decisive_error`` is that of the attempt
     which decides about the outcome, if any has failed.
     """
 
     sent_count: int = 0
+    any_sent: bool = attrs.field(default=False, init=False)
     unreachable_count: int = attrs.field(default=0, init=False)
     connects_failed: int = attrs.field(default=0, init=False)
     was_sent: bool = attrs.field(default=False, init=False)
@@ -49,6 +61,7 @@
     def record(self, error: TargetError) -> None:
         """Record a failed attempt."""
         self.was_sent = not isinstance(error, _NOT_SENT_ERRORS)
+        self.any_sent = self.any_sent or self.was_sent
         self.sent_count += int(self.was_sent)
         if not self.was_sent and not isinstance(error, _PEER_ERRORS):
             self.unreachable_count += 1
@@ -69,3 +82,29 @@
         return self.may_have_run or not isinstance(
             error, QuarantinedRequestError | TargetsOutOfReachError
         )
+
+    def allow_another(self, call: RoutedCall) -> bool:
+        """Return whether another attempt may follow the failed ones.
+
+        The retry budget is not asked.
+        """
+        has_tried_enough = self.unreachable_count > _MAX_UNREACHABLE_TARGETS
+        if call.seconds_left <= 0 or has_tried_enough:
+            return False
+        if self.sent_count >= call.route.attempts:
+            return False
+        return call.may_repeat or not self.may_have_run
+
+    def final_error(self, retry_after: Callable[[], float]) -> RequestError:
+        """Return what the client gets after the last attempt has failed.
+
+        ``retry_after`` returns when it should retry if nothing was run.
+        """
+        last_error = self.decisive_error
+        if last_error is not None and last_error.execution is Execution.NOT_RUN:
+            return AllTargetsRefusedError(
+                str(last_error), retry_after=retry_after()
+            )
+        if isinstance(last_error, TargetTimeoutError):
+            return RequestTimeoutError(str(last_error))
+        return OutcomeUnknownError(str(last_error))
--- a/src/cranecart/forwarding/_forwarder.py
+++ b/src/cranecart/forwarding/_forwarder.py
@@ -97,7 +97,7 @@
                 'answered',
                 status=response.status,
                 after=round(call.elapsed_seconds, 3),
-                tried=attempts.tried,
+                tried=attempts.choice.tried,
             )
         return events
 
@@ -127,5 +127,5 @@
         events=stream.splitter.event_count,
         first_ms=round(timing.first_event_seconds * _MILLISECONDS),
         gap_ms=round(timing.longest_gap_seconds * _MILLISECONDS),
-        tried=attempts.tried,
+        tried=attempts.choice.tried,
     )
--- /dev/null
+++ b/src/cranecart/forwarding/_handover.py
@@ -0,0 +1,131 @@
+"""Decide which of several attempts at a request is passed on to the client.
+
+A target that is silent may go on a moment later, and the next one may refuse.
+So the next attempt runs beside a silent one instead of after it.
+"""
+
+import contextlib
+from collections.abc import AsyncGenerator
+
+import attrs
+import curio
+
+from cranecart.exceptions import TargetAbandonedError
+from cranecart.forwarding._attempt import Attempt
+from cranecart.logs import RequestTrace
+
+
+@attrs.define
+class Handover:
+    """The attempts at one request that run at the same time.
+
+    Only the response of the leading one reaches the client. The first of all
+    that has more of the response leads from then on, and ends the others.
+    """
+
+    _trace: RequestTrace
+    _leader: Attempt | None = attrs.field(default=None, init=False)
+    _followers: list[Attempt] = attrs.field(factory=list, init=False)
+    _tasks: list[curio.Task] = attrs.field(factory=list, init=False)
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of attempts that run now."""
+        leader = self._leader
+        is_led = leader is not None and not leader.has_ended
+        return is_led + len(self._followers)
+
+    def is_leading(self, attempt: Attempt) -> bool:
+        """Return whether an attempt's response is passed on."""
+        return attempt is self._leader
+
+    def is_newest(self, attempt: Attempt) -> bool:
+        """Return whether no attempt was started after this one."""
+        newest = self._followers[-1] if self._followers else self._leader
+        return attempt is newest
+
+    def begin(self, attempt: Attempt) -> None:
+        """Let an attempt lead while no other runs."""
+        self._leader = attempt
+
+    def add(self, attempt: Attempt, task: curio.Task) -> None:
+        """Let an attempt run beside the others, in a task of its own."""
+        attempt.task = task
+        self._followers.append(attempt)
+        self._tasks.append(task)
+
+    async def lead(self, attempt: Attempt) -> None:
+        """Let an attempt lead that has more of the response; end the others.
+
+        Return once no other response is passed on. Raise
+        ``TargetAbandonedError`` if another attempt leads in place of this one.
+        """
+        if attempt is self._leader:
+            if self._followers:
+                await self._cancel_others(attempt)
+            return
+        earlier = self._leader
+        assert earlier is not None
+        if attempt.is_cancelled:
+            # The cancellation arrives with the next blocking call.
+            await curio.Event().wait()
+        self.check_running(attempt)
+        self._followers.remove(attempt)
+        self._leader = attempt
+        self._trace.add('attempt_leads', instance=attempt.name)
+        await self._cancel_others(attempt)
+        await earlier.wait_ended()
+
+    def check_running(self, attempt: Attempt) -> None:
+        """Raise ``TargetAbandonedError`` if another leads in place of it."""
+        if attempt is self._leader or attempt in self._followers:
+            return
+        if attempt.is_cancelled:
+            # Its target is not at fault.
+            return
+        assert self._leader is not None
+        raise TargetAbandonedError(
+            f'{attempt.name} was silent until {self._leader.name} took over'
+        )
+
+    @contextlib.asynccontextmanager
+    async def running(self, attempt: Attempt) -> AsyncGenerator[None, None]:
+        """Record that an attempt has ended when the context does.
+
+        Its failure is examined afterwards, which takes a while: another attempt
+        may wait to take over.
+        """
+        try:
+            yield
+        finally:
+            if attempt in self._followers:
+                self._followers.remove(attempt)
+            await attempt.end()
+
+    def successor(self) -> Attempt | None:
+        """Return the attempt that leads now that another has ended, if any."""
+        if self._leader is not None and not self._leader.has_ended:
+            return self._leader
+        if not self._followers:
+            return None
+        self._leader = self._followers.pop(0)
+        return self._leader
+
+    async def close(self) -> None:
+        """End all attempts that run in tasks of their own."""
+        for task in self._tasks:
+            await task.cancel()
+
+    async def _cancel_others(self, attempt: Attempt) -> None:
+        others = self._followers
+        self._followers = []
+        for other in others:
+            self._trace.add(
+                'attempt_cancelled',
+                instance=other.name,
+                why=f'{attempt.name} went on first',
+            )
+            other.is_cancelled = True
+        for other in others:
+            assert other.task is not None
+            await other.task.cancel()
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -2,7 +2,7 @@
 
 import contextlib
 from collections.abc import AsyncGenerator, Awaitable, Callable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import attrs
 import curio
@@ -11,7 +11,6 @@
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     HttpError,
-    TargetAbandonedError,
     TargetDisconnectedError,
     TargetFailedError,
     TargetRefusedError,
@@ -41,8 +40,8 @@
 # Added to the rank of requests that will miss their objective, so that they are
 # queued after all ranks that operators configure.
 _LATE_RANK_PENALTY = 5
-# Replaces _POLL_SECONDS once the replica is suspected, as that result may then
-# come at any moment.
+# Replaces _POLL_SECONDS once the replica is suspected or another attempt was
+# started, as either result may then come at any moment.
 _SUSPECT_POLL_SECONDS = 0.006
 
 
@@ -58,34 +57,40 @@
     connection: HttpConnection
 
 
-def _need_no_retry() -> bool:
-    """Return that a target may be left, where no retry is needed for it."""
-    return True
+class Replacement(Protocol):
+    """What takes over from an attempt whose target is silent."""
+
+    @property
+    def is_under_way(self) -> bool:
+        """Return whether another attempt may take over at any moment."""
+
+    async def check(self, reason: str) -> None:
+        """Start another attempt if there is a reason to.
+
+        Raise ``TargetAbandonedError`` if another has taken over.
+        """
 
 
 @attrs.frozen
 class SilenceLimits:
     """How long a target may be silent, in seconds.
 
-    After ``suspect_after`` the silence is reported as evidence. The attempt
-    fails after ``give_up_after``, after ``stalled_after`` if the target's other
-    streams receive nothing either, as soon as it is suspect and out of reach,
-    and at once if the replica is found to have stopped, unless
-    ``is_final_attempt``: then there is no other target to try. A silent target is
-    only left once ``secure_retry`` has returned that another attempt is allowed,
-    as it may go on a moment later.
+    After ``suspect_after`` the silence is reported as evidence. A ``replacement``
+    is started after ``give_up_after``, after ``stalled_after`` if the target's
+    other streams receive nothing either, as soon as it is suspect and out of
+    reach, and at once if the replica is found to have stopped. Until it takes
+    over, the silent target may go on.
     """
 
     suspect_after: float
     give_up_after: float
     stalled_after: float = float('inf')
-    is_final_attempt: bool = False
-    secure_retry: Callable[[], bool] = _need_no_retry
+    replacement: Replacement | None = None
 
     @property
-    def may_give_up(self) -> bool:
-        """Return whether another target may be tried instead."""
-        return self.give_up_after < float('inf')
+    def may_be_replaced(self) -> bool:
+        """Return whether another attempt may take over at any moment."""
+        return self.replacement is not None and self.replacement.is_under_way
 
 
 @attrs.define
@@ -144,14 +149,16 @@
         """Await ``read`` while checking the target against the limits.
 
         Raise ``TargetTimeoutError`` at the call's deadline and
-        ``TargetFailedError`` if the target is given up or disconnects. ``read``
+        ``TargetFailedError`` if the target is replaced or disconnects. ``read``
         is interrupted and called again, so it must not lose what it has read.
         """
         started = since_boot()
         silence = float(0)
         is_reported = False
         while True:
-            interval = _poll_interval(limits, silence, is_reported)
+            interval = _poll_interval(
+                limits, silence, is_reported or limits.may_be_replaced
+            )
             try:
                 return await curio.timeout_after(
                     max(0, min(interval, call.seconds_left)),
@@ -159,7 +166,7 @@
                 )
             except TaskTimeout:
                 silence = since_boot() - started
-                self._check_silence(call, target, limits, silence)
+                await self._check_silence(call, target, limits, silence)
             except HttpError as error:
                 self.connections.mark_unreliable(target.instance)
                 raise TargetDisconnectedError(str(error)) from error
@@ -195,7 +202,7 @@
         ):
             await self.report_suspicion(target, evidence)
 
-    def _check_silence(
+    async def _check_silence(
         self,
         call: RoutedCall,
         target: Target,
@@ -204,13 +211,10 @@
     ) -> None:
         if call.seconds_left <= 0:
             raise TargetTimeoutError('no complete response before the deadline')
-        epoch = target.replica_epoch
-        is_stopped = epoch is not None and self._has_stopped(epoch)
-        if is_stopped and not limits.is_final_attempt:
-            raise TargetAbandonedError(f'{target.instance.id} has stopped')
-        reason = self._reason_to_give_up(call, target, limits, silence)
-        if reason and limits.secure_retry():
-            raise TargetAbandonedError(f'{target.instance.id} {reason}')
+        if limits.replacement is not None:
+            await limits.replacement.check(
+                self._reason_to_give_up(call, target, limits, silence)
+            )
 
     def _reason_to_give_up(
         self,
@@ -219,12 +223,15 @@
         limits: SilenceLimits,
         silence: float,
     ) -> str:
-        """Return why a silent target is given up, or an empty string."""
+        """Return why another target is tried, or an empty string."""
+        epoch = target.replica_epoch
+        if epoch is not None and self._has_stopped(epoch):
+            return 'has stopped'
         if silence > limits.stalled_after and self.router.is_stalled(
             target, call.facts.model
         ):
             return 'sends no events on any of its streams'
-        is_suspect = silence >= limits.suspect_after and limits.may_give_up
+        is_suspect = silence >= limits.suspect_after
         if is_suspect and self.router.paths.is_lost(target.instance):
             return f'was silent for {silence:.3f} s and is out of reach'
         if silence > limits.give_up_after:
@@ -318,9 +325,9 @@
 def _poll_interval(
     limits: SilenceLimits,
     silence: float,
-    is_reported: bool,
+    is_urgent: bool,
 ) -> float:
-    if is_reported:
+    if is_urgent:
         return _SUSPECT_POLL_SECONDS
     return min(_POLL_SECONDS, limits.suspect_after - silence)
 
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -8,6 +8,7 @@
     TargetDisconnectedError,
     TargetFailedError,
 )
+from cranecart.forwarding._attempt import Attempt
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._peer_requests import check_outcome
 from cranecart.forwarding._sender import Sender, SilenceLimits, TargetAnswer
@@ -21,8 +22,8 @@
 )
 from cranecart.routing import StreamActivity, StreamPace, Target
 
-# A stream moves to another target after this silence if the replica was not
-# found to have stopped earlier. With too few replicas live engines were silent
+# Another target is tried after this silence if the replica was not found to
+# have stopped earlier. With too few replicas live engines were silent
 # for over 0.5 s, and moving away from them lost requests they would have served.
 _GIVE_UP_SECONDS = 0.8
 _FIRST_EVENT_GIVE_UP_SECONDS = 1.2
@@ -60,6 +61,24 @@
         return gap
 
 
+@attrs.define
+class _Relay:
+    """What one attempt has received of a stream.
+
+    It ``has_led`` once its events are passed on.
+    """
+
+    attempt: Attempt
+    splitter: EventSplitter
+    has_led: bool = attrs.field(default=False, init=False)
+    resumed_after: str = attrs.field(
+        default=attrs.Factory(
+            lambda relay: relay.splitter.last_id, takes_self=True
+        ),
+        init=False,
+    )
+
+
 @attrs.define
 class StreamingExchange:
     """One client's stream over all its attempts.
@@ -75,72 +94,98 @@
     splitter: EventSplitter = attrs.field(factory=EventSplitter, init=False)
     timing: StreamTiming = attrs.field(factory=StreamTiming, init=False)
 
-    async def attempt(self, target: Target) -> None:
+    async def attempt(self, attempt: Attempt, target: Target) -> None:
         """Relay the stream of one target; raise ``TargetError`` if it fails."""
         call = self._attempts.call
-        self.splitter.restart()
+        relay = self._start_relay(attempt)
         attempt_context = self._sender.start_attempt(
             call,
             target,
-            self._first_event_limits(),
-            self.splitter.last_id,
-            on_send=self._attempts.progress.record_sent,
+            self._first_event_limits(attempt),
+            relay.splitter.last_id,
+            on_send=attempt.progress.record_sent,
         )
         async with attempt_context as answer:
-            self._attempts.progress.record_begun()
+            attempt.progress.record_begun()
             if not answer.head.is_success:
-                await self._handle_failure(target, answer)
+                await self._handle_failure(attempt, target, answer)
                 return
-            if self.splitter.last_id:
-                call.trace.add(
-                    'stream_moved',
-                    instance=target.instance.id,
-                    after=self.splitter.last_id,
-                )
-            await self._relay(target, answer)
+            await self._relay(relay, target, answer)
         await self._responder.end()
 
-    async def attempt_through(self, client: PeerClient, call: PeerCall) -> None:
+    async def attempt_through(
+        self, attempt: Attempt, client: PeerClient, call: PeerCall
+    ) -> None:
         """Relay the stream that a peer receives."""
-        self.splitter.restart()
-        call.request.resume_after = self.splitter.last_id
+        relay = self._start_relay(attempt)
+        call.request.resume_after = relay.splitter.last_id
         async with client.start(call) as answer:
             check_outcome(client, call, answer.outcome)
             if answer.head.is_success:
-                await self._relay_from_peer(client, call, answer)
+                await self._relay_from_peer(relay, client, call, answer)
             else:
                 # The peer has made the attempts that were left.
                 body = await client.read(call, answer.connection.read_body)
-                self._keep_failure(answer.head, body, call.peer.name)
+                self._keep_failure(attempt, answer.head, body, call.peer.name)
                 return
         await self._responder.end()
 
+    def _start_relay(self, attempt: Attempt) -> _Relay:
+        """Continue the stream so far; no other attempt may have added to it."""
+        splitter = EventSplitter(
+            self.splitter.last_id, self.splitter.event_count
+        )
+        splitter.restart()
+        return _Relay(attempt, splitter)
+
+    async def _lead(self, relay: _Relay, head: ResponseHead) -> None:
+        """Let the attempt lead, and start the client's response."""
+        has_led = relay.has_led
+        await self._attempts.handover.lead(relay.attempt)
+        relay.has_led = True
+        self.splitter = relay.splitter
+        if not has_led and relay.resumed_after:
+            self._attempts.call.trace.add(
+                'stream_moved',
+                instance=relay.attempt.name,
+                after=relay.resumed_after,
+            )
+        if not self._responder.has_started:
+            headers = self._sender.translator.response_headers(head)
+            await self._responder.start(head.status, without_outcome(headers))
+
     async def _relay_from_peer(
-        self, client: PeerClient, call: PeerCall, answer: PeerAnswer
+        self,
+        relay: _Relay,
+        client: PeerClient,
+        call: PeerCall,
+        answer: PeerAnswer,
     ) -> None:
-        await self._start_response(answer.head)
+        if self._attempts.handover.is_leading(relay.attempt):
+            await self._lead(relay, answer.head)
         while chunk := await client.read(call, answer.connection.read_chunk):
-            self._attempts.has_begun = True
-            complete = self.splitter.feed(chunk)
+            complete = relay.splitter.feed(chunk)
+            if complete or self._attempts.handover.is_leading(relay.attempt):
+                await self._lead(relay, answer.head)
+                self._attempts.has_begun = True
             if complete:
-                await self._write(complete)
+                await self._write(relay.attempt, complete)
                 self.timing.record_event()
-        if not self.splitter.is_between_events:
+        if not relay.splitter.is_between_events:
             raise PeerBrokenError(
                 f'{call.peer.name} ended its stream within an event'
             )
+        await self._lead(relay, answer.head)
 
-    async def _start_response(self, head: ResponseHead) -> None:
-        if not self._responder.has_started:
-            headers = self._sender.translator.response_headers(head)
-            await self._responder.start(head.status, without_outcome(headers))
-
-    async def _relay(self, target: Target, answer: TargetAnswer) -> None:
-        await self._start_response(answer.head)
+    async def _relay(
+        self, relay: _Relay, target: Target, answer: TargetAnswer
+    ) -> None:
+        if self._attempts.handover.is_leading(relay.attempt):
+            await self._lead(relay, answer.head)
         incarnation = target.instance.incarnation
         router = self._sender.router
         call = self._attempts.call
-        earlier_events = self.splitter.event_count
+        earlier_events = relay.splitter.event_count
         pace = router.paces.track_stream(
             incarnation,
             call.config.engine(call.service),
@@ -148,48 +193,52 @@
             router.load,
         )
         with router.stalls.track_stream(incarnation) as activity:
-            await self._relay_events(target, answer, activity, pace)
-        if not self.splitter.is_between_events:
+            await self._relay_events(relay, target, answer, activity, pace)
+        if not relay.splitter.is_between_events:
             raise TargetDisconnectedError(
                 f'{target.instance.id} ended its stream within an event',
             )
-        has_events = self.splitter.event_count > earlier_events
+        has_events = relay.splitter.event_count > earlier_events
         if not has_events and not answer.head.is_framed:
             # The end of its connection is all that a crashed target sends.
             raise TargetDisconnectedError(
                 f'{target.instance.id} closed before the first event'
             )
+        await self._lead(relay, answer.head)
 
     async def _relay_events(
         self,
+        relay: _Relay,
         target: Target,
         answer: TargetAnswer,
         activity: StreamActivity,
         pace: StreamPace,
     ) -> None:
-        limits = self._first_event_limits()
+        limits = self._first_event_limits(relay.attempt)
         while chunk := await self._sender.read_with_limits(
             self._attempts.call,
             target,
             limits,
             answer.connection.read_chunk,
         ):
-            self._attempts.record_progress(target)
-            limits = self._silence_limits()
             activity.record_event()
-            complete = self.splitter.feed(chunk)
+            complete = relay.splitter.feed(chunk)
+            if complete or self._attempts.handover.is_leading(relay.attempt):
+                await self._lead(relay, answer.head)
+                self._attempts.record_progress(relay.attempt)
+            limits = self._silence_limits(relay.attempt)
             if complete:
                 pace.record_event()
                 with activity.exclude():
-                    await self._write(complete)
+                    await self._write(relay.attempt, complete)
                 pace.record_sent()
                 self._record_gap(self.timing.record_event())
 
-    async def _write(self, events: bytes) -> None:
+    async def _write(self, attempt: Attempt, events: bytes) -> None:
         started = since_boot()
         await self._responder.write(events, self._attempts.call.seconds_left)
         if since_boot() - started > _CLIENT_PAUSE_SECONDS:
-            self._attempts.record_client_pause()
+            attempt.is_paused = True
 
     def _record_gap(self, gap: float | None) -> None:
         if gap is not None:
@@ -198,6 +247,7 @@
 
     async def _handle_failure(
         self,
+        attempt: Attempt,
         target: Target,
         answer: TargetAnswer,
     ) -> None:
@@ -208,17 +258,20 @@
             answer.connection.read_body,
         )
         name = target.instance.id
-        if self._attempts.may_try_another():
+        if self._attempts.may_fail(attempt):
             raise TargetFailedError(
                 f'{name} failed with status {answer.head.status}'
             )
-        self._keep_failure(answer.head, body, name)
+        self._keep_failure(attempt, answer.head, body, name)
 
     def _keep_failure(
-        self, head: ResponseHead, body: bytes, sender: str
+        self, attempt: Attempt, head: ResponseHead, body: bytes, sender: str
     ) -> None:
         """Keep an error response for the client; raise if it is too late."""
-        if self._responder.has_started:
+        if (
+            self._responder.has_started
+            or not self._attempts.handover.is_leading(attempt)
+        ):
             raise TargetFailedError(
                 f'{sender} failed with status {head.status}'
             )
@@ -230,36 +283,27 @@
             ),
         )
 
-    def _silence_limits(self) -> SilenceLimits:
+    def _silence_limits(self, attempt: Attempt) -> SilenceLimits:
         model = self._attempts.call.facts.model
-        suspect_after = self._sender.router.gaps.stall_seconds(model)
-        if self._attempts.may_try_another():
-            pause = self._attempts.call.route.pause_seconds
-            return SilenceLimits(
-                suspect_after,
-                _GIVE_UP_SECONDS,
-                pause,
-                secure_retry=self._attempts.retries.secure,
-            )
-        # There is no other target to try, so keep waiting: a replica that
-        # stalls aborts the request itself within seconds.
-        return SilenceLimits(suspect_after, float('inf'), is_final_attempt=True)
+        return SilenceLimits(
+            self._sender.router.gaps.stall_seconds(model),
+            _GIVE_UP_SECONDS,
+            self._attempts.call.route.pause_seconds,
+            self._attempts.replacement(self, attempt),
+        )
 
-    def _first_event_limits(self) -> SilenceLimits:
+    def _first_event_limits(self, attempt: Attempt) -> SilenceLimits:
         if self.splitter.last_id:
-            return self._silence_limits()
+            return self._silence_limits(attempt)
         suspect_after = (
             self._attempts.call.route.objective_seconds
             * _FIRST_EVENT_SUSPECT_FRACTION
         )
-        if self._attempts.may_try_another():
-            # A replica whose other streams stall will not start this one, and
-            # leaving it at once may still meet the objective.
-            give_up_after = max(suspect_after, _FIRST_EVENT_GIVE_UP_SECONDS)
-            return SilenceLimits(
-                suspect_after,
-                give_up_after,
-                stalled_after=0,
-                secure_retry=self._attempts.retries.secure,
-            )
-        return SilenceLimits(suspect_after, float('inf'))
+        # A replica whose other streams stall will not start this one, and
+        # trying another at once may still meet the objective.
+        return SilenceLimits(
+            suspect_after,
+            max(suspect_after, _FIRST_EVENT_GIVE_UP_SECONDS),
+            stalled_after=0,
+            replacement=self._attempts.replacement(self, attempt),
+        )
--- /dev/null
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -0,0 +1,158 @@
+"""Choose where the next attempt at a request goes."""
+
+import attrs
+
+from cranecart.exceptions import (
+    AllTargetsRefusedError,
+    TargetError,
+    TargetsOutOfReachError,
+    TargetUnreachableError,
+)
+from cranecart.forwarding._attempt_log import trace_passing_on, trace_routing
+from cranecart.forwarding._call import RoutedCall, routing_request
+from cranecart.forwarding._failures import AttemptFailures
+from cranecart.forwarding._peer_requests import PeersOfCall
+from cranecart.peer_calls import Peer, PeerCall, PeerClient
+from cranecart.quarantine import RequestGuard
+from cranecart.routing import RoutingRequest, Target, TargetRouter
+
+# Retry-after sent with requests that arrive with too little time left.
+_NO_TIME_RETRY_AFTER_SECONDS = 0.2
+# With less time left than this, a request would time out before any target
+# could answer. Operators configure objectives from 0.1 s upwards.
+_MIN_OBJECTIVE_FRACTION = 0.1
+_MIN_SECONDS_LEFT = 0.02
+# Failed connections after which the request is passed on to another node, which
+# may reach the targets that are left.
+_FAILED_BEFORE_PEER = 2
+
+
+@attrs.define
+class TargetChoice:
+    """Chooses another target, or a peer, for each attempt at a request.
+
+    ``tried`` lists the instances that were chosen so far, ``_excluded`` those
+    that are not chosen again. ``_peers`` are the nodes that the request may be
+    passed on to, none if it comes from one.
+    """
+
+    _call: RoutedCall
+    _router: TargetRouter
+    _guard: RequestGuard
+    _peers: PeersOfCall | None
+    _failures: AttemptFailures
+    tried: list[str] = attrs.field(factory=list, init=False)
+    _excluded: list[str] = attrs.field(factory=list, init=False)
+    # The targets that this node does not reach, while others may.
+    _unreached: set[str] = attrs.field(factory=set, init=False)
+
+    def exclude(self, instance_id: str) -> None:
+        """Do not choose an instance again."""
+        self.tried.append(instance_id)
+        self._excluded.append(instance_id)
+
+    def has_untried_target(self) -> bool:
+        """Return whether another target accepts requests."""
+        call = self._call
+        return self._router.has_untried_target(
+            call.config, call.service, call.facts.model, self._excluded
+        )
+
+    def choose(self, *, has_begun: bool) -> Target | Peer:
+        """Return where the next attempt goes; a target is chosen only once.
+
+        Raise the ``RequestError`` that says why there is none.
+        """
+        self._check_time_left(has_begun)
+        request = routing_request(
+            self._call,
+            self._excluded,
+            self._guard.instances_to_avoid(
+                lambda: self._call.identity, self._call.facts.shared_segments
+            ),
+            has_begun=has_begun,
+        )
+        choice = self._choose_reached(request)
+        match choice:
+            case Peer():
+                trace_passing_on(
+                    self._call,
+                    choice,
+                    self.tried,
+                    self._failures.connects_failed,
+                )
+            case Target():
+                trace_routing(self._call, choice, self.tried)
+                self.exclude(choice.instance.id)
+        return choice
+
+    def record_failure(self, target: Target, error: TargetError) -> None:
+        """Record that an attempt at a target has failed."""
+        if isinstance(error, TargetUnreachableError):
+            self._unreached.add(target.instance.id)
+
+    def call_through(
+        self, peer: Peer, attempts_left: int, *, has_begun: bool
+    ) -> tuple[PeerClient, PeerCall]:
+        """Return the call with which a peer is asked, and its client."""
+        assert self._peers is not None
+        call = self._peers.call_through(
+            peer,
+            self._call,
+            [name for name in self._excluded if name not in self._unreached],
+            attempts_left,
+            has_begun=has_begun,
+        )
+        return self._peers.client, call
+
+    def retry_after_seconds(self, *, has_begun: bool) -> float:
+        """Return when a client should retry that was refused by targets."""
+        return self._router.retry_after_seconds(
+            routing_request(self._call, (), has_begun=has_begun)
+        )
+
+    def _choose_reached(self, request: RoutingRequest) -> Target | Peer:
+        """Return a target, or a peer if this node seems to reach none."""
+        if self._failures.connects_failed >= _FAILED_BEFORE_PEER:
+            peer = self._next_peer()
+            if peer is not None:
+                return peer
+        try:
+            return self._router.choose(request)
+        except TargetsOutOfReachError:
+            return self._next_peer() or self._choose_unreached(request)
+
+    def _choose_unreached(self, request: RoutingRequest) -> Target:
+        """Return a target that may be reached though a connection failed."""
+        try:
+            return self._router.choose(
+                attrs.evolve(request, tries_unreached=True)
+            )
+        except TargetsOutOfReachError as error:
+            raise self._out_of_reach(error) from error
+
+    def _next_peer(self) -> Peer | None:
+        if self._peers is None:
+            return None
+        return self._peers.choose(self._call.service)
+
+    def _out_of_reach(
+        self, error: TargetsOutOfReachError
+    ) -> TargetsOutOfReachError:
+        if self._peers is None:
+            return error
+        return TargetsOutOfReachError(
+            f'{error}, and no other node takes the request',
+            retry_after=self._peers.retry_after_seconds(),
+        )
+
+    def _check_time_left(self, has_begun: bool) -> None:
+        min_seconds = min(
+            _MIN_OBJECTIVE_FRACTION * self._call.route.objective_seconds,
+            _MIN_SECONDS_LEFT,
+        )
+        if not has_begun and self._call.seconds_left <= min_seconds:
+            raise AllTargetsRefusedError(
+                'no time is left for any target',
+                retry_after=_NO_TIME_RETRY_AFTER_SECONDS,
+            )
--- a/src/cranecart/quarantine/_guard.py
+++ b/src/cranecart/quarantine/_guard.py
@@ -134,7 +134,7 @@
     # The incarnations whose terminations are being watched for.
     _watched: set[Incarnation] = attrs.field(factory=set, init=False)
     _published_at: dict[str, float] = attrs.field(factory=dict, init=False)
-    _isolated_sends: IsolatedSends = attrs.field(
+    isolated_sends: IsolatedSends = attrs.field(
         default=attrs.Factory(
             lambda guard: IsolatedSends(guard.cases, guard._clock),
             takes_self=True,
@@ -188,13 +188,13 @@
         another copy's target has not been noticed meanwhile.
         """
         paused: float = 0
-        seconds = self._isolated_sends.seconds_to_wait(identity, 0, segments)
+        seconds = self.isolated_sends.seconds_to_wait(identity, 0, segments)
         while seconds > 0 and seconds_left() > 0:
             step = min(seconds, seconds_left(), _SETTLE_STEP_SECONDS)
             due_at = self._clock() + step
             await curio.sleep(step)
             paused += max(0, self._clock() - due_at)
-            seconds = self._isolated_sends.seconds_to_wait(
+            seconds = self.isolated_sends.seconds_to_wait(
                 identity, paused, segments
             )
 
--- a/src/cranecart/retries/_request.py
+++ b/src/cranecart/retries/_request.py
@@ -29,6 +29,10 @@
             self._is_secured = self._budget.withdraw(self._service)
         return self._is_secured
 
+    def restore(self) -> None:
+        """Take a used retry back, as nothing was sent."""
+        self._is_secured = True
+
     def take(self) -> bool:
         """Use the next retry; return whether the budget allows it."""
         is_allowed = self._is_secured or self._budget.withdraw(self._service)
--- a/tests/lib/full_targets.py
+++ b/tests/lib/full_targets.py
@@ -8,7 +8,7 @@
 
 from tests.lib.fake_targets import Exchange, Script
 
-_REST = 'retry-after: 1\r\n'
+_REFUSED = 'not-executed: 1\r\nretry-after: 1\r\n'
 _UNAVAILABLE = 503
 
 
@@ -40,7 +40,7 @@
             self.arrivals[request_id] += 1
             if self._used[target] >= self.slots:
                 self.refusals += 1
-                await exchange.answer(b'', status=_UNAVAILABLE, extra=_REST)
+                await exchange.answer(b'', status=_UNAVAILABLE, extra=_REFUSED)
                 return
             await self._run(target, request_id, script, exchange)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -157,9 +157,9 @@
     ),
     Mutation(
         'requests-with-unknown-outcome-retried',
-        'forwarding/_attempts.py',
-        'if not call.may_repeat and self.failures.may_have_run:',
-        'if call is None:',
+        'forwarding/_failures.py',
+        'return call.may_repeat or not self.may_have_run',
+        'return call is not None',
         f'{_BUFFERED_RESPONSES}.test_unknown_outcome_is_not_repeated',
     ),
     Mutation(
