Look for a free target again before a begun stream is cut

What callers saw: streams whose target had died ended midway, although slots of other targets came free within two seconds and the client waited for eight.

Cause: a refusal counted as the second of two attempts, and where no target could be chosen at that moment the stream ended. A client whose stream has begun cannot be told to come back, so neither is an answer to it.

Change: once a stream has begun, a refusal ('not run') uses up none of the route's attempts, and the target may be chosen again. Each arrival is charged to the retry budget; targets that ask for a pause are passed over for as long, as before. A held request is given up at once, as before, and so is one that has not begun: its client is told when to come back.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -182,7 +182,12 @@
         try:
             choice = self.choice.choose(has_begun=self.has_begun)
         except _NO_TARGET_ERRORS as error:
-            raise self._final_error(error) from error
+            if not self._may_wait(error):
+                raise self._final_error(error) from error
+            if is_charged:
+                self._retries.restore()
+            await self._wait(str(error))
+            return False
         attempt = Attempt(choice, is_charged)
         self.handover.begin(attempt)
         return await self._succeeds(exchange, attempt)
@@ -199,7 +204,10 @@
             if not is_charged or self._retries.take():
                 return await self._attempt(exchange, is_charged=is_charged)
             self.call.trace.add('retry_refused', service=self.call.service)
-        raise self._final_error()
+        if not self._may_wait():
+            raise self._final_error()
+        await self._wait('no retry is allowed')
+        return False
 
     async def _try_beside(self, exchange: Exchange, reason: str) -> None:
         """Start another attempt beside those that run, if one is allowed.
@@ -299,7 +307,7 @@
         await report_failure(
             self._router, target, error, is_client_paused=attempt.is_paused
         )
-        self.choice.record_failure(target, error)
+        self.choice.record_failure(target, error, has_begun=self.has_begun)
         self._record(attempt, error)
         if isinstance(error, TargetDisconnectedError):
             trace_disconnect(
@@ -310,13 +318,27 @@
             )
 
     def _record(self, attempt: Attempt, error: TargetError) -> None:
-        self.failures.record(error)
+        self.failures.record(error, has_begun=self.has_begun)
         if attempt.is_charged and not self.failures.was_sent:
             self._retries.restore()
         trace_failure(self.call, attempt.name, error)
 
     def _may_retry(self) -> bool:
-        return self.failures.allow_another(self.call)
+        return self.failures.allow_another(self.call, has_begun=self.has_begun)
+
+    def _may_wait(self, error: RequestError | None = None) -> bool:
+        """Return whether to look for a target again later.
+
+        A stream that has begun would be cut instead: its client cannot be asked
+        to come back.
+        """
+        is_held = isinstance(error, QuarantinedRequestError)
+        return self.has_begun and self._may_retry() and not is_held
+
+    async def _wait(self, reason: str) -> None:
+        seconds = self._backoff.postpone(since_boot())
+        self.call.trace.add('waits_for_target', why=reason)
+        await curio.sleep(max(0, min(seconds, self.call.seconds_left)))
 
     def _final_error(self, error: RequestError | None = None) -> RequestError:
         """Return what the client gets; ``error`` is why there is no target."""
--- a/src/cranecart/forwarding/_failures.py
+++ b/src/cranecart/forwarding/_failures.py
@@ -14,6 +14,7 @@
     RequestError,
     RequestTimeoutError,
     TargetError,
+    TargetRefusedError,
     TargetsOutOfReachError,
     TargetTimeoutError,
     TargetUnreachableError,
@@ -37,7 +38,7 @@
 class AttemptFailures:
     """The failures of the attempts at one request.
 
-    ``sent_count`` is how many targets may have received it,
+    ``sent_count`` is how many of the route's attempts were used up,
     ``unreachable_count`` how many targets could not be sent it,
     ``connects_failed`` how many of these for a connection that could not be
     opened. ``was_sent`` is whether the last attempt was sent, ``any_sent``
@@ -58,11 +59,16 @@
         error = self.decisive_error
         return error is not None and error.execution is not Execution.NOT_RUN
 
-    def record(self, error: TargetError) -> None:
-        """Record a failed attempt."""
+    def record(self, error: TargetError, *, has_begun: bool = False) -> None:
+        """Record a failed attempt.
+
+        Once a stream ``has_begun``, refusals use up none of the route's attempts:
+        the client cannot be asked to come back.
+        """
         self.was_sent = not isinstance(error, _NOT_SENT_ERRORS)
         self.any_sent = self.any_sent or self.was_sent
-        self.sent_count += int(self.was_sent)
+        is_free = has_begun and isinstance(error, TargetRefusedError)
+        self.sent_count += int(self.was_sent and not is_free)
         if not self.was_sent and not isinstance(error, _PEER_ERRORS):
             self.unreachable_count += 1
         self.connects_failed += int(isinstance(error, TargetUnreachableError))
@@ -83,13 +89,13 @@
             error, QuarantinedRequestError | TargetsOutOfReachError
         )
 
-    def allow_another(self, call: RoutedCall) -> bool:
+    def allow_another(self, call: RoutedCall, *, has_begun: bool) -> bool:
         """Return whether another attempt may follow the failed ones.
 
         The retry budget is not asked.
         """
         has_tried_enough = self.unreachable_count > _MAX_UNREACHABLE_TARGETS
-        if call.seconds_left <= 0 or has_tried_enough:
+        if call.seconds_left <= 0 or (has_tried_enough and not has_begun):
             return False
         if self.sent_count >= call.route.attempts:
             return False
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -5,8 +5,10 @@
 from cranecart.exceptions import (
     AllTargetsRefusedError,
     TargetError,
+    TargetRefusedError,
     TargetsOutOfReachError,
     TargetUnreachableError,
+    TargetWithdrawnError,
 )
 from cranecart.forwarding._attempt_log import trace_passing_on, trace_routing
 from cranecart.forwarding._call import RoutedCall, routing_request
@@ -25,6 +27,8 @@
 # Failed connections after which the request is passed on to another node, which
 # may reach the targets that are left.
 _FAILED_BEFORE_PEER = 2
+# Errors of targets that have not run the request and may take it later.
+_WITHOUT_RUN = (TargetRefusedError, TargetWithdrawnError)
 
 
 @attrs.define
@@ -86,10 +90,16 @@
                 self.exclude(choice.instance.id)
         return choice
 
-    def record_failure(self, target: Target, error: TargetError) -> None:
+    def record_failure(
+        self, target: Target, error: TargetError, *, has_begun: bool
+    ) -> None:
         """Record that an attempt at a target has failed."""
         if isinstance(error, TargetUnreachableError):
             self._unreached.add(target.instance.id)
+        if has_begun and isinstance(error, _WITHOUT_RUN):
+            # It may have a free slot later, and the client of a stream that has
+            # begun cannot come back.
+            self._excluded.remove(target.instance.id)
 
     def call_through(
         self, peer: Peer, attempts_left: int, *, has_begun: bool
