Keep a peer whose heartbeats are lost until another has taken over

What callers would see: a stream that was passed on to another node ends midway when the heartbeats of that node are lost, though its response still arrives.

A peer that does not seem alive was left at once, before a retry or another peer was certain; with none left, the stream ended.

Change: the next attempt runs beside it, as beside a silent target. Another attempt is also allowed where only a peer is left to ask. A peer that is dead breaks the connection, or the deadline passes, as with a dead target.

Measured: `test_stream_cut_as_its_peer_seemed_dead` got two of five events before, all now.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -137,14 +137,14 @@
             await self.handover.close()
 
     def may_try_another(self) -> bool:
-        """Return whether an untried target exists and may still be tried.
+        """Return whether another target or peer may be tried as well.
 
         Attempts that run are not in ``sent_count`` until they have ended.
         """
         used = self.failures.sent_count + self.handover.running_count
         if not self.call.may_repeat or used >= self.call.route.attempts:
             return False
-        return self.choice.has_untried_target()
+        return self.choice.is_any_left()
 
     def may_fail(self, attempt: Attempt) -> bool:
         """Return whether an error response need not be passed on."""
@@ -264,6 +264,7 @@
         client, call = self.choice.call_through(
             peer,
             self.call.route.attempts - self.failures.sent_count - others,
+            self.replacement(exchange, attempt).check,
             has_begun=self.has_begun,
         )
         try:
--- a/src/cranecart/forwarding/_peer_requests.py
+++ b/src/cranecart/forwarding/_peer_requests.py
@@ -1,7 +1,7 @@
 """Pass a request on to another node, and take over one from another node."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 
@@ -66,6 +66,12 @@
             self._asked.append(peer.name)
         return peer
 
+    def may_help(self, service: str) -> bool:
+        """Return whether a peer is left to ask."""
+        choice = self.client.choice
+        has_room = len(self._asked) < _MAX_PEERS
+        return has_room and choice.choose(service, self._asked) is not None
+
     def retry_after_seconds(self) -> float:
         """Return when a client should retry that no peer can help."""
         return self.client.choice.seconds_until_able(_RETRY_AFTER_SECONDS)
@@ -76,10 +82,14 @@
         call: RoutedCall,
         tried: Sequence[str],
         attempts_left: int,
+        check: Callable[[str], Awaitable[None]],
         *,
         has_begun: bool,
     ) -> PeerCall:
-        """Return the call with which a peer is asked to handle a request."""
+        """Return the call with which a peer is asked to handle a request.
+
+        ``check`` is as in ``PeerCall``.
+        """
         request = call.request
         message = PeerRequest(
             self._node_id,
@@ -96,7 +106,7 @@
             has_begun=has_begun,
         )
         return PeerCall(
-            peer, message, call.may_repeat, lambda: call.seconds_left
+            peer, message, call.may_repeat, lambda: call.seconds_left, check
         )
 
 
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -1,5 +1,7 @@
 """Choose where the next attempt at a request goes."""
 
+from collections.abc import Awaitable, Callable
+
 import attrs
 
 from cranecart.exceptions import (
@@ -55,11 +57,15 @@
         self.tried.append(instance_id)
         self._excluded.append(instance_id)
 
-    def has_untried_target(self) -> bool:
-        """Return whether another target accepts requests."""
+    def is_any_left(self) -> bool:
+        """Return whether another target accepts requests, or a peer may."""
         call = self._call
         return self._router.has_untried_target(
             call.config, call.service, call.facts.model, self._excluded
+        ) or (
+            self._peers is not None
+            and self._is_peer_next()
+            and self._peers.may_help(call.service)
         )
 
     def choose(self, *, has_begun: bool) -> Target | Peer:
@@ -102,7 +108,12 @@
             self._excluded.remove(target.instance.id)
 
     def call_through(
-        self, peer: Peer, attempts_left: int, *, has_begun: bool
+        self,
+        peer: Peer,
+        attempts_left: int,
+        check: Callable[[str], Awaitable[None]],
+        *,
+        has_begun: bool,
     ) -> tuple[PeerClient, PeerCall]:
         """Return the call with which a peer is asked, and its client."""
         assert self._peers is not None
@@ -111,6 +122,7 @@
             self._call,
             [name for name in self._excluded if name not in self._unreached],
             attempts_left,
+            check,
             has_begun=has_begun,
         )
         return self._peers.client, call
@@ -123,7 +135,7 @@
 
     def _choose_reached(self, request: RoutingRequest) -> Target | Peer:
         """Return a target, or a peer if this node seems to reach none."""
-        if self._failures.connects_failed >= _FAILED_BEFORE_PEER:
+        if self._is_peer_next():
             peer = self._next_peer()
             if peer is not None:
                 return peer
@@ -141,6 +153,10 @@
         except TargetsOutOfReachError as error:
             raise self._out_of_reach(error) from error
 
+    def _is_peer_next(self) -> bool:
+        """Return whether this node seems to reach no more targets."""
+        return self._failures.connects_failed >= _FAILED_BEFORE_PEER
+
     def _next_peer(self) -> Peer | None:
         if self._peers is None:
             return None
--- a/src/cranecart/peer_calls/_client.py
+++ b/src/cranecart/peer_calls/_client.py
@@ -33,14 +33,24 @@
 _UNREACHABLE_SECONDS = 1.0
 
 
+async def _keep_waiting(_reason: str) -> None:
+    """Try no other peer."""
+
+
 @attrs.frozen
 class PeerCall:
-    """One request at one peer; ``seconds_left`` until its deadline."""
+    """One request at one peer; ``seconds_left`` until its deadline.
+
+    ``check`` is called while the response is awaited, with the reason to try
+    another peer as well, or an empty string; it raises ``TargetError`` if this
+    one is not needed any more.
+    """
 
     peer: Peer
     request: PeerRequest
     may_repeat: bool
     seconds_left: Callable[[], float]
+    check: Callable[[str], Awaitable[None]] = _keep_waiting
 
 
 @attrs.frozen
@@ -87,18 +97,19 @@
     async def read(
         self, call: PeerCall, read: Callable[[], Awaitable[AnswerT]]
     ) -> AnswerT:
-        """Await ``read`` until the deadline, or until the peer has failed.
+        """Await ``read`` until the deadline, or until the connection breaks.
 
         ``read`` is interrupted and called again, so it must not lose what it
         has read.
         """
+        is_reported = False
         while True:
             try:
                 return await curio.timeout_after(
                     max(0, min(_POLL_SECONDS, call.seconds_left())), read
                 )
             except TaskTimeout:
-                self._check_alive(call)
+                is_reported = await self._check(call, is_reported)
             except HttpError as error:
                 raise PeerBrokenError(f'{call.peer.name}: {error}') from error
 
@@ -130,11 +141,16 @@
             raise PeerBrokenError(f'{call.peer.name} answered without outcome')
         return PeerAnswer(head, outcome, connection)
 
-    def _check_alive(self, call: PeerCall) -> None:
+    async def _check(self, call: PeerCall, is_reported: bool) -> bool:
+        """Check a silent peer; return whether it was reported as unable."""
         if call.seconds_left() <= 0:
             raise TargetTimeoutError('no complete response before the deadline')
-        # A peer that was only paused may still answer, so what must not run
-        # twice waits for it.
-        if call.may_repeat and not self.choice.is_live(call.peer):
+        if self.choice.is_live(call.peer) or not call.may_repeat:
+            await call.check('')
+            return is_reported
+        if not is_reported:
             self.choice.record_unable(call.peer, _UNREACHABLE_SECONDS)
-            raise PeerBrokenError(f'{call.peer.name} is not alive any more')
+        # Its heartbeats may be lost while its response arrives, so it is not
+        # given up before another peer has taken over.
+        await call.check('is not alive any more')
+        return True
--- a/tests/unit/test_passed_on_requests.py
+++ b/tests/unit/test_passed_on_requests.py
@@ -24,6 +24,7 @@
     f'id: {number}\ndata: {number}\n\n' for number in range(1, 6)
 ).encode()
 _MAX_REFUSAL_SECONDS = 0.3
+_PAUSE_SECONDS = 0.6
 _ANSWER_SECONDS = 3.0
 # Twice as long as timers may be late.
 _DELAY_SECONDS = 0.03
@@ -45,6 +46,14 @@
     await curio.sleep(30)
 
 
+async def _pause_after_two_events(exchange: Exchange) -> None:
+    await exchange.start_stream()
+    await exchange.events(1, 2)
+    await curio.sleep(_PAUSE_SECONDS)
+    await exchange.events(3, 5)
+    await exchange.end_stream()
+
+
 async def _fall_silent(exchange: Exchange) -> None:
     """Send two events of a new stream, none of one that goes on."""
     await exchange.start_stream()
@@ -154,6 +163,13 @@
             HelperNode('n2', [_stream]),
         )
 
+    def test_stream_cut_as_its_peer_seemed_dead(self) -> None:
+        """The peer's heartbeats were lost, and no other node helps."""
+        self._run(
+            self._check_unheard_peer,
+            HelperNode('n1', [_pause_after_two_events]),
+        )
+
     def test_stream_retried_over_a_path_that_loses_packets(self) -> None:
         """A path that was just lost and found again is not tried twice."""
         testbed = PeerTestbed(
@@ -271,6 +287,15 @@
         answer = await asking.join()
         self.assertEqual((answer.status, answer.body), (200, _EVENTS))
 
+    async def _check_unheard_peer(self, testbed: PeerTestbed) -> None:
+        asking = await curio.spawn(testbed.own.ask, '/stream/x')
+        await until(lambda: _first_target(testbed).received)
+        await curio.sleep(_PAUSE_SECONDS / 4)
+        testbed.live = set()
+        answer = await asking.join()
+        self.assertEqual((answer.status, answer.body), (200, _EVENTS))
+        self.assertTrue(answer.is_complete)
+
     async def _check_lossy_path(self, testbed: PeerTestbed) -> None:
         answer = await testbed.own.ask('/stream/')
         self.assertEqual(answer.body, _EVENTS)
