--- a/src/cranecart/forwarding/_attempt.py
+++ b/src/cranecart/forwarding/_attempt.py
@@ -1,5 +1,7 @@
 """One attempt at a request."""
 
+from contextlib import ExitStack
+
 import attrs
 import curio
 
@@ -17,7 +19,9 @@
     whether nothing more of its response is read. ``task`` is the one that it runs
     in, None for that of the request. ``progress`` is what is known of the target,
     and the client ``is_paused`` if it has left the response unread for a while.
-    An attempt that ``is_cancelled`` lost to another one.
+    An attempt that ``is_cancelled`` lost to another one. ``tracking`` counts it at its target,
+    from the choice on: requests that choose at the same moment would not see it
+    otherwise.
     """
 
     choice: Target | Peer
@@ -25,6 +29,7 @@
     progress: AttemptProgress = attrs.field(
         factory=lambda: AttemptProgress(since_boot)
     )
+    tracking: ExitStack = attrs.field(factory=ExitStack, init=False)
     is_paused: bool = attrs.field(default=False, init=False)
     is_cancelled: bool = attrs.field(default=False, init=False)
     task: curio.Task | None = attrs.field(default=None, init=False)
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -9,6 +9,7 @@
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     AllTargetsRefusedError,
+    Execution,
     NoReplicaError,
     OverloadedError,
     PeerAnsweredError,
@@ -16,17 +17,17 @@
     RequestError,
     TargetDisconnectedError,
     TargetError,
+    TargetRefusedError,
     TargetsOutOfReachError,
 )
 from cranecart.forwarding._attempt import Attempt
 from cranecart.forwarding._attempt_log import trace_disconnect, trace_failure
-from cranecart.forwarding._backoff import Backoff
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._failure_reports import report_failure
-from cranecart.forwarding._failures import AttemptFailures
 from cranecart.forwarding._handover import Handover
 from cranecart.forwarding._peer_requests import PeersOfCall
 from cranecart.forwarding._replacement import Replacement
+from cranecart.forwarding._request_state import RequestState
 from cranecart.forwarding._target_choice import TargetChoice
 from cranecart.peer_calls import Peer, PeerCall, PeerClient, PeerRequest
 from cranecart.quarantine import RequestGuard
@@ -61,19 +62,15 @@
 class RoutedAttempts:
     """The attempts at one request, each at another target.
 
-    ``has_begun`` is whether any of them has sent an event of a stream,
-    ``has_started`` whether any attempt was made. ``handover`` decides which of
-    them is passed on, ``choice`` where they go. ``_peers`` are the nodes that the
-    request may be passed on to, none if it comes from one.
+    ``state`` is what they have come to, ``handover`` decides which of them is
+    passed on, ``choice`` where they go. ``has_started`` is whether any was made.
+    ``_peers`` are the nodes that the request may be passed on to.
     """
 
-    call: RoutedCall
+    state: RequestState
     _router: TargetRouter
-    _budget: SharedRetryBudget
     _guard: RequestGuard
     _peers: PeersOfCall | None = None
-    has_begun: bool = attrs.field(default=False, init=False)
-    failures: AttemptFailures = attrs.field(factory=AttemptFailures, init=False)
     has_started: bool = attrs.field(default=False, init=False)
     handover: Handover = attrs.field(
         default=attrs.Factory(
@@ -84,26 +81,28 @@
     choice: TargetChoice = attrs.field(
         default=attrs.Factory(
             lambda attempts: TargetChoice(
-                attempts.call,
+                attempts.state,
                 attempts._router,
                 attempts._guard,
                 attempts._peers,
-                attempts.failures,
             ),
             takes_self=True,
         ),
         init=False,
     )
-    _retries: RequestRetries = attrs.field(
-        default=attrs.Factory(
-            lambda attempts: RequestRetries(
-                attempts._budget, attempts.call.service
-            ),
-            takes_self=True,
-        ),
-        init=False,
-    )
-    _backoff: Backoff = attrs.field(factory=Backoff, init=False)
+
+    @classmethod
+    def of_client(
+        cls,
+        call: RoutedCall,
+        router: TargetRouter,
+        budget: SharedRetryBudget,
+        guard: RequestGuard,
+        peers: PeersOfCall | None,
+    ) -> Self:
+        """Return the attempts at a request of this node's client."""
+        retries = RequestRetries(budget, call.service)
+        return cls(RequestState(call, retries), router, guard, peers)
 
     @classmethod
     def of_peer(
@@ -115,15 +114,25 @@
         guard: RequestGuard,
     ) -> Self:
         """Return the attempts that follow those of a peer."""
-        attempts = cls(call, router, budget, guard)
-        for instance_id in message.tried:
-            attempts.choice.exclude(instance_id)
-        attempts.has_begun = message.has_begun
-        attempts.failures.sent_count = max(
+        state = RequestState(
+            call,
+            RequestRetries(budget, call.service),
+            is_of_peer=True,
+            has_begun=message.has_begun,
+        )
+        state.failures.sent_count = max(
             0, call.route.attempts - message.attempts_left
         )
+        attempts = cls(state, router, guard)
+        for instance_id in message.tried:
+            attempts.choice.exclude(instance_id)
         return attempts
 
+    @property
+    def call(self) -> RoutedCall:
+        """Return the request."""
+        return self.state.call
+
     async def run(self, exchange: Exchange) -> None:
         """Repeat until an attempt succeeds.
 
@@ -141,7 +150,7 @@
 
         Attempts that run are not in ``sent_count`` until they have ended.
         """
-        used = self.failures.sent_count + self.handover.running_count
+        used = self.state.failures.sent_count + self.handover.running_count
         if not self.call.may_repeat or used >= self.call.route.attempts:
             return False
         return self.choice.is_any_left()
@@ -166,9 +175,9 @@
         """Record that an event arrived from the target that leads."""
         attempt.progress.record_progress()
         choice = attempt.choice
-        if isinstance(choice, Target) and not self.has_begun:
+        if isinstance(choice, Target) and not self.state.has_begun:
             self._router.record_first_event(choice, self.call.facts.model)
-        self.has_begun = True
+        self.state.has_begun = True
 
     async def _attempt(
         self, exchange: Exchange, *, is_charged: bool = False
@@ -180,15 +189,15 @@
             self.call.facts.shared_segments,
         )
         try:
-            choice = self.choice.choose(has_begun=self.has_begun)
+            choice = self.choice.choose()
         except _NO_TARGET_ERRORS as error:
-            if not self._may_wait(error):
+            is_held = isinstance(error, QuarantinedRequestError)
+            if is_held or not self.state.postpone(str(error)):
                 raise self._final_error(error) from error
             if is_charged:
-                self._retries.restore()
-            await self._wait(str(error))
+                self.state.retries.restore()
             return False
-        attempt = Attempt(choice, is_charged)
+        attempt = self._start(choice, is_charged=is_charged)
         self.handover.begin(attempt)
         return await self._succeeds(exchange, attempt)
 
@@ -197,17 +206,19 @@
         successor = self.handover.successor()
         if successor is not None:
             return await successor.result()
+        state = self.state
+        if not state.may_retry:
+            raise self._final_error()
+        await state.wait()
         # Only retries after a request was sent are charged to the budget:
         # attempts that reached no target put no load on any.
-        is_charged = self.failures.any_sent
-        if self._may_retry():
-            if not is_charged or self._retries.take():
-                return await self._attempt(exchange, is_charged=is_charged)
-            self.call.trace.add('retry_refused', service=self.call.service)
-        if not self._may_wait():
-            raise self._final_error()
-        await self._wait('no retry is allowed')
-        return False
+        is_charged = state.failures.any_sent
+        if not is_charged or state.retries.take():
+            return await self._attempt(exchange, is_charged=is_charged)
+        self.call.trace.add('retry_refused', service=self.call.service)
+        if state.postpone('no retry is allowed'):
+            return False
+        raise self._final_error()
 
     async def _try_beside(self, exchange: Exchange, reason: str) -> None:
         """Start another attempt beside those that run, if one is allowed.
@@ -215,30 +226,37 @@
         What runs may still succeed, while the next target may refuse and there
         may be no retry left for it.
         """
-        now = since_boot()
-        if not self._backoff.is_due(now) or not self._may_try_beside():
+        if not self._may_try_beside():
             return
-        self._backoff.postpone(now)
+        self.state.backoff.postpone(since_boot())
         try:
-            choice = self.choice.choose(has_begun=self.has_begun)
+            choice = self.choice.choose()
         except _NO_TARGET_ERRORS:
             return
-        self._retries.take()
+        self.state.retries.take()
         self.call.trace.is_notable = True
         self.call.trace.add('attempt_added', why=reason)
-        attempt = Attempt(choice, is_charged=True)
+        attempt = self._start(choice, is_charged=True)
         task = await curio.spawn(
             self._run_beside, exchange, attempt, daemon=True
         )
         self.handover.add(attempt, task)
 
+    def _start(self, choice: Target | Peer, *, is_charged: bool) -> Attempt:
+        attempt = Attempt(choice, is_charged)
+        if isinstance(choice, Target):
+            attempt.tracking.close()
+        return attempt
+
     def _may_try_beside(self) -> bool:
-        if self.call.seconds_left <= 0 or not self.may_try_another():
+        if self.state.backoff.seconds_left(since_boot()) or not (
+            self.call.seconds_left > 0 and self.may_try_another()
+        ):
             return False
         seconds = self._guard.isolated_sends.seconds_to_wait(
             self.call.identify, segments=self.call.facts.shared_segments
         )
-        return seconds <= 0 and self._retries.secure()
+        return seconds <= 0 and self.state.retries.secure()
 
     async def _run_beside(self, exchange: Exchange, attempt: Attempt) -> bool:
         try:
@@ -248,6 +266,9 @@
                 raise
             trace_failure(self.call, attempt.name, error)
             return False
+        finally:
+            if attempt.is_cancelled:
+                self._record_lost(attempt)
 
     async def _succeeds(self, exchange: Exchange, attempt: Attempt) -> bool:
         self.has_started = True
@@ -263,18 +284,21 @@
         others = self.handover.running_count - 1
         client, call = self.choice.call_through(
             peer,
-            self.call.route.attempts - self.failures.sent_count - others,
+            self.call.route.attempts - self.state.failures.sent_count - others,
             self.replacement(exchange, attempt).check,
-            has_begun=self.has_begun,
         )
         try:
             async with self.handover.running(attempt):
                 await exchange.attempt_through(attempt, client, call)
         except TargetError as error:
-            self._record(attempt, error)
+            self.state.record_failure(attempt, error)
             return False
         except PeerAnsweredError as error:
-            if not self.failures.may_have_run:
+            if self.state.may_wait and error.execution is Execution.NOT_RUN:
+                refusal = TargetRefusedError(str(error))
+                self.state.record_failure(attempt, refusal)
+                return False
+            if not self.state.failures.may_have_run:
                 raise
             raise self._final_error() from error
         return True
@@ -302,14 +326,18 @@
             async with self.handover.running(attempt):
                 await exchange.attempt(attempt, target)
 
+    def _record_lost(self, attempt: Attempt) -> None:
+        """Record that an attempt was cancelled as another went on."""
+        self.state.lost_count += 1
+
     async def _record_failure(
         self, attempt: Attempt, target: Target, error: TargetError
     ) -> None:
         await report_failure(
             self._router, target, error, is_client_paused=attempt.is_paused
         )
-        self.choice.record_failure(target, error, has_begun=self.has_begun)
-        self._record(attempt, error)
+        self.choice.record_failure(target, error)
+        self.state.record_failure(attempt, error)
         if isinstance(error, TargetDisconnectedError):
             trace_disconnect(
                 self.call,
@@ -318,35 +346,11 @@
                 self._router.load(target.instance.id),
             )
 
-    def _record(self, attempt: Attempt, error: TargetError) -> None:
-        self.failures.record(error, has_begun=self.has_begun)
-        if attempt.is_charged and not self.failures.was_sent:
-            self._retries.restore()
-        trace_failure(self.call, attempt.name, error)
-
-    def _may_retry(self) -> bool:
-        return self.failures.allow_another(self.call, has_begun=self.has_begun)
-
-    def _may_wait(self, error: RequestError | None = None) -> bool:
-        """Return whether to look for a target again later.
-
-        A stream that has begun would be cut instead: its client cannot be asked
-        to come back.
-        """
-        is_held = isinstance(error, QuarantinedRequestError)
-        return self.has_begun and self._may_retry() and not is_held
-
-    async def _wait(self, reason: str) -> None:
-        seconds = self._backoff.postpone(since_boot())
-        self.call.trace.add('waits_for_target', why=reason)
-        await curio.sleep(max(0, min(seconds, self.call.seconds_left)))
-
     def _final_error(self, error: RequestError | None = None) -> RequestError:
         """Return what the client gets; ``error`` is why there is no target."""
         if isinstance(error, QuarantinedRequestError):
             self.call.trace.add('held', identity=self.call.identity)
-        if error is not None and not self.failures.outweigh(error):
+        failures = self.state.failures
+        if error is not None and not failures.outweigh(error):
             return error
-        return self.failures.final_error(
-            lambda: self.choice.retry_after_seconds(has_begun=self.has_begun)
-        )
+        return failures.final_error(self.choice.retry_after_seconds)
--- a/src/cranecart/forwarding/_failures.py
+++ b/src/cranecart/forwarding/_failures.py
@@ -31,6 +31,8 @@
     PeerUnreachableError,
     PeerUnableError,
 )
+# Errors of targets that have not run the request and may take it later.
+WITHOUT_RUN = (TargetRefusedError, TargetWithdrawnError)
 _PEER_ERRORS = (PeerUnreachableError, PeerUnableError)
 
 
@@ -41,8 +43,8 @@
     ``sent_count`` is how many of the route's attempts were used up,
     ``unreachable_count`` how many targets could not be sent it,
     ``connects_failed`` how many of these for a connection that could not be
-    opened. ``was_sent`` is whether the last attempt was sent, ``any_sent``
-    whether this node has sent any. ``decisive_error`` is that of the attempt
+    opened. ``was_sent`` is whether the last attempt was sent and ``was_refused``
+    whether the target would not take it, ``any_sent`` whether this node has sent any. ``decisive_error`` is that of the attempt
     which decides about the outcome, if any has failed.
     """
 
@@ -51,6 +53,7 @@
     unreachable_count: int = attrs.field(default=0, init=False)
     connects_failed: int = attrs.field(default=0, init=False)
     was_sent: bool = attrs.field(default=False, init=False)
+    was_refused: bool = attrs.field(default=False, init=False)
     decisive_error: TargetError | None = attrs.field(default=None, init=False)
 
     @property
@@ -59,15 +62,16 @@
         error = self.decisive_error
         return error is not None and error.execution is not Execution.NOT_RUN
 
-    def record(self, error: TargetError, *, has_begun: bool = False) -> None:
+    def record(self, error: TargetError, *, may_wait: bool = False) -> None:
         """Record a failed attempt.
 
-        Once a stream ``has_begun``, refusals use up none of the route's attempts:
-        the client cannot be asked to come back.
+        Refusals use up none of the route's attempts if the request ``may_wait``
+        for a target.
         """
         self.was_sent = not isinstance(error, _NOT_SENT_ERRORS)
         self.any_sent = self.any_sent or self.was_sent
-        is_free = has_begun and isinstance(error, TargetRefusedError)
+        self.was_refused = isinstance(error, WITHOUT_RUN)
+        is_free = may_wait and self.was_refused
         self.sent_count += int(self.was_sent and not is_free)
         if not self.was_sent and not isinstance(error, _PEER_ERRORS):
             self.unreachable_count += 1
@@ -89,13 +93,13 @@
             error, QuarantinedRequestError | TargetsOutOfReachError
         )
 
-    def allow_another(self, call: RoutedCall, *, has_begun: bool) -> bool:
+    def allow_another(self, call: RoutedCall, *, may_wait: bool) -> bool:
         """Return whether another attempt may follow the failed ones.
 
         The retry budget is not asked.
         """
         has_tried_enough = self.unreachable_count > _MAX_UNREACHABLE_TARGETS
-        if call.seconds_left <= 0 or (has_tried_enough and not has_begun):
+        if call.seconds_left <= 0 or (has_tried_enough and not may_wait):
             return False
         if self.sent_count >= call.route.attempts:
             return False
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -141,7 +141,7 @@
 
     async def _forward(self, call: RoutedCall, responder: Responder) -> None:
         self._budget.record_request(call.service)
-        attempts = RoutedAttempts(
+        attempts = RoutedAttempts.of_client(
             call,
             self._forwarder.sender.router,
             self._budget,
--- a/src/cranecart/forwarding/_handover.py
+++ b/src/cranecart/forwarding/_handover.py
@@ -26,7 +26,7 @@
     _trace: RequestTrace
     _leader: Attempt | None = attrs.field(default=None, init=False)
     _followers: list[Attempt] = attrs.field(factory=list, init=False)
-    _tasks: list[curio.Task] = attrs.field(factory=list, init=False)
+    _added: list[Attempt] = attrs.field(factory=list, init=False)
 
     @property
     def running_count(self) -> int:
@@ -52,7 +52,7 @@
         """Let an attempt run beside the others, in a task of its own."""
         attempt.task = task
         self._followers.append(attempt)
-        self._tasks.append(task)
+        self._added.append(attempt)
 
     async def lead(self, attempt: Attempt) -> None:
         """Let an attempt lead that has more of the response; end the others.
@@ -113,8 +113,8 @@
 
     async def close(self) -> None:
         """End all attempts that run in tasks of their own."""
-        for task in self._tasks:
-            await task.cancel()
+        for attempt in self._added:
+            await _cancel(attempt)
 
     async def _cancel_others(self, attempt: Attempt) -> None:
         others = self._followers
@@ -127,5 +127,11 @@
             )
             other.is_cancelled = True
         for other in others:
-            assert other.task is not None
-            await other.task.cancel()
+            await _cancel(other)
+
+
+async def _cancel(attempt: Attempt) -> None:
+    assert attempt.task is not None
+    await attempt.task.cancel()
+    # The task may not have begun to run.
+    attempt.tracking.close()
--- a/src/cranecart/forwarding/_peer_gateway.py
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -55,7 +55,7 @@
         self._knowledge.record_asking(message.sender, message.service)
         try:
             attempts = self._admit(message, trace)
-            failures = attempts.failures
+            failures = attempts.state.failures
             await self._forwarder.forward(
                 attempts, responder, message.resume_after
             )
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -167,7 +167,7 @@
             complete = relay.splitter.feed(chunk)
             if complete or self._attempts.handover.is_leading(relay.attempt):
                 await self._lead(relay, answer.head)
-                self._attempts.has_begun = True
+                self._attempts.state.has_begun = True
             if complete:
                 await self._write(relay.attempt, complete)
                 self.timing.record_event()
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -7,15 +7,14 @@
 from cranecart.exceptions import (
     AllTargetsRefusedError,
     TargetError,
-    TargetRefusedError,
     TargetsOutOfReachError,
     TargetUnreachableError,
-    TargetWithdrawnError,
 )
 from cranecart.forwarding._attempt_log import trace_passing_on, trace_routing
-from cranecart.forwarding._call import RoutedCall, routing_request
-from cranecart.forwarding._failures import AttemptFailures
+from cranecart.forwarding._call import routing_request
+from cranecart.forwarding._failures import WITHOUT_RUN
 from cranecart.forwarding._peer_requests import PeersOfCall
+from cranecart.forwarding._request_state import RequestState
 from cranecart.peer_calls import Peer, PeerCall, PeerClient
 from cranecart.quarantine import RequestGuard
 from cranecart.routing import RoutingRequest, Target, TargetRouter
@@ -29,8 +28,6 @@
 # Failed connections after which the request is passed on to another node, which
 # may reach the targets that are left.
 _FAILED_BEFORE_PEER = 2
-# Errors of targets that have not run the request and may take it later.
-_WITHOUT_RUN = (TargetRefusedError, TargetWithdrawnError)
 
 
 @attrs.define
@@ -42,11 +39,10 @@
     passed on to, none if it comes from one.
     """
 
-    _call: RoutedCall
+    _state: RequestState
     _router: TargetRouter
     _guard: RequestGuard
     _peers: PeersOfCall | None
-    _failures: AttemptFailures
     tried: list[str] = attrs.field(factory=list, init=False)
     _excluded: list[str] = attrs.field(factory=list, init=False)
     # The targets that this node does not reach, while others may.
@@ -59,7 +55,7 @@
 
     def is_any_left(self) -> bool:
         """Return whether another target accepts requests, or a peer may."""
-        call = self._call
+        call = self._state.call
         return self._router.has_untried_target(
             call.config, call.service, call.facts.model, self._excluded
         ) or (
@@ -68,69 +64,71 @@
             and self._peers.may_help(call.service)
         )
 
-    def choose(self, *, has_begun: bool) -> Target | Peer:
+    def choose(self) -> Target | Peer:
         """Return where the next attempt goes; a target is chosen only once.
 
         Raise the ``RequestError`` that says why there is none.
         """
-        self._check_time_left(has_begun)
+        self._check_time_left()
         request = routing_request(
-            self._call,
+            self._state.call,
             self._excluded,
             self._guard.instances_to_avoid(
-                lambda: self._call.identity, self._call.facts.shared_segments
+                lambda: self._state.call.identity,
+                self._state.call.facts.shared_segments,
             ),
-            has_begun=has_begun,
+            has_begun=self._state.has_begun,
         )
         choice = self._choose_reached(request)
         match choice:
             case Peer():
                 trace_passing_on(
-                    self._call,
+                    self._state.call,
                     choice,
                     self.tried,
-                    self._failures.connects_failed,
+                    self._state.failures.connects_failed,
                 )
             case Target():
-                trace_routing(self._call, choice, self.tried)
+                trace_routing(self._state.call, choice, self.tried)
                 self.exclude(choice.instance.id)
         return choice
 
-    def record_failure(
-        self, target: Target, error: TargetError, *, has_begun: bool
-    ) -> None:
+    def readmit(self, target: Target) -> None:
+        """Let a target be chosen again."""
+        self._excluded.remove(target.instance.id)
+
+    def record_failure(self, target: Target, error: TargetError) -> None:
         """Record that an attempt at a target has failed."""
         if isinstance(error, TargetUnreachableError):
             self._unreached.add(target.instance.id)
-        if has_begun and isinstance(error, _WITHOUT_RUN):
-            # It may have a free slot later, and the client of a stream that has
-            # begun cannot come back.
-            self._excluded.remove(target.instance.id)
+        if self._state.may_wait and isinstance(error, WITHOUT_RUN):
+            # It may have a free slot later.
+            self.readmit(target)
 
     def call_through(
         self,
         peer: Peer,
         attempts_left: int,
         check: Callable[[str], Awaitable[None]],
-        *,
-        has_begun: bool,
     ) -> tuple[PeerClient, PeerCall]:
         """Return the call with which a peer is asked, and its client."""
         assert self._peers is not None
         call = self._peers.call_through(
             peer,
-            self._call,
+            self._state.call,
             [name for name in self._excluded if name not in self._unreached],
             attempts_left,
             check,
-            has_begun=has_begun,
+            has_begun=self._state.has_begun,
         )
         return self._peers.client, call
 
-    def retry_after_seconds(self, *, has_begun: bool) -> float:
+    def retry_after_seconds(self) -> float:
         """Return when a client should retry that was refused by targets."""
         return self._router.retry_after_seconds(
-            routing_request(self._call, (), has_begun=has_begun)
+            routing_request(
+                self._state.call, (), has_begun=self._state.has_begun
+            )
         )
 
     def _choose_reached(self, request: RoutingRequest) -> Target | Peer:
@@ -155,12 +153,12 @@
 
     def _is_peer_next(self) -> bool:
         """Return whether this node seems to reach no more targets."""
-        return self._failures.connects_failed >= _FAILED_BEFORE_PEER
+        return self._state.failures.connects_failed >= _FAILED_BEFORE_PEER
 
     def _next_peer(self) -> Peer | None:
         if self._peers is None:
             return None
-        return self._peers.choose(self._call.service)
+        return self._peers.choose(self._state.call.service)
 
     def _out_of_reach(
         self, error: TargetsOutOfReachError
@@ -172,12 +170,15 @@
             retry_after=self._peers.retry_after_seconds(),
         )
 
-    def _check_time_left(self, has_begun: bool) -> None:
+    def _check_time_left(self) -> None:
         min_seconds = min(
-            _MIN_OBJECTIVE_FRACTION * self._call.route.objective_seconds,
+            _MIN_OBJECTIVE_FRACTION * self._state.call.route.objective_seconds,
             _MIN_SECONDS_LEFT,
         )
-        if not has_begun and self._call.seconds_left <= min_seconds:
+        if (
+            not self._state.has_begun
+            and self._state.call.seconds_left <= min_seconds
+        ):
             raise AllTargetsRefusedError(
                 'no time is left for any target',
                 retry_after=_NO_TIME_RETRY_AFTER_SECONDS,
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -326,10 +326,12 @@
             _publish_to_nobody
         )
         self.publish_leaving: Callable[[Incarnation], None] = _publish_to_nobody
+        # Returns the requests that other nodes have at an instance.
+        self.remote_in_flight: Callable[[str], int] = lambda _name: 0
         self.router = TargetRouter(
             self.fleet,
             source,
-            lambda _name: 0,
+            lambda name: self.remote_in_flight(name),
             lambda _model: 0.1,
             'east',
             report_broken=lambda incarnation: self.reported_broken.append(
--- a/tests/lib/silent_targets.py
+++ b/tests/lib/silent_targets.py
@@ -118,11 +118,17 @@
     targets: SilentTargets,
     count: int,
     deadline_seconds: float = DEADLINE_SECONDS,
+    prefix: str = 's',
 ) -> StreamOutcomes:
-    """Send streams all at once; return what became of them."""
+    """Send streams all at once; return what became of them.
+
+    Their ids begin with ``prefix``.
+    """
     async with curio.TaskGroup(wait=all) as clients:
         for number in range(count):
-            await clients.spawn(_ask, testbed, f's{number}', deadline_seconds)
+            await clients.spawn(
+                _ask, testbed, f'{prefix}{number}', deadline_seconds
+            )
     answers: Sequence[ClientAnswer] = clients.results
     begun = [answer for answer in answers if answer.status == _OK]
     ids = [_event_ids(answer) for answer in begun]
--- /dev/null
+++ b/tests/unit/test_handover.py
@@ -0,0 +1,163 @@
+"""Attempts that run beside each other lose nothing and leave nothing behind."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import curio
+
+from cranecart.http import HttpConnection
+from tests.lib.fake_targets import (
+    ClientAnswer,
+    Exchange,
+    GatewayTestbed,
+    Script,
+    client_request,
+)
+from tests.lib.waiting import until
+
+_EVENTS = 20
+_DEADLINE_SECONDS = 6.0
+_EVENT_SECONDS = 0.02
+_GIVEN_UP_SECONDS = 0.5
+_LONG_SECONDS = 30.0
+# Another target is tried after 0.8 s, as nothing else is known of the first.
+_SILENCE_SECONDS = 1.0
+# Another target is tried for a first event after 1.2 s.
+_FAILURE_SECONDS = 1.4
+_MANY = 40
+# The plain call is sent to another target after 0.15 s.
+_BREAK_SECONDS = 0.25
+_EXAMINING_SECONDS = 0.15
+
+
+def _all_events() -> bytes:
+    return ''.join(
+        f'id: {number}\ndata: {number}\n\n' for number in range(1, _EVENTS + 1)
+    ).encode()
+
+
+async def _finish(exchange: Exchange) -> None:
+    """Send the events that are left."""
+    first = int(exchange.headers.get('last-event-id') or 0) + 1
+    await exchange.start_stream()
+    await exchange.events(first, _EVENTS)
+    await exchange.end_stream()
+
+
+async def _finish_late(exchange: Exchange) -> None:
+    await curio.sleep(_SILENCE_SECONDS)
+    await _finish(exchange)
+
+
+def _break_after(*pauses: float) -> Script:
+    """Return a script that pauses after each of its events, then breaks."""
+
+    async def script(exchange: Exchange) -> None:  # noqa: WPS430
+        await exchange.start_stream()
+        for number, seconds in enumerate(pauses, start=1):
+            await exchange.events(number, number)
+            await curio.sleep(seconds)
+        raise ConnectionResetError
+
+    return script
+
+
+async def _never_send(exchange: Exchange) -> None:
+    await exchange.start_stream()
+    await exchange.events(1, 1)
+    await curio.sleep(_LONG_SECONDS)
+
+
+def _in_order(*scripts: Script) -> tuple[Script, ...]:
+    """Return as many scripts, the first of which any target runs first."""
+    left = list(scripts)
+
+    async def run_next(exchange: Exchange) -> None:  # noqa: WPS430
+        await left.pop(0)(exchange)
+
+    return (run_next,) * len(scripts)
+
+
+def _testbed(*scripts: Script) -> GatewayTestbed:
+    testbed = GatewayTestbed(*_in_order(*scripts))
+    _change_routes(testbed, timeout_seconds=_DEADLINE_SECONDS)
+    return testbed
+
+
+def _change_routes(testbed: GatewayTestbed, **changes: Any) -> None:
+    config = testbed.config
+    assert config is not None
+    routes = tuple(attrs.evolve(route, **changes) for route in config.routes)
+    testbed.config = attrs.evolve(config, routes=routes)
+
+
+def _received(testbed: GatewayTestbed) -> int:
+    return sum(len(target.received) for target in testbed.targets)
+
+
+class HandoverTest(unittest.TestCase):
+    """A target that is silent, and others that go on for it."""
+
+    def test_targets_work_on_after_the_client_has_left(self) -> None:
+        """Both attempts are closed, the silent one and the one beside it."""
+        testbed = _testbed(_never_send, _never_send, _never_send)
+        _run(testbed, self._leave)
+        self.assertEqual(_received(testbed), 2)
+
+    async def _leave(self, testbed: GatewayTestbed) -> None:
+        connection = await HttpConnection.open(testbed.server.address)
+        await connection.send(client_request('/stream/'))
+        await until(lambda: _received(testbed) == 2)
+        await connection.close()
+        await until(
+            lambda: not +testbed.router.in_flight_counts(), _GIVEN_UP_SECONDS
+        )
+        self.assertEqual(testbed.gateway.in_flight, 0)
+
+    def _check_whole(self, answer: ClientAnswer) -> None:
+        self.assertEqual((answer.status, answer.body), (200, _all_events()))
+        self.assertTrue(answer.is_complete)
+
+
+async def _refuse(exchange: Exchange) -> None:
+    await exchange.answer(b'', 503, extra='not-executed: 1\r\n')
+
+
+async def _fail_slowly(exchange: Exchange) -> None:
+    """Send an error after a while, but not its body."""
+    await curio.sleep(_FAILURE_SECONDS)
+    request_id = exchange.headers['request-id']
+    head = f'HTTP/1.1 500 X\r\nrequest-id: {request_id}\r\n'
+    await exchange.sock.sendall(f'{head}content-length: 9\r\n\r\n'.encode())
+    await curio.sleep(_LONG_SECONDS)
+
+
+async def _break_connection(_exchange: Exchange) -> None:
+    await curio.sleep(_BREAK_SECONDS)
+    raise ConnectionResetError
+
+
+async def _examine(_dialer: object, _instance: object, _since: float) -> bool:
+    await curio.sleep(_EXAMINING_SECONDS)
+    return True
+
+
+def _run(
+    testbed: GatewayTestbed,
+    scenario: Callable[[GatewayTestbed], Awaitable[None]],
+) -> None:
+    curio.run(testbed.run, scenario)
+
+
+def _ask(testbed: GatewayTestbed, path: str = '/stream/') -> ClientAnswer:
+    answers: list[ClientAnswer] = []
+
+    async def scenario(running: GatewayTestbed) -> None:  # noqa: WPS430
+        answers.append(
+            await running.ask(path, deadline_ms=round(1000 * _DEADLINE_SECONDS))
+        )
+
+    _run(testbed, scenario)
+    return answers[0]
