Wait for an attempt that has ended while another was examined

What callers would see: a third send of a request with two attempts, and a stream whose kept connection closes after a whole response.

Cause: the failure of a broken target is examined for up to 0.16 s. An attempt beside it that took over and ended meanwhile was taken for one that had failed.

Change: an attempt with a task of its own is the successor until its result was told. `test_answer_while_a_broken_target_is_examined` failed before.

--- a/src/cranecart/forwarding/_attempt.py
+++ b/src/cranecart/forwarding/_attempt.py
@@ -19,7 +19,8 @@
     whether nothing more of its response is read. ``task`` is the one that it runs
     in, None for that of the request. ``progress`` is what is known of the target,
     and the client ``is_paused`` if it has left the response unread for a while.
-    An attempt that ``is_cancelled`` lost to another one. ``tracking`` counts it at its target,
+    An attempt that ``is_cancelled`` lost to another one, and one that
+    ``is_collected`` has told its result. ``tracking`` counts it at its target,
     from the choice on: requests that choose at the same moment would not see it
     otherwise.
     """
@@ -32,6 +33,7 @@
     tracking: ExitStack = attrs.field(factory=ExitStack, init=False)
     is_paused: bool = attrs.field(default=False, init=False)
     is_cancelled: bool = attrs.field(default=False, init=False)
+    is_collected: bool = attrs.field(default=False, init=False)
     task: curio.Task | None = attrs.field(default=None, init=False)
     _ended: curio.Event = attrs.field(factory=curio.Event, init=False)
 
@@ -60,5 +62,6 @@
     async def result(self) -> bool:
         """Return whether it succeeded, once its task has ended."""
         assert self.task is not None
+        self.is_collected = True
         await self.task.wait()
         return bool(self.task.result)
--- a/src/cranecart/forwarding/_handover.py
+++ b/src/cranecart/forwarding/_handover.py
@@ -103,9 +103,13 @@
             await attempt.end()
 
     def successor(self) -> Attempt | None:
-        """Return the attempt that leads now that another has ended, if any."""
-        if self._leader is not None and not self._leader.has_ended:
-            return self._leader
+        """Return the attempt that leads now that another has ended, if any.
+
+        It may have ended as well, and its result is not known yet.
+        """
+        leader = self._leader
+        if leader is not None and leader.task and not leader.is_collected:
+            return leader
         if not self._followers:
             return None
         self._leader = self._followers.pop(0)
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -3,18 +3,22 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest.mock import patch
 
 import attrs
 import curio
 
 from cranecart.http import HttpConnection
+from cranecart.reachability import TargetDialer
 from tests.lib.fake_targets import (
+    PLAIN,
     ClientAnswer,
     Exchange,
     GatewayTestbed,
     Script,
     client_request,
 )
+from tests.lib.full_targets import answer_after
 from tests.lib.waiting import until
 
 _EVENTS = 20
@@ -100,6 +104,17 @@
 class HandoverTest(unittest.TestCase):
     """A target that is silent, and others that go on for it."""
 
+    def test_answer_while_a_broken_target_is_examined(self) -> None:
+        """It is whole while the failure of the first target is looked into."""
+        testbed = GatewayTestbed(
+            *_in_order(_break_connection, answer_after(0.12), _finish),
+            service=PLAIN,
+        )
+        with patch.object(TargetDialer, 'is_own_path_sound', _examine):
+            answer = _ask(testbed, '/safe/')
+        self.assertEqual((answer.status, answer.body), (200, b'done'))
+        self.assertEqual(_received(testbed), 2)
+
     def test_targets_work_on_after_the_client_has_left(self) -> None:
         """Both attempts are closed, the silent one and the one beside it."""
         testbed = _testbed(_never_send, _never_send, _never_send)
