Let no request of a peer wait for a target

Cause: the node that was asked waited for a target, as it does for its own clients. Change: it tells the asking node at once, which asks the next one, or waits itself. `test_stream_held_by_a_peer_that_reaches_nothing` failed before.

--- a/src/cranecart/forwarding/_request_state.py
+++ b/src/cranecart/forwarding/_request_state.py
@@ -37,7 +37,7 @@
         A stream that has begun would be cut, as its client cannot be asked to
         come back. A peer can be told, and may know other ways.
         """
-        return self.has_begun
+        return self.has_begun and not self.is_of_peer
 
     @property
     def may_retry(self) -> bool:
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -9,6 +9,7 @@
 import curio
 
 from cranecart.http import HttpConnection
+from cranecart.peer_calls import Peer, PeerChoice
 from cranecart.reachability import TargetDialer
 from tests.lib.fake_targets import (
     PLAIN,
@@ -19,6 +20,7 @@
     client_request,
 )
 from tests.lib.full_targets import answer_after
+from tests.lib.peer_testbed import HelperNode, PeerTestbed
 from tests.lib.waiting import until
 
 _EVENTS = 20
@@ -121,6 +123,34 @@
         _run(testbed, self._leave)
         self.assertEqual(_received(testbed), 2)
 
+    def test_stream_held_by_a_peer_that_reaches_nothing(self) -> None:
+        """It says so at once, and another peer takes the stream."""
+        unable = HelperNode('n1', [_finish, _finish])
+        for target in unable.testbed.targets:
+            unable.testbed.make_unreachable(target.name)
+        able = HelperNode('n2', [_finish, _finish])
+        testbed = PeerTestbed(
+            unable, able, own_scripts=_in_order(_break_after(0, 0.2), _finish)
+        )
+        for node in (testbed.own, unable.testbed, able.testbed):
+            _change_routes(node, timeout_seconds=_DEADLINE_SECONDS, attempts=3)
+
+        async def scenario(_testbed: PeerTestbed) -> None:  # noqa: WPS430
+            asking = await curio.spawn(testbed.own.ask, '/stream/')
+            await until(lambda: _received(testbed.own))
+            testbed.own.make_unreachable('i0')
+            testbed.own.make_unreachable('i1')
+            self._check_whole(await asking.join())
+
+        def choose(  # noqa: WPS430
+            _choice: PeerChoice, _service: str, asked: list[str]
+        ) -> Peer | None:
+            left = (node for node in (unable, able) if node.name not in asked)
+            return next((node.peer for node in left), None)
+
+        with patch.object(PeerChoice, 'choose', choose):
+            curio.run(testbed.run, scenario)
+
     async def _leave(self, testbed: GatewayTestbed) -> None:
         connection = await HttpConnection.open(testbed.server.address)
         await connection.send(client_request('/stream/'))
