Wait between targets that refuse a begun stream

Cause: refusals use up none of the route's attempts once a stream has begun, and the next target was asked at once. `test_retries_spent_on_one_stream` failed before.

--- a/src/cranecart/forwarding/_request_state.py
+++ b/src/cranecart/forwarding/_request_state.py
@@ -50,6 +50,8 @@
     def record_failure(self, attempt: Attempt, error: TargetError) -> None:
         """Record that an attempt has failed."""
         self.failures.record(error, may_wait=self.may_wait)
+        if self.failures.was_refused:
+            self.backoff.postpone(since_boot())
         if attempt.is_charged and not self.failures.was_sent:
             self.retries.restore()
         trace_failure(self.call, attempt.name, error)
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -1,5 +1,6 @@
 """Attempts that run beside each other lose nothing and leave nothing behind."""
 
+import itertools
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -117,6 +118,15 @@
         self.assertEqual((answer.status, answer.body), (200, b'done'))
         self.assertEqual(_received(testbed), 2)
 
+    def test_retries_spent_on_one_stream(self) -> None:
+        """Targets that refuse it are asked again after a while only."""
+        refusals = itertools.repeat(_refuse, _MANY)
+        testbed = _testbed(_break_after(0, 0), *refusals)
+        _change_routes(testbed, timeout_seconds=2)
+        answer = _ask(testbed)
+        self.assertFalse(answer.is_complete)
+        self.assertLessEqual(testbed.budget.counts()['retries'], 10)
+
     def test_targets_work_on_after_the_client_has_left(self) -> None:
         """Both attempts are closed, the silent one and the one beside it."""
         testbed = _testbed(_never_send, _never_send, _never_send)
