Count attempts that lost against the route's limit, not their targets

Cause: an attempt that is cancelled as the silent target goes on counted nowhere, but its target stayed excluded. Change: it counts as one of the route's attempts when another is to be tried beside a silent target, and its target may be chosen again. Two tests failed before.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -150,7 +150,11 @@
 
         Attempts that run are not in ``sent_count`` until they have ended.
         """
-        used = self.state.failures.sent_count + self.handover.running_count
+        used = (
+            self.state.failures.sent_count
+            + self.handover.running_count
+            + self.state.lost_count
+        )
         if not self.call.may_repeat or used >= self.call.route.attempts:
             return False
         return self.choice.is_any_left()
@@ -329,6 +333,8 @@
     def _record_lost(self, attempt: Attempt) -> None:
         """Record that an attempt was cancelled as another went on."""
         self.state.lost_count += 1
+        if isinstance(attempt.choice, Target):
+            self.choice.readmit(attempt.choice)
 
     async def _record_failure(
         self, attempt: Attempt, target: Target, error: TargetError
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -118,6 +118,27 @@
         self.assertEqual((answer.status, answer.body), (200, b'done'))
         self.assertEqual(_received(testbed), 2)
 
+    def test_target_left_out_as_its_attempt_lost(self) -> None:
+        """It is sound, and takes the stream when the first target dies."""
+        testbed = _testbed(
+            _break_after(_SILENCE_SECONDS, 0), _finish_late, _finish
+        )
+        for target in testbed.targets[2:]:
+            testbed.make_unreachable(target.name)
+        self._check_whole(_ask(testbed))
+
+    def test_targets_used_up_by_silences(self) -> None:
+        """One request goes to no more targets than its route allows."""
+        silences = (_SILENCE_SECONDS,) * 4
+        testbed = _testbed(
+            _break_after(*silences),
+            *itertools.repeat(_finish_late, 5),
+            _finish,
+        )
+        _ask(testbed)
+        # Two while all are sound, and one more after the first has died.
+        self.assertLessEqual(_received(testbed), 3)
+
     def test_retries_spent_on_one_stream(self) -> None:
         """Targets that refuse it are asked again after a while only."""
         refusals = itertools.repeat(_refuse, _MANY)
