Let another attempt take over from one that reads an error

Cause: the body of an error was read without regard to silence. Change: the limits of a first event hold. `test_stream_held_by_the_body_of_an_error` failed before.

--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -254,7 +254,7 @@
         body = await self._sender.read_with_limits(
             self._attempts.call,
             target,
-            SilenceLimits(float('inf'), float('inf')),
+            self._first_event_limits(attempt),
             answer.connection.read_body,
         )
         name = target.instance.id
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -1,6 +1,7 @@
 """Attempts that run beside each other lose nothing and leave nothing behind."""
 
 import itertools
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -148,6 +149,13 @@
         self.assertFalse(answer.is_complete)
         self.assertLessEqual(testbed.budget.counts()['retries'], 10)
 
+    def test_stream_held_by_the_body_of_an_error(self) -> None:
+        """It goes on elsewhere while a target is slow to send the rest."""
+        testbed = _testbed(_fail_slowly, _finish_late, _finish)
+        started = time.monotonic()
+        self._check_whole(_ask(testbed))
+        self.assertLess(time.monotonic() - started, _DEADLINE_SECONDS / 2)
+
     def test_targets_work_on_after_the_client_has_left(self) -> None:
         """Both attempts are closed, the silent one and the one beside it."""
         testbed = _testbed(_never_send, _never_send, _never_send)
