Count an attempt at its target from the choice on

Cause: an attempt beside a silent one counted as in flight once its task ran, after all others of the same pass of the event loop had chosen. `test_same_target_chosen_by_streams_silent_at_once` failed before.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -249,7 +249,7 @@
     def _start(self, choice: Target | Peer, *, is_charged: bool) -> Attempt:
         attempt = Attempt(choice, is_charged)
         if isinstance(choice, Target):
-            attempt.tracking.close()
+            attempt.tracking.enter_context(self._router.in_flight.track(choice))
         return attempt
 
     def _may_try_beside(self) -> bool:
@@ -326,7 +326,7 @@
     async def _run_at(
         self, exchange: Exchange, attempt: Attempt, target: Target
     ) -> None:
-        with self._router.in_flight.track(target):
+        with attempt.tracking:
             async with self.handover.running(attempt):
                 await exchange.attempt(attempt, target)
 
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -156,6 +156,23 @@
         self._check_whole(_ask(testbed))
         self.assertLess(time.monotonic() - started, _DEADLINE_SECONDS / 2)
 
+    def test_same_target_chosen_by_streams_silent_at_once(self) -> None:
+        """An attempt counts at its target before any other request chooses."""
+        testbed = _testbed(_never_send, _never_send, _never_send)
+        counted: list[int] = []
+        spawn = curio.spawn
+
+        async def spawn_beside(  # noqa: WPS430
+            function: Callable[..., Any], *arguments: Any, **options: Any
+        ) -> curio.Task:
+            if function.__name__ == '_run_beside':
+                counted.append(testbed.router.in_flight_counts().total())
+            return await spawn(function, *arguments, **options)
+
+        with patch.object(curio, 'spawn', spawn_beside):
+            _run(testbed, self._leave)
+        self.assertEqual(counted, [2])
+
     def test_targets_work_on_after_the_client_has_left(self) -> None:
         """Both attempts are closed, the silent one and the one beside it."""
         testbed = _testbed(_never_send, _never_send, _never_send)
