Forget the silences of a target that sends again

What callers saw: sound targets that were silent for a second were ejected for one to eight seconds, one failure for each stream that moved: capacity lost where it is short.

Cause: a silence counts as a failure, whatever comes of the target later. Change: a silence counts until the target sends an event on any stream of the node.

--- a/src/cranecart/forwarding/_failure_reports.py
+++ b/src/cranecart/forwarding/_failure_reports.py
@@ -2,6 +2,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
+    TargetAbandonedError,
     TargetDisconnectedError,
     TargetError,
     TargetUnreachableError,
@@ -33,6 +34,10 @@
     if is_disconnected and not target.replica_epoch:
         router.broken.record(incarnation)
         return
+    if isinstance(error, TargetAbandonedError):
+        # It may go on a moment later, as all its other streams then show.
+        router.ejection.record_silence(incarnation)
+        return
     router.record_failure(incarnation)
 
 
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -222,6 +222,9 @@
             answer.connection.read_chunk,
         ):
             activity.record_event()
+            self._sender.router.ejection.record_event(
+                target.instance.incarnation
+            )
             complete = relay.splitter.feed(chunk)
             if complete or self._attempts.handover.is_leading(relay.attempt):
                 await self._lead(relay, answer.head)
--- a/src/cranecart/routing/_ejection.py
+++ b/src/cranecart/routing/_ejection.py
@@ -20,6 +20,7 @@
 @attrs.define
 class _Record:
     failures: int = 0
+    silences: int = 0
     ejected_until: float = 0
 
 
@@ -52,6 +53,21 @@
             )
             record.ejected_until = self._clock() + seconds
 
+    def record_silence(self, key: Key) -> None:
+        """Record a failure that counts until the target sends anything."""
+        self.record_failure(key)
+        self._records[key].silences += 1
+
+    def record_event(self, key: Key) -> None:
+        """Record that a target sends: it was silent, but has not failed."""
+        record = self._records.get(key)
+        if record is None or not record.silences:
+            return
+        record.failures -= record.silences
+        record.silences = 0
+        if record.failures < _FAILURE_THRESHOLD:
+            record.ejected_until = 0
+
     def eject_reported(self, key: Key) -> None:
         """Eject a target that broke another node's connection."""
         record = self._records.setdefault(key, _Record())
--- a/src/cranecart/routing/_router.py
+++ b/src/cranecart/routing/_router.py
@@ -108,14 +108,14 @@
         ),
         init=False,
     )
-    _ejection: OutlierEjection = attrs.field(
+    ejection: OutlierEjection = attrs.field(
         factory=functools.partial(OutlierEjection, key=_incarnation_of),
         init=False,
     )
     broken: BrokenInstances = attrs.field(
         default=attrs.Factory(
             lambda router: BrokenInstances(
-                router._ejection, router._report_broken
+                router.ejection, router._report_broken
             ),
             takes_self=True,
         ),
@@ -196,11 +196,11 @@
         self, incarnation: Incarnation, *, reached: bool = True
     ) -> None:
         """Count a failure that the instance caused."""
-        self._ejection.record_failure(incarnation, reached=reached)
+        self.ejection.record_failure(incarnation, reached=reached)
 
     def record_success(self, incarnation: Incarnation) -> None:
         """Reset an instance's failures."""
-        self._ejection.record_success(incarnation)
+        self.ejection.record_success(incarnation)
 
     def is_stalled(self, target: Target, model: str) -> bool:
         """Return whether a replica has stopped sending on all its streams."""
@@ -297,7 +297,7 @@
         request: RoutingRequest,
     ) -> Sequence[ServingHead]:
         """Leave out ejected and stalled replicas, unless no other is left."""
-        healthy = self._ejection.without_ejected(drawn)
+        healthy = self.ejection.without_ejected(drawn)
         active = [
             target
             for target in healthy
@@ -358,7 +358,7 @@
             request.rank,
             functools.partial(_retry_after, self._random, request),
         )
-        healthy = self._ejection.without_ejected(instances)
+        healthy = self.ejection.without_ejected(instances)
         choice = min(healthy, key=self._load_then_random)
         if _is_full(choice, self.load(choice.id)):
             # An ejected instance may work again; the others would refuse.
--- a/tests/unit/test_path_evidence.py
+++ b/tests/unit/test_path_evidence.py
@@ -114,7 +114,7 @@
         ejected = [
             name
             for name, item in testbed.fleet.instances.items()
-            if testbed.router._ejection.is_ejected(item.incarnation)
+            if testbed.router.ejection.is_ejected(item.incarnation)
         ]
         self.assertEqual(ejected, [])
 
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -117,6 +117,22 @@
         self.ejection.record_failure('r0')
         self.assertEqual(self._not_ejected(), ['r0', 'r1'])
 
+    def test_sound_target_stays_ejected_after_a_silence(self) -> None:
+        """Its events show that it was only silent, whatever it counted."""
+        for _ in range(5):
+            self.ejection.record_silence('r0')
+        self.assertEqual(self._not_ejected(), ['r1'])
+        self.ejection.record_event('r0')
+        self.assertEqual(self._not_ejected(), ['r0', 'r1'])
+
+    def test_failures_forgotten_with_a_silence(self) -> None:
+        """Events say nothing of failures that were no silences."""
+        self.ejection.record_silence('r0')
+        for _ in range(3):
+            self.ejection.record_failure('r0')
+        self.ejection.record_event('r0')
+        self.assertEqual(self._not_ejected(), ['r1'])
+
     def test_all_failing_targets_stay_in_use(self) -> None:
         """If all targets are ejected, all are used."""
         for name in ('r0', 'r1'):
--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -166,7 +166,7 @@
                 await _read_on(client)
             await client.close()
         await until(lambda: not testbed.router.load(target.name))
-        ejection = testbed.router._ejection
+        ejection = testbed.router.ejection
         self.assertFalse(ejection.is_ejected(Incarnation(target.name)))
 
 
