Use no retry long after it was withdrawn

Cause: a request that waits for a target kept a withdrawn retry for as long as it waited. The budget counts a retry for a window and 0.5 s, which it may take to arrive, and gave the same one out again.

Change: a retry that is not used within those 0.5 s is lost, and none is withdrawn while no target accepts requests.

Also an attempt that had failed as it was cancelled counted twice and ended its task with an error (seen once in test_full_targets, beside a load of 17).

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -214,6 +214,9 @@
         if not state.may_retry:
             raise self._final_error()
         await state.wait()
+        if not self.choice.is_any_left() and state.postpone('none is left'):
+            # A retry that is withdrawn and not used is missing elsewhere.
+            return False
         # Only retries after a request was sent are charged to the budget:
         # attempts that reached no target put no load on any.
         is_charged = state.failures.any_sent
@@ -270,9 +273,10 @@
                 raise
             trace_failure(self.call, attempt.name, error)
             return False
-        finally:
+        except curio.CancelledError:
             if attempt.is_cancelled:
                 self._record_lost(attempt)
+            raise
 
     async def _succeeds(self, exchange: Exchange, attempt: Attempt) -> bool:
         self.has_started = True
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -95,7 +95,8 @@
 
     def readmit(self, target: Target) -> None:
         """Let a target be chosen again."""
-        self._excluded.remove(target.instance.id)
+        if target.instance.id in self._excluded:
+            self._excluded.remove(target.instance.id)
 
     def record_failure(self, target: Target, error: TargetError) -> None:
         """Record that an attempt at a target has failed."""
--- a/src/cranecart/retries/_shared.py
+++ b/src/cranecart/retries/_shared.py
@@ -21,7 +21,7 @@
 _USED_FRACTION = 0.95
 # A retry reaches its target this much later than it was allowed at most: it may
 # have to wait for a connection.
-_ARRIVAL_SECONDS = 0.5
+ARRIVAL_SECONDS = 0.5
 # With less than this part of its share left, a node borrows.
 _LOW_FRACTION = 0.5
 _BORROW_INTERVAL_SECONDS = 0.1
@@ -157,7 +157,7 @@
     @property
     def _held_seconds(self) -> float:
         """Return for how long a retry counts after it was allowed."""
-        return self.limits.window_seconds + _ARRIVAL_SECONDS
+        return self.limits.window_seconds + ARRIVAL_SECONDS
 
     def _used_limits(self) -> RetryLimits:
         return attrs.evolve(
