End all attempts of a request whose client leaves

What targets would see: work that goes on after its client has left (GONE), and an attempt that may write to a response that has ended.

Cause: the attempts were cancelled one after the other, each until its task had ended. If the client left meanwhile, the rest was skipped. Change: all are cancelled first. One that has ended goes on examining its failure: that its target has terminated is not lost any more (read, not run). `test_attempts_left_running_as_the_client_leaves` failed before.

--- a/src/cranecart/forwarding/_handover.py
+++ b/src/cranecart/forwarding/_handover.py
@@ -5,7 +5,7 @@
 """
 
 import contextlib
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 
 import attrs
 import curio
@@ -116,9 +116,13 @@
         return self._leader
 
     async def close(self) -> None:
-        """End all attempts that run in tasks of their own."""
-        for attempt in self._added:
-            await _cancel(attempt)
+        """End all attempts that run in tasks of their own.
+
+        Those that have ended go on examining their failure.
+        """
+        await _cancel(
+            [attempt for attempt in self._added if not attempt.has_ended]
+        )
 
     async def _cancel_others(self, attempt: Attempt) -> None:
         others = self._followers
@@ -130,12 +134,16 @@
                 why=f'{attempt.name} went on first',
             )
             other.is_cancelled = True
-        for other in others:
-            await _cancel(other)
-
-
-async def _cancel(attempt: Attempt) -> None:
-    assert attempt.task is not None
-    await attempt.task.cancel()
-    # The task may not have begun to run.
-    attempt.tracking.close()
+        await _cancel(others)
+
+
+async def _cancel(attempts: Sequence[Attempt]) -> None:
+    """Cancel attempts; their tasks end even if this one is cancelled."""
+    tasks = [attempt.task for attempt in attempts if attempt.task is not None]
+    for attempt in attempts:
+        # Its task may not have begun to run.
+        attempt.tracking.close()
+    for task in tasks:
+        await task.cancel(blocking=False)
+    for task in tasks:
+        await task.wait()
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -10,7 +10,10 @@
 import attrs
 import curio
 
-from cranecart.http import HttpConnection
+from cranecart.forwarding._attempt import Attempt
+from cranecart.forwarding._handover import Handover
+from cranecart.http import Address, HttpConnection
+from cranecart.logs import RequestTrace
 from cranecart.peer_calls import Peer, PeerChoice
 from cranecart.reachability import TargetDialer
 from tests.lib.fake_targets import (
@@ -35,6 +38,7 @@
 # Another target is tried for a first event after 1.2 s.
 _FAILURE_SECONDS = 1.4
 _MANY = 40
+_SLOW_END_SECONDS = 0.1
 # The plain call is sent to another target after 0.15 s.
 _BREAK_SECONDS = 0.25
 _EXAMINING_SECONDS = 0.15
@@ -173,6 +177,10 @@
             _run(testbed, self._leave)
         self.assertEqual(counted, [2])
 
+    def test_attempts_left_running_as_the_client_leaves(self) -> None:
+        """They all end, though waiting for the first of them is cut off."""
+        curio.run(self._close_and_cancel)
+
     def test_targets_work_on_after_the_client_has_left(self) -> None:
         """Both attempts are closed, the silent one and the one beside it."""
         testbed = _testbed(_never_send, _never_send, _never_send)
@@ -207,6 +215,19 @@
         with patch.object(PeerChoice, 'choose', choose):
             curio.run(testbed.run, scenario)
 
+    async def _close_and_cancel(self) -> None:
+        handover = Handover(RequestTrace(''))
+        tasks = [await curio.spawn(_end_slowly, daemon=True) for _ in range(3)]
+        for number, task in enumerate(tasks):
+            peer = Peer(f'n{number}', Address('127.0.0.1', 1), 'east')
+            handover.add(Attempt(peer), task)
+        await curio.sleep(0)
+        closing = await curio.spawn(handover.close)
+        await curio.sleep(_SLOW_END_SECONDS / 4)
+        await closing.cancel()
+        await curio.sleep(2 * _SLOW_END_SECONDS)
+        self.assertTrue(all(task.terminated for task in tasks))
+
     async def _leave(self, testbed: GatewayTestbed) -> None:
         connection = await HttpConnection.open(testbed.server.address)
         await connection.send(client_request('/stream/'))
@@ -235,6 +256,13 @@
     await curio.sleep(_LONG_SECONDS)
 
 
+async def _end_slowly() -> None:
+    try:
+        await curio.sleep(_LONG_SECONDS)
+    finally:
+        await curio.sleep(_SLOW_END_SECONDS)
+
+
 async def _break_connection(_exchange: Exchange) -> None:
     await curio.sleep(_BREAK_SECONDS)
     raise ConnectionResetError
