Check a silent target less often once its replica was checked

While another attempt runs beside it the target is checked every 6 ms as before, as that may take over at any moment.

--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -43,6 +43,8 @@
 # Replaces _POLL_SECONDS once the replica is suspected or another attempt was
 # started, as either result may then come at any moment.
 _SUSPECT_POLL_SECONDS = 0.006
+# The members of a suspected replica have been checked after this time.
+_CHECK_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -156,9 +158,7 @@
         silence = float(0)
         is_reported = False
         while True:
-            interval = _poll_interval(
-                limits, silence, is_reported or limits.may_be_replaced
-            )
+            interval = _poll_interval(limits, silence, is_reported)
             try:
                 return await curio.timeout_after(
                     max(0, min(interval, call.seconds_left)),
@@ -325,10 +325,13 @@
 def _poll_interval(
     limits: SilenceLimits,
     silence: float,
-    is_urgent: bool,
+    is_reported: bool,
 ) -> float:
-    if is_urgent:
+    is_being_checked = silence < limits.suspect_after + _CHECK_SECONDS
+    if limits.may_be_replaced or (is_reported and is_being_checked):
         return _SUSPECT_POLL_SECONDS
+    if silence >= limits.suspect_after:
+        return _POLL_SECONDS
     return min(_POLL_SECONDS, limits.suspect_after - silence)
 
 
