Search each received byte of a stream once

What callers saw: a target that sends a stream without ever ending an event held the node's only thread; six of six such streams ended cut after 4 to 7 s, and nothing else ran meanwhile.

Cause: the splitter joined and searched all that it had for each chunk, so that an event cost the square of its size. The native protocol's counter of events did the same.

Both now use a buffer that searches only the chunk and the byte before it.

--- a/src/cranecart/client_api/_sse.py
+++ b/src/cranecart/client_api/_sse.py
@@ -7,7 +7,8 @@
 import attrs
 import msgspec
 
-_EVENT_END = b'\n\n'
+from cranecart.http import EVENT_END, EventBuffer
+
 _LAST_EVENT = b'data: [DONE]\n\n'
 
 
@@ -20,29 +21,20 @@
 
     tokens: int = 0
     is_finished: bool = False
-    _partial: bytes = b''
+    _events: EventBuffer = attrs.field(factory=EventBuffer, init=False)
 
     def feed(self, chunk: bytes) -> bytes:
         """Add received bytes; return the events that are complete by now."""
-        if self._partial:
-            chunk = self._partial + chunk
-            self._partial = b''
-        if not chunk.endswith(_EVENT_END):
-            complete_end = chunk.rfind(_EVENT_END) + len(_EVENT_END)
-            if complete_end < len(_EVENT_END):
-                self._partial = chunk
-                return b''
-            self._partial = chunk[complete_end:]
-            chunk = chunk[:complete_end]
-        self.tokens += chunk.count(_EVENT_END)
-        if chunk.endswith(_LAST_EVENT):
+        complete = self._events.feed(chunk)
+        self.tokens += complete.count(EVENT_END)
+        if complete.endswith(_LAST_EVENT):
             self.is_finished = True
             self.tokens -= 1
-        return chunk
+        return complete
 
     def restart(self) -> None:
         """Discard an incomplete event before the stream is resumed."""
-        self._partial = b''
+        self._events.clear()
 
 
 def error_event(error: object) -> bytes:
--- a/src/cranecart/forwarding/_sse.py
+++ b/src/cranecart/forwarding/_sse.py
@@ -7,8 +7,8 @@
 import attrs
 
 from cranecart.exceptions import TargetFailedError
+from cranecart.http import EVENT_END, EventBuffer
 
-_EVENT_END = b'\n\n'
 _ID_FIELD = re.compile(rb'^id: ?(.*)$', re.MULTILINE)
 
 
@@ -18,7 +18,7 @@
 
     last_id: str = ''
     event_count: int = 0
-    _partial: bytes = b''
+    _events: EventBuffer = attrs.field(factory=EventBuffer, init=False)
     # Set from the first attempt on: ids must ascend over all attempts at a
     # stream, whichever targets they come from.
     _requires_ascending_ids: bool = False
@@ -26,7 +26,7 @@
     @property
     def is_between_events(self) -> bool:
         """Return whether no incomplete event is buffered."""
-        return not self._partial
+        return not self._events.size
 
     def feed(self, chunk: bytes) -> bytes:
         """Add received bytes; return the events that are complete by now.
@@ -34,14 +34,8 @@
         Raise ``TargetFailedError`` if event ids do not ascend, as in a resumed
         stream that starts over: the client would get events twice.
         """
-        buffered = self._partial + chunk if self._partial else chunk
-        complete_end = buffered.rfind(_EVENT_END) + len(_EVENT_END)
-        if complete_end < len(_EVENT_END):
-            self._partial = buffered
-            return b''
-        self._partial = buffered[complete_end:]
-        complete = buffered[:complete_end]
-        self.event_count += complete.count(_EVENT_END)
+        complete = self._events.feed(chunk)
+        self.event_count += complete.count(EVENT_END)
         ids = _ID_FIELD.findall(complete)
         if ids:
             self._check_ids_ascend(ids)
@@ -50,7 +44,7 @@
 
     def restart(self) -> None:
         """Discard an incomplete event before the next attempt starts."""
-        self._partial = b''
+        self._events.clear()
         self._requires_ascending_ids = True
 
     def _check_ids_ascend(self, ids: Sequence[bytes]) -> None:
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client and server, based on h11 and curio."""
 
 from cranecart.http._client import HttpConnection
+from cranecart.http._event_buffer import EVENT_END, EventBuffer
 from cranecart.http._limits import ServerLimits
 from cranecart.http._messages import (
     Address,
@@ -18,9 +19,11 @@
 from cranecart.http._unread import TARGET_RECEIVE_BYTES
 
 __all__ = (
+    'EVENT_END',
     'TARGET_RECEIVE_BYTES',
     'Address',
     'AnswerReader',
+    'EventBuffer',
     'HeaderLines',
     'Headers',
     'HttpConnection',
