Bound the size of one event of a stream

What callers saw: a target that never ended an event was read until its deadline or until it closed; a node stood at 179 MiB for six such streams, and the line of the attempt told only that a connection broke.

The buffer of incomplete events had no bound. An event may now have 4 MB (max_event_mb), whether it arrives in one part or in many: more than the events of text by far, enough for an image or a sound in one, and what a node of 128 MB can hold a few times. It is also gRPC's default for a message. Over it the attempt fails as the target's fault with TargetOversizedError, whose line tells the bytes so far and the bound; responses_too_large counts them.

test_event_over_its_bound draws events and parts: it fails on the code before, which accepts any size, and passes.

--- a/src/cranecart/client_api/_sse.py
+++ b/src/cranecart/client_api/_sse.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from cranecart.exceptions import MessageTooLargeError, TargetOversizedError
 from cranecart.http import EVENT_END, EventBuffer
 
 _LAST_EVENT = b'data: [DONE]\n\n'
@@ -24,8 +25,14 @@
     _events: EventBuffer = attrs.field(factory=EventBuffer, init=False)
 
     def feed(self, chunk: bytes) -> bytes:
-        """Add received bytes; return the events that are complete by now."""
-        complete = self._events.feed(chunk)
+        """Add received bytes; return the events that are complete by now.
+
+        Raise ``TargetOversizedError`` at an event that is too large.
+        """
+        try:
+            complete = self._events.feed(chunk)
+        except MessageTooLargeError as error:
+            raise TargetOversizedError(str(error)) from error
         self.tokens += complete.count(EVENT_END)
         if complete.endswith(_LAST_EVENT):
             self.is_finished = True
--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -53,6 +53,10 @@
         self.status = status
 
 
+class MessageTooLargeError(HttpError):
+    """The peer sent more than is accepted; correct it or raise the limit."""
+
+
 class PlatformError(CranecartError):
     """Base class of errors of the platform's services."""
 
@@ -126,6 +130,14 @@
     """The target was given up while it may still run the request."""
 
 
+@final
+class TargetOversizedError(TargetFailedError):
+    """The target sent more than a response or an event may have.
+
+    Correct the target, or raise the limit in the node's settings.
+    """
+
+
 @final
 class TargetTimeoutError(TargetError):
     """The target did not answer before the request's deadline."""
--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -8,7 +8,12 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError, TargetUnreachableError
-from cranecart.http import HttpConnection, ResponseHead
+from cranecart.http import (
+    HeldResponse,
+    HttpConnection,
+    ResponseHead,
+    ResponseMemory,
+)
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
 from cranecart.reachability import TargetDialer
@@ -44,7 +49,8 @@
 
     ``opened`` counts the connections that were opened, ``desynchronized`` those
     that carried more responses than requests. ``_receive_bytes`` bounds what
-    the kernel receives on each before it is read. ``dialer`` opens them.
+    the kernel receives on each before it is read, ``memory`` what is kept of the
+    responses on all of them. ``dialer`` opens them.
     """
 
     _clock: Callable[[], float] = since_boot
@@ -62,6 +68,7 @@
     )
     _receive_bytes: int | None = None
     dialer: TargetDialer = attrs.field(factory=TargetDialer)
+    memory: ResponseMemory = attrs.field(factory=ResponseMemory)
 
     async def acquire(
         self,
@@ -185,6 +192,7 @@
         except ConnectFailedError as error:
             raise TargetUnreachableError(str(error)) from error
         self.opened += 1
+        connection.held = HeldResponse(self.memory, str(instance.address))
         return connection
 
     def _is_unreliable(self, instance: ListedInstance) -> bool:
--- a/src/cranecart/forwarding/_sse.py
+++ b/src/cranecart/forwarding/_sse.py
@@ -6,8 +6,12 @@
 
 import attrs
 
-from cranecart.exceptions import TargetFailedError
-from cranecart.http import EVENT_END, EventBuffer
+from cranecart.exceptions import (
+    MessageTooLargeError,
+    TargetFailedError,
+    TargetOversizedError,
+)
+from cranecart.http import EVENT_END, EventBuffer, HeldResponse
 
 _ID_FIELD = re.compile(rb'^id: ?(.*)$', re.MULTILINE)
 
@@ -28,13 +32,21 @@
         """Return whether no incomplete event is buffered."""
         return not self._events.size
 
+    def hold_in(self, held: HeldResponse) -> None:
+        """Bound the events of the attempt that starts by its response."""
+        self._events.held = held
+
     def feed(self, chunk: bytes) -> bytes:
         """Add received bytes; return the events that are complete by now.
 
         Raise ``TargetFailedError`` if event ids do not ascend, as in a resumed
-        stream that starts over: the client would get events twice.
+        stream that starts over: the client would get events twice. Raise
+        ``TargetOversizedError`` at an event that is too large.
         """
-        complete = self._events.feed(chunk)
+        try:
+            complete = self._events.feed(chunk)
+        except MessageTooLargeError as error:
+            raise TargetOversizedError(str(error)) from error
         self.event_count += complete.count(EVENT_END)
         ids = _ID_FIELD.findall(complete)
         if ids:
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -15,6 +15,11 @@
 from cranecart.http._pool import HttpConnectionPool, exchange
 from cranecart.http._progress import AnswerReader, exchange_in_progress
 from cranecart.http._responder import Responder
+from cranecart.http._response_memory import (
+    HeldResponse,
+    ResponseLimits,
+    ResponseMemory,
+)
 from cranecart.http._server import HttpServer
 from cranecart.http._unread import TARGET_RECEIVE_BYTES
 
@@ -26,6 +31,7 @@
     'EventBuffer',
     'HeaderLines',
     'Headers',
+    'HeldResponse',
     'HttpConnection',
     'HttpConnectionPool',
     'HttpServer',
@@ -33,6 +39,8 @@
     'Responder',
     'Response',
     'ResponseHead',
+    'ResponseLimits',
+    'ResponseMemory',
     'ServerLimits',
     'exchange',
     'exchange_in_progress',
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -23,6 +23,7 @@
     decode_headers,
     encode_headers,
 )
+from cranecart.http._response_memory import HeldResponse
 
 _MAX_HEAD_BYTES = 32768
 # A broken network path is detected after about two seconds, as nodes must be up
@@ -49,6 +50,8 @@
         self.address = address
         # Number of requests sent on it before the current one.
         self.earlier_requests = 0
+        # Bounds what is kept of each response.
+        self.held = HeldResponse()
         self._sock = sock
         self._parser = _new_parser()
         self._pending_request: Request | None = None
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -6,7 +6,13 @@
 
 from cranecart.fleet import Fleet, mark_leaving
 from cranecart.forwarding import ResumeGuard, TargetConnectionPool
-from cranecart.http import TARGET_RECEIVE_BYTES, Address, ServerLimits
+from cranecart.http import (
+    TARGET_RECEIVE_BYTES,
+    Address,
+    ResponseLimits,
+    ResponseMemory,
+    ServerLimits,
+)
 from cranecart.mesh import (
     Leaving,
     LocalState,
@@ -125,11 +131,13 @@
 
     What they receive while a client does not read counts against the memory.
     """
+    limits = ResponseLimits.from_megabytes(event=settings.max_event_mb)
     return TargetConnectionPool(
         receive_bytes=(
             None if _unread_bytes(settings) is None else TARGET_RECEIVE_BYTES
         ),
         dialer=dialer,
+        memory=ResponseMemory(limits),
     )
 
 
