Bound the size of a response that is passed on as a whole

What callers saw: a plain response without end was left only when its target had been silent for too long by the limits of the call; 40 to 67 MiB were read by then and the process stood at 155 to 213 MiB with one call at a time, where a node has 128 MB.

Cause: the bound on a body was 64 MiB, more than half of a node's memory, and a body was kept twice once it was complete.

Connections to targets and to other nodes, which pass whole bodies on, now share the limits of the settings: max_body_mb, 8 MB unless set. A completion of text has some kilobytes, a batch of embeddings a few megabytes; gateways that keep whole bodies allow 1 to 10 MB, and those who need more set it. Over it the attempt ends, and its line tells the bytes and the bound. Other connections keep their 64 MiB, and the copy of a complete body is dropped.

A body of exactly the bound passes unchanged.

--- a/src/cranecart/forwarding/_peer_gateway.py
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -14,7 +14,7 @@
     admit_from_peer,
     outcome_for_peer,
 )
-from cranecart.http import Responder, Response
+from cranecart.http import Responder, Response, ResponseMemory
 from cranecart.logs import RequestTrace
 from cranecart.models import RouteConfig
 from cranecart.peer_calls import PeerKnowledge, PeerOutcome, PeerRequest
@@ -39,6 +39,11 @@
     _knowledge: PeerKnowledge = attrs.field(factory=PeerKnowledge)
     in_flight: int = attrs.field(default=0, init=False)
 
+    @property
+    def response_memory(self) -> ResponseMemory:
+        """Return what bounds the responses that this node keeps."""
+        return self._forwarder.sender.connections.memory
+
     async def handle(self, message: PeerRequest, responder: Responder) -> None:
         """Handle one request; it is cancelled if the peer disconnects."""
         self.in_flight += 1
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -23,7 +23,11 @@
     decode_headers,
     encode_headers,
 )
-from cranecart.http._response_memory import HeldResponse
+from cranecart.http._response_memory import (
+    HeldResponse,
+    ResponseLimits,
+    ResponseMemory,
+)
 
 _MAX_HEAD_BYTES = 32768
 # A broken network path is detected after about two seconds, as nodes must be up
@@ -32,6 +36,7 @@
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 2000
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Connections to targets have a lower bound, from the settings.
 _MAX_BODY_BYTES = 67108864
 # Far more surplus responses than a faulty target leaves on a connection. An
 # endless sequence of them is read without ever waiting and so starves all other
@@ -51,7 +56,10 @@
         # Number of requests sent on it before the current one.
         self.earlier_requests = 0
         # Bounds what is kept of each response.
-        self.held = HeldResponse()
+        self.held = HeldResponse(
+            ResponseMemory(ResponseLimits(body_bytes=_MAX_BODY_BYTES)),
+            str(address),
+        )
         self._sock = sock
         self._parser = _new_parser()
         self._pending_request: Request | None = None
@@ -243,19 +251,17 @@
         )
 
     async def read_body(self) -> bytes:
-        """Return the complete body.
+        """Return the complete body; raise ``MessageTooLargeError``.
 
         This may be called again after an interruption; it keeps what it has
         read so far.
         """
         while chunk := await self.read_chunk():
             self._body += chunk
-            if len(self._body) > _MAX_BODY_BYTES:
-                raise BadMessageError(
-                    f'{self.address} sent a body of more than '
-                    f'{_MAX_BODY_BYTES} bytes'
-                )
-        return bytes(self._body)
+            self.held.check_body(len(self._body))
+        body = bytes(self._body)
+        self._body.clear()
+        return body
 
     async def close(self) -> None:
         """Close the socket; safe to call twice."""
--- a/src/cranecart/http/_pool.py
+++ b/src/cranecart/http/_pool.py
@@ -10,6 +10,7 @@
 from cranecart.exceptions import PeerTimeoutError
 from cranecart.http._client import CONNECT_TIMEOUT_SECONDS, HttpConnection
 from cranecart.http._messages import Address, Request, Response
+from cranecart.http._response_memory import HeldResponse, ResponseMemory
 
 _MAX_IDLE = 32
 
@@ -19,10 +20,12 @@
     """Idle connections by address.
 
     An acquired connection serves one request at a time until it is released.
+    ``_memory`` bounds what is kept of the responses, if it is given.
     """
 
     _tcp_keepalive: bool = False
     _connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
+    _memory: ResponseMemory | None = None
     _idle: dict[Address, list[HttpConnection]] = attrs.field(
         factory=lambda: defaultdict(list),
         init=False,
@@ -38,11 +41,14 @@
             if connection.has_no_pending_input():
                 return connection
             await connection.close()
-        return await HttpConnection.open(
+        connection = await HttpConnection.open(
             address,
             self._connect_timeout_seconds,
             tcp_keepalive=self._tcp_keepalive,
         )
+        if self._memory is not None:
+            connection.held = HeldResponse(self._memory, str(address))
+        return connection
 
     async def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if not reusable."""
--- a/src/cranecart/http/_response_memory.py
+++ b/src/cranecart/http/_response_memory.py
@@ -9,21 +9,24 @@
 _MEGABYTE = 1_000_000
 # Enough for an event with an image or a sound in it.
 _MAX_EVENT_BYTES = 4 * _MEGABYTE
+_MAX_BODY_BYTES = 8 * _MEGABYTE
 
 
 @attrs.frozen
 class ResponseLimits:
     """Bounds on what is kept of received responses, in bytes.
 
-    ``event_bytes`` applies to each event of a stream.
+    ``event_bytes`` applies to each event of a stream, ``body_bytes`` to each
+    body that is passed on as a whole.
     """
 
     event_bytes: float = _MAX_EVENT_BYTES
+    body_bytes: float = _MAX_BODY_BYTES
 
     @classmethod
-    def from_megabytes(cls, *, event: float) -> Self:
+    def from_megabytes(cls, *, event: float, body: float) -> Self:
         """Return bounds given in megabytes, of which 0 is none."""
-        return cls(event_bytes=_bytes_of(event))
+        return cls(_bytes_of(event), _bytes_of(body))
 
 
 @attrs.define(eq=False)
@@ -48,6 +51,10 @@
         """Raise ``MessageTooLargeError`` if an event is too large."""
         self._check('an event', size, self.memory.limits.event_bytes)
 
+    def check_body(self, size: int) -> None:
+        """Raise ``MessageTooLargeError`` if a body is too large."""
+        self._check('a body', size, self.memory.limits.body_bytes)
+
     def _check(self, name: str, size: int, limit: float) -> None:
         if size > limit:
             self.memory.too_large_count += 1
--- a/src/cranecart/peer_calls/_client.py
+++ b/src/cranecart/peer_calls/_client.py
@@ -15,7 +15,12 @@
     PeerUnreachableError,
     TargetTimeoutError,
 )
-from cranecart.http import HttpConnection, HttpConnectionPool, ResponseHead
+from cranecart.http import (
+    HttpConnection,
+    HttpConnectionPool,
+    ResponseHead,
+    ResponseMemory,
+)
 from cranecart.peer_calls._choice import Peer, PeerChoice
 from cranecart.peer_calls._messages import (
     PeerOutcome,
@@ -68,13 +73,21 @@
 
 @attrs.define
 class PeerClient:
-    """Sends requests to peers; ``sent`` counts them since the start."""
+    """Sends requests to peers; ``sent`` counts them since the start.
+
+    ``_memory`` bounds what is kept of their responses.
+    """
 
     choice: PeerChoice
+    _memory: ResponseMemory = attrs.field(factory=ResponseMemory)
     sent: int = attrs.field(default=0, init=False)
     _pool: HttpConnectionPool = attrs.field(
-        factory=lambda: HttpConnectionPool(
-            connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS
+        default=attrs.Factory(
+            lambda client: HttpConnectionPool(
+                connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS,
+                memory=client._memory,
+            ),
+            takes_self=True,
         ),
         init=False,
     )
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -131,7 +131,9 @@
 
     What they receive while a client does not read counts against the memory.
     """
-    limits = ResponseLimits.from_megabytes(event=settings.max_event_mb)
+    limits = ResponseLimits.from_megabytes(
+        event=settings.max_event_mb, body=settings.max_body_mb
+    )
     return TargetConnectionPool(
         receive_bytes=(
             None if _unread_bytes(settings) is None else TARGET_RECEIVE_BYTES
--- a/src/cranecart/serving/_peer_requests.py
+++ b/src/cranecart/serving/_peer_requests.py
@@ -51,7 +51,11 @@
                 peer_server_limits(settings, ClientLimits()),
             )
         return cls(
-            PeerClient(choice), settings.node_id, gateway, endpoint, server
+            PeerClient(choice, gateway.response_memory),
+            settings.node_id,
+            gateway,
+            endpoint,
+            server,
         )
 
     @property
