Bound what is kept of all responses together

What callers would see: each body or event within its own bound, several targets at fault at once still took a node's memory, and its process with all requests.

All bodies and incomplete events of a node now have 16 MB together (max_responses_mb): twice the largest body, and an eighth of a node with 128 MB, as for responses that clients do not read. A body counts from its first byte until it is sent to its client. Over the bound the largest response that is being received is cut off, as those without end grow the fastest and small ones beside them shall not notice. It fails with ResponseCutError, which is no fault of its target; the caller is served by another attempt or told the reason.

Waiting for room was weighed and left: a response that is not read on looks like a silent target, and responses that wait for each other's room end only at their deadlines.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -57,6 +57,10 @@
     """The peer sent more than is accepted; correct it or raise the limit."""
 
 
+class ReceiveMemoryError(HttpError):
+    """All responses at hand took more memory than allowed; try again later."""
+
+
 class PlatformError(CranecartError):
     """Base class of errors of the platform's services."""
 
@@ -138,6 +142,14 @@
     """
 
 
+@final
+class ResponseCutError(TargetError):
+    """This node lacked memory for the response; its target is not at fault.
+
+    Try again later, or raise the limit in the node's settings.
+    """
+
+
 @final
 class TargetTimeoutError(TargetError):
     """The target did not answer before the request's deadline."""
--- a/src/cranecart/forwarding/_connections.py
+++ b/src/cranecart/forwarding/_connections.py
@@ -8,12 +8,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError, TargetUnreachableError
-from cranecart.http import (
-    HeldResponse,
-    HttpConnection,
-    ResponseHead,
-    ResponseMemory,
-)
+from cranecart.http import HttpConnection, ResponseHead, ResponseMemory
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
 from cranecart.reachability import TargetDialer
@@ -188,11 +183,12 @@
 
     async def _open(self, instance: ListedInstance) -> HttpConnection:
         try:
-            connection = await self.dialer.open(instance, self._receive_bytes)
+            connection = await self.dialer.open(
+                instance, self._receive_bytes, self.memory
+            )
         except ConnectFailedError as error:
             raise TargetUnreachableError(str(error)) from error
         self.opened += 1
-        connection.held = HeldResponse(self.memory, str(instance.address))
         return connection
 
     def _is_unreliable(self, instance: ListedInstance) -> bool:
--- a/src/cranecart/forwarding/_forwarder.py
+++ b/src/cranecart/forwarding/_forwarder.py
@@ -92,7 +92,9 @@
             await _run_buffered(attempts, buffered)
             response = buffered.response
         if response is not None:
-            await responder.send(response)
+            memory = self.sender.connections.memory
+            with memory.sending(len(response.body)):
+                await responder.send(response)
             call.trace.add(
                 'answered',
                 status=response.status,
--- a/src/cranecart/forwarding/_sse.py
+++ b/src/cranecart/forwarding/_sse.py
@@ -6,11 +6,8 @@
 
 import attrs
 
-from cranecart.exceptions import (
-    MessageTooLargeError,
-    TargetFailedError,
-    TargetOversizedError,
-)
+from cranecart.exceptions import HttpError, TargetFailedError
+from cranecart.forwarding._response_errors import error_of_response
 from cranecart.http import EVENT_END, EventBuffer, HeldResponse
 
 _ID_FIELD = re.compile(rb'^id: ?(.*)$', re.MULTILINE)
@@ -41,12 +38,13 @@
 
         Raise ``TargetFailedError`` if event ids do not ascend, as in a resumed
         stream that starts over: the client would get events twice. Raise
-        ``TargetOversizedError`` at an event that is too large.
+        ``TargetOversizedError`` at an event that is too large, and
+        ``ResponseCutError`` if there is no room for an incomplete one.
         """
         try:
             complete = self._events.feed(chunk)
-        except MessageTooLargeError as error:
-            raise TargetOversizedError(str(error)) from error
+        except HttpError as error:
+            raise error_of_response(error) from error
         self.event_count += complete.count(EVENT_END)
         ids = _ID_FIELD.findall(complete)
         if ids:
--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -38,6 +38,9 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Connections to targets have a lower bound, from the settings.
 _MAX_BODY_BYTES = 67108864
+_LIMITS = ResponseLimits(
+    body_bytes=_MAX_BODY_BYTES, total_bytes=_MAX_BODY_BYTES
+)
 # Far more surplus responses than a faulty target leaves on a connection. An
 # endless sequence of them is read without ever waiting and so starves all other
 # tasks: one blocked a node for 19 s.
@@ -50,16 +53,16 @@
 class HttpConnection:
     """A connection to one address; it carries one request at a time."""
 
-    def __init__(self, address: Address, sock: curio.io.Socket) -> None:
+    def __init__(
+        self,
+        address: Address,
+        sock: curio.io.Socket,
+        memory: ResponseMemory | None = None,
+    ) -> None:
         """Wrap an open socket."""
         self.address = address
         # Number of requests sent on it before the current one.
         self.earlier_requests = 0
-        # Bounds what is kept of each response.
-        self.held = HeldResponse(
-            ResponseMemory(ResponseLimits(body_bytes=_MAX_BODY_BYTES)),
-            str(address),
-        )
         self._sock = sock
         self._parser = _new_parser()
         self._pending_request: Request | None = None
@@ -69,6 +72,10 @@
         self._pending_event: object = None
         # Kept between calls, as the reader may be interrupted and call again.
         self._body = bytearray()
+        # What is kept of the current response.
+        self.held = HeldResponse(
+            memory or ResponseMemory(_LIMITS), str(address), self._body.clear
+        )
         self._discarded_count = 0
 
     @classmethod
@@ -79,12 +86,14 @@
         *,
         tcp_keepalive: bool = False,
         receive_bytes: int | None = None,
+        memory: ResponseMemory | None = None,
     ) -> Self:
         """Connect; raise ``ConnectFailedError`` if that fails.
 
         With ``tcp_keepalive`` a broken network path closes the connection
         within some seconds, even if nothing is sent on it. ``receive_bytes``
-        bounds what the kernel receives before it is read.
+        bounds what the kernel receives before it is read, ``memory`` what is
+        kept of the responses.
         """
         # curio.open_connection resolves names in a thread, which IP addresses
         # do not need.
@@ -113,7 +122,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if tcp_keepalive:
             _enable_tcp_keepalive(sock)
-        return cls(address, sock)
+        return cls(address, sock, memory)
 
     @property
     def surplus_bytes(self) -> int:
@@ -166,6 +175,7 @@
         self._pending_request = None
         self._is_request_sent = False
         self._body.clear()
+        self.held.release()
         self.earlier_requests += 1
         self._parser.start_next_cycle()
 
@@ -221,6 +231,7 @@
         if surplus:
             self._parser.receive_data(surplus)
         self._body.clear()
+        self.held.release()
 
     async def read_head(self) -> ResponseHead:
         """Read the response's status and headers."""
@@ -235,7 +246,11 @@
         raise ConnectionBrokenError(f'{self.address} sent no response')
 
     async def read_chunk(self) -> bytes:
-        """Return the next received part of the body, empty at its end."""
+        """Return the next received part of the body, empty at its end.
+
+        Raise ``ReceiveMemoryError`` if the response was cut off meanwhile.
+        """
+        self.held.check()
         event = await self._next_event()
         chunks = []
         while isinstance(event, h11.Data):
@@ -251,20 +266,24 @@
         )
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raise ``MessageTooLargeError``.
+        """Return the complete body.
 
+        Raise ``MessageTooLargeError`` if it is too large, and
+        ``ReceiveMemoryError`` if there is no room for it.
         This may be called again after an interruption; it keeps what it has
         read so far.
         """
         while chunk := await self.read_chunk():
             self._body += chunk
             self.held.check_body(len(self._body))
+            self.held.keep(len(self._body))
         body = bytes(self._body)
         self._body.clear()
         return body
 
     async def close(self) -> None:
         """Close the socket; safe to call twice."""
+        self.held.release()
         if self._send_task is not None:
             await self._send_task.cancel()
             self._send_task = None
--- a/src/cranecart/http/_event_buffer.py
+++ b/src/cranecart/http/_event_buffer.py
@@ -27,7 +27,8 @@
         """Add received bytes; return the events that are complete by now.
 
         Raise ``MessageTooLargeError`` at an event that is too large, whether it
-        is complete or not.
+        is complete or not, and ``ReceiveMemoryError`` if there is no room for an
+        incomplete one.
         """
         complete_end = self._find_complete_end(chunk)
         complete = chunk[:complete_end]
@@ -36,6 +37,7 @@
             self._partial = bytearray()
         self._partial += chunk[complete_end:]
         self._check_sizes(complete)
+        self.held.keep(len(self._partial))
         return complete
 
     def clear(self) -> None:
--- a/src/cranecart/http/_pool.py
+++ b/src/cranecart/http/_pool.py
@@ -10,7 +10,7 @@
 from cranecart.exceptions import PeerTimeoutError
 from cranecart.http._client import CONNECT_TIMEOUT_SECONDS, HttpConnection
 from cranecart.http._messages import Address, Request, Response
-from cranecart.http._response_memory import HeldResponse, ResponseMemory
+from cranecart.http._response_memory import ResponseMemory
 
 _MAX_IDLE = 32
 
@@ -41,14 +41,12 @@
             if connection.has_no_pending_input():
                 return connection
             await connection.close()
-        connection = await HttpConnection.open(
+        return await HttpConnection.open(
             address,
             self._connect_timeout_seconds,
             tcp_keepalive=self._tcp_keepalive,
+            memory=self._memory,
         )
-        if self._memory is not None:
-            connection.held = HeldResponse(self._memory, str(address))
-        return connection
 
     async def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if not reusable."""
--- a/src/cranecart/reachability/_dialer.py
+++ b/src/cranecart/reachability/_dialer.py
@@ -7,7 +7,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import ConnectFailedError
-from cranecart.http import HttpConnection
+from cranecart.http import HttpConnection, ResponseMemory
 from cranecart.ports import ListedInstance
 from cranecart.reachability._paths import TargetPaths
 
@@ -38,11 +38,15 @@
     _lock: curio.Lock = attrs.field(factory=curio.Lock, init=False)
 
     async def open(
-        self, instance: ListedInstance, receive_bytes: int | None = None
+        self,
+        instance: ListedInstance,
+        receive_bytes: int | None = None,
+        memory: ResponseMemory | None = None,
     ) -> HttpConnection:
         """Return a new connection; raise ``ConnectFailedError``.
 
-        ``receive_bytes`` bounds what the kernel receives before it is read.
+        ``receive_bytes`` bounds what the kernel receives before it is read,
+        ``memory`` what is kept of the responses.
         """
         started = self._clock()
         try:
@@ -50,6 +54,7 @@
                 instance.address,
                 CONNECT_TIMEOUT_SECONDS,
                 receive_bytes=receive_bytes,
+                memory=memory,
             )
         except ConnectFailedError as error:
             delay = self._clock() - started - CONNECT_TIMEOUT_SECONDS
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -132,7 +132,9 @@
     What they receive while a client does not read counts against the memory.
     """
     limits = ResponseLimits.from_megabytes(
-        event=settings.max_event_mb, body=settings.max_body_mb
+        event=settings.max_event_mb,
+        body=settings.max_body_mb,
+        total=settings.max_responses_mb,
     )
     return TargetConnectionPool(
         receive_bytes=(
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -376,7 +376,7 @@
             **self._dialer.paths.counts(),
             **self._peer_requests.counts(),
             **self._retry_budget.counts(),
-            'responses_too_large': self._target_connections.memory.too_large_count,
+            **self._target_connections.memory.counts(),
             'uneven_connections': self._target_connections.desynchronized,
             'log_bytes': self._log_queue.written_bytes,
             'log_lines_dropped': self._log_queue.dropped,
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -24,6 +24,7 @@
 # Events with an image or a sound in them have a few megabytes.
 _MAX_EVENT_MB = 4.0
 _MAX_BODY_MB = 8.0
+_MAX_RESPONSES_MB = 16.0
 _NON_NEGATIVE = attrs.validators.ge(float(0))
 
 
@@ -80,7 +81,8 @@
     no targets; without it, it takes none.
     ``log_successes`` is the share of successful requests that are logged.
     ``max_event_mb`` is how large one event of a target's stream may be,
-    ``max_body_mb`` a response that is no stream; 0 means that it is not bounded.
+    ``max_body_mb`` a response that is no stream, and ``max_responses_mb`` what
+    is kept of all together; 0 means that it is not bounded.
     With ``learns_pace`` nodes measure which replicas are slow and tell each
     other.
     Values are in the units that platforms use, so that the template of the
@@ -122,6 +124,7 @@
     cold_slack: float = _non_negative_field(_COLD_SLACK)
     max_event_mb: float = _non_negative_field(_MAX_EVENT_MB)
     max_body_mb: float = _non_negative_field(_MAX_BODY_MB)
+    max_responses_mb: float = _non_negative_field(_MAX_RESPONSES_MB)
 
     @classmethod
     def from_file(cls, file: Path) -> Self:
--- a/tests/lib/endless_targets.py
+++ b/tests/lib/endless_targets.py
@@ -3,6 +3,7 @@
 import enum
 
 import attrs
+import curio
 
 from tests.lib.fake_targets import Exchange, Script
 
@@ -21,11 +22,13 @@
 class EndlessTargets:
     """Scripts of targets that send a body until the caller closes.
 
-    ``sent_bytes`` counts what they sent, ``begun`` the bodies.
+    They pause after each part. ``sent_bytes`` counts what they sent, ``begun``
+    the bodies.
     """
 
     framing: Framing = Framing.CHUNKED
     part: bytes = _PART
+    pause_seconds: float = 0
     sent_bytes: int = attrs.field(default=0, init=False)
     begun: int = attrs.field(default=0, init=False)
 
@@ -45,6 +48,7 @@
         while True:
             await exchange.sock.sendall(encoded)
             self.sent_bytes += len(encoded)
+            await curio.sleep(self.pause_seconds)
 
     def _encoded_part(self) -> bytes:
         if self.framing is Framing.CHUNKED:
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -1,10 +1,15 @@
 """Targets that send bytes without end, and responses that are only large."""
 
+import contextlib
 import unittest
+from collections.abc import Sequence
 
 import curio
+from hypothesis import given
+from hypothesis import strategies as st
 
-from cranecart.http import ResponseLimits
+from cranecart.exceptions import ReceiveMemoryError
+from cranecart.http import HeldResponse, ResponseLimits, ResponseMemory
 from tests.lib.endless_targets import EndlessTargets, Framing
 from tests.lib.fake_targets import (
     PLAIN,
@@ -79,3 +84,105 @@
 
         answers = _ask('/safe/', PLAIN, answer, calls=1)
         self.assertEqual(answers[0].body, body)
+
+
+class TotalBoundTest(unittest.TestCase):
+    """What is kept of all responses together."""
+
+    @given(
+        st.lists(st.tuples(st.integers(0, 4), st.integers(0, 50)), max_size=60)
+    )
+    def test_all_responses_together_over_their_bound(
+        self, steps: Sequence[tuple[int, int]]
+    ) -> None:
+        """The largest is cut off at once, and no other."""
+        memory = ResponseMemory(ResponseLimits(total_bytes=100))
+        responses = [HeldResponse(memory) for _ in range(5)]
+        for index, size in steps:
+            self._grow(memory, responses, responses[index], size)
+        for response in responses:
+            response.release()
+        self.assertEqual(memory.held_bytes, 0)
+
+    def test_responses_that_are_being_sent(self) -> None:
+        """They count, and what is being received makes room for them."""
+        memory = ResponseMemory(ResponseLimits(total_bytes=100))
+        small, large = HeldResponse(memory), HeldResponse(memory)
+        small.keep(20)
+        large.keep(40)
+        with memory.sending(60):
+            small.check()
+            with self.assertRaises(ReceiveMemoryError):
+                large.check()
+            self.assertEqual(memory.held_bytes, 80)
+        self.assertEqual(memory.held_bytes, 20)
+        self.assertEqual(memory.counts()['responses_cut'], 1)
+
+    def test_bodies_without_end_beside_others(self) -> None:
+        """The others are answered, and all together stay within the bound."""
+        endless = EndlessTargets(pause_seconds=0.002)
+        body = b'x' * 50_000
+
+        async def script(exchange: Exchange) -> None:  # noqa: WPS430
+            if exchange.headers['request-id'].startswith('endless'):
+                await endless.script()(exchange)
+            await exchange.answer(body)
+
+        async def scenario(running: GatewayTestbed) -> None:  # noqa: WPS430
+            async with curio.TaskGroup(wait=all) as clients:
+                for number in range(40):
+                    kind = 'whole' if number % 4 else 'endless'
+                    await clients.spawn(_ask_as, running, f'{kind}{number}')
+            answers.extend(clients.results)
+
+        testbed = GatewayTestbed(script, script, service=PLAIN, retries=1000)
+        memory = testbed.connections.memory
+        memory.limits = ResponseLimits(
+            body_bytes=_BODY_BYTES, total_bytes=2 * _BODY_BYTES
+        )
+        answers: list[tuple[str, ClientAnswer]] = []
+        curio.run(testbed.run, scenario)
+        for name, answer in answers:
+            if name.startswith('whole'):
+                self.assertEqual(answer.body, body, name)
+            else:
+                self.assertEqual(answer.status, 502)
+        self.assertGreater(memory.cut_count, 0)
+        self.assertEqual(memory.held_bytes, 0)
+
+    def _grow(
+        self,
+        memory: ResponseMemory,
+        responses: Sequence[HeldResponse],
+        grown: HeldResponse,
+        size: int,
+    ) -> None:
+        sizes = {
+            response: size if response is grown else response.size
+            for response in responses
+            if not _is_cut(response)
+        }
+        largest = max(sizes.values(), default=0)
+        is_too_much = sum(sizes.values()) > 100
+        with contextlib.suppress(ReceiveMemoryError):
+            grown.keep(size)
+        newly_cut = [response for response in sizes if _is_cut(response)]
+        self.assertEqual(len(newly_cut), is_too_much)
+        self.assertTrue(
+            all(sizes[response] == largest for response in newly_cut)
+        )
+        self.assertLessEqual(memory.held_bytes, 100)
+
+
+async def _ask_as(
+    testbed: GatewayTestbed, name: str
+) -> tuple[str, ClientAnswer]:
+    return name, await testbed.ask('/safe/', request_id=name)
+
+
+def _is_cut(response: HeldResponse) -> bool:
+    try:
+        response.check()
+    except ReceiveMemoryError:
+        return True
+    return False
