Let other tasks run beside a response that always has more to read

What callers saw: while a response without end arrived, nothing else of the node ran.

Cause: reading from a socket waits only if nothing has arrived. A response that arrives as fast as it is read never waits, so that other tasks starve and the limits of the attempt, which need a wait too, are not applied. A read of 64 KiB in chunks of one byte alone took 0.13 s.

Reading now ends its turn after 256 steps, which are reads and parsed parts. test_endless_response_starves_other_tasks, without it: another task waits for 1.0 s in each of four cases (large chunks, small chunks, small reads, interim responses), which is the time after which the test's socket closes; with it less than 0.1 s, and 5 ms at most in a trial. A turn costs 6 us, at most once in some 100 events of a stream.

--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -28,6 +28,7 @@
     ResponseLimits,
     ResponseMemory,
 )
+from cranecart.http._turns import ReadingTurn
 
 _MAX_HEAD_BYTES = 32768
 # A broken network path is detected after about two seconds, as nodes must be up
@@ -41,9 +42,7 @@
 _LIMITS = ResponseLimits(
     body_bytes=_MAX_BODY_BYTES, total_bytes=_MAX_BODY_BYTES
 )
-# Far more surplus responses than a faulty target leaves on a connection. An
-# endless sequence of them is read without ever waiting and so starves all other
-# tasks: one blocked a node for 19 s.
+# Far more surplus responses than a faulty target leaves on a connection.
 _MAX_DISCARDED_RESPONSES = 16
 # Up to this size a request is sent in one write without a task of its own; most
 # kernels buffer at least this much for a connection.
@@ -77,6 +76,7 @@
             memory or ResponseMemory(_LIMITS), str(address), self._body.clear
         )
         self._discarded_count = 0
+        self._turn = ReadingTurn()
 
     @classmethod
     async def open(
@@ -255,7 +255,7 @@
         chunks = []
         while isinstance(event, h11.Data):
             chunks.append(bytes(event.data))
-            event = self._parse()
+            event = None if self._turn.is_over else self._parse()
         if chunks:
             self._pending_event = event
             return b''.join(chunks)
@@ -323,11 +323,13 @@
             return
 
     async def _next_event(self) -> object:
+        await self._turn.end_if_over()
         event = self._pending_event
         self._pending_event = None
         if event is None:
             event = self._parse()
         while event is h11.NEED_DATA:
+            await self._turn.end_if_over()
             try:
                 received = await self._sock.recv(READ_BYTES)
             except OSError as error:
@@ -339,6 +341,7 @@
         return event
 
     def _parse(self) -> object:
+        self._turn.count_step()
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -2,9 +2,11 @@
 
 import itertools
 import socket
+import time
 import unittest
 from collections.abc import Sequence
 
+import attrs
 import curio
 
 from cranecart.exceptions import ConnectFailedError, ConnectionBrokenError
@@ -15,11 +17,16 @@
     Request,
     Responder,
     Response,
+    ResponseLimits,
+    ResponseMemory,
     ServerLimits,
 )
 
 _HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 _END = b'0\r\n\r\n'
+# Other tasks wait some milliseconds. A read of 64 KiB in small chunks takes over
+# a tenth of a second, and an endless response never ends.
+_MAX_WAIT_SECONDS = 0.1
 
 
 async def _serve(listener: curio.io.Socket, writes: Sequence[bytes]) -> None:
@@ -66,6 +73,74 @@
             curio.run(_read_chunks, [_HEAD, b'1\r\na\r\n'])
 
 
+@attrs.define
+class _ReadySocket:
+    """A socket that has always received a part of an endless response."""
+
+    part: bytes
+    head: bytes = b''
+    # Ends the test if nothing else ever runs.
+    ends_at: float = attrs.field(
+        factory=lambda: time.monotonic() + 10 * _MAX_WAIT_SECONDS
+    )
+
+    async def sendall(self, _request: bytes) -> None:
+        """Accept a request."""
+
+    async def recv(self, _size: int) -> bytes:
+        """Return the head, then the same part again and again."""
+        if time.monotonic() > self.ends_at:
+            raise ConnectionResetError
+        received = self.head or self.part
+        self.head = b''
+        return received
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+async def _read_beside_another_task(sock: _ReadySocket) -> Sequence[float]:
+    """Read for a while; return the times that another task had to wait."""
+    unbounded = ResponseLimits.from_megabytes(event=0, body=0, total=0)
+    connection = HttpConnection(
+        Address('127.0.0.1', 1),
+        sock,
+        ResponseMemory(unbounded),
+    )
+    await connection.send(Request('GET', '/'))
+    reading = await curio.spawn(_read_all, connection, daemon=True)
+    waits = []
+    for _ in range(5):
+        started = time.monotonic()
+        await curio.sleep(0)
+        waits.append(time.monotonic() - started)
+    await reading.cancel()
+    return waits
+
+
+async def _read_all(connection: HttpConnection) -> None:
+    await connection.read_head()
+    await connection.read_body()
+
+
+class EndlessResponseTest(unittest.TestCase):
+    """Responses that always have more to read."""
+
+    def test_endless_response_starves_other_tasks(self) -> None:
+        """Others run meanwhile, whatever the response consists of."""
+        chunked = b'%x\r\n%b\r\n'
+        for name, head, part in (
+            ('large chunks', _HEAD, chunked % (16384, b'x' * 16384)),
+            ('small chunks', _HEAD, chunked % (1, b'x') * 10000),
+            ('small reads', _HEAD, chunked % (1, b'x')),
+            ('interim', b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2500),
+        ):
+            with self.subTest(name=name):
+                sock = _ReadySocket(part, head)
+                waits = curio.run(_read_beside_another_task, sock)
+                self.assertLess(max(waits), _MAX_WAIT_SECONDS)
+
+
 class FaultyClientTest(unittest.TestCase):
     """A server with low limits and clients that violate them."""
 
