Keep no endless data that a client sends after its request

Found while looking for the same cause elsewhere. A node watches whether the client of a request leaves by reading on, and keeps what it reads for the next request, without a bound: a client of a stream could fill the memory of the node until its stream ended.

After 64 KiB no more is read.

--- a/src/cranecart/http/_responder.py
+++ b/src/cranecart/http/_responder.py
@@ -18,6 +18,9 @@
 )
 from cranecart.http._unread import UnreadResponses
 
+# What is kept of data that a client sends while its request is handled.
+_MAX_KEPT_BYTES = READ_BYTES
+
 
 class Responder:
     """Writes the response to one request, at once or in chunks.
@@ -93,11 +96,17 @@
     async def wait_for_disconnect(self) -> None:
         """Return once the client closes its side of the connection.
 
-        Data that it sends before that is kept for the next request.
+        Data that it sends before that is kept for the next request. Of much of
+        it no more is read, and the client is found to have left only when its
+        response is written.
         """
+        kept_bytes = 0
         try:
             while received := await self._sock.recv(READ_BYTES):
                 self._connection.receive_data(received)
+                kept_bytes += len(received)
+                if kept_bytes > _MAX_KEPT_BYTES:
+                    await curio.Event().wait()
         except OSError:
             return
 
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -8,6 +8,7 @@
 
 import attrs
 import curio
+from curio.errors import TaskTimeout
 
 from cranecart.exceptions import ConnectFailedError, ConnectionBrokenError
 from cranecart.http import (
@@ -27,6 +28,8 @@
 # Other tasks wait some milliseconds. A read of 64 KiB in small chunks takes over
 # a tenth of a second, and an endless response never ends.
 _MAX_WAIT_SECONDS = 0.1
+# More than the kernel receives on a connection before it is read.
+_MAX_UNREAD_BYTES = 16000000
 
 
 async def _serve(listener: curio.io.Socket, writes: Sequence[bytes]) -> None:
@@ -207,6 +210,41 @@
         return answer
 
 
+class EndlessClientTest(unittest.TestCase):
+    """Clients that go on sending after their request."""
+
+    def setUp(self) -> None:
+        """Start without a request."""
+        self.is_handled = curio.Event()
+
+    def test_bytes_after_a_request_are_kept_without_bound(self) -> None:
+        """Only some are read until it is answered."""
+        sent = curio.run(self._send_beyond_request)
+        self.assertLess(sent, _MAX_UNREAD_BYTES)
+
+    async def _wait_until_gone(
+        self, _request: Request, responder: Responder
+    ) -> None:
+        await self.is_handled.set()
+        await responder.wait_for_disconnect()
+
+    async def _send_beyond_request(self) -> int:
+        server = HttpServer(Address('127.0.0.1', 0), self._wait_until_gone)
+        server.open()
+        serving = await curio.spawn(server.run)
+        sock = await curio.open_connection('127.0.0.1', server.address.port)
+        await sock.sendall(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+        await self.is_handled.wait()
+        sent = 0
+        try:
+            while sent < 4 * _MAX_UNREAD_BYTES:
+                sent += await curio.timeout_after(0.5, sock.send, bytes(65536))
+        except TaskTimeout:
+            await sock.close()
+        await serving.cancel()
+        return sent
+
+
 class StopListeningTest(unittest.TestCase):
     """A server that has stopped accepting connections."""
 
