Let other tasks run beside a request that always has more to read

The same cause as with responses: a client that sends as fast as it is read starves all other tasks of its node. A body of 1 MiB in chunks of one byte is a million parts to parse, and what a refused client still sends is discarded for a second, both without a wait.

--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -7,6 +7,7 @@
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Request, decode_headers
+from cranecart.http._turns import ReadingTurn
 
 _STATUS_TIMEOUT = 408
 _STATUS_TOO_LARGE = 413
@@ -48,17 +49,18 @@
     connection: h11.Connection,
     max_bytes: int,
 ) -> Request:
-    head = await _next_event(sock, connection)
+    turn = ReadingTurn()
+    head = await _next_event(sock, connection, turn)
     if not isinstance(head, h11.Request):
         raise ConnectionBrokenError('client closed before sending a request')
     _check_declared_size(head, max_bytes)
     await _answer_expectation(sock, connection)
     body = bytearray()
-    event = await _next_event(sock, connection)
+    event = await _next_event(sock, connection, turn)
     while isinstance(event, h11.Data):
         body += event.data
         _check_size(len(body), max_bytes)
-        event = await _next_event(sock, connection)
+        event = await _next_event(sock, connection, turn)
     if not isinstance(event, h11.EndOfMessage):
         raise ConnectionBrokenError(
             'client closed before the end of its request'
@@ -83,10 +85,15 @@
 async def _next_event(
     sock: curio.io.Socket,
     connection: h11.Connection,
+    turn: ReadingTurn,
 ) -> object:
+    await turn.end_if_over()
+    turn.count_step()
     event = connection.next_event()
     while event is h11.NEED_DATA:
+        await turn.end_if_over()
         connection.receive_data(await sock.recv(READ_BYTES))
+        turn.count_step()
         event = connection.next_event()
     return event
 
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -17,6 +17,7 @@
 from cranecart.http._messages import Address, Request
 from cranecart.http._request_reader import receive_request
 from cranecart.http._responder import Responder, send_error
+from cranecart.http._turns import ReadingTurn
 from cranecart.http._unread import UnreadResponses
 from cranecart.listening import take_listener
 
@@ -260,12 +261,14 @@
     """
     try:
         await sock.shutdown(socket.SHUT_WR)
-        await curio.timeout_after(_LINGER_SECONDS, _discard, sock)
+        await curio.timeout_after(_LINGER_SECONDS, discard, sock)
     except TaskTimeout:
         _LOG.debug('rejected client keeps sending; closing its connection')
 
 
-async def _discard(sock: curio.io.Socket) -> None:
-    received = await sock.recv(READ_BYTES)
-    while received:
-        received = await sock.recv(READ_BYTES)
+async def discard(sock: curio.io.Socket) -> None:
+    """Read what is received until the client closes."""
+    turn = ReadingTurn()
+    while await sock.recv(READ_BYTES):
+        turn.count_step()
+        await turn.end_if_over()
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -4,10 +4,11 @@
 import socket
 import time
 import unittest
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 import curio
+import h11
 from curio.errors import TaskTimeout
 
 from cranecart.exceptions import ConnectFailedError, ConnectionBrokenError
@@ -22,6 +23,8 @@
     ResponseMemory,
     ServerLimits,
 )
+from cranecart.http._request_reader import receive_request
+from cranecart.http._server import discard
 
 _HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 _END = b'0\r\n\r\n'
@@ -102,16 +105,11 @@
         """Close nothing."""
 
 
-async def _read_beside_another_task(sock: _ReadySocket) -> Sequence[float]:
+async def _run_beside_another_task(
+    read: Callable[[_ReadySocket], Awaitable[object]], sock: _ReadySocket
+) -> Sequence[float]:
     """Read for a while; return the times that another task had to wait."""
-    unbounded = ResponseLimits.from_megabytes(event=0, body=0, total=0)
-    connection = HttpConnection(
-        Address('127.0.0.1', 1),
-        sock,
-        ResponseMemory(unbounded),
-    )
-    await connection.send(Request('GET', '/'))
-    reading = await curio.spawn(_read_all, connection, daemon=True)
+    reading = await curio.spawn(read, sock, daemon=True)
     waits = []
     for _ in range(5):
         started = time.monotonic()
@@ -121,11 +119,23 @@
     return waits
 
 
-async def _read_all(connection: HttpConnection) -> None:
+async def _read_response(sock: _ReadySocket) -> None:
+    unbounded = ResponseLimits.from_megabytes(event=0, body=0, total=0)
+    connection = HttpConnection(
+        Address('127.0.0.1', 1),
+        sock,
+        ResponseMemory(unbounded),
+    )
+    await connection.send(Request('GET', '/'))
     await connection.read_head()
     await connection.read_body()
 
 
+async def _receive_request(sock: _ReadySocket) -> None:
+    connection = h11.Connection(h11.SERVER)
+    await receive_request(sock, connection, ServerLimits())
+
+
 class EndlessResponseTest(unittest.TestCase):
     """Responses that always have more to read."""
 
@@ -140,7 +150,9 @@
         ):
             with self.subTest(name=name):
                 sock = _ReadySocket(part, head)
-                waits = curio.run(_read_beside_another_task, sock)
+                waits = curio.run(
+                    _run_beside_another_task, _read_response, sock
+                )
                 self.assertLess(max(waits), _MAX_WAIT_SECONDS)
 
 
@@ -217,6 +229,16 @@
         """Start without a request."""
         self.is_handled = curio.Event()
 
+    def test_endless_request_starves_other_tasks(self) -> None:
+        """Others run while it is received, and while it is discarded."""
+        head = b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n'
+        part = b'1\r\nx\r\n' * 10000
+        for read in (_receive_request, discard):
+            with self.subTest(read=read.__name__):
+                sock = _ReadySocket(part, b'%b\r\n' % head)
+                waits = curio.run(_run_beside_another_task, read, sock)
+                self.assertLess(max(waits), _MAX_WAIT_SECONDS)
+
     def test_bytes_after_a_request_are_kept_without_bound(self) -> None:
         """Only some are read until it is answered."""
         sent = curio.run(self._send_beyond_request)
