Free what was received of a response as soon as it is given up

Cause: the error of an attempt is kept until its request ends, and with it the frames that hold the buffer; such cycles are freed only by the next run of the garbage collector. The bytes did not count any more and were still there.

--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -283,6 +283,7 @@
 
     async def close(self) -> None:
         """Close the socket; safe to call twice."""
+        self._body.clear()
         self.held.release()
         if self._send_task is not None:
             await self._send_task.cancel()
--- a/src/cranecart/http/_event_buffer.py
+++ b/src/cranecart/http/_event_buffer.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranecart.exceptions import HttpError
 from cranecart.http._response_memory import HeldResponse
 
 EVENT_END = b'\n\n'
@@ -36,8 +37,12 @@
             complete = bytes(self._partial + complete)
             self._partial = bytearray()
         self._partial += chunk[complete_end:]
-        self._check_sizes(complete)
-        self.held.keep(len(self._partial))
+        try:
+            self._check_sizes(complete)
+            self.held.keep(len(self._partial))
+        except HttpError:
+            self.clear()
+            raise
         return complete
 
     def clear(self) -> None:
