Bound the answers to orders

Found while looking for the same cause elsewhere: the placer reads an instance's answer to an order as a whole, though only its status counts, and up to 64 MiB of it. One instance whose answers have no end took half of the memory of the node that places.

An answer may now have 64 KiB.

--- a/src/cranecart/platform/_orders.py
+++ b/src/cranecart/platform/_orders.py
@@ -17,12 +17,20 @@
     TargetGoneError,
     TargetNotListeningError,
 )
-from cranecart.http import HttpConnectionPool, Request, exchange
+from cranecart.http import (
+    HttpConnection,
+    HttpConnectionPool,
+    Request,
+    ResponseLimits,
+    ResponseMemory,
+)
 from cranecart.ports import ListedInstance
 
 # Orders are answered within 3 to 8 ms on an idle link. No answer for this long
 # means that the instance is unreachable or carries the order out late.
 _ORDER_TIMEOUT_SECONDS = 0.4
+# Far more than the answer to an order, of which only the status counts.
+_MAX_ANSWER_BYTES = 65536
 _ACCEPTED_STATUSES = frozenset((200, 202))
 _MISDIRECTED = 421
 _FENCED = 412
@@ -46,7 +54,10 @@
     _is_path_sound: IsPathSound = _trust_path
     sent: int = attrs.field(default=0, init=False)
     _pool: HttpConnectionPool = attrs.field(
-        factory=HttpConnectionPool, init=False
+        factory=lambda: HttpConnectionPool(
+            memory=ResponseMemory(ResponseLimits(body_bytes=_MAX_ANSWER_BYTES))
+        ),
+        init=False,
     )
 
     async def join(
@@ -160,23 +171,31 @@
     async def _send(self, instance: ListedInstance, request: Request) -> int:
         connection = await self._pool.acquire(instance.address)
         try:
-            head = await connection.send_and_read_head(request)
-            await connection.read_body()
+            status = await _read_status(connection, request)
         except BaseException:
             await connection.close()
             raise
         await self._pool.release(connection)
-        return head.status
+        return status
 
     async def _send_on_new_connection(
         self,
         instance: ListedInstance,
         request: Request,
     ) -> int:
-        response = await exchange(
-            instance.address, request, _ORDER_TIMEOUT_SECONDS
+        connection = await self._pool.acquire(
+            instance.address, require_new=True
         )
-        return response.status
+        try:
+            return await _read_status(connection, request)
+        finally:
+            await connection.close()
+
+
+async def _read_status(connection: HttpConnection, request: Request) -> int:
+    head = await connection.send_and_read_head(request)
+    await connection.read_body()
+    return head.status
 
 
 def _membership_order(
--- a/tests/lib/endless_targets.py
+++ b/tests/lib/endless_targets.py
@@ -38,7 +38,7 @@
 
     async def _send(self, exchange: Exchange) -> None:
         self.begun += 1
-        answered_id = exchange.headers['request-id']
+        answered_id = exchange.headers.get('request-id', '')
         head = (
             f'HTTP/1.1 200 OK\r\nrequest-id: {answered_id}\r\n'
             f'replica-signature: sig\r\n{self.framing.value}\r\n\r\n'
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -24,9 +24,14 @@
     SurplusResponse,
     SurplusTiming,
 )
+from tests.lib.endless_targets import EndlessTargets
 from tests.lib.fake_engines import listed_instance
+from tests.lib.fake_targets import FakeTarget
 from tests.platform._standin import StandinStore, start
 
+# More than the kernel receives on a connection before it is read.
+_MAX_UNREAD_BYTES = 8_000_000
+
 
 class OrdersTest(unittest.TestCase):
     """Orders and their outcomes."""
@@ -101,6 +106,15 @@
         with self.assertRaises(OrderRefusedError):
             curio.run(_close_then_leave, engine)
 
+    def test_answer_without_end(self) -> None:
+        """It is left long before the order's time is over."""
+        for operation in ('close', 'leave'):
+            endless = EndlessTargets()
+            engine = FakeTarget('i', endless.script())
+            with self.assertRaises(OrderUnknownError):
+                curio.run(_order_with_target, engine, operation)
+            self.assertLess(endless.sent_bytes, _MAX_UNREAD_BYTES)
+
     def _join(self) -> OrderError | None:
         error: OrderError | None = curio.run(self._with_engine)
         return error
@@ -124,6 +138,15 @@
         return None
 
 
+async def _order_with_target(engine: FakeTarget, operation: str) -> None:
+    serving = await curio.spawn(engine.run)
+    head = listed_instance('i', engine.address)
+    try:
+        await getattr(PlatformOrders(), operation)(head, 'r', 7, 3)
+    finally:
+        await serving.cancel()
+
+
 async def _lost_path(_instance: ListedInstance, _since: float) -> bool:
     return False
 
