Tell targets that send without end from those that disconnect

What callers saw: the attempt at a target that sent too much ended as a broken connection. Its line named no bound, the target counted as possibly crashed by the request, and one of a plain service was reported to all nodes.

The edges of the bounds in forwarding, and their tests at the gateway:

- read_with_limits raises TargetOversizedError or ResponseCutError where it raised TargetDisconnectedError for any error of the connection;
- a stream's splitter keeps its incomplete event in the account of the attempt's connection (hold_in), at a target and through a peer;
- ResponseCutError does not count against the target;
- restart gives up the account of the attempt before.

--- a/src/cranecart/forwarding/_failure_reports.py
+++ b/src/cranecart/forwarding/_failure_reports.py
@@ -2,6 +2,7 @@
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
+    ResponseCutError,
     TargetAbandonedError,
     TargetDisconnectedError,
     TargetError,
@@ -10,6 +11,15 @@
 )
 from cranecart.routing import Target, TargetRouter
 
+_NOT_FAILURES = (
+    # The dialer knows which targets are not reached.
+    TargetUnreachableError,
+    # Nothing was sent, as the target asked for a pause or was evacuated.
+    TargetWithdrawnError,
+    # This node had no room for the response.
+    ResponseCutError,
+)
+
 
 async def report_failure(
     router: TargetRouter,
@@ -19,9 +29,7 @@
     is_client_paused: bool,
 ) -> None:
     """Count a failure against its target, unless something else explains it."""
-    if isinstance(error, TargetUnreachableError | TargetWithdrawnError):
-        # The dialer knows which targets are not reached. Nothing was sent to
-        # targets that asked for a pause or were evacuated.
+    if isinstance(error, _NOT_FAILURES):
         return
     is_disconnected = isinstance(error, TargetDisconnectedError)
     if is_disconnected and is_client_paused:
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -21,6 +21,7 @@
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnectionPool
 from cranecart.forwarding._own_response import OwnResponseReader
+from cranecart.forwarding._response_errors import error_of_response
 from cranecart.forwarding._resume_guard import ResumeGuard
 from cranecart.http import HttpConnection, ResponseHead
 from cranecart.ports import CallTranslator, Dispatch, ResponseInfo
@@ -169,7 +170,7 @@
                 await self._check_silence(call, target, limits, silence)
             except HttpError as error:
                 self.connections.mark_unreliable(target.instance)
-                raise TargetDisconnectedError(str(error)) from error
+                raise error_of_response(error) from error
             if silence >= limits.suspect_after and not is_reported:
                 is_reported = True
                 await curio.spawn(
--- a/src/cranecart/forwarding/_sse.py
+++ b/src/cranecart/forwarding/_sse.py
@@ -54,7 +54,7 @@
 
     def restart(self) -> None:
         """Discard an incomplete event before the next attempt starts."""
-        self._events.clear()
+        self._events = EventBuffer()
         self._requires_ascending_ids = True
 
     def _check_ids_ascend(self, ids: Sequence[bytes]) -> None:
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -106,6 +106,7 @@
             on_send=attempt.progress.record_sent,
         )
         async with attempt_context as answer:
+            relay.splitter.hold_in(answer.connection.held)
             attempt.progress.record_begun()
             if not answer.head.is_success:
                 await self._handle_failure(attempt, target, answer)
@@ -120,6 +121,7 @@
         relay = self._start_relay(attempt)
         call.request.resume_after = relay.splitter.last_id
         async with client.start(call) as answer:
+            relay.splitter.hold_in(answer.connection.held)
             check_outcome(client, call, answer.outcome)
             if answer.head.is_success:
                 await self._relay_from_peer(relay, client, call, answer)
--- a/tests/lib/endless_targets.py
+++ b/tests/lib/endless_targets.py
@@ -22,13 +22,14 @@
 class EndlessTargets:
     """Scripts of targets that send a body until the caller closes.
 
-    They pause after each part. ``sent_bytes`` counts what they sent, ``begun``
-    the bodies.
+    The body begins with ``start``, and they pause after each part.
+    ``sent_bytes`` counts what they sent, ``begun`` the bodies.
     """
 
     framing: Framing = Framing.CHUNKED
     part: bytes = _PART
     pause_seconds: float = 0
+    start: bytes = b''
     sent_bytes: int = attrs.field(default=0, init=False)
     begun: int = attrs.field(default=0, init=False)
 
@@ -44,13 +45,15 @@
             f'replica-signature: sig\r\n{self.framing.value}\r\n\r\n'
         )
         await exchange.sock.sendall(head.encode())
-        encoded = self._encoded_part()
+        if self.start:
+            await exchange.sock.sendall(self._encode(self.start))
+        encoded = self._encode(self.part)
         while True:
             await exchange.sock.sendall(encoded)
             self.sent_bytes += len(encoded)
             await curio.sleep(self.pause_seconds)
 
-    def _encoded_part(self) -> bytes:
+    def _encode(self, part: bytes) -> bytes:
         if self.framing is Framing.CHUNKED:
-            return b'%x\r\n%b\r\n' % (len(self.part), self.part)
-        return self.part
+            return b'%x\r\n%b\r\n' % (len(part), part)
+        return part
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Sequence
 
+import attrs
 import curio
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,6 +13,7 @@
 from cranecart.http import HeldResponse, ResponseLimits, ResponseMemory
 from tests.lib.endless_targets import EndlessTargets, Framing
 from tests.lib.fake_targets import (
+    ENGINES,
     PLAIN,
     ClientAnswer,
     Exchange,
@@ -20,7 +22,11 @@
 )
 
 _BODY_BYTES = 1_000_000
-_LIMITS = ResponseLimits(body_bytes=_BODY_BYTES)
+_EVENT_BYTES = 500_000
+_LIMITS = ResponseLimits(event_bytes=_EVENT_BYTES, body_bytes=_BODY_BYTES)
+_EVENTS = b''.join(
+    b'id: %d\ndata: %d\n\n' % (number, number) for number in range(1, 6)
+)
 # What the kernel takes from a target before it is read.
 _UNREAD_BYTES = 8_000_000
 _CALLS = 4
@@ -30,23 +36,49 @@
     await exchange.answer(b'whole')
 
 
+async def _answer_largely(exchange: Exchange) -> None:
+    await exchange.answer(bytes(_BODY_BYTES))
+
+
+async def _send_rest(exchange: Exchange) -> None:
+    """Send the events after the last one that the client has."""
+    first = int(exchange.headers.get('last-event-id') or 0) + 1
+    await exchange.start_stream()
+    await exchange.events(first, 5)
+    await exchange.end_stream()
+
+
+@attrs.define
+class _Calls:
+    """Calls made one after the other, with the limits above."""
+
+    testbed: GatewayTestbed
+    path: str
+    count: int
+    answers: list[ClientAnswer] = attrs.field(factory=list)
+
+    async def run(self, testbed: GatewayTestbed) -> None:
+        for number in range(self.count):
+            self.answers.append(
+                await testbed.ask(self.path, request_id=f'r{number}')
+            )
+
+    def failures(self, target: int) -> int:
+        """Return how many failures in sequence count against a target."""
+        listed = self.testbed.fleet.instances[f'i{target}']
+        ejection = self.testbed.router._ejection
+        record = ejection._records.get(listed.incarnation)
+        return 0 if record is None else record.failures
+
+
 def _ask(
-    path: str,
-    service: str,
-    *scripts: Script,
-    calls: int = _CALLS,
-) -> list[ClientAnswer]:
-    """Make calls one after the other, with the limits above."""
+    path: str, service: str, *scripts: Script, count: int = _CALLS
+) -> _Calls:
     testbed = GatewayTestbed(*scripts, service=service, retries=1000)
     testbed.connections.memory.limits = _LIMITS
-    answers: list[ClientAnswer] = []
-
-    async def scenario(running: GatewayTestbed) -> None:  # noqa: WPS430
-        for number in range(calls):
-            answers.append(await running.ask(path, request_id=f'r{number}'))
-
-    curio.run(testbed.run, scenario)
-    return answers
+    calls = _Calls(testbed, path, count)
+    curio.run(testbed.run, calls.run)
+    return calls
 
 
 class EndlessBodyTest(unittest.TestCase):
@@ -57,8 +89,8 @@
         for framing in Framing:
             with self.subTest(framing=framing):
                 endless = EndlessTargets(framing)
-                answers = _ask('/safe/', PLAIN, endless.script(), _answer)
-                bodies = {answer.body for answer in answers}
+                calls = _ask('/safe/', PLAIN, endless.script(), _answer)
+                bodies = {answer.body for answer in calls.answers}
                 self.assertEqual(bodies, {b'whole'})
                 self.assertGreater(endless.begun, 0)
                 self.assertLess(
@@ -69,11 +101,18 @@
     def test_only_bodies_without_end(self) -> None:
         """The caller gets an error that tells of the bound."""
         endless = EndlessTargets()
-        answers = _ask(
-            '/safe/', PLAIN, endless.script(), endless.script(), calls=1
-        )
-        self.assertEqual(answers[0].status, 502)
-        self.assertIn(b'more than 1000000', answers[0].body)
+        calls = _ask('/safe/', PLAIN, endless.script(), endless.script())
+        self.assertEqual(calls.answers[0].status, 502)
+        self.assertIn(b'more than 1000000', calls.answers[0].body)
+
+    def test_target_of_bodies_without_end(self) -> None:
+        """Its failures count, but not as those of one that has crashed."""
+        endless = EndlessTargets()
+        calls = _ask('/safe/', PLAIN, endless.script(), _answer, count=12)
+        self.assertEqual(calls.failures(0), endless.begun)
+        self.assertGreaterEqual(endless.begun, 3)
+        self.assertEqual(calls.testbed.reported_broken, [])
+        self.assertEqual(calls.testbed.guard.terminations, 0)
 
     def test_large_body(self) -> None:
         """It passes unchanged if it is no larger than its bound."""
@@ -82,13 +121,67 @@
         async def answer(exchange: Exchange) -> None:  # noqa: WPS430
             await exchange.answer(body)
 
-        answers = _ask('/safe/', PLAIN, answer, calls=1)
-        self.assertEqual(answers[0].body, body)
+        calls = _ask('/safe/', PLAIN, answer, count=1)
+        self.assertEqual(calls.answers[0].body, body)
+
+
+class EndlessEventTest(unittest.TestCase):
+    """Streams that never end an event."""
+
+    def test_event_without_end_is_left_at_its_bound(self) -> None:
+        """The caller is served by another target, from the last event on."""
+        endless = EndlessTargets(start=b'id: 1\ndata: 1\n\n')
+
+        async def script(exchange: Exchange) -> None:  # noqa: WPS430
+            if 'last-event-id' in exchange.headers:
+                await _send_rest(exchange)
+            else:
+                await endless.script()(exchange)
+
+        calls = _ask('/stream/', ENGINES, script, script, count=1)
+        self.assertTrue(calls.answers[0].is_complete)
+        self.assertEqual(calls.answers[0].body, _EVENTS)
+        self.assertEqual(endless.begun, 1)
+        self.assertLess(endless.sent_bytes, _EVENT_BYTES + _UNREAD_BYTES)
+        counts = calls.testbed.connections.memory.counts()
+        self.assertEqual(counts['responses_too_large'], 1)
+        self.assertEqual(counts['response_bytes'], 0)
+
+    def test_line_of_an_event_without_end(self) -> None:
+        """It tells the target, the bytes and the bound."""
+        endless = EndlessTargets()
+        with self.assertLogs('cranecart.decisions', 'INFO') as logs:
+            calls = _ask('/once/', ENGINES, endless.script(), count=1)
+        self.assertFalse(calls.answers[0].is_complete)
+        failures = [
+            record.fields['why']  # type: ignore[attr-defined]
+            for record in logs.records
+            if record.message == 'attempt_failed'
+        ]
+        self.assertRegex(
+            failures[0], r':\d+ sent an event of \d+ bytes.* more than 500000'
+        )
 
 
 class TotalBoundTest(unittest.TestCase):
     """What is kept of all responses together."""
 
+    def test_targets_are_blamed_for_lack_of_memory(self) -> None:
+        """They are not; the caller is told what was lacking."""
+        testbed = GatewayTestbed(_answer_largely, service=PLAIN)
+        calls = _Calls(testbed, '/unsafe/', 4)
+        testbed.connections.memory.limits = ResponseLimits(
+            body_bytes=_BODY_BYTES, total_bytes=_BODY_BYTES // 2
+        )
+        curio.run(testbed.run, calls.run)
+        for answer in calls.answers:
+            self.assertEqual(answer.status, 502)
+            self.assertIn(b'was cut off', answer.body)
+        self.assertEqual(testbed.connections.memory.cut_count, 4)
+        self.assertEqual(testbed.connections.memory.too_large_count, 0)
+        self.assertEqual(calls.failures(0), 0)
+        self.assertEqual(testbed.reported_broken, [])
+
     @given(
         st.lists(st.tuples(st.integers(0, 4), st.integers(0, 50)), max_size=60)
     )
