--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -66,7 +66,7 @@
     def failures(self, target: int) -> int:
         """Return how many failures in sequence count against a target."""
         listed = self.testbed.fleet.instances[f'i{target}']
-        ejection = self.testbed.router._ejection
+        ejection = self.testbed.router.ejection
         record = ejection._records.get(listed.incarnation)
         return 0 if record is None else record.failures
 
