Keep serving while the reader of the log stalls or is gone

What callers saw: a node whose standard output is a pipe stood still as soon as the reader of the pipe did (no response from /readyz within 2 s, SIGTERM not heeded within 9 s), and ended with exit code 1 when the reader was gone, which cuts all its streams. All nodes whose logs one process reads are hit at once, and none of them leaves a line by the ids of the requests that it had at hand.

Cause: select says that a pipe is writable if 4 KiB fit, and blocks of 32 KiB were written to it, which waits for the reader. An error of the write ended the task that writes, and so the node.

Change: at most what any pipe with room takes is written at once, and the rest waits in the queue, which is bounded as before; errors are tried again. The end of the process waits 0.2 s for a slow reader instead of not at all.

--- a/src/cranecart/cli/_serve.py
+++ b/src/cranecart/cli/_serve.py
@@ -15,6 +15,9 @@
 from cranecart.settings import LiveSettings, ServingSettings
 
 FILE_VARIABLE = 'CRANECART_NODE_FILE'
+# How long the end of the process waits for a slow reader of its log. Stopping
+# leaves this much of the grace period.
+_LAST_LINES_SECONDS = 0.2
 
 
 def run(arguments: list[str]) -> ExitCode:
@@ -25,7 +28,7 @@
     try:
         curio.run(ServingNode(LiveSettings(settings, file), log_queue).run)
     finally:
-        log_queue.write_queued()
+        log_queue.write_rest(_LAST_LINES_SECONDS)
     return ExitCode.OK
 
 
--- a/src/cranecart/logs/_lines.py
+++ b/src/cranecart/logs/_lines.py
@@ -1,5 +1,6 @@
 """Write log lines to standard output without blocking."""
 
+import contextlib
 import logging
 import os
 import select
@@ -16,7 +17,8 @@
 _FLUSH_SECONDS = 0.1
 # About two seconds of output at a node's highest log rate.
 _MAX_QUEUED_LINES = 4000
-_MAX_BLOCK_BYTES = 32768
+# What a pipe with any room takes without blocking.
+_MAX_BLOCK_BYTES = select.PIPE_BUF
 _CRC_RANGE = 1 << 32  # noqa: WPS432
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -32,6 +34,8 @@
         self._node = node
         self._descriptor = file_descriptor
         self._lines: deque[bytes] = deque()
+        # Taken from the queue, but not written yet.
+        self._block = b''
         self._reported_dropped = 0
 
     @classmethod
@@ -67,14 +71,38 @@
             self.write_queued()
 
     def write_queued(self) -> None:
-        """Write as much as standard output accepts without blocking."""
+        """Write as much as standard output accepts without blocking.
+
+        A reader that stalls or is gone must not stop the node: what is not
+        written waits in the queue.
+        """
         self._report_drops()
-        while self._lines and self._is_writable():
-            block = bytearray()
-            while self._lines and len(block) < _MAX_BLOCK_BYTES:
-                block += self._lines.popleft()
-            self.written_bytes += len(block)
-            _write_all(self._descriptor, bytes(block))
+        with contextlib.suppress(OSError):
+            while self._fill_block() and self._is_writable():
+                self._write_block()
+
+    def write_rest(self, seconds: float) -> None:
+        """Write all lines, waiting up to ``seconds`` for a slow reader."""
+        deadline = time.monotonic() + seconds
+        self.write_queued()
+        with contextlib.suppress(OSError):
+            while self._fill_block() and self._is_writable(
+                max(0, deadline - time.monotonic())
+            ):
+                self._write_block()
+
+    def _fill_block(self) -> bool:
+        """Return whether there is anything to write."""
+        block = bytearray(self._block)
+        while self._lines and len(block) < _MAX_BLOCK_BYTES:
+            block += self._lines.popleft()
+        self._block = bytes(block)
+        return bool(block)
+
+    def _write_block(self) -> None:
+        written = os.write(self._descriptor, self._block[:_MAX_BLOCK_BYTES])
+        self.written_bytes += written
+        self._block = self._block[written:]
 
     def _report_drops(self) -> None:
         newly_dropped = self.dropped - self._reported_dropped
@@ -88,8 +116,8 @@
             }
             self._lines.append(_encode(line))
 
-    def _is_writable(self) -> bool:
-        _, writable, _ = select.select([], [self._descriptor], [], 0)
+    def _is_writable(self, wait_seconds: float = 0) -> bool:
+        _, writable, _ = select.select([], [self._descriptor], [], wait_seconds)
         return bool(writable)
 
     def _format_error(self, record: logging.LogRecord) -> str:
@@ -101,12 +129,6 @@
     return b'%b\n' % _ENCODER.encode(line)
 
 
-def _write_all(descriptor: int, block: bytes) -> None:
-    view = memoryview(block)
-    while view:
-        view = view[os.write(descriptor, view) :]
-
-
 def set_up_log_queue(level: str, node: str) -> LogQueue:
     """Send all logs to a queue for standard output; return the queue."""
     log_queue = LogQueue.to_standard_output(node)
