Write the lines of a request that was moved before it ends

What operators saw: after the sudden end of all nodes, streams cut of which no node has a line, while the lines of others tell of silent targets at that moment.

Cause: the lines of a request are kept until it ends. A killed process writes none.

Evidence: test_moved_streams_of_a_killed_node_leave_no_line with a real process: 20 streams, targets silent for 1.2 s, SIGKILL 0.5 s after it. No line of any moved stream before.

Change: a request that has become notable, as an attempt has failed or another one was started beside it, writes its lines at once. They would be written in any case.

--- a/src/cranecart/logs/_lines.py
+++ b/src/cranecart/logs/_lines.py
@@ -164,7 +164,8 @@
 class RequestTrace:
     """Log lines of one request, written together or not at all.
 
-    A notable request is always logged, whatever its outcome.
+    A notable request is always logged, whatever its outcome, and from then on
+    at once: a process that is killed writes nothing at the end.
     ``describe_progress`` returns how far it has come, for a line on its end.
     """
 
@@ -181,6 +182,8 @@
     def add(self, event: str, **fields: object) -> None:
         """Buffer one decision until the trace is written or discarded."""
         self._lines.append((time.time(), event, fields))
+        if self.is_notable:
+            self.write()
 
     def write(self) -> None:
         """Log all decisions of the request, each with its own timestamp."""
--- a/tests/functional/test_stops_beside_silence.py
+++ b/tests/functional/test_stops_beside_silence.py
@@ -42,6 +42,30 @@
         """The grace period ends while the targets are silent."""
         curio.run(self._stop_long_streams, 2.0)
 
+    def test_moved_streams_of_a_killed_node_leave_no_line(self) -> None:
+        """What is known of them so far is written before they end."""
+        curio.run(self._kill_after_silence)
+
+    async def _kill_after_silence(self) -> None:
+        streams = self._streams(_LONG_EVENTS, 1.0)
+        await streams.start(log_successes=0)
+        started_at = time.monotonic()
+        clients = await streams.begin(_STREAMS)
+        # Half a second after the silence.
+        await sleep_until(started_at + 1.5 + _SILENCE_SECONDS)
+        node = streams.nodes[0]
+        node.kill()
+        await received(clients)
+        asked = set(streams.targets.begun)
+        moved = {
+            name for name in asked if streams.targets.begun.count(name) > 1
+        }
+        self.assertTrue(moved)
+        for event in ('admitted', 'routed', 'attempt_added'):
+            logged = {line['request'] for line in node.events(event)}
+            self.assertEqual(moved - logged, set(), event)
+        await streams.stop()
+
     async def _stop_in_time(self, seconds: float) -> None:
         streams = self._streams(_EVENTS, 1.0)
         await streams.start()
