Say in the log that a failure ends the process

What operators saw: logs that end and go on with node_started. Nothing says whether the process was killed, or ended as a component of it had failed: 'Task Crash' is also logged for tasks whose end does no harm.

Evidence: test_failure_is_not_told_from_a_kill, a node whose metrics address is taken: exit code 1, and no line of the node's own. By hand, a node whose housekeeping fails with ten streams under way: each has a 'cut_by_stop' line.

Change: 'node_failed' with the reason, before the requests at hand are ended.

--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -216,6 +216,8 @@
                 await tasks.spawn(component)
             await curio.spawn(self._registration.register, daemon=True)
             await tasks.spawn(self._wait_for_stop, stop)
+        if tasks.exception is not None:
+            log_decision('node_failed', why=repr(tasks.exception))
         # Each of those that are left logs how far it has come.
         await self._gateway.in_progress.cut_off()
         await self._peer_requests.cut_off()
--- a/tests/functional/test_node_start.py
+++ b/tests/functional/test_node_start.py
@@ -6,6 +6,7 @@
 """
 
 import signal
+import socket
 import time
 
 import curio
@@ -109,6 +110,22 @@
         """A request that waits in the socket is handled after the news."""
         curio.run(self._evacuate_frozen_node)
 
+    def test_failure_is_not_told_from_a_kill(self) -> None:
+        """The log says that the process has ended, and why."""
+        curio.run(self._start_with_taken_address)
+
+    async def _start_with_taken_address(self) -> None:
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            address = Address(*taken.getsockname())
+            node = self.start_node(
+                self.addresses.take(), metrics_address=str(address)
+            )
+            await until(lambda: node.process.poll() is not None, 10)
+        self.assertEqual(node.process.wait(), 1)
+        reasons = [line['why'] for line in node.events('node_failed')]
+        self.assertEqual(len(reasons), 1)
+        self.assertIn('Address already in use', reasons[0])
+
     async def _start_evacuated(self) -> None:
         target = FakeTarget(_TARGET, _answer)
         store = add_config_and_target(StandinStore(), target)
