Answer calls that wait for a response when the grace period ends

What callers saw: a connection that closes without a response, where a call had waited at a target until its node's grace period was over.

Cause: requests that were left at the end of the process were only cancelled, those that had no response yet as well.

Evidence: test_calls_closed_without_a_response, 20 calls through a real process with a grace period of 3 s: none got a status.

Change: those whose response has not begun get 502 'outcome_unknown' within what is reserved of the grace period, as a target may have run them.

Measured: 20 of 20 get 502, exit code 0; streams that had begun end as before.

--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -12,6 +12,7 @@
 from cranecart.exceptions import (
     ConnectionBrokenError,
     InternalFaultError,
+    OutcomeUnknownError,
     RequestError,
 )
 from cranecart.forwarding._admit import admit, find_route
@@ -106,6 +107,7 @@
             await self._refuse(trace, client_error, responder, started)
         except (curio.CancelledError, ConnectionBrokenError):
             outcome = self._trace_end(trace, responder, started)
+            await self._refuse_at_stop(trace, responder, started)
             raise
         except Exception as error:
             _LOG.exception('unexpected error while handling a request')
@@ -169,6 +171,15 @@
         if events is not None:
             self._on_streamed(call, events)
 
+    async def _refuse_at_stop(
+        self, trace: RequestTrace, responder: Responder, started: float
+    ) -> None:
+        """Send an error to a client that waits for the head of a response."""
+        if self.in_progress.are_cut_off and not responder.has_started:
+            # A target may have run the request.
+            error = OutcomeUnknownError('this node stops')
+            await self._refuse(trace, error, responder, started)
+
     async def _refuse(
         self,
         trace: RequestTrace,
--- a/tests/functional/test_stops_beside_silence.py
+++ b/tests/functional/test_stops_beside_silence.py
@@ -16,6 +16,7 @@
 from tests.lib.silent_targets import Silence, SilentTargets
 
 _STREAMS = 20
+_BAD_GATEWAY = 502
 _TARGETS = frozenset((0, 1))
 # 2.4 s without silence.
 _EVENTS = 60
@@ -42,10 +43,29 @@
         """The grace period ends while the targets are silent."""
         curio.run(self._stop_long_streams, 2.0)
 
+    def test_calls_closed_without_a_response(self) -> None:
+        """Those that have none at the end of the grace period get an error."""
+        curio.run(self._stop_long_calls)
+
     def test_moved_streams_of_a_killed_node_leave_no_line(self) -> None:
         """What is known of them so far is written before they end."""
         curio.run(self._kill_after_silence)
 
+    async def _stop_long_calls(self) -> None:
+        streams = self._streams(_LONG_EVENTS, 1.0)
+        await streams.start(
+            route_type='safe', stop_grace_seconds=_GRACE_SECONDS
+        )
+        clients = await streams.begin(_STREAMS)
+        node = streams.nodes[0]
+        node.process.send_signal(signal.SIGTERM)
+        statuses = {outcome.status for outcome in await received(clients)}
+        self.assertEqual(statuses, {_BAD_GATEWAY})
+        self.assertEqual(await streams.exit_code(), 0)
+        cut = [line['request'] for line in node.events('cut_by_stop')]
+        self.assertEqual(len(set(cut)), _STREAMS)
+        await streams.stop()
+
     async def _kill_after_silence(self) -> None:
         streams = self._streams(_LONG_EVENTS, 1.0)
         await streams.start(log_successes=0)
