Let a stopping node hear of the others until its process ends

What callers saw: streams of a node that was stopped by SIGTERM, whose target then died, waited for a retry until the end of the grace period and were cut, while the other nodes had retries left.

Cause: a node that says that it stops is forgotten by the others at once, and they send it nothing any more. After 0.8 s it sees no live node: nobody to borrow retries from or to pass a request on to, and no requests of others at the targets among which it chooses. It takes requests for three seconds and has them for eight.

Change: stopping nodes do not count as live, as before, but are sent all messages until they have been silent for a second.

No message more while no node stops.

--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -168,6 +168,9 @@
         if heartbeat.stopping:
             self._state.peer_state.forget_node(heartbeat.sender)
             self._state.roster.remove_relay(heartbeat.sender)
+            self._state.roster.stopping.record(
+                heartbeat.sender, heartbeat.address, heartbeat.failure_domain
+            )
             return
         if not self._state.peer_state.was_seen_recently(heartbeat.sender):
             self._state.last_met_at = self._state.clock()
--- a/src/cranecart/mesh/_roster.py
+++ b/src/cranecart/mesh/_roster.py
@@ -7,6 +7,7 @@
 from cranecart.clocks import since_boot
 from cranecart.mesh._messages import Digest
 from cranecart.mesh._peer_state import PeerState
+from cranecart.mesh._stopping_nodes import StoppingNodes
 
 # Up to this size all nodes send to each other directly: sixty messages a second
 # cost a node about a hundredth of a core.
@@ -55,6 +56,12 @@
     _clock: Callable[[], float] = since_boot
     _link_mbps: float = 0
     peers: dict[str, PeerNode] = attrs.field(factory=dict, init=False)
+    stopping: StoppingNodes = attrs.field(
+        default=attrs.Factory(
+            lambda roster: StoppingNodes(roster._clock), takes_self=True
+        ),
+        init=False,
+    )
     _added_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _relay_coverage: dict[str, RelayCoverage] = attrs.field(
         factory=dict,
@@ -174,13 +181,18 @@
 
     def domain_addresses(self, *, include_silent: bool) -> list[str]:
         """Return the addresses of the peers in the local failure domain."""
-        return _addresses(
+        addresses = _addresses(
             self, self._domain_peers(), include_silent=include_silent
         )
+        stopping = self.stopping.addresses(self._failure_domain)
+        return list(dict.fromkeys((*addresses, *stopping)))
 
     def all_addresses(self, *, include_silent: bool) -> list[str]:
         """Return the addresses of all peers."""
-        return _addresses(self, iter(self.peers), include_silent=include_silent)
+        addresses = _addresses(
+            self, iter(self.peers), include_silent=include_silent
+        )
+        return list(dict.fromkeys((*addresses, *self.stopping.addresses())))
 
     def live_domain_nodes(self) -> list[str]:
         """Return the live nodes of the local domain, including this one."""
--- a/tests/functional/test_stops_beside_silence.py
+++ b/tests/functional/test_stops_beside_silence.py
@@ -17,6 +17,9 @@
 
 _STREAMS = 20
 _BAD_GATEWAY = 502
+# A third of these has to move, for which half of the slack is too little.
+_MANY_STREAMS = 60
+_SMALL_SLACK = 24
 _TARGETS = frozenset((0, 1))
 # 2.4 s without silence.
 _EVENTS = 60
@@ -47,6 +50,10 @@
         """Those that have none at the end of the grace period get an error."""
         curio.run(self._stop_long_calls)
 
+    def test_stopping_node_borrows_no_retries(self) -> None:
+        """A target dies, and only other nodes have retries left."""
+        curio.run(self._stop_beside_death)
+
     def test_moved_streams_of_a_killed_node_leave_no_line(self) -> None:
         """What is known of them so far is written before they end."""
         curio.run(self._kill_after_silence)
@@ -66,6 +73,20 @@
         self.assertEqual(len(set(cut)), _STREAMS)
         await streams.stop()
 
+    async def _stop_beside_death(self) -> None:
+        silence = Silence(1.5, _SILENCE_SECONDS, frozenset((0,)))
+        targets = SilentTargets(silence, _EVENTS, die=True)
+        streams = NodeStreams(targets, self.start_node)
+        await streams.start(nodes=2, targets=3, retry_slack=_SMALL_SLACK)
+        clients = await streams.begin(_MANY_STREAMS)
+        streams.nodes[0].process.send_signal(signal.SIGTERM)
+        outcomes = await received(clients)
+        cut = [outcome for outcome in outcomes if not outcome.is_complete]
+        self.assertEqual(cut, [])
+        self.assertGreater(len(targets.begun), _MANY_STREAMS + _SMALL_SLACK / 2)
+        self.assertEqual(await streams.exit_code(), 0)
+        await streams.stop()
+
     async def _kill_after_silence(self) -> None:
         streams = self._streams(_LONG_EVENTS, 1.0)
         await streams.start(log_successes=0)
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -37,6 +37,16 @@
 _REDISCOVERY_SECONDS = 4.0
 
 
+def announce_stop(cluster: SimulatedCluster, name: str) -> None:
+    """Let a node announce that it stops, and withdraw its row."""
+    stopping = cluster.nodes[name].mesh
+    stopping.local.stopping = True
+    stopping.broadcast(stopping.message_sender.build_heartbeat())
+    cluster.deliver()
+    for node in cluster.alive:
+        node.mesh.update_peers({name: None}, is_complete=False)
+
+
 class SmallMeshTest(unittest.TestCase):
     """In a small deployment all nodes send heartbeats to each other directly."""
 
@@ -52,6 +62,29 @@
         self.assertEqual(first.in_flight_elsewhere('one'), 3)
         self.assertEqual(set(cluster.sent.values()), {_SMALL_COUNT - 1})
 
+    def test_stopping_node_hears_nobody(self) -> None:
+        """It needs the counts of the others for the requests that it has left."""
+        cluster = SimulatedCluster.of(_SMALL_COUNT)
+        cluster.run(_CONVERGENCE_SECONDS)
+        announce_stop(cluster, 'node-000')
+        cluster.run(_REDISCOVERY_SECONDS)
+        stopping = cluster.nodes['node-000'].mesh
+        self.assertEqual(stopping.live_node_count(), _SMALL_COUNT)
+        cluster.nodes['node-008'].in_flight['one'] = 3
+        cluster.run(0.5)
+        self.assertEqual(stopping.in_flight_elsewhere('one'), 3)
+
+    def test_stopped_node_is_sent_messages(self) -> None:
+        """Once its process has ended, nothing is sent to it."""
+        cluster = SimulatedCluster.of(_SMALL_COUNT)
+        cluster.run(_CONVERGENCE_SECONDS)
+        announce_stop(cluster, 'node-000')
+        cluster.dead.add('node-000')
+        cluster.run(2)
+        cluster.sent.clear()
+        cluster.run(0.25)
+        self.assertEqual(set(cluster.sent.values()), {_SMALL_COUNT - 2})
+
     def test_silent_node_is_not_counted(self) -> None:
         """A node without heartbeats for a second does not count as alive."""
         cluster = SimulatedCluster.of(_SMALL_COUNT)
@@ -294,6 +327,22 @@
             {mesh.live_node_count() for mesh in other_nodes}, {_LARGE_COUNT - 1}
         )
 
+    def test_stopping_nodes_hear_nobody(self) -> None:
+        """A relay and another node hear of all others until they end."""
+        for name in ('node-000', 'node-027'):
+            stopping = self.nodes[name].mesh
+            announce_stop(self.cluster, name)
+            self.cluster.run(_REDISCOVERY_SECONDS)
+            self.assertGreaterEqual(
+                stopping.live_node_count(), _LARGE_COUNT - 1
+            )
+            for node in self.cluster.alive:
+                node.in_flight[name] = 1
+            self.cluster.run(1)
+            self.assertGreaterEqual(
+                stopping.in_flight_elsewhere(name), _LARGE_COUNT - 2
+            )
+
     def test_node_unheard_by_one_relay_is_still_counted(self) -> None:
         """A node whose path to the relay is broken is relayed by another."""
         self.cluster.lost_paths = {('node-027', 'node-000')}
