Count the requests that a stopping node has left at its targets

What callers saw: nothing that was traced to it. While a node stops, all others take its targets for emptier than they are by what it has there, for up to the grace period, and send them requests that are refused where targets are nearly full.

Cause: the heartbeat that says that a node stops made the others forget all of its state, its requests in flight too.

Change: of nodes that stop the requests in flight are still counted, directly or in the summary of their failure domain, as long as their heartbeats come. They do not count as nodes, readers or placers, as before.

--- a/src/cranecart/mesh/_handler.py
+++ b/src/cranecart/mesh/_handler.py
@@ -166,7 +166,7 @@
         self._handle_repeated_stops(heartbeat.recent_stops)
         self._handle_evacuations(heartbeat)
         if heartbeat.stopping:
-            self._state.peer_state.forget_node(heartbeat.sender)
+            self._state.peer_state.record_stopping(heartbeat)
             self._state.roster.remove_relay(heartbeat.sender)
             self._state.roster.stopping.record(
                 heartbeat.sender, heartbeat.address, heartbeat.failure_domain
--- a/src/cranecart/mesh/_peer_state.py
+++ b/src/cranecart/mesh/_peer_state.py
@@ -108,6 +108,10 @@
             readers = self.source_readers.setdefault(source, [])
             readers.append((heartbeat.sender, version))
 
+    def add_stopping(self, heartbeat: Heartbeat) -> None:
+        """Add the requests that a node has left which stops."""
+        self.in_flight.update(heartbeat.in_flight)
+
     def add_summary(self, summary: Summary) -> None:
         """Add the state of a failure domain, except for its node count."""
         self.in_flight.update(summary.in_flight)
@@ -151,6 +155,10 @@
     _summaries: dict[str, ReceivedSummary] = attrs.field(
         factory=dict, init=False
     )
+    # Of nodes that stop: only their requests in flight count.
+    _stopping: dict[str, ReceivedHeartbeat] = attrs.field(
+        factory=dict, init=False
+    )
     # The nodes that the summary of the local failure domain includes.
     _summarized_nodes: frozenset[str] = attrs.field(
         default=frozenset(), init=False
@@ -162,9 +170,23 @@
         self._heartbeats[heartbeat.sender] = ReceivedHeartbeat(
             heartbeat, self._clock()
         )
+        self._stopping.pop(heartbeat.sender, None)
         self.has_traffic = self.has_traffic or heartbeat.requests > 0
         self._totals = None
 
+    def record_stopping(self, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat of a node that stops, and discard its other state."""
+        self.forget_node(heartbeat.sender)
+        now = self._clock()
+        others = {
+            received.heartbeat.sender: received
+            for received in self._valid_stopping(now)
+        }
+        self._stopping = {
+            **others,
+            heartbeat.sender: ReceivedHeartbeat(heartbeat, now),
+        }
+
     def record_summary(self, summary: Summary, made_at: float) -> bool:
         """Record a summary unless a better one is known.
 
@@ -225,6 +247,14 @@
             and received.heartbeat.failure_domain == self._failure_domain
         ]
 
+    def stopping_domain_heartbeats(self) -> list[Heartbeat]:
+        """Return those of nodes of the local failure domain that stop."""
+        return [
+            received.heartbeat
+            for received in self._valid_stopping(self._clock())
+            if received.heartbeat.failure_domain == self._failure_domain
+        ]
+
     def summaries(self) -> dict[str, ReceivedSummary]:
         """Return the valid summaries, by failure domain."""
         now = self._clock()
@@ -252,8 +282,26 @@
         for received_heartbeat in self._heartbeats.values():
             if received_heartbeat.valid_until > now:
                 self._add_heartbeat(totals, received_heartbeat, now)
+        self._add_stopping(totals, now)
         return totals
 
+    def _add_stopping(self, totals: Totals, now: float) -> None:
+        """Add nodes that stop unless a summary includes them."""
+        for received in self._valid_stopping(now):
+            summary = self._summaries.get(received.heartbeat.failure_domain)
+            if summary is None or summary.valid_until <= now:
+                totals.add_stopping(received.heartbeat)
+                totals.valid_until = min(
+                    totals.valid_until, received.valid_until
+                )
+
+    def _valid_stopping(self, now: float) -> list[ReceivedHeartbeat]:
+        return [
+            received
+            for received in self._stopping.values()
+            if received.valid_until > now
+        ]
+
     def _add_summary(
         self,
         totals: Totals,
@@ -275,12 +323,18 @@
                 totals.placer_addresses[summary.failure_domain] = (
                     summary.placer_address
                 )
-            if (
-                is_local
-                and self.last_sent_heartbeat
-                and self._node_id in self._summarized_nodes
-            ):
-                totals.subtract_heartbeat(self.last_sent_heartbeat)
+            if is_local:
+                self._subtract_own(totals)
+
+    def _subtract_own(self, totals: Totals) -> None:
+        """Subtract what a summary of the local failure domain has of this node."""
+        own_heartbeat = self.last_sent_heartbeat
+        if own_heartbeat is None:
+            return
+        if own_heartbeat.stopping:
+            totals.in_flight.subtract(own_heartbeat.in_flight)
+        elif self._node_id in self._summarized_nodes:
+            totals.subtract_heartbeat(own_heartbeat)
 
     def _add_heartbeat(
         self, totals: Totals, received_heartbeat: ReceivedHeartbeat, now: float
--- a/src/cranecart/mesh/_sender.py
+++ b/src/cranecart/mesh/_sender.py
@@ -281,6 +281,8 @@
         totals = Totals()
         for heartbeat in heartbeats:
             totals.add_heartbeat(heartbeat)
+        for stopping in self._state.peer_state.stopping_domain_heartbeats():
+            totals.add_stopping(stopping)
         return Summary(
             own_heartbeat.sender,
             own_heartbeat.failure_domain,
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -47,6 +47,15 @@
         node.mesh.update_peers({name: None}, is_complete=False)
 
 
+def _counts(cluster: SimulatedCluster, target: str) -> set[int]:
+    """Return how many requests of others each live node counts at a target."""
+    return {
+        node.mesh.in_flight_elsewhere(target)
+        for node in cluster.alive
+        if not node.mesh.local.stopping
+    }
+
+
 class SmallMeshTest(unittest.TestCase):
     """In a small deployment all nodes send heartbeats to each other directly."""
 
@@ -74,6 +83,18 @@
         cluster.run(0.5)
         self.assertEqual(stopping.in_flight_elsewhere('one'), 3)
 
+    def test_requests_of_a_stopping_node_are_not_counted(self) -> None:
+        """Its targets are in use until its process ends."""
+        cluster = SimulatedCluster.of(_SMALL_COUNT)
+        cluster.run(_CONVERGENCE_SECONDS)
+        cluster.nodes['node-000'].in_flight['one'] = 3
+        announce_stop(cluster, 'node-000')
+        cluster.run(_REDISCOVERY_SECONDS)
+        self.assertEqual(_counts(cluster, 'one'), {3})
+        cluster.dead.add('node-000')
+        cluster.run(1.5)
+        self.assertEqual(_counts(cluster, 'one'), {0})
+
     def test_stopped_node_is_sent_messages(self) -> None:
         """Once its process has ended, nothing is sent to it."""
         cluster = SimulatedCluster.of(_SMALL_COUNT)
@@ -327,6 +348,19 @@
             {mesh.live_node_count() for mesh in other_nodes}, {_LARGE_COUNT - 1}
         )
 
+    def test_requests_of_stopping_nodes_are_not_counted(self) -> None:
+        """Those of a relay and of another node count once everywhere."""
+        names = ('node-000', 'node-027')
+        for node in self.cluster.alive:
+            node.in_flight['one'] = 1
+        for name in names:
+            announce_stop(self.cluster, name)
+        self.cluster.run(_REDISCOVERY_SECONDS)
+        self.assertEqual(_counts(self.cluster, 'one'), {_LARGE_COUNT - 1})
+        self.cluster.dead.update(names)
+        self.cluster.run(2)
+        self.assertEqual(_counts(self.cluster, 'one'), {_LARGE_COUNT - 3})
+
     def test_stopping_nodes_hear_nobody(self) -> None:
         """A relay and another node hear of all others until they end."""
         for name in ('node-000', 'node-027'):
