Answer at once where a replica has stopped and nothing can replace it

What callers would see: a request whose replica has stopped before its first event, with no other target or retry left, was held to its deadline, too late to come back.

Cause: since the handover a stopped replica is read on until something takes over, also for a request that has not begun, whose client can come back. Change: such a request ends at once, as before the handover. A stream that has begun is read on. `test_request_held_by_a_stopped_replica` failed before.

Also test_full_targets declares the slots that its targets have.

--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -11,6 +11,7 @@
 from cranecart.clocks import since_boot
 from cranecart.exceptions import (
     HttpError,
+    TargetAbandonedError,
     TargetDisconnectedError,
     TargetFailedError,
     TargetRefusedError,
@@ -82,13 +83,15 @@
     is started after ``give_up_after``, after ``stalled_after`` if the target's
     other streams receive nothing either, as soon as it is suspect and out of
     reach, and at once if the replica is found to have stopped. Until it takes
-    over, the silent target may go on.
+    over, the silent target may go on. An attempt that ``ends_if_stopped`` fails if
+    its replica has stopped and nothing may replace it: its client can come back.
     """
 
     suspect_after: float
     give_up_after: float
     stalled_after: float = float('inf')
     replacement: Replacement | None = None
+    ends_if_stopped: bool = False
 
     @property
     def may_be_replaced(self) -> bool:
@@ -216,6 +219,9 @@
             await limits.replacement.check(
                 self._reason_to_give_up(call, target, limits, silence)
             )
+        is_needed = limits.may_be_replaced or not limits.ends_if_stopped
+        if self._is_stopped(target) and not is_needed:
+            raise TargetAbandonedError(f'{target.instance.id} has stopped')
 
     def _reason_to_give_up(
         self,
@@ -225,8 +231,7 @@
         silence: float,
     ) -> str:
         """Return why another target is tried, or an empty string."""
-        epoch = target.replica_epoch
-        if epoch is not None and self._has_stopped(epoch):
+        if self._is_stopped(target):
             return 'has stopped'
         if silence > limits.stalled_after and self.router.is_stalled(
             target, call.facts.model
@@ -239,6 +244,10 @@
             return f'was silent for {silence:.3f} s'
         return ''
 
+    def _is_stopped(self, target: Target) -> bool:
+        epoch = target.replica_epoch
+        return epoch is not None and self._has_stopped(epoch)
+
     async def _connect(
         self,
         call: RoutedCall,
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -311,4 +311,5 @@
             max(suspect_after, _FIRST_EVENT_GIVE_UP_SECONDS),
             stalled_after=0,
             replacement=self._attempts.replacement(self, attempt),
+            ends_if_stopped=not self._attempts.state.has_begun,
         )
--- a/tests/unit/test_full_targets.py
+++ b/tests/unit/test_full_targets.py
@@ -6,8 +6,13 @@
 import attrs
 import curio
 
-from cranecart.models import Route
-from tests.lib.fake_targets import PLAIN, ClientAnswer, GatewayTestbed
+from cranecart.models import Route, ServiceProfile
+from tests.lib.fake_targets import (
+    ENGINES,
+    PLAIN,
+    ClientAnswer,
+    GatewayTestbed,
+)
 from tests.lib.full_targets import SlotLimits, answer_after
 from tests.lib.silent_targets import (
     Silence,
@@ -107,6 +112,7 @@
         retries=case.retries,
     )
     _change_routes(testbed, timeout_seconds=_DEADLINE_SECONDS)
+    _declare_slots(testbed, case.slots)
     outcomes: list[StreamOutcomes] = []
 
     async def scenario(running: GatewayTestbed) -> None:  # noqa: WPS430
@@ -120,6 +126,16 @@
     return outcomes[0]
 
 
+def _declare_slots(testbed: GatewayTestbed, slots: int) -> None:
+    config = testbed.config
+    assert config is not None
+    engine = config.engine(ENGINES)
+    assert engine is not None
+    profile = ServiceProfile(ENGINES, attrs.evolve(engine, slots=slots))
+    services = {**config.services, ENGINES: profile}
+    testbed.config = attrs.evolve(config, services=services)
+
+
 async def _unlist(testbed: GatewayTestbed, dead: frozenset[int]) -> None:
     await curio.sleep(_TROUBLE_AT)
     for number in dead:
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -197,6 +197,11 @@
         self._check_whole(_ask(testbed))
         self.assertLess(time.monotonic() - started, _DEADLINE_SECONDS / 2)
 
+    def test_request_held_by_a_stopped_replica(self) -> None:
+        """Its client is told at once, as no other target is left."""
+        testbed = _testbed(_wait_long)
+        _run(testbed, self._ask_stopped)
+
     def test_same_target_chosen_by_streams_silent_at_once(self) -> None:
         """An attempt counts at its target before any other request chooses."""
         testbed = _testbed(_never_send, _never_send, _never_send)
@@ -252,6 +257,15 @@
         with patch.object(PeerChoice, 'choose', choose):
             curio.run(testbed.run, scenario)
 
+    async def _ask_stopped(self, testbed: GatewayTestbed) -> None:
+        asking = await curio.spawn(testbed.ask, '/stream/')
+        await until(lambda: _received(testbed) == 1)
+        testbed.fleet.mark_stopped(('i0', 1), 'a test says so')
+        started = time.monotonic()
+        answer = await asking.join()
+        self.assertEqual(answer.status, 502)
+        self.assertLess(time.monotonic() - started, _GIVEN_UP_SECONDS)
+
     async def _close_and_cancel(self) -> None:
         handover = Handover(RequestTrace(''))
         tasks = [await curio.spawn(_end_slowly, daemon=True) for _ in range(3)]
@@ -300,6 +314,10 @@
         await curio.sleep(_SLOW_END_SECONDS)
 
 
+async def _wait_long(_exchange: Exchange) -> None:
+    await curio.sleep(_LONG_SECONDS)
+
+
 async def _break_connection(_exchange: Exchange) -> None:
     await curio.sleep(_BREAK_SECONDS)
     raise ConnectionResetError
