--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -87,7 +87,7 @@
         self.client = addresses.take()
         self.metrics = addresses.take()
         self.ready = addresses.take()
-        all_settings = {
+        self._settings = {
             'node_id': name,
             'failure_domain': 'east',
             'client_address': str(self.client),
@@ -99,22 +99,18 @@
             'log_successes': 1,
             **settings,
         }
-        file = folder / f'{name}.json'
-        file.write_text(json.dumps(all_settings))
+        self._file = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
-        variables = {**os.environ, ADDRESS_VARIABLE: str(self.client)}
-        program = ('cranecart', 'serve', str(file))
+        self._program = ('cranecart', 'serve', str(self._file))
         if redirects is not None:
             redirects_file = folder / f'{name}-redirects.json'
             redirects_file.write_text(json.dumps(redirects))
-            program = (_REDIRECTED_NODE, str(file), str(redirects_file))
-        command = (sys.executable, '-m', *program)
-        with self._log.open('wb') as log:
-            self.process = subprocess.Popen(
-                command,
-                stdout=log,
-                env=variables,
+            self._program = (
+                _REDIRECTED_NODE,
+                str(self._file),
+                str(redirects_file),
             )
+        self.process = self._start()
 
     def events(self, name: str) -> list[dict[str, Any]]:
         """Return the complete log lines of an event."""
@@ -133,6 +129,21 @@
         self.process.kill()
         self.process.wait()
 
+    def restart(self) -> None:
+        """Start it again after it has stopped; the other nodes went on."""
+        self._settings['first_start'] = False
+        self.process = self._start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        self._file.write_text(json.dumps(self._settings))
+        variables = {**os.environ, ADDRESS_VARIABLE: str(self.client)}
+        with self._log.open('ab') as log:
+            return subprocess.Popen(
+                (sys.executable, '-m', *self._program),
+                stdout=log,
+                env=variables,
+            )
+
 
 class NodeProcessTestCase(unittest.TestCase):
     """A test that starts nodes' processes."""
