--- a/tests/lib/full_target_deployment.py
+++ b/tests/lib/full_target_deployment.py
@@ -54,6 +54,8 @@
 _CLIENT_RETRY_SECONDS = 0.3
 _OK = 200
 _NOT_RUN = 503
+# The connection broke before a response, or the request was not run.
+_MAY_BE_REPEATED = frozenset((0, _NOT_RUN))
 _REASONS = (
     'refused with',
     'sends no events',
@@ -71,8 +73,8 @@
     """What clients got and what targets were asked.
 
     ``refused`` counts those that got no response by status, ``retried`` how
-    often clients sent a request again that was refused as not run. ``mixed``
-    are streams with an event that is missing or stands twice,
+    often clients sent a request again that was refused as not run. ``lost``
+    were read by a node that closed the connection. ``mixed`` are streams with an event that is missing or stands twice,
     ``repeated`` arrivals at targets beyond the first of each request and
     ``most_repeated`` the most of them within the budget's window, ``moved``
     runs beyond the first. ``most_at_once`` is the most targets that worked on
@@ -84,6 +86,7 @@
     cut: Sequence[str]
     refused: Mapping[int, int]
     retried: int
+    lost: Sequence[str]
     mixed: Sequence[str]
     repeated: int
     most_repeated: int
@@ -107,6 +110,7 @@
             'cut': len(self.cut),
             'missing or repeated events': len(self.mixed),
             'refused': refused,
+            'lost': len(self.lost),
             'retries over the budget': max(0, self.most_repeated - case.slack),
             'targets at once': max(0, self.most_at_once - ATTEMPTS),
             'requests over the slots': max(0, self.most_running - case.slots),
@@ -133,6 +137,7 @@
         self._started_at = float(0)
         self._leaving: dict[int, float] = {}
         self._retried = 0
+        self._unanswered: list[str] = []
 
     async def run(self) -> Outcome:
         """Start everything, play the case, and return what happened."""
@@ -245,12 +250,15 @@
         return answers
 
     async def _ask_again(self, number: int, request_id: str) -> Answer:
-        """Ask until the request is not refused as not run, a few times."""
+        """Ask again a few times if the request was refused or not read."""
         answer = await self._ask(number, request_id)
         for count in range(_CLIENT_RETRIES):
-            if answer.status != _NOT_RUN or number in self._leaving:
+            if answer.status not in _MAY_BE_REPEATED or number in self._leaving:
                 break
-            self._retried += 1
+            if answer.status == _NOT_RUN:
+                self._retried += 1
+            else:
+                self._unanswered.append(answer.request_id)
             await curio.sleep(_CLIENT_RETRY_SECONDS)
             answer = await self._ask(number, f'{request_id}-{count}')
         return answer
@@ -300,6 +308,7 @@
                 answer.status for answer in stayed if answer.status != _OK
             ),
             retried=self._retried,
+            lost=sorted(self._read_requests().intersection(self._unanswered)),
             mixed=[each.request_id for each in begun if each.is_mixed],
             repeated=len(repeats),
             most_repeated=max_in_window(repeats, _WINDOW_SECONDS),
@@ -354,6 +363,14 @@
             )
         )
 
+    def _read_requests(self) -> set[str]:
+        """Return the requests that nodes have read."""
+        return {
+            line['request']
+            for node in self._nodes
+            for line in node.events('admitted')
+        }
+
     def _failures(self) -> Counter[str]:
         return Counter(
             _reason(line['why'])
