Leave a request unread whose idle connection is being closed

Cause: idle connections are shut down 3 s after SIGTERM. A request that had arrived in that moment was read by its connection's task afterwards, admitted and sent to a target, whose answer could not be delivered any more. The same where room for new connections is made.

Change: what such a connection receives is not read as a request. Its client sees it closed unread, and may send also what must not run twice again.

--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -113,7 +113,7 @@
     async def close_idle(self) -> None:
         """Close the connections that are waiting for a request."""
         for sock in list(self._idle):
-            await sock.shutdown(socket.SHUT_RDWR)
+            await self._close_idle(sock)
 
     async def _accept_all(self) -> None:
         async with self._listener:
@@ -155,10 +155,16 @@
             self._full_until = since_boot() + _FULL_STATE_SECONDS
         count = max(1, int(len(self._idle) * _IDLE_CLOSE_FRACTION))
         for sock in list(self._idle)[:count]:
-            self._idle.pop(sock)
-            # The connection's task reads the end of file and closes it.
-            with contextlib.suppress(OSError):
-                await sock.shutdown(socket.SHUT_RDWR)
+            await self._close_idle(sock)
+
+    async def _close_idle(self, sock: curio.io.Socket) -> None:
+        """Have the connection's task read the end of file and close it.
+
+        A request that has just arrived stays unread, as it cannot be answered.
+        """
+        self._idle.pop(sock, None)
+        with contextlib.suppress(OSError):
+            await sock.shutdown(socket.SHUT_RDWR)
 
     async def _start_connection(self, sock: curio.io.Socket) -> None:
         try:
@@ -236,11 +242,12 @@
     async def _wait_for_request(self, sock: curio.io.Socket) -> bytes:
         self._idle[sock] = None
         try:
-            return await curio.timeout_after(
+            received = await curio.timeout_after(
                 self.limits.idle_seconds,
                 sock.recv,
                 READ_BYTES,
             )
+            return received if sock in self._idle else b''
         except TaskTimeout:
             return b''
         finally:
