Apply the mutation of incomplete events where they are kept now

test_ablation failed since events are kept in a buffer of their own: 'A mutation that cannot be applied tests nothing'. The mutation now passes everything on in that buffer, and test_resumes_between_complete_events still fails with it.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -209,10 +209,9 @@
     ),
     Mutation(
         'incomplete-events-forwarded',
-        'forwarding/_sse.py',
-        'self._partial = buffered[complete_end:]\n'
-        '        complete = buffered[:complete_end]',
-        "self._partial = b''\n        complete = buffered",
+        'http/_event_buffer.py',
+        'complete = chunk[:complete_end]',
+        'complete = chunk',
         'tests.unit.test_forwarding.StreamTest.test_resumes_between_complete_events',
     ),
     Mutation(
