--- a/src/cranecart/forwarding/_sse.py
+++ b/src/cranecart/forwarding/_sse.py
@@ -30,7 +30,7 @@
         return not self._events.size
 
     def hold_in(self, held: HeldResponse) -> None:
-        """Bound the events of the attempt that starts by its response."""
+        """Count and bound what is kept from now on with a response."""
         self._events.held = held
 
     def feed(self, chunk: bytes) -> bytes:
