Do not count refusals before a stream began once it has begun

Cause: refusals used up no attempt only if they came after the first event. Those before it counted on, and their targets stayed excluded. Change: whether refusals count is decided when an attempt is to follow. Their targets may be chosen again. `test_stream_cut_for_a_refusal_before_it_began` failed before.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -296,7 +296,7 @@
         others = self.handover.running_count - 1
         client, call = self.choice.call_through(
             peer,
-            self.call.route.attempts - self.state.failures.sent_count - others,
+            self.state.attempts_left(others),
             self.replacement(exchange, attempt).check,
         )
         try:
--- a/src/cranecart/forwarding/_failures.py
+++ b/src/cranecart/forwarding/_failures.py
@@ -40,15 +40,17 @@
 class AttemptFailures:
     """The failures of the attempts at one request.
 
-    ``sent_count`` is how many of the route's attempts were used up,
-    ``unreachable_count`` how many targets could not be sent it,
-    ``connects_failed`` how many of these for a connection that could not be
-    opened. ``was_sent`` is whether the last attempt was sent and ``was_refused``
-    whether the target would not take it, ``any_sent`` whether this node has sent any. ``decisive_error`` is that of the attempt
-    which decides about the outcome, if any has failed.
+    ``sent_count`` is how many targets may have received it, ``refused_count`` how
+    many of these have refused it, ``unreachable_count`` how many could not be
+    sent it, and ``connects_failed`` how many of these for a connection that could
+    not be opened. ``was_sent`` is whether the last attempt was sent,
+    ``was_refused`` whether its target would not take it, and ``any_sent`` whether
+    this node has sent any. ``decisive_error`` is that of the attempt which
+    decides about the outcome, if any has failed.
     """
 
     sent_count: int = 0
+    refused_count: int = attrs.field(default=0, init=False)
     any_sent: bool = attrs.field(default=False, init=False)
     unreachable_count: int = attrs.field(default=0, init=False)
     connects_failed: int = attrs.field(default=0, init=False)
@@ -62,17 +64,13 @@
         error = self.decisive_error
         return error is not None and error.execution is not Execution.NOT_RUN
 
-    def record(self, error: TargetError, *, may_wait: bool = False) -> None:
-        """Record a failed attempt.
-
-        Refusals use up none of the route's attempts if the request ``may_wait``
-        for a target.
-        """
+    def record(self, error: TargetError) -> None:
+        """Record a failed attempt."""
         self.was_sent = not isinstance(error, _NOT_SENT_ERRORS)
         self.any_sent = self.any_sent or self.was_sent
         self.was_refused = isinstance(error, WITHOUT_RUN)
-        is_free = may_wait and self.was_refused
-        self.sent_count += int(self.was_sent and not is_free)
+        self.sent_count += int(self.was_sent)
+        self.refused_count += int(self.was_sent and self.was_refused)
         if not self.was_sent and not isinstance(error, _PEER_ERRORS):
             self.unreachable_count += 1
         self.connects_failed += int(isinstance(error, TargetUnreachableError))
@@ -81,6 +79,15 @@
         if not self.may_have_run:
             self.decisive_error = error
 
+    def used_attempts(self, *, may_wait: bool) -> int:
+        """Return how many of the route's attempts were used up.
+
+        Refusals use up none of a request that ``may_wait`` for a target.
+        """
+        if may_wait:
+            return self.sent_count - self.refused_count
+        return self.sent_count
+
     def outweigh(self, error: RequestError) -> bool:
         """Return whether the earlier outcome takes precedence over an error.
 
@@ -101,7 +108,7 @@
         has_tried_enough = self.unreachable_count > _MAX_UNREACHABLE_TARGETS
         if call.seconds_left <= 0 or (has_tried_enough and not may_wait):
             return False
-        if self.sent_count >= call.route.attempts:
+        if self.used_attempts(may_wait=may_wait) >= call.route.attempts:
             return False
         return call.may_repeat or not self.may_have_run
 
--- a/src/cranecart/forwarding/_request_state.py
+++ b/src/cranecart/forwarding/_request_state.py
@@ -47,12 +47,12 @@
 
     def attempts_left(self, running_count: int) -> int:
         """Return how many attempts may run beside those that run."""
-        used = self.failures.sent_count + running_count
-        return self.call.route.attempts - used
+        used = self.failures.used_attempts(may_wait=self.may_wait)
+        return self.call.route.attempts - used - running_count
 
     def record_failure(self, attempt: Attempt, error: TargetError) -> None:
         """Record that an attempt has failed."""
-        self.failures.record(error, may_wait=self.may_wait)
+        self.failures.record(error)
         if self.failures.was_refused:
             self.backoff.postpone(since_boot())
         if attempt.is_charged and not self.failures.was_sent:
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -45,6 +45,7 @@
     _peers: PeersOfCall | None
     tried: list[str] = attrs.field(factory=list, init=False)
     _excluded: list[str] = attrs.field(factory=list, init=False)
+    _refusing: list[Target] = attrs.field(factory=list, init=False)
     # Where attempts were cancelled as others went on.
     _lost: set[str] = attrs.field(factory=set, init=False)
     # The targets that this node does not reach, while others may.
@@ -133,9 +134,8 @@
         """Record that an attempt at a target has failed."""
         if isinstance(error, TargetUnreachableError):
             self._unreached.add(target.instance.id)
-        if self._state.may_wait and isinstance(error, WITHOUT_RUN):
-            # It may have a free slot later.
-            self.readmit(target)
+        if isinstance(error, WITHOUT_RUN):
+            self._refusing.append(target)
 
     def call_through(
         self,
@@ -164,6 +164,11 @@
         )
 
     def _left_out(self, *, only_lost: bool) -> Collection[str]:
+        if self._state.may_wait:
+            # Those that have refused may have a free slot by now.
+            for target in self._refusing:
+                self.readmit(target)
+            self._refusing.clear()
         return _AllExcept(self._lost) if only_lost else self._excluded
 
     def _choose_reached(self, request: RoutingRequest) -> Target | Peer:
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -155,6 +155,12 @@
         # Two while all are sound, and one more after the first has died.
         self.assertLessEqual(len(used), 3)
 
+    def test_stream_cut_for_a_refusal_before_it_began(self) -> None:
+        """That was no attempt at what is left, and its target may take it."""
+        testbed = _testbed(_refuse, _break_after(0, 0.1), _finish)
+        testbed.make_unreachable('i2')
+        self._check_whole(_ask(testbed))
+
     def test_hung_target_kept_after_an_attempt_lost(self) -> None:
         """The target of that attempt takes the stream, no further one does."""
         testbed = _testbed(_pause_and_hang, _finish_late, _finish_late, _finish)
