Name what takes over from a silent attempt as it is, and mutate its guards

No change of behaviour. Nothing is given up after a silence any more: another attempt is started. The test of a client that leaves sees the targets' connections close; with the counts alone it did not notice that attempts went on (mutation not detected before).

--- a/src/cranecart/forwarding/_attempt.py
+++ b/src/cranecart/forwarding/_attempt.py
@@ -60,7 +60,10 @@
         await self._ended.wait()
 
     async def result(self) -> bool:
-        """Return whether it succeeded, once its task has ended."""
+        """Return whether it succeeded, once its task has ended.
+
+        From the call on it counts as collected.
+        """
         assert self.task is not None
         self.is_collected = True
         await self.task.wait()
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -155,7 +155,7 @@
             return False
         return self.choice.is_any_left(only_lost=self.choice.lost_count >= left)
 
-    def may_fail(self, attempt: Attempt) -> bool:
+    def may_drop_error(self, attempt: Attempt) -> bool:
         """Return whether an error response need not be passed on."""
         return (
             not self.handover.is_leading(attempt)
@@ -205,9 +205,9 @@
 
     async def _continue(self, exchange: Exchange) -> bool:
         """Go on after an attempt has failed; return whether one succeeded."""
-        successor = self.handover.successor()
-        if successor is not None:
-            return await successor.result()
+        next_leader = self.handover.promote()
+        if next_leader is not None:
+            return await next_leader.result()
         if not self.state.may_retry:
             raise self._final_error()
         await self.state.wait()
--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -47,7 +47,7 @@
             elapsed = since_boot() - started
             self._sender.router.gaps.record(call.service, elapsed)
         response = self._build_response(answer.head, body)
-        if _has_failed(answer.head) and self._attempts.may_fail(attempt):
+        if _has_failed(answer.head) and self._attempts.may_drop_error(attempt):
             self.response = response
             raise TargetFailedError(
                 f'{target.instance.id} failed with status {answer.head.status}',
@@ -78,10 +78,10 @@
         if not call.may_repeat:
             return SilenceLimits(half_objective, float('inf'))
         usual_seconds = self._sender.router.gaps.stall_seconds(call.service)
-        give_up_after = max(half_objective, usual_seconds)
+        replace_after = max(half_objective, usual_seconds)
         return SilenceLimits(
-            _SUSPECT_FRACTION * give_up_after,
-            give_up_after,
+            _SUSPECT_FRACTION * replace_after,
+            replace_after,
             replacement=self._attempts.replacement(self, attempt),
         )
 
--- a/src/cranecart/forwarding/_handover.py
+++ b/src/cranecart/forwarding/_handover.py
@@ -67,8 +67,7 @@
         earlier = self._leader
         assert earlier is not None
         if attempt.is_cancelled:
-            # The cancellation arrives with the next blocking call.
-            await curio.Event().wait()
+            await _wait_for_cancellation()
         self.check_running(attempt)
         self._followers.remove(attempt)
         self._leader = attempt
@@ -102,10 +101,11 @@
                 self._followers.remove(attempt)
             await attempt.end()
 
-    def successor(self) -> Attempt | None:
-        """Return the attempt that leads now that another has ended, if any.
+    def promote(self) -> Attempt | None:
+        """Let another attempt lead as the leading one has ended.
 
-        It may have ended as well, and its result is not known yet.
+        Return it, or ``None`` if there is none. It may have ended as well, as
+        long as its result is not known yet.
         """
         leader = self._leader
         if leader is not None and leader.task and not leader.is_collected:
@@ -147,3 +147,8 @@
         await task.cancel(blocking=False)
     for task in tasks:
         await task.wait()
+
+
+async def _wait_for_cancellation() -> None:
+    """Block, as a cancellation arrives only in a call that does."""
+    await curio.Event().wait()
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -2,7 +2,7 @@
 
 import contextlib
 from collections.abc import AsyncGenerator, Awaitable, Callable
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
 import attrs
 import curio
@@ -22,6 +22,7 @@
 from cranecart.forwarding._call import RoutedCall
 from cranecart.forwarding._connections import TargetConnectionPool
 from cranecart.forwarding._own_response import OwnResponseReader
+from cranecart.forwarding._replacement import Replacement
 from cranecart.forwarding._response_errors import error_of_response
 from cranecart.forwarding._resume_guard import ResumeGuard
 from cranecart.http import HttpConnection, ResponseHead
@@ -61,26 +62,12 @@
     connection: HttpConnection
 
 
-class Replacement(Protocol):
-    """What takes over from an attempt whose target is silent."""
-
-    @property
-    def is_under_way(self) -> bool:
-        """Return whether another attempt may take over at any moment."""
-
-    async def check(self, reason: str) -> None:
-        """Start another attempt if there is a reason to.
-
-        Raise ``TargetAbandonedError`` if another has taken over.
-        """
-
-
 @attrs.frozen
 class SilenceLimits:
     """How long a target may be silent, in seconds.
 
     After ``suspect_after`` the silence is reported as evidence. A ``replacement``
-    is started after ``give_up_after``, after ``stalled_after`` if the target's
+    is started after ``replace_after``, after ``stalled_after`` if the target's
     other streams receive nothing either, as soon as it is suspect and out of
     reach, and at once if the replica is found to have stopped. Until it takes
     over, the silent target may go on. An attempt that ``ends_if_stopped`` fails if
@@ -88,7 +75,7 @@
     """
 
     suspect_after: float
-    give_up_after: float
+    replace_after: float
     stalled_after: float = float('inf')
     replacement: Replacement | None = None
     ends_if_stopped: bool = False
@@ -217,13 +204,13 @@
             raise TargetTimeoutError('no complete response before the deadline')
         if limits.replacement is not None:
             await limits.replacement.check(
-                self._reason_to_give_up(call, target, limits, silence)
+                self._reason_to_replace(call, target, limits, silence)
             )
         is_needed = limits.may_be_replaced or not limits.ends_if_stopped
         if self._is_stopped(target) and not is_needed:
             raise TargetAbandonedError(f'{target.instance.id} has stopped')
 
-    def _reason_to_give_up(
+    def _reason_to_replace(
         self,
         call: RoutedCall,
         target: Target,
@@ -240,7 +227,7 @@
         is_suspect = silence >= limits.suspect_after
         if is_suspect and self.router.paths.is_lost(target.instance):
             return f'was silent for {silence:.3f} s and is out of reach'
-        if silence > limits.give_up_after:
+        if silence > limits.replace_after:
             return f'was silent for {silence:.3f} s'
         return ''
 
--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -25,8 +25,8 @@
 # Another target is tried after this silence if the replica was not found to
 # have stopped earlier. With too few replicas live engines were silent
 # for over 0.5 s, and moving away from them lost requests they would have served.
-_GIVE_UP_SECONDS = 0.8
-_FIRST_EVENT_GIVE_UP_SECONDS = 1.2
+_REPLACE_SECONDS = 0.8
+_FIRST_EVENT_REPLACE_SECONDS = 1.2
 # Fraction of the objective after which a missing first event is reported. It
 # takes longer than later ones, as the engine reads this prompt and others first.
 _FIRST_EVENT_SUSPECT_FRACTION = 0.8
@@ -263,7 +263,7 @@
             answer.connection.read_body,
         )
         name = target.instance.id
-        if self._attempts.may_fail(attempt):
+        if self._attempts.may_drop_error(attempt):
             raise TargetFailedError(
                 f'{name} failed with status {answer.head.status}'
             )
@@ -292,7 +292,7 @@
         model = self._attempts.call.facts.model
         return SilenceLimits(
             self._sender.router.gaps.stall_seconds(model),
-            _GIVE_UP_SECONDS,
+            _REPLACE_SECONDS,
             self._attempts.call.route.pause_seconds,
             self._attempts.replacement(self, attempt),
         )
@@ -308,7 +308,7 @@
         # trying another at once may still meet the objective.
         return SilenceLimits(
             suspect_after,
-            max(suspect_after, _FIRST_EVENT_GIVE_UP_SECONDS),
+            max(suspect_after, _FIRST_EVENT_REPLACE_SECONDS),
             stalled_after=0,
             replacement=self._attempts.replacement(self, attempt),
             ends_if_stopped=not self._attempts.state.has_begun,
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -81,7 +81,7 @@
         )
 
     def choose(self, *, only_lost: bool = False) -> Target | Peer:
-        """Return where the next attempt goes; a target is chosen only once.
+        """Return where the next attempt goes; its target is left out from now on.
 
         ``only_lost`` is as in ``is_any_left``. Raise the ``RequestError`` that
         says why there is none.
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -222,7 +222,7 @@
             return await spawn(function, *arguments, **options)
 
         with patch.object(curio, 'spawn', spawn_beside):
-            _run(testbed, self._leave)
+            _run(testbed, self._wait_for_second)
         self.assertEqual(counted, [2])
 
     def test_attempts_left_running_as_the_client_leaves(self) -> None:
@@ -231,8 +231,17 @@
 
     def test_targets_work_on_after_the_client_has_left(self) -> None:
         """Both attempts are closed, the silent one and the one beside it."""
-        testbed = _testbed(_never_send, _never_send, _never_send)
-        _run(testbed, self._leave)
+        closed: list[Exchange] = []
+
+        async def send_once(exchange: Exchange) -> None:  # noqa: WPS430
+            await exchange.start_stream()
+            if 'last-event-id' not in exchange.headers:
+                await exchange.events(1, 1)
+            await exchange.sock.recv(1)
+            closed.append(exchange)
+
+        testbed = _testbed(send_once, send_once, send_once)
+        _run(testbed, lambda running: self._leave(running, closed))
         self.assertEqual(_received(testbed), 2)
 
     def test_stream_held_by_a_peer_that_reaches_nothing(self) -> None:
@@ -285,14 +294,20 @@
         await curio.sleep(2 * _SLOW_END_SECONDS)
         self.assertTrue(all(task.terminated for task in tasks))
 
-    async def _leave(self, testbed: GatewayTestbed) -> None:
+    async def _wait_for_second(self, testbed: GatewayTestbed) -> None:
+        asking = await curio.spawn(testbed.ask, '/stream/')
+        await until(lambda: _received(testbed) == 2)
+        await asking.cancel()
+
+    async def _leave(
+        self, testbed: GatewayTestbed, closed: list[Exchange]
+    ) -> None:
         connection = await HttpConnection.open(testbed.server.address)
         await connection.send(client_request('/stream/'))
         await until(lambda: _received(testbed) == 2)
         await connection.close()
-        await until(
-            lambda: not +testbed.router.in_flight_counts(), _GIVEN_UP_SECONDS
-        )
+        await until(lambda: len(closed) == 2, _GIVEN_UP_SECONDS)
+        self.assertFalse(+testbed.router.in_flight_counts())
         self.assertEqual(testbed.gateway.in_flight, 0)
 
     def _check_whole(self, answer: ClientAnswer) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -44,6 +44,7 @@
 _RESTORED_STORE = 'tests.platform.test_restored_store.RestoredStoreTest'
 _RESTORED_RECORDS = 'tests.unit.test_restored_records.RestoredRecordsTest'
 _ROW_VERSIONS = 'tests.platform.test_row_versions.RowVersionsTest'
+_HANDOVER = 'tests.unit.test_handover.HandoverTest'
 _BUFFERED_RESPONSES = 'tests.unit.test_forwarding.BufferedResponseTest'
 
 MUTATIONS = (
@@ -155,6 +156,27 @@
         'tests.unit.test_grouping.GroupingTest'
         '.test_no_head_opens_before_all_are_ready',
     ),
+    Mutation(
+        'refusals-use-up-attempts-of-begun-streams',
+        'forwarding/_failures.py',
+        'return self.sent_count - self.refused_count',
+        'return self.sent_count',
+        f'{_HANDOVER}.test_stream_cut_for_a_refusal_before_it_began',
+    ),
+    Mutation(
+        'attempts-beside-others-not-ended',
+        'forwarding/_handover.py',
+        'await task.cancel(blocking=False)',
+        'await curio.sleep(0)',
+        f'{_HANDOVER}.test_targets_work_on_after_the_client_has_left',
+    ),
+    Mutation(
+        'targets-of-lost-attempts-left-out',
+        'forwarding/_target_choice.py',
+        'self._lost.add(instance.id)',
+        'self._lost.clear()',
+        f'{_HANDOVER}.test_targets_used_up_by_silences',
+    ),
     Mutation(
         'requests-with-unknown-outcome-retried',
         'forwarding/_failures.py',
