--- a/src/cranecart/forwarding/_request_state.py
+++ b/src/cranecart/forwarding/_request_state.py
@@ -67,9 +67,10 @@
         """
         if not self.failures.any_sent:
             return True
-        is_allowed = self.retries.take()
+        if not self.retries.take():
+            return False
         self.retries.restore()
-        return is_allowed
+        return True
 
     def postpone(self, reason: str) -> bool:
         """Put the next attempt off; return whether there may be one."""
