Let only whole events end the attempts beside a silent target

Cause: any part of a response from the leading target ended the attempts beside it. Change: only whole events, whole answers and ends do. `test_attempt_ended_by_half_an_event` failed before.

--- a/src/cranecart/forwarding/_stream.py
+++ b/src/cranecart/forwarding/_stream.py
@@ -152,6 +152,9 @@
                 instance=relay.attempt.name,
                 after=relay.resumed_after,
             )
+        await self._start_response(head)
+
+    async def _start_response(self, head: ResponseHead) -> None:
         if not self._responder.has_started:
             headers = self._sender.translator.response_headers(head)
             await self._responder.start(head.status, without_outcome(headers))
@@ -164,13 +167,12 @@
         answer: PeerAnswer,
     ) -> None:
         if self._attempts.handover.is_leading(relay.attempt):
-            await self._lead(relay, answer.head)
+            await self._start_response(answer.head)
         while chunk := await client.read(call, answer.connection.read_chunk):
             complete = relay.splitter.feed(chunk)
-            if complete or self._attempts.handover.is_leading(relay.attempt):
+            if complete:
                 await self._lead(relay, answer.head)
                 self._attempts.state.has_begun = True
-            if complete:
                 await self._write(relay.attempt, complete)
                 self.timing.record_event()
         if not relay.splitter.is_between_events:
@@ -183,7 +185,7 @@
         self, relay: _Relay, target: Target, answer: TargetAnswer
     ) -> None:
         if self._attempts.handover.is_leading(relay.attempt):
-            await self._lead(relay, answer.head)
+            await self._start_response(answer.head)
         incarnation = target.instance.incarnation
         router = self._sender.router
         call = self._attempts.call
@@ -228,8 +230,10 @@
                 target.instance.incarnation
             )
             complete = relay.splitter.feed(chunk)
-            if complete or self._attempts.handover.is_leading(relay.attempt):
+            if complete:
+                # Only whole events end other attempts: the rest may not follow.
                 await self._lead(relay, answer.head)
+            if self._attempts.handover.is_leading(relay.attempt):
                 self._attempts.record_progress(relay.attempt)
             limits = self._silence_limits(relay.attempt)
             if complete:
@@ -311,5 +315,8 @@
             max(suspect_after, _FIRST_EVENT_REPLACE_SECONDS),
             stalled_after=0,
             replacement=self._attempts.replacement(self, attempt),
-            ends_if_stopped=not self._attempts.state.has_begun,
+            ends_if_stopped=(
+                self._attempts.call.may_repeat
+                and not self._attempts.state.has_begun
+            ),
         )
--- a/tests/unit/test_handover.py
+++ b/tests/unit/test_handover.py
@@ -86,6 +86,14 @@
     await curio.sleep(_LONG_SECONDS)
 
 
+async def _send_half_an_event(exchange: Exchange) -> None:
+    await exchange.start_stream()
+    await exchange.events(1, 1)
+    await curio.sleep(_SILENCE_SECONDS)
+    await exchange.chunk(b'id: 2\n')
+    await curio.sleep(_LONG_SECONDS)
+
+
 async def _never_send(exchange: Exchange) -> None:
     await exchange.start_stream()
     await exchange.events(1, 1)
@@ -161,6 +169,17 @@
         testbed.make_unreachable('i2')
         self._check_whole(_ask(testbed))
 
+    def test_attempt_ended_by_half_an_event(self) -> None:
+        """The rest may never come, so the one beside it goes on."""
+        testbed = _testbed(_send_half_an_event, _finish_late, _finish)
+        self._check_whole(_ask(testbed))
+        self.assertEqual(_received(testbed), 2)
+
+    def test_answer_of_a_stopped_replica_that_runs_once(self) -> None:
+        """Its client cannot come back, so the answer is waited for."""
+        testbed = _testbed(_finish_late)
+        _run(testbed, self._ask_once)
+
     def test_hung_target_kept_after_an_attempt_lost(self) -> None:
         """The target of that attempt takes the stream, no further one does."""
         testbed = _testbed(_pause_and_hang, _finish_late, _finish_late, _finish)
@@ -281,6 +300,12 @@
         self.assertEqual(answer.status, 502)
         self.assertLess(time.monotonic() - started, _GIVEN_UP_SECONDS)
 
+    async def _ask_once(self, testbed: GatewayTestbed) -> None:
+        asking = await curio.spawn(testbed.ask, '/once/')
+        await until(lambda: _received(testbed) == 1)
+        testbed.fleet.mark_stopped(('i0', 1), 'a test says so')
+        self._check_whole(await asking.join())
+
     async def _close_and_cancel(self) -> None:
         handover = Handover(RequestTrace(''))
         tasks = [await curio.spawn(_end_slowly, daemon=True) for _ in range(3)]
