Choose no target for a request that no retry is left for

Read, not run: each round of a waiting stream whose retry is refused counted a send at its target (limits, cold shares) and a decision of the dispatch. The budget is asked first now, as beside a silent target. A target whose attempt was cancelled is forgotten as such only once it is sent the request again, and where only such targets are allowed no peer is asked.

--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -186,6 +186,11 @@
             lambda: self.call.seconds_left,
             self.call.facts.shared_segments,
         )
+        # Only retries after a request was sent are charged to the budget:
+        # attempts that reached no target put no load on any.
+        is_charged = self.state.failures.any_sent
+        if is_charged and not self.state.retries.is_available():
+            return self._wait_for_retry()
         try:
             choice = self.choice.choose()
         except _NO_TARGET_ERRORS as error:
@@ -193,9 +198,6 @@
             if is_held or not self.state.postpone(str(error)):
                 raise self._final_error(error) from error
             return False
-        # Only retries after a request was sent are charged to the budget:
-        # attempts that reached no target put no load on any.
-        is_charged = self.state.failures.any_sent
         if is_charged and not self.state.retries.take():
             self.choice.readmit(choice)
             return self._wait_for_retry()
@@ -244,7 +246,7 @@
         self.handover.add(attempt, task)
 
     def _start(self, choice: Target | Peer, *, is_charged: bool) -> Attempt:
-        self.choice.trace(choice)
+        self.choice.record_start(choice)
         attempt = Attempt(choice, is_charged)
         if isinstance(choice, Target):
             attempt.tracking.enter_context(self._router.in_flight.track(choice))
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -96,13 +96,13 @@
             ),
             has_begun=self._state.has_begun,
         )
-        choice = self._choose_reached(request)
+        choose = self._router.choose if only_lost else self._choose_reached
+        choice = choose(request)
         if isinstance(choice, Target):
             self._excluded.append(choice.instance.id)
-            self._lost.discard(choice.instance.id)
         return choice
 
-    def trace(self, choice: Target | Peer) -> None:
+    def record_start(self, choice: Target | Peer) -> None:
         """Log where an attempt goes, and why."""
         match choice:
             case Peer():
@@ -115,6 +115,7 @@
             case Target():
                 trace_routing(self._state.call, choice, self.tried)
                 self.tried.append(choice.instance.id)
+                self._lost.discard(choice.instance.id)
 
     def readmit(self, choice: Target | Peer) -> None:
         """Let a target be chosen again."""
