--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -101,6 +101,8 @@
         }
         self._file = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
+        # An earlier node of this name may have left one.
+        self._log.write_bytes(b'')
         self._program = ('cranecart', 'serve', str(self._file))
         if redirects is not None:
             redirects_file = folder / f'{name}-redirects.json'
