--- a/src/cranecart/logs/_lines.py
+++ b/src/cranecart/logs/_lines.py
@@ -15,6 +15,8 @@
 import curio
 import msgspec
 
+from cranecart.clocks import since_boot
+
 _FLUSH_SECONDS = 0.1
 # About two seconds of output at a node's highest log rate.
 _MAX_QUEUED_LINES = 4000
@@ -84,11 +86,11 @@
 
     def write_rest(self, seconds: float) -> None:
         """Write all lines, waiting up to ``seconds`` for a slow reader."""
-        deadline = time.monotonic() + seconds
+        deadline = since_boot() + seconds
         self.write_queued()
         with contextlib.suppress(OSError):
             while self._fill_block() and self._is_writable(
-                max(0, deadline - time.monotonic())
+                max(0, deadline - since_boot())
             ):
                 self._write_block()
 
