--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -11,6 +11,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -284,8 +285,13 @@
             await writer.drain()
 
 
+def host(number):
+    """Return a loopback address that other runs of a case do not use."""
+    high, low = divmod(os.getpid(), 250)
+    return f'127.{10 + high % 200}.{1 + low}.{number}'
+
+
 def free_port(host):
-    import socket
     sock = socket.socket()
     sock.bind((host, 0))
     port = sock.getsockname()[1]
@@ -425,14 +431,15 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write('case', trouble=int(trouble))
     nodes = []
+    code = 2
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory() as folder:
             broken = asyncio.run(
                 asyncio.wait_for(scenario(record, Path(folder), nodes, trouble), 110))
-    except (CannotRun, OSError, TimeoutError) as error:
+    except Exception as error:
         record.write('cannot-run', why=repr(error).replace(' ', '_'))
         print(f'cannot run: {error!r}')
-        code = 2
     else:
         for line in broken:
             record.write('broken', what=line.replace(' ', '_'))
