--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -77,6 +77,8 @@
         self.loaded, self.staged = '', []
         self.active = 0
         self.tasks = set()
+        self.writers = set()
+        self.events, self.event_seconds = 3, 0.03
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -110,6 +112,19 @@
             await asyncio.sleep(0.05)
         self.end()
 
+    async def crash(self):
+        """Die without a word; the entry goes after three silent heartbeats."""
+        self.server.close()
+        self.group = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
+        self.fleet.replicas.pop(self.name, None)
+        self.record.write('replica-crashed', replica=self.name)
+        await asyncio.sleep(3 * HEARTBEAT_SECONDS)
+        self.fleet.store.drop('servers', self.name)
+
     def end(self):
         self.server.close()
         self.group = None
@@ -247,6 +262,7 @@
     # Requests
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await rig.read_message(reader)
@@ -256,6 +272,7 @@
         except (asyncio.CancelledError, asyncio.IncompleteReadError, OSError):
             return
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _handle(self, request, writer):
@@ -301,11 +318,11 @@
                     f'Replica-Signature: {signature}\r\nWeight-Versions: 1\r\n'
                     'Transfer-Encoding: chunked\r\n\r\n')
             writer.write(head.encode())
-            for number in range(1, 4):
+            for number in range(1, self.events + 1):
                 event = f'id: {number}\ndata: {name}\n\n'.encode()
                 writer.write(b'%x\r\n%s\r\n' % (len(event), event))
                 await writer.drain()
-                await asyncio.sleep(0.03)
+                await asyncio.sleep(self.event_seconds)
             writer.write(b'0\r\n\r\n')
         finally:
             self.active -= 1
