Log the versions of the pages that a read of a part consists of

Cause: the log could not tell whether a node that sends to an instance that has left read a list in which it was still there, never got the change, or ignored it. A read of several pages now logs the version of each page.

--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -27,6 +27,7 @@
     Request,
     Response,
 )
+from cranecart.logs import log_decision
 from cranecart.platform._era import StoreEra
 from cranecart.ports import era_of, make_version, store_number_of
 
@@ -132,14 +133,23 @@
         Raise ``HistoryLostError`` if the store is restored between two pages.
         """
         page = await self._read_page(table, part, start_key)
-        era = era_of(page.schema_version)
+        versions = [page.schema_version]
         rows = list(page.rows)
         while page.truncated and page.rows:
             # Start the next page at the smallest key after the last one.
             page = await self._read_page(table, part, f'{rows[-1].key_file}\0')
+            versions.append(page.schema_version)
             rows.extend(page.rows)
-            if era_of(page.schema_version) != era:
+            if era_of(page.schema_version) != era_of(versions[0]):
                 raise HistoryLostError(_RESTORED_STORE)
+        if len(versions) > 1:
+            log_decision(
+                'pages_read',
+                table=table,
+                part=part,
+                rows=len(rows),
+                versions=versions,
+            )
         return WireRows(page.schema_version, rows)
 
     async def feed(
