Read the pages of a table as of one version

Cause: a read of several pages returned the rows of all pages with the version of the last one, and the changes were followed from there. What changed between the first and the last page was never read. A store that forgets its history makes a node read anew and share the result, so that no node knew better. Not the list: it applies what it gets. Not the feed: other nodes got the change. Why this works: after each page the feed is read from the version so far to that of the page and applied to the pages before. After each page and not at the end, so that the history has to last for one page only. If it does not, the list and the operator's rows, which do not depend on each other, are passed on with the version that all changes follow which they may lack: the next poll then starts a new read. Rows of transactions are read again instead, as a row absent from half a transaction would make an instance look free. One more read of the feed a page after the first, if anything was written meanwhile. Rows on the wire move to a module of their own.

--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -21,7 +21,7 @@
     hash_key,
 )
 from cranecart.platform._load_headers import MAX_COLD_SECONDS, MAX_PER_SECOND
-from cranecart.platform._store import StoreClient, WireRow, decode_row
+from cranecart.platform._store import StoreClient
 from cranecart.platform._wire_config import (
     WireConfig,
     WireLimits,
@@ -31,6 +31,7 @@
     WireTenant,
     whole_number,
 )
+from cranecart.platform._wire_rows import WireRow, decode_row
 from cranecart.ports import Changes, Snapshot
 
 _TABLE = 'op'
@@ -69,7 +70,9 @@
 
     async def snapshot(self) -> Snapshot[OperatorRow]:
         """Read the configuration, if there is one yet, and evacuations."""
-        rows = await self._store.read_part(_TABLE, '', _KEY)
+        rows = await self._store.read_part(
+            _TABLE, '', _KEY, rows_are_independent=True
+        )
         return Snapshot(
             rows.schema_version, self._decode(rows.rows, rows.schema_version)
         )
--- a/src/cranecart/platform/_store.py
+++ b/src/cranecart/platform/_store.py
@@ -1,10 +1,9 @@
 """The client of the platform's store: rows, transactions and changes."""
 
-import base64
 import functools
 from collections import Counter
-from collections.abc import Mapping
-from typing import Any, TypeVar
+from collections.abc import Iterable, Mapping
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import attrs
@@ -27,8 +26,9 @@
     Request,
     Response,
 )
-from cranecart.logs import log_decision
 from cranecart.platform._era import StoreEra
+from cranecart.platform._paged_read import PagedRead
+from cranecart.platform._wire_rows import WireRows
 from cranecart.ports import era_of, make_version, store_number_of
 
 Message = TypeVar('Message')
@@ -51,49 +51,10 @@
 )
 
 
-class WireRow(msgspec.Struct, rename='camel'):
-    """A row; ``keyFile`` is its key and ``schemaVersion`` its version.
-
-    In the rows that ``StoreClient`` returns, the version includes the era, so
-    that it never decreases.
-    """
-
-    key_file: str
-    table_name: str = ''
-    part: str = ''
-    value: str = ''
-    schema_version: int = 0
-    deleted: bool = False
-
-    def decoded(self) -> bytes:
-        """Return the row's value, decoded from base64."""
-        return base64.b64decode(self.value)
-
-
-class WireRows(msgspec.Struct, rename='camel'):
-    """Rows read at one time; ``schemaVersion`` is the table's version."""
-
-    schema_version: int
-    rows: list[WireRow]
-    truncated: bool = False
-
-    def add_era(self, era: int) -> 'WireRows':
-        """Add the era to all versions; return the rows."""
-        self.schema_version = make_version(era, self.schema_version)
-        for row in self.rows:
-            row.schema_version = make_version(era, row.schema_version)
-        return self
-
-
 class _WireCommitted(msgspec.Struct, rename='camel'):
     schema_version: int
 
 
-def encode_value(value: bytes) -> str:
-    """Return a row's value, encoded as base64."""
-    return base64.b64encode(value).decode()
-
-
 @attrs.define
 class StoreClient:
     """Calls a store on persistent connections, with a timeout per call.
@@ -127,30 +88,43 @@
         table: str,
         part: str,
         start_key: str = '',
+        *,
+        rows_are_independent: bool = False,
     ) -> WireRows:
-        """Read all pages of a part, from a key on.
+        """Read all pages of a part, from a key on, as of one version.
 
-        Raise ``HistoryLostError`` if the store is restored between two pages.
+        Raise ``HistoryLostError`` if the store cannot list the changes between
+        two pages. Rows that are independent of each other are then returned
+        without these; all changes that they may lack follow their version.
         """
-        page = await self._read_page(table, part, start_key)
-        versions = [page.schema_version]
-        rows = list(page.rows)
-        while page.truncated and page.rows:
-            # Start the next page at the smallest key after the last one.
-            page = await self._read_page(table, part, f'{rows[-1].key_file}\0')
-            versions.append(page.schema_version)
-            rows.extend(page.rows)
-            if era_of(page.schema_version) != era_of(versions[0]):
-                raise HistoryLostError(_RESTORED_STORE)
-        if len(versions) > 1:
-            log_decision(
-                'pages_read',
-                table=table,
-                part=part,
-                rows=len(rows),
-                versions=versions,
-            )
-        return WireRows(page.schema_version, rows)
+        read = PagedRead(
+            table,
+            self.read_page,
+            self.feed,
+            rows_are_independent=rows_are_independent,
+        )
+        await read.add_part(part, start_key)
+        return read.contents()
+
+    async def read_parts(self, table: str, parts: Iterable[str]) -> WireRows:
+        """Read all pages of several parts, as of one version.
+
+        Raise ``HistoryLostError`` if the store cannot list the changes between
+        two pages.
+        """
+        read = PagedRead(table, self.read_page, self.feed)
+        for part in parts:
+            await read.add_part(part)
+        return read.contents()
+
+    async def read_page(
+        self, table: str, part: str, start_key: str
+    ) -> WireRows:
+        """Read one page of a part, from a key on."""
+        query = {'tableName': table, 'part': part, 'limit': _PAGE_ROWS}
+        if start_key:
+            query['fromVersion'] = start_key
+        return await self._get('/rows-get', query, CALL_TIMEOUT_SECONDS)
 
     async def feed(
         self,
@@ -204,14 +178,6 @@
             era, _decode(response, _WireCommitted).schema_version
         )
 
-    async def _read_page(
-        self, table: str, part: str, start_key: str
-    ) -> WireRows:
-        query = {'tableName': table, 'part': part, 'limit': _PAGE_ROWS}
-        if start_key:
-            query['fromVersion'] = start_key
-        return await self._get('/rows-get', query, CALL_TIMEOUT_SECONDS)
-
     async def _get(
         self,
         path: str,
@@ -317,40 +283,3 @@
         raise PlatformUnavailableError(
             f'cannot decode an answer of the store: {error}'
         ) from error
-
-
-def decode_row(row: WireRow, message_type: Any) -> Any:
-    """Decode a row's value; raise ``PlatformUnavailableError`` if invalid.
-
-    Fields that are null are treated as missing.
-    """
-    try:
-        return _decode_value(row.decoded(), message_type)
-    except (ValueError, RecursionError, msgspec.MsgspecError) as error:
-        raise PlatformUnavailableError(
-            f'row {row.key_file!r} cannot be read: {error}',
-        ) from error
-
-
-def _decode_value(value: bytes, message_type: Any) -> Any:
-    try:
-        return msgspec.json.decode(value, type=message_type)
-    except msgspec.ValidationError:
-        # Nulls are rare, and removing them needs a second pass.
-        without_nulls = _without_nulls(msgspec.json.decode(value))
-        return msgspec.convert(without_nulls, message_type)
-
-
-def _without_nulls(value: object) -> object:
-    match value:
-        case dict():
-            return {
-                key: _without_nulls(inner)
-                for key, inner in value.items()
-                if inner is not None
-            }
-        case list():
-            return [
-                _without_nulls(inner) for inner in value if inner is not None
-            ]
-    return value
--- a/src/cranecart/platform/_tables.py
+++ b/src/cranecart/platform/_tables.py
@@ -8,8 +8,14 @@
 
 import attrs
 
-from cranecart.exceptions import WriteConflictError, WriteUnknownError
-from cranecart.platform._store import StoreClient, WireRow, encode_value
+from cranecart.exceptions import (
+    HistoryLostError,
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from cranecart.platform._store import StoreClient
+from cranecart.platform._wire_rows import WireRow, encode_value
 from cranecart.ports import (
     Changes,
     Row,
@@ -37,17 +43,14 @@
         rows_by_key: dict[str, Row] = {}
         parts = {_table_and_part(key) for key in requested}
         for table, part in parts:
-            rows = await self._store.read_part(table, part)
-            rows_by_key.update(_decode_rows(table, part, rows.rows))
+            rows_by_key.update(await self._read_part(table, part))
         return {
             key: rows_by_key[key] for key in requested if key in rows_by_key
         }
 
     async def read_prefix(self, prefix: str) -> dict[str, Row]:
         """Read all rows whose keys start with ``table/part/``."""
-        table, part = _table_and_part(prefix)
-        rows = await self._store.read_part(table, part)
-        rows_by_key = _decode_rows(table, part, rows.rows)
+        rows_by_key = await self._read_part(*_table_and_part(prefix))
         return {
             key: row
             for key, row in rows_by_key.items()
@@ -73,6 +76,15 @@
             )
         return version
 
+    async def _read_part(self, table: str, part: str) -> Mapping[str, Row]:
+        try:
+            rows = await self._store.read_part(table, part)
+        except HistoryLostError as error:
+            raise PlatformUnavailableError(
+                f'table {table!r} cannot be read as of one version: {error}'
+            ) from error
+        return _decode_rows(table, rows.rows)
+
 
 @attrs.frozen
 class PlatformRowSource:
@@ -88,14 +100,11 @@
         return self._store.is_receiving_changes(self._table)
 
     async def snapshot(self) -> Snapshot[Row]:
-        """Read all parts; return them with the lowest of their versions."""
-        versions = []
-        rows_by_key: dict[str, Row] = {}
-        for part in self._parts:
-            rows = await self._store.read_part(self._table, part)
-            versions.append(rows.schema_version)
-            rows_by_key.update(_decode_rows(self._table, part, rows.rows))
-        return Snapshot(min(versions), rows_by_key)
+        """Read all parts as of one version."""
+        rows = await self._store.read_parts(self._table, self._parts)
+        return Snapshot(
+            rows.schema_version, _decode_rows(self._table, rows.rows)
+        )
 
     async def changes(self, since: int, wait_seconds: float) -> Changes[Row]:
         """Wait for changed rows."""
@@ -105,7 +114,7 @@
             {
                 f'{self._table}/{row.part}/{row.key_file}': None
                 if row.deleted
-                else _decode_row(self._table, row.part, row)
+                else _decode_row(self._table, row)
                 for row in changed.rows
             },
         )
@@ -143,16 +152,15 @@
 
 def _decode_rows(
     table: str,
-    part: str,
     rows: Iterable[WireRow],
 ) -> Mapping[str, Row]:
-    rows_by_key = (_decode_row(table, part, row) for row in rows)
+    rows_by_key = (_decode_row(table, row) for row in rows)
     return {row.key: row for row in rows_by_key}
 
 
-def _decode_row(table: str, part: str, row: WireRow) -> Row:
+def _decode_row(table: str, row: WireRow) -> Row:
     return Row(
-        f'{table}/{part}/{row.key_file}',
+        f'{table}/{row.part}/{row.key_file}',
         row.schema_version,
         _decode_text(row),
     )
--- a/src/cranecart/platform/_targets.py
+++ b/src/cranecart/platform/_targets.py
@@ -10,8 +10,9 @@
 from cranecart.http import Address
 from cranecart.logs import UnreadableRowLog
 from cranecart.platform._load_headers import MAX_COLD_SECONDS
-from cranecart.platform._store import StoreClient, WireRow, decode_row
+from cranecart.platform._store import StoreClient
 from cranecart.platform._wire_config import whole_number
+from cranecart.platform._wire_rows import WireRow, decode_row
 from cranecart.ports import (
     Changes,
     ListedInstance,
@@ -82,7 +83,9 @@
 
     async def snapshot(self) -> Snapshot[ListedInstance]:
         """Read the complete list."""
-        rows = await self._store.read_part(_TABLE, '')
+        rows = await self._store.read_part(
+            _TABLE, '', rows_are_independent=True
+        )
         instances = {row.key_file: self._decode_entry(row) for row in rows.rows}
         return Snapshot(
             rows.schema_version,
--- a/tests/platform/_fixed_rows.py
+++ b/tests/platform/_fixed_rows.py
@@ -4,7 +4,7 @@
 
 from cranecart.http import Address
 from cranecart.platform import StoreClient
-from cranecart.platform._store import WireRow, WireRows
+from cranecart.platform._wire_rows import WireRow, WireRows
 
 
 class FixedRowsClient(StoreClient):
@@ -15,11 +15,11 @@
         super().__init__(Address('127.0.0.1', 1))
         self.written = rows
 
-    async def read_part(
+    async def read_page(
         self,
         table: str,
         part: str,
-        start_key: str = '',
+        start_key: str,
     ) -> WireRows:
         """Return the rows."""
         return self._page()
--- a/tests/platform/_standin.py
+++ b/tests/platform/_standin.py
@@ -4,6 +4,7 @@
 import copy
 import json
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -50,7 +51,8 @@
     connection stays dead even afterwards. A fault applies to one call: a status
     to answer with, ``'lost'`` for a commit that is executed but not answered,
     or ``'silent'`` for a call that is not answered. ``orders`` holds the orders
-    to the engine that it also stands in for.
+    to the engine that it also stands in for. ``after_page`` is called with the
+    table when a page was read.
     """
 
     rows: dict[RowKey, tuple[int, str]] = attrs.field(factory=dict)
@@ -63,6 +65,7 @@
     era: int | None = None
     is_unavailable: bool = False
     feeds_are_stalled: bool = False
+    after_page: Callable[[str], None] = lambda _table: None
     is_unresponsive: bool = False
     calls: Counter[tuple[str, str]] = attrs.field(factory=Counter, init=False)
     _log: list[tuple[int, RowKey]] = attrs.field(factory=list)
@@ -175,12 +178,14 @@
             and key[2] >= start_key
         )
         page = matching[: self.page_rows]
-        return self._versioned_response(
+        response = self._versioned_response(
             {
                 'rows': [self._row(key) for key in page],
                 'truncated': len(page) < len(matching),
             },
         )
+        self.after_page(query['tableName'])
+        return response
 
     async def _feed(self, query: dict[str, str]) -> Response:
         since = int(query['sinceRevision'])
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -9,7 +9,7 @@
 from cranecart.http import Address
 from cranecart.models import Evacuation
 from cranecart.platform import PlatformConfigSource, StoreClient
-from cranecart.platform._store import WireRow, WireRows
+from cranecart.platform._wire_rows import WireRow, WireRows
 from tests.lib.store_testbed import (
     StoreTestbed,
     config_row,
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -456,7 +456,7 @@
     ),
     Mutation(
         'row-versions-without-era',
-        'platform/_store.py',
+        'platform/_wire_rows.py',
         'self.schema_version = make_version(era, self.schema_version)',
         'self.schema_version = make_version(0, self.schema_version)',
         f'{_ROW_VERSIONS}.test_versions_rise_over_a_restore',
