Reject a page without rows that is not the last one

Callers saw: nothing known. Cause: a read ended at a page without rows, though the store said that more pages follow, and the rows after it were taken for deleted. Evidence: test_rest_of_a_list_behind_an_empty_page, red before. Why this works: the read fails and is tried again, and what was known stays.

--- a/src/cranecart/platform/_paged_read.py
+++ b/src/cranecart/platform/_paged_read.py
@@ -65,7 +65,7 @@
         """
         self._ranges[part] = _KeyRange(start_key)
         page = await self._add_page(part, start_key)
-        while page.truncated and page.rows:
+        while page.truncated:
             # Start the next page at the smallest key after the last one.
             page = await self._add_page(part, f'{page.rows[-1].key_file}\0')
 
@@ -84,9 +84,13 @@
 
     async def _add_page(self, part: str, start_key: str) -> WireRows:
         page = await self._read_page(self._table, part, start_key)
-        last_key = (
-            page.rows[-1].key_file if page.truncated and page.rows else None
-        )
+        if page.truncated and not page.rows:
+            # The rows after it would be taken for deleted.
+            raise PlatformUnavailableError(
+                f'a page of table {self._table!r} has no rows, but is not the '
+                'last one'
+            )
+        last_key = page.rows[-1].key_file if page.truncated else None
         self._ranges[part].last = last_key
         for row in page.rows:
             row.part = part
--- a/tests/platform/test_paged_reads.py
+++ b/tests/platform/test_paged_reads.py
@@ -99,6 +99,15 @@
         self._change_after_page(4, lambda store: store.drop(*_entry(3)))
         self.assertNotIn('i-3', self._followed_list())
 
+    def test_rest_of_a_list_behind_an_empty_page(self) -> None:
+        """A page without rows that is not the last one is an error.
+
+        The rows after it would be taken for deleted.
+        """
+        self._change_after_page(1, lambda store: setattr(store, 'page_rows', 0))
+        with self.assertRaises(PlatformUnavailableError):
+            self._run(lambda client: PlatformTargetList(client).snapshot())
+
     def test_history_lost_between_two_pages(self) -> None:
         """The list is read anew, and no instance that left is kept."""
         self._change_after_page(1, lambda store: store.drop(*_entry(0)))
