Make unanswered orders stale when an instance is released

Cause: an order without an answer may be carried out seconds later, after newer ones. All orders of a lease's holder carried the same fencing token, and an answered leave left nothing behind at the instance. So a late join and a late open made a head serve again that had left, and the placer, whose record was gone, took it and its former members for free. The same way a late join brought a released member back to an unreachable head, whose time to break then never came. Not the list: it showed the head as open 0.7 s before. Not an early release: the head had left when the record was deleted. Red before: test_head_reopened_by_late_orders, test_replica_whole_again_by_a_late_join, test_order_cancelled_before_its_answer. test_head_reopened_after_the_placer_was_killed held before: the next holder of the lease has a higher token. Why this works: the placer remembers joins and opens without an answer, also those whose task was cancelled. A leave to such an instance carries a new fencing token, above all that were sent before, so that they are refused whenever they arrive. No order is added; where all are answered, the token stays the same (test_fencing_token_advanced_without_need). A new holder's token exceeds the last one written by a million; renewals write the token of the moment. Where instances do not check fencing tokens this changes nothing.

--- a/src/cranecart/grouping/_context.py
+++ b/src/cranecart/grouping/_context.py
@@ -5,8 +5,8 @@
 import attrs
 
 from cranecart.fleet import ReplicaRecord
+from cranecart.grouping._fenced_orders import FencedOrders
 from cranecart.leases import Lease
-from cranecart.ports import Orders
 
 ReplicaCallback = Callable[[ReplicaRecord, str], None]
 
@@ -22,7 +22,7 @@
     """
 
     lease: Lease
-    orders: Orders
+    orders: FencedOrders
     report_suspect: ReplicaCallback
     report_lost: Callable[[str, str], None]
     report_fenced: ReplicaCallback
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -10,14 +10,13 @@
 from cranecart.grouping._context import PlacerContext
 from cranecart.grouping._environment import PlacerEnvironment, PlacerScope
 from cranecart.grouping._failure_detector import FailureDetector
-from cranecart.grouping._formation import ReplicaFormation
+from cranecart.grouping._fenced_orders import FencedOrders
 from cranecart.grouping._inventory import Inventory
 from cranecart.grouping._orphans import OrphanedReplicas
 from cranecart.grouping._plan_executor import PlanExecutor
 from cranecart.grouping._record_store import RecordStore
 from cranecart.grouping._record_tasks import RecordTasks
 from cranecart.grouping._stager import Stager
-from cranecart.grouping._teardown import ReplicaTeardown
 from cranecart.grouping._transitions import Transition, required_transition
 from cranecart.grouping._warmer import Warmer
 from cranecart.leases import Lease
@@ -70,9 +69,10 @@
             scope.failure_domain, lease, table, fleet
         )
         self._orphans = OrphanedReplicas(scope.failure_domain, fleet)
+        fenced_orders = FencedOrders(orders, lease, fleet)
         stager = Stager(
             lease,
-            orders,
+            fenced_orders,
             scope.failure_domains,
             environment.has_traffic,
             evacuated=fleet.evacuations.active,
@@ -94,17 +94,19 @@
             self._record_store,
             inventory,
             stager,
-            Warmer(lease, orders),
+            Warmer(lease, fenced_orders),
         )
         self._context = PlacerContext(
             lease,
-            orders,
+            fenced_orders,
             self.failure_detector.suspect,
             self.failure_detector.report_lost,
             self._note_fenced,
             lambda name: name in self.failure_detector.lost_instances(),
         )
-        self._tasks = RecordTasks(fleet, self._make_task)
+        self._tasks = RecordTasks(
+            fleet, self._context, self._record_store, scope.stall_seconds
+        )
         self._fenced: dict[str, str] = {}
         # Spreads the first reads of nodes that start together: the first one to
         # acquire the lease announces it to the others.
@@ -275,16 +277,3 @@
         if transition is None or transition.state is record.state:
             return
         await self._executor.set_state(record, transition)
-
-    def _make_task(
-        self, record: ReplicaRecord
-    ) -> ReplicaFormation | ReplicaTeardown:
-        if record.state is RecordState.SERVING:
-            return ReplicaFormation(record, self._fleet, self._context)
-        return ReplicaTeardown(
-            record,
-            self._fleet,
-            self._context,
-            self._record_store,
-            self._scope.stall_seconds,
-        )
--- a/src/cranecart/grouping/_record_tasks.py
+++ b/src/cranecart/grouping/_record_tasks.py
@@ -1,12 +1,12 @@
 """Run one task for each record that needs work."""
 
-from collections.abc import Callable
-
 import attrs
 import curio
 
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord
+from cranecart.grouping._context import PlacerContext
 from cranecart.grouping._formation import ReplicaFormation
+from cranecart.grouping._record_store import RecordStore
 from cranecart.grouping._teardown import ReplicaTeardown
 
 
@@ -21,7 +21,9 @@
     """Starts tasks for records; replaces one when the state changes."""
 
     _fleet: Fleet
-    _make_task: Callable[[ReplicaRecord], ReplicaFormation | ReplicaTeardown]
+    _context: PlacerContext
+    _record_store: RecordStore
+    _stall_seconds: float
     _running: dict[str, _Running] = attrs.field(factory=dict, init=False)
 
     async def reconcile(self, records: list[ReplicaRecord]) -> None:
@@ -47,3 +49,16 @@
         if record.state is not RecordState.SERVING:
             return True
         return not self._fleet.is_open(record)
+
+    def _make_task(
+        self, record: ReplicaRecord
+    ) -> ReplicaFormation | ReplicaTeardown:
+        if record.state is RecordState.SERVING:
+            return ReplicaFormation(record, self._fleet, self._context)
+        return ReplicaTeardown(
+            record,
+            self._fleet,
+            self._context,
+            self._record_store,
+            self._stall_seconds,
+        )
--- a/src/cranecart/leases/_lease.py
+++ b/src/cranecart/leases/_lease.py
@@ -9,7 +9,8 @@
 A table that was restored from a backup may lack the row, or contain the row of
 an earlier holder. Each restore begins a new era of the table. Fencing tokens
 increase with the era, so that none is issued twice and each shows in which era
-its holder acquired the lease.
+its holder acquired the lease. A holder may advance its token, so that orders
+that it has sent before are refused.
 """
 
 import uuid
@@ -37,6 +38,9 @@
 )
 
 _NO_ROW_VERSION = 0
+# By how much the token of a new holder exceeds the last one written: far more
+# than a holder advances it between two renewals, which write it.
+_FENCING_STEP = 1_000_000
 # The holder of a row that some other program wrote and that cannot be decoded.
 _UNREADABLE_HOLDER = '?'
 
@@ -118,6 +122,11 @@
             and era_of(self._last_row.version) == self._table.era
         )
 
+    def advance_fencing(self) -> int:
+        """Return a new fencing token, above all that this holder has used."""
+        self._fencing += 1
+        return self._fencing
+
     def check(self) -> Check:
         """Return the check that makes a transaction depend on this lease.
 
@@ -166,7 +175,7 @@
         earlier = _decode(self._last_row) if self._last_row else None
         fencing = make_version(self._table.era, 1)
         if earlier is not None:
-            fencing = max(fencing, earlier.fencing + 1)
+            fencing = max(fencing, earlier.fencing + _FENCING_STEP)
         await self._write(self._last_row, fencing)
         if self.is_held:
             log_decision(
@@ -257,9 +266,10 @@
         self._last_row = row
         self._has_seen_row = True
         self._last_row_at = started
-        if fencing != self._fencing:
+        # During a renewal the token may have been advanced.
+        if fencing > self._fencing:
             self._acquired_at = self._clock()
-        self._fencing = fencing
+            self._fencing = fencing
         self._valid_until = started + self._timeouts.valid_seconds
 
 
--- a/tests/unit/test_grouping.py
+++ b/tests/unit/test_grouping.py
@@ -54,12 +54,12 @@
 class PlacerTestbed:
     """One placer, its table, and nine engine instances."""
 
-    def __init__(self) -> None:
+    def __init__(self, engines_type: type[FakeEngines] = FakeEngines) -> None:
         """Build the parts; nothing runs yet."""
         self.fleet = Fleet()
         self.listener = socket.create_server(('127.0.0.1', 0))
         self.address = Address(*self.listener.getsockname()[:2])
-        self.engines = FakeEngines(self.fleet, _STALL_SECONDS)
+        self.engines = engines_type(self.fleet, _STALL_SECONDS)
         self.table = FakePlatform()
         self.stopped: list[tuple[str, bool]] = []
         # When the first replica was announced as stopped, by ``core_clock``.
@@ -70,6 +70,8 @@
         self.demand: dict[str, float] = {}
         # The nodes that reach no instance.
         self.without_paths: set[str] = set()
+        # The task of the placer, where a test keeps it here.
+        self.running: curio.Task | None = None
         self.placer = self.make_placer('one')
         names = [f'i{number}' for number in range(9)]
         self.fleet.apply_instances(
