Wait for a broken head to leave while it may open its replica late

Cause: the members of a replica whose head is listed as broken were free at once. A late join makes such a head sound again, and a late open makes it serve. Evidence: test_broken_head_reopened_by_late_orders, red before. Why this works: where an open of the head is unanswered, its members are free only once it has left, by an order that makes the earlier ones stale, or once the time to break has passed without a member. Otherwise nothing changes.

--- a/src/cranecart/grouping/_teardown.py
+++ b/src/cranecart/grouping/_teardown.py
@@ -4,8 +4,9 @@
 serve. That is certain when the head has left, when a later incarnation of it is
 listed, when another process answers at its address, when it is listed as
 broken, or when another member has left and the time has passed after which a
-head without a member is broken. A refused connection proves little: a leaving
-instance stops listening while it still finishes its requests.
+head without a member is broken. The last two do not suffice while the head has
+an unanswered open, which it may carry out later. A refused connection proves
+little: a leaving instance stops listening while it still finishes its requests.
 """
 
 from collections.abc import Callable, Iterable
@@ -93,7 +94,10 @@
             # An unreachable head cannot be ordered to leave; releasing another
             # member starts the time after which it breaks.
             await self._release_one_member()
-        if self._head_phase() is MemberPhase.BROKEN:
+        if (
+            self._head_phase() is MemberPhase.BROKEN
+            and not self._may_head_open_late()
+        ):
             return 'the head is broken'
         head = self._head_due_for_leave()
         if head and await self._order(self._context.orders.leave, head):
@@ -109,6 +113,11 @@
         ):
             self._member_left_at = self._clock()
 
+    def _may_head_open_late(self) -> bool:
+        """Return whether the head may still carry out an unanswered open."""
+        head = self._fleet.find_instance(self.record.head)
+        return head is not None and self._context.orders.may_open_late(head)
+
     def _head_due_for_leave(self) -> ListedInstance | None:
         """Return the head if it is time to order it to leave."""
         head = self._fleet.find_instance(self.record.head)
--- a/tests/unit/test_late_orders.py
+++ b/tests/unit/test_late_orders.py
@@ -51,6 +51,10 @@
         """A head that has left does not join and open its replica again."""
         self._run(self._reopen_head)
 
+    def test_broken_head_reopened_by_late_orders(self) -> None:
+        """A broken head does not become sound again after its members left."""
+        self._run(self._reopen_broken_head)
+
     def test_replica_whole_again_by_a_late_join(self) -> None:
         """A member that was released does not return to a head that serves."""
         self._run(self._return_to_head)
@@ -117,6 +121,17 @@
         await engines.carry_out_delayed()
         await _form_again(testbed, record)
 
+    async def _reopen_broken_head(
+        self, testbed: PlacerTestbed, engines: LateEngines
+    ) -> None:
+        record = await _form(testbed, engines, {'join', 'open'})
+        _drain(testbed, record.members[-1])
+        engines.break_head(record.head)
+        await until(lambda: not testbed.fleet.records)
+        testbed.fleet.apply_instances({record.members[-1]: None}, False)
+        await engines.carry_out_delayed()
+        await _form_again(testbed, record)
+
     async def _return_to_head(
         self, testbed: PlacerTestbed, engines: LateEngines
     ) -> None:
