Let all members leave a head that may be opened late

Cause: where a head does not answer, one member is released and the others are free once a head without a member would be broken. A head that has not served yet does not break: if its open is carried out after that, it serves while the others, which are still in its replica, join another one. Evidence: test_head_opened_late_after_the_replica_was_given_up, red before. Why this works: where an open of the head is unanswered, all members that can be reached leave before they are free. Members that do not answer hold the others for 15 s at most. Otherwise no order is added and nothing is slower.

--- a/src/cranecart/grouping/_teardown.py
+++ b/src/cranecart/grouping/_teardown.py
@@ -41,6 +41,11 @@
 # an engine waits for its head's requests.
 _DRAIN_TIMEOUT_SECONDS = 6.0
 
+# For how long members wait that do not answer, in case their head is opened.
+_LATE_OPEN_SECONDS = 15.0
+
+_TwoLists = tuple[list[ListedInstance], list[ListedInstance]]
+
 _DRAINED_PHASES = frozenset((MemberPhase.READY, MemberPhase.BROKEN, None))
 
 
@@ -55,6 +60,8 @@
     _stall_seconds: float
     _clock: Callable[[], float] = since_boot
     _member_left_at: float | None = attrs.field(default=None, init=False)
+    # The members that have left in answer to an order.
+    _left: set[str] = attrs.field(factory=set, init=False)
     _head_ordered_at: float = attrs.field(default=float('-inf'), init=False)
     _lost_ordered_at: float = attrs.field(default=float('-inf'), init=False)
     _lost_attempts: int = attrs.field(default=0, init=False)
@@ -104,7 +111,12 @@
             return 'the head has left'
         if self._member_left_at is None:
             await self._release_one_member()
-        return self._stall_reason()
+        if (
+            self._seconds_since_break() < 0
+            or await self._has_members_under_late_head()
+        ):
+            return ''
+        return 'the time after which a head breaks has passed'
 
     def _check_ended_members(self) -> None:
         """Start the stall timer if the incarnation of a member has ended."""
@@ -137,17 +149,39 @@
             or self._fleet.find_instance(name) is None
         )
 
-    def _stall_reason(self) -> str:
+    def _seconds_since_break(self) -> float:
+        """Return for how long a serving head has been broken by now.
+
+        The result is negative if it may not be broken yet.
+        """
         if self._member_left_at is None:
-            return ''
+            return float('-inf')
         waited = self._clock() - self._member_left_at
-        if waited < self._stall_seconds + _STALL_MARGIN_SECONDS:
-            return ''
-        return 'the time after which a head breaks has passed'
+        return waited - self._stall_seconds - _STALL_MARGIN_SECONDS
+
+    async def _has_members_under_late_head(self) -> bool:
+        """Return whether members remain that a late open may make serve.
+
+        A head that had not served yet did not break without a member. Its open
+        does no harm to members that have left, so order all to leave.
+        """
+        if (
+            not self._may_head_open_late()
+            or self._seconds_since_break() > _LATE_OPEN_SECONDS
+        ):
+            return False
+        for member in self._members_due_for_leave():
+            if member.id not in self._left and await self._order(
+                self._context.orders.leave, member
+            ):
+                self._left.add(member.id)
+        _lost, reachable = self._lost_and_reachable_members()
+        return any(member.id not in self._left for member in reachable)
 
     async def _release_one_member(self) -> None:
         for member in self._members_due_for_leave():
             if await self._order(self._context.orders.leave, member):
+                self._left.add(member.id)
                 self._member_left_at = self._clock()
                 return
         if not any(map(self._fleet.find_instance, self.record.members)):
@@ -163,12 +197,7 @@
         in turn delayed the teardown by six seconds a round, although a later
         incarnation of the head was listed.
         """
-        known = filter(
-            None, map(self._fleet.find_instance, self.record.members[1:])
-        )
-        lost, reachable = _partition(
-            known, lambda member: self._context.is_lost(member.id)
-        )
+        lost, reachable = self._lost_and_reachable_members()
         now = self._clock()
         if (
             reachable
@@ -180,6 +209,15 @@
         self._lost_attempts += 1
         return [lost[self._lost_attempts % len(lost)]]
 
+    def _lost_and_reachable_members(self) -> _TwoLists:
+        """Return the members without the head, as far as they are known."""
+        known = filter(
+            None, map(self._fleet.find_instance, self.record.members[1:])
+        )
+        return _partition(
+            known, lambda member: self._context.is_lost(member.id)
+        )
+
     async def _order(
         self,
         order: Callable[..., object],
@@ -249,7 +287,7 @@
 def _partition(
     instances: Iterable[ListedInstance],
     is_match: Callable[[ListedInstance], bool],
-) -> tuple[list[ListedInstance], list[ListedInstance]]:
+) -> _TwoLists:
     """Split instances into those that match a predicate and the others."""
     matching: list[ListedInstance] = []
     others: list[ListedInstance] = []
--- a/tests/unit/test_late_orders.py
+++ b/tests/unit/test_late_orders.py
@@ -59,6 +59,10 @@
         """A member that was released does not return to a head that serves."""
         self._run(self._return_to_head)
 
+    def test_head_opened_late_after_the_replica_was_given_up(self) -> None:
+        """No member joins elsewhere that is listed under an unopened head."""
+        self._run(self._open_late)
+
     def test_order_cancelled_before_its_answer(self) -> None:
         """An order whose sending was cancelled may be carried out as well."""
         self._run(self._cancel_open)
@@ -153,6 +157,23 @@
         await _add(testbed, 'b', 1)
         await until(lambda: _open_replicas(testbed) == 1, _FORM_SECONDS)
 
+    async def _open_late(
+        self, testbed: PlacerTestbed, engines: LateEngines
+    ) -> None:
+        record = await _record_of(testbed)
+        engines.is_late = lambda operation, _name, _replica: operation == 'open'
+        await until(lambda: bool(engines.delayed))
+        engines.delayed = engines.delayed[:1]
+        testbed.lose(record.head)
+        await until(lambda: not testbed.fleet.records, _FORM_SECONDS)
+        engines.unreachable.discard(record.head)
+        # From then on the head would stand still for that long.
+        engines.stall_seconds = _FORM_SECONDS
+        await engines.carry_out_delayed()
+        engines.is_late = lambda *_order: False
+        await _add(testbed, 'b', 1)
+        await until(lambda: _open_replicas(testbed) >= 1, _FORM_SECONDS)
+
     async def _cancel_open(
         self, testbed: PlacerTestbed, engines: LateEngines
     ) -> None:
