Treat members of a replica that serves again as not free

Callers saw: nothing on deployments whose instances check fencing tokens. Cause: an instance without a record was free whatever the list showed. Where instances do not check fencing tokens, late orders open an ended replica again, and its head and members joined another one while it served. Evidence: test_head_of_an_ended_replica_taken_for_free, red before. Why this works: a placer remembers the replicas whose records ended. If the list shows the head of one as serving after it was seen not to serve, or a second after the end, its members are not free, and it is ended as any other: the head leaves first. The list of the moment is only waited for a second, so that a calm formation is not slower.

--- a/src/cranecart/grouping/_orphans.py
+++ b/src/cranecart/grouping/_orphans.py
@@ -2,16 +2,17 @@
 
 When the table is restored from a copy, it may lack the record of a replica that
 no node remembers. The members' entries in the instance list still show which
-replica they form.
+replica they form. Late orders may open a replica again after its end.
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import attrs
 
 from cranecart.clocks import since_boot
 from cranecart.fleet import Fleet, RecordState, ReplicaRecord, record_key
+from cranecart.grouping._reopened import ReopenedReplicas
 from cranecart.models import EngineProfile, RouteConfig
 from cranecart.ports import ListedInstance, MemberPhase, Membership
 
@@ -32,13 +33,20 @@
 class OrphanedReplicas:
     """The replicas of one failure domain that have no record.
 
-    They are searched for only for a while after ``watch``, because a placer
-    records every replica that it forms.
+    Unknown ones are searched for only for a while after ``watch``, because a
+    placer records every replica that it forms.
     """
 
     _failure_domain: str
     _fleet: Fleet
     _clock: Callable[[], float] = since_boot
+    _reopened: ReopenedReplicas = attrs.field(
+        default=attrs.Factory(
+            lambda orphans: ReopenedReplicas(orphans._fleet, orphans._clock),
+            takes_self=True,
+        ),
+        init=False,
+    )
     _watch_until: float = attrs.field(default=float('-inf'), init=False)
     _first_seen: dict[_ReplicaEpoch, float] = attrs.field(
         factory=dict, init=False
@@ -48,13 +56,21 @@
         """Start to search for orphaned replicas, for a limited time."""
         self._watch_until = self._clock() + _WATCH_SECONDS
 
+    def update(self, records: Iterable[ReplicaRecord]) -> None:
+        """Take note of the present records of the failure domain."""
+        self._reopened.update(records)
+
+    def reopened_records(self) -> list[ReplicaRecord]:
+        """Return the records, as ending, of replicas that serve again."""
+        return self._reopened.records()
+
     def members(self) -> frozenset[str]:
         """Return the members of orphaned replicas, which are not free."""
         return frozenset(
             member.id
             for members in self._unrecorded_replicas().values()
             for member in members
-        )
+        ).union(self._reopened.members())
 
     def records_to_adopt(self, config: RouteConfig) -> list[ReplicaRecord]:
         """Return records for the orphans that have been listed long enough.
--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -171,13 +171,16 @@
         if adopted:
             await self._record_store.write(adopted)
         records = self._record_store.records()
+        self._orphans.update(records)
         await self.failure_detector.check(records)
         for record in records:
             await self._apply_transition(record, config)
         if self._executor.is_list_stable():
             for profile in config.services.values():
                 await self._executor.execute(profile)
-        await self._tasks.reconcile(self._record_store.records())
+        await self._tasks.reconcile(
+            [*self._record_store.records(), *self._orphans.reopened_records()]
+        )
 
     async def _announce_loss(self, record: ReplicaRecord) -> None:
         """Announce a loss to all nodes before it is written to the table."""
--- a/tests/unit/test_late_orders.py
+++ b/tests/unit/test_late_orders.py
@@ -71,6 +71,13 @@
         """Orders of an earlier holder of the lease are stale as well."""
         self._run(self._replace_placer)
 
+    def test_head_of_an_ended_replica_taken_for_free(self) -> None:
+        """An open head without a record is ended before it joins anything.
+
+        Where engines do not check fencing tokens, late orders open it again.
+        """
+        self._run(self._reopen_without_fencing)
+
     def test_fencing_token_advanced_without_need(self) -> None:
         """Where all orders are answered, the token stays the same."""
         self._run(self._answer_all_orders)
@@ -197,6 +204,16 @@
         await engines.carry_out_delayed()
         await _form_again(testbed, record)
 
+    async def _reopen_without_fencing(
+        self, testbed: PlacerTestbed, engines: LateEngines
+    ) -> None:
+        engines.ignores_fencing = True
+        record = await _form(testbed, engines, {'join', 'open'})
+        await _end(testbed, record)
+        await curio.sleep(_SETTLE_SECONDS)
+        await engines.carry_out_delayed()
+        await _form_again(testbed, record)
+
     async def _answer_all_orders(
         self, testbed: PlacerTestbed, engines: LateEngines
     ) -> None:
