--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -461,6 +461,20 @@
         'self.schema_version = make_version(0, self.schema_version)',
         f'{_ROW_VERSIONS}.test_versions_rise_over_a_restore',
     ),
+    Mutation(
+        'changes-between-pages-not-applied',
+        'platform/_paged_read.py',
+        '            self._apply(row)',
+        '            self._apply(row) if row.deleted is None else None',
+        'tests.platform.test_paged_reads.PagedReadTest',
+    ),
+    Mutation(
+        'unanswered-orders-stay-valid',
+        'grouping/_fenced_orders.py',
+        'if not any(sent.fencing >= fencing for sent in unanswered):',
+        'if sum(1 for sent in unanswered) >= 0:',
+        'tests.unit.test_late_orders.LateOrdersTest',
+    ),
     Mutation(
         'conditions-of-an-earlier-era-accepted',
         'platform/_tables.py',
