Remember ended replicas at nodes without the placement lease too

Callers saw: nothing on deployments whose instances check fencing tokens. Cause: only the holder of the lease took note of the replicas whose records ended. A node that took the duty over after that took their members for free when late orders opened one of them again. Evidence: test_ended_replica_unknown_to_the_next_placer, red before. Why this works: each node of the failure domain takes note of the records that it follows anyway, with each look at the lease.

--- a/src/cranecart/grouping/_placer.py
+++ b/src/cranecart/grouping/_placer.py
@@ -164,6 +164,8 @@
 
     async def _tick(self) -> None:
         await self._keep_lease()
+        # Also without the lease, to know of them after a takeover.
+        self._orphans.update(self._record_store.records())
         config = self._environment.config()
         if config is None or not self._may_act():
             return
@@ -171,7 +173,6 @@
         if adopted:
             await self._record_store.write(adopted)
         records = self._record_store.records()
-        self._orphans.update(records)
         await self.failure_detector.check(records)
         for record in records:
             await self._apply_transition(record, config)
--- a/tests/unit/test_late_orders.py
+++ b/tests/unit/test_late_orders.py
@@ -78,6 +78,10 @@
         """
         self._run(self._reopen_without_fencing)
 
+    def test_ended_replica_unknown_to_the_next_placer(self) -> None:
+        """A placer that takes over knows which replicas ended before."""
+        self._run(self._reopen_after_handover)
+
     def test_fencing_token_advanced_without_need(self) -> None:
         """Where all orders are answered, the token stays the same."""
         self._run(self._answer_all_orders)
@@ -214,6 +218,23 @@
         await engines.carry_out_delayed()
         await _form_again(testbed, record)
 
+    async def _reopen_after_handover(
+        self, testbed: PlacerTestbed, engines: LateEngines
+    ) -> None:
+        engines.ignores_fencing = True
+        record = await _form(testbed, engines, {'join', 'open'})
+        successor = testbed.make_placer('two')
+        waiting = await curio.spawn(successor.run)
+        await curio.sleep(_SETTLE_SECONDS)
+        await _end(testbed, record)
+        await curio.sleep(_SETTLE_SECONDS)
+        await testbed.placer.hand_over()
+        await _stop(testbed)
+        testbed.running = waiting
+        await until(lambda: successor.held_failure_domain)
+        await engines.carry_out_delayed()
+        await _form_again(testbed, record)
+
     async def _answer_all_orders(
         self, testbed: PlacerTestbed, engines: LateEngines
     ) -> None:
