Look for unrecorded replicas until late orders are over

Callers saw: nothing known. Cause: a placer that takes over, also in a new era of the table, looked for replicas without a record for 6 s. An order that an earlier placer had sent may open one later: its members were then taken for free. Evidence: test_replica_opened_long_after_a_takeover, red before. Why this works: it looks for 30 s, longer than engines are late. Only the heads that the list shows as serving are looked up, so that each look costs less.

--- a/src/cranecart/grouping/_orphans.py
+++ b/src/cranecart/grouping/_orphans.py
@@ -20,8 +20,8 @@
 _ORPHAN_GRACE_SECONDS = 1.0
 # The list may lack members for two seconds after the table is restored.
 _INCOMPLETE_GRACE_SECONDS = 2.5
-# Longer than both: by then a placer has seen every replica in the list.
-_WATCH_SECONDS = 6.0
+# Longer than both, and than an order of an earlier placer may come late.
+_WATCH_SECONDS = 30.0
 
 _SERVING_PHASES = frozenset((MemberPhase.OPEN, MemberPhase.CLOSING))
 _ReplicaEpoch = tuple[str, int]
@@ -104,23 +104,29 @@
     def _unrecorded_replicas(self) -> _Groups:
         if self._clock() > self._watch_until:
             return {}
+        serving = {
+            (membership.replica, membership.epoch)
+            for _instance, membership in self._memberships()
+            if membership.phase in _SERVING_PHASES
+        }
+        unrecorded = frozenset(filter(self._is_unrecorded, serving))
+        if not unrecorded:
+            return {}
         groups: dict[_ReplicaEpoch, list[_RankedInstance]] = defaultdict(list)
         for instance, membership in self._memberships():
-            key = record_key(self._failure_domain, membership.replica)
-            if not self._fleet.replica_records.has_seen(key):
-                replica_epoch = (membership.replica, membership.epoch)
+            replica_epoch = (membership.replica, membership.epoch)
+            if replica_epoch in unrecorded:
                 groups[replica_epoch].append((membership.rank, instance))
-        sorted_groups = {
+        return {
             replica_epoch: tuple(
                 instance for _rank, instance in sorted(ranked, key=_rank_of)
             )
             for replica_epoch, ranked in groups.items()
         }
-        return {
-            replica_epoch: members
-            for replica_epoch, members in sorted_groups.items()
-            if members[0].phase_in(*replica_epoch) in _SERVING_PHASES
-        }
+
+    def _is_unrecorded(self, replica_epoch: _ReplicaEpoch) -> bool:
+        key = record_key(self._failure_domain, replica_epoch[0])
+        return not self._fleet.replica_records.has_seen(key)
 
     def _memberships(self) -> Iterator[tuple[ListedInstance, Membership]]:
         return (
--- a/tests/unit/test_late_orders.py
+++ b/tests/unit/test_late_orders.py
@@ -9,7 +9,10 @@
 from hypothesis import strategies as st
 
 from cranecart.fleet import RecordState, ReplicaRecord
-from tests.lib.fake_engines import listed_instance
+from cranecart.grouping._orphans import OrphanedReplicas
+from cranecart.ports import MemberPhase, Membership
+from tests.lib.fake_clock import FakeClock
+from tests.lib.fake_engines import DOMAIN, listed_instance
 from tests.lib.late_engines import LateEngines
 from tests.lib.waiting import until
 from tests.unit.test_grouping import PlacerTestbed
@@ -18,6 +21,8 @@
 _STALL_SECONDS = 0.4
 _SETTLE_SECONDS = 0.3
 _FORM_SECONDS = 4.0
+# After how long an engine may carry out an order at the latest.
+_LATEST_ORDER_SECONDS = 12.0
 # Orders of which an instance may leave an answer out, and how many of them.
 _OPERATIONS = ('join', 'open', 'close', 'leave')
 _MAX_LATE_ORDERS = 4
@@ -82,6 +87,21 @@
         """A placer that takes over knows which replicas ended before."""
         self._run(self._reopen_after_handover)
 
+    def test_replica_opened_long_after_a_takeover(self) -> None:
+        """A replica without a record is found until late orders are over."""
+        testbed = PlacerTestbed()
+        self.addCleanup(testbed.listener.close)
+        clock = FakeClock()
+        orphans = OrphanedReplicas(DOMAIN, testbed.fleet, clock)
+        orphans.watch()
+        clock.now += _LATEST_ORDER_SECONDS
+        head = attrs.evolve(
+            testbed.fleet.instances['i0'],
+            membership=Membership('r', 1, 0, MemberPhase.OPEN),
+        )
+        testbed.fleet.apply_instances({head.id: head}, False)
+        self.assertEqual(orphans.members(), {head.id})
+
     def test_fencing_token_advanced_without_need(self) -> None:
         """Where all orders are answered, the token stays the same."""
         self._run(self._answer_all_orders)
@@ -133,8 +153,7 @@
     ) -> None:
         record = await _form(testbed, engines, {'join', 'open'})
         await _end(testbed, record)
-        await engines.carry_out_delayed()
-        await _form_again(testbed, record)
+        await _form_after_late_orders(testbed, engines, record)
 
     async def _reopen_broken_head(
         self, testbed: PlacerTestbed, engines: LateEngines
@@ -144,8 +163,7 @@
         engines.break_head(record.head)
         await until(lambda: not testbed.fleet.records)
         testbed.fleet.apply_instances({record.members[-1]: None}, False)
-        await engines.carry_out_delayed()
-        await _form_again(testbed, record)
+        await _form_after_late_orders(testbed, engines, record)
 
     async def _return_to_head(
         self, testbed: PlacerTestbed, engines: LateEngines
@@ -193,8 +211,7 @@
         record = await _record_of(testbed)
         await until(lambda: len(engines.delayed) == 2)
         await _end(testbed, record)
-        await engines.carry_out_delayed()
-        await _form_again(testbed, record)
+        await _form_after_late_orders(testbed, engines, record)
 
     async def _replace_placer(
         self, testbed: PlacerTestbed, engines: LateEngines
@@ -205,8 +222,7 @@
         testbed.running = await curio.spawn(testbed.placer.run)
         await until(lambda: testbed.placer.held_failure_domain)
         await _end(testbed, record)
-        await engines.carry_out_delayed()
-        await _form_again(testbed, record)
+        await _form_after_late_orders(testbed, engines, record)
 
     async def _reopen_without_fencing(
         self, testbed: PlacerTestbed, engines: LateEngines
@@ -215,8 +231,7 @@
         record = await _form(testbed, engines, {'join', 'open'})
         await _end(testbed, record)
         await curio.sleep(_SETTLE_SECONDS)
-        await engines.carry_out_delayed()
-        await _form_again(testbed, record)
+        await _form_after_late_orders(testbed, engines, record)
 
     async def _reopen_after_handover(
         self, testbed: PlacerTestbed, engines: LateEngines
@@ -228,12 +243,9 @@
         await curio.sleep(_SETTLE_SECONDS)
         await _end(testbed, record)
         await curio.sleep(_SETTLE_SECONDS)
-        await testbed.placer.hand_over()
-        await _stop(testbed)
-        testbed.running = waiting
+        await _hand_over(testbed, waiting)
         await until(lambda: successor.held_failure_domain)
-        await engines.carry_out_delayed()
-        await _form_again(testbed, record)
+        await _form_after_late_orders(testbed, engines, record)
 
     async def _answer_all_orders(
         self, testbed: PlacerTestbed, engines: LateEngines
@@ -274,6 +286,13 @@
     await testbed.running.cancel()
 
 
+async def _hand_over(testbed: PlacerTestbed, waiting: curio.Task) -> None:
+    """End the placer; another one runs already."""
+    await testbed.placer.hand_over()
+    await _stop(testbed)
+    testbed.running = waiting
+
+
 async def _add(testbed: PlacerTestbed, prefix: str, count: int) -> None:
     """Add instances with the smaller model on their hosts."""
     added = [
@@ -341,6 +360,13 @@
     )
 
 
+async def _form_after_late_orders(
+    testbed: PlacerTestbed, engines: LateEngines, record: ReplicaRecord
+) -> None:
+    await engines.carry_out_delayed()
+    await _form_again(testbed, record)
+
+
 def _open_replicas(testbed: PlacerTestbed) -> int:
     return sum(
         record.state is RecordState.SERVING and testbed.fleet.is_open(record)
