Compare API keys by the bytes that clients send

Callers saw: a key with characters outside of Latin-1 was refused, and as many question marks were accepted in its place. Declared keys with characters outside of ASCII, and keys whose last byte is white space in Latin-1, were refused. Cause: header values are decoded as Latin-1, which keeps each byte, but keys of the configuration were encoded as Latin-1 with replacements, declared ones were encoded twice, and white space was removed by characters. Why this works: keys are hashed as UTF-8, and as Latin-1 too where that is possible, as some clients send them so; a sent key is hashed by its own bytes. A key that no header can carry is logged with its organisation and left out: the store has accepted the configuration, whose other parts must come into force.

--- a/src/cranecart/client_api/_request_parsing.py
+++ b/src/cranecart/client_api/_request_parsing.py
@@ -30,6 +30,8 @@
 _MAX_IDEMPOTENCY_KEY_CHARS = 255
 _MAX_TOKENS_LIMIT = 32768
 _DEFAULT_MAX_TOKENS = 16
+# The white space that may surround a header value.
+_BLANKS = ' \t'
 _YES_NO = MappingProxyType({'yes': True, 'no': False})
 
 
@@ -46,7 +48,10 @@
         raise UnauthorizedError(
             'missing API key: send it as "Authorization: Bearer <key>"',
         )
-    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    # Header values are decoded as Latin-1, which keeps each byte. White space
+    # other than blanks may be part of a character's bytes.
+    sent = key.strip(_BLANKS).encode('latin-1')
+    digest = hashlib.sha256(sent).hexdigest()
     match = None
     # All hashes are compared, each in constant time, so that the response time
     # reveals nothing about the known keys.
--- a/src/cranecart/models/__init__.py
+++ b/src/cranecart/models/__init__.py
@@ -12,6 +12,7 @@
     ServiceProfile,
     Share,
     hash_key,
+    hash_key_forms,
 )
 from cranecart.models._timing import EngineTiming
 
@@ -28,4 +29,5 @@
     'ServiceProfile',
     'Share',
     'hash_key',
+    'hash_key_forms',
 )
--- a/src/cranecart/models/_routes.py
+++ b/src/cranecart/models/_routes.py
@@ -1,5 +1,6 @@
 """Route configuration: routes, services and API keys."""
 
+import contextlib
 import functools
 import hashlib
 from collections import defaultdict
@@ -133,7 +134,22 @@
 
 def hash_key(key: str) -> str:
     """Return the hash under which a key is stored."""
-    return hashlib.sha256(key.encode('latin-1', 'replace')).hexdigest()
+    return _hash_bytes(key.encode())
+
+
+def hash_key_forms(key: str) -> tuple[str, ...]:
+    """Return the hashes of the bytes that clients may send for a key.
+
+    Most send a key as UTF-8, some as Latin-1 where that is possible.
+    """
+    forms = [key.encode()]
+    with contextlib.suppress(UnicodeEncodeError):
+        forms.append(key.encode('latin-1'))
+    return tuple(dict.fromkeys(map(_hash_bytes, forms)))
+
+
+def _hash_bytes(key: bytes) -> str:
+    return hashlib.sha256(key).hexdigest()
 
 
 @attrs.frozen
@@ -171,8 +187,11 @@
         return None if profile is None else profile.cold
 
     def holder(self, key: str) -> KeyHolder | None:
-        """Return the organisation to which a key belongs, if any."""
-        return self._holders_by_digest.get(hash_key(key))
+        """Return the organisation to which a key from a header belongs.
+
+        Header values are decoded as Latin-1, which keeps each byte.
+        """
+        return self._holders_by_digest.get(_hash_bytes(key.encode('latin-1')))
 
     def divides_capacity(self, service: str) -> bool:
         """Return whether the routes of a service have different ranks.
--- a/src/cranecart/platform/_calls.py
+++ b/src/cranecart/platform/_calls.py
@@ -58,6 +58,8 @@
         'authorization',
     ),
 )
+# The white space that may surround a header value.
+_BLANKS = ' \t'
 
 
 @attrs.frozen
@@ -159,7 +161,8 @@
 
 def _bearer_key(authorization: str) -> str:
     scheme, _, key = authorization.partition(' ')
-    return key.strip() if scheme.lower() == 'bearer' else ''
+    # Other white space may be part of a character's bytes.
+    return key.strip(_BLANKS) if scheme.lower() == 'bearer' else ''
 
 
 def _deadline_seconds(text: str | None) -> float | None:
--- a/src/cranecart/platform/_config_source.py
+++ b/src/cranecart/platform/_config_source.py
@@ -1,5 +1,6 @@
 """The operator's rows: the configuration and evacuations, decoded."""
 
+import itertools
 import re
 from collections.abc import Collection, Iterable
 
@@ -19,6 +20,7 @@
     ServiceProfile,
     Share,
     hash_key,
+    hash_key_forms,
 )
 from cranecart.platform._load_headers import MAX_COLD_SECONDS, MAX_PER_SECOND
 from cranecart.platform._store import StoreClient
@@ -37,6 +39,10 @@
 _TABLE = 'op'
 _KEY = 'config'
 _EVACUATION_KEY = re.compile('evacuate/.+', re.DOTALL)
+# No control characters, and no blanks at the ends.
+_HEADER_KEY = re.compile(
+    r'[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
+)
 _MILLISECONDS = 1000
 _STREAMING = 'streaming'
 _SAFE = 'safe'
@@ -211,13 +217,27 @@
 
 
 def _decode_key_holder(wire: WireTenant) -> KeyHolder:
+    usable = [key for key in wire.api_keys if _is_usable_key(wire.name, key)]
     return KeyHolder(
         wire.name,
-        tuple(map(hash_key, wire.api_keys)),
+        tuple(itertools.chain.from_iterable(map(hash_key_forms, usable))),
         None if wire.priority is None else whole_number(wire.priority),
     )
 
 
+def _is_usable_key(holder: str, key: str) -> bool:
+    """Return whether a header can carry a key; log it otherwise."""
+    is_usable = _HEADER_KEY.fullmatch(key) is not None
+    if not is_usable:
+        log_decision(
+            'api_key_unusable',
+            organisation=holder,
+            sha256=hash_key(key),
+            why='it is empty, or has control characters or outer blanks',
+        )
+    return is_usable
+
+
 def _decode_limits(wire: WireLimits) -> ClientLimits:
     return ClientLimits(
         whole_number(wire.max_header_bytes, 1),
