Match a request's path as it is sent on

Callers saw: a request to //x/print/2f was run by the service of /print/. Cause: targets were split as URLs, so that //x was taken for a host and the rest for the path, while the target was sent on unchanged. A target in absolute form was sent on as it is and routed by the Host header, whatever host it named. Why this works: the path is the target up to its query, byte for byte; nothing is decoded or normalized. An absolute form is turned into origin form when the request is read, and its authority replaces the Host header, so that routing, limits, logs and the request that is sent on see the same.

--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -1,7 +1,6 @@
 """Determine a request's route, organisation and service, or reject it."""
 
 import random
-from urllib.parse import urlsplit
 
 from cranecart.exceptions import (
     NotConfiguredError,
@@ -59,15 +58,7 @@
     request: Request, facts: RequestInfo, config: RouteConfig
 ) -> Route | None:
     """Return the route of a request, if any."""
-    return config.route(facts.host, _path(request.target))
-
-
-def _path(target: str) -> str:
-    try:
-        return urlsplit(target).path
-    except ValueError:
-        # An unparsable target matches no route, so the client gets "not found".
-        return ''
+    return config.route(facts.host, request.path)
 
 
 def _find_key_holder(
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable, Mapping
 from typing import Self
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 import attrs
 import msgspec
 
+from cranecart.http._request_target import path_of, query_of
+
 _JSON = 'application/json'
 
 Headers = Mapping[str, str]
@@ -52,12 +54,12 @@
     @property
     def path(self) -> str:
         """Return the target without its query."""
-        return urlsplit(self.target).path
+        return path_of(self.target)
 
     @property
     def query(self) -> dict[str, str]:
         """Return the query parameters, with the last value of each name."""
-        return dict(parse_qsl(urlsplit(self.target).query))
+        return dict(parse_qsl(query_of(self.target)))
 
 
 @attrs.frozen
--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -7,6 +7,7 @@
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Request, decode_headers
+from cranecart.http._request_target import split_absolute_form
 from cranecart.http._turns import ReadingTurn
 
 _STATUS_TIMEOUT = 408
@@ -115,9 +116,14 @@
 
 def _build_request(head: h11.Request, body: bytes) -> Request:
     header_lines = decode_headers(head.headers)
+    authority, target = split_absolute_form(head.target.decode('ascii'))
+    if authority:
+        # It replaces the host, also for those to whom the request is sent on.
+        others = (line for line in header_lines if line[0] != 'host')
+        header_lines = (('host', authority), *others)
     return Request(
         head.method.decode('ascii'),
-        head.target.decode('ascii'),
+        target,
         dict(header_lines),
         body,
         header_lines,
