Record responses to calls with an idempotency key as bytes

Callers saw: a repeat of a call got other bytes than the first call where the response is no UTF-8 text. Cause: the recorded body was decoded with replacements and encoded again. Evidence: test_repeat_gets_other_bytes_than_the_first_call, red before. Rows of earlier versions are read as before.

--- a/src/cranecart/claims/_claims.py
+++ b/src/cranecart/claims/_claims.py
@@ -97,7 +97,7 @@
             state=ClaimState.DONE,
             status=response.status,
             content_type=response.headers.get('content-type', ''),
-            body=body.decode('utf-8', 'replace'),
+            content=body,
         )
         await self._update(acquired, done)
 
@@ -202,7 +202,7 @@
                         'content-type': stored.content_type,
                         'x-replayed': 'yes',
                     },
-                    stored.body.encode(),
+                    stored.content or stored.body.encode(),
                 ),
             )
         case ClaimState.CLAIMED:
--- a/src/cranecart/claims/_rows.py
+++ b/src/cranecart/claims/_rows.py
@@ -27,8 +27,8 @@
     """The node that may send a call, and the call's outcome.
 
     ``made_at`` is in seconds since the epoch and is used only for deleting old
-    claims. ``status``, ``content_type`` and ``body`` are those of the recorded
-    response.
+    claims. ``status``, ``content_type`` and ``content`` are those of the recorded
+    response. Rows of earlier versions have its text in ``body`` instead.
     """
 
     node: str
@@ -39,6 +39,7 @@
     status: int = 0
     content_type: str = ''
     body: str = ''
+    content: bytes = b''
 
 
 def row_key(call: Call) -> str:
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -58,6 +58,16 @@
         self.assertEqual(repeated.response.status, 201)
         self.assertEqual(repeated.response.body, b'done')
 
+    def test_repeat_gets_other_bytes_than_the_first_call(self) -> None:
+        """A recorded response may be anything, also no text."""
+        body = bytes(range(256))
+        claim = curio.run(self.first_node.acquire, non_repeatable_call())
+        assert isinstance(claim, AcquiredClaim)
+        curio.run(self.first_node.complete, claim, Response(200, {}, body))
+        repeated = curio.run(self.second_node.acquire, non_repeatable_call())
+        assert isinstance(repeated, RecordedResponse)
+        self.assertEqual(repeated.response.body, body)
+
     def test_outcome_is_unknown_while_the_call_runs(self) -> None:
         """A claim is never taken over, even if its node may have died."""
         curio.run(self.first_node.acquire, non_repeatable_call())
