Check each request against the limits in force when it begins

Cause: a connection's parser was made with the limit of the moment at which the connection was accepted, and used for all of its requests. The idle time was taken when a connection began to rest. A head that arrived whole was accepted whatever its size. Why this works: each request has a parser of its own, and its head is compared with the limit however it arrives; a wait that is over looks at the idle time again.

--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -12,6 +12,9 @@
 
 _STATUS_TIMEOUT = 408
 _STATUS_TOO_LARGE = 413
+_STATUS_HEAD_TOO_LARGE = 431
+# The separators of a header field: a colon, a space and the line end.
+_FIELD_BYTES = 4
 
 
 async def receive_request(
@@ -30,7 +33,7 @@
             _receive_complete,
             sock,
             connection,
-            limits.body_bytes,
+            limits,
         )
     except TaskTimeout as error:
         raise BadMessageError(
@@ -48,12 +51,14 @@
 async def _receive_complete(
     sock: curio.io.Socket,
     connection: h11.Connection,
-    max_bytes: int,
+    limits: ServerLimits,
 ) -> Request:
+    max_bytes = limits.body_bytes
     turn = ReadingTurn()
     head = await _next_event(sock, connection, turn)
     if not isinstance(head, h11.Request):
         raise ConnectionBrokenError('client closed before sending a request')
+    _check_head_size(head, limits.head_bytes)
     _check_declared_size(head, max_bytes)
     await _answer_expectation(sock, connection)
     body = bytearray()
@@ -83,6 +88,18 @@
         )
 
 
+def _check_head_size(head: h11.Request, max_bytes: int) -> None:
+    """Raise ``BadMessageError`` if a head that arrived at once is too large."""
+    fields_bytes = sum(
+        len(name) + len(text) + _FIELD_BYTES for name, text in head.headers
+    )
+    head_bytes = len(head.method) + len(head.target) + fields_bytes
+    if head_bytes > max_bytes:
+        raise BadMessageError(
+            f'the head has more than {max_bytes} bytes', _STATUS_HEAD_TOO_LARGE
+        )
+
+
 async def _next_event(
     sock: curio.io.Socket,
     connection: h11.Connection,
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -194,25 +194,35 @@
             await sock.close()
 
     async def _serve_requests(self, sock: curio.io.Socket) -> None:
+        is_reusable = True
+        while is_reusable:
+            received = await self._wait_for_request(sock)
+            is_reusable = bool(received) and await self._serve_request(
+                sock, received
+            )
+
+    async def _serve_request(
+        self, sock: curio.io.Socket, received: bytes
+    ) -> bool:
+        """Serve a request within the limits that are in force as it begins.
+
+        Return whether the connection can be used for another one.
+        """
+        limits = self.limits
         connection = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self.limits.head_bytes,
+            max_incomplete_event_size=limits.head_bytes,
         )
+        connection.receive_data(received)
         responder = self._responder(sock, connection)
-        while True:
-            try:
-                request = await self._receive(sock, connection)
-            except BadMessageError as error:
-                await send_error(responder, error)
-                await _drain_before_close(sock)
-                return
-            if request is None:
-                return
-            await self._handler(request, responder)
-            if self._closing or not _is_reusable(connection):
-                return
-            connection.start_next_cycle()
-            responder = self._responder(sock, connection)
+        try:
+            request = await receive_request(sock, connection, limits)
+        except BadMessageError as error:
+            await send_error(responder, error)
+            await _drain_before_close(sock)
+            return False
+        await self._handler(request, responder)
+        return not self._closing and _is_reusable(connection)
 
     def _responder(
         self,
@@ -227,29 +237,21 @@
             self.unread,
         )
 
-    async def _receive(
-        self,
-        sock: curio.io.Socket,
-        connection: h11.Connection,
-    ) -> Request | None:
-        if not connection.trailing_data[0]:
-            first = await self._wait_for_request(sock)
-            if not first:
-                return None
-            connection.receive_data(first)
-        return await receive_request(sock, connection, self.limits)
-
     async def _wait_for_request(self, sock: curio.io.Socket) -> bytes:
+        """Return the first bytes of a request, or none if the wait is over."""
         self._idle[sock] = None
+        started = since_boot()
+        received = None
         try:
-            received = await curio.timeout_after(
-                self.limits.idle_seconds,
-                sock.recv,
-                READ_BYTES,
-            )
+            while received is None:
+                # The limit may have been raised meanwhile.
+                remaining = self.limits.idle_seconds - since_boot() + started
+                if remaining <= 0:
+                    return b''
+                received = await curio.ignore_after(
+                    remaining, sock.recv, READ_BYTES
+                )
             return received if sock in self._idle else b''
-        except TaskTimeout:
-            return b''
         finally:
             self._idle.pop(sock, None)
 
