--- a/src/cranecart/grouping/_teardown.py
+++ b/src/cranecart/grouping/_teardown.py
@@ -44,7 +44,7 @@
 # For how long members wait that do not answer, in case their head is opened.
 _LATE_OPEN_SECONDS = 15.0
 
-_TwoLists = tuple[list[ListedInstance], list[ListedInstance]]
+_InstancePartition = tuple[list[ListedInstance], list[ListedInstance]]
 
 _DRAINED_PHASES = frozenset((MemberPhase.READY, MemberPhase.BROKEN, None))
 
@@ -113,7 +113,7 @@
             await self._release_one_member()
         if (
             self._seconds_since_break() < 0
-            or await self._has_members_under_late_head()
+            or await self._must_wait_for_members()
         ):
             return ''
         return 'the time after which a head breaks has passed'
@@ -159,7 +159,7 @@
         waited = self._clock() - self._member_left_at
         return waited - self._stall_seconds - _STALL_MARGIN_SECONDS
 
-    async def _has_members_under_late_head(self) -> bool:
+    async def _must_wait_for_members(self) -> bool:
         """Return whether members remain that a late open may make serve.
 
         A head that had not served yet did not break without a member. Its open
@@ -209,7 +209,7 @@
         self._lost_attempts += 1
         return [lost[self._lost_attempts % len(lost)]]
 
-    def _lost_and_reachable_members(self) -> _TwoLists:
+    def _lost_and_reachable_members(self) -> _InstancePartition:
         """Return the members without the head, as far as they are known."""
         known = filter(
             None, map(self._fleet.find_instance, self.record.members[1:])
@@ -287,7 +287,7 @@
 def _partition(
     instances: Iterable[ListedInstance],
     is_match: Callable[[ListedInstance], bool],
-) -> _TwoLists:
+) -> _InstancePartition:
     """Split instances into those that match a predicate and the others."""
     matching: list[ListedInstance] = []
     others: list[ListedInstance] = []
