--- a/tests/platform/test_unresponsive_connections.py
+++ b/tests/platform/test_unresponsive_connections.py
@@ -14,7 +14,6 @@
 
 import attrs
 import curio
-import h11
 
 from cranecart.exceptions import (
     OrderUnknownError,
@@ -47,13 +46,13 @@
     def __init__(self) -> None:
         """Answer all requests until ``stop_answering`` is called."""
         super().__init__()
-        self.connections: WeakSet[h11.Connection] = WeakSet()
-        self.dead_connections: WeakSet[h11.Connection] = WeakSet()
+        self.connections: WeakSet[curio.io.Socket] = WeakSet()
+        self.dead_connections: WeakSet[curio.io.Socket] = WeakSet()
         self.answers_slowly = False
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a call, unless its connection is dead."""
-        connection = responder._connection
+        connection = responder._sock
         self.connections.add(connection)
         if connection in self.dead_connections and self.answers_slowly:
             await self._answer_slowly(responder)
