--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -34,6 +34,9 @@
 Observer = Callable[[str, float | None], None]
 
 _LOG = logging.getLogger(__name__)
+# Requests are read within some milliseconds unless this process was stopped or
+# is overloaded.
+_READ_LATE_SECONDS = 0.5
 
 
 @attrs.define
@@ -42,8 +45,9 @@
 
     ``_current_config`` returns the configuration in force and
     ``_success_log_fraction`` the fraction of successful requests to log.
-    ``received_count`` is the number of all requests so far. ``_find_peers``
-    returns the nodes that a request may be passed on to.
+    ``received_count`` is the number of all requests so far, and
+    ``read_late_count`` that of those that waited long until they were read.
+    ``_find_peers`` returns the nodes that a request may be passed on to.
     """
 
     _current_config: Callable[[], RouteConfig | None]
@@ -65,6 +69,7 @@
         factory=RequestsInProgress, init=False
     )
     received_count: int = attrs.field(default=0, init=False)
+    read_late_count: int = attrs.field(default=0, init=False)
 
     @property
     def in_flight(self) -> int:
@@ -74,6 +79,7 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Handle one request; it is cancelled if the client disconnects."""
         self.received_count += 1
+        self.read_late_count += request.unread_seconds > _READ_LATE_SECONDS
         async with self.in_progress.track(), cancel_on_disconnect(responder):
             await self._answer(request, responder)
 
@@ -235,6 +241,8 @@
 def _log_admitted(call: RoutedCall) -> None:
     call.trace.add(
         'admitted',
+        age=round(call.request.age_seconds, 3),
+        unread=round(call.request.unread_seconds, 3),
         route=call.route.name,
         config=call.config.version,
         organisation=call.organisation,
--- a/src/cranecart/forwarding/_peer_gateway.py
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -54,19 +54,23 @@
         """Return what bounds the responses that this node keeps."""
         return self._forwarder.sender.connections.memory
 
-    async def handle(self, message: PeerRequest, responder: Responder) -> None:
+    async def handle(
+        self, message: PeerRequest, responder: Responder, arrived_at: float
+    ) -> None:
         """Handle one request; it is cancelled if the peer disconnects."""
         async with self.in_progress.track(), cancel_on_disconnect(responder):
-            await self._answer(message, responder)
+            await self._answer(message, responder, arrived_at)
 
-    async def _answer(self, message: PeerRequest, responder: Responder) -> None:
+    async def _answer(
+        self, message: PeerRequest, responder: Responder, arrived_at: float
+    ) -> None:
         started = since_boot()
         trace = RequestTrace('')
         failures = AttemptFailures()
         responder.extra_headers = (PeerOutcome(from_target=True).to_header(),)
         self._knowledge.record_asking(message.sender, message.service)
         try:
-            attempts = self._admit(message, trace)
+            attempts = self._admit(message, trace, arrived_at)
             failures = attempts.state.failures
             await self._forwarder.forward(
                 attempts, responder, message.resume_after
@@ -84,13 +88,17 @@
             trace.write()
 
     def _admit(
-        self, message: PeerRequest, trace: RequestTrace
+        self, message: PeerRequest, trace: RequestTrace, arrived_at: float
     ) -> RoutedAttempts:
         translator = self._forwarder.sender.translator
         facts = translator.read_request(message.to_request())
         trace.request_id = facts.request_id
         trace.add(
-            'received_from_peer', peer=message.sender, tried=message.tried
+            'received_from_peer',
+            peer=message.sender,
+            tried=message.tried,
+            age=round(since_boot() - arrived_at, 3),
+            left=round(message.seconds_left, 3),
         )
         call = admit_from_peer(
             message,
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.http._request_target import path_of, query_of
 
 _JSON = 'application/json'
@@ -61,7 +62,9 @@
     """A complete request; header names are in lower case.
 
     ``header_lines`` keeps order and repetitions for forwarding; if it is not
-    empty, it is sent instead of ``headers``.
+    empty, it is sent instead of ``headers``. ``arrived_at`` is when the first
+    bytes of a received request arrived, as a time of ``since_boot``, and
+    ``unread_seconds`` how long they waited until they were read.
     """
 
     method: str
@@ -69,6 +72,13 @@
     headers: Headers = attrs.field(factory=dict)
     body: bytes = b''
     header_lines: HeaderLines = ()
+    arrived_at: float = attrs.field(factory=since_boot, eq=False, kw_only=True)
+    unread_seconds: float = attrs.field(default=0, eq=False, kw_only=True)
+
+    @property
+    def age_seconds(self) -> float:
+        """Return the time since the first bytes arrived."""
+        return since_boot() - self.arrived_at
 
     @property
     def path(self) -> str:
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -7,12 +7,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import curio
 import h11
 from curio.errors import TaskTimeout
 
 from cranecart.clocks import since_boot
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
+from cranecart.http._arrival import seconds_unread
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Address, Request
 from cranecart.http._request_reader import receive_request
@@ -208,6 +210,8 @@
 
         Return whether the connection can be used for another one.
         """
+        unread = seconds_unread(sock)
+        arrived_at = since_boot() - unread
         limits = self.limits
         connection = h11.Connection(
             h11.SERVER,
@@ -221,7 +225,10 @@
             await send_error(responder, error)
             await _drain_before_close(sock)
             return False
-        await self._handler(request, responder)
+        await self._handler(
+            attrs.evolve(request, arrived_at=arrived_at, unread_seconds=unread),
+            responder,
+        )
         return not self._closing and _is_reusable(connection)
 
     def _responder(
--- a/src/cranecart/peer_calls/_endpoint.py
+++ b/src/cranecart/peer_calls/_endpoint.py
@@ -24,7 +24,8 @@
 _UNAVAILABLE = 503
 _MEASURE_SECONDS = 0.01
 
-HandleRequest = Callable[[PeerRequest, Responder], Awaitable[None]]
+# Called with a request, its responder, and when it arrived.
+HandleRequest = Callable[[PeerRequest, Responder, float], Awaitable[None]]
 
 
 @attrs.define
@@ -74,10 +75,10 @@
             responder.extra_headers = (refusal.to_header(),)
             await responder.send(Response(_UNAVAILABLE))
             return
-        await self._handle_admitted(message, responder)
+        await self._handle_admitted(message, responder, request.arrived_at)
 
     async def _handle_admitted(
-        self, message: PeerRequest, responder: Responder
+        self, message: PeerRequest, responder: Responder, arrived_at: float
     ) -> None:
         self.received += 1
         self.admission.in_flight += 1
@@ -85,7 +86,7 @@
             if not self._is_measuring:
                 self._is_measuring = True
                 await curio.spawn(self._measure_delays, daemon=True)
-            await self._handle(message, responder)
+            await self._handle(message, responder, arrived_at)
         finally:
             self.admission.in_flight -= 1
 
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -375,6 +375,7 @@
             **self._platform_adapters.store_call_counts,
             **self._quarantine.guard.counts(),
             'requests': self._gateway.received_count,
+            'requests_read_late': self._gateway.read_late_count,
             'unread_responses_cut': self._client_server.unread.cut_count,
             'unread_bytes': self._client_server.unread.held_bytes,
             'connections_closed_unread': self._connection_gate.closed_unread,
--- a/tests/lib/peer_testbed.py
+++ b/tests/lib/peer_testbed.py
@@ -118,7 +118,7 @@
         ]
 
 
-async def _handle_nothing(_message: object, _responder: object) -> None:
+async def _handle_nothing(*_arguments: object) -> None:
     raise AssertionError('no node passes requests on to this one')
 
 
