Count deadlines from the arrival of a request

Callers saw: a node whose process was stopped passed the requests that waited in its sockets on with their whole deadline, so that targets worked for clients that had left or were about to, and repeats came beside them. Cause: a request was taken for new when it was handled. The class: a time starts when something is read. Why it works: the kernel tells how long ago the latest bytes of a socket arrived, whatever the process did meanwhile. What has no time left is refused by the choice of a target as before, as not run and with a time to come back.

--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -84,14 +84,14 @@
             await self._answer(request, responder)
 
     async def _answer(self, request: Request, responder: Responder) -> None:
-        started = since_boot()
+        started = request.arrived_at
         trace = RequestTrace('')
         outcome = 'answered'
         try:
             facts = self._forwarder.sender.translator.read_request(request)
             trace.request_id = facts.request_id
             await self._startup_gate.wait(
-                facts.deadline_seconds,
+                _remaining_seconds(facts, started),
                 lambda: self._is_late(request, facts, started),
             )
             call = self._with_retry_time(
@@ -241,7 +241,7 @@
 def _log_admitted(call: RoutedCall) -> None:
     call.trace.add(
         'admitted',
-        age=round(call.request.age_seconds, 3),
+        age=round(call.elapsed_seconds, 3),
         unread=round(call.request.unread_seconds, 3),
         route=call.route.name,
         config=call.config.version,
@@ -255,5 +255,12 @@
     )
 
 
+def _remaining_seconds(facts: RequestInfo, started: float) -> float | None:
+    """Return the time until the client's deadline, None if it has none."""
+    if facts.deadline_seconds is None:
+        return None
+    return max(0, facts.deadline_seconds - _elapsed_since(started))
+
+
 def _elapsed_since(started: float) -> float:
     return round(since_boot() - started, 3)
--- a/src/cranecart/http/_arrival.py
+++ b/src/cranecart/http/_arrival.py
@@ -24,5 +24,4 @@
         return 0
     if len(info) < _TCP_INFO.size:
         return 0
-    (milliseconds,) = _TCP_INFO.unpack(info)
-    return milliseconds / _MILLISECONDS
+    return _TCP_INFO.unpack(info)[0] / _MILLISECONDS
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -75,11 +75,6 @@
     arrived_at: float = attrs.field(factory=since_boot, eq=False, kw_only=True)
     unread_seconds: float = attrs.field(default=0, eq=False, kw_only=True)
 
-    @property
-    def age_seconds(self) -> float:
-        """Return the time since the first bytes arrived."""
-        return since_boot() - self.arrived_at
-
     @property
     def path(self) -> str:
         """Return the target without its query."""
--- a/tests/functional/test_requests_late_in_a_stop.py
+++ b/tests/functional/test_requests_late_in_a_stop.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections import Counter
+from typing import Any
 
 import attrs
 import curio
@@ -144,7 +145,7 @@
             await task.cancel()
 
     async def _start(
-        self, script: Script, name: str, grace: float, **route: object
+        self, script: Script, name: str, grace: float, **route: Any
     ) -> tuple[list[curio.Task], NodeProcess]:
         """Start a target, a store and a node that serves."""
         target = FakeTarget('t-1', script)
--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -22,9 +22,16 @@
 
 
 def add_config_and_target(
-    store: StandinStore, target: FakeTarget, slots: int = 4, **fields: Any
+    store: StandinStore,
+    target: FakeTarget,
+    slots: int = 4,
+    limits: Mapping[str, float] | None = None,
+    **fields: Any,
 ) -> StandinStore:
-    """Add one route, with these fields, and its only target."""
+    """Add one route, with these fields, and its only target.
+
+    ``limits`` are those of the configuration on what clients send.
+    """
     route = {
         'name': 'r',
         'host': 'a.example',
@@ -41,6 +48,7 @@
         'routes': [route],
         'services': [{'name': 'crew'}],
         'tenants': [{'name': 'o', 'apiKeys': [_KEY]}],
+        'limits': limits or {},
     }
     store.put('op', '', 'config', config)
     entry = {
