Send no requests of clients that have left already

Callers saw: after a pause of a node its targets worked for clients that had closed their connections during the pause. Cause: the task that watches a client's connection first ran after the request had been sent, as nothing blocks until then. The class: news that has arrived is read after what it concerns. Why it works: the watching task runs once before a request is admitted, for clients and for peers, and its cancellation is taken there.

--- a/src/cranecart/forwarding/_forwarder.py
+++ b/src/cranecart/forwarding/_forwarder.py
@@ -37,6 +37,17 @@
         await watcher.cancel()
 
 
+async def check_client() -> None:
+    """Raise ``CancelledError`` if the client is known to have disconnected.
+
+    Called within ``cancel_on_disconnect`` before anything is sent: the request
+    may have been read long after its client left.
+    """
+    # Lets the watching task read what has arrived.
+    await curio.sleep(0)
+    await curio.check_cancellation()
+
+
 async def _watch(responder: Responder, task: curio.Task) -> None:
     await responder.wait_for_disconnect()
     await task.cancel(blocking=False)
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -19,7 +19,11 @@
 from cranecart.forwarding._attempt_log import trace_stop
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._call import RoutedCall
-from cranecart.forwarding._forwarder import CallForwarder, cancel_on_disconnect
+from cranecart.forwarding._forwarder import (
+    CallForwarder,
+    cancel_on_disconnect,
+    check_client,
+)
 from cranecart.forwarding._in_progress import RequestsInProgress
 from cranecart.forwarding._peer_requests import PeersOfCall
 from cranecart.forwarding._startup import StartupGate
@@ -90,6 +94,7 @@
         try:
             facts = self._forwarder.sender.translator.read_request(request)
             trace.request_id = facts.request_id
+            await check_client()
             await self._startup_gate.wait(
                 _remaining_seconds(facts, started),
                 lambda: self._is_late(request, facts, started),
--- a/src/cranecart/forwarding/_peer_gateway.py
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -11,7 +11,11 @@
 from cranecart.forwarding._attempt_log import trace_stop
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._failures import AttemptFailures
-from cranecart.forwarding._forwarder import CallForwarder, cancel_on_disconnect
+from cranecart.forwarding._forwarder import (
+    CallForwarder,
+    cancel_on_disconnect,
+    check_client,
+)
 from cranecart.forwarding._in_progress import RequestsInProgress
 from cranecart.forwarding._peer_requests import (
     admit_from_peer,
@@ -72,6 +76,7 @@
         try:
             attempts = self._admit(message, trace, arrived_at)
             failures = attempts.state.failures
+            await check_client()
             await self._forwarder.forward(
                 attempts, responder, message.resume_after
             )
--- a/tests/functional/test_requests_of_paused_nodes.py
+++ b/tests/functional/test_requests_of_paused_nodes.py
@@ -23,6 +23,7 @@
 _PAUSES_SECONDS = (0.7, 1.6, 2.4)
 _DEADLINES_SECONDS = (0.6, 1.0, 5.0)
 _REQUESTS = 40
+_LEAVING = 20
 _IDLE_SECONDS = 1.0
 # By how much the time given to a target may exceed what its client waits.
 _MAX_EXCESS_SECONDS = 0.5
@@ -98,6 +99,10 @@
         """Targets are given no more time than the clients still wait."""
         curio.run(self._pause_repeatedly)
 
+    def test_requests_of_clients_that_left_are_run(self) -> None:
+        """Targets do not get what nobody waits for any more."""
+        curio.run(self._leave_during_pause)
+
     def test_idle_connections_closed_with_a_request_unread(self) -> None:
         """A request that arrived before the idle limit is served."""
         curio.run(self._pause_beyond_idle_limit)
@@ -113,6 +118,23 @@
         for task in tasks:
             await task.cancel()
 
+    async def _leave_during_pause(self) -> None:
+        arrivals: list[_Arrival] = []
+        tasks, node = await self._start(arrivals)
+        kept = [await _used_connection(node.client) for _ in range(_LEAVING)]
+        arrivals.clear()
+        node.process.send_signal(signal.SIGSTOP)
+        for number, connection in enumerate(kept):
+            client = _Client(f'l{number}', max(_DEADLINES_SECONDS))
+            await connection.send(client.request())
+            await connection.close()
+        await curio.sleep(min(_PAUSES_SECONDS))
+        node.process.send_signal(signal.SIGCONT)
+        await curio.sleep(_CATCH_UP_SECONDS)
+        self.assertEqual(arrivals, [])
+        for task in tasks:
+            await task.cancel()
+
     async def _pause_beyond_idle_limit(self) -> None:
         tasks, node = await self._start(
             [], idleTimeoutMs=_MILLISECONDS * _IDLE_SECONDS
