Count a peer's times from the arrival of its request

Callers saw: requests passed on to a node that is stopped meanwhile were sent to its targets with the time that was left when they were sent to it. Cause: seconds_left and elapsed_seconds counted from the handling. The class: a time starts when something is read. Why it works: as for clients, the kernel tells how long a request lay unread.

--- a/src/cranecart/forwarding/_peer_gateway.py
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -68,7 +68,6 @@
     async def _answer(
         self, message: PeerRequest, responder: Responder, arrived_at: float
     ) -> None:
-        started = since_boot()
         trace = RequestTrace('')
         failures = AttemptFailures()
         responder.extra_headers = (PeerOutcome(from_target=True).to_header(),)
@@ -87,7 +86,7 @@
             await _refuse(trace, outcome, responder)
         except curio.CancelledError:
             if self.in_progress.are_cut_off:
-                trace_stop(trace, started)
+                trace_stop(trace, arrived_at)
             raise
         finally:
             trace.write()
@@ -111,7 +110,7 @@
             self._current_config(),
             self._random,
             trace,
-            since_boot(),
+            arrived_at,
         )
         return RoutedAttempts.of_peer(
             call,
--- /dev/null
+++ b/tests/unit/test_deadlines_over_peers.py
@@ -0,0 +1,79 @@
+"""Times in what nodes ask each other count from when it was sent."""
+
+import time
+import unittest
+
+import curio
+
+from cranecart.http import Address, HttpConnection, Request
+from cranecart.peer_calls import (
+    PeerRequest,
+    encode_peer_request,
+)
+from tests.lib.fake_targets import PLAIN, Exchange, client_request
+from tests.lib.peer_testbed import HelperNode, PeerTestbed
+
+_BLOCKED_SECONDS = 0.4
+_SECONDS_LEFT = 1.0
+_TOLERANCE_SECONDS = 0.1
+_MILLISECONDS = 1000
+_OK = 200
+_CONFLICT = 409
+
+
+class DeadlinesOverPeersTest(unittest.TestCase):
+    """What one node sends waits at another, or before it is sent."""
+
+    def test_request_unread_by_a_peer(self) -> None:
+        """The time for which it lay in the peer's socket has passed."""
+        helper = HelperNode('n1', (_answer,), service=PLAIN)
+
+        async def scenario(_testbed: PeerTestbed) -> None:  # noqa: WPS430
+            await _ask_blocked(
+                helper.server.address, encode_peer_request(_message())
+            )
+
+        curio.run(PeerTestbed(helper).run, scenario)
+        exchange = helper.testbed.targets[0].received[0]
+        given = float(exchange.headers['deadline-ms']) / _MILLISECONDS
+        self.assertLess(
+            given, _SECONDS_LEFT - _BLOCKED_SECONDS + _TOLERANCE_SECONDS
+        )
+
+
+async def _answer(exchange: Exchange) -> None:
+    await exchange.answer(b'ok')
+
+
+def _message() -> PeerRequest:
+    request = client_request('/safe/x')
+    return PeerRequest(
+        'n0',
+        request.method,
+        request.target,
+        tuple(request.headers.items()),
+        request.body,
+        PLAIN,
+        seconds_left=_SECONDS_LEFT,
+        elapsed_seconds=0,
+        retrying_seconds=0,
+        attempts_left=2,
+    )
+
+
+async def _ask(
+    address: Address, request: Request, blocked_seconds: float = 0
+) -> int:
+    """Send a request, block the event loop; return the response's status."""
+    connection = await HttpConnection.open(address)
+    try:
+        await connection.send(request)
+        time.sleep(blocked_seconds)
+        head = await connection.read_head()
+        return head.status
+    finally:
+        await connection.close()
+
+
+async def _ask_blocked(address: Address, request: Request) -> int:
+    return await _ask(address, request, _BLOCKED_SECONDS)
