Grant no attempt to a peer that has given up waiting

Callers saw: a request lost one of its attempts after its node had been stopped for a moment. Cause: a peer waits 0.25 s for the grant of an attempt; a node that was stopped read the question later, granted, and counted an attempt that nobody makes. Evidence: test_grant_to_a_peer_that_has_given_up_waiting: 200 after 0.4 s, 409 now. Why it works: the age of the question is known, and after that time the peer has taken no answer for a refusal, so both count the same.

--- a/src/cranecart/peer_calls/_endpoint.py
+++ b/src/cranecart/peer_calls/_endpoint.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from cranecart.clocks import sleep_and_measure
+from cranecart.clocks import since_boot, sleep_and_measure
 from cranecart.http import Request, Responder, Response
 from cranecart.peer_calls._admission import RETRY_AFTER_SECONDS, PeerAdmission
 from cranecart.peer_calls._grants import GRANT_PATH, AttemptGrants
@@ -58,7 +58,8 @@
         self, request: Request, responder: Responder
     ) -> None:
         call_id = request.body.decode(errors='replace')
-        is_granted = self._grants.grant(call_id)
+        age_seconds = since_boot() - request.arrived_at
+        is_granted = self._grants.grant(call_id, age_seconds)
         await responder.send(Response(_OK if is_granted else _CONFLICT))
 
     async def _handle_call(
--- a/src/cranecart/peer_calls/_grants.py
+++ b/src/cranecart/peer_calls/_grants.py
@@ -45,10 +45,15 @@
         finally:
             self._calls.pop(call_id)
 
-    def grant(self, call_id: str) -> bool:
-        """Return whether a peer may make another attempt."""
+    def grant(self, call_id: str, age_seconds: float) -> bool:
+        """Return whether a peer may make another attempt.
+
+        ``age_seconds`` is how long ago it asked. It may have given up waiting,
+        and what was granted would count as used.
+        """
         grant = self._calls.get(call_id)
-        is_granted = grant is not None and grant()
+        is_awaited = age_seconds < _TIMEOUT_SECONDS
+        is_granted = is_awaited and grant is not None and grant()
         self.granted += is_granted
         self.denied += not is_granted
         return is_granted
--- a/tests/unit/test_deadlines_over_peers.py
+++ b/tests/unit/test_deadlines_over_peers.py
@@ -2,11 +2,14 @@
 
 import time
 import unittest
+from collections.abc import Awaitable, Callable
 
 import curio
 
-from cranecart.http import Address, HttpConnection, Request
+from cranecart.http import Address, HttpConnection, HttpServer, Request
 from cranecart.peer_calls import (
+    AttemptGrants,
+    PeerEndpoint,
     PeerRequest,
     encode_peer_request,
 )
@@ -40,11 +43,32 @@
             given, _SECONDS_LEFT - _BLOCKED_SECONDS + _TOLERANCE_SECONDS
         )
 
+    def test_grant_to_a_peer_that_has_given_up_waiting(self) -> None:
+        """An attempt is granted only while the peer waits for the answer."""
+        grants = AttemptGrants()
+
+        async def ask(address: Address) -> None:  # noqa: WPS430
+            with grants.register(lambda: True) as call_id:
+                request = Request('POST', '/attempts', {}, call_id.encode())
+                self.assertEqual(await _ask(address, request), _OK)
+                self.assertEqual(
+                    await _ask_blocked(address, request), _CONFLICT
+                )
+
+        curio.run(
+            _with_endpoint, PeerEndpoint(_handle_nothing, bool, grants), ask
+        )
+        self.assertEqual((grants.granted, grants.denied), (1, 1))
+
 
 async def _answer(exchange: Exchange) -> None:
     await exchange.answer(b'ok')
 
 
+async def _handle_nothing(*_arguments: object) -> None:
+    raise AssertionError('no request was passed on')
+
+
 def _message() -> PeerRequest:
     request = client_request('/safe/x')
     return PeerRequest(
@@ -77,3 +101,16 @@
 
 async def _ask_blocked(address: Address, request: Request) -> int:
     return await _ask(address, request, _BLOCKED_SECONDS)
+
+
+async def _with_endpoint(
+    endpoint: PeerEndpoint, scenario: Callable[[Address], Awaitable[None]]
+) -> None:
+    """Run a scenario with the address of an endpoint."""
+    server = HttpServer(Address('127.0.0.1', 0), endpoint.handle)
+    server.open()
+    task = await curio.spawn(server.run)
+    try:
+        await scenario(server.address)
+    finally:
+        await task.cancel()
