Send peers the times of the sending

Callers saw: a request passed on was given the time that had been left before the connection to the peer was opened, which a pause can prolong by seconds. Cause: seconds_left and elapsed_seconds were computed when the peer was chosen. Evidence: test_time_that_passes_before_a_peer_is_sent_a_request: 1.0 s told where 0.6 s were left. Why it works: both are set right before the request is encoded.

--- a/src/cranecart/peer_calls/_client.py
+++ b/src/cranecart/peer_calls/_client.py
@@ -117,6 +117,7 @@
             ):
                 call.request.call_id = call_id
                 call.request.grant_address = self.grants.address
+                call.request.update_times(call.seconds_left())
                 yield await self._send(call, connection)
         finally:
             await self._pool.release(connection)
--- a/src/cranecart/peer_calls/_messages.py
+++ b/src/cranecart/peer_calls/_messages.py
@@ -40,6 +40,11 @@
     call_id: str = ''
     grant_address: str = ''
 
+    def update_times(self, seconds_left: float) -> None:
+        """Set the times to those of now, when so much is left."""
+        self.elapsed_seconds += self.seconds_left - seconds_left
+        self.seconds_left = seconds_left
+
     def to_request(self) -> Request:
         """Return the client's request."""
         return Request(
--- a/tests/unit/test_deadlines_over_peers.py
+++ b/tests/unit/test_deadlines_over_peers.py
@@ -1,14 +1,20 @@
 """Times in what nodes ask each other count from when it was sent."""
 
+import random
 import time
 import unittest
 from collections.abc import Awaitable, Callable
 
 import curio
 
+from cranecart.exceptions import PeerBrokenError
 from cranecart.http import Address, HttpConnection, HttpServer, Request
 from cranecart.peer_calls import (
     AttemptGrants,
+    Peer,
+    PeerCall,
+    PeerChoice,
+    PeerClient,
     PeerEndpoint,
     PeerRequest,
     encode_peer_request,
@@ -60,6 +66,34 @@
         )
         self.assertEqual((grants.granted, grants.denied), (1, 1))
 
+    def test_time_that_passes_before_a_peer_is_sent_a_request(self) -> None:
+        """The time left is that of the sending."""
+        received: list[PeerRequest] = []
+
+        async def note(  # noqa: WPS430
+            message: PeerRequest, responder: object, arrived_at: float
+        ) -> None:
+            received.append(message)
+
+        async def ask(address: Address) -> None:  # noqa: WPS430
+            call = PeerCall(
+                Peer('n1', address, 'east'),
+                _message(),
+                may_repeat=True,
+                seconds_left=lambda: _SECONDS_LEFT - _BLOCKED_SECONDS,
+            )
+            client = PeerClient(PeerChoice('east', tuple, random.Random(1)))
+            with self.assertRaises(PeerBrokenError):
+                async with client.start(call):
+                    raise AssertionError('the peer has sent no response')
+
+        curio.run(_with_endpoint, PeerEndpoint(note, lambda: True), ask)
+        message = received[0]
+        self.assertAlmostEqual(
+            message.seconds_left, _SECONDS_LEFT - _BLOCKED_SECONDS
+        )
+        self.assertAlmostEqual(message.elapsed_seconds, _BLOCKED_SECONDS)
+
 
 async def _answer(exchange: Exchange) -> None:
     await exchange.answer(b'ok')
