Send no request once its time is over

Callers saw: a request whose time passed while its node waited for a connection, or held it after a pause, was sent to a target with a deadline of 1 ms and answered 504, which does not tell whether it has run. Cause: the time left was looked at when the target was chosen only. Evidence: test_request_sent_after_its_deadline: run and 504, now not run and 503 with a time to come back. Why it works: the time is looked at right before the sending.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -108,7 +108,7 @@
 
 @final
 class TargetWithdrawnError(TargetError):
-    """The chosen target stopped accepting requests before one was sent."""
+    """The request was not sent as its target or its time had gone."""
 
     execution = Execution.NOT_RUN
 
--- a/src/cranecart/forwarding/_sender.py
+++ b/src/cranecart/forwarding/_sender.py
@@ -118,7 +118,7 @@
         connection = await self._connect(call, target)
         try:
             sent_at = since_boot()
-            await self._wait_to_send(target)
+            await self._wait_to_send(call, target)
             on_send()
             await self._send(call, target, connection, resume_after)
             reader = OwnResponseReader(self.translator, call, connection)
@@ -259,11 +259,15 @@
             )
             raise
 
-    async def _wait_to_send(self, target: Target) -> None:
-        """Raise ``TargetError`` if the target takes no requests any more."""
+    async def _wait_to_send(self, call: RoutedCall, target: Target) -> None:
+        """Raise ``TargetError`` if the request must not be sent any more."""
         seconds = self._resume_guard.seconds_to_wait(since_boot())
         if seconds:
             await curio.sleep(seconds)
+        if call.seconds_left <= 0:
+            raise TargetWithdrawnError(
+                'no time was left once the request could be sent'
+            )
         self.router.evacuations.check_target(
             target.instance.id, target.instance.failure_domain
         )
--- a/tests/unit/test_deadlines.py
+++ b/tests/unit/test_deadlines.py
@@ -6,12 +6,14 @@
 
 import curio
 
+from cranecart.clocks import since_boot
 from tests.lib.fake_targets import Exchange, GatewayTestbed, client_request
 
 _BLOCKED_SECONDS = 0.4
 _DEADLINE_SECONDS = 1.0
 _TOLERANCE_SECONDS = 0.1
 _MILLISECONDS = 1000
+_NOT_RUN = 503
 
 
 async def _answer(exchange: Exchange) -> None:
@@ -29,6 +31,19 @@
         """The client waits since it began to send."""
         self._check(self._send_slowly)
 
+    def test_request_sent_after_its_deadline(self) -> None:
+        """What waits for a connection until its end is not run."""
+        testbed = GatewayTestbed(_answer, service='crew')
+        curio.run(testbed.run, self._hold_beyond_deadline)
+        self.assertEqual(testbed.targets[0].received, [])
+
+    async def _hold_beyond_deadline(self, testbed: GatewayTestbed) -> None:
+        testbed.resume_guard._hold_until = since_boot() + _BLOCKED_SECONDS
+        deadline_ms = round(_BLOCKED_SECONDS * _MILLISECONDS / 2)
+        answer = await testbed.ask('/unsafe/x', deadline_ms=deadline_ms)
+        self.assertEqual(answer.status, _NOT_RUN)
+        self.assertIn('retry-after', answer.headers)
+
     def _check(self, send: Callable[[GatewayTestbed], Awaitable[None]]) -> None:
         testbed = GatewayTestbed(_answer, service='crew')
         curio.run(testbed.run, send)
