Count refusals that a request meets through peers

Callers saw: a request of a node without paths arrived at up to one target of each of 32 peers, where its route has two attempts, and was refused late. Cause: a peer whose target refused and whose others are out of reach says that it is unable, which the asking node took for 'nothing sent': no attempt was counted, no retry charged, and the next peer did not know who had refused. The class: what was sent is known only where it was sent. Why it works: the outcome names the targets that have refused. The asking node counts each as an attempt, charges what follows to its budget, and leaves them out; the refusal goes back with the time that the peer told.

Peers charged a retry before they looked for a target, in place of what the asking node did not charge; that is not needed any more. In test_charged_retries the model follows: it counted that charge, and now has none, while its bound is the same, so that it allows less than before.

--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -1,6 +1,7 @@
 """Exception hierarchy of the program."""
 
 import enum
+from collections.abc import Sequence
 from typing import final
 
 
@@ -169,6 +170,28 @@
     execution = Execution.NOT_RUN
 
 
+@final
+class PeerRefusedError(TargetError):
+    """The targets that a node passed the request on to have refused it.
+
+    Others may take it: ``refused_by`` names those targets, and ``retry_after``
+    is when one of them may, in seconds.
+    """
+
+    execution = Execution.NOT_RUN
+
+    def __init__(
+        self,
+        message: str,
+        refused_by: Sequence[str],
+        retry_after: float | None,
+    ) -> None:
+        """Store which targets have refused."""
+        super().__init__(message)
+        self.refused_by = refused_by
+        self.retry_after = retry_after
+
+
 @final
 class PeerBrokenError(TargetError):
     """The node that passed the request on failed before its answer's end."""
--- a/src/cranecart/forwarding/_attempts.py
+++ b/src/cranecart/forwarding/_attempts.py
@@ -240,8 +240,6 @@
         await self.state.wait()
         if not await self.limit.is_granted():
             raise self._final_error()
-        if self.state.is_of_peer and not self.state.charge_peer():
-            return self._wait_for_retry()
         return await self._attempt(exchange)
 
     def _wait_for_retry(self) -> bool:
@@ -338,6 +336,7 @@
                 with self._arrivals.track(attempt):
                     await exchange.attempt_through(attempt, client, call)
         except TargetError as error:
+            self.choice.record_peer_failure(error)
             self.state.record_failure(attempt, error)
             return False
         except PeerAnsweredError as error:
--- a/src/cranecart/forwarding/_failures.py
+++ b/src/cranecart/forwarding/_failures.py
@@ -8,6 +8,7 @@
     AllTargetsRefusedError,
     Execution,
     OutcomeUnknownError,
+    PeerRefusedError,
     PeerUnableError,
     PeerUnreachableError,
     QuarantinedRequestError,
@@ -33,7 +34,7 @@
     PeerUnableError,
 )
 # Errors of targets that have not run the request and may take it later.
-WITHOUT_RUN = (TargetRefusedError, TargetWithdrawnError)
+WITHOUT_RUN = (TargetRefusedError, TargetWithdrawnError, PeerRefusedError)
 _PEER_ERRORS = (PeerUnreachableError, PeerUnableError)
 
 
@@ -47,7 +48,8 @@
     not be opened. ``was_sent`` is whether the last attempt was sent,
     ``was_refused`` whether its target would not take it, and ``any_sent`` whether
     this node has sent any. ``decisive_error`` is that of the attempt which
-    decides about the outcome, if any has failed.
+    decides about the outcome, if any has failed. ``retry_after`` is when targets
+    that refused a peer may take the request, in seconds, if any has.
     """
 
     sent_count: int = 0
@@ -58,6 +60,7 @@
     was_sent: bool = attrs.field(default=False, init=False)
     was_refused: bool = attrs.field(default=False, init=False)
     decisive_error: TargetError | None = attrs.field(default=None, init=False)
+    retry_after: float | None = attrs.field(default=None, init=False)
 
     @property
     def may_have_run(self) -> bool:
@@ -67,6 +70,9 @@
 
     def record(self, error: TargetError, target_count: int = 1) -> None:
         """Record a failed attempt, which may have reached several targets."""
+        if isinstance(error, PeerRefusedError):
+            target_count = len(error.refused_by)
+            self.retry_after = error.retry_after
         self.was_sent = not isinstance(error, NOT_SENT_ERRORS)
         self.any_sent = self.any_sent or self.was_sent
         self.was_refused = isinstance(error, WITHOUT_RUN)
@@ -94,11 +100,12 @@
         """Return whether the earlier outcome takes precedence over an error.
 
         ``QuarantinedRequestError`` and ``TargetsOutOfReachError`` are reported
-        unless the request may have run.
+        unless the request may have run or targets of peers have refused it.
         """
         if self.decisive_error is None:
             return False
-        return self.may_have_run or not isinstance(
+        is_known = self.may_have_run or self.retry_after is not None
+        return is_known or not isinstance(
             error, QuarantinedRequestError | TargetsOutOfReachError
         )
 
@@ -121,8 +128,10 @@
         """
         last_error = self.decisive_error
         if last_error is not None and last_error.execution is Execution.NOT_RUN:
+            seconds = self.retry_after
             return AllTargetsRefusedError(
-                str(last_error), retry_after=retry_after()
+                str(last_error),
+                retry_after=retry_after() if seconds is None else seconds,
             )
         if isinstance(last_error, TargetTimeoutError):
             return RequestTimeoutError(str(last_error))
--- a/src/cranecart/forwarding/_peer_gateway.py
+++ b/src/cranecart/forwarding/_peer_gateway.py
@@ -69,20 +69,17 @@
         self, message: PeerRequest, responder: Responder, arrived_at: float
     ) -> None:
         trace = RequestTrace('')
-        failures = AttemptFailures()
         responder.extra_headers = (PeerOutcome(from_target=True).to_header(),)
         self._knowledge.record_asking(message.sender, message.service)
+        attempts = None
         try:
             attempts = self._admit(message, trace, arrived_at)
-            failures = attempts.state.failures
             await check_client()
             await self._forwarder.forward(
                 attempts, responder, message.resume_after
             )
         except RequestError as error:
-            outcome = outcome_for_peer(
-                error, failures, self._knowledge.named_peers(message.service)
-            )
+            outcome = self._outcome(error, message.service, attempts)
             await _refuse(trace, outcome, responder)
         except curio.CancelledError:
             if self.in_progress.are_cut_off:
@@ -91,6 +88,25 @@
         finally:
             trace.write()
 
+    def _outcome(
+        self,
+        error: RequestError,
+        service: str,
+        attempts: RoutedAttempts | None,
+    ) -> PeerOutcome:
+        """Return what the peer is told of a request that was given up."""
+        able = self._knowledge.named_peers(service)
+        if attempts is None:
+            return outcome_for_peer(error, AttemptFailures(), able)
+        refused_by = attempts.choice.refused_by
+        return outcome_for_peer(
+            error,
+            attempts.state.failures,
+            able,
+            refused_by,
+            attempts.choice.retry_after_seconds() if refused_by else None,
+        )
+
     def _admit(
         self, message: PeerRequest, trace: RequestTrace, arrived_at: float
     ) -> RoutedAttempts:
@@ -129,6 +145,7 @@
         code=outcome.code,
         execution=outcome.execution.value,
         why=outcome.message,
+        refused_by=outcome.refused_by,
         begun=responder.has_started,
     )
     if responder.has_started:
--- a/src/cranecart/forwarding/_peer_requests.py
+++ b/src/cranecart/forwarding/_peer_requests.py
@@ -9,6 +9,7 @@
     NotConfiguredError,
     NotFoundError,
     PeerAnsweredError,
+    PeerRefusedError,
     PeerUnableError,
     ReplicasUnknownError,
     RequestError,
@@ -138,11 +139,16 @@
 
 
 def outcome_for_peer(
-    error: RequestError, failures: AttemptFailures, able: dict[str, float]
+    error: RequestError,
+    failures: AttemptFailures,
+    able: dict[str, float],
+    refused_by: Sequence[str] = (),
+    retry_after: float | None = None,
 ) -> PeerOutcome:
     """Return what a peer is told of a request that this node gave up.
 
-    ``able`` are nodes that may handle it.
+    ``able`` are nodes that may handle it. The targets ``refused_by`` have refused
+    it, and may take it after ``retry_after`` seconds.
     """
     reached_none = isinstance(failures.decisive_error, TargetUnreachableError)
     is_unable = reached_none or isinstance(error, _UNABLE_ERRORS)
@@ -153,8 +159,9 @@
         message=str(error),
         execution=error.execution,
         unable=is_unable and not failures.may_have_run,
-        retry_after=error.retry_after,
+        retry_after=error.retry_after if retry_after is None else retry_after,
         able=able,
+        refused_by=list(refused_by),
     )
 
 
@@ -163,8 +170,8 @@
 ) -> None:
     """Return if the peer passes a target's response on.
 
-    Raise ``PeerUnableError`` if another peer is to be asked, else
-    ``PeerAnsweredError``.
+    Raise ``PeerUnableError`` or ``PeerRefusedError`` if another peer is to be
+    asked, else ``PeerAnsweredError``.
     """
     choice = client.choice
     service = call.request.service
@@ -179,6 +186,13 @@
         else:
             choice.record_unable(call.peer, seconds, service)
         choice.knowledge.learn(service, outcome.able)
+        if outcome.refused_by:
+            names = ', '.join(outcome.refused_by)
+            raise PeerRefusedError(
+                f'{text}; refused by {names}',
+                outcome.refused_by,
+                outcome.retry_after,
+            )
         raise PeerUnableError(text)
     raise PeerAnsweredError(
         text,
--- a/src/cranecart/forwarding/_request_state.py
+++ b/src/cranecart/forwarding/_request_state.py
@@ -59,19 +59,6 @@
             self.retries.restore()
         trace_failure(self.call, attempt.name, error)
 
-    def charge_peer(self) -> bool:
-        """Charge the next retry of a peer's request; return if it is allowed.
-
-        Before its target is chosen: where there is none, the peer sends the
-        request elsewhere without a charge for what was sent here.
-        """
-        if not self.failures.any_sent:
-            return True
-        if not self.retries.take():
-            return False
-        self.retries.restore()
-        return True
-
     def postpone(self, reason: str) -> bool:
         """Put the next attempt off; return whether there may be one."""
         if not self.may_wait or not self.may_retry:
--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -6,7 +6,9 @@
 
 from cranecart.exceptions import (
     AllTargetsRefusedError,
+    PeerRefusedError,
     TargetError,
+    TargetRefusedError,
     TargetsOutOfReachError,
     TargetUnreachableError,
 )
@@ -35,8 +37,8 @@
 class TargetChoice:
     """Chooses another target, or a peer, for each attempt at a request.
 
-    ``tried`` lists the instances that were chosen so far, ``_excluded`` those
-    that are not chosen again. ``_peers`` are the nodes that the request may be
+    ``tried`` lists the instances that the request was sent to so far, also by
+    peers, ``_excluded`` those that are not chosen again. ``_peers`` are the nodes that the request may be
     passed on to, none if it comes from one.
     """
 
@@ -46,7 +48,10 @@
     _peers: PeersOfCall | None
     tried: list[str] = attrs.field(factory=list, init=False)
     _excluded: list[str] = attrs.field(factory=list, init=False)
-    _refusing: list[Target] = attrs.field(factory=list, init=False)
+    # The targets that have refused, and those of them that are not asked again
+    # at present.
+    refused_by: list[str] = attrs.field(factory=list, init=False)
+    _refusing: list[str] = attrs.field(factory=list, init=False)
     # Where attempts were cancelled as others went on, and how many targets each
     # may have reached.
     _lost: dict[str, int] = attrs.field(factory=dict, init=False)
@@ -121,8 +126,8 @@
 
     def readmit(self, choice: Target | Peer) -> None:
         """Let a target be chosen again."""
-        if isinstance(choice, Target) and choice.instance.id in self._excluded:
-            self._excluded.remove(choice.instance.id)
+        if isinstance(choice, Target):
+            self._readmit(choice.instance.id)
 
     def record_lost(self, attempt: Attempt) -> None:
         """Record that an attempt was cancelled as another went on."""
@@ -133,8 +138,17 @@
         """Record that an attempt at a target has failed."""
         if isinstance(error, TargetUnreachableError):
             self._unreached.add(target.instance.id)
+        if isinstance(error, TargetRefusedError):
+            self.refused_by.append(target.instance.id)
         if isinstance(error, WITHOUT_RUN):
-            self._refusing.append(target)
+            self._refusing.append(target.instance.id)
+
+    def record_peer_failure(self, error: TargetError) -> None:
+        """Record that an attempt through a peer has failed."""
+        if isinstance(error, PeerRefusedError):
+            for instance_id in error.refused_by:
+                self.exclude(instance_id)
+                self._refusing.append(instance_id)
 
     def call_through(
         self,
@@ -166,11 +180,15 @@
             )
         )
 
+    def _readmit(self, instance_id: str) -> None:
+        if instance_id in self._excluded:
+            self._excluded.remove(instance_id)
+
     def _left_out(self, *, only_lost: bool) -> Collection[str]:
         if self._state.may_wait:
             # Those that have refused may have a free slot by now.
-            for target in self._refusing:
-                self.readmit(target)
+            for instance_id in self._refusing:
+                self._readmit(instance_id)
             self._refusing.clear()
         return _AllExcept(self._lost) if only_lost else self._excluded
 
--- a/src/cranecart/peer_calls/_messages.py
+++ b/src/cranecart/peer_calls/_messages.py
@@ -63,7 +63,8 @@
     what a client of the peer would get. Where the peer is ``unable`` to handle
     the request, others may be able to; if ``is_general``, it handles no other
     requests either. ``able`` names some nodes that serve requests to the service,
-    with the seconds since that was known.
+    with the seconds since that was known. ``refused_by`` are the targets at which
+    the request has arrived and that have refused it.
     """
 
     from_target: bool
@@ -75,6 +76,7 @@
     is_general: bool = False
     retry_after: float | None = None
     able: dict[str, float] = {}
+    refused_by: list[str] = []
 
     def to_header(self) -> tuple[str, str]:
         """Return the header line of a response."""
--- a/tests/unit/test_charged_retries.py
+++ b/tests/unit/test_charged_retries.py
@@ -10,6 +10,7 @@
     AllTargetsRefusedError,
     PeerAnsweredError,
     PeerBrokenError,
+    PeerRefusedError,
     PeerUnableError,
     PeerUnreachableError,
     RequestError,
@@ -102,20 +103,23 @@
 ) -> TargetError | None:
     """Return the error for the sender, None if it asks nobody else."""
     failures = AttemptFailures(sender.sent_count)
-    for outcome in outcomes:
+    refused_by = []
+    for number, outcome in enumerate(outcomes):
         sends.record(failures, outcome('failed'))
+        if outcome is TargetRefusedError:
+            refused_by.append(f'i{number}')
     request = PeerRequest('n0', 'GET', '/', (), b'', 's', 1, 0, 0, 1)
     peer = Peer('n1', Address('127.0.0.1', 1), 'd')
     client = PeerClient(PeerChoice('d', tuple, Random(1)))
     call = PeerCall(peer, request, True, lambda: 1)
     given_up: RequestError = AllTargetsRefusedError('refused', retry_after=1)
     if is_out_of_reach:
-        # A retry is charged before a target for it is looked for.
-        sends.charges += failures.was_sent
         given_up = TargetsOutOfReachError('cut', retry_after=1)
     try:
-        check_outcome(client, call, outcome_for_peer(given_up, failures, {}))
-    except PeerUnableError as error:
+        check_outcome(
+            client, call, outcome_for_peer(given_up, failures, {}, refused_by)
+        )
+    except (PeerRefusedError, PeerUnableError) as error:
         return error
     except PeerAnsweredError:
         return None
