Check the time given to targets with stopped nodes and real processes

test_retries_of_lost_nodes draws nodes that are killed, stopped and suspended; it now also compares until when a target may work with until when the client waits.

--- a/tests/functional/test_retries_of_lost_nodes.py
+++ b/tests/functional/test_retries_of_lost_nodes.py
@@ -27,4 +27,5 @@
                 outcome = curio.run(Deployment(case, Path(folder)).run)
                 self.assertLessEqual(outcome.most_repeated, case.slack)
                 self.assertLessEqual(outcome.most_targets, ATTEMPTS)
+                self.assertEqual(outcome.overtime, [])
                 self.assertGreater(outcome.repeated, 0)
--- a/tests/lib/full_target_deployment.py
+++ b/tests/lib/full_target_deployment.py
@@ -20,6 +20,7 @@
 from tests.lib.client_answers import Answer, AnswerReader
 from tests.lib.full_target_cases import (
     ATTEMPTS,
+    DEADLINE_SECONDS,
     Action,
     Case,
     Step,
@@ -49,6 +50,8 @@
 # Clients start within this time, so that nodes know the load of all.
 _START_SPREAD_SECONDS = 0.4
 _POLL_SECONDS = 0.02
+# By how much the time given to a target may exceed what its client waits.
+_TOLERANCE_SECONDS = 0.5
 # Requests that are refused as not run are sent again with an id of their own.
 _CLIENT_RETRIES = 3
 _CLIENT_RETRY_SECONDS = 0.3
@@ -77,7 +80,8 @@
     were read by a node that closed the connection. ``mixed`` are streams with an event that is missing or stands twice,
     ``repeated`` arrivals at targets beyond the first of each request and
     ``most_repeated`` the most of them within the budget's window, ``moved``
-    runs beyond the first. ``most_at_once`` is the most targets that worked on
+    runs beyond the first. ``overtime`` are requests of which a target was given
+    more time than their clients wait. ``most_at_once`` is the most targets that worked on
     one request at the same time, ``most_targets`` the most that have begun it.
     ``late`` are runs that went on after their client had left. ``failures`` are attempts of nodes by reason.
     """
@@ -95,6 +99,7 @@
     most_targets: int
     most_running: int
     late: Sequence[str]
+    overtime: Sequence[str]
     failures: Mapping[str, int]
     longest_pause: float
     orders: int
@@ -116,6 +121,7 @@
             'targets at once': max(0, self.most_at_once - ATTEMPTS),
             'requests over the slots': max(0, self.most_running - case.slots),
             'runs for clients that left': len(self.late),
+            'given more time than remains': len(self.overtime),
             'runs repeated': 0 if case.may_repeat else self.moved,
         }
         return [f'{count} {name}' for name, count in bounds.items() if count]
@@ -139,6 +145,7 @@
         self._leaving: dict[int, float] = {}
         self._retried = 0
         self._unanswered: list[str] = []
+        self._sent_at: dict[str, float] = {}
 
     async def run(self) -> Outcome:
         """Start everything, play the case, and return what happened."""
@@ -275,6 +282,7 @@
     async def _ask(self, number: int, request_id: str) -> Answer:
         connection = await self._connect(number)
         reader = AnswerReader(connection, request_headers(request_id))
+        self._sent_at[request_id] = time.monotonic()
         try:
             async with curio.TaskGroup(wait=any) as tasks:
                 await tasks.spawn(reader.read, self._case.path)
@@ -334,6 +342,7 @@
                 if answer.left_at is not None
                 and self._is_late(answer.left_at, runs[answer.request_id])
             ],
+            overtime=self._overtime(),
             failures=self._failures(),
             longest_pause=max(
                 (answer.longest_pause for answer in begun), default=0
@@ -376,6 +385,15 @@
             )
         )
 
+    def _overtime(self) -> list[str]:
+        return [
+            request_id
+            for target in self._targets
+            for request_id, expires_at in target.expiries()
+            if expires_at
+            > self._sent_at[request_id] + DEADLINE_SECONDS + _TOLERANCE_SECONDS
+        ]
+
     def _read_requests(self) -> set[str]:
         """Return the requests that nodes have read."""
         return {
--- a/tests/lib/recorded_target.py
+++ b/tests/lib/recorded_target.py
@@ -5,7 +5,7 @@
 It prints its address, then serves streams of so many events and plain calls. A
 request beyond its slots is refused as not run, and one whose client has gone
 away is stopped. Each line of the record has a time of the monotonic clock, what
-happened and the request's id.
+happened and the request's id; that of ``expires`` is until when it may work.
 """
 
 import contextlib
@@ -22,6 +22,7 @@
 
 _EVENT_SECONDS = 0.04
 _CALL_SECONDS = 1.0
+_MILLISECONDS = 1000
 _REFUSED = 503
 _REFUSAL_LINES = 'not-executed: full\r\nretry-after: 1\r\n'
 _ORDER = '/order'
@@ -45,6 +46,8 @@
             return
         request_id = exchange.headers['request-id']
         self._record('arrived', request_id)
+        given = float(exchange.headers['deadline-ms']) / _MILLISECONDS
+        self._record('expires', request_id, time.monotonic() + given)
         if self._running >= self._slots:
             self._record('refused', request_id)
             await exchange.answer(b'', _REFUSED, extra=_REFUSAL_LINES)
@@ -73,8 +76,8 @@
                 await curio.sleep(_EVENT_SECONDS)
             await exchange.end_stream()
 
-    def _record(self, what: str, about: str) -> None:
-        line = json.dumps([time.monotonic(), what, about])
+    def _record(self, what: str, about: str, at: float | None = None) -> None:
+        line = json.dumps([at or time.monotonic(), what, about])
         # At once, as the process may be killed.
         os.write(self._record_file, f'{line}\n'.encode())
 
--- a/tests/lib/target_processes.py
+++ b/tests/lib/target_processes.py
@@ -114,6 +114,21 @@
             for started in lasting:
                 yield request_id, Run(self.number, started, self.killed_at)
 
+    def expiries(self) -> Iterator[tuple[str, float]]:
+        """Yield request ids and until when the target may work on each.
+
+        Those that it may have read late, after a pause, are left out.
+        """
+        arrived_at = float(0)
+        for record in self.records():
+            if record.what == 'arrived':
+                arrived_at = record.at
+            elif record.what == 'expires' and not any(
+                paused <= arrived_at <= resumed + _RESUME_SECONDS
+                for paused, resumed in self.pauses
+            ):
+                yield record.about, record.at
+
     def working_times(self, run: Run) -> Iterator[tuple[float, float]]:
         """Yield the parts of a run in which the process ran."""
         began = run.began
