--- a/src/cranecart/client_api/_gateway.py
+++ b/src/cranecart/client_api/_gateway.py
@@ -10,7 +10,6 @@
 from cranecart.client_api._errors import error_response
 from cranecart.client_api._relay import StreamRelay, leader_runner
 from cranecart.client_api._request_parsing import authenticate, parse_call
-from cranecart.clocks import since_boot
 from cranecart.declarations import Declarations
 from cranecart.exceptions import (
     ConnectionBrokenError,
@@ -58,7 +57,7 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request, errors included."""
         request_id = uuid.uuid4().hex
-        started = since_boot()
+        started = request.arrived_at
         outcome = 'answered'
         try:
             await self._serve(request, responder, request_id)
--- a/src/cranecart/client_api/_request_parsing.py
+++ b/src/cranecart/client_api/_request_parsing.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from cranecart.clocks import since_boot
 from cranecart.declarations import Declarations, OrganisationSpec, Priority
 from cranecart.exceptions import (
     InvalidRequestError,
@@ -90,7 +89,7 @@
         'request_id': uuid.uuid4().hex,
         'organisation': organisation.name,
         'body': request.body,
-        'deadline': since_boot() + _deadline_seconds(headers),
+        'deadline': request.arrived_at + _deadline_seconds(headers),
         'priority': _priority(headers, organisation),
         'repeatable': _choice(headers, 'x-repeatable', _YES_NO, default=True),
         'idempotency_key': key,
--- a/tests/unit/test_deadlines.py
+++ b/tests/unit/test_deadlines.py
@@ -6,7 +6,10 @@
 
 import curio
 
+from cranecart.client_api import parse_call
 from cranecart.clocks import since_boot
+from cranecart.declarations import Declarations, LimitsSpec, OrganisationSpec
+from cranecart.http import Request
 from tests.lib.fake_targets import Exchange, GatewayTestbed, client_request
 
 _BLOCKED_SECONDS = 0.4
@@ -88,3 +91,24 @@
         )
     )
     return f'{head}\r\n\r\n'.encode() + request.body
+
+
+class NativeDeadlineTest(unittest.TestCase):
+    """The same on the native interface."""
+
+    def test_call_unread_by_a_blocked_event_loop(self) -> None:
+        """A call's deadline counts from its arrival."""
+        deadline_ms = round(_DEADLINE_SECONDS * _MILLISECONDS)
+        arrived_at = since_boot() - _BLOCKED_SECONDS
+        request = Request(
+            'POST',
+            '/v1/chat/completions',
+            {'x-deadline-ms': str(deadline_ms)},
+            b'{"model": "m", "messages": [{"role": "user", "content": "p"}]}',
+            arrived_at=arrived_at,
+        )
+        organisation = OrganisationSpec(
+            'o', (), LimitsSpec(10, 100), models=('m',)
+        )
+        call = parse_call(request, organisation, Declarations('d', 'r', ()))
+        self.assertAlmostEqual(call.deadline, arrived_at + _DEADLINE_SECONDS)
