--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -184,6 +184,43 @@
         'attempt.granted += 0',
         'tests.unit.test_attempts_over_peers',
     ),
+    Mutation(
+        'waiting-requests-taken-for-new',
+        'forwarding/_gateway.py',
+        'started = request.arrived_at',
+        'started = since_boot()',
+        'tests.unit.test_deadlines',
+    ),
+    Mutation(
+        'requests-of-clients-that-left-sent',
+        'forwarding/_forwarder.py',
+        'await curio.sleep(0)\n    await curio.check_cancellation()',
+        'await curio.current_task()',
+        'tests.functional.test_requests_of_paused_nodes',
+    ),
+    Mutation(
+        'late-questions-of-peers-granted',
+        'peer_calls/_grants.py',
+        'age_seconds < _TIMEOUT_SECONDS',
+        'age_seconds >= 0',
+        'tests.unit.test_deadlines_over_peers',
+    ),
+    Mutation(
+        'refusals-over-peers-uncounted',
+        'forwarding/_peer_requests.py',
+        'refused_by=list(refused_by)',
+        'refused_by=[]',
+        'tests.unit.test_refusals_over_peers',
+    ),
+    Mutation(
+        'cut-responses-taken-for-whole',
+        'http/_client.py',
+        'raise ConnectionBrokenError(\n'
+        "                f'{self.address} did not finish its response: {error}',\n"
+        '            ) from error',
+        'return h11.EndOfMessage()',
+        'tests.unit.test_cut_heads',
+    ),
     Mutation(
         'late-arrivals-forgotten',
         'retries/_shared.py',
