Answer a request that arrives while another is being finished

Callers saw: a request on a kept connection that was never answered, until the connection was closed as idle a minute later. Cause: while a request is handled, its connection is watched for the client's leaving, and what is read meanwhile was to be kept for the next request; but each request has a parser of its own, so that it was dropped. Why it works: what is left in the parser begins the next request.

--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -196,19 +196,19 @@
             await sock.close()
 
     async def _serve_requests(self, sock: curio.io.Socket) -> None:
-        is_reusable = True
-        while is_reusable:
-            received = await self._wait_for_request(sock)
-            is_reusable = bool(received) and await self._serve_request(
-                sock, received
-            )
+        received: bytes | None = await self._wait_for_request(sock)
+        while received:
+            received = await self._serve_request(sock, received)
+            if received == b'':
+                received = await self._wait_for_request(sock)
 
     async def _serve_request(
         self, sock: curio.io.Socket, received: bytes
-    ) -> bool:
+    ) -> bytes | None:
         """Serve a request within the limits that are in force as it begins.
 
-        Return whether the connection can be used for another one.
+        Return what has been read of the next one meanwhile, None if the
+        connection cannot be used for another one.
         """
         unread = seconds_unread(sock)
         arrived_at = since_boot() - unread
@@ -224,12 +224,15 @@
         except BadMessageError as error:
             await send_error(responder, error)
             await _drain_before_close(sock)
-            return False
+            return None
         await self._handler(
             attrs.evolve(request, arrived_at=arrived_at, unread_seconds=unread),
             responder,
         )
-        return not self._closing and _is_reusable(connection)
+        if self._closing or not _is_reusable(connection):
+            return None
+        surplus, _closed = connection.trailing_data
+        return surplus
 
     def _responder(
         self,
