--- a/tests/functional/test_requests_of_paused_nodes.py
+++ b/tests/functional/test_requests_of_paused_nodes.py
@@ -15,6 +15,7 @@
     NodeProcess,
     NodeProcessTestCase,
     add_config_and_target,
+    add_target,
 )
 from tests.lib.waiting import until
 from tests.platform._standin import StandinStore, start
@@ -25,6 +26,7 @@
 _REQUESTS = 40
 _LEAVING = 20
 _IDLE_SECONDS = 1.0
+_WORK_SECONDS = 0.2
 # By how much the time given to a target may exceed what its client waits.
 _MAX_EXCESS_SECONDS = 0.5
 # Within this time after the pause all that waited has been answered.
@@ -93,7 +95,7 @@
 
 
 class RequestsOfPausedNodesTest(NodeProcessTestCase):
-    """A node with one target is stopped and goes on, again and again."""
+    """A node with two targets is stopped and goes on."""
 
     def test_waiting_requests_get_their_whole_deadline_again(self) -> None:
         """Targets are given no more time than the clients still wait."""
@@ -107,6 +109,28 @@
         """A request that arrived before the idle limit is served."""
         curio.run(self._pause_beyond_idle_limit)
 
+    def test_requests_answered_in_a_pause_are_repeated(self) -> None:
+        """What has arrived is read before time is found to have passed."""
+        curio.run(self._pause_before_answers)
+
+    async def _pause_before_answers(self) -> None:
+        arrivals: list[_Arrival] = []
+        tasks, node = await self._start(arrivals, work_seconds=_WORK_SECONDS)
+        clients = [
+            _Client(f'a{number}', max(_DEADLINES_SECONDS))
+            for number in range(_REQUESTS)
+        ]
+        async with curio.TaskGroup(wait=all) as sending:
+            for client in clients:
+                await sending.spawn(client.connect_and_send, node.client)
+            await until(lambda: len(arrivals) == _REQUESTS, _START_SECONDS)
+            node.process.send_signal(signal.SIGSTOP)
+            await curio.sleep(_WORK_SECONDS + max(_PAUSES_SECONDS))
+            node.process.send_signal(signal.SIGCONT)
+        self.assertEqual(len(arrivals), _REQUESTS)
+        for task in tasks:
+            await task.cancel()
+
     async def _pause_repeatedly(self) -> None:
         arrivals: list[_Arrival] = []
         tasks, node = await self._start(arrivals)
@@ -156,9 +180,12 @@
             await task.cancel()
 
     async def _start(
-        self, arrivals: list[_Arrival], **limits: float
+        self,
+        arrivals: list[_Arrival],
+        work_seconds: float = 0,
+        **limits: float,
     ) -> tuple[list[curio.Task], NodeProcess]:
-        """Start a store, a target that notes arrivals, and a node."""
+        """Start a store, targets that note arrivals, and a node."""
 
         async def script(exchange: Exchange) -> None:  # noqa: WPS430
             given_ms = float(exchange.headers['deadline-ms'])
@@ -169,12 +196,16 @@
                     given_ms / _MILLISECONDS,
                 )
             )
+            await curio.sleep(work_seconds)
             await exchange.answer(b'end')
 
-        target = FakeTarget('t-1', script)
-        store = add_config_and_target(StandinStore(), target, 1000, limits)
+        targets = [FakeTarget(name, script) for name in ('t-1', 't-2')]
+        store = add_config_and_target(StandinStore(), targets[0], 1000, limits)
+        add_target(store, 't-2', targets[1], 1000)
         store_task, platform = await start(store)
-        tasks = [store_task, await curio.spawn(target.run)]
+        tasks = [store_task]
+        for target in targets:
+            tasks.append(await curio.spawn(target.run))
         node = self.start_node(platform, first_start=True)
         await until(lambda: node.events('node_informed'), _START_SECONDS)
         return tasks, node
--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -51,6 +51,14 @@
         'limits': limits or {},
     }
     store.put('op', '', 'config', config)
+    add_target(store, _TARGET, target, slots)
+    return store
+
+
+def add_target(
+    store: StandinStore, name: str, target: FakeTarget, slots: int
+) -> None:
+    """Add a target of the only route under a name."""
     entry = {
         'address': str(target.address),
         'service': 'crew',
@@ -59,8 +67,7 @@
         'slots': slots,
         'born': 1,
     }
-    store.put('servers', '', _TARGET, entry)
-    return store
+    store.put('servers', '', name, entry)
 
 
 def node_request(request_id: str = 'q1') -> Request:
