--- a/src/cranecart/forwarding/_target_choice.py
+++ b/src/cranecart/forwarding/_target_choice.py
@@ -38,8 +38,8 @@
     """Chooses another target, or a peer, for each attempt at a request.
 
     ``tried`` lists the instances that the request was sent to so far, also by
-    peers, ``_excluded`` those that are not chosen again. ``_peers`` are the nodes that the request may be
-    passed on to, none if it comes from one.
+    peers, ``_excluded`` those that are not chosen again. ``_peers`` are the
+    nodes that the request may be passed on to, none if it comes from one.
     """
 
     _state: RequestState
