--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -149,6 +149,10 @@
     def restart(self) -> None:
         """Start it again after it has stopped; the other nodes went on."""
         self._settings['first_start'] = False
+        self.start_again()
+
+    def start_again(self) -> None:
+        """Start it again after it has stopped, with the same settings."""
         self.process = self._start()
 
     def _start(self) -> subprocess.Popen[bytes]:
