Give a share of the retries a window after the store knows the process

Callers saw nothing at first; targets got up to 2.7 times the repeats that all nodes together may send. Cause: a process with first_start had its share at once, also where its predecessor had just used the same one or where few others had started. Settings that are written once keep first_start, and what a process sees at its start is not what there is.

A share is now given a window after the store has accepted the row of the process, whatever its settings say. By then what its predecessor used has left the window and nodes that started before count it.

--- a/src/cranecart/retries/_shared.py
+++ b/src/cranecart/retries/_shared.py
@@ -40,6 +40,11 @@
     """Ask nobody, where there are no other nodes."""
 
 
+def _long_ago() -> float:
+    """Have been registered before anything that still counts."""
+    return float('-inf')
+
+
 @attrs.define
 class _ServiceBudget:
     """What a node knows of the retries of one service."""
@@ -59,17 +64,17 @@
     """This node's share of the retry budget, by service.
 
     ``_count_nodes`` returns the number of nodes that may exist, with this one, or
-    0 as long as that is not known.
-    ``_follows_others`` is whether an earlier process of this node, or nodes that
-    do not know of it yet, may have used its share. ``_borrow`` asks other nodes
-    for a loan.
+    0 as long as that is not known. ``_borrow`` asks other nodes for a loan.
+    ``_registered_at`` returns when the store has accepted this process, infinity
+    before that. Until a window has passed since then, its share may still be in
+    use: by an earlier process of this node, or by nodes that did not count it.
     """
 
     limits: RetryLimits
     _count_nodes: Callable[[], int]
     _clock: Callable[[], float] = since_boot
-    _follows_others: bool = False
     _borrow: Callable[[str, float, float], None] = _borrow_nothing
+    _registered_at: Callable[[], float] = _long_ago
     _started_at: float = attrs.field(
         default=attrs.Factory(lambda budget: budget._clock(), takes_self=True),
         init=False,
@@ -205,7 +210,7 @@
         budget = self._services.get(name)
         if budget is None:
             credit = RatioCredit()
-            if self._follows_others:
+            if not self._is_settled(self._clock()):
                 credit = RatioCredit.of_successor(self.limits, self._started_at)
             budget = _ServiceBudget(credit)
             self._services[name] = budget
@@ -213,13 +218,16 @@
 
     def _share(self, now: float) -> float:
         """Return this node's part of the slack, 0 soon after start or pause."""
-        settles_at = self._started_at + LOAN_SECONDS + self._held_seconds
-        if self._follows_others and now < settles_at:
+        if not self._is_settled(now):
             return 0
         if self._was_paused(now) or now < self._learns_until:
             return 0
         return self._full_share(now)
 
+    def _is_settled(self, now: float) -> bool:
+        """Return whether nobody else may have used the share of this node."""
+        return now >= self._registered_at() + LOAN_SECONDS + self._held_seconds
+
     def _was_paused(self, now: float) -> bool:
         if self._refreshed_at is None:
             return False
--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -175,12 +175,13 @@
     settings: ServingSettings,
     get_mesh: Callable[[], Mesh],
     is_informed: Callable[[], bool],
+    registered_at: Callable[[], float],
 ) -> SharedRetryBudget:
     """Return this node's part of the retry budget."""
     return SharedRetryBudget(
         retry_limits(settings),
         lambda: _count_nodes(get_mesh()) if is_informed() else 0,
-        follows_others=not settings.first_start,
+        registered_at=registered_at,
         borrow=lambda service, amount, now: (
             get_mesh().message_sender.request_retries(service, amount, now)
         ),
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -108,7 +108,10 @@
         self._node_demand = NodeDemand(self._router.shortage.exchange)
         self._router.paces.is_enabled = settings.learns_pace
         self._retry_budget = make_retry_budget(
-            settings, lambda: self._mesh, lambda: self._followers.is_informed
+            settings,
+            lambda: self._mesh,
+            lambda: self._followers.is_informed,
+            lambda: self._registration.registered_at,
         )
         self._mesh = self._make_mesh()
         self._quarantine = NodeQuarantine.for_node(
--- a/src/cranecart/serving/_node_registration.py
+++ b/src/cranecart/serving/_node_registration.py
@@ -56,6 +56,11 @@
         )
         return since_boot() - self._written_at >= seconds
 
+    @property
+    def registered_at(self) -> float:
+        """Return when the row was first accepted, infinity before that."""
+        return self._written_at
+
     @property
     def needs_registration(self) -> bool:
         """Return whether the row has to be written and no write is running."""
--- /dev/null
+++ b/tests/functional/test_retries_of_starting_nodes.py
@@ -0,0 +1,56 @@
+"""Nodes that start, each with a share of the retries that others still use."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import curio
+
+from tests.lib.starting_nodes import (
+    Action,
+    StartCase,
+    StartingNodes,
+    StartOutcome,
+    Step,
+)
+
+_NODES = 6
+_ALL = range(_NODES)
+_SPACING_SECONDS = 0.4
+_PLAY_SECONDS = 14.0
+# When all nodes have had a share of their own for some time.
+_SHARES_USED_AT = 9.0
+
+
+class RetriesOfStartingNodesTest(unittest.TestCase):
+    """Settings are written once, so that each start claims to be the first."""
+
+    def test_nodes_divide_the_slack_by_those_started_so_far(self) -> None:
+        """The first nodes see few others, and would take most of the slack."""
+        self._check(
+            StartCase(
+                nodes=_NODES, spacing=_SPACING_SECONDS, seconds=_PLAY_SECONDS
+            )
+        )
+
+    def test_restarted_nodes_take_the_share_of_their_predecessors(self) -> None:
+        """Processes that were stopped or killed have used theirs just before."""
+        for action in (Action.STOP, Action.KILL):
+            with self.subTest(action=action):
+                step = Step(_SHARES_USED_AT, action, _ALL)
+                self._check(self._case(step))
+
+    def _case(self, *steps: Step) -> StartCase:
+        return StartCase(
+            nodes=_NODES, spacing=0, seconds=_PLAY_SECONDS, steps=steps
+        )
+
+    def _check(self, case: StartCase) -> None:
+        outcome = _play(case)
+        self.assertLessEqual(outcome.most_repeated, outcome.allowed)
+        self.assertGreater(outcome.repeated, 0)
+
+
+def _play(case: StartCase) -> StartOutcome:
+    with tempfile.TemporaryDirectory() as folder:
+        return curio.run(StartingNodes(case, Path(folder)).run)
--- a/tests/lib/node_processes.py
+++ b/tests/lib/node_processes.py
@@ -141,6 +141,12 @@
             (line['time'] for line in self.events('node_started')), None
         )
 
+    def has_retries(self) -> bool:
+        """Return whether it has its share of the retries, if there are any."""
+        shares = self.events('retry_share')
+        is_shared = bool(shares) and shares[-1]['slack'] > 0
+        return is_shared or not self._settings.get('retry_slack')
+
     def kill(self) -> None:
         """Kill the process."""
         self.process.kill()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -228,6 +228,13 @@
         'if arrived_by < 0:',
         'tests.unit.test_late_arrivals',
     ),
+    Mutation(
+        'shares-given-at-the-start',
+        'retries/_shared.py',
+        'self._registered_at() + LOAN_SECONDS + self._held_seconds',
+        'self._registered_at()',
+        'tests.unit.test_shared_retry_budget',
+    ),
     Mutation(
         'late-requests-of-a-stop-taken',
         'forwarding/_stop_gate.py',
