Let a name belong to the process that registered it last

Callers saw nothing; with a second process under each name of six nodes, targets got 69 repeats of the 40 allowed, as each process had the share of its name. Also, the planned end of the earlier one deleted the row of the later one, and a restored row of the earlier one was not written again.

--- a/src/cranecart/serving/_followers.py
+++ b/src/cranecart/serving/_followers.py
@@ -198,6 +198,8 @@
     def apply(self, items: Mapping[str, Row | None], is_complete: bool) -> None:
         """Apply changed rows, or all rows if ``is_complete``."""
         self.mesh.update_peers(peers_from_rows(items), is_complete)
+        if self.registration is not None:
+            self.registration.apply(items)
         versions = (0 if row is None else row.version for row in items.values())
         era = era_of(max(versions, default=0))
         self.fleet.apply_records(_decode_records(items), is_complete, era)
--- a/src/cranecart/serving/_node_registration.py
+++ b/src/cranecart/serving/_node_registration.py
@@ -27,6 +27,9 @@
 class NodeRegistration:
     """Writes this node's row at the start and deletes it at a planned stop.
 
+    The name belongs to the process that registered it last. An earlier one that
+    still runs keeps no share of what is divided by names, and leaves the row.
+
     ``finds_earlier_row`` is whether it finds out at the start if the row exists
     already, which only the sharing of cold targets needs.
     """
@@ -39,6 +42,8 @@
     _is_withdrawn: bool = attrs.field(default=False, init=False)
     _was_registered: bool = attrs.field(default=False, init=False)
     _written_at: float = attrs.field(default=float('inf'), init=False)
+    _written_version: int = attrs.field(default=0, init=False)
+    _is_name_taken: bool = attrs.field(default=False, init=False)
 
     @property
     def is_established(self) -> bool:
@@ -58,18 +63,30 @@
 
     @property
     def registered_at(self) -> float:
-        """Return when the row was first accepted, infinity before that."""
-        return self._written_at
+        """Return when the row was first accepted, infinity if it is not held."""
+        return float('inf') if self._is_name_taken else self._written_at
 
     @property
     def needs_registration(self) -> bool:
         """Return whether the row has to be written and no write is running."""
         is_due = not self._is_written and not self._is_withdrawn
-        return is_due and not self._is_writing
+        return is_due and not self._is_writing and not self._is_name_taken
+
+    def apply(self, items: Mapping[str, Row | None]) -> None:
+        """Find out from changed rows if another process took the name."""
+        row = items.get(self._key)
+        if row is None or not self._written_version or self._is_name_taken:
+            return
+        is_newer = row.version > self._written_version
+        if is_newer and row.value != self._row_value:
+            self._is_name_taken = True
+            log_decision('node_name_taken', version=row.version)
 
     def restore(self, items: Mapping[str, Row]) -> None:
         """Require registration again if a restored store lacks the row."""
-        self._is_written = self._is_written and self._key in items
+        row = items.get(self._key)
+        is_held = row is not None and row.value == self._row_value
+        self._is_written = self._is_written and is_held
 
     async def register(self) -> None:
         """Write the row; retry until the store has accepted it."""
@@ -82,25 +99,23 @@
     async def withdraw(self) -> None:
         """Delete the row; log if the store does not accept that."""
         self._is_withdrawn = True
+        if self._is_name_taken:
+            return
         try:
             await self._table.commit(Transaction((), (), (self._key,)))
         except PlatformError as error:
             log_decision('node_not_withdrawn', why=str(error))
 
     async def _write(self) -> None:
-        peer = PeerNode(
-            self._settings.peer_address,
-            self._settings.failure_domain,
-            self._settings.peer_request_address,
-            self._settings.link_mbps,
-        )
-        put = Put(self._key, msgspec.json.encode(peer).decode())
+        put = Put(self._key, self._row_value)
         checks: tuple[Check, ...] = ()
         if self._finds_earlier_row:
             checks = (Check(self._key),)
         while not self._is_written and not self._is_withdrawn:
             try:
-                await self._table.commit(Transaction(checks, (put,)))
+                self._written_version = await self._table.commit(
+                    Transaction(checks, (put,))
+                )
             except WriteConflictError:
                 self._was_registered = True
                 checks = ()
@@ -113,6 +128,16 @@
                 self._is_written = True
                 self._written_at = min(self._written_at, since_boot())
 
+    @property
+    def _row_value(self) -> str:
+        peer = PeerNode(
+            self._settings.peer_address,
+            self._settings.failure_domain,
+            self._settings.peer_request_address,
+            self._settings.link_mbps,
+        )
+        return msgspec.json.encode(peer).decode()
+
     @property
     def _key(self) -> str:
         return node_key(self._settings.node_id)
--- a/tests/functional/test_retries_of_starting_nodes.py
+++ b/tests/functional/test_retries_of_starting_nodes.py
@@ -4,6 +4,7 @@
 import unittest
 from pathlib import Path
 
+import attrs
 import curio
 
 from tests.lib.starting_nodes import (
@@ -18,6 +19,8 @@
 _ALL = range(_NODES)
 _SPACING_SECONDS = 0.4
 _PLAY_SECONDS = 14.0
+# Until second processes have a share too.
+_LONG_PLAY_SECONDS = 20.0
 # When all nodes have had a share of their own for some time.
 _SHARES_USED_AT = 9.0
 
@@ -40,6 +43,12 @@
                 step = Step(_SHARES_USED_AT, action, _ALL)
                 self._check(self._case(step))
 
+    def test_processes_under_one_name_have_a_share_each(self) -> None:
+        """A successor starts while its predecessor goes on."""
+        step = Step(_SHARES_USED_AT, Action.DUPLICATE, _ALL)
+        case = attrs.evolve(self._case(step), seconds=_LONG_PLAY_SECONDS)
+        self._check(case)
+
     def _case(self, *steps: Step) -> StartCase:
         return StartCase(
             nodes=_NODES, spacing=0, seconds=_PLAY_SECONDS, steps=steps
