Do not take a restart for the first start while a listed node is silent

Cold targets could get more requests than they take: a node with first_start counted as known to all others 3 s after its registration, also where another one, cut off for up to 6 s, had not seen its new row. Found by reading the other uses of the setting (the class of the retry shares); no run of a deployment showed it.

The short time now also needs all listed nodes to be heard. The new case of test_cold_targets fails with the condition removed.

--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -324,7 +324,10 @@
         self._mesh.local.evacuations = list(self._fleet.evacuations.known())
         self._mesh.local.placer_domain = self._placer_host.held_failure_domain
         self._mesh.local.source_versions = self._followers.announced_versions()
-        self._mesh.local.is_established = self._registration.is_established
+        roster = self._mesh.state.roster
+        self._mesh.local.is_established = self._registration.is_established(
+            hears_all_peers=roster.live_count() == len(roster.peers)
+        )
         self._node_demand.update(self._mesh.local)
         self._mesh.local.slow_targets = self._router.paces.report()
 
--- a/src/cranecart/serving/_node_registration.py
+++ b/src/cranecart/serving/_node_registration.py
@@ -45,18 +45,19 @@
     _written_version: int = attrs.field(default=0, init=False)
     _is_name_taken: bool = attrs.field(default=False, init=False)
 
-    @property
-    def is_established(self) -> bool:
+    def is_established(self, *, hears_all_peers: bool) -> bool:
         """Return whether all other nodes know of this one.
 
         That takes some seconds after it was registered, as nodes may be cut
         off, unless its row is older than the process or all nodes start anew.
+        A listed node that is not heard shows that others have started before,
+        whatever the settings say.
         """
         if self._was_registered:
             return True
         seconds = (
             _FIRST_START_SECONDS
-            if self._settings.first_start
+            if self._settings.first_start and hears_all_peers
             else _ESTABLISHED_SECONDS
         )
         return since_boot() - self._written_at >= seconds
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -3,11 +3,13 @@
 import unittest
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import patch
 
 import attrs
 import curio
 import msgspec
 
+from cranecart.clocks import since_boot
 from cranecart.exceptions import OverloadedError
 from cranecart.fleet import Fleet
 from cranecart.http import Address
@@ -46,6 +48,8 @@
 _COLD = ColdStart(3, 14)
 # In the own failure domain: 18 of 26 requests in any second.
 _FIRST_SECOND = 18
+# As long as failure domains are cut off.
+_CUT_SECONDS = 6.0
 # A share is full again after 1.1 s; clients' retries are spread by half of that.
 _MAX_RETRY_SECONDS = 1.66
 
@@ -405,21 +409,39 @@
     def test_only_a_restarted_node_is_established(self) -> None:
         """Its row was in the store before, so that others know of it."""
         table = FakePlatform()
-        settings: Any = SimpleNamespace(
-            link_mbps=0,
-            node_id='n0',
-            peer_address='10.0.0.1:1',
-            peer_request_address='',
-            failure_domain='east',
-            first_start=False,
-        )
+        settings = _node_settings(first_start=False)
         established = []
         for _start in range(2):
             registration = NodeRegistration(settings, table, True)
             curio.run(registration.register)
-            established.append(registration.is_established)
+            established.append(
+                registration.is_established(hears_all_peers=True)
+            )
         self.assertEqual(established, [False, True])
 
+    def test_node_cut_off_does_not_know_of_a_restarted_one(self) -> None:
+        """Its settings still say that the whole deployment starts."""
+        settings = _node_settings(first_start=True)
+        registration = NodeRegistration(settings, FakePlatform(), True)
+        curio.run(registration.register)
+        later = since_boot() + _CUT_SECONDS
+        with patch(
+            'cranecart.serving._node_registration.since_boot', lambda: later
+        ):
+            self.assertTrue(registration.is_established(hears_all_peers=True))
+            self.assertFalse(registration.is_established(hears_all_peers=False))
+
+
+def _node_settings(*, first_start: bool) -> Any:
+    return SimpleNamespace(
+        link_mbps=0,
+        node_id='n0',
+        peer_address='10.0.0.1:1',
+        peer_request_address='',
+        failure_domain='east',
+        first_start=first_start,
+    )
+
 
 async def _serve(exchange: Exchange) -> None:
     await exchange.start_stream()
