Bound what is kept of requests over all clients

Clients ended processes: 40 bodies of 2 MiB, most of them one byte short of their end, took 131 to 134 MB of a machine of 100 (native: 184 of 128, 120 bodies of 1 MiB), whole ones for a slow target 211, of clients that leave at once 397. Cause: each request has a limit and connections have a number, but nothing bounds their product; and bodies of requests that failed stay in reference cycles until a collection.

All requests at hand of clients and peers now count against one limit, a part of the machine's memory. Over it, incomplete ones that have stalled longest are refused as not run (503, with a time to come back), or else the largest; small ones and one alone are always read. Large ones that have ended are collected before they add up. What a refused client still sends is read for 1 MiB at most.

--- a/src/cranecart/client_api/_gateway.py
+++ b/src/cranecart/client_api/_gateway.py
@@ -15,6 +15,7 @@
     ConnectionBrokenError,
     Execution,
     NotConfiguredError,
+    OverloadedError,
     RequestError,
 )
 from cranecart.http import Request, Responder, Response
@@ -90,6 +91,10 @@
                 'this node has not received a configuration yet',
             )
         organisation = authenticate(request, declarations)
+        if request.is_partial:
+            raise OverloadedError(
+                'all requests at hand take the memory that is for them'
+            )
         call = attrs.evolve(
             parse_call(request, organisation, declarations),
             request_id=request_id,
--- a/src/cranecart/exceptions.py
+++ b/src/cranecart/exceptions.py
@@ -62,6 +62,10 @@
     """All responses at hand took more memory than allowed; try again later."""
 
 
+class RequestCutError(HttpError):
+    """All requests at hand took more memory than allowed; try again later."""
+
+
 class PlatformError(CranecartError):
     """Base class of errors of the platform's services."""
 
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -13,6 +13,7 @@
     ConnectionBrokenError,
     InternalFaultError,
     OutcomeUnknownError,
+    OverloadedError,
     RequestError,
 )
 from cranecart.forwarding._admit import admit, find_route
@@ -109,6 +110,7 @@
                     started,
                 ),
             )
+            _check_whole(request)
             await self._handle_admitted(call, responder)
         except RequestError as error:
             client_error = self._startup_gate.error_for_client(error)
@@ -230,6 +232,14 @@
         )
 
 
+def _check_whole(request: Request) -> None:
+    """Raise ``OverloadedError`` if the body was not read."""
+    if request.is_partial:
+        raise OverloadedError(
+            'all requests at hand take the memory that this node has for them'
+        )
+
+
 def _trace_departure(
     trace: RequestTrace, responder: Responder, started: float
 ) -> str:
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -14,6 +14,7 @@
 )
 from cranecart.http._pool import HttpConnectionPool, exchange
 from cranecart.http._progress import AnswerReader, exchange_in_progress
+from cranecart.http._request_memory import RequestMemory
 from cranecart.http._responder import Responder
 from cranecart.http._response_memory import (
     HeldResponse,
@@ -36,6 +37,7 @@
     'HttpConnectionPool',
     'HttpServer',
     'Request',
+    'RequestMemory',
     'Responder',
     'Response',
     'ResponseHead',
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -64,7 +64,8 @@
     ``header_lines`` keeps order and repetitions for forwarding; if it is not
     empty, it is sent instead of ``headers``. ``arrived_at`` is when the first
     bytes of a received request arrived, as a time of ``since_boot``, and
-    ``unread_seconds`` how long they waited until they were read.
+    ``unread_seconds`` how long they waited until they were read. One that
+    ``is_partial`` has no body, as it was not read, and must not be run.
     """
 
     method: str
@@ -74,6 +75,7 @@
     header_lines: HeaderLines = ()
     arrived_at: float = attrs.field(factory=since_boot, eq=False, kw_only=True)
     unread_seconds: float = attrs.field(default=0, eq=False, kw_only=True)
+    is_partial: bool = attrs.field(default=False, kw_only=True)
 
     @property
     def path(self) -> str:
--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -1,18 +1,26 @@
 """Read a request from a client within the server's limits."""
 
+import attrs
 import curio
 import h11
 from curio.errors import TaskTimeout
 
-from cranecart.exceptions import BadMessageError, ConnectionBrokenError
+from cranecart.exceptions import (
+    BadMessageError,
+    ConnectionBrokenError,
+    RequestCutError,
+)
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Request, decode_headers
+from cranecart.http._request_memory import HeldRequest
 from cranecart.http._request_target import split_absolute_form
 from cranecart.http._turns import ReadingTurn
 
 _STATUS_TIMEOUT = 408
 _STATUS_TOO_LARGE = 413
 _STATUS_HEAD_TOO_LARGE = 431
+# How soon a request that was cut is answered.
+_CUT_POLL_SECONDS = 1.0
 # The separators of a header field: a colon, a space and the line end.
 _FIELD_BYTES = 4
 
@@ -21,9 +29,12 @@
     sock: curio.io.Socket,
     connection: h11.Connection,
     limits: ServerLimits,
+    held: HeldRequest | None = None,
 ) -> Request:
     """Read a request of which the first bytes have arrived.
 
+    What is kept of it is recorded as ``held``. A request that is cut to make
+    room for others is returned without its body as ``is_partial``.
     Raise ``BadMessageError`` if it is malformed, too large or too slow, and
     ``ConnectionBrokenError`` if the client closes before its end.
     """
@@ -31,8 +42,7 @@
         return await curio.timeout_after(
             limits.receive_seconds,
             _receive_complete,
-            sock,
-            connection,
+            _RequestSource(sock, connection, held or HeldRequest()),
             limits,
         )
     except TaskTimeout as error:
@@ -41,6 +51,8 @@
             f'{limits.receive_seconds} s',
             _STATUS_TIMEOUT,
         ) from error
+    except RequestCutError as error:
+        raise ConnectionBrokenError(str(error)) from error
     except h11.RemoteProtocolError as error:
         raise BadMessageError(
             str(error),
@@ -48,31 +60,68 @@
         ) from error
 
 
+@attrs.define
+class _RequestSource:
+    """A connection from which one request is read."""
+
+    sock: curio.io.Socket
+    connection: h11.Connection
+    held: HeldRequest
+    _turn: ReadingTurn = attrs.field(factory=ReadingTurn, init=False)
+
+    async def next_event(self) -> object:
+        """Return the next event; raise ``RequestCutError`` if it was cut."""
+        await self._turn.end_if_over()
+        self._turn.count_step()
+        event = self.connection.next_event()
+        while event is h11.NEED_DATA:
+            await self._turn.end_if_over()
+            self.connection.receive_data(await self._receive())
+            self._turn.count_step()
+            event = self.connection.next_event()
+        return event
+
+    async def _receive(self) -> bytes:
+        received = None
+        while received is None:
+            self.held.check()
+            received = await curio.ignore_after(
+                _CUT_POLL_SECONDS, self.sock.recv, READ_BYTES
+            )
+        self.held.grow(len(received))
+        self.held.check()
+        return received
+
+
 async def _receive_complete(
-    sock: curio.io.Socket,
-    connection: h11.Connection,
-    limits: ServerLimits,
+    source: _RequestSource, limits: ServerLimits
 ) -> Request:
-    max_bytes = limits.body_bytes
-    turn = ReadingTurn()
-    head = await _next_event(sock, connection, turn)
+    head = await source.next_event()
     if not isinstance(head, h11.Request):
         raise ConnectionBrokenError('client closed before sending a request')
     _check_head_size(head, limits.head_bytes)
-    _check_declared_size(head, max_bytes)
-    await _answer_expectation(sock, connection)
-    body = bytearray()
-    event = await _next_event(sock, connection, turn)
+    _check_declared_size(head, limits.body_bytes)
+    await _answer_expectation(source.sock, source.connection)
+    try:
+        body = await _receive_body(source, limits.body_bytes)
+    except RequestCutError:
+        return attrs.evolve(_build_request(head, b''), is_partial=True)
+    _check_not_pipelined(source.connection)
+    return _build_request(head, body)
+
+
+async def _receive_body(source: _RequestSource, max_bytes: int) -> bytes:
+    body = source.held.body
+    event = await source.next_event()
     while isinstance(event, h11.Data):
         body += event.data
         _check_size(len(body), max_bytes)
-        event = await _next_event(sock, connection, turn)
+        event = await source.next_event()
     if not isinstance(event, h11.EndOfMessage):
         raise ConnectionBrokenError(
             'client closed before the end of its request'
         )
-    _check_not_pipelined(connection)
-    return _build_request(head, bytes(body))
+    return source.held.complete()
 
 
 def _check_declared_size(head: h11.Request, max_bytes: int) -> None:
@@ -100,22 +149,6 @@
         )
 
 
-async def _next_event(
-    sock: curio.io.Socket,
-    connection: h11.Connection,
-    turn: ReadingTurn,
-) -> object:
-    await turn.end_if_over()
-    turn.count_step()
-    event = connection.next_event()
-    while event is h11.NEED_DATA:
-        await turn.end_if_over()
-        connection.receive_data(await sock.recv(READ_BYTES))
-        turn.count_step()
-        event = connection.next_event()
-    return event
-
-
 async def _answer_expectation(
     sock: curio.io.Socket,
     connection: h11.Connection,
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -16,7 +16,8 @@
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
 from cranecart.http._arrival import seconds_unread
 from cranecart.http._limits import READ_BYTES, ServerLimits
-from cranecart.http._messages import Address, Request
+from cranecart.http._messages import Address, Request, json_response
+from cranecart.http._request_memory import RequestMemory
 from cranecart.http._request_reader import receive_request
 from cranecart.http._responder import Responder, send_error
 from cranecart.http._turns import ReadingTurn
@@ -32,8 +33,13 @@
 # How long a server reports to be full after it last found no free slot.
 _FULL_STATE_SECONDS = 0.5
 _NO_DESCRIPTOR_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE))
-# Some round trips; a client that keeps sending for longer is disconnected.
+# Some round trips; a client that keeps sending for longer, or much more, is
+# disconnected.
 _LINGER_SECONDS = 1.0
+_LINGER_BYTES = 1_048_576
+_NO_BOUND = float('inf')
+_STATUS_UNAVAILABLE = 503
+_RETRY_AFTER_SECONDS = 1
 
 
 Handler = Callable[[Request, 'Responder'], Awaitable[None]]
@@ -53,11 +59,18 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         admits_connection: Callable[[], bool] = _admit,
+        *,
+        memory: RequestMemory | None = None,
+        refuse_partial: Handler | None = None,
     ) -> None:
         """Store the settings; ``open`` starts to listen.
 
         New connections that ``admits_connection`` rejects are closed unread.
+        ``memory`` bounds what is kept of requests; those of which it has no
+        room are answered by ``refuse_partial``.
         """
+        self.memory = memory or RequestMemory()
+        self._refuse_partial = refuse_partial or _refuse_partial
         self._requested_address = address
         self._handler = handler
         self.limits = limits or ServerLimits()
@@ -219,16 +232,34 @@
         )
         connection.receive_data(received)
         responder = self._responder(sock, connection)
-        try:
-            request = await receive_request(sock, connection, limits)
-        except BadMessageError as error:
-            await send_error(responder, error)
+        with self.memory.holding(len(received)) as held:
+            try:
+                request = await receive_request(sock, connection, limits, held)
+            except BadMessageError as error:
+                held.release()
+                await send_error(responder, error)
+            else:
+                answer = (
+                    self._refuse_partial
+                    if request.is_partial
+                    else self._handler
+                )
+                await answer(
+                    attrs.evolve(
+                        request, arrived_at=arrived_at, unread_seconds=unread
+                    ),
+                    responder,
+                )
+        return await self._next_received(sock, connection)
+
+    async def _next_received(
+        self, sock: curio.io.Socket, connection: h11.Connection
+    ) -> bytes | None:
+        """Return what was read of the next request, None if there is none."""
+        if connection.their_state not in {h11.DONE, h11.CLOSED}:
+            # The rest of the request was not read.
             await _drain_before_close(sock)
             return None
-        await self._handler(
-            attrs.evolve(request, arrived_at=arrived_at, unread_seconds=unread),
-            responder,
-        )
         if self._closing or not _is_reusable(connection):
             return None
         surplus, _closed = connection.trailing_data
@@ -243,7 +274,7 @@
             sock,
             connection,
             self.limits.write_seconds,
-            lambda: self._closing,
+            lambda: self._closing or connection.their_state is not h11.DONE,
             self.unread,
         )
 
@@ -280,14 +311,29 @@
     """
     try:
         await sock.shutdown(socket.SHUT_WR)
-        await curio.timeout_after(_LINGER_SECONDS, discard, sock)
+        await curio.timeout_after(_LINGER_SECONDS, discard, sock, _LINGER_BYTES)
     except TaskTimeout:
         _LOG.debug('rejected client keeps sending; closing its connection')
 
 
-async def discard(sock: curio.io.Socket) -> None:
-    """Read what is received until the client closes."""
+async def discard(sock: curio.io.Socket, max_bytes: float = _NO_BOUND) -> None:
+    """Read what is received until the client closes, or up to a size."""
     turn = ReadingTurn()
-    while await sock.recv(READ_BYTES):
+    discarded = 0
+    while discarded < max_bytes:
+        received = await sock.recv(READ_BYTES)
+        if not received:
+            return
+        discarded += len(received)
         turn.count_step()
         await turn.end_if_over()
+
+
+async def _refuse_partial(_request: Request, responder: Responder) -> None:
+    await responder.send(
+        json_response(
+            _STATUS_UNAVAILABLE,
+            {'error': {'code': 'overloaded', 'execution': 'not run'}},
+            {'retry-after': str(_RETRY_AFTER_SECONDS)},
+        )
+    )
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -105,7 +105,9 @@
             self._guard,
         )
         self._client_server = HttpServer(
-            settings.client_listen_address, gateway.handle
+            settings.client_listen_address,
+            gateway.handle,
+            refuse_partial=gateway.handle,
         )
         self._admin_server = HttpServer(
             settings.operator_listen_address,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -18,6 +18,7 @@
     Address,
     HttpServer,
     Request,
+    RequestMemory,
     Responder,
 )
 from cranecart.logs import LogQueue, log_decision, set_log_level
@@ -156,6 +157,9 @@
         peer_choice = make_peer_choice(
             settings, self._mesh, self._random_source
         )
+        self._request_memory = RequestMemory.from_megabytes(
+            settings.max_requests_mb, settings.memory_mb
+        )
         self._peer_requests = PeerRequests.for_node(
             settings,
             PeerGateway(
@@ -168,6 +172,7 @@
             ),
             peer_choice,
             lambda: self._is_informed() and not self._is_stopping,
+            self._request_memory,
         )
         self._gateway = self._make_gateway(forwarder)
         self._connection_gate = make_connection_gate(
@@ -178,6 +183,8 @@
             self._serve,
             server_limits(settings, ClientLimits()),
             self._connection_gate.admits,
+            memory=self._request_memory,
+            refuse_partial=self._serve,
         )
         self._ready_server = HttpServer(
             Address.from_text(settings.ready_address),
@@ -390,6 +397,7 @@
             **self._peer_requests.counts(),
             **self._retry_budget.counts(),
             **self._target_connections.memory.counts(),
+            **self._request_memory.counts(),
             'uneven_connections': self._target_connections.desynchronized,
             'log_bytes': self._log_queue.written_bytes,
             'log_lines_dropped': self._log_queue.dropped,
--- a/src/cranecart/serving/_peer_requests.py
+++ b/src/cranecart/serving/_peer_requests.py
@@ -9,7 +9,7 @@
 import curio
 
 from cranecart.forwarding import PeerGateway, PeersOfCall
-from cranecart.http import Address, HttpServer
+from cranecart.http import Address, HttpServer, RequestMemory
 from cranecart.mesh import Mesh
 from cranecart.models import ClientLimits, RouteConfig
 from cranecart.peer_calls import (
@@ -46,8 +46,12 @@
         gateway: PeerGateway,
         choice: PeerChoice,
         is_able: Callable[[], bool],
+        memory: RequestMemory,
     ) -> Self:
-        """Build what a node needs; ``is_able`` is whether it takes requests."""
+        """Build what a node needs; ``is_able`` is whether it takes requests.
+
+        ``memory`` counts them with those of clients.
+        """
         grants = AttemptGrants(settings.peer_request_address)
         endpoint = PeerEndpoint(gateway.handle, is_able, grants)
         server = None
@@ -56,6 +60,7 @@
                 Address.from_text(settings.peer_request_address),
                 endpoint.handle,
                 peer_server_limits(settings, ClientLimits()),
+                memory=memory,
             )
         return cls(
             PeerClient(choice, gateway.response_memory, grants),
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -25,6 +25,7 @@
 _MAX_EVENT_MB = 4.0
 _MAX_BODY_MB = 8.0
 _MAX_RESPONSES_MB = 16.0
+_POSITIVE = attrs.validators.gt(float(0))
 _NON_NEGATIVE = attrs.validators.ge(float(0))
 
 
@@ -83,6 +84,8 @@
     ``max_event_mb`` is how large one event of a target's stream may be,
     ``max_body_mb`` a response that is no stream, and ``max_responses_mb`` what
     is kept of all together; 0 means that it is not bounded.
+    ``max_requests_mb`` is what is kept of requests, of all together; without
+    it, a part of the machine's memory.
     With ``learns_pace`` nodes measure which replicas are slow and tell each
     other.
     Values are in the units that platforms use, so that the template of the
@@ -125,6 +128,9 @@
     max_event_mb: float = _non_negative_field(_MAX_EVENT_MB)
     max_body_mb: float = _non_negative_field(_MAX_BODY_MB)
     max_responses_mb: float = _non_negative_field(_MAX_RESPONSES_MB)
+    max_requests_mb: float | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_POSITIVE)
+    )
 
     @classmethod
     def from_file(cls, file: Path) -> Self:
--- a/tests/crowds/test_client_crowds.py
+++ b/tests/crowds/test_client_crowds.py
@@ -95,6 +95,15 @@
         )
         self._play(Crowd(client=client, size=_SIZE, hold_seconds=8))
 
+    def test_whole_bodies_of_clients_that_leave(self) -> None:
+        """Others come while the bodies of those that left are in memory."""
+        client = CrowdClient(
+            head=_announced(_BODY_BYTES),
+            part=b'x' * _BODY_BYTES,
+            stays_open=False,
+        )
+        self._play(Crowd(client=client, size=_SIZE, rounds=6))
+
     def test_chunked_bodies_without_end(self) -> None:
         """Chunks go on far over the limit, again and again."""
         client = CrowdClient(
--- a/tests/functional/test_unread_responses.py
+++ b/tests/functional/test_unread_responses.py
@@ -13,6 +13,7 @@
 
 from cranecart.http import Address, HttpConnection, Request
 from tests.lib.fake_targets import Exchange, FakeTarget
+from tests.lib.memory import peak_bytes
 from tests.lib.node_processes import (
     NodeProcess,
     NodeProcessTestCase,
