Refuse what a head rules out before its body is read

A crowd without a valid key took as much memory as one with a key (132 MB of 100), and kept room from callers that have one: keys and routes were looked at only once the whole body had arrived. Large bodies are now read only if their head is admitted; the gateway answers the others at once with the same 401 or 404, also a client that waits for 100.

--- a/src/cranecart/client_api/_gateway.py
+++ b/src/cranecart/client_api/_gateway.py
@@ -79,6 +79,17 @@
         finally:
             self._observe(outcome, responder.seconds_to_first_byte(started))
 
+    def admits_head(self, request: Request) -> bool:
+        """Return whether the body of a request is worth reading."""
+        declarations = self._current_declarations()
+        if declarations is None:
+            return False
+        try:
+            authenticate(request, declarations)
+        except RequestError:
+            return False
+        return True
+
     async def _serve(
         self,
         request: Request,
--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -54,6 +54,20 @@
     )
 
 
+def is_admissible(
+    request: Request, facts: RequestInfo, config: RouteConfig
+) -> bool:
+    """Return whether a request has a route and a key for it."""
+    route = find_route(request, facts, config)
+    if route is None:
+        return False
+    try:
+        _find_key_holder(config, route, facts)
+    except UnauthorizedError:
+        return False
+    return True
+
+
 def find_route(
     request: Request, facts: RequestInfo, config: RouteConfig
 ) -> Route | None:
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -16,7 +16,7 @@
     OverloadedError,
     RequestError,
 )
-from cranecart.forwarding._admit import admit, find_route
+from cranecart.forwarding._admit import admit, find_route, is_admissible
 from cranecart.forwarding._attempt_log import trace_stop
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._call import RoutedCall
@@ -88,6 +88,17 @@
         async with self.in_progress.track(), cancel_on_disconnect(responder):
             await self._answer(request, responder)
 
+    def admits_head(self, request: Request) -> bool:
+        """Return whether the body of a request is worth reading."""
+        config = self._current_config()
+        if config is None:
+            return True
+        try:
+            facts = self._forwarder.sender.translator.read_request(request)
+        except RequestError:
+            return False
+        return is_admissible(request, facts, config)
+
     async def _answer(self, request: Request, responder: Responder) -> None:
         started = request.arrived_at
         trace = RequestTrace('')
--- a/src/cranecart/http/__init__.py
+++ b/src/cranecart/http/__init__.py
@@ -12,6 +12,7 @@
     ResponseHead,
     json_response,
 )
+from cranecart.http._partial import PartialRequests
 from cranecart.http._pool import HttpConnectionPool, exchange
 from cranecart.http._progress import AnswerReader, exchange_in_progress
 from cranecart.http._request_memory import RequestMemory
@@ -36,6 +37,7 @@
     'HttpConnection',
     'HttpConnectionPool',
     'HttpServer',
+    'PartialRequests',
     'Request',
     'RequestMemory',
     'Responder',
--- a/src/cranecart/http/_request_memory.py
+++ b/src/cranecart/http/_request_memory.py
@@ -17,7 +17,7 @@
 _MEMORY_FRACTION = 0.15
 # Requests up to this size are always read, so that ordinary callers are served
 # beside those that take all the memory. Heads of requests have no more.
-_FREE_BYTES = 16384
+FREE_BYTES = 16384
 # A body is held as received and, while it is sent to a target, as encoded.
 _COPIES = 2
 # A client that sends nothing for this long is slower than any that means to end
@@ -71,7 +71,7 @@
     def record_size(self, held: 'HeldRequest', change: int) -> None:
         """Record that a request has grown or shrunk by some bytes."""
         self.held_bytes += change
-        if held.size > _FREE_BYTES:
+        if held.size > FREE_BYTES:
             self._large[held] = None
         else:
             self._large.pop(held, None)
@@ -80,7 +80,7 @@
 
     def record_end(self, held: 'HeldRequest') -> None:
         """Free what large requests have left behind, if that may be much."""
-        if not held.is_complete or held.size <= _FREE_BYTES:
+        if not held.is_complete or held.size <= FREE_BYTES:
             return
         self._garbage_bytes += held.size
         if self._garbage_bytes > self.limit_bytes * _GARBAGE_FRACTION:
--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -1,5 +1,7 @@
 """Read a request from a client within the server's limits."""
 
+from collections.abc import Callable
+
 import attrs
 import curio
 import h11
@@ -12,7 +14,7 @@
 )
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Request, decode_headers
-from cranecart.http._request_memory import HeldRequest
+from cranecart.http._request_memory import FREE_BYTES, HeldRequest
 from cranecart.http._request_target import split_absolute_form
 from cranecart.http._turns import ReadingTurn
 
@@ -21,6 +23,9 @@
 _STATUS_HEAD_TOO_LARGE = 431
 # How soon a request that was cut is answered.
 _CUT_POLL_SECONDS = 1.0
+# Tells by its head whether a request is to be read to its end.
+AdmitHead = Callable[[Request], bool]
+
 # The separators of a header field: a colon, a space and the line end.
 _FIELD_BYTES = 4
 
@@ -30,11 +35,13 @@
     connection: h11.Connection,
     limits: ServerLimits,
     held: HeldRequest | None = None,
+    admits: AdmitHead | None = None,
 ) -> Request:
     """Read a request of which the first bytes have arrived.
 
     What is kept of it is recorded as ``held``. A request that is cut to make
-    room for others is returned without its body as ``is_partial``.
+    room for others, or a large one that ``admits`` rejects, is returned without
+    its body as ``is_partial``.
     Raise ``BadMessageError`` if it is malformed, too large or too slow, and
     ``ConnectionBrokenError`` if the client closes before its end.
     """
@@ -44,6 +51,7 @@
             _receive_complete,
             _RequestSource(sock, connection, held or HeldRequest()),
             limits,
+            admits or _admit,
         )
     except TaskTimeout as error:
         raise BadMessageError(
@@ -60,6 +68,10 @@
         ) from error
 
 
+def _admit(_head: Request) -> bool:
+    return True
+
+
 @attrs.define
 class _RequestSource:
     """A connection from which one request is read."""
@@ -94,20 +106,23 @@
 
 
 async def _receive_complete(
-    source: _RequestSource, limits: ServerLimits
+    source: _RequestSource, limits: ServerLimits, admits: AdmitHead
 ) -> Request:
     head = await source.next_event()
     if not isinstance(head, h11.Request):
         raise ConnectionBrokenError('client closed before sending a request')
     _check_head_size(head, limits.head_bytes)
     _check_declared_size(head, limits.body_bytes)
+    request = _build_request(head)
+    if _may_be_large(head) and not admits(request):
+        return attrs.evolve(request, is_partial=True)
     await _answer_expectation(source.sock, source.connection)
     try:
         body = await _receive_body(source, limits.body_bytes)
     except RequestCutError:
-        return attrs.evolve(_build_request(head, b''), is_partial=True)
+        return attrs.evolve(request, is_partial=True)
     _check_not_pipelined(source.connection)
-    return _build_request(head, body)
+    return attrs.evolve(request, body=body)
 
 
 async def _receive_body(source: _RequestSource, max_bytes: int) -> bytes:
@@ -125,8 +140,16 @@
 
 
 def _check_declared_size(head: h11.Request, max_bytes: int) -> None:
-    declared = dict(head.headers).get(b'content-length', b'0')
-    _check_size(int(declared), max_bytes)
+    _check_size(_declared_size(head), max_bytes)
+
+
+def _may_be_large(head: h11.Request) -> bool:
+    is_chunked = b'transfer-encoding' in dict(head.headers)
+    return is_chunked or _declared_size(head) > FREE_BYTES
+
+
+def _declared_size(head: h11.Request) -> int:
+    return int(dict(head.headers).get(b'content-length', b'0'))
 
 
 def _check_size(size: int, max_bytes: int) -> None:
@@ -164,7 +187,7 @@
         raise BadMessageError('pipelined requests are not supported')
 
 
-def _build_request(head: h11.Request, body: bytes) -> Request:
+def _build_request(head: h11.Request) -> Request:
     header_lines = decode_headers(head.headers)
     authority, target = split_absolute_form(head.target.decode('ascii'))
     if authority:
@@ -175,6 +198,5 @@
         head.method.decode('ascii'),
         target,
         dict(header_lines),
-        body,
-        header_lines,
+        header_lines=header_lines,
     )
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -4,7 +4,7 @@
 import errno
 import logging
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -16,7 +16,8 @@
 from cranecart.exceptions import BadMessageError, ConnectionBrokenError
 from cranecart.http._arrival import seconds_unread
 from cranecart.http._limits import READ_BYTES, ServerLimits
-from cranecart.http._messages import Address, Request, json_response
+from cranecart.http._messages import Address
+from cranecart.http._partial import Handler, PartialRequests
 from cranecart.http._request_memory import RequestMemory
 from cranecart.http._request_reader import receive_request
 from cranecart.http._responder import Responder, send_error
@@ -38,11 +39,6 @@
 _LINGER_SECONDS = 1.0
 _LINGER_BYTES = 1_048_576
 _NO_BOUND = float('inf')
-_STATUS_UNAVAILABLE = 503
-_RETRY_AFTER_SECONDS = 1
-
-
-Handler = Callable[[Request, 'Responder'], Awaitable[None]]
 
 
 def _admit() -> bool:
@@ -61,16 +57,16 @@
         admits_connection: Callable[[], bool] = _admit,
         *,
         memory: RequestMemory | None = None,
-        refuse_partial: Handler | None = None,
+        partial: PartialRequests | None = None,
     ) -> None:
         """Store the settings; ``open`` starts to listen.
 
         New connections that ``admits_connection`` rejects are closed unread.
-        ``memory`` bounds what is kept of requests; those of which it has no
-        room are answered by ``refuse_partial``.
+        ``memory`` bounds what is kept of requests, ``partial`` answers those
+        that are not read to their end.
         """
         self.memory = memory or RequestMemory()
-        self._refuse_partial = refuse_partial or _refuse_partial
+        self._partial = partial or PartialRequests()
         self._requested_address = address
         self._handler = handler
         self.limits = limits or ServerLimits()
@@ -234,13 +230,15 @@
         responder = self._responder(sock, connection)
         with self.memory.holding(len(received)) as held:
             try:
-                request = await receive_request(sock, connection, limits, held)
+                request = await receive_request(
+                    sock, connection, limits, held, self._partial.admits
+                )
             except BadMessageError as error:
                 held.release()
                 await send_error(responder, error)
             else:
                 answer = (
-                    self._refuse_partial
+                    self._partial.refuse
                     if request.is_partial
                     else self._handler
                 )
@@ -327,13 +325,3 @@
         discarded += len(received)
         turn.count_step()
         await turn.end_if_over()
-
-
-async def _refuse_partial(_request: Request, responder: Responder) -> None:
-    await responder.send(
-        json_response(
-            _STATUS_UNAVAILABLE,
-            {'error': {'code': 'overloaded', 'execution': 'not run'}},
-            {'retry-after': str(_RETRY_AFTER_SECONDS)},
-        )
-    )
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -10,7 +10,7 @@
 from cranecart.client_api import Gateway
 from cranecart.clocks import awake_seconds, since_boot
 from cranecart.gossip import Topic
-from cranecart.http import HttpServer
+from cranecart.http import HttpServer, PartialRequests
 from cranecart.instances import Instance, InstanceKind
 from cranecart.limits import Admission, Capacity, LimitShares, TokenRateLimiter
 from cranecart.logs import log_decision
@@ -107,7 +107,7 @@
         self._client_server = HttpServer(
             settings.client_listen_address,
             gateway.handle,
-            refuse_partial=gateway.handle,
+            partial=PartialRequests(gateway.handle, gateway.admits_head),
         )
         self._admin_server = HttpServer(
             settings.operator_listen_address,
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -17,6 +17,7 @@
 from cranecart.http import (
     Address,
     HttpServer,
+    PartialRequests,
     Request,
     RequestMemory,
     Responder,
@@ -184,7 +185,7 @@
             server_limits(settings, ClientLimits()),
             self._connection_gate.admits,
             memory=self._request_memory,
-            refuse_partial=self._serve,
+            partial=PartialRequests(self._serve, self._gateway.admits_head),
         )
         self._ready_server = HttpServer(
             Address.from_text(settings.ready_address),
--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -29,6 +29,7 @@
     Headers,
     HttpConnection,
     HttpServer,
+    PartialRequests,
     Request,
 )
 from cranecart.models import (
@@ -376,7 +377,13 @@
             lambda _call: None,
             lambda _call, _events: None,
         )
-        self.server = HttpServer(Address('127.0.0.1', 0), self.gateway.handle)
+        self.server = HttpServer(
+            Address('127.0.0.1', 0),
+            self.gateway.handle,
+            partial=PartialRequests(
+                self.gateway.handle, self.gateway.admits_head
+            ),
+        )
 
     async def run(
         self,
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -228,6 +228,20 @@
         'if arrived_by < 0:',
         'tests.unit.test_late_arrivals',
     ),
+    Mutation(
+        'bodies-of-refused-heads-read',
+        'http/_request_reader.py',
+        'if _may_be_large(head) and not admits(request):',
+        'if _may_be_large(head) and not request:',
+        'tests.unit.test_refused_heads',
+    ),
+    Mutation(
+        'requests-without-bound',
+        'http/_request_memory.py',
+        'while self.held_bytes > self.limit_bytes and len(self._large) > 1:',
+        'while self.limit_bytes < 0:',
+        'tests.unit.test_request_memory',
+    ),
     Mutation(
         'shares-given-at-the-start',
         'retries/_shared.py',
