Keep bodies in parts instead of arrays that grow beside each other

Arrays of up to 1 MiB that grow beside each other are moved again and again and leave gaps in the heap.

--- a/src/cranecart/http/_request_memory.py
+++ b/src/cranecart/http/_request_memory.py
@@ -11,13 +11,16 @@
 from cranecart.exceptions import RequestCutError
 
 _MEGABYTE = 1_000_000
-_DEFAULT_BYTES = 64_000_000
+_DEFAULT_BYTES = 32_000_000
 # Part of a machine's memory that requests may take while they are received and
 # until they are answered.
 _MEMORY_FRACTION = 0.15
 # Requests up to this size are always read, so that ordinary callers are served
 # beside those that take all the memory. Heads of requests have no more.
 FREE_BYTES = 16384
+# Bodies are kept in parts: those that grow in one piece beside each other leave
+# gaps in the heap as large as they are.
+_PART_BYTES = 65536
 # A body is held as received and, while it is sent to a target, as encoded.
 _COPIES = 2
 # A client that sends nothing for this long is slower than any that means to end
@@ -102,7 +105,8 @@
     """What is kept of one request; ``size`` is in bytes."""
 
     memory: RequestMemory = attrs.field(factory=RequestMemory)
-    body: bytearray = attrs.field(factory=bytearray, init=False)
+    _parts: list[bytearray] = attrs.field(factory=list, init=False)
+    _body_bytes: int = attrs.field(default=0, init=False)
     size: int = attrs.field(default=0, init=False)
     is_complete: bool = attrs.field(default=False, init=False)
     is_cut: bool = attrs.field(default=False, init=False)
@@ -113,6 +117,15 @@
         self.grown_at = since_boot()
         self._resize(self.size + count)
 
+    def add(self, received: bytes) -> int:
+        """Keep a part of the body; return how much there is of it so far."""
+        if self._parts and len(self._parts[-1]) + len(received) <= _PART_BYTES:
+            self._parts[-1] += received
+        else:
+            self._parts.append(bytearray(received))
+        self._body_bytes += len(received)
+        return self._body_bytes
+
     def check(self) -> None:
         """Raise ``RequestCutError`` if it was cut."""
         if self.is_cut:
@@ -126,8 +139,8 @@
         Raise ``RequestCutError`` if it was cut.
         """
         self.is_complete = True
-        body = bytes(self.body)
-        self.body.clear()
+        body = b''.join(self._parts)
+        self._parts.clear()
         self._resize(len(body) * _COPIES)
         self.check()
         return body
@@ -139,7 +152,7 @@
 
     def release(self) -> None:
         """Record that nothing is kept of it any more."""
-        self.body.clear()
+        self._parts.clear()
         self._resize(0)
 
     def _resize(self, size: int) -> None:
--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -134,11 +134,9 @@
 
 
 async def _receive_body(source: RequestSource, max_bytes: int) -> bytes:
-    body = source.held.body
     event = await source.next_event()
     while isinstance(event, h11.Data):
-        body += event.data
-        _check_size(len(body), max_bytes)
+        _check_size(source.held.add(event.data), max_bytes)
         event = await source.next_event()
     if not isinstance(event, h11.EndOfMessage):
         raise ConnectionBrokenError(
