Count requests at all addresses of a node with those of clients

Crowds at the addresses of the metrics and of the readiness took 132 and 135 MB of 100 (test_bodies_short_of_their_end_at_other_addresses, before), as each server had a bound of its own; so had the native admin interface. They share one now.

--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -10,7 +10,7 @@
 from cranecart.client_api import Gateway
 from cranecart.clocks import awake_seconds, since_boot
 from cranecart.gossip import Topic
-from cranecart.http import HttpServer, PartialRequests
+from cranecart.http import HttpServer, PartialRequests, RequestMemory
 from cranecart.instances import Instance, InstanceKind
 from cranecart.limits import Admission, Capacity, LimitShares, TokenRateLimiter
 from cranecart.logs import log_decision
@@ -104,9 +104,11 @@
             self._metrics.observe_request,
             self._guard,
         )
+        memory = RequestMemory()
         self._client_server = HttpServer(
             settings.client_listen_address,
             gateway.handle,
+            memory=memory,
             partial=PartialRequests(gateway.handle, gateway.admits_head),
         )
         self._admin_server = HttpServer(
@@ -116,6 +118,7 @@
                 self._status,
                 self._metrics_text,
             ).handle,
+            memory=memory,
         )
 
     async def run(self) -> None:
--- a/src/cranecart/serving/_node.py
+++ b/src/cranecart/serving/_node.py
@@ -190,6 +190,7 @@
         self._ready_server = HttpServer(
             Address.from_text(settings.ready_address),
             ReadyEndpoint(self._is_ready).handle,
+            memory=self._request_memory,
         )
         self._metrics_server = HttpServer(
             Address.from_text(settings.metrics_address),
@@ -199,6 +200,7 @@
                 self._fleet,
                 self._active_config,
             ).handle,
+            memory=self._request_memory,
         )
         self._active_config.subscribe(self._apply_client_limits)
 
--- a/tests/crowds/test_client_crowds.py
+++ b/tests/crowds/test_client_crowds.py
@@ -28,6 +28,8 @@
 _MEMORY_BYTES = _MEMORY_MB * 1_000_000
 _MAX_DESCRIPTORS = 400
 _BODY_BYTES = 2_097_152
+# The limit on requests that are not of clients.
+_OTHER_BODY_BYTES = 1_048_576
 _SIZE = 40
 _ROUNDS = 4
 _START_SECONDS = 30.0
@@ -120,12 +122,22 @@
 
     def test_bodies_short_of_their_end_at_the_port_for_peers(self) -> None:
         """Whoever reaches the port of the nodes may send there."""
-        self._play(Crowd(client=_SHORT_BODY, size=_SIZE), to_peer_port=True)
+        self._play(Crowd(client=_SHORT_BODY, size=_SIZE), 'peer_requests')
 
-    def _play(self, crowd: Crowd, *, to_peer_port: bool = False) -> None:
-        curio.run(self._run, crowd, to_peer_port)
+    def test_bodies_short_of_their_end_at_other_addresses(self) -> None:
+        """The metrics and the readiness have addresses of their own."""
+        client = CrowdClient(
+            head=_announced(_OTHER_BODY_BYTES),
+            part=b'x' * (_OTHER_BODY_BYTES - 1),
+        )
+        for port in ('metrics', 'ready'):
+            with self.subTest(port=port):
+                self._play(Crowd(client=client, size=2 * _SIZE), port)
+
+    def _play(self, crowd: Crowd, port: str = 'client') -> None:
+        curio.run(self._run, crowd, port)
 
-    async def _run(self, crowd: Crowd, to_peer_port: bool) -> None:
+    async def _run(self, crowd: Crowd, port: str) -> None:
         target = FakeTarget('t-1', _serve)
         store = add_config_and_target(
             StandinStore(), target, 1000, {'maxBodyBytes': _BODY_BYTES}
@@ -139,8 +151,7 @@
             max_descriptors=_MAX_DESCRIPTORS,
         )
         await until(lambda: node.events('node_informed'), _START_SECONDS)
-        address = node.peer_requests if to_peer_port else node.client
-        crowding = await curio.spawn(crowd.run, address)
+        crowding = await curio.spawn(crowd.run, getattr(node, port))
         await curio.sleep(_BESIDE_AFTER_SECONDS)
         await self._check(node, 'beside')
         await crowding.join()
