--- a/tests/functional/test_retries_of_starting_nodes.py
+++ b/tests/functional/test_retries_of_starting_nodes.py
@@ -19,6 +19,7 @@
 _ALL = range(_NODES)
 _SPACING_SECONDS = 0.4
 _PLAY_SECONDS = 14.0
+_SEEDS = (16, 40, 41)
 # Until second processes have a share too.
 _LONG_PLAY_SECONDS = 20.0
 # When all nodes have had a share of their own for some time.
@@ -49,6 +50,12 @@
         case = attrs.evolve(self._case(step), seconds=_LONG_PLAY_SECONDS)
         self._check(case)
 
+    def test_drawn_starts_and_ends(self) -> None:
+        """With restarts, second processes, and outages of the store."""
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                self._check(StartCase.draw(seed))
+
     def _case(self, *steps: Step) -> StartCase:
         return StartCase(
             nodes=_NODES, spacing=0, seconds=_PLAY_SECONDS, steps=steps
