Close stalled requests for new connections at the connection limit

Clients that had sent half a head or half a body kept all others out of a server at its limit for as long as a request may take: 10.8 s in test_connections_with_half_a_request_keep_others_out before. Only idle connections made room. Now those that have sent nothing for longest, and for over a second, are closed as well, some at a time.

--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -69,7 +69,7 @@
     return True
 
 
-@attrs.define
+@attrs.define(eq=False)
 class RequestSource:
     """A connection from which one request is read.
 
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -18,10 +18,10 @@
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Address
 from cranecart.http._partial import Handler, PartialRequests
+from cranecart.http._receiving import ReceivingRequests
 from cranecart.http._request_memory import RequestMemory
-from cranecart.http._request_reader import RequestSource, receive_request
 from cranecart.http._responder import Responder, send_error
-from cranecart.http._turns import ReadingPace, ReadingTurn
+from cranecart.http._turns import ReadingTurn
 from cranecart.http._unread import UnreadResponses
 from cranecart.listening import take_listener
 
@@ -66,7 +66,7 @@
         that are not read to their end.
         """
         self.memory = memory or RequestMemory()
-        self._pace = ReadingPace()
+        self._receiving = ReceivingRequests()
         self._partial = partial or PartialRequests()
         self._requested_address = address
         self._handler = handler
@@ -162,8 +162,11 @@
         self._full_until = float('-inf')
 
     async def _free_capacity(self) -> None:
-        """Close the connections idle longest, or report the server as full."""
-        if not self._idle:
+        """Close the connections idle longest, or report the server as full.
+
+        Without idle ones, those are closed whose requests make no progress.
+        """
+        if not self._idle and not await self._receiving.close_stalled():
             self._full_until = since_boot() + _FULL_STATE_SECONDS
         count = max(1, int(len(self._idle) * _IDLE_CLOSE_FRACTION))
         for sock in list(self._idle)[:count]:
@@ -231,8 +234,10 @@
         responder = self._responder(sock, connection)
         with self.memory.holding(len(received)) as held:
             try:
-                request = await receive_request(
-                    RequestSource(sock, connection, held, self._pace),
+                request = await self._receiving.receive(
+                    sock,
+                    connection,
+                    held,
                     limits,
                     self._partial.admits,
                 )
--- a/tests/unit/test_connection_limit.py
+++ b/tests/unit/test_connection_limit.py
@@ -12,6 +12,7 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable, Generator, Sequence
+from functools import partial
 
 import curio
 
@@ -28,7 +29,9 @@
 from tests.lib.waiting import until
 
 _LIMIT = 4
+_HALF_REQUEST = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx'
 _MAX_WAIT_SECONDS = 3.0
+_READ_SECONDS = 0.2
 
 
 class ServerHarness:
@@ -96,6 +99,31 @@
         """The server reports that it is full."""
         curio.run(ServerHarness(1000).run, self._busy_without_descriptors)
 
+    def test_connections_with_half_a_request_keep_others_out(self) -> None:
+        """One that has sent nothing for a while is closed for a new one."""
+        for sent in (b'GET /', _HALF_REQUEST):
+            with self.subTest(sent=sent):
+                harness = ServerHarness()
+                curio.run(harness.run, partial(self._stalled, sent=sent))
+
+    async def _stalled(self, harness: ServerHarness, sent: bytes) -> None:
+        address = harness.server.address
+        stalled = [
+            await curio.open_connection(address.host, address.port)
+            for _ in range(_LIMIT)
+        ]
+        for sock in stalled:
+            await sock.sendall(sent)
+        # Until then they are idle for the server.
+        await curio.sleep(_READ_SECONDS)
+        started = time.monotonic()
+        additional = await HttpConnection.open(address)
+        self.assertEqual(await _status(additional), 200)
+        self.assertLess(time.monotonic() - started, _MAX_WAIT_SECONDS)
+        for sock in stalled:
+            await sock.close()
+        await additional.close()
+
     async def _idle(self, harness: ServerHarness) -> None:
         connections = await harness.connect(_LIMIT)
         started = time.monotonic()
