Bound connections of clients by the memory as well

2,500 clients with heads short of their end took 119.1 MB of 100 (test_heads_short_of_their_end, before): connections were bounded by descriptors alone, and each may hold a head. Ordinary clients may have to connect again in this test, as the kernel's backlog is full for some seconds.

--- a/src/cranecart/serving/_factories.py
+++ b/src/cranecart/serving/_factories.py
@@ -33,6 +33,7 @@
 from cranecart.retries import RetryLimits, SharedRetryBudget
 from cranecart.serving._active_config import ActiveRouteConfig
 from cranecart.serving._connection_gate import ConnectionGate
+from cranecart.serving._connection_limit import max_connections
 from cranecart.settings import ServingSettings
 from cranecart.throttling import (
     ColdEntries,
@@ -42,12 +43,6 @@
 )
 from cranecart.transport import PeerTransport
 
-# File descriptors reserved for files, and the fraction of the others that clients
-# may use: each request in flight also has a connection to a target, and idle
-# connections to targets are kept open.
-_RESERVED_DESCRIPTORS = 200
-_CLIENT_FRACTION = 0.6
-_MIN_CONNECTIONS = 16
 # Fraction of a node's memory that may be held for clients that do not read. The
 # state of a large deployment takes up to 128 MB of the smallest nodes' 152 MB.
 _UNREAD_FRACTION = 0.125
@@ -85,21 +80,13 @@
     settings: ServingSettings,
     limits: ClientLimits,
 ) -> ServerLimits:
-    """Return the limits on clients' connections and requests.
-
-    Connections to targets, to the store and to other nodes need file
-    descriptors too. A node that runs out of them answers neither clients nor
-    the load balancer.
-    """
-    available_descriptors = settings.max_descriptors - _RESERVED_DESCRIPTORS
+    """Return the limits on clients' connections and requests."""
     return ServerLimits(
         head_bytes=limits.head_bytes,
         body_bytes=limits.body_bytes,
         receive_seconds=limits.receive_seconds,
         idle_seconds=limits.idle_seconds,
-        connections=max(
-            _MIN_CONNECTIONS, int(available_descriptors * _CLIENT_FRACTION)
-        ),
+        connections=max_connections(settings, limits.head_bytes),
         unread_bytes=_unread_bytes(settings),
     )
 
