Linger on a connection only where a body was not read, or after an error

Found in the last reading of the commits before: clients that ask for their connection to be closed, with their request read, held its slot for up to a second, and an error after a whole request was not lingered on any more.

--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -244,25 +244,24 @@
             except BadMessageError as error:
                 held.release()
                 await send_error(responder, error)
-            else:
-                answer = (
-                    self._partial.refuse
-                    if request.is_partial
-                    else self._handler
-                )
-                await answer(
-                    attrs.evolve(
-                        request, arrived_at=arrived_at, unread_seconds=unread
-                    ),
-                    responder,
-                )
+                await _drain_before_close(sock)
+                return None
+            answer = (
+                self._partial.refuse if request.is_partial else self._handler
+            )
+            await answer(
+                attrs.evolve(
+                    request, arrived_at=arrived_at, unread_seconds=unread
+                ),
+                responder,
+            )
         return await self._next_received(sock, connection)
 
     async def _next_received(
         self, sock: curio.io.Socket, connection: h11.Connection
     ) -> bytes | None:
         """Return what was read of the next request, None if there is none."""
-        if connection.their_state not in {h11.DONE, h11.CLOSED}:
+        if connection.their_state is h11.SEND_BODY:
             # The rest of the request was not read.
             await _drain_before_close(sock)
             return None
@@ -280,7 +279,7 @@
             sock,
             connection,
             self.limits.write_seconds,
-            lambda: self._closing or connection.their_state is not h11.DONE,
+            lambda: self._closing or connection.their_state is h11.SEND_BODY,
             self.unread,
         )
 
