Tell peers that a request was refused for want of memory

With the bound of requests, a request of a peer for which there was no room was refused without the word of what had become of it: its client got 502, outcome unknown, though nothing had run and another peer could serve it. test_peers_without_memory before: 502, 200, 200, 200 and four times 502; now 200 and, without another peer, 503 as not run.

--- a/src/cranecart/peer_calls/_endpoint.py
+++ b/src/cranecart/peer_calls/_endpoint.py
@@ -54,6 +54,20 @@
         else:
             await responder.send(Response(_NOT_FOUND))
 
+    async def refuse_partial(
+        self, _request: Request, responder: Responder
+    ) -> None:
+        """Refuse a request for which there is no memory."""
+        refusal = _refused(
+            'busy', 'this node has no memory for requests of peers'
+        )
+        await self._refuse(refusal, responder)
+
+    async def _refuse(self, refusal: PeerOutcome, responder: Responder) -> None:
+        self.refused += 1
+        responder.extra_headers = (refusal.to_header(),)
+        await responder.send(Response(_UNAVAILABLE))
+
     async def _handle_grant(
         self, request: Request, responder: Responder
     ) -> None:
@@ -72,9 +86,7 @@
             return
         refusal = self._refusal()
         if refusal is not None:
-            self.refused += 1
-            responder.extra_headers = (refusal.to_header(),)
-            await responder.send(Response(_UNAVAILABLE))
+            await self._refuse(refusal, responder)
             return
         await self._handle_admitted(message, responder, request.arrived_at)
 
--- a/src/cranecart/serving/_peer_requests.py
+++ b/src/cranecart/serving/_peer_requests.py
@@ -9,7 +9,7 @@
 import curio
 
 from cranecart.forwarding import PeerGateway, PeersOfCall
-from cranecart.http import Address, HttpServer, RequestMemory
+from cranecart.http import Address, HttpServer, PartialRequests, RequestMemory
 from cranecart.mesh import Mesh
 from cranecart.models import ClientLimits, RouteConfig
 from cranecart.peer_calls import (
@@ -61,6 +61,7 @@
                 endpoint.handle,
                 peer_server_limits(settings, ClientLimits()),
                 memory=memory,
+                partial=PartialRequests(endpoint.refuse_partial),
             )
         return cls(
             PeerClient(choice, gateway.response_memory, grants),
--- a/tests/lib/peer_testbed.py
+++ b/tests/lib/peer_testbed.py
@@ -7,7 +7,7 @@
 import curio
 
 from cranecart.forwarding import PeerGateway, PeersOfCall
-from cranecart.http import Address, HttpServer
+from cranecart.http import Address, HttpServer, PartialRequests
 from cranecart.peer_calls import Peer, PeerChoice, PeerClient, PeerEndpoint
 from tests.lib.cut_paths import CuttablePath
 from tests.lib.fake_targets import GatewayTestbed, Script
@@ -33,7 +33,11 @@
             random.Random(1),
         )
         self.endpoint = PeerEndpoint(self.gateway.handle, lambda: self.is_able)
-        self.server = HttpServer(Address('127.0.0.1', 0), self.endpoint.handle)
+        self.server = HttpServer(
+            Address('127.0.0.1', 0),
+            self.endpoint.handle,
+            partial=PartialRequests(self.endpoint.refuse_partial),
+        )
         self._link: CuttablePath | None = None
 
     @property
