--- a/src/cranecart/forwarding/_admit.py
+++ b/src/cranecart/forwarding/_admit.py
@@ -33,10 +33,7 @@
             'this node has not received a configuration yet',
             retry_after=_STARTUP_RETRY_AFTER_SECONDS,
         )
-    route = find_route(request, facts, config)
-    if route is None:
-        raise NotFoundError(f'no route matches {request.target!r}')
-    holder = _find_key_holder(config, route, facts)
+    route, holder = match_route(request, facts, config)
     rank = route.rank
     if holder is not None and holder.rank is not None:
         rank = holder.rank
@@ -54,18 +51,17 @@
     )
 
 
-def is_admissible(
+def match_route(
     request: Request, facts: RequestInfo, config: RouteConfig
-) -> bool:
-    """Return whether a request has a route and a key for it."""
+) -> tuple[Route, KeyHolder | None]:
+    """Return the route of a request and who holds its key, if it has one.
+
+    Raise ``NotFoundError`` or ``UnauthorizedError``.
+    """
     route = find_route(request, facts, config)
     if route is None:
-        return False
-    try:
-        _find_key_holder(config, route, facts)
-    except UnauthorizedError:
-        return False
-    return True
+        raise NotFoundError(f'no route matches {request.target!r}')
+    return route, _find_key_holder(config, route, facts)
 
 
 def find_route(
--- a/src/cranecart/forwarding/_gateway.py
+++ b/src/cranecart/forwarding/_gateway.py
@@ -16,7 +16,7 @@
     OverloadedError,
     RequestError,
 )
-from cranecart.forwarding._admit import admit, find_route, is_admissible
+from cranecart.forwarding._admit import admit, find_route, match_route
 from cranecart.forwarding._attempt_log import trace_stop
 from cranecart.forwarding._attempts import RoutedAttempts
 from cranecart.forwarding._call import RoutedCall
@@ -95,9 +95,10 @@
             return True
         try:
             facts = self._forwarder.sender.translator.read_request(request)
+            match_route(request, facts, config)
         except RequestError:
             return False
-        return is_admissible(request, facts, config)
+        return True
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         started = request.arrived_at
