Read the framing of a request once, and count its steps without a context

Each request built a dict of its head three times and was copied twice more than before; one dict and one copy do. Steps of a turn are counted with their seconds, who admits a head is a required argument with one type, and what only one class calls is private to it.

--- a/src/cranecart/http/_partial.py
+++ b/src/cranecart/http/_partial.py
@@ -10,6 +10,8 @@
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_SECONDS = 1
 
+# Tells by its head whether a request is to be read to its end.
+AdmitHead = Callable[[Request], bool]
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
@@ -37,4 +39,4 @@
     """
 
     refuse: Handler = _refuse
-    admits: Callable[[Request], bool] = _admit
+    admits: AdmitHead = _admit
--- a/src/cranecart/http/_receiving.py
+++ b/src/cranecart/http/_receiving.py
@@ -10,12 +10,9 @@
 from cranecart.clocks import since_boot
 from cranecart.http._limits import ServerLimits
 from cranecart.http._messages import Request
+from cranecart.http._partial import AdmitHead
 from cranecart.http._request_memory import HeldRequest
-from cranecart.http._request_reader import (
-    AdmitHead,
-    RequestSource,
-    receive_request,
-)
+from cranecart.http._request_reader import RequestSource, receive_request
 from cranecart.http._turns import ReadingPace
 
 # Far longer than the parts of a request are apart, far less than one may take.
--- a/src/cranecart/http/_request_memory.py
+++ b/src/cranecart/http/_request_memory.py
@@ -61,7 +61,7 @@
         try:
             yield held
         finally:
-            self.record_end(held)
+            self._collect_garbage(held)
             held.release()
 
     def counts(self) -> dict[str, int]:
@@ -81,15 +81,6 @@
         if change > 0:
             self._make_room()
 
-    def record_end(self, held: 'HeldRequest') -> None:
-        """Free what large requests have left behind, if that may be much."""
-        if not held.is_complete or held.size <= FREE_BYTES:
-            return
-        self._garbage_bytes += held.size
-        if self._garbage_bytes > self.limit_bytes * _GARBAGE_FRACTION:
-            self._garbage_bytes = 0
-            gc.collect()
-
     def _make_room(self) -> None:
         """Cut requests until the others fit; one alone always does."""
         while self.held_bytes > self.limit_bytes and len(self._large) > 1:
@@ -99,6 +90,15 @@
             self.cut_count += 1
             victim.cut()
 
+    def _collect_garbage(self, held: 'HeldRequest') -> None:
+        """Free what large requests have left behind, if that may be much."""
+        if not held.is_complete or held.size <= FREE_BYTES:
+            return
+        self._garbage_bytes += held.size
+        if self._garbage_bytes > self.limit_bytes * _GARBAGE_FRACTION:
+            self._garbage_bytes = 0
+            gc.collect()
+
 
 @attrs.define(eq=False)
 class HeldRequest:
--- a/src/cranecart/http/_request_reader.py
+++ b/src/cranecart/http/_request_reader.py
@@ -1,6 +1,6 @@
 """Read a request from a client within the server's limits."""
 
-from collections.abc import Callable
+import time
 
 import attrs
 import curio
@@ -14,6 +14,7 @@
 )
 from cranecart.http._limits import READ_BYTES, ServerLimits
 from cranecart.http._messages import Request, decode_headers
+from cranecart.http._partial import AdmitHead
 from cranecart.http._request_memory import FREE_BYTES, HeldRequest
 from cranecart.http._request_target import split_absolute_form
 from cranecart.http._turns import ReadingPace, ReadingTurn
@@ -23,9 +24,6 @@
 _STATUS_HEAD_TOO_LARGE = 431
 # How soon a request that was cut is answered.
 _CUT_POLL_SECONDS = 1.0
-# Tells by its head whether a request is to be read to its end.
-AdmitHead = Callable[[Request], bool]
-
 # The separators of a header field: a colon, a space and the line end.
 _FIELD_BYTES = 4
 
@@ -33,7 +31,7 @@
 async def receive_request(
     source: 'RequestSource',
     limits: ServerLimits,
-    admits: AdmitHead | None = None,
+    admits: AdmitHead,
 ) -> Request:
     """Read a request of which the first bytes have arrived.
 
@@ -48,7 +46,7 @@
             _receive_complete,
             source,
             limits,
-            admits or _admit,
+            admits,
         )
     except TaskTimeout as error:
         raise BadMessageError(
@@ -65,10 +63,6 @@
         ) from error
 
 
-def _admit(_head: Request) -> bool:
-    return True
-
-
 @attrs.define(eq=False)
 class RequestSource:
     """A connection from which one request is read.
@@ -96,10 +90,12 @@
 
     async def _parse(self, received: bytes | None) -> object:
         await self._turn.end_if_over()
-        with self._turn.step():
-            if received is not None:
-                self.connection.receive_data(received)
-            return self.connection.next_event()
+        started = time.perf_counter()
+        if received is not None:
+            self.connection.receive_data(received)
+        event = self.connection.next_event()
+        self._turn.count_step(time.perf_counter() - started)
+        return event
 
     async def _receive(self) -> bytes:
         received = None
@@ -120,17 +116,19 @@
     if not isinstance(head, h11.Request):
         raise ConnectionBrokenError('client closed before sending a request')
     _check_head_size(head, limits.head_bytes)
-    _check_declared_size(head, limits.body_bytes)
-    request = _build_request(head)
-    if _may_be_large(head) and not admits(request):
-        return attrs.evolve(request, is_partial=True)
+    fields = dict(head.headers)
+    declared_bytes = int(fields.get(b'content-length', b'0'))
+    _check_size(declared_bytes, limits.body_bytes)
+    may_be_large = declared_bytes > FREE_BYTES or b'transfer-encoding' in fields
+    if may_be_large and not admits(_build_request(head)):
+        return _build_request(head, is_partial=True)
     await _answer_expectation(source.sock, source.connection)
     try:
         body = await _receive_body(source, limits.body_bytes)
     except RequestCutError:
-        return attrs.evolve(request, is_partial=True)
+        return _build_request(head, is_partial=True)
     _check_not_pipelined(source.connection)
-    return attrs.evolve(request, body=body)
+    return _build_request(head, body)
 
 
 async def _receive_body(source: RequestSource, max_bytes: int) -> bytes:
@@ -145,19 +143,6 @@
     return source.held.complete()
 
 
-def _check_declared_size(head: h11.Request, max_bytes: int) -> None:
-    _check_size(_declared_size(head), max_bytes)
-
-
-def _may_be_large(head: h11.Request) -> bool:
-    is_chunked = b'transfer-encoding' in dict(head.headers)
-    return is_chunked or _declared_size(head) > FREE_BYTES
-
-
-def _declared_size(head: h11.Request) -> int:
-    return int(dict(head.headers).get(b'content-length', b'0'))
-
-
 def _check_size(size: int, max_bytes: int) -> None:
     if size > max_bytes:
         raise BadMessageError(
@@ -193,7 +178,9 @@
         raise BadMessageError('pipelined requests are not supported')
 
 
-def _build_request(head: h11.Request) -> Request:
+def _build_request(
+    head: h11.Request, body: bytes = b'', *, is_partial: bool = False
+) -> Request:
     header_lines = decode_headers(head.headers)
     authority, target = split_absolute_form(head.target.decode('ascii'))
     if authority:
@@ -204,5 +191,7 @@
         head.method.decode('ascii'),
         target,
         dict(header_lines),
-        header_lines=header_lines,
+        body,
+        header_lines,
+        is_partial=is_partial,
     )
--- a/src/cranecart/http/_turns.py
+++ b/src/cranecart/http/_turns.py
@@ -1,9 +1,5 @@
 """Let other tasks run beside one that reads without ever waiting."""
 
-import contextlib
-import time
-from collections.abc import Generator
-
 import attrs
 import curio
 
@@ -49,19 +45,10 @@
         """Return whether other tasks are to run before the next step."""
         return self._steps >= _MAX_STEPS_AT_ONCE
 
-    def count_step(self) -> None:
-        """Count a step."""
+    def count_step(self, seconds: float = 0) -> None:
+        """Count a step, and the processor time that it took."""
         self._steps += 1
-
-    @contextlib.contextmanager
-    def step(self) -> Generator[None, None, None]:
-        """Count a step, and the processor time that it takes."""
-        started = time.perf_counter()
-        try:
-            yield
-        finally:
-            self._seconds += time.perf_counter() - started
-            self.count_step()
+        self._seconds += seconds
 
     async def end_if_over(self) -> None:
         """Let other tasks run if it is their turn."""
--- a/src/cranecart/settings/_serving.py
+++ b/src/cranecart/settings/_serving.py
@@ -65,8 +65,9 @@
     """Settings that a process needs before it can contact others.
 
     ``first_start`` is true only when the whole deployment starts for the first
-    time; a file that is written once may keep it. The retry budget bounds retries over all nodes together: in each
-    window, ``retry_slack`` plus ``retry_ratio`` times the requests.
+    time; a file that is written once may keep it. The retry budget bounds
+    retries over all nodes together: in each window, ``retry_slack`` plus
+    ``retry_ratio`` times the requests.
     ``stall_ms`` is how long a replica that lost a member stalls before it
     breaks, ``leaving_ms`` how long a leaving instance may still be sent
     requests, ``stop_grace_seconds`` the time a process has to stop.
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -16,6 +16,7 @@
     Address,
     HttpConnection,
     HttpServer,
+    PartialRequests,
     Request,
     Responder,
     Response,
@@ -134,7 +135,11 @@
 
 async def _receive_request(sock: _ReadySocket) -> None:
     connection = h11.Connection(h11.SERVER)
-    await receive_request(RequestSource(sock, connection), ServerLimits())
+    await receive_request(
+        RequestSource(sock, connection),
+        ServerLimits(),
+        PartialRequests().admits,
+    )
 
 
 class EndlessResponseTest(unittest.TestCase):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -231,8 +231,8 @@
     Mutation(
         'bodies-of-refused-heads-read',
         'http/_request_reader.py',
-        'if _may_be_large(head) and not admits(request):',
-        'if _may_be_large(head) and not request:',
+        'if may_be_large and not admits(_build_request(head)):',
+        'if may_be_large and not head:',
         'tests.unit.test_refused_heads',
     ),
     Mutation(
