--- a/tests/crowds/test_client_crowds.py
+++ b/tests/crowds/test_client_crowds.py
@@ -16,7 +16,7 @@
 from cranecart.http import Response, exchange
 from tests.lib.crowds import Crowd, CrowdClient, chunk, head_bytes
 from tests.lib.fake_targets import Exchange, FakeTarget
-from tests.lib.memory import descriptors, peak_bytes
+from tests.lib.memory import check_process
 from tests.lib.node_processes import (
     NodeProcess,
     NodeProcessTestCase,
@@ -199,8 +199,7 @@
         self.assertIsNone(node.process.poll())
         response = await self._call(node, when)
         self.assertEqual(response.status, _OK)
-        self.assertLess(peak_bytes(node.process.pid), _MEMORY_BYTES)
-        self.assertLess(descriptors(node.process.pid), self.max_descriptors)
+        check_process(self, node.process, _MEMORY_BYTES, self.max_descriptors)
 
 
 async def _serve(served: Exchange) -> None:
--- a/tests/crowds/test_native_crowds.py
+++ b/tests/crowds/test_native_crowds.py
@@ -8,7 +8,7 @@
 from cranecart.http import Request, exchange
 from tests.lib.clusters import start_cluster
 from tests.lib.crowds import Crowd, CrowdClient, head_bytes
-from tests.lib.memory import descriptors, peak_bytes
+from tests.lib.memory import check_process
 
 _KEY = 'Bearer demo-budapest'
 _PATH = '/v1/chat/completions'
@@ -64,5 +64,4 @@
             _CALL_SECONDS,
         )
         self.assertEqual(response.status, _OK)
-        self.assertLess(peak_bytes(process.pid), _MEMORY_BYTES)
-        self.assertLess(descriptors(process.pid), _MAX_DESCRIPTORS)
+        check_process(self, process, _MEMORY_BYTES, _MAX_DESCRIPTORS)
--- a/tests/crowds/test_peer_crowds.py
+++ b/tests/crowds/test_peer_crowds.py
@@ -5,9 +5,9 @@
 from tests.lib.crowds import Crowd, CrowdClient, head_bytes
 from tests.lib.cut_paths import Cut
 from tests.lib.fake_targets import Exchange
-from tests.lib.memory import descriptors, peak_bytes
+from tests.lib.memory import check_process
 from tests.lib.node_processes import NodeProcessTestCase
-from tests.lib.path_testbed import KEY, PathNode, PathTestbed
+from tests.lib.path_testbed import KEY, PathTestbed
 
 _MEMORY_MB = 100
 _MEMORY_BYTES = _MEMORY_MB * 1_000_000
@@ -48,13 +48,12 @@
             await crowd.run(asking.process.client)
             await asking.wait_until_served(_PATH)
             for node in (asking, helping):
-                self._check(node)
-
-    def _check(self, node: PathNode) -> None:
-        process = node.process.process
-        self.assertIsNone(process.poll())
-        self.assertLess(peak_bytes(process.pid), _MEMORY_BYTES)
-        self.assertLess(descriptors(process.pid), _MAX_DESCRIPTORS)
+                check_process(
+                    self,
+                    node.process.process,
+                    _MEMORY_BYTES,
+                    _MAX_DESCRIPTORS,
+                )
 
 
 async def _answer(exchange: Exchange) -> None:
--- a/tests/lib/full_target_deployment.py
+++ b/tests/lib/full_target_deployment.py
@@ -29,6 +29,7 @@
     request_headers,
 )
 from tests.lib.node_processes import NodeProcess
+from tests.lib.node_streams import sleep_until
 from tests.lib.target_processes import (
     Run,
     TargetProcess,
@@ -215,7 +216,7 @@
         return [answer for answers in clients.results for answer in answers]
 
     async def _perform(self, step: Step) -> None:
-        await _sleep_until(self._started_at + step.at)
+        await sleep_until(self._started_at + step.at)
         async with curio.TaskGroup(wait=all) as tasks:
             for number in step.numbers:
                 await tasks.spawn(self._perform_on, step, number)
@@ -260,7 +261,7 @@
 
     async def _act_as_client(self, number: int) -> list[Answer]:
         spread = _START_SPREAD_SECONDS * number / self._case.clients
-        await _sleep_until(self._started_at + spread)
+        await sleep_until(self._started_at + spread)
         answers = []
         for count in range(self._case.requests):
             answers.append(await self._ask_again(number, f'q{number}-{count}'))
@@ -423,7 +424,3 @@
 
 def _kill_node(node: NodeProcess) -> None:
     node.kill()
-
-
-async def _sleep_until(at: float) -> None:
-    await curio.sleep(max(0, at - time.monotonic()))
--- a/tests/lib/memory.py
+++ b/tests/lib/memory.py
@@ -1,5 +1,7 @@
 """What a process uses, as the kernel tells it."""
 
+import subprocess
+import unittest
 from pathlib import Path
 
 
@@ -16,3 +18,15 @@
 def descriptors(pid: int) -> int:
     """Return how many file descriptors a process has open."""
     return len(list(Path(f'/proc/{pid}/fd').iterdir()))
+
+
+def check_process(
+    test: unittest.TestCase,
+    process: subprocess.Popen[bytes],
+    memory_bytes: int,
+    max_descriptors: int,
+) -> None:
+    """Check that a process lives, and has kept within its machine's bounds."""
+    test.assertIsNone(process.poll())
+    test.assertLess(peak_bytes(process.pid), memory_bytes)
+    test.assertLess(descriptors(process.pid), max_descriptors)
--- a/tests/lib/starting_nodes.py
+++ b/tests/lib/starting_nodes.py
@@ -11,7 +11,7 @@
 import signal
 import socket
 import time
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Self
 
@@ -27,6 +27,8 @@
     add_target,
     node_request,
 )
+from tests.lib.node_streams import sleep_until
+from tests.lib.target_processes import Record, repeated_arrivals
 from tests.lib.time_windows import max_in_window
 from tests.platform._standin import StandinStore, StoreBackup, start
 from tools.processes import Addresses
@@ -108,14 +110,12 @@
     """Arrivals of requests that had arrived before.
 
     ``most_repeated`` is the most of them in a window of ``WINDOW_SECONDS``,
-    which ``allowed`` bounds, ``worst_at`` when that window ends, in seconds
-    after the first start.
+    which ``allowed`` bounds.
     """
 
     allowed: int
     repeated: int
     most_repeated: int
-    worst_at: float
     answered: int
 
 
@@ -138,7 +138,7 @@
             FakeTarget(f't-{number}', self._break_off)
             for number in range(1, _TARGETS + 1)
         ]
-        self._arrivals: list[tuple[float, str]] = []
+        self._arrivals: list[Record] = []
         self._answered = 0
         self._started_at = float(0)
 
@@ -192,7 +192,7 @@
         return node
 
     async def _perform(self, step: Step) -> None:
-        await self._sleep_until(step.at)
+        await sleep_until(self._started_at + step.at)
         match step.action:
             case Action.OUTAGE:
                 self._store.set_unresponsive(is_unresponsive=True)
@@ -231,7 +231,7 @@
             at = count / _REQUESTS_PER_SECOND
             if at >= self._case.seconds:
                 return
-            await self._sleep_until(at)
+            await sleep_until(self._started_at + at)
             nodes = [*self._nodes.values(), *self._duplicates]
             if nodes:
                 node = self._random.choice(nodes)
@@ -254,39 +254,17 @@
 
     async def _break_off(self, exchange: Exchange) -> None:
         request_id = exchange.headers['request-id']
-        self._arrivals.append((time.monotonic(), request_id))
+        self._arrivals.append(Record(time.monotonic(), 'arrived', request_id))
         if self._random.random() < _BROKEN_PART:
             await exchange.sock.shutdown(socket.SHUT_RDWR)
         else:
             await exchange.answer(b'{}')
 
     def _evaluate(self) -> StartOutcome:
-        repeats = list(_repeats(self._arrivals))
-        worst = max(
-            range(len(repeats)),
-            key=lambda end: _count_before(repeats, repeats[end]),
-            default=None,
-        )
+        repeats = repeated_arrivals(self._arrivals)
         return StartOutcome(
             self._case.slack,
             len(repeats),
             max_in_window(repeats, WINDOW_SECONDS),
-            0 if worst is None else round(repeats[worst] - self._started_at, 1),
             self._answered,
         )
-
-    async def _sleep_until(self, at: float) -> None:
-        await curio.sleep(max(0, self._started_at + at - time.monotonic()))
-
-
-def _repeats(arrivals: Iterable[tuple[float, str]]) -> Iterator[float]:
-    """Yield when requests arrived that had arrived before."""
-    seen: set[str] = set()
-    for at, request_id in arrivals:
-        if request_id in seen:
-            yield at
-        seen.add(request_id)
-
-
-def _count_before(times: Sequence[float], end: float) -> int:
-    return sum(end - WINDOW_SECONDS <= at <= end for at in times)
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -9,7 +9,6 @@
 import curio
 import msgspec
 
-from cranecart.clocks import since_boot
 from cranecart.exceptions import OverloadedError
 from cranecart.fleet import Fleet
 from cranecart.http import Address
@@ -40,6 +39,7 @@
     GatewayTestbed,
     instance,
 )
+from tests.lib.registration_settings import registration_settings
 
 _INCARNATION = Incarnation('i1', 7)
 _ENTRY = attrs.evolve(
@@ -409,7 +409,7 @@
     def test_only_a_restarted_node_is_established(self) -> None:
         """Its row was in the store before, so that others know of it."""
         table = FakePlatform()
-        settings = _node_settings(first_start=False)
+        settings = registration_settings(first_start=False)
         established = []
         for _start in range(2):
             registration = NodeRegistration(settings, table, True)
@@ -421,10 +421,10 @@
 
     def test_node_cut_off_does_not_know_of_a_restarted_one(self) -> None:
         """Its settings still say that the whole deployment starts."""
-        settings = _node_settings(first_start=True)
+        settings = registration_settings(first_start=True)
         registration = NodeRegistration(settings, FakePlatform(), True)
         curio.run(registration.register)
-        later = since_boot() + _CUT_SECONDS
+        later = registration.registered_at + _CUT_SECONDS
         with patch(
             'cranecart.serving._node_registration.since_boot', lambda: later
         ):
@@ -432,17 +432,6 @@
             self.assertFalse(registration.is_established(hears_all_peers=False))
 
 
-def _node_settings(*, first_start: bool) -> Any:
-    return SimpleNamespace(
-        link_mbps=0,
-        node_id='n0',
-        peer_address='10.0.0.1:1',
-        peer_request_address='',
-        failure_domain='east',
-        first_start=first_start,
-    )
-
-
 async def _serve(exchange: Exchange) -> None:
     await exchange.start_stream()
     await exchange.end_stream()
--- a/tests/unit/test_restored_rows.py
+++ b/tests/unit/test_restored_rows.py
@@ -1,8 +1,6 @@
 """Rows of nodes and of held requests after the store was restored."""
 
 import unittest
-from types import SimpleNamespace
-from typing import Any
 
 import curio
 
@@ -10,6 +8,7 @@
 from cranecart.serving._node_registration import NodeRegistration
 from tests.lib.fake_clock import FakeClock
 from tests.lib.fake_platform import FakePlatform
+from tests.lib.registration_settings import registration_settings
 from tests.unit.test_quarantine import _begun_at
 
 
@@ -70,13 +69,7 @@
 
     def test_a_node_row_missing_from_the_copy(self) -> None:
         """It is written again, but not once the node has stopped."""
-        settings: Any = SimpleNamespace(
-            link_mbps=0,
-            node_id='n0',
-            peer_address='10.0.0.1:1',
-            peer_request_address='',
-            failure_domain='east',
-        )
+        settings = registration_settings()
         table = FakePlatform()
         empty = table.snapshot_rows()
         registry = NodeRegistration(settings, table)
--- a/tests/unit/test_taken_names.py
+++ b/tests/unit/test_taken_names.py
@@ -1,14 +1,13 @@
 """Processes under one name, of which the last one registered holds it."""
 
 import unittest
-from types import SimpleNamespace
-from typing import Any
 
 import curio
 
 from cranecart.fleet import node_key
 from cranecart.serving._node_registration import NodeRegistration
 from tests.lib.fake_platform import FakePlatform
+from tests.lib.registration_settings import registration_settings
 
 _NAME = 'n0'
 _FOREVER = float('inf')
@@ -52,14 +51,7 @@
         self.assertLess(self.later.registered_at, _FOREVER)
 
     def _register(self, port: int) -> NodeRegistration:
-        settings: Any = SimpleNamespace(
-            link_mbps=0,
-            node_id=_NAME,
-            peer_address=f'10.0.0.1:{port}',
-            peer_request_address='',
-            failure_domain='east',
-            first_start=False,
-        )
+        settings = registration_settings(port=port)
         registration = NodeRegistration(settings, self.table)
         curio.run(registration.register)
         return registration
