--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # or installed, so it is only checked that they can be read.
 set -eu
 cd "$(dirname "$0")"
-for file in lib/*.py lib-2/*.py [4-8]/*.py; do
+for file in lib/*.py [4-8]/*.py; do
     if [ -e "$file" ]; then
         python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
     fi
