Release the members of a replica only once its end was observed

Cause: a placer that starts while a whole replica is cut off from the store knows none of its members. The teardown took this for the time at which a member left, and deleted the record once a head without a member would have broken. No member had left; when their entries returned, all counted as free.

The record, which names the members and their births, now stays as ending until a member or the head is known to have left, ended or broken. It is deleted without that only after a minute in which no member was listed, so that the record of replicas that never return does not stay for good. That also ends the records of replicas whose members all died without an answer, to which the running placer sent an order every 1.5 s for good.

--- a/src/cranecart/grouping/_teardown.py
+++ b/src/cranecart/grouping/_teardown.py
@@ -7,6 +7,8 @@
 head without a member is broken. The last two do not suffice while the head has
 an unanswered open, which it may carry out later. A refused connection proves
 little: a leaving instance stops listening while it still finishes its requests.
+That no member is listed proves nothing for a long time either: instances that
+cannot reach the platform go on serving, and are listed again later.
 """
 
 from collections.abc import Callable, Iterable
@@ -43,6 +45,9 @@
 
 # For how long members wait that do not answer, in case their head is opened.
 _LATE_OPEN_SECONDS = 15.0
+# Replicas without any listed member are taken to be gone after this time. Those
+# that are only cut off from the platform return within some ten seconds.
+_MAX_ABSENCE_SECONDS = 60.0
 
 _InstancePartition = tuple[list[ListedInstance], list[ListedInstance]]
 
@@ -65,6 +70,8 @@
     _head_ordered_at: float = attrs.field(default=float('-inf'), init=False)
     _lost_ordered_at: float = attrs.field(default=float('-inf'), init=False)
     _lost_attempts: int = attrs.field(default=0, init=False)
+    # Since when no member is listed.
+    _absent_since: float | None = attrs.field(default=None, init=False)
 
     async def run(self) -> None:
         """Drain the replica, release its members and delete its record."""
@@ -93,19 +100,13 @@
 
     async def _try_release_members(self) -> str:
         """Return why the members are free, or '' if they are not."""
-        if self._fleet.instance_list.has_ended(self.record.incarnations[0]):
-            return 'the head has restarted'
-        if self._member_left_at is None:
-            self._check_ended_members()
+        why = self._listed_end()
+        if why:
+            return why
         if self._member_left_at is None and self._is_head_unreachable():
             # An unreachable head cannot be ordered to leave; releasing another
             # member starts the time after which it breaks.
             await self._release_one_member()
-        if (
-            self._head_phase() is MemberPhase.BROKEN
-            and not self._may_head_open_late()
-        ):
-            return 'the head is broken'
         head = self._head_due_for_leave()
         if head and await self._order(self._context.orders.leave, head):
             return 'the head has left'
@@ -118,6 +119,33 @@
             return ''
         return 'the time after which a head breaks has passed'
 
+    def _listed_end(self) -> str:
+        """Return why the list shows that the replica has ended, or ''."""
+        if self._fleet.instance_list.has_ended(self.record.incarnations[0]):
+            return 'the head has restarted'
+        if self._are_all_gone():
+            return 'no member has been listed for long'
+        if self._member_left_at is None:
+            self._check_ended_members()
+        is_broken = self._head_phase() is MemberPhase.BROKEN
+        if is_broken and not self._may_head_open_late():
+            return 'the head is broken'
+        return ''
+
+    def _are_all_gone(self) -> bool:
+        """Return whether all members have been absent for too long."""
+        if any(name in self._fleet.instances for name in self.record.members):
+            self._absent_since = None
+            return False
+        if self._absent_since is None:
+            self._absent_since = self._clock()
+            log_decision(
+                'members_absent',
+                replica=self.record.name,
+                epoch=self.record.epoch,
+            )
+        return self._clock() - self._absent_since >= _MAX_ABSENCE_SECONDS
+
     def _check_ended_members(self) -> None:
         """Start the stall timer if the incarnation of a member has ended."""
         if any(
@@ -184,10 +212,6 @@
                 self._left.add(member.id)
                 self._member_left_at = self._clock()
                 return
-        if not any(map(self._fleet.find_instance, self.record.members)):
-            # No member is known that could be released. Some may be listed
-            # again, so wait as long as a head takes to break.
-            self._member_left_at = self._clock()
 
     def _members_due_for_leave(self) -> list[ListedInstance]:
         """Return the members that may be sent an order.
--- a/tests/lib/fake_engines.py
+++ b/tests/lib/fake_engines.py
@@ -55,7 +55,8 @@
     do not listen but finish their requests; ``dropping_answers`` lose the
     answer to their next order. Broken invariants are collected in
     ``violations``. A closed replica takes ``work_seconds`` to finish its
-    requests; ``interrupted`` counts orders that cut requests off.
+    requests; ``interrupted`` counts orders that cut requests off. Instances
+    between ``cut_off`` and ``reconnect`` go on, but are not listed.
     """
 
     fleet: Fleet
@@ -74,6 +75,7 @@
     _member_left_at: dict[tuple[str, int], float] = attrs.field(factory=dict)
     _last_epochs: dict[str, int] = attrs.field(factory=dict)
     _ended_epochs: set[tuple[str, int]] = attrs.field(factory=set)
+    _unlisted: dict[str, ListedInstance] = attrs.field(factory=dict)
 
     async def join(
         self,
@@ -153,7 +155,7 @@
     ) -> None:
         """End a membership."""
         self._receive(instance, 'leave')
-        current = self.fleet.find_instance(instance.id) or instance
+        current = self._find(instance.id) or instance
         if current.phase_in(replica, epoch) is None:
             raise OrderRefusedError('not a member')
         self.interrupted += current.phase_in(replica, epoch) in _WORKING_PHASES
@@ -172,9 +174,18 @@
         current = self.fleet.instances.get(instance.id, instance)
         self._publish(attrs.evolve(current, staged=(model,)))
 
+    def cut_off(self, name: str) -> None:
+        """Keep an instance from writing its entry, which lapses."""
+        self._unlisted[name] = self.fleet.instances[name]
+        self.fleet.apply_instances({name: None}, False)
+
+    def reconnect(self, name: str) -> None:
+        """Let an instance write its entry again."""
+        self._publish(self._unlisted.pop(name))
+
     def restart(self, name: str, born: int) -> None:
         """Kill an instance and start it under its id, with nothing loaded."""
-        known = self.fleet.find_instance(name)
+        known = self._find(name)
         assert known is not None
         self._last_epochs.pop(name, None)
         for replica_epoch, members in self._members.items():
@@ -219,7 +230,7 @@
 
     def _may_serve(self, replica_epoch: tuple[str, int]) -> bool:
         head = self._members[replica_epoch][0]
-        known = self.fleet.find_instance(head)
+        known = self._find(head)
         if (
             known is None
             or head in self.terminated
@@ -245,5 +256,11 @@
         membership = attrs.evolve(current.membership, phase=phase)
         self._publish(attrs.evolve(current, membership=membership))
 
+    def _find(self, name: str) -> ListedInstance | None:
+        return self._unlisted.get(name) or self.fleet.find_instance(name)
+
     def _publish(self, instance: ListedInstance) -> None:
-        self.fleet.apply_instances({instance.id: instance}, False)
+        if self._unlisted.get(instance.id) is None:
+            self.fleet.apply_instances({instance.id: instance}, False)
+        else:
+            self._unlisted[instance.id] = instance
