Hold members that return after the record of their replica was deleted

What callers saw: the same as before, where the members return after their record was taken to be that of a replica that is gone: members joined another replica while their head served.

Cause: an ended replica whose head was not listed at that moment was forgotten, replicas without a record were searched for only for 30 s after a takeover, and members that are listed before their head counted as free.

Ended replicas are remembered whether or not their head is listed; the search starts again when members of a replica are listed anew; and a member that is listed anew without its head waits 2.5 s for it, the time within which entries return after a store does.

--- a/src/cranecart/fleet/_instance_list.py
+++ b/src/cranecart/fleet/_instance_list.py
@@ -6,6 +6,7 @@
 
 from cranecart.fleet._incarnations import IncarnationMatch, IncarnationTracker
 from cranecart.fleet._recent_entries import (
+    NewlyListedMembers,
     RecentIncarnations,
     UnconfirmedEntries,
 )
@@ -34,6 +35,9 @@
         init=False,
     )
     lapsed: dict[str, ListedInstance] = attrs.field(factory=dict, init=False)
+    new_members: NewlyListedMembers = attrs.field(
+        factory=NewlyListedMembers, init=False
+    )
     # Instances whose entries are missing, and until when they are kept.
     _missing: dict[str, float] = attrs.field(factory=dict, init=False)
     # Incarnations that are leaving, by their entry or their own announcement.
@@ -233,6 +237,7 @@
         self._lapsed_incarnations.add(instance.incarnation)
         self._by_service[instance.service].pop(name)
         self._available.pop(instance.service, None)
+        self.new_members.forget(name)
         self._incarnations.forget(name)
         log_decision('instance_lapsed', instance=name)
 
@@ -284,6 +289,8 @@
     def _put(self, reported: ListedInstance) -> None:
         entry = self._with_leaving_flag(reported)
         earlier = self.instances.get(entry.id)
+        if earlier is None and entry.membership is not None:
+            self.new_members.add(entry.id)
         if earlier is not None and earlier.service != entry.service:
             self._by_service[earlier.service].pop(entry.id)
             self._available.pop(earlier.service, None)
--- a/src/cranecart/fleet/_recent_entries.py
+++ b/src/cranecart/fleet/_recent_entries.py
@@ -1,9 +1,10 @@
 """Recently seen incarnations, and entries reinstated by a store restore."""
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 
 import attrs
 
+from cranecart.clocks import since_boot
 from cranecart.logs import log_decision
 from cranecart.ports import Incarnation, ListedInstance
 
@@ -36,6 +37,31 @@
         self._incarnations.pop(incarnation, None)
 
 
+@attrs.define
+class NewlyListedMembers:
+    """When instances were listed that were members of a replica by then.
+
+    Times are those of ``since_boot``, minus infinity if it never happened.
+    """
+
+    last_at: float = attrs.field(default=float('-inf'), init=False)
+    _clock: Callable[[], float] = since_boot
+    _listed_at: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def add(self, name: str) -> None:
+        """Record that a member is listed anew."""
+        self.last_at = self._clock()
+        self._listed_at[name] = self.last_at
+
+    def forget(self, name: str) -> None:
+        """Forget an instance that is no longer listed."""
+        self._listed_at.pop(name, None)
+
+    def listed_at(self, name: str) -> float:
+        """Return when an instance was listed anew as a member."""
+        return self._listed_at.get(name, float('-inf'))
+
+
 @attrs.define
 class UnconfirmedEntries:
     """Entries that had lapsed and reappeared when the store was restored.
--- a/src/cranecart/grouping/_orphans.py
+++ b/src/cranecart/grouping/_orphans.py
@@ -2,7 +2,8 @@
 
 When the table is restored from a copy, it may lack the record of a replica that
 no node remembers. The members' entries in the instance list still show which
-replica they form. Late orders may open a replica again after its end.
+replica they form. Late orders may open a replica again after its end, and
+members that were taken to be gone may be listed again, the head last.
 """
 
 from collections import defaultdict
@@ -33,8 +34,9 @@
 class OrphanedReplicas:
     """The replicas of one failure domain that have no record.
 
-    Unknown ones are searched for only for a while after ``watch``, because a
-    placer records every replica that it forms.
+    Unknown ones are searched for only for a while after ``watch`` and after
+    members of replicas were listed anew, because a placer records every replica
+    that it forms.
     """
 
     _failure_domain: str
@@ -70,7 +72,7 @@
             member.id
             for members in self._unrecorded_replicas().values()
             for member in members
-        ).union(self._reopened.members())
+        ).union(self._reopened.members(), self._members_before_head())
 
     def records_to_adopt(self, config: RouteConfig) -> list[ReplicaRecord]:
         """Return records for the orphans that have been listed long enough.
@@ -102,7 +104,7 @@
                 yield _record(replica_epoch, members, is_complete)
 
     def _unrecorded_replicas(self) -> _Groups:
-        if self._clock() > self._watch_until:
+        if not self._is_searching():
             return {}
         serving = {
             (membership.replica, membership.epoch)
@@ -124,6 +126,34 @@
             for replica_epoch, ranked in groups.items()
         }
 
+    def _is_searching(self) -> bool:
+        listed_at = self._fleet.instance_list.new_members.last_at
+        until = max(self._watch_until, listed_at + _WATCH_SECONDS)
+        return self._clock() <= until
+
+    def _members_before_head(self) -> Iterator[str]:
+        """Yield members that were listed anew, but not yet with their head.
+
+        The head may serve, so they wait until it has had time to be listed.
+        """
+        new_members = self._fleet.instance_list.new_members
+        oldest = self._clock() - _INCOMPLETE_GRACE_SECONDS
+        if new_members.last_at < oldest:
+            return
+        heads = {
+            (membership.replica, membership.epoch)
+            for _instance, membership in self._memberships()
+            if membership.rank == 0
+        }
+        for instance, membership in self._memberships():
+            replica_epoch = (membership.replica, membership.epoch)
+            if (
+                replica_epoch not in heads
+                and new_members.listed_at(instance.id) >= oldest
+                and not self._fleet.replica_records.is_recorded(replica_epoch)
+            ):
+                yield instance.id
+
     def _is_unrecorded(self, replica_epoch: _ReplicaEpoch) -> bool:
         key = record_key(self._failure_domain, replica_epoch[0])
         return not self._fleet.replica_records.has_seen(key)
--- a/src/cranecart/grouping/_reopened.py
+++ b/src/cranecart/grouping/_reopened.py
@@ -1,8 +1,9 @@
 """Find replicas that serve again after their record was deleted; no I/O.
 
 Late orders can make the head of an ended replica join and open it again where
-instances do not check fencing tokens. Its members must not join other replicas
-while the list shows the head as serving.
+instances do not check fencing tokens. A head that was taken to be gone may be
+listed again. The members must not join other replicas while the list shows the
+head as serving.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -65,7 +66,6 @@
             (replica_epoch, ended)
             for replica_epoch, ended in self._ended.items()
             if replica_epoch not in recorded
-            and self._fleet.find_instance(ended.record.head) is not None
         ]
         self._ended = dict(remembered[-_MAX_ENDED:])
         for ended in self._ended.values():
--- a/tests/unit/test_lapsed_replicas.py
+++ b/tests/unit/test_lapsed_replicas.py
@@ -8,10 +8,15 @@
 from contextlib import AbstractContextManager
 from unittest import TestCase, mock
 
+import attrs
 import curio
 
 from cranecart.fleet import Fleet, ServingHead
-from cranecart.grouping import _teardown
+from cranecart.grouping import _orphans, _teardown
+from cranecart.grouping._orphans import OrphanedReplicas
+from cranecart.http import Address
+from cranecart.ports import MemberPhase, Membership
+from tests.lib.fake_engines import DOMAIN, listed_instance
 from tests.lib.waiting import until
 from tests.unit.test_grouping import PlacerTestbed
 
@@ -65,6 +70,14 @@
         """They are away again before the first absence has been dealt with."""
         self._run(self._lapse_twice)
 
+    def test_members_return_after_the_record_is_gone(self) -> None:
+        """The placer that deleted it still knows what the replica was."""
+        self._run(self._return_late, False)
+
+    def test_members_return_to_a_placer_without_the_record(self) -> None:
+        """The list alone shows which replica the members are in."""
+        self._run(self._return_late, True)
+
     def test_members_never_return(self) -> None:
         """The record of a replica that is gone does not stay for good."""
         self._run(self._never_return)
@@ -103,6 +116,17 @@
         await self._reconnect(_head_last(replica), 0)
         await self._until_recovered(replica)
 
+    async def _return_late(self, to_new_placer: bool) -> None:  # noqa: FBT001
+        replica = await self._cut_off_one()
+        with _short_absence():
+            await self._start_successor()
+            await until(lambda: not self._is_recorded(replica))
+            if to_new_placer:
+                await self._stop_placer()
+                await self._start_successor()
+        await self._reconnect(_head_last(replica), _RETURN_INTERVAL_SECONDS)
+        await until(lambda: len(self.testbed.heads()) == 2, _RECOVERY_SECONDS)
+
     async def _never_return(self) -> None:
         replica = await self._cut_off_one()
         with _short_absence():
@@ -188,6 +212,41 @@
         )
 
 
+class MembersListedAnewTest(TestCase):
+    """Members of a replica that has no record, long after a takeover."""
+
+    def setUp(self) -> None:
+        """Build a placer's view of a fleet that it has watched for long."""
+        self.fleet = Fleet()
+        self.orphans = OrphanedReplicas(DOMAIN, self.fleet)
+
+    def test_head_is_not_listed_yet(self) -> None:
+        """A member is not free before its head has had time to return."""
+        self._list('a1', 1, MemberPhase.READY)
+        self.assertEqual(self.orphans.members(), {'a1'})
+        with mock.patch.object(_orphans, '_INCOMPLETE_GRACE_SECONDS', 0):
+            self.assertEqual(self.orphans.members(), frozenset())
+
+    def test_head_does_not_serve(self) -> None:
+        """Members of a head that does not serve are free."""
+        self._list('a0', 0, MemberPhase.READY)
+        self._list('a1', 1, MemberPhase.READY)
+        self.assertEqual(self.orphans.members(), frozenset())
+
+    def test_head_serves(self) -> None:
+        """A replica that is listed anew is found although nobody watches."""
+        self._list('a1', 1, MemberPhase.READY)
+        self._list('a0', 0, MemberPhase.OPEN)
+        self.assertEqual(self.orphans.members(), {'a0', 'a1'})
+
+    def _list(self, name: str, rank: int, phase: MemberPhase) -> None:
+        instance = attrs.evolve(
+            listed_instance(name, Address('127.0.0.1', 1)),
+            membership=Membership('r', 1, rank, phase),
+        )
+        self.fleet.apply_instances({name: instance}, False)
+
+
 def _short_absence() -> AbstractContextManager[object]:
     return mock.patch.object(
         _teardown, '_MAX_ABSENCE_SECONDS', _SHORT_ABSENCE_SECONDS
