--- a/tests/unit/test_lapsed_replicas.py
+++ b/tests/unit/test_lapsed_replicas.py
@@ -12,7 +12,7 @@
 import curio
 
 from cranecart.fleet import Fleet, ServingHead
-from cranecart.grouping import _orphans, _teardown
+from cranecart.grouping import _teardown
 from cranecart.grouping._orphans import OrphanedReplicas
 from cranecart.http import Address
 from cranecart.ports import MemberPhase, Membership
@@ -30,6 +30,8 @@
 # Stands in for the time after which members are taken to be gone for good.
 _SHORT_ABSENCE_SECONDS = 0.6
 
+_ORPHANS = 'cranecart.grouping._orphans'
+
 _Order = Callable[[ServingHead], Sequence[str]]
 
 
@@ -224,7 +226,7 @@
         """A member is not free before its head has had time to return."""
         self._list('a1', 1, MemberPhase.READY)
         self.assertEqual(self.orphans.members(), {'a1'})
-        with mock.patch.object(_orphans, '_INCOMPLETE_GRACE_SECONDS', 0):
+        with mock.patch(f'{_ORPHANS}._INCOMPLETE_GRACE_SECONDS', 0):
             self.assertEqual(self.orphans.members(), frozenset())
 
     def test_head_does_not_serve(self) -> None:
