Let the uploads of tests reach their targets

test_response_beside_an_upload_is_framed_as_whole sends 3 MB, but the gateway of the test refused bodies over 1 MB with 413, so that no target was asked and the test passed without checking anything. The gateway takes 8 MB now; the test's target ends where a connection closes without a request, on which it looped for ever.

--- a/tests/lib/fake_targets.py
+++ b/tests/lib/fake_targets.py
@@ -31,6 +31,7 @@
     HttpServer,
     PartialRequests,
     Request,
+    ServerLimits,
 )
 from cranecart.models import (
     EngineModel,
@@ -58,6 +59,8 @@
 ORGANISATION = 'org'
 
 _READ_BYTES = 65536
+# Lets uploads pass that do not fit into the buffers of sockets.
+SERVER_LIMITS = ServerLimits(body_bytes=8_388_608)
 
 Script = Callable[['Exchange'], Awaitable[None]]
 
@@ -380,6 +383,7 @@
         self.server = HttpServer(
             Address('127.0.0.1', 0),
             self.gateway.handle,
+            SERVER_LIMITS,
             partial=PartialRequests(
                 self.gateway.handle, self.gateway.admits_head
             ),
--- a/tests/lib/peer_testbed.py
+++ b/tests/lib/peer_testbed.py
@@ -10,7 +10,7 @@
 from cranecart.http import Address, HttpServer, PartialRequests
 from cranecart.peer_calls import Peer, PeerChoice, PeerClient, PeerEndpoint
 from tests.lib.cut_paths import CuttablePath
-from tests.lib.fake_targets import GatewayTestbed, Script
+from tests.lib.fake_targets import SERVER_LIMITS, GatewayTestbed, Script
 
 NODE = 'n0'
 
@@ -36,6 +36,7 @@
         self.server = HttpServer(
             Address('127.0.0.1', 0),
             self.endpoint.handle,
+            SERVER_LIMITS,
             partial=PartialRequests(self.endpoint.refuse_partial),
         )
         self._link: CuttablePath | None = None
--- a/tests/unit/test_cut_heads.py
+++ b/tests/unit/test_cut_heads.py
@@ -249,7 +249,11 @@
         async with sock:
             received = b''
             while b'\r\n\r\n' not in received:
-                received += await sock.recv(_READ_BYTES)
+                part = await sock.recv(_READ_BYTES)
+                if not part:
+                    # A node found out whether it is reached.
+                    return
+                received += part
             head, _, _body = received.partition(b'\r\n\r\n')
             first, *lines = head.decode().split('\r\n')
             method, path, _version = first.split()
