Fail answers that a reset ended while the request was being sent

Cause: a socket reports a reset once. The task that writes the upload got the error and dropped it; the reader got an end of file, which ends such an answer.

The error of the write is kept. A reader that gets to the end of file waits for the end of the write and fails if that failed, so an answer that a sound target ends before it has taken the rest of the upload is still whole.

--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -72,6 +72,8 @@
         self._pending_request: Request | None = None
         self._is_request_sent = False
         self._send_task: curio.Task | None = None
+        # Why the request could not be sent in the background.
+        self._send_error: ConnectionBrokenError | None = None
         # The parser's event after the chunk that was returned last.
         self._pending_event: object = None
         # Kept between calls, as the reader may be interrupted and call again.
@@ -174,6 +176,7 @@
     def reset(self) -> None:
         """Prepare the connection for the next request."""
         self._send_task = None
+        self._send_error = None
         self._pending_request = None
         self._is_request_sent = False
         self._body.clear()
@@ -339,10 +342,23 @@
     async def _write_in_background(self, encoded: bytes) -> None:
         try:
             await self._write(encoded)
-        except ConnectionBrokenError:
-            # Reading fails too, unless it returns a response that was sent
-            # before.
-            return
+        except ConnectionBrokenError as error:
+            # A response that was sent before may still be read.
+            self._send_error = error
+
+    async def _check_sent(self) -> None:
+        """Raise ``ConnectionBrokenError`` if the request was not sent whole.
+
+        A socket reports a reset once. If that was to the writer, the reader
+        gets an end of file, which would end a response without a length.
+        """
+        if self._send_task is not None:
+            await self._send_task.wait()
+        if self._send_error is not None:
+            raise ConnectionBrokenError(
+                f'{self.address} broke the connection before it had received '
+                'the request'
+            ) from self._send_error
 
     async def _next_event(self) -> object:
         await self._turn.end_if_over()
@@ -358,6 +374,8 @@
                 raise ConnectionBrokenError(
                     f'{self.address} broke the connection',
                 ) from error
+            if not received:
+                await self._check_sent()
             self._parser.receive_data(received)
             event = self._parse()
         return event
