--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -15,6 +15,7 @@
     ConnectRefusedError,
     MessageTooLargeError,
 )
+from cranecart.http._background_write import BackgroundWrite
 from cranecart.http._limits import READ_BYTES
 from cranecart.http._messages import (
     Address,
@@ -71,9 +72,7 @@
         self._parser = _new_parser()
         self._pending_request: Request | None = None
         self._is_request_sent = False
-        self._send_task: curio.Task | None = None
-        # Why the request could not be sent in the background.
-        self._send_error: ConnectionBrokenError | None = None
+        self._background = BackgroundWrite()
         # The parser's event after the chunk that was returned last.
         self._pending_event: object = None
         # Kept between calls, as the reader may be interrupted and call again.
@@ -175,8 +174,7 @@
 
     def reset(self) -> None:
         """Prepare the connection for the next request."""
-        self._send_task = None
-        self._send_error = None
+        self._background = BackgroundWrite()
         self._pending_request = None
         self._is_request_sent = False
         self._body.clear()
@@ -201,11 +199,7 @@
         # Encoded before anything is read: data that has arrived earlier is no
         # response to this request.
         encoded = self._encode(request)
-        self._send_task = await curio.spawn(
-            self._write_in_background,
-            encoded,
-            daemon=True,
-        )
+        await self._background.start(self._write, encoded)
 
     async def send_and_read_head(self, request: Request) -> ResponseHead:
         """Send a request and read the response's status and headers."""
@@ -309,9 +303,7 @@
             reset_on_close(self._sock)
         self._body.clear()
         self.held.release()
-        if self._send_task is not None:
-            await self._send_task.cancel()
-            self._send_task = None
+        await self._background.cancel()
         await self._sock.close()
 
     def _encode(self, request: Request) -> bytes:
@@ -339,27 +331,6 @@
             ) from error
         self._is_request_sent = True
 
-    async def _write_in_background(self, encoded: bytes) -> None:
-        try:
-            await self._write(encoded)
-        except ConnectionBrokenError as error:
-            # A response that was sent before may still be read.
-            self._send_error = error
-
-    async def _check_sent(self) -> None:
-        """Raise ``ConnectionBrokenError`` if the request was not sent whole.
-
-        A socket reports a reset once. If that was to the writer, the reader
-        gets an end of file, which would end a response without a length.
-        """
-        if self._send_task is not None:
-            await self._send_task.wait()
-        if self._send_error is not None:
-            raise ConnectionBrokenError(
-                f'{self.address} broke the connection before it had received '
-                'the request'
-            ) from self._send_error
-
     async def _next_event(self) -> object:
         await self._turn.end_if_over()
         event = self._pending_event
@@ -375,7 +346,7 @@
                     f'{self.address} broke the connection',
                 ) from error
             if not received:
-                await self._check_sent()
+                await self._background.check()
             self._parser.receive_data(received)
             event = self._parse()
         return event
--- a/tests/unit/test_reset_uploads.py
+++ b/tests/unit/test_reset_uploads.py
@@ -47,9 +47,10 @@
 def _read_all(sock: socket.socket) -> None:
     """End the answer, then take the whole upload, as a sound target does."""
     sock.shutdown(socket.SHUT_WR)
-    size = 0
-    while size < len(_UPLOAD) and (received := sock.recv(_READ_BYTES)):
-        size += len(received)
+    left = len(_UPLOAD)
+    while left > 0:
+        received = sock.recv(_READ_BYTES)
+        left -= len(received) or left
 
 
 @attrs.define
@@ -125,13 +126,11 @@
     def test_plain_answer(self) -> None:
         """Whether the target resets or closes without reading all."""
         for before_close in (_reset, _leave_input_unread):
+            make_target = functools.partial(
+                _EarlyTarget, b'half of it', before_close
+            )
             with self.subTest(before_close=before_close.__name__):
-                answers = _ask(
-                    lambda: _EarlyTarget(b'half of it', before_close),  # noqa: B023
-                    '/unsafe/x',
-                    PLAIN,
-                )
-                self._check_none_is_whole(answers)
+                self._check_none_is_whole(_ask(make_target, '/unsafe/x', PLAIN))
 
     def test_answer_without_a_byte_of_its_body(self) -> None:
         """An empty answer that a reset ends is not whole either."""
