Refuse heads of answers that the parser is lenient with

What callers saw: answers of targets in trouble with a line of the head that began with a blank, joined to the value before it. With ' transfer-encoding: chunked' the body was the bytes of the chunks.

Cause: the parser unfolds lines that begin with a blank, and takes any status of three digits and any version.

All answers are parsed in one place, which refuses such heads now.

--- a/src/cranecart/http/_client.py
+++ b/src/cranecart/http/_client.py
@@ -26,6 +26,7 @@
     encode_headers,
 )
 from cranecart.http._resets import reset_on_close
+from cranecart.http._response_heads import next_event
 from cranecart.http._response_memory import (
     HeldResponse,
     ResponseLimits,
@@ -354,7 +355,7 @@
     def _parse(self) -> object:
         self._turn.count_step()
         try:
-            return self._parser.next_event()
+            return next_event(self._parser)
         except h11.RemoteProtocolError as error:
             raise ConnectionBrokenError(
                 f'{self.address} did not finish its response: {error}',
