Answer HEAD requests that the node refuses, without a body

Cause: the responder sent a body whatever the method was; the HTTP library refuses that before anything is written, which the server took for a client that had left.

Evidence: three tests of tests.unit.test_head_requests fail on (nothing is received for 404, 401 and 502 and on streams; length 0 for 1234). The fourth guards responses of peers, which have a frame of their own.

--- a/src/cranecart/forwarding/_buffered.py
+++ b/src/cranecart/forwarding/_buffered.py
@@ -92,8 +92,15 @@
             header_lines=without_outcome(
                 self._sender.translator.response_headers(head)
             ),
+            declared_length=self._declared_length(head),
         )
 
+    def _declared_length(self, head: ResponseHead) -> str:
+        """Return the length to declare without a body, for HEAD only."""
+        if not self._attempts.call.request.is_head:
+            return ''
+        return head.headers.get('content-length', '')
+
 
 def _has_failed(head: ResponseHead) -> bool:
     return head.status >= _FIRST_SERVER_ERROR_STATUS
--- a/src/cranecart/http/_messages.py
+++ b/src/cranecart/http/_messages.py
@@ -77,6 +77,11 @@
     unread_seconds: float = attrs.field(default=0, eq=False, kw_only=True)
     is_partial: bool = attrs.field(default=False, kw_only=True)
 
+    @property
+    def is_head(self) -> bool:
+        """Return whether the response to this request has no body."""
+        return self.method == 'HEAD'
+
     @property
     def path(self) -> str:
         """Return the target without its query."""
@@ -114,13 +119,15 @@
 class Response:
     """A complete response.
 
-    If ``header_lines`` is not empty, it is sent instead of ``headers``.
+    If ``header_lines`` is not empty, it is sent instead of ``headers``. In a
+    response to HEAD ``declared_length`` is sent as the length, if it is given.
     """
 
     status: int
     headers: Headers = attrs.field(factory=dict)
     body: bytes = b''
     header_lines: HeaderLines = ()
+    declared_length: str = ''
 
     @property
     def is_success(self) -> bool:
--- a/src/cranecart/http/_responder.py
+++ b/src/cranecart/http/_responder.py
@@ -27,7 +27,8 @@
 
     While ``is_closing`` returns true, responses carry "Connection: close".
     ``unread_seconds`` is set if the response was cut off because the client had
-    not read it for this long. ``extra_headers`` are added to its head.
+    not read it for this long. ``extra_headers`` are added to its head. The body
+    is left out if ``omits_body``, as in responses to HEAD.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self._unread = unread
         self.unread_seconds: float | None = None
         self.extra_headers: HeaderLines = ()
+        self.omits_body = False
         self._first_byte_at: float | None = None
 
     @property
@@ -61,15 +63,16 @@
 
     async def send(self, response: Response) -> None:
         """Send a complete response."""
-        await self._write(
-            self._head(
-                response.status,
-                response.header_lines or response.headers,
-                ('content-length', str(len(response.body))),
-            ),
-            h11.Data(data=response.body),
-            h11.EndOfMessage(),
+        length = str(len(response.body))
+        if self.omits_body:
+            length = response.declared_length or length
+        head = self._head(
+            response.status,
+            response.header_lines or response.headers,
+            ('content-length', length),
         )
+        body = () if self.omits_body else (h11.Data(data=response.body),)
+        await self._write(head, *body, h11.EndOfMessage())
 
     async def start(self, status: int, headers: Headers | HeaderLines) -> None:
         """Send the head of a response whose body follows in chunks."""
@@ -83,6 +86,8 @@
         If the memory for unread responses is bounded, the response is cut off
         if it is unread when ``seconds_left`` have passed.
         """
+        if self.omits_body:
+            return
         encoded = self._connection.send(h11.Data(data=chunk))
         try:
             await self._transmit(encoded, seconds_left)
--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -246,6 +246,7 @@
                 await send_error(responder, error)
                 await _drain_before_close(sock)
                 return None
+            responder.omits_body = request.is_head
             answer = (
                 self._partial.refuse if request.is_partial else self._handler
             )
