--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -34,6 +34,7 @@
     test: str
 
 
+_LAPSED = 'tests.unit.test_lapsed_replicas'
 _RANDOM_FAULTS = (
     'tests.unit.test_grouping_faults.GroupingFaultsTest'
     '.test_no_overlap_and_no_partial_replica'
@@ -134,13 +135,42 @@
     Mutation(
         'members-released-before-teardown',
         'grouping/_teardown.py',
-        """        if self._fleet.instance_list.has_ended(self.record.incarnations[0]):
-            return 'the head has restarted'
+        """        if why:
+            return why
         if self._member""",
-        """        return 'at once'
+        """        if not why:
+            return 'at once'
         if self._member""",
         _RANDOM_FAULTS,
     ),
+    Mutation(
+        'absent-members-taken-for-released',
+        'grouping/_teardown.py',
+        '_MAX_ABSENCE_SECONDS = 60.0',
+        '_MAX_ABSENCE_SECONDS = 0.5',
+        f'{_LAPSED}.LapsedReplicasTest',
+    ),
+    Mutation(
+        'returned-members-taken-for-free',
+        'grouping/_orphans.py',
+        'self._reopened.members(), self._members_before_head()',
+        'self._reopened.members()',
+        f'{_LAPSED}.MembersListedAnewTest',
+    ),
+    Mutation(
+        'reset-taken-for-the-end-of-an-answer',
+        'http/_client.py',
+        'await self._background.check()',
+        'await curio.sleep(0)',
+        'tests.unit.test_reset_uploads.ResetUploadTest',
+    ),
+    Mutation(
+        'folded-header-lines-joined',
+        'http/_response_heads.py',
+        '    if folded:',
+        '    if not end:',
+        'tests.unit.test_malformed_heads.MalformedHeadsTest',
+    ),
     Mutation(
         'members-in-use-not-awaited',
         'grouping/_formation.py',
