Draw lapses of members and nodes that never listed them

Members and whole replicas lapse and return in any order, and placers start without having listed them.

--- a/tests/lib/fake_engines.py
+++ b/tests/lib/fake_engines.py
@@ -174,6 +174,11 @@
         current = self.fleet.instances.get(instance.id, instance)
         self._publish(attrs.evolve(current, staged=(model,)))
 
+    @property
+    def cut_off_names(self) -> tuple[str, ...]:
+        """Return the instances that are cut off."""
+        return tuple(self._unlisted)
+
     def cut_off(self, name: str) -> None:
         """Keep an instance from writing its entry, which lapses."""
         self._unlisted[name] = self.fleet.instances[name]
--- a/tests/unit/test_grouping_faults.py
+++ b/tests/unit/test_grouping_faults.py
@@ -1,10 +1,11 @@
 """Random faults against a placer: no replica overlaps or is incomplete."""
 
 import unittest
+from collections.abc import Iterable
 
 import attrs
 import curio
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cranecart.fleet import (
@@ -21,6 +22,9 @@
 from tests.unit.test_grouping import PlacerTestbed
 
 _STEP_SECONDS = 0.06
+# Longer than a takeover and the time after which a head without a member is
+# broken.
+_PAUSE_SECONDS = 1.5
 TableSnapshot = tuple[int, dict[str, Row]]
 _INSTANCES = 9
 _STORE_FAULTS = (
@@ -72,6 +76,33 @@
 )
 
 
+_lapse_events = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                'cut off',
+                'cut replica off',
+                'reconnect',
+                'reconnect all',
+                'pause',
+                'new node',
+                'leaving',
+            ),
+        ),
+        st.integers(0, _INSTANCES - 1),
+    ),
+    max_size=8,
+)
+
+
+_LAPSE_OF_A_REPLICA = (
+    ('cut replica off', 0),
+    ('new node', 0),
+    ('pause', 0),
+    ('reconnect all', 0),
+)
+
+
 @attrs.define
 class _FaultScenario:
     """A testbed, and the faults that are injected one after the other."""
@@ -80,6 +111,7 @@
     events: list[tuple[str, int]]
     running: curio.Task | None = None
     snapshot: TableSnapshot = (0, {})
+    has_reconnected: bool = False
 
     async def run(self) -> None:
         """Form replicas, inject the faults, and wait for a stable state."""
@@ -90,6 +122,10 @@
             await self._inject(kind, f'i{number}')
             await curio.sleep(_STEP_SECONDS)
         testbed.table.faults = iter(())
+        if testbed.engines.cut_off_names or self.has_reconnected:
+            self._reconnect(testbed.engines.cut_off_names)
+            # Members that have returned are used only after a while.
+            await curio.sleep(_PAUSE_SECONDS)
         await until(self._is_stable, 12)
         await self.running.cancel()
 
@@ -123,6 +159,7 @@
                 await self._replace_placer()
             case _:
                 await self._inject_table_fault(kind)
+                await self._inject_lapse(kind, name)
 
     async def _inject_table_fault(self, kind: str) -> None:
         testbed = self.testbed
@@ -135,6 +172,33 @@
             case 'new node':
                 await self._restart_with_empty_fleet()
 
+    async def _inject_lapse(self, kind: str, name: str) -> None:
+        testbed = self.testbed
+        match kind:
+            case 'cut off':
+                self._cut_off((name,))
+            case 'cut replica off':
+                for record in testbed.fleet.replica_records.records_with_member(
+                    name
+                ):
+                    self._cut_off(record.members)
+            case 'reconnect':
+                self._reconnect(testbed.engines.cut_off_names[:1])
+            case 'reconnect all':
+                self._reconnect(testbed.engines.cut_off_names)
+            case 'pause':
+                await curio.sleep(_PAUSE_SECONDS)
+
+    def _cut_off(self, names: Iterable[str]) -> None:
+        for name in names:
+            if name in self.testbed.fleet.instances:
+                self.testbed.engines.cut_off(name)
+
+    def _reconnect(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.has_reconnected = True
+            self.testbed.engines.reconnect(name)
+
     def _rows(self) -> dict[str, ReplicaRecord]:
         """Return the records that a node reads from the table."""
         prefix = records_prefix(DOMAIN)
@@ -201,6 +265,16 @@
         """The table is restored from a copy, and nodes start without state."""
         self._run_scenario(events)
 
+    @settings(max_examples=10, deadline=None)
+    @given(_lapse_events)
+    @example(list(_LAPSE_OF_A_REPLICA))
+    def test_no_overlap_after_lapses(
+        self,
+        events: list[tuple[str, int]],
+    ) -> None:
+        """Members lapse and return, and nodes start that never listed them."""
+        self._run_scenario(events)
+
     def _run_scenario(self, events: list[tuple[str, int]]) -> None:
         testbed = PlacerTestbed()
         try:
