Look less often whether members that are not listed have returned

Cause: where a failure domain has lost power, each of its replicas waits for its members to be listed for a minute, with ten looks a second.

Members that return are released 0.2 s later at the most.

--- a/src/cranecart/grouping/_teardown.py
+++ b/src/cranecart/grouping/_teardown.py
@@ -32,6 +32,9 @@
 from cranecart.ports import ListedInstance, MemberPhase
 
 _RETRY_SECONDS = 0.1
+# Interval between looks at the list while no member is listed. All replicas of
+# a failure domain that has lost power wait for that long, hundreds at a time.
+_ABSENT_RETRY_SECONDS = 0.3
 # Retry interval for a head that was found lost, in case it is running and was
 # only unreachable. At half a second, a dead head was sent an order in every
 # interval until its teardown ended.
@@ -82,12 +85,16 @@
         while self._context.lease.is_held and not why:
             why = await self._try_release_members()
             if not why:
-                await curio.sleep(_RETRY_SECONDS)
+                await curio.sleep(self._retry_seconds())
         while self._context.lease.is_held and not await self._delete_record(
             why, started
         ):
             await curio.sleep(_RETRY_SECONDS)
 
+    def _retry_seconds(self) -> float:
+        is_absent = self._absent_since is not None
+        return _ABSENT_RETRY_SECONDS if is_absent else _RETRY_SECONDS
+
     async def _drain(self) -> None:
         until = self._clock() + _DRAIN_TIMEOUT_SECONDS
         while self._context.lease.is_held and self._clock() < until:
