Drop the answer of a running call only, in test_lost_response_of_the_service

All three outcomes were 'refused as not run', none unknown.

Cause: the test set the fault first, and the fault also drops answers to health probes. A probe between the fault and the call takes the only instance out, so the call is refused as not run, which is true; no claim remains, and the retries 1.5 s later, before the next probe, are refused too.

Changed: the fault is set once the service has recorded the start of the call, so the check is as strict (unknown outcomes only, one run) and can no longer pass or fail without a call that ran.

--- a/tests/functional/test_at_most_once.py
+++ b/tests/functional/test_at_most_once.py
@@ -101,17 +101,13 @@
 
     def test_lost_response_of_the_service(self) -> None:
         """All attempts get an unknown outcome, and the call runs once."""
-        self.cluster.control.set_link_faults(
-            'buda-terem-s0',
-            drop_answer=True,
-        )
         call = self._call()
-        first = self._send([call], ['node0'])
+        first = curio.run(self._send_and_drop_answer, call)
         # The instance must have passed a health probe before the retry.
         self.cluster.control.set_link_faults('buda-terem-s0')
         time.sleep(1.5)
         retried = self._send([call], _NODES)
-        self._assert_outcomes([*first, *retried], OutcomeKind.UNKNOWN)
+        self._assert_outcomes([first, *retried], OutcomeKind.UNKNOWN)
         self._assert_run_count([call], 1)
 
     def test_node_paused_between_claim_and_send(self) -> None:
@@ -135,6 +131,19 @@
         outcome = await sending.join()
         self.assertEqual(outcome.kind, OutcomeKind.DISCONNECTED)
 
+    async def _send_and_drop_answer(self, call: LoadCall) -> Outcome:
+        sending = await curio.spawn(self._send_to, 'node0', call)
+        # Earlier, a dropped answer to a health probe would take the instance
+        # out, and the call would not be sent.
+        while not self._run_count(call) and not sending.terminated:
+            await curio.sleep(0.05)
+        await self.cluster.control.link_faults(
+            'buda-terem-s0',
+            drop_answer=True,
+        )
+        outcome: Outcome = await sending.join()
+        return outcome
+
     async def _send_and_pause(self, call: LoadCall) -> None:
         sending = await curio.spawn(self._send_to, 'node0', call)
         await curio.sleep(0.3)
@@ -190,4 +199,8 @@
         outcomes: Sequence[Outcome],
         kind: OutcomeKind,
     ) -> None:
-        self.assertEqual({outcome.kind for outcome in outcomes}, {kind})
+        self.assertEqual(
+            {outcome.kind for outcome in outcomes},
+            {kind},
+            [(outcome.kind, outcome.code) for outcome in outcomes],
+        )
