Answer what native nodes have accepted before their process ends

Cause: a native node that stops waited until no request was admitted, and ended. A request that was still being read, or on its way on an accepted connection, met a closed one. Its listener stayed open until then, so new ones could come at any moment.

Now the node stops listening once nothing is admitted, closes idle connections after half a second, and ends when none is left.

--- a/src/cranecart/http/_server.py
+++ b/src/cranecart/http/_server.py
@@ -74,7 +74,7 @@
         self._admits_connection = admits_connection
         self.unread = UnreadResponses(lambda: self.limits.unread_bytes)
         self._listener: Any = None
-        self._connection_count = 0
+        self.connection_count = 0
         self._closing = False
         self._accept_task: curio.Task | None = None
         # In the order in which they became idle.
@@ -156,7 +156,7 @@
         A new connection waits rather than being closed, which would give its
         client no reason. Meanwhile ``is_full`` may make health checks fail.
         """
-        while self._connection_count >= self.limits.connections:
+        while self.connection_count >= self.limits.connections:
             await self._free_capacity()
             await curio.sleep(_CAPACITY_POLL_SECONDS)
         self._full_until = float('-inf')
@@ -189,7 +189,7 @@
             raise
         # Counted here, as many connections may be accepted before the first of
         # their tasks runs.
-        self._connection_count += 1
+        self.connection_count += 1
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.unread.prepare(sock)
         # Not in a task group, which would keep all finished tasks until its end.
@@ -205,7 +205,7 @@
         except Exception:
             _LOG.exception('unexpected error while serving a connection')
         finally:
-            self._connection_count -= 1
+            self.connection_count -= 1
             await sock.close()
 
     async def _serve_requests(self, sock: curio.io.Socket) -> None:
--- a/src/cranecart/node/_node.py
+++ b/src/cranecart/node/_node.py
@@ -36,6 +36,9 @@
 _LATENESS_INTERVAL_SECONDS = 0.1
 _GUARD_REFRESH_SECONDS = 0.5
 _DRAIN_POLL_SECONDS = 0.05
+# How long connections may stay idle once a stopping node accepts no more; the
+# first request on a new one may still be on its way.
+_LAST_REQUEST_SECONDS = 0.5
 _MILLISECONDS = 1000
 # After this time a node becomes ready even without reports on all instances.
 _MAX_UNINFORMED_SECONDS = 8.0
@@ -152,6 +155,16 @@
         deadline = since_boot() + self._settings.stop_grace_ms / _MILLISECONDS
         while self._admission.in_progress and since_boot() < deadline:
             await curio.sleep(_DRAIN_POLL_SECONDS)
+        await self._finish_connections(deadline)
+
+    async def _finish_connections(self, deadline: float) -> None:
+        """Answer the requests on connections that have been accepted."""
+        await self._client_server.stop_listening()
+        idle_until = since_boot() + _LAST_REQUEST_SECONDS
+        while self._client_server.connection_count and since_boot() < deadline:
+            if since_boot() >= idle_until:
+                await self._client_server.close_idle()
+            await curio.sleep(_DRAIN_POLL_SECONDS)
 
     async def _measure_loop_lateness(self) -> None:
         while True:
