Test that native members are idle before they join another replica

The postmortem of members joined after a cut left the native node open. There an instance is free only by its own report; the test passed at once and guards that.

--- a/tests/unit/test_placement_plan.py
+++ b/tests/unit/test_placement_plan.py
@@ -111,6 +111,16 @@
         actions = plan(_lose(state, {'e01'}))
         self.assertEqual([type(action) for action in actions], [RetireReplica])
 
+    def test_members_return_after_their_replica_was_dissolved(self) -> None:
+        """They become idle before they join another replica."""
+        state = _follow_orders(_apply(_empty_state(4, 1)))
+        returned = attrs.evolve(state, rows={}, owners={})
+        self.assertEqual(plan(returned), [])
+        self.assertEqual(
+            [(order.instance.id, order.row) for order in plan_orders(returned)],
+            [(name, None) for name in state.instances],
+        )
+
     def test_leaving_member_waits_for_work_to_end(self) -> None:
         """Requests in flight are never cut off by a planned leave."""
         state = _follow_orders(_apply(_empty_state(5, 1)))
