--- a/tests/unit/test_reset_uploads.py
+++ b/tests/unit/test_reset_uploads.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import threading
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -32,6 +33,10 @@
 _READ_BYTES = 4096
 _SETTLE_SECONDS = 0.05
 _DEADLINE_MS = 8000
+# How long a target keeps a connection whose upload it does not read, and until
+# when the client has its answer.
+_UNREAD_SECONDS = 4.0
+_MAX_ANSWER_SECONDS = 1.5
 _LINGER_NOT = struct.pack('ii', 1, 0)
 _EVENT = b'id: 1\ndata: 1\n\n'
 
@@ -53,6 +58,19 @@
         left -= len(received) or left
 
 
+def _short_listener() -> socket.socket:
+    """Return a listener whose connections hold little that is not read."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _READ_BYTES)
+    return listener
+
+
+def _read_nothing(sock: socket.socket) -> None:
+    """End the answer, and keep the connection without reading from it."""
+    sock.shutdown(socket.SHUT_WR)
+    time.sleep(_UNREAD_SECONDS)
+
+
 @attrs.define
 class _EarlyTarget:
     """Answers without a length once it has read the head of a request.
@@ -181,6 +199,21 @@
         self.assertEqual((answer.status, answer.body), (_OK, b'all of it'))
         self.assertTrue(answer.is_complete)
 
+    def test_target_never_reads_the_upload(self) -> None:
+        """A sound answer is not held until the deadline of its request."""
+        started = time.monotonic()
+        answer = _ask(
+            lambda: _EarlyTarget(
+                b'all of it', _read_nothing, listener=_short_listener()
+            ),
+            '/unsafe/x',
+            PLAIN,
+            tries=1,
+        )[0]
+        self.assertLess(time.monotonic() - started, _MAX_ANSWER_SECONDS)
+        self.assertEqual((answer.status, answer.body), (_OK, b'all of it'))
+        self.assertTrue(answer.is_complete)
+
     async def _read_after_writing_failed(self) -> None:
         target = _EarlyTarget(b'half of it', _reset)
         task = await curio.spawn(target.run)
