Follow the code of a native node's stop in its mutation, and add two

node-stops-without-draining replaced a loop that no longer decides alone; it sets the grace period to 0 now.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -127,11 +127,18 @@
     Mutation(
         'node-stops-without-draining',
         'node/_node.py',
-        'while self._admission.in_progress and',
-        'while False and',
+        'self._settings.stop_grace_ms / _MILLISECONDS',
+        '0',
         'tests.functional.test_planned_shutdown.PlannedShutdownTest'
         '.test_rolling_restart_of_all_nodes',
     ),
+    Mutation(
+        'accepted-connections-cut-by-a-stop',
+        'node/_node.py',
+        'while self._client_server.connection_count and',
+        'while False and',
+        'tests.functional.test_native_stop.NativeStopTest',
+    ),
     Mutation(
         'members-released-before-teardown',
         'grouping/_teardown.py',
@@ -164,6 +171,13 @@
         'await curio.sleep(0)',
         'tests.unit.test_reset_uploads.ResetUploadTest',
     ),
+    Mutation(
+        'answers-held-until-the-upload-is-read',
+        'http/_background_write.py',
+        '_RESET_WAIT_SECONDS = 0.5',
+        '_RESET_WAIT_SECONDS = 60.0',
+        'tests.unit.test_reset_uploads.ResetUploadTest',
+    ),
     Mutation(
         'folded-header-lines-joined',
         'http/_response_heads.py',
